--- /dev/null
+++ b/Makefile
@@ -0,0 +1,122 @@
+# Everything is built into build/. `make check` and `make demo` are the two
+# commands a newcomer needs; both install missing packages first.
+
+CC ?= gcc
+PKGS = libevent libevent_openssl msgpack glib-2.0 jansson libsodium libxxhash \
+       libssl libcrypto
+BUILD ?= build
+SANITIZE ?=
+
+PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
+PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lm
+CHECK_LIBS = $(shell pkg-config --libs check)
+CFLAGS ?= -O2 -g
+ALL_CFLAGS = -std=c11 -D_GNU_SOURCE -Wall -Wextra -Wshadow -Wstrict-prototypes \
+             -Wmissing-prototypes -Wformat=2 -Wpointer-arith -Werror \
+             -Ilib $(PKG_CFLAGS) $(CFLAGS) $(SANITIZE)
+LDFLAGS += $(SANITIZE)
+
+MAKEFLAGS += --no-print-directory
+LIB_SRC := $(sort $(wildcard lib/*/*.c))
+LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
+LIB := $(BUILD)/libmasticrelay.a
+
+# A program is one file in programs/; files named programs/PROGRAM_*.c belong
+# to PROGRAM.
+PROGRAMS := masticrelayd masticrelayctl
+STANDINS := $(patsubst tests/standins/%.c,%,$(wildcard tests/standins/*_standin.c)) \
+            $(patsubst tests/standins/%.c,%,$(wildcard tests/standins/fault_proxy.c))
+UNIT := $(patsubst tests/unit/%.c,%,$(wildcard tests/unit/test_*.c))
+INTEGRATION := $(patsubst tests/integration/%.c,%,$(wildcard tests/integration/test_*.c))
+HARNESS_SRC := $(wildcard tests/integration/harness*.c)
+BENCH := $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
+EXAMPLES := $(patsubst examples/%.c,%,$(wildcard examples/*.c))
+
+SOURCES := $(sort $(wildcard lib/*.h lib/*/*.[ch] programs/*.[ch] tests/*/*.[ch] \
+           bench/*.[ch] examples/*.[ch] fuzz/*.[ch]))
+
+.PHONY: all programs standins tests bench-programs examples check unit \
+        integration demo packages format format-check lint clean bench capacity
+
+all: programs standins tests bench-programs examples
+
+programs: $(PROGRAMS:%=$(BUILD)/%)
+standins: $(STANDINS:%=$(BUILD)/%)
+tests: $(UNIT:%=$(BUILD)/unit/%) $(INTEGRATION:%=$(BUILD)/integration/%)
+bench-programs: $(BENCH:%=$(BUILD)/%)
+examples: $(EXAMPLES:%=$(BUILD)/examples/%)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	@echo "CC $<"
+	@$(CC) $(ALL_CFLAGS) -MMD -MP -c $< -o $@
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	@echo "AR $@"
+	@ar rcs $@ $^
+
+.SECONDEXPANSION:
+$(PROGRAMS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/programs/%.o \
+    $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard programs/%_*.c)) $(LIB)
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
+
+$(STANDINS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/tests/standins/%.o \
+    $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard tests/standins/common_*.c)) $(LIB)
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
+
+$(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(LIB)
+	@mkdir -p $(@D)
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(PKG_LIBS) -o $@
+
+$(BUILD)/integration/%: $(BUILD)/tests/integration/%.o \
+    $(HARNESS_SRC:%.c=$(BUILD)/%.o) $(LIB)
+	@mkdir -p $(@D)
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(PKG_LIBS) -o $@
+
+$(BENCH:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/bench/%.o \
+    $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard bench/common_*.c)) $(LIB)
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
+
+$(BUILD)/examples/%: $(BUILD)/examples/%.o $(LIB)
+	@mkdir -p $(@D)
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
+
+packages:
+	@./tools/install-packages
+
+check: packages
+	$(MAKE) all
+	./tools/run-tests $(BUILD)
+
+unit: tests
+	./tools/run-tests $(BUILD) unit
+
+integration: all
+	./tools/run-tests $(BUILD) integration
+
+demo: packages
+	$(MAKE) programs standins
+	./tools/demo $(BUILD)
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check:
+	clang-format --dry-run --Werror $(SOURCES)
+
+# Two files a process, so that all cores work.
+lint:
+	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P 10 -n 2 \
+	    sh -c 'clang-tidy --quiet --header-filter="$(CURDIR)/.*" "$$@" -- -std=c11 -D_GNU_SOURCE -Ilib $(PKG_CFLAGS) 2>/dev/null' tidy
+
+clean:
+	rm -rf $(BUILD)
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/lib/common/error.h
@@ -0,0 +1,74 @@
+#ifndef MR_COMMON_ERROR_H
+#define MR_COMMON_ERROR_H
+
+/** Whether a request's statement ran. */
+typedef enum mr_outcome {
+    MR_OUTCOME_NOT_RUN,
+    MR_OUTCOME_RAN,
+    MR_OUTCOME_UNKNOWN,
+} mr_outcome_t;
+
+/**
+ * MR_ERROR_KINDS() - the closed list of error kinds
+ *
+ * Each entry: constant, name in answers, HTTP status, outcome class. The
+ * values travel between instances, so new kinds go at the end.
+ */
+#define MR_ERROR_KINDS(X)                                                     \
+    X(MR_OK, "ok", 200, MR_OUTCOME_RAN)                                       \
+    X(MR_ERR_INVALID_REQUEST, "invalid_request", 400, MR_OUTCOME_NOT_RUN)     \
+    X(MR_ERR_INVALID_SESSION, "invalid_session", 400, MR_OUTCOME_NOT_RUN)     \
+    X(MR_ERR_INVALID_REQUEST_ID, "invalid_request_id", 400,                   \
+      MR_OUTCOME_NOT_RUN)                                                     \
+    X(MR_ERR_UNAUTHENTICATED, "unauthenticated", 401, MR_OUTCOME_NOT_RUN)     \
+    X(MR_ERR_FORBIDDEN, "forbidden", 403, MR_OUTCOME_NOT_RUN)                 \
+    X(MR_ERR_UNKNOWN_ROUTE, "unknown_route", 404, MR_OUTCOME_NOT_RUN)         \
+    X(MR_ERR_NOT_FOUND, "not_found", 404, MR_OUTCOME_NOT_RUN)                 \
+    X(MR_ERR_METHOD_NOT_ALLOWED, "method_not_allowed", 405,                   \
+      MR_OUTCOME_NOT_RUN)                                                     \
+    X(MR_ERR_CONFLICT, "conflict", 409, MR_OUTCOME_NOT_RUN)                   \
+    X(MR_ERR_INVALID_TRANSACTION, "invalid_transaction", 409,                 \
+      MR_OUTCOME_NOT_RUN)                                                     \
+    X(MR_ERR_TRANSACTION_LOST, "transaction_lost", 409, MR_OUTCOME_NOT_RUN)   \
+    X(MR_ERR_TRANSACTION_BUSY, "transaction_busy", 409, MR_OUTCOME_NOT_RUN)   \
+    X(MR_ERR_SESSION_TOO_WIDE, "session_too_wide", 409, MR_OUTCOME_NOT_RUN)   \
+    X(MR_ERR_PAYLOAD_TOO_LARGE, "payload_too_large", 413, MR_OUTCOME_NOT_RUN) \
+    X(MR_ERR_STATEMENT_FAILED, "statement_failed", 422, MR_OUTCOME_RAN)       \
+    X(MR_ERR_RATE_LIMITED, "rate_limited", 429, MR_OUTCOME_NOT_RUN)           \
+    X(MR_ERR_INTERNAL, "internal", 500, MR_OUTCOME_UNKNOWN)                   \
+    X(MR_ERR_TARGET_REFUSED, "target_refused", 502, MR_OUTCOME_NOT_RUN)       \
+    X(MR_ERR_OVERLOADED, "overloaded", 503, MR_OUTCOME_NOT_RUN)               \
+    X(MR_ERR_NO_PRIMARY, "no_primary", 503, MR_OUTCOME_NOT_RUN)               \
+    X(MR_ERR_NOT_FRESH, "not_fresh", 503, MR_OUTCOME_NOT_RUN)                 \
+    X(MR_ERR_UNAVAILABLE, "unavailable", 503, MR_OUTCOME_NOT_RUN)             \
+    X(MR_ERR_CONFIG_MISSING, "config_missing", 503, MR_OUTCOME_NOT_RUN)       \
+    X(MR_ERR_CONFIG_STALE, "config_stale", 503, MR_OUTCOME_NOT_RUN)           \
+    X(MR_ERR_SHUTTING_DOWN, "shutting_down", 503, MR_OUTCOME_NOT_RUN)         \
+    X(MR_ERR_WRONG_OWNER, "wrong_owner", 503, MR_OUTCOME_NOT_RUN)             \
+    X(MR_ERR_DEADLINE_EXCEEDED, "deadline_exceeded", 504, MR_OUTCOME_NOT_RUN) \
+    X(MR_ERR_OUTCOME_UNKNOWN, "outcome_unknown", 504, MR_OUTCOME_UNKNOWN)     \
+    X(MR_ERR_REQUEST_ID_EXPIRED, "request_id_expired", 504, MR_OUTCOME_UNKNOWN)
+
+#define MR_ERROR_ENUM(kind, name, status, outcome) kind,
+/** Kinds of error; see MR_ERROR_KINDS(). */
+typedef enum mr_error_kind {
+    MR_ERROR_KINDS(MR_ERROR_ENUM) MR_ERROR_COUNT
+} mr_error_kind_t;
+#undef MR_ERROR_ENUM
+
+/** mr_error_name() - stable name of @kind, as answers carry it. */
+const char *mr_error_name(mr_error_kind_t kind);
+
+/** mr_error_status() - HTTP status that answers @kind. */
+int mr_error_status(mr_error_kind_t kind);
+
+/** mr_error_outcome() - the one outcome class of @kind. */
+mr_outcome_t mr_error_outcome(mr_error_kind_t kind);
+
+/** mr_outcome_name() - "not_run", "ran" or "unknown". */
+const char *mr_outcome_name(mr_outcome_t outcome);
+
+/** mr_error_from_wire() - a received number; MR_ERR_INTERNAL if unknown. */
+mr_error_kind_t mr_error_from_wire(long long value);
+
+#endif
--- /dev/null
+++ b/lib/wire/msg.c
@@ -0,0 +1,493 @@
+#include "wire/msg.h"
+
+#include <assert.h>
+#include <string.h>
+
+/** Kind of a field in a message's struct. */
+typedef enum field_kind {
+    FIELD_INTEGER, /* int64_t */
+    FIELD_BOOL,
+    FIELD_STRING, /* const char * */
+    FIELD_BYTES,  /* mr_bytes_t */
+    FIELD_LIST,   /* pointer to items; the count is at count_offset */
+} field_kind_t;
+
+struct layout;
+
+typedef struct field {
+    field_kind_t kind;
+    size_t offset;
+    size_t count_offset;
+    const struct layout *item;
+} field_t;
+
+typedef struct layout {
+    size_t size;
+    size_t count;
+    const field_t *fields;
+} layout_t;
+
+/* Upper bound on list items, so that a small frame cannot ask for much
+ * memory. */
+enum { LIST_MAX_ITEMS = 4096 };
+
+#define F(kind, type, member)                                                 \
+    {                                                                         \
+        FIELD_##kind, offsetof(type, member), 0, NULL                         \
+    }
+#define L(type, member, counter, layout)                                      \
+    {                                                                         \
+        FIELD_LIST, offsetof(type, member), offsetof(type, counter),          \
+            &(layout)                                                         \
+    }
+#define LAYOUT(type, fields)                                                  \
+    {                                                                         \
+        sizeof(type), sizeof(fields) / sizeof((fields)[0]), fields            \
+    }
+
+static const field_t hello_fields[] = {
+    F(STRING, mr_msg_hello_t, name),
+    F(STRING, mr_msg_hello_t, data_centre),
+    F(INTEGER, mr_msg_hello_t, incarnation),
+    F(BYTES, mr_msg_hello_t, nonce),
+    F(BYTES, mr_msg_hello_t, proof),
+};
+static const layout_t hello_layout = LAYOUT(mr_msg_hello_t, hello_fields);
+
+static const field_t execute_fields[] = {
+    F(STRING, mr_msg_execute_t, account),
+    F(STRING, mr_msg_execute_t, group),
+    F(STRING, mr_msg_execute_t, target),
+    F(INTEGER, mr_msg_execute_t, operation),
+    F(INTEGER, mr_msg_execute_t, access),
+    F(INTEGER, mr_msg_execute_t, freshness),
+    F(INTEGER, mr_msg_execute_t, max_age_ms),
+    F(INTEGER, mr_msg_execute_t, token_term),
+    F(INTEGER, mr_msg_execute_t, token_position),
+    F(BOOL, mr_msg_execute_t, token_uncertain),
+    F(INTEGER, mr_msg_execute_t, deadline_ms),
+    F(BOOL, mr_msg_execute_t, idempotent),
+    F(STRING, mr_msg_execute_t, request_id),
+    F(STRING, mr_msg_execute_t, transaction),
+    F(BYTES, mr_msg_execute_t, statement),
+};
+static const layout_t execute_layout =
+    LAYOUT(mr_msg_execute_t, execute_fields);
+
+static const field_t execute_reply_fields[] = {
+    F(INTEGER, mr_msg_execute_reply_t, error),
+    F(STRING, mr_msg_execute_reply_t, message),
+    F(BYTES, mr_msg_execute_reply_t, result),
+    F(INTEGER, mr_msg_execute_reply_t, term),
+    F(INTEGER, mr_msg_execute_reply_t, position),
+    F(STRING, mr_msg_execute_reply_t, target),
+    F(BOOL, mr_msg_execute_reply_t, primary),
+    F(STRING, mr_msg_execute_reply_t, covering),
+    F(STRING, mr_msg_execute_reply_t, hint),
+    F(INTEGER, mr_msg_execute_reply_t, hint_term),
+    F(STRING, mr_msg_execute_reply_t, request_id),
+    F(STRING, mr_msg_execute_reply_t, transaction),
+};
+static const layout_t execute_reply_layout =
+    LAYOUT(mr_msg_execute_reply_t, execute_reply_fields);
+
+static const field_t probe_fields[] = {
+    F(STRING, mr_msg_probe_t, group),
+};
+static const layout_t probe_layout = LAYOUT(mr_msg_probe_t, probe_fields);
+
+static const field_t probe_reply_fields[] = {
+    F(STRING, mr_msg_probe_reply_t, primary),
+    F(INTEGER, mr_msg_probe_reply_t, term),
+    F(BOOL, mr_msg_probe_reply_t, healthy),
+};
+static const layout_t probe_reply_layout =
+    LAYOUT(mr_msg_probe_reply_t, probe_reply_fields);
+
+static const field_t member_fields[] = {
+    F(STRING, mr_msg_member_t, name),
+    F(STRING, mr_msg_member_t, data_centre),
+    F(STRING, mr_msg_member_t, address),
+    F(INTEGER, mr_msg_member_t, incarnation),
+    F(INTEGER, mr_msg_member_t, state),
+};
+static const layout_t member_layout = LAYOUT(mr_msg_member_t, member_fields);
+
+static const field_t ping_fields[] = {
+    F(INTEGER, mr_msg_ping_t, incarnation),
+    F(INTEGER, mr_msg_ping_t, config_version),
+    L(mr_msg_ping_t, changes, change_count, member_layout),
+};
+static const layout_t ping_layout = LAYOUT(mr_msg_ping_t, ping_fields);
+
+static const field_t ping_req_fields[] = {
+    F(STRING, mr_msg_ping_req_t, member),
+    F(STRING, mr_msg_ping_req_t, address),
+};
+static const layout_t ping_req_layout =
+    LAYOUT(mr_msg_ping_req_t, ping_req_fields);
+
+static const field_t ping_req_reply_fields[] = {
+    F(BOOL, mr_msg_ping_req_reply_t, answered),
+};
+static const layout_t ping_req_reply_layout =
+    LAYOUT(mr_msg_ping_req_reply_t, ping_req_reply_fields);
+
+static const field_t config_fetch_fields[] = {
+    F(INTEGER, mr_msg_config_fetch_t, after),
+};
+static const layout_t config_fetch_layout =
+    LAYOUT(mr_msg_config_fetch_t, config_fetch_fields);
+
+static const field_t config_fields[] = {
+    F(INTEGER, mr_msg_config_t, version),
+    F(BYTES, mr_msg_config_t, head),
+    F(BYTES, mr_msg_config_t, body),
+    F(INTEGER, mr_msg_config_t, staged_version),
+    F(BYTES, mr_msg_config_t, staged_head),
+    F(BYTES, mr_msg_config_t, staged_body),
+    F(INTEGER, mr_msg_config_t, store_age_ms),
+};
+static const layout_t config_layout = LAYOUT(mr_msg_config_t, config_fields);
+
+static const field_t grant_fields[] = {
+    F(STRING, mr_msg_grant_t, account),
+    F(INTEGER, mr_msg_grant_t, demand_milli),
+    F(INTEGER, mr_msg_grant_t, wanted),
+};
+static const layout_t grant_layout = LAYOUT(mr_msg_grant_t, grant_fields);
+
+static const field_t grant_item_fields[] = {
+    F(INTEGER, mr_msg_grant_item_t, kind),
+    F(INTEGER, mr_msg_grant_item_t, id),
+    F(INTEGER, mr_msg_grant_item_t, rate_milli),
+    F(INTEGER, mr_msg_grant_item_t, burst_milli),
+    F(INTEGER, mr_msg_grant_item_t, lifetime_ms),
+};
+static const layout_t grant_item_layout =
+    LAYOUT(mr_msg_grant_item_t, grant_item_fields);
+
+static const field_t grant_reply_fields[] = {
+    F(INTEGER, mr_msg_grant_reply_t, error),
+    F(STRING, mr_msg_grant_reply_t, owner),
+    L(mr_msg_grant_reply_t, grants, grant_count, grant_item_layout),
+};
+static const layout_t grant_reply_layout =
+    LAYOUT(mr_msg_grant_reply_t, grant_reply_fields);
+
+static const field_t lease_promise_fields[] = {
+    F(STRING, mr_msg_lease_promise_t, shard),
+    F(INTEGER, mr_msg_lease_promise_t, epoch),
+};
+static const layout_t lease_promise_layout =
+    LAYOUT(mr_msg_lease_promise_t, lease_promise_fields);
+
+static const field_t lease_promise_reply_fields[] = {
+    F(INTEGER, mr_msg_lease_promise_reply_t, promised_ms),
+};
+static const layout_t lease_promise_reply_layout =
+    LAYOUT(mr_msg_lease_promise_reply_t, lease_promise_reply_fields);
+
+static const field_t grant_return_fields[] = {
+    F(STRING, mr_msg_grant_return_t, account),
+    F(INTEGER, mr_msg_grant_return_t, id),
+};
+static const layout_t grant_return_layout =
+    LAYOUT(mr_msg_grant_return_t, grant_return_fields);
+
+static const layout_t *
+find_layout(int64_t type)
+{
+    switch ((mr_msg_type_t)type) {
+    case MR_MSG_HELLO:
+    case MR_MSG_HELLO_REPLY:
+        return &hello_layout;
+    case MR_MSG_EXECUTE:
+        return &execute_layout;
+    case MR_MSG_EXECUTE_REPLY:
+        return &execute_reply_layout;
+    case MR_MSG_PROBE:
+        return &probe_layout;
+    case MR_MSG_PROBE_REPLY:
+        return &probe_reply_layout;
+    case MR_MSG_PING:
+    case MR_MSG_PING_REPLY:
+        return &ping_layout;
+    case MR_MSG_PING_REQ:
+        return &ping_req_layout;
+    case MR_MSG_PING_REQ_REPLY:
+        return &ping_req_reply_layout;
+    case MR_MSG_CONFIG_FETCH:
+        return &config_fetch_layout;
+    case MR_MSG_CONFIG_FETCH_REPLY:
+    case MR_MSG_CONFIG_PUSH:
+        return &config_layout;
+    case MR_MSG_GRANT:
+        return &grant_layout;
+    case MR_MSG_GRANT_REPLY:
+        return &grant_reply_layout;
+    case MR_MSG_LEASE_PROMISE:
+        return &lease_promise_layout;
+    case MR_MSG_LEASE_PROMISE_REPLY:
+        return &lease_promise_reply_layout;
+    case MR_MSG_GRANT_RETURN:
+        return &grant_return_layout;
+    }
+    return NULL;
+}
+
+/* Every member of the union starts at the same address. */
+static void *
+message_body(mr_msg_t *msg)
+{
+    return &msg->u;
+}
+
+static void encode_fields(msgpack_packer *pk, const layout_t *layout,
+                          const char *base);
+
+static void
+encode_list(msgpack_packer *pk, const field_t *field, const char *base)
+{
+    size_t count;
+    const char *items;
+
+    memcpy(&count, base + field->count_offset, sizeof(count));
+    memcpy(&items, base + field->offset, sizeof(items));
+    assert(count <= LIST_MAX_ITEMS);
+    msgpack_pack_array(pk, count);
+    for (size_t i = 0; i < count; i++) {
+        msgpack_pack_array(pk, field->item->count);
+        encode_fields(pk, field->item, items + i * field->item->size);
+    }
+}
+
+static void
+encode_field(msgpack_packer *pk, const field_t *field, const char *base)
+{
+    const void *at = base + field->offset;
+
+    switch (field->kind) {
+    case FIELD_INTEGER:
+        msgpack_pack_int64(pk, *(const int64_t *)at);
+        break;
+    case FIELD_BOOL:
+        if (*(const bool *)at) {
+            msgpack_pack_true(pk);
+        }
+        else {
+            msgpack_pack_false(pk);
+        }
+        break;
+    case FIELD_STRING: {
+        const char *text = *(const char *const *)at;
+        size_t len = text == NULL ? 0 : strlen(text);
+        msgpack_pack_str(pk, len);
+        msgpack_pack_str_body(pk, text == NULL ? "" : text, len);
+        break;
+    }
+    case FIELD_BYTES: {
+        const mr_bytes_t *bytes = at;
+        msgpack_pack_bin(pk, bytes->len);
+        msgpack_pack_bin_body(pk, bytes->data, bytes->len);
+        break;
+    }
+    case FIELD_LIST:
+        encode_list(pk, field, base);
+        break;
+    }
+}
+
+static void
+encode_fields(msgpack_packer *pk, const layout_t *layout, const char *base)
+{
+    for (size_t i = 0; i < layout->count; i++) {
+        encode_field(pk, &layout->fields[i], base);
+    }
+}
+
+void
+mr_msg_encode(const mr_msg_t *msg, msgpack_sbuffer *out)
+{
+    const layout_t *layout = find_layout(msg->type);
+    msgpack_packer pk;
+
+    assert(layout != NULL);
+    msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
+    msgpack_pack_array(&pk, layout->count + 2);
+    msgpack_pack_int64(&pk, msg->type);
+    msgpack_pack_int64(&pk, msg->call);
+    encode_fields(&pk, layout, (const char *)&msg->u);
+}
+
+static bool
+read_integer(const msgpack_object *obj, int64_t *out)
+{
+    if (obj->type == MSGPACK_OBJECT_POSITIVE_INTEGER
+        && obj->via.u64 <= INT64_MAX) {
+        *out = (int64_t)obj->via.u64;
+        return true;
+    }
+    if (obj->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+        *out = obj->via.i64;
+        return true;
+    }
+    return false;
+}
+
+static bool
+read_string(const msgpack_object *obj, msgpack_zone *zone, const char **out)
+{
+    if (obj->type != MSGPACK_OBJECT_STR) {
+        return false;
+    }
+    size_t len = obj->via.str.size;
+    if (memchr(obj->via.str.ptr, '\0', len) != NULL) {
+        return false;
+    }
+    char *copy = msgpack_zone_malloc(zone, len + 1);
+    if (copy == NULL) {
+        return false;
+    }
+    memcpy(copy, obj->via.str.ptr, len);
+    copy[len] = '\0';
+    *out = copy;
+    return true;
+}
+
+static bool decode_fields(const msgpack_object *objs, size_t count,
+                          msgpack_zone *zone, const layout_t *layout,
+                          char *base);
+
+static bool
+decode_list(const msgpack_object *obj, msgpack_zone *zone,
+            const field_t *field, char *base)
+{
+    if (obj->type != MSGPACK_OBJECT_ARRAY
+        || obj->via.array.size > LIST_MAX_ITEMS) {
+        return false;
+    }
+    size_t count = obj->via.array.size;
+    size_t bytes = (count + 1) * field->item->size;
+    char *items = msgpack_zone_malloc(zone, bytes);
+    if (items == NULL) {
+        return false;
+    }
+    memset(items, 0, bytes);
+    for (size_t i = 0; i < count; i++) {
+        const msgpack_object *item = &obj->via.array.ptr[i];
+        if (item->type != MSGPACK_OBJECT_ARRAY) {
+            return false;
+        }
+        if (!decode_fields(item->via.array.ptr, item->via.array.size, zone,
+                           field->item, items + i * field->item->size)) {
+            return false;
+        }
+    }
+    memcpy(base + field->offset, &items, sizeof(items));
+    memcpy(base + field->count_offset, &count, sizeof(count));
+    return true;
+}
+
+static bool
+decode_field(const msgpack_object *obj, msgpack_zone *zone,
+             const field_t *field, char *base)
+{
+    void *at = base + field->offset;
+
+    switch (field->kind) {
+    case FIELD_INTEGER:
+        return read_integer(obj, at);
+    case FIELD_BOOL:
+        if (obj->type != MSGPACK_OBJECT_BOOLEAN) {
+            return false;
+        }
+        *(bool *)at = obj->via.boolean;
+        return true;
+    case FIELD_STRING:
+        return read_string(obj, zone, at);
+    case FIELD_BYTES: {
+        mr_bytes_t *bytes = at;
+        if (obj->type != MSGPACK_OBJECT_BIN) {
+            return false;
+        }
+        bytes->data = obj->via.bin.ptr;
+        bytes->len = obj->via.bin.size;
+        return true;
+    }
+    case FIELD_LIST:
+        return decode_list(obj, zone, field, base);
+    }
+    return false;
+}
+
+static bool
+decode_fields(const msgpack_object *objs, size_t count, msgpack_zone *zone,
+              const layout_t *layout, char *base)
+{
+    if (count < layout->count) {
+        return false;
+    }
+    for (size_t i = 0; i < layout->count; i++) {
+        if (!decode_field(&objs[i], zone, &layout->fields[i], base)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static mr_msg_result_t
+decode_array(const msgpack_object *array, mr_msg_holder_t *holder)
+{
+    int64_t type;
+
+    if (array->type != MSGPACK_OBJECT_ARRAY || array->via.array.size < 2) {
+        return MR_MSG_MALFORMED;
+    }
+    const msgpack_object *objs = array->via.array.ptr;
+    if (!read_integer(&objs[0], &type)
+        || !read_integer(&objs[1], &holder->msg.call)) {
+        return MR_MSG_MALFORMED;
+    }
+    const layout_t *layout = find_layout(type);
+    if (layout == NULL) {
+        return MR_MSG_UNKNOWN_TYPE;
+    }
+    holder->msg.type = (mr_msg_type_t)type;
+    if (!decode_fields(objs + 2, array->via.array.size - 2,
+                       holder->unpacked.zone, layout,
+                       message_body(&holder->msg))) {
+        return MR_MSG_MALFORMED;
+    }
+    return MR_MSG_GOOD;
+}
+
+mr_msg_result_t
+mr_msg_decode(const void *data, size_t len, mr_msg_holder_t *holder)
+{
+    size_t offset = 0;
+    mr_msg_result_t result = MR_MSG_MALFORMED;
+
+    memset(&holder->msg, 0, sizeof(holder->msg));
+    msgpack_unpacked_init(&holder->unpacked);
+    if (msgpack_unpack_next(&holder->unpacked, data, len, &offset)
+            == MSGPACK_UNPACK_SUCCESS
+        && offset == len) {
+        if (holder->unpacked.zone == NULL) {
+            holder->unpacked.zone = msgpack_zone_new(MSGPACK_ZONE_CHUNK_SIZE);
+        }
+        if (holder->unpacked.zone != NULL) {
+            result = decode_array(&holder->unpacked.data, holder);
+        }
+    }
+    if (result != MR_MSG_GOOD) {
+        msgpack_unpacked_destroy(&holder->unpacked);
+    }
+    return result;
+}
+
+void
+mr_msg_release(mr_msg_holder_t *holder)
+{
+    msgpack_unpacked_destroy(&holder->unpacked);
+}
--- /dev/null
+++ b/lib/wire/peer.c
@@ -0,0 +1,495 @@
+#include "wire/peer.h"
+
+#include <assert.h>
+#include <event2/listener.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/address.h"
+#include "common/mem.h"
+#include "wire/peer_link.h"
+
+enum {
+    HANDLER_SLOTS = 64,
+    /* A link that was opened for an address and failed is not opened again
+     * before this time; calls to it fail at once. */
+    RECONNECT_PAUSE_MS = 100,
+};
+
+typedef struct handler {
+    mr_peer_handler_fn_t fn;
+    void *ctx;
+} handler_t;
+
+struct mr_peer {
+    mr_peer_options_t options;
+    char *name;
+    char *data_centre;
+    uint8_t secret[MR_PEER_SECRET_BYTES];
+    handler_t handlers[HANDLER_SLOTS];
+    struct evconnlistener *listener;
+    GHashTable *outgoing; /* address -> outgoing_t */
+    mr_list_t incoming;   /* incoming_t */
+    int64_t next_call;
+    struct event *reap; /* destroys closed links outside their callbacks */
+    mr_list_t dead;     /* dead_t */
+};
+
+/** A link to an address, with the calls sent over it. */
+typedef struct outgoing {
+    mr_peer_t *peer;
+    char *address;
+    mr_peer_link_t *link; /* NULL while closed */
+    mr_ms_t retry_at;
+    mr_list_t calls;   /* mr_peer_call_t, waiting for replies */
+    mr_list_t backlog; /* mr_peer_call_t or one-way, until ready */
+} outgoing_t;
+
+struct mr_peer_call {
+    mr_list_t link;
+    outgoing_t *outgoing;
+    int64_t number; /* 0: one-way */
+    bool sent;
+    mr_peer_reply_fn_t fn;
+    void *ctx;
+    struct event *timer;
+    mr_msg_type_t type;
+    msgpack_sbuffer frame; /* encoded message, until the link is ready */
+};
+
+/** A link that another instance opened, with its unanswered requests. */
+typedef struct incoming {
+    mr_list_t link;
+    mr_peer_t *peer;
+    mr_peer_link_t *conn;
+    mr_list_t requests;
+} incoming_t;
+
+struct mr_peer_request {
+    mr_list_t link;
+    incoming_t *incoming; /* NULL when the link has closed */
+    int64_t call;
+};
+
+typedef struct dead {
+    mr_list_t link;
+    mr_peer_link_t *conn;
+} dead_t;
+
+static void
+count(mr_peer_t *peer, const char *name, const char *help)
+{
+    mr_counter_add(mr_counters_get(peer->options.counters, name, "", help), 1);
+}
+
+static void
+reap_links(evutil_socket_t fd, short what, void *ctx)
+{
+    mr_peer_t *peer = ctx;
+    mr_list_t *link;
+
+    (void)fd;
+    (void)what;
+    while ((link = mr_list_pop(&peer->dead)) != NULL) {
+        dead_t *dead = MR_LIST_ENTRY(link, dead_t, link);
+        mr_peer_link_destroy(dead->conn);
+        free(dead);
+    }
+}
+
+/* A link's callback may be running, so it is destroyed on the next turn. */
+static void
+bury(mr_peer_t *peer, mr_peer_link_t *conn)
+{
+    dead_t *dead = MR_NEW(dead_t);
+
+    dead->conn = conn;
+    mr_list_append(&peer->dead, &dead->link);
+    event_active(peer->reap, 0, 0);
+}
+
+static void
+free_call(mr_peer_call_t *call)
+{
+    mr_list_remove(&call->link);
+    if (call->timer != NULL) {
+        event_free(call->timer);
+    }
+    msgpack_sbuffer_destroy(&call->frame);
+    free(call);
+}
+
+static void
+end_call(mr_peer_call_t *call, mr_error_kind_t error, const mr_msg_t *reply)
+{
+    mr_peer_reply_fn_t fn = call->fn;
+    void *ctx = call->ctx;
+
+    free_call(call);
+    if (fn != NULL) {
+        fn(ctx, error, reply);
+    }
+}
+
+static void
+fail_calls(mr_list_t *calls, mr_error_kind_t error)
+{
+    mr_list_t failed;
+    mr_list_t *link;
+
+    /* Callbacks may start new calls on the same outgoing link. */
+    mr_list_init(&failed);
+    while ((link = mr_list_pop(calls)) != NULL) {
+        mr_list_append(&failed, link);
+    }
+    while ((link = mr_list_pop(&failed)) != NULL) {
+        end_call(MR_LIST_ENTRY(link, mr_peer_call_t, link), error, NULL);
+    }
+}
+
+static void
+on_call_timeout(evutil_socket_t fd, short what, void *ctx)
+{
+    mr_peer_call_t *call = ctx;
+
+    (void)fd;
+    (void)what;
+    end_call(call, call->sent ? MR_ERR_OUTCOME_UNKNOWN : MR_ERR_UNAVAILABLE,
+             NULL);
+}
+
+static void
+on_outgoing_ready(void *ctx, mr_peer_link_t *link)
+{
+    outgoing_t *out = ctx;
+    mr_list_t *it;
+
+    while ((it = mr_list_pop(&out->backlog)) != NULL) {
+        mr_peer_call_t *call = MR_LIST_ENTRY(it, mr_peer_call_t, link);
+        mr_peer_link_send_encoded(link, &call->frame);
+        call->sent = true;
+        if (call->number == 0) {
+            free_call(call);
+        }
+        else {
+            mr_list_append(&out->calls, &call->link);
+        }
+    }
+}
+
+static mr_peer_call_t *
+find_call(outgoing_t *out, int64_t number)
+{
+    MR_LIST_FOREACH(it, &out->calls)
+    {
+        mr_peer_call_t *call = MR_LIST_ENTRY(it, mr_peer_call_t, link);
+        if (call->number == number) {
+            return call;
+        }
+    }
+    return NULL;
+}
+
+static void
+on_outgoing_message(void *ctx, mr_peer_link_t *link, const mr_msg_t *msg)
+{
+    outgoing_t *out = ctx;
+    mr_peer_call_t *call = find_call(out, msg->call);
+
+    (void)link;
+    if (call == NULL) {
+        count(out->peer, "masticrelay_peer_late_replies_total",
+              "replies to calls that had ended");
+        return;
+    }
+    if (msg->type != call->type + 1) {
+        end_call(call, MR_ERR_OUTCOME_UNKNOWN, NULL);
+        return;
+    }
+    end_call(call, MR_OK, msg);
+}
+
+static void
+on_outgoing_closed(void *ctx, mr_peer_link_t *link)
+{
+    outgoing_t *out = ctx;
+
+    bury(out->peer, link);
+    if (out->link != link) {
+        return;
+    }
+    out->link = NULL;
+    out->retry_at = mr_clock_now(NULL) + RECONNECT_PAUSE_MS;
+    fail_calls(&out->backlog, MR_ERR_UNAVAILABLE);
+    fail_calls(&out->calls, MR_ERR_OUTCOME_UNKNOWN);
+}
+
+static const mr_peer_link_events_t outgoing_events = {
+    .ready = on_outgoing_ready,
+    .message = on_outgoing_message,
+    .closed = on_outgoing_closed,
+};
+
+static void
+free_outgoing(void *data)
+{
+    outgoing_t *out = data;
+    mr_list_t *link;
+
+    mr_peer_link_destroy(out->link);
+    while ((link = mr_list_pop(&out->calls)) != NULL
+           || (link = mr_list_pop(&out->backlog)) != NULL) {
+        free_call(MR_LIST_ENTRY(link, mr_peer_call_t, link));
+    }
+    free(out->address);
+    free(out);
+}
+
+static outgoing_t *
+get_outgoing(mr_peer_t *peer, const char *address)
+{
+    outgoing_t *out = g_hash_table_lookup(peer->outgoing, address);
+
+    if (out == NULL) {
+        out = MR_NEW(outgoing_t);
+        out->peer = peer;
+        out->address = mr_strdup(address);
+        mr_list_init(&out->calls);
+        mr_list_init(&out->backlog);
+        g_hash_table_insert(peer->outgoing, out->address, out);
+    }
+    if (out->link == NULL && mr_clock_now(NULL) >= out->retry_at) {
+        out->link =
+            mr_peer_link_open(&peer->options, address, &outgoing_events, out);
+        out->retry_at = mr_clock_now(NULL) + RECONNECT_PAUSE_MS;
+    }
+    return out;
+}
+
+static mr_peer_call_t *
+start_message(mr_peer_t *peer, const char *address, const mr_msg_t *msg,
+              bool wants_reply)
+{
+    outgoing_t *out = get_outgoing(peer, address);
+    mr_peer_call_t *call = MR_NEW(mr_peer_call_t);
+    mr_msg_t copy = *msg;
+
+    call->outgoing = out;
+    call->type = msg->type;
+    call->number = wants_reply ? ++peer->next_call : 0;
+    copy.call = call->number;
+    msgpack_sbuffer_init(&call->frame);
+    mr_list_init(&call->link);
+    if (out->link != NULL && mr_peer_link_ready(out->link)) {
+        mr_peer_link_send(out->link, &copy);
+        call->sent = true;
+        mr_list_append(&out->calls, &call->link);
+    }
+    else if (out->link != NULL) {
+        mr_msg_encode(&copy, &call->frame);
+        mr_list_append(&out->backlog, &call->link);
+    }
+    return call;
+}
+
+mr_peer_call_t *
+mr_peer_call(mr_peer_t *peer, const char *address, const mr_msg_t *msg,
+             mr_ms_t timeout, mr_peer_reply_fn_t fn, void *ctx)
+{
+    mr_peer_call_t *call = start_message(peer, address, msg, true);
+
+    /* A call without a link fails on the next turn of the loop. */
+    if (call->outgoing->link == NULL || timeout < 0) {
+        timeout = 0;
+    }
+    struct timeval tv = mr_clock_timeval(timeout);
+
+    call->fn = fn;
+    call->ctx = ctx;
+    call->timer = evtimer_new(peer->options.base, on_call_timeout, call);
+    evtimer_add(call->timer, &tv);
+    return call;
+}
+
+void
+mr_peer_cancel(mr_peer_call_t *call)
+{
+    free_call(call);
+}
+
+void
+mr_peer_send(mr_peer_t *peer, const char *address, const mr_msg_t *msg)
+{
+    mr_peer_call_t *call = start_message(peer, address, msg, false);
+
+    if (call->sent || call->outgoing->link == NULL) {
+        free_call(call);
+    }
+}
+
+static void
+on_incoming_ready(void *ctx, mr_peer_link_t *link)
+{
+    (void)ctx;
+    (void)link;
+}
+
+static void
+on_incoming_message(void *ctx, mr_peer_link_t *link, const mr_msg_t *msg)
+{
+    incoming_t *in = ctx;
+    handler_t *handler = &in->peer->handlers[msg->type % HANDLER_SLOTS];
+    mr_peer_request_t *request = NULL;
+
+    if (handler->fn == NULL) {
+        count(in->peer, "masticrelay_peer_unhandled_total",
+              "peer messages without a handler");
+        return;
+    }
+    if (msg->call != 0) {
+        request = MR_NEW(mr_peer_request_t);
+        request->incoming = in;
+        request->call = msg->call;
+        mr_list_append(&in->requests, &request->link);
+    }
+    handler->fn(handler->ctx, request, msg, mr_peer_link_name(link));
+}
+
+static void
+free_incoming(incoming_t *in)
+{
+    MR_LIST_FOREACH(it, &in->requests)
+    {
+        mr_peer_request_t *request =
+            MR_LIST_ENTRY(it, mr_peer_request_t, link);
+        request->incoming = NULL;
+        mr_list_remove(it);
+    }
+    mr_list_remove(&in->link);
+    free(in);
+}
+
+static void
+on_incoming_closed(void *ctx, mr_peer_link_t *link)
+{
+    incoming_t *in = ctx;
+
+    bury(in->peer, link);
+    free_incoming(in);
+}
+
+static const mr_peer_link_events_t incoming_events = {
+    .ready = on_incoming_ready,
+    .message = on_incoming_message,
+    .closed = on_incoming_closed,
+};
+
+void
+mr_peer_reply(mr_peer_request_t *request, const mr_msg_t *reply)
+{
+    if (request->incoming != NULL) {
+        mr_msg_t copy = *reply;
+        copy.call = request->call;
+        mr_peer_link_send(request->incoming->conn, &copy);
+    }
+    mr_list_remove(&request->link);
+    free(request);
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *addr, int len, void *ctx)
+{
+    mr_peer_t *peer = ctx;
+    incoming_t *in = MR_NEW(incoming_t);
+
+    (void)listener;
+    (void)addr;
+    (void)len;
+    in->peer = peer;
+    mr_list_init(&in->requests);
+    mr_list_append(&peer->incoming, &in->link);
+    in->conn = mr_peer_link_accept(&peer->options, fd, &incoming_events, in);
+    if (in->conn == NULL) {
+        evutil_closesocket(fd);
+        free_incoming(in);
+    }
+}
+
+int
+mr_peer_listen(mr_peer_t *peer, const char *address)
+{
+    struct sockaddr_storage addr;
+    int len;
+    socklen_t bound = sizeof(addr);
+
+    if (!mr_address_parse(address, &addr, &len)) {
+        return -1;
+    }
+    peer->listener =
+        evconnlistener_new_bind(peer->options.base, on_accept, peer,
+                                LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, -1,
+                                (struct sockaddr *)&addr, len);
+    if (peer->listener == NULL) {
+        return -1;
+    }
+    if (getsockname(evconnlistener_get_fd(peer->listener),
+                    (struct sockaddr *)&addr, &bound)
+        != 0) {
+        return -1;
+    }
+    return mr_address_port(&addr);
+}
+
+void
+mr_peer_handle(mr_peer_t *peer, mr_msg_type_t type,
+               mr_peer_handler_fn_t handler, void *ctx)
+{
+    assert((int)type < HANDLER_SLOTS);
+    peer->handlers[type] = (handler_t){handler, ctx};
+}
+
+mr_peer_t *
+mr_peer_create(const mr_peer_options_t *options)
+{
+    mr_peer_t *peer = MR_NEW(mr_peer_t);
+
+    peer->options = *options;
+    peer->name = mr_strdup(options->name);
+    peer->data_centre = mr_strdup(options->data_centre);
+    memcpy(peer->secret, options->secret, sizeof(peer->secret));
+    peer->options.name = peer->name;
+    peer->options.data_centre = peer->data_centre;
+    peer->options.secret = peer->secret;
+    peer->outgoing =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_outgoing);
+    mr_list_init(&peer->incoming);
+    mr_list_init(&peer->dead);
+    peer->reap = event_new(options->base, -1, 0, reap_links, peer);
+    return peer;
+}
+
+void
+mr_peer_destroy(mr_peer_t *peer)
+{
+    if (peer == NULL) {
+        return;
+    }
+    if (peer->listener != NULL) {
+        evconnlistener_free(peer->listener);
+    }
+    g_hash_table_destroy(peer->outgoing);
+    MR_LIST_FOREACH(it, &peer->incoming)
+    {
+        incoming_t *in = MR_LIST_ENTRY(it, incoming_t, link);
+        mr_peer_link_destroy(in->conn);
+        free_incoming(in);
+    }
+    reap_links(-1, 0, peer);
+    event_free(peer->reap);
+    free(peer->name);
+    free(peer->data_centre);
+    free(peer);
+}
--- /dev/null
+++ b/lib/wire/peer.h
@@ -0,0 +1,95 @@
+#ifndef MR_WIRE_PEER_H
+#define MR_WIRE_PEER_H
+
+/*
+ * Links between instances: framed msgpack over TCP. A process listens for
+ * links and opens links to addresses on demand. Calls go from the side that
+ * opened a link to the side that accepted it; replies come back on the same
+ * link and are matched by call number.
+ */
+
+#include <event2/event.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/error.h"
+#include "wire/msg.h"
+
+enum {
+    MR_PEER_SECRET_BYTES = 32,
+    /* Above the largest answer that is read from a target (8 MiB). */
+    MR_PEER_FRAME_MAX_BYTES = 16 << 20,
+};
+
+/** All links of one process. */
+typedef struct mr_peer mr_peer_t;
+
+/** A call that waits for its reply. */
+typedef struct mr_peer_call mr_peer_call_t;
+
+/** A received request; it must be answered exactly once. */
+typedef struct mr_peer_request mr_peer_request_t;
+
+/** Identity and settings of the links. Strings are copied. */
+typedef struct mr_peer_options {
+    struct event_base *base;
+    mr_counters_t *counters;
+    const char *name;
+    const char *data_centre;
+    int64_t incarnation;
+    const uint8_t *secret; /* MR_PEER_SECRET_BYTES bytes */
+    void *ssl_ctx;         /* SSL_CTX; NULL: no TLS */
+} mr_peer_options_t;
+
+/** mr_peer_handler_fn_t - handles a request or, with @request NULL, a one-way
+ * message; @from is the sender's name. */
+typedef void (*mr_peer_handler_fn_t)(void *ctx, mr_peer_request_t *request,
+                                     const mr_msg_t *msg, const char *from);
+
+/**
+ * mr_peer_reply_fn_t - receives the end of a call
+ * @error: MR_OK with @reply set; MR_ERR_UNAVAILABLE when the message never
+ *         left this process; MR_ERR_OUTCOME_UNKNOWN when it may have arrived
+ */
+typedef void (*mr_peer_reply_fn_t)(void *ctx, mr_error_kind_t error,
+                                   const mr_msg_t *reply);
+
+mr_peer_t *mr_peer_create(const mr_peer_options_t *options);
+
+/** mr_peer_destroy() - close all links; open calls end without a callback. */
+void mr_peer_destroy(mr_peer_t *peer);
+
+/**
+ * mr_peer_listen() - accept links
+ * @address: "IP:port"; port 0 takes a free one
+ *
+ * Return: the port, or -1.
+ */
+int mr_peer_listen(mr_peer_t *peer, const char *address);
+
+/** mr_peer_handle() - set the handler for messages of @type. */
+void mr_peer_handle(mr_peer_t *peer, mr_msg_type_t type,
+                    mr_peer_handler_fn_t handler, void *ctx);
+
+/**
+ * mr_peer_call() - send a request
+ * @address: "IP:port" of the receiver
+ * @msg: the request; its call number is set here
+ * @timeout: until @fn is called with an error
+ *
+ * @fn is called exactly once and never before this function returns.
+ */
+mr_peer_call_t *mr_peer_call(mr_peer_t *peer, const char *address,
+                             const mr_msg_t *msg, mr_ms_t timeout,
+                             mr_peer_reply_fn_t fn, void *ctx);
+
+/** mr_peer_cancel() - forget a call; its callback is not called. */
+void mr_peer_cancel(mr_peer_call_t *call);
+
+/** mr_peer_send() - send a one-way message; it may be lost. */
+void mr_peer_send(mr_peer_t *peer, const char *address, const mr_msg_t *msg);
+
+/** mr_peer_reply() - answer @request and free it. */
+void mr_peer_reply(mr_peer_request_t *request, const mr_msg_t *reply);
+
+#endif
--- /dev/null
+++ b/lib/wire/peer_link.c
@@ -0,0 +1,349 @@
+#include "wire/peer_link.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent_ssl.h>
+#include <netinet/tcp.h>
+#include <openssl/ssl.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/address.h"
+#include "common/mem.h"
+
+enum {
+    HANDSHAKE_TIMEOUT_S = 3,
+    FRAME_HEADER_BYTES = 4,
+    /* A reader that is this far behind is treated as lost. */
+    OUTPUT_MAX_BYTES = 64 << 20,
+};
+
+struct mr_peer_link {
+    const mr_peer_options_t *options;
+    mr_peer_link_events_t events;
+    void *ctx;
+    struct bufferevent *bev;
+    bool opener;
+    bool ready;
+    bool hello_sent;
+    bool closed;
+    uint8_t nonce[MR_PEER_NONCE_BYTES];
+    uint8_t peer_nonce[MR_PEER_NONCE_BYTES];
+    char name[MR_PEER_NAME_MAX_BYTES];
+};
+
+/*
+ * The proof is a MAC under the fleet secret over both nonces and the sender's
+ * direction and name, so that it can neither be replayed on another link nor
+ * reflected.
+ */
+static void
+make_proof(const mr_peer_link_t *link, bool by_opener, const char *name,
+           uint8_t proof[crypto_auth_BYTES])
+{
+    crypto_auth_hmacsha512256_state state;
+    const uint8_t *first = link->opener ? link->nonce : link->peer_nonce;
+    const uint8_t *second = link->opener ? link->peer_nonce : link->nonce;
+    uint8_t side = by_opener ? 1 : 2;
+
+    crypto_auth_hmacsha512256_init(&state, link->options->secret,
+                                   MR_PEER_SECRET_BYTES);
+    crypto_auth_hmacsha512256_update(&state, &side, 1);
+    crypto_auth_hmacsha512256_update(&state, first, MR_PEER_NONCE_BYTES);
+    crypto_auth_hmacsha512256_update(&state, second, MR_PEER_NONCE_BYTES);
+    crypto_auth_hmacsha512256_update(&state, (const uint8_t *)name,
+                                     strlen(name));
+    crypto_auth_hmacsha512256_final(&state, proof);
+}
+
+void
+mr_peer_link_send_encoded(mr_peer_link_t *link, const msgpack_sbuffer *msg)
+{
+    struct evbuffer *out = bufferevent_get_output(link->bev);
+    uint32_t header = htonl((uint32_t)msg->size);
+
+    if (msg->size > MR_PEER_FRAME_MAX_BYTES
+        || evbuffer_get_length(out) >= OUTPUT_MAX_BYTES) {
+        mr_counter_add(mr_counters_get(link->options->counters,
+                                       "masticrelay_peer_unsent_total", "",
+                                       "peer messages dropped unsent"),
+                       1);
+        return;
+    }
+    bufferevent_write(link->bev, &header, sizeof(header));
+    bufferevent_write(link->bev, msg->data, msg->size);
+}
+
+void
+mr_peer_link_send(mr_peer_link_t *link, const mr_msg_t *msg)
+{
+    msgpack_sbuffer buf;
+
+    msgpack_sbuffer_init(&buf);
+    mr_msg_encode(msg, &buf);
+    mr_peer_link_send_encoded(link, &buf);
+    msgpack_sbuffer_destroy(&buf);
+}
+
+static void
+send_hello(mr_peer_link_t *link, bool with_proof)
+{
+    uint8_t proof[crypto_auth_BYTES];
+    mr_msg_t msg = {.type = link->opener ? MR_MSG_HELLO : MR_MSG_HELLO_REPLY};
+
+    msg.u.hello.name = link->options->name;
+    msg.u.hello.data_centre = link->options->data_centre;
+    msg.u.hello.incarnation = link->options->incarnation;
+    msg.u.hello.nonce = (mr_bytes_t){link->nonce, sizeof(link->nonce)};
+    if (with_proof) {
+        make_proof(link, link->opener, link->options->name, proof);
+        msg.u.hello.proof = (mr_bytes_t){proof, sizeof(proof)};
+    }
+    mr_peer_link_send(link, &msg);
+}
+
+static bool
+proof_is_valid(const mr_peer_link_t *link, const mr_msg_hello_t *hello)
+{
+    uint8_t expected[crypto_auth_BYTES];
+
+    if (hello->proof.len != sizeof(expected)) {
+        return false;
+    }
+    make_proof(link, !link->opener, hello->name, expected);
+    return sodium_memcmp(expected, hello->proof.data, sizeof(expected)) == 0;
+}
+
+static void
+become_ready(mr_peer_link_t *link)
+{
+    link->ready = true;
+    bufferevent_set_timeouts(link->bev, NULL, NULL);
+    link->events.ready(link->ctx, link);
+}
+
+/*
+ * Handshake, with the opener's messages on the left:
+ *   HELLO(nonce)        ->
+ *                       <- HELLO_REPLY(nonce, proof)
+ *   HELLO(nonce, proof) ->
+ * Each side proves the secret over the other side's fresh nonce.
+ */
+static bool
+handle_hello(mr_peer_link_t *link, const mr_msg_hello_t *hello)
+{
+    if (hello->nonce.len != MR_PEER_NONCE_BYTES || hello->name[0] == '\0'
+        || strlen(hello->name) >= sizeof(link->name)) {
+        return false;
+    }
+    if (!link->opener && !link->hello_sent) {
+        memcpy(link->peer_nonce, hello->nonce.data, MR_PEER_NONCE_BYTES);
+        link->hello_sent = true;
+        send_hello(link, true);
+        return true;
+    }
+    if (link->opener) {
+        memcpy(link->peer_nonce, hello->nonce.data, MR_PEER_NONCE_BYTES);
+    }
+    else if (memcmp(link->peer_nonce, hello->nonce.data, MR_PEER_NONCE_BYTES)
+             != 0) {
+        return false;
+    }
+    if (!proof_is_valid(link, hello)) {
+        return false;
+    }
+    memcpy(link->name, hello->name, strlen(hello->name) + 1);
+    if (link->opener) {
+        send_hello(link, true);
+    }
+    become_ready(link);
+    return true;
+}
+
+static bool
+handle_frame(mr_peer_link_t *link, const void *data, size_t len)
+{
+    mr_msg_holder_t holder;
+    bool ok = true;
+
+    switch (mr_msg_decode(data, len, &holder)) {
+    case MR_MSG_MALFORMED:
+        return false;
+    case MR_MSG_UNKNOWN_TYPE:
+        mr_counter_add(mr_counters_get(link->options->counters,
+                                       "masticrelay_peer_unknown_total", "",
+                                       "peer messages of an unknown type"),
+                       1);
+        return link->ready;
+    case MR_MSG_GOOD:
+        break;
+    }
+    bool hello = holder.msg.type == MR_MSG_HELLO
+                 || holder.msg.type == MR_MSG_HELLO_REPLY;
+    if (!link->ready) {
+        ok = hello && (holder.msg.type == MR_MSG_HELLO_REPLY) == link->opener
+             && handle_hello(link, &holder.msg.u.hello);
+    }
+    else if (!hello) {
+        link->events.message(link->ctx, link, &holder.msg);
+    }
+    mr_msg_release(&holder);
+    return ok;
+}
+
+/* Reports the end of the link once; nothing is read from it afterwards. */
+static void
+close_link(mr_peer_link_t *link)
+{
+    if (!link->closed) {
+        link->closed = true;
+        bufferevent_disable(link->bev, EV_READ | EV_WRITE);
+        link->events.closed(link->ctx, link);
+    }
+}
+
+static void
+on_read(struct bufferevent *bev, void *ctx)
+{
+    mr_peer_link_t *link = ctx;
+    struct evbuffer *in = bufferevent_get_input(bev);
+    uint32_t header;
+
+    while (evbuffer_copyout(in, &header, sizeof(header)) == FRAME_HEADER_BYTES
+           && !link->closed) {
+        size_t len = ntohl(header);
+        if (len > MR_PEER_FRAME_MAX_BYTES) {
+            goto broken;
+        }
+        if (evbuffer_get_length(in) < FRAME_HEADER_BYTES + len) {
+            return;
+        }
+        evbuffer_drain(in, FRAME_HEADER_BYTES);
+        const unsigned char *data = evbuffer_pullup(in, (ev_ssize_t)len);
+        if ((data == NULL && len > 0) || !handle_frame(link, data, len)) {
+            goto broken;
+        }
+        evbuffer_drain(in, len);
+    }
+    return;
+
+broken:
+    mr_counter_add(mr_counters_get(link->options->counters,
+                                   "masticrelay_peer_broken_total", "",
+                                   "peer links closed for bad frames"),
+                   1);
+    close_link(link);
+}
+
+static void
+on_event(struct bufferevent *bev, short events, void *ctx)
+{
+    mr_peer_link_t *link = ctx;
+
+    (void)bev;
+    if (events & BEV_EVENT_CONNECTED) {
+        int on = 1;
+        setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
+                   sizeof(on));
+        send_hello(link, false);
+        return;
+    }
+    close_link(link);
+}
+
+static struct bufferevent *
+create_bufferevent(const mr_peer_options_t *options, evutil_socket_t fd,
+                   bool opener)
+{
+    int flags = BEV_OPT_CLOSE_ON_FREE;
+
+    if (options->ssl_ctx == NULL) {
+        return bufferevent_socket_new(options->base, fd, flags);
+    }
+    SSL *ssl = SSL_new(options->ssl_ctx);
+    if (ssl == NULL) {
+        return NULL;
+    }
+    return bufferevent_openssl_socket_new(options->base, fd, ssl,
+                                          opener ? BUFFEREVENT_SSL_CONNECTING
+                                                 : BUFFEREVENT_SSL_ACCEPTING,
+                                          flags);
+}
+
+static mr_peer_link_t *
+create_link(const mr_peer_options_t *options, evutil_socket_t fd, bool opener,
+            const mr_peer_link_events_t *events, void *ctx)
+{
+    struct bufferevent *bev = create_bufferevent(options, fd, opener);
+    struct timeval timeout = {.tv_sec = HANDSHAKE_TIMEOUT_S};
+
+    if (bev == NULL) {
+        return NULL;
+    }
+    mr_peer_link_t *link = MR_NEW(mr_peer_link_t);
+    link->options = options;
+    link->events = *events;
+    link->ctx = ctx;
+    link->bev = bev;
+    link->opener = opener;
+    randombytes_buf(link->nonce, sizeof(link->nonce));
+    bufferevent_setcb(bev, on_read, NULL, on_event, link);
+    bufferevent_set_timeouts(bev, &timeout, &timeout);
+    bufferevent_enable(bev, EV_READ | EV_WRITE);
+    return link;
+}
+
+mr_peer_link_t *
+mr_peer_link_open(const mr_peer_options_t *options, const char *address,
+                  const mr_peer_link_events_t *events, void *ctx)
+{
+    struct sockaddr_storage addr;
+    int len;
+
+    if (!mr_address_parse(address, &addr, &len)) {
+        return NULL;
+    }
+    mr_peer_link_t *link = create_link(options, -1, true, events, ctx);
+    if (link == NULL) {
+        return NULL;
+    }
+    if (bufferevent_socket_connect(link->bev, (struct sockaddr *)&addr, len)
+        != 0) {
+        mr_peer_link_destroy(link);
+        return NULL;
+    }
+    return link;
+}
+
+mr_peer_link_t *
+mr_peer_link_accept(const mr_peer_options_t *options, evutil_socket_t fd,
+                    const mr_peer_link_events_t *events, void *ctx)
+{
+    int on = 1;
+
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    return create_link(options, fd, false, events, ctx);
+}
+
+void
+mr_peer_link_destroy(mr_peer_link_t *link)
+{
+    if (link == NULL) {
+        return;
+    }
+    bufferevent_free(link->bev);
+    free(link);
+}
+
+bool
+mr_peer_link_ready(const mr_peer_link_t *link)
+{
+    return link->ready;
+}
+
+const char *
+mr_peer_link_name(const mr_peer_link_t *link)
+{
+    return link->name;
+}
