--- a/lib/config/model.c
+++ b/lib/config/model.c
@@ -104,8 +104,8 @@
     mr_config_target_t *target = &group->targets[i];
     const char *state = "active";
     char path[PATH_BYTES];
-    char ip[MR_ADDRESS_MAX_BYTES];
-    int port;
+    struct sockaddr_storage addr;
+    int addr_len;
     const mr_json_field_t fields[] = {
         {"name", MR_JSON_STRING, true, &target->name, 0, 0},
         {"data_centre", MR_JSON_STRING, true, &target->data_centre, 0, 0},
@@ -126,7 +126,8 @@
                                    "%s.data_centre: '%.64s' is not known",
                                    path, target->data_centre);
     }
-    if (!mr_address_split(target->address, ip, &port) || port == 0) {
+    if (!mr_address_parse(target->address, &addr, &addr_len)
+        || mr_address_port(&addr) == 0) {
         return mr_json_problem_set(p->problem, "%s.address must be IP:port",
                                    path);
     }
--- /dev/null
+++ b/lib/group/election.c
@@ -0,0 +1,312 @@
+#include "group/election.h"
+
+#include <assert.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "common/mem.h"
+#include "member/rendezvous.h"
+
+enum {
+    RANK_DELAY_MS = 150,
+    JITTER_MS = 50,
+    INDIRECT_PROBE_TIMEOUT_MS = 150,
+    /* After a failed attempt or a veto by another observer. */
+    PAUSE_MS = 150,
+};
+
+/** What the election is doing. */
+typedef enum election_state {
+    ELECTION_IDLE,
+    ELECTION_WAITING,   /* for this observer's turn */
+    ELECTION_ASKING,    /* the other observers */
+    ELECTION_PROPOSING, /* an attempt runs */
+} election_state_t;
+
+typedef struct inquiry {
+    mr_election_t *election;
+    mr_peer_call_t *call;
+} inquiry_t;
+
+struct mr_election {
+    mr_election_options_t options;
+    mr_election_target_t targets[MR_VIEW_TARGETS_MAX];
+    election_state_t state;
+    mr_view_verdict_t verdict;
+    mr_ms_t suspected_at;
+    mr_ms_t due_at;
+    mr_ms_t pause_until;
+    int64_t suspected_term;
+    inquiry_t inquiries[MR_VIEW_TARGETS_MAX];
+    size_t open_inquiries;
+    bool vetoed;
+    mr_promotion_t *attempt;
+    const mr_view_t *view; /* during mr_election_tick() and attempts */
+};
+
+static void
+count(mr_election_t *e, const char *name, const char *help)
+{
+    mr_counter_add(mr_counters_get(e->options.counters, name, "", help), 1);
+}
+
+/* The group's observers are the owners of its targets, each counted once. */
+static size_t
+list_observers(const mr_election_t *e,
+               const mr_member_t *out[MR_VIEW_TARGETS_MAX])
+{
+    size_t found = 0;
+
+    for (size_t i = 0; i < e->options.count; i++) {
+        const mr_member_t *owner = mr_members_owner(
+            e->options.members, e->targets[i].name, e->targets[i].data_centre);
+        bool seen = owner == NULL;
+        for (size_t j = 0; j < found && !seen; j++) {
+            seen = strcmp(out[j]->name, owner->name) == 0;
+        }
+        if (!seen) {
+            out[found++] = owner;
+        }
+    }
+    return found;
+}
+
+/* Place of this instance among the observers, by rendezvous score. */
+static int
+find_rank(const mr_election_t *e)
+{
+    const mr_member_t *observers[MR_VIEW_TARGETS_MAX];
+    size_t found = list_observers(e, observers);
+    uint64_t own = mr_rendezvous_score(e->options.group, e->options.name);
+    int rank = 0;
+
+    for (size_t i = 0; i < found; i++) {
+        uint64_t score =
+            mr_rendezvous_score(e->options.group, observers[i]->name);
+        if (strcmp(observers[i]->name, e->options.name) != 0 && score > own) {
+            rank++;
+        }
+    }
+    return rank;
+}
+
+static void
+cancel_inquiries(mr_election_t *e)
+{
+    for (size_t i = 0; i < MR_VIEW_TARGETS_MAX; i++) {
+        if (e->inquiries[i].call != NULL) {
+            mr_peer_cancel(e->inquiries[i].call);
+            e->inquiries[i].call = NULL;
+        }
+    }
+    e->open_inquiries = 0;
+}
+
+static void
+become_idle(mr_election_t *e)
+{
+    cancel_inquiries(e);
+    e->state = ELECTION_IDLE;
+}
+
+static void
+on_attempt_state(void *ctx, size_t index, const mr_log_state_t *state,
+                 mr_ms_t sent_at)
+{
+    mr_election_t *e = ctx;
+
+    e->options.on_state(e->options.ctx, index, state, sent_at);
+}
+
+static void
+on_attempt_done(void *ctx, const mr_promotion_result_t *result)
+{
+    mr_election_t *e = ctx;
+    mr_promotion_result_t copy = *result;
+    mr_ms_t now = mr_clock_now(NULL);
+
+    mr_promotion_destroy(e->attempt);
+    e->attempt = NULL;
+    e->state = ELECTION_IDLE;
+    e->pause_until = now + PAUSE_MS + randombytes_uniform(JITTER_MS);
+    if (!copy.promoted) {
+        count(e, "masticrelay_promotions_failed_total",
+              "attempts that ended without a new primary");
+        return;
+    }
+    count(e, "masticrelay_promotions_total", "targets promoted");
+    mr_log(MR_LOG_WARNING, "promoted",
+           "group=%s term=%lld target=%s reason=%s decide_ms=%lld "
+           "grant_ms=%lld promote_ms=%lld",
+           e->options.group, (long long)copy.term,
+           e->targets[copy.winner].name, mr_view_verdict_name(e->verdict),
+           (long long)(now - e->suspected_at - copy.promote_ms),
+           (long long)copy.grant_ms,
+           (long long)(copy.promote_ms - copy.grant_ms));
+    e->options.on_won(e->options.ctx, &copy);
+}
+
+static void
+propose(mr_election_t *e)
+{
+    const char *addresses[MR_VIEW_TARGETS_MAX];
+    bool leaving[MR_VIEW_TARGETS_MAX];
+
+    for (size_t i = 0; i < e->options.count; i++) {
+        addresses[i] = e->targets[i].address;
+        leaving[i] = mr_view_leaving(e->view, i);
+    }
+    mr_promotion_options_t options = {
+        .base = e->options.base,
+        .addresses = addresses,
+        .leaving = leaving,
+        .count = e->options.count,
+        .term = mr_view_highest_term(e->view) + 1,
+        .fn = on_attempt_done,
+        .on_state = on_attempt_state,
+        .ctx = e,
+    };
+    count(e, "masticrelay_promotion_attempts_total",
+          "attempts to promote a target");
+    e->state = ELECTION_PROPOSING;
+    e->attempt = mr_promotion_start(&options);
+}
+
+static void
+end_inquiry(mr_election_t *e)
+{
+    if (--e->open_inquiries > 0) {
+        return;
+    }
+    if (e->vetoed) {
+        count(e, "masticrelay_promotions_vetoed_total",
+              "proposals dropped because another observer sees the primary");
+        e->pause_until = mr_clock_now(NULL) + PAUSE_MS;
+        become_idle(e);
+        return;
+    }
+    propose(e);
+}
+
+static void
+on_inquiry_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *reply)
+{
+    inquiry_t *inquiry = ctx;
+    mr_election_t *e = inquiry->election;
+
+    inquiry->call = NULL;
+    if (error == MR_OK && reply->u.probe_reply.healthy
+        && reply->u.probe_reply.term >= e->suspected_term) {
+        e->vetoed = true;
+    }
+    end_inquiry(e);
+}
+
+/* Another observer may still see the primary with a majority behind it; then
+ * only this instance's link has failed. */
+static void
+ask_observers(mr_election_t *e)
+{
+    const mr_member_t *observers[MR_VIEW_TARGETS_MAX];
+    size_t found = list_observers(e, observers);
+    mr_msg_t msg = {.type = MR_MSG_PROBE};
+
+    msg.u.probe.group = e->options.group;
+    e->state = ELECTION_ASKING;
+    e->vetoed = false;
+    e->open_inquiries = 1; /* held until all are sent */
+    for (size_t i = 0; i < found; i++) {
+        if (strcmp(observers[i]->name, e->options.name) == 0) {
+            continue;
+        }
+        e->inquiries[i].election = e;
+        e->inquiries[i].call = mr_peer_call(
+            e->options.peer, observers[i]->address, &msg,
+            INDIRECT_PROBE_TIMEOUT_MS, on_inquiry_reply, &e->inquiries[i]);
+        e->open_inquiries++;
+    }
+    end_inquiry(e);
+}
+
+static void
+start_waiting(mr_election_t *e, mr_view_verdict_t verdict, mr_ms_t now)
+{
+    e->state = ELECTION_WAITING;
+    e->verdict = verdict;
+    e->suspected_at = now;
+    e->suspected_term = mr_view_highest_term(e->view);
+    e->due_at = now + (mr_ms_t)find_rank(e) * RANK_DELAY_MS
+                + randombytes_uniform(JITTER_MS);
+}
+
+/* A planned change must not be vetoed by the observers that see the leaving
+ * primary in good health. */
+static bool
+must_ask(const mr_election_t *e)
+{
+    switch (e->verdict) {
+    case MR_VIEW_PRIMARY_LOST:
+    case MR_VIEW_PRIMARY_STALLED:
+        return true;
+    case MR_VIEW_KEEP:
+    case MR_VIEW_PRIMARY_LEAVING:
+        break;
+    }
+    return false;
+}
+
+void
+mr_election_tick(mr_election_t *election, const mr_view_t *view)
+{
+    mr_election_t *e = election;
+    mr_ms_t now = mr_clock_now(NULL);
+
+    e->view = view;
+    if (e->state == ELECTION_PROPOSING || now < e->pause_until) {
+        return;
+    }
+    mr_view_verdict_t verdict = mr_view_verdict(view, now);
+    if (verdict == MR_VIEW_KEEP
+        || (e->state != ELECTION_IDLE
+            && mr_view_highest_term(view) > e->suspected_term)) {
+        become_idle(e);
+        return;
+    }
+    if (e->state == ELECTION_IDLE) {
+        start_waiting(e, verdict, now);
+    }
+    if (e->state == ELECTION_WAITING && now >= e->due_at) {
+        if (must_ask(e)) {
+            ask_observers(e);
+        }
+        else {
+            propose(e);
+        }
+    }
+}
+
+mr_election_t *
+mr_election_create(const mr_election_options_t *options)
+{
+    mr_election_t *e = MR_NEW(mr_election_t);
+
+    assert(options->count <= MR_VIEW_TARGETS_MAX);
+    e->options = *options;
+    memcpy(e->targets, options->targets,
+           options->count * sizeof(*options->targets));
+    e->options.targets = e->targets;
+    return e;
+}
+
+void
+mr_election_destroy(mr_election_t *election)
+{
+    if (election == NULL) {
+        return;
+    }
+    cancel_inquiries(election);
+    mr_promotion_destroy(election->attempt);
+    free(election);
+}
--- /dev/null
+++ b/lib/group/election.h
@@ -0,0 +1,44 @@
+#ifndef MR_GROUP_ELECTION_H
+#define MR_GROUP_ELECTION_H
+
+/*
+ * When this observer proposes a new primary: after its view has asked for it,
+ * after its turn among the group's observers has come, and only if no other
+ * observer sees a healthy primary.
+ */
+
+#include "common/counters.h"
+#include "group/promotion.h"
+#include "member/member.h"
+#include "wire/peer.h"
+
+typedef struct mr_election mr_election_t;
+
+/** A target of the group; strings must outlive the election. */
+typedef struct mr_election_target {
+    const char *name;
+    const char *address;
+    const char *data_centre;
+} mr_election_target_t;
+
+typedef struct mr_election_options {
+    struct event_base *base;
+    mr_counters_t *counters;
+    mr_peer_t *peer;
+    mr_members_t *members;
+    const char *name;                    /* of this instance */
+    const char *group;                   /* must outlive the election */
+    const mr_election_target_t *targets; /* copied */
+    size_t count;
+    mr_promotion_state_fn_t on_state;
+    mr_promotion_fn_t on_won; /* called for successful attempts */
+    void *ctx;
+} mr_election_options_t;
+
+mr_election_t *mr_election_create(const mr_election_options_t *options);
+void mr_election_destroy(mr_election_t *election);
+
+/** mr_election_tick() - look at the view; call it every few milliseconds. */
+void mr_election_tick(mr_election_t *election, const mr_view_t *view);
+
+#endif
--- /dev/null
+++ b/lib/group/promotion.c
@@ -0,0 +1,189 @@
+#include "group/promotion.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/mem.h"
+
+enum {
+    /* A target that has not granted by then is taken as out of reach. */
+    GRANT_TIMEOUT_MS = 400,
+    PROMOTE_TIMEOUT_MS = 800,
+};
+
+typedef struct voter {
+    mr_promotion_t *promotion;
+    size_t index;
+    mr_target_conn_t *conn;
+    mr_ms_t sent_at;
+    bool answered;
+    bool granted;
+    mr_log_state_t state;
+} voter_t;
+
+struct mr_promotion {
+    mr_promotion_options_t options;
+    bool leaving[MR_VIEW_TARGETS_MAX];
+    voter_t voters[MR_VIEW_TARGETS_MAX];
+    mr_ms_t started_at;
+    mr_promotion_result_t result;
+    bool promoting;
+};
+
+static void
+finish(mr_promotion_t *p)
+{
+    /* The callback may destroy the attempt. */
+    p->options.fn(p->options.ctx, &p->result);
+}
+
+static void
+take_state(mr_promotion_t *p, voter_t *voter, const mr_target_reply_t *reply)
+{
+    if (!reply->has_state) {
+        return;
+    }
+    voter->state = reply->state;
+    if (reply->state.term > p->result.known_term) {
+        p->result.known_term = reply->state.term;
+    }
+    p->options.on_state(p->options.ctx, voter->index, &reply->state,
+                        voter->sent_at);
+}
+
+static void
+on_promoted(void *ctx, const mr_target_reply_t *reply)
+{
+    voter_t *voter = ctx;
+    mr_promotion_t *p = voter->promotion;
+
+    take_state(p, voter, reply);
+    p->result.promoted = reply->error == MR_OK;
+    p->result.promote_ms = mr_clock_now(NULL) - p->started_at;
+    if (!p->result.promoted) {
+        p->result.winner = MR_VIEW_NONE;
+    }
+    finish(p);
+}
+
+/* Of the granting targets, the one with the highest log must win: only that
+ * log is sure to hold every acknowledged write. A leaving target loses ties.
+ */
+static size_t
+choose_winner(const mr_promotion_t *p)
+{
+    size_t best = MR_VIEW_NONE;
+
+    for (size_t i = 0; i < p->options.count; i++) {
+        const voter_t *voter = &p->voters[i];
+        if (!voter->granted) {
+            continue;
+        }
+        int order = 1;
+        if (best != MR_VIEW_NONE) {
+            order =
+                mr_log_state_compare(&voter->state, &p->voters[best].state);
+        }
+        if (order > 0 || (order == 0 && p->leaving[best] && !p->leaving[i])) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+static void
+promote_winner(mr_promotion_t *p)
+{
+    size_t winner = choose_winner(p);
+    voter_t *voter = &p->voters[winner];
+    mr_target_request_t request = {.operation = MR_TARGET_PROMOTE,
+                                   .term = p->options.term,
+                                   .timeout = PROMOTE_TIMEOUT_MS};
+
+    assert(winner != MR_VIEW_NONE);
+    p->promoting = true;
+    p->result.winner = winner;
+    p->result.grant_ms = mr_clock_now(NULL) - p->started_at;
+    voter->sent_at = mr_clock_now(NULL);
+    mr_target_conn_send(voter->conn, &request, on_promoted, voter);
+}
+
+static void
+count_grants(mr_promotion_t *p)
+{
+    size_t granted = 0;
+    size_t open = 0;
+    size_t majority = p->options.count / 2 + 1;
+
+    for (size_t i = 0; i < p->options.count; i++) {
+        granted += p->voters[i].granted ? 1 : 0;
+        open += p->voters[i].answered ? 0 : 1;
+    }
+    if (granted >= majority) {
+        promote_winner(p);
+    }
+    else if (granted + open < majority) {
+        finish(p);
+    }
+}
+
+static void
+on_grant(void *ctx, const mr_target_reply_t *reply)
+{
+    voter_t *voter = ctx;
+    mr_promotion_t *p = voter->promotion;
+
+    voter->answered = true;
+    take_state(p, voter, reply);
+    voter->granted =
+        reply->error == MR_OK && reply->granted && reply->has_state;
+    if (!p->promoting) {
+        count_grants(p);
+    }
+}
+
+mr_promotion_t *
+mr_promotion_start(const mr_promotion_options_t *options)
+{
+    mr_promotion_t *p = MR_NEW(mr_promotion_t);
+    mr_target_request_t request = {.operation = MR_TARGET_GRANT,
+                                   .term = options->term,
+                                   .timeout = GRANT_TIMEOUT_MS};
+
+    assert(options->count > 0 && options->count <= MR_VIEW_TARGETS_MAX);
+    p->options = *options;
+    p->started_at = mr_clock_now(NULL);
+    p->result.term = options->term;
+    p->result.winner = MR_VIEW_NONE;
+    memcpy(p->leaving, options->leaving, options->count * sizeof(bool));
+    for (size_t i = 0; i < options->count; i++) {
+        voter_t *voter = &p->voters[i];
+        voter->promotion = p;
+        voter->index = i;
+        voter->conn =
+            mr_target_conn_create(options->base, options->addresses[i]);
+        voter->answered = voter->conn == NULL;
+        voter->sent_at = mr_clock_now(NULL);
+        if (voter->conn != NULL) {
+            mr_target_conn_send(voter->conn, &request, on_grant, voter);
+        }
+    }
+    p->options.addresses = NULL;
+    p->options.leaving = NULL;
+    return p;
+}
+
+void
+mr_promotion_destroy(mr_promotion_t *promotion)
+{
+    if (promotion == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < promotion->options.count; i++) {
+        if (promotion->voters[i].conn != NULL) {
+            mr_target_conn_destroy(promotion->voters[i].conn);
+        }
+    }
+    free(promotion);
+}
--- /dev/null
+++ b/lib/group/transaction.c
@@ -0,0 +1,403 @@
+/*
+ * Open transactions: each keeps one target connection. The target ties the
+ * transaction to that connection and to an id of its own, so a statement that
+ * arrives on another connection is refused instead of run outside.
+ */
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/mem.h"
+#include "group/owner_internal.h"
+
+enum {
+    ID_BYTES = 16,
+    IDLE_LIMIT_MS = 10000,
+    ANSWER_MARGIN_MS = 5,
+};
+
+struct mr_transaction {
+    char id[ID_BYTES * 2 + 1];
+    char *target_id;
+    char *account;
+    mr_owned_target_t *target;
+    mr_target_conn_t *conn;
+    bool holds_slot;
+    int64_t access;
+    int64_t term;
+    struct event *idle;
+    /* The statement in progress; @fn is NULL when there is none. */
+    mr_msg_execute_t *msg;
+    mr_execute_fn_t fn;
+    void *ctx;
+    mr_ms_t deadline;
+    mr_ms_t sent_at;
+    mr_pool_wait_t *queued;
+    mr_observer_wait_t *waiting;
+    mr_msg_execute_reply_t *saved;
+};
+
+void
+mr_transaction_free(mr_transaction_t *transaction)
+{
+    mr_transaction_t *t = transaction;
+
+    if (t->queued != NULL) {
+        mr_pool_cancel(t->queued);
+    }
+    if (t->waiting != NULL) {
+        mr_observer_cancel(t->waiting);
+    }
+    if (t->conn != NULL && t->holds_slot) {
+        mr_pool_release(t->target->pool, t->conn, MR_POOL_CLOSE);
+    }
+    else if (t->conn != NULL) {
+        mr_pool_unpin(t->target->pool, t->conn, false);
+    }
+    t->target->users--;
+    event_free(t->idle);
+    mr_execute_reply_free(t->saved);
+    mr_execute_free(t->msg);
+    free(t->target_id);
+    free(t->account);
+    free(t);
+}
+
+static void
+drop(mr_transaction_t *t)
+{
+    g_hash_table_remove(t->target->owner->transactions, t->id);
+}
+
+static void
+on_idle(evutil_socket_t fd, short what, void *ctx)
+{
+    mr_transaction_t *t = ctx;
+
+    (void)fd;
+    (void)what;
+    mr_counter_add(mr_counters_get(t->target->owner->options.counters,
+                                   "masticrelay_transactions_idle_total", "",
+                                   "transactions rolled back for idleness"),
+                   1);
+    drop(t);
+}
+
+static void
+restart_idle_timer(mr_transaction_t *t)
+{
+    struct timeval tv = mr_clock_timeval(IDLE_LIMIT_MS);
+
+    evtimer_add(t->idle, &tv);
+}
+
+/* Answers the statement in progress; the transaction ends when @keep is
+ * false. */
+static void
+answer(mr_transaction_t *t, const mr_msg_execute_reply_t *reply, bool keep)
+{
+    mr_execute_fn_t fn = t->fn;
+    void *ctx = t->ctx;
+    mr_msg_execute_reply_t *copy = mr_execute_reply_copy(reply);
+
+    t->fn = NULL;
+    mr_execute_free(t->msg);
+    t->msg = NULL;
+    if (keep) {
+        restart_idle_timer(t);
+    }
+    else {
+        drop(t);
+    }
+    fn(ctx, copy);
+    mr_execute_reply_free(copy);
+}
+
+static void
+answer_error(mr_transaction_t *t, mr_error_kind_t error, const char *message,
+             bool keep)
+{
+    mr_msg_execute_reply_t reply;
+
+    mr_execute_reply_init(&reply, error, message);
+    reply.target = t->target->name;
+    if (error == MR_ERR_OUTCOME_UNKNOWN) {
+        reply.term = t->term;
+    }
+    answer(t, &reply, keep);
+}
+
+static void
+fill_reply(mr_transaction_t *t, const mr_target_reply_t *reply,
+           mr_msg_execute_reply_t *out)
+{
+    mr_execute_reply_init(out, reply->error, reply->message);
+    out->result = reply->result;
+    out->target = t->target->name;
+    out->primary = reply->state.primary;
+    out->term = reply->state.last_term;
+    out->position = reply->state.position;
+}
+
+static void
+on_acknowledged(void *ctx, bool ok)
+{
+    mr_transaction_t *t = ctx;
+    mr_msg_execute_reply_t *reply = t->saved;
+
+    t->waiting = NULL;
+    if (!ok) {
+        reply->error = MR_ERR_OUTCOME_UNKNOWN;
+        free((void *)reply->message);
+        reply->message =
+            mr_strdup("the commit ran, but no majority was seen to hold it");
+    }
+    mr_observer_t *observer = t->target->group->observer;
+    size_t covering = mr_view_covering(mr_observer_view(observer), reply->term,
+                                       reply->position, mr_clock_now(NULL));
+    if (covering != MR_VIEW_NONE) {
+        free((void *)reply->covering);
+        reply->covering =
+            mr_strdup(mr_observer_target_name(observer, covering));
+    }
+    t->saved = NULL;
+    answer(t, reply, false);
+    mr_execute_reply_free(reply);
+}
+
+static void
+finish_commit(mr_transaction_t *t, const mr_target_reply_t *reply)
+{
+    mr_msg_execute_reply_t out;
+
+    mr_pool_unpin(t->target->pool, t->conn, true);
+    t->conn = NULL;
+    fill_reply(t, reply, &out);
+    if (t->access == MR_ACCESS_READ) {
+        answer(t, &out, false);
+        return;
+    }
+    out.term = t->term;
+    t->saved = mr_execute_reply_copy(&out);
+    mr_observer_condition_t condition = {
+        .kind = MR_WAIT_ACKNOWLEDGED,
+        .term = t->term,
+        .position = reply->state.position,
+        .index = t->target->index,
+        .deadline = t->deadline - ANSWER_MARGIN_MS,
+    };
+    t->waiting = mr_observer_wait(t->target->group->observer, &condition,
+                                  on_acknowledged, t);
+}
+
+static void
+finish_ok(mr_transaction_t *t, const mr_target_reply_t *reply)
+{
+    mr_msg_execute_reply_t out;
+
+    switch ((mr_operation_t)t->msg->operation) {
+    case MR_OPERATION_COMMIT:
+        finish_commit(t, reply);
+        return;
+    case MR_OPERATION_ROLLBACK:
+        mr_pool_unpin(t->target->pool, t->conn, true);
+        t->conn = NULL;
+        fill_reply(t, reply, &out);
+        answer(t, &out, false);
+        return;
+    case MR_OPERATION_STATEMENT:
+    case MR_OPERATION_BEGIN:
+    case MR_OPERATION_ISSUE_ID:
+        break;
+    }
+    fill_reply(t, reply, &out);
+    answer(t, &out, true);
+}
+
+static void
+finish_refused(mr_transaction_t *t, const mr_target_reply_t *reply)
+{
+    switch (reply->refusal) {
+    case MR_REFUSAL_BUSY:
+        answer_error(t, MR_ERR_OVERLOADED, "the target has no free slot",
+                     true);
+        return;
+    case MR_REFUSAL_NONE:
+    case MR_REFUSAL_WRONG_TERM:
+    case MR_REFUSAL_NOT_PRIMARY:
+    case MR_REFUSAL_LEAVING:
+    case MR_REFUSAL_NO_TRANSACTION:
+    case MR_REFUSAL_OTHER:
+        break;
+    }
+    answer_error(t, MR_ERR_TRANSACTION_LOST,
+                 "the target rolled the transaction back", false);
+}
+
+static void
+on_target_reply(void *ctx, const mr_target_reply_t *reply)
+{
+    mr_transaction_t *t = ctx;
+    mr_observer_t *observer = t->target->group->observer;
+    bool broken = reply->error == MR_ERR_UNAVAILABLE
+                  || reply->error == MR_ERR_OUTCOME_UNKNOWN;
+    mr_msg_execute_reply_t out;
+
+    if (reply->has_state) {
+        mr_observer_report(observer, t->target->index, &reply->state,
+                           t->sent_at);
+    }
+    t->holds_slot = false;
+    mr_pool_release(t->target->pool, t->conn,
+                    broken ? MR_POOL_CLOSE : MR_POOL_PIN);
+    if (broken) {
+        t->conn = NULL;
+        mr_observer_report_failure(observer, t->target->index);
+    }
+    switch (reply->error) {
+    case MR_OK:
+        finish_ok(t, reply);
+        break;
+    case MR_ERR_STATEMENT_FAILED:
+        fill_reply(t, reply, &out);
+        answer(t, &out, t->msg->operation == MR_OPERATION_STATEMENT);
+        break;
+    case MR_ERR_TARGET_REFUSED:
+        finish_refused(t, reply);
+        break;
+    case MR_ERR_UNAVAILABLE:
+        answer_error(t, MR_ERR_TRANSACTION_LOST,
+                     "the transaction's connection was closed", false);
+        break;
+    default:
+        answer_error(t, MR_ERR_OUTCOME_UNKNOWN,
+                     "the target did not answer; the transaction has ended",
+                     false);
+        break;
+    }
+}
+
+static mr_target_operation_t
+target_operation(const mr_msg_execute_t *msg)
+{
+    switch ((mr_operation_t)msg->operation) {
+    case MR_OPERATION_COMMIT:
+        return MR_TARGET_COMMIT;
+    case MR_OPERATION_ROLLBACK:
+        return MR_TARGET_ROLLBACK;
+    case MR_OPERATION_STATEMENT:
+    case MR_OPERATION_BEGIN:
+    case MR_OPERATION_ISSUE_ID:
+        break;
+    }
+    return MR_TARGET_EXECUTE;
+}
+
+static void
+on_slot(void *ctx, mr_error_kind_t error, mr_target_conn_t *conn)
+{
+    mr_transaction_t *t = ctx;
+    mr_target_request_t request = {
+        .operation = target_operation(t->msg),
+        .access = (mr_access_t)t->msg->access,
+        .term = t->term,
+        .statement = t->msg->statement,
+        .transaction = t->target_id,
+        .timeout = t->deadline - mr_clock_now(NULL) - ANSWER_MARGIN_MS,
+    };
+
+    t->queued = NULL;
+    if (error != MR_OK) {
+        answer_error(t, error, "the target's queue did not serve the request",
+                     true);
+        return;
+    }
+    t->holds_slot = true;
+    if (!mr_target_conn_usable(conn)) {
+        answer_error(t, MR_ERR_TRANSACTION_LOST,
+                     "the transaction's connection was closed", false);
+        return;
+    }
+    if (request.timeout <= 0) {
+        t->holds_slot = false;
+        mr_pool_release(t->target->pool, conn, MR_POOL_PIN);
+        answer_error(t, MR_ERR_DEADLINE_EXCEEDED,
+                     "the deadline passed in a queue", true);
+        return;
+    }
+    t->sent_at = mr_clock_now(NULL);
+    mr_target_conn_send(conn, &request, on_target_reply, t);
+}
+
+static void
+refuse(mr_execute_fn_t fn, void *ctx, mr_error_kind_t error,
+       const char *message)
+{
+    mr_msg_execute_reply_t reply;
+
+    mr_execute_reply_init(&reply, error, message);
+    fn(ctx, &reply);
+}
+
+void
+mr_transaction_execute(mr_owner_t *owner, const mr_msg_execute_t *msg,
+                       mr_execute_fn_t fn, void *ctx)
+{
+    mr_transaction_t *t =
+        g_hash_table_lookup(owner->transactions, msg->transaction);
+
+    if (t == NULL) {
+        refuse(fn, ctx, MR_ERR_TRANSACTION_LOST,
+               "the transaction is not open");
+        return;
+    }
+    if (strcmp(t->account, msg->account) != 0
+        || strcmp(t->target->group->name, msg->group) != 0) {
+        refuse(fn, ctx, MR_ERR_INVALID_TRANSACTION,
+               "the transaction belongs to another account or group");
+        return;
+    }
+    if (t->fn != NULL) {
+        refuse(fn, ctx, MR_ERR_TRANSACTION_BUSY,
+               "a statement of the transaction is in progress");
+        return;
+    }
+    if (msg->operation == MR_OPERATION_STATEMENT
+        && msg->access == MR_ACCESS_WRITE && t->access == MR_ACCESS_READ) {
+        refuse(fn, ctx, MR_ERR_INVALID_TRANSACTION,
+               "the transaction is read-only");
+        return;
+    }
+    evtimer_del(t->idle);
+    t->msg = mr_execute_copy(msg);
+    t->fn = fn;
+    t->ctx = ctx;
+    t->deadline = mr_clock_now(NULL) + msg->deadline_ms;
+    t->queued = mr_pool_acquire(t->target->pool, t->account,
+                                mr_owner_weight(owner, t->account), t->conn,
+                                t->deadline, on_slot, t);
+}
+
+const char *
+mr_transaction_open(mr_owned_target_t *target, const mr_msg_execute_t *msg,
+                    mr_target_conn_t *conn, const char *target_id,
+                    int64_t term)
+{
+    mr_transaction_t *t = MR_NEW(mr_transaction_t);
+    uint8_t id[ID_BYTES];
+
+    randombytes_buf(id, sizeof(id));
+    sodium_bin2hex(t->id, sizeof(t->id), id, sizeof(id));
+    t->target_id = mr_strdup(target_id);
+    t->account = mr_strdup(msg->account);
+    t->target = target;
+    t->conn = conn;
+    t->access = msg->access;
+    t->term = term;
+    t->idle = evtimer_new(target->owner->options.base, on_idle, t);
+    target->users++;
+    restart_idle_timer(t);
+    g_hash_table_insert(target->owner->transactions, t->id, t);
+    return t->id;
+}
