Add the platform stand-in

Tests and measurements need a table service, an object store and an instance list that can fail on demand. The stand-in keeps them in memory and takes outages, delays, lost replies and list lag from POST /faults. Delayed requests take effect after the delay, so that a change may happen after its client gave up.

--- /dev/null
+++ b/tests/standins/platform_standin.c
@@ -0,0 +1,584 @@
+/*
+ * Stand-in for the platform: table service, object store and instance list
+ * (design section 9), with faults for tests. It keeps everything in memory.
+ *
+ * GET /requests and DELETE /instances/{name} exist only here.
+ */
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <glib.h>
+#include <jansson.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/address.h"
+#include "common/clock.h"
+#include "common/list.h"
+#include "common/mem.h"
+
+enum {
+    MAX_BODY_BYTES = 16 << 20,
+    /* Clients keep connections open between polls. */
+    IDLE_TIMEOUT_S = 3600,
+};
+
+typedef struct row {
+    int64_t revision;
+    json_t *value;
+} row_t;
+
+typedef struct faults {
+    bool down;
+    int64_t delay_ms;
+    double lose_replies;
+    int64_t list_lag_ms;
+} faults_t;
+
+typedef struct standin {
+    struct event_base *base;
+    struct evhttp *http;
+    GHashTable *rows;    /* name -> row_t */
+    GHashTable *objects; /* name -> GBytes */
+    json_t *instances;   /* name -> entry, as the list shows them */
+    json_t *unlisted;    /* [visible at ms, name, entry or null], in order */
+    json_t *counts;      /* "GET /table/" -> number */
+    int64_t revision;
+    faults_t faults;
+    GRand *random;
+    mr_list_t held; /* held_t, requests received while down */
+} standin_t;
+
+/** A request that waits for its delay, for its end or for the end of down. */
+typedef struct held {
+    mr_list_t link;
+    standin_t *standin;
+    struct evhttp_request *req;
+    struct event *timer;
+} held_t;
+
+static void
+free_row(void *data)
+{
+    row_t *row = data;
+
+    json_decref(row->value);
+    free(row);
+}
+
+static void
+free_bytes(void *data)
+{
+    g_bytes_unref(data);
+}
+
+static held_t *
+hold(standin_t *standin, struct evhttp_request *req, event_callback_fn fn,
+     int64_t delay_ms)
+{
+    held_t *held = MR_NEW(held_t);
+    struct timeval tv = mr_clock_timeval(delay_ms);
+
+    held->standin = standin;
+    held->req = req;
+    mr_list_init(&held->link);
+    if (fn != NULL) {
+        held->timer = evtimer_new(standin->base, fn, held);
+        evtimer_add(held->timer, &tv);
+    }
+    return held;
+}
+
+static void
+free_held(held_t *held)
+{
+    mr_list_remove(&held->link);
+    if (held->timer != NULL) {
+        event_free(held->timer);
+    }
+    free(held);
+}
+
+/* Ends a request without an answer. */
+static void
+on_drop(evutil_socket_t fd, short what, void *ctx)
+{
+    held_t *held = ctx;
+    struct evhttp_connection *conn = evhttp_request_get_connection(held->req);
+
+    (void)fd;
+    (void)what;
+    if (conn != NULL) {
+        evhttp_connection_free(conn);
+    }
+    else {
+        evhttp_request_free(held->req);
+    }
+    free_held(held);
+}
+
+static void
+send_json(struct evhttp_request *req, int status, json_t *value)
+{
+    struct evbuffer *out = evbuffer_new();
+    char *text = json_dumps(value, JSON_COMPACT | JSON_SORT_KEYS);
+
+    evbuffer_add(out, text, strlen(text));
+    evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type",
+                      "application/json");
+    evhttp_send_reply(req, status, NULL, out);
+    evbuffer_free(out);
+    free(text);
+    json_decref(value);
+}
+
+static void
+send_status(struct evhttp_request *req, int status)
+{
+    send_json(req, status, json_object());
+}
+
+/* Answers a change that took effect, or loses the answer. */
+static void
+send_change(standin_t *standin, struct evhttp_request *req, json_t *value)
+{
+    if (g_rand_double(standin->random) < standin->faults.lose_replies) {
+        json_decref(value);
+        hold(standin, req, on_drop, 0);
+        return;
+    }
+    send_json(req, 200, value);
+}
+
+static json_t *
+read_json(struct evhttp_request *req)
+{
+    struct evbuffer *in = evhttp_request_get_input_buffer(req);
+    size_t len = evbuffer_get_length(in);
+
+    return json_loadb((const char *)evbuffer_pullup(in, -1), len,
+                      JSON_REJECT_DUPLICATES, NULL);
+}
+
+static void
+get_row(standin_t *standin, struct evhttp_request *req, const char *name)
+{
+    const row_t *row = g_hash_table_lookup(standin->rows, name);
+
+    if (row == NULL) {
+        send_status(req, 404);
+        return;
+    }
+    send_json(req, 200,
+              json_pack("{s:I,s:O}", "revision", (json_int_t)row->revision,
+                        "value", row->value));
+}
+
+static void
+put_row(standin_t *standin, struct evhttp_request *req, const char *name)
+{
+    json_t *body = read_json(req);
+    json_t *value = NULL;
+    json_int_t expect = -1;
+    row_t *row = g_hash_table_lookup(standin->rows, name);
+    int64_t present = row == NULL ? 0 : row->revision;
+
+    if (body == NULL
+        || json_unpack(body, "{s:I,s:o!}", "expect", &expect, "value", &value)
+               != 0) {
+        send_status(req, 400);
+    }
+    else if (expect != present) {
+        send_json(req, 409,
+                  json_pack("{s:I}", "revision", (json_int_t)present));
+    }
+    else {
+        row = MR_NEW(row_t);
+        row->revision = ++standin->revision;
+        row->value = json_incref(value);
+        g_hash_table_replace(standin->rows, g_strdup(name), row);
+        send_change(standin, req,
+                    json_pack("{s:I}", "revision", (json_int_t)row->revision));
+    }
+    json_decref(body);
+}
+
+static int
+compare_names(const void *a, const void *b)
+{
+    return strcmp(a, b);
+}
+
+/* Names in @table that start with @prefix, in order; free with g_list_free().
+ */
+static GList *
+names_with_prefix(GHashTable *table, const char *prefix)
+{
+    GHashTableIter it;
+    void *name;
+    GList *names = NULL;
+
+    g_hash_table_iter_init(&it, table);
+    while (g_hash_table_iter_next(&it, &name, NULL)) {
+        if (g_str_has_prefix(name, prefix)) {
+            names = g_list_prepend(names, name);
+        }
+    }
+    return g_list_sort(names, compare_names);
+}
+
+static void
+list_rows(standin_t *standin, struct evhttp_request *req, const char *prefix)
+{
+    GList *names = names_with_prefix(standin->rows, prefix);
+    json_t *rows = json_array();
+
+    for (GList *it = names; it != NULL; it = it->next) {
+        const row_t *row = g_hash_table_lookup(standin->rows, it->data);
+        json_array_append_new(
+            rows, json_pack("{s:s,s:I,s:O}", "row", it->data, "revision",
+                            (json_int_t)row->revision, "value", row->value));
+    }
+    g_list_free(names);
+    send_json(req, 200, json_pack("{s:o}", "rows", rows));
+}
+
+static void
+get_object(standin_t *standin, struct evhttp_request *req, const char *name)
+{
+    GBytes *bytes = g_hash_table_lookup(standin->objects, name);
+    size_t len;
+
+    if (bytes == NULL) {
+        send_status(req, 404);
+        return;
+    }
+    const void *data = g_bytes_get_data(bytes, &len);
+    struct evbuffer *out = evbuffer_new();
+    evbuffer_add(out, data, len);
+    evhttp_send_reply(req, 200, NULL, out);
+    evbuffer_free(out);
+}
+
+static void
+put_object(standin_t *standin, struct evhttp_request *req, const char *name)
+{
+    struct evbuffer *in = evhttp_request_get_input_buffer(req);
+    GBytes *bytes =
+        g_bytes_new(evbuffer_pullup(in, -1), evbuffer_get_length(in));
+    GBytes *present = g_hash_table_lookup(standin->objects, name);
+
+    if (present != NULL && !g_bytes_equal(present, bytes)) {
+        g_bytes_unref(bytes);
+        send_status(req, 409);
+        return;
+    }
+    g_hash_table_replace(standin->objects, g_strdup(name), bytes);
+    send_change(standin, req, json_object());
+}
+
+static void
+list_objects(standin_t *standin, struct evhttp_request *req,
+             const char *prefix)
+{
+    GList *names = names_with_prefix(standin->objects, prefix);
+    json_t *array = json_array();
+
+    for (GList *it = names; it != NULL; it = it->next) {
+        json_array_append_new(array, json_string(it->data));
+    }
+    g_list_free(names);
+    send_json(req, 200, json_pack("{s:o}", "names", array));
+}
+
+/* The list shows a change @list_lag_ms after it was made. */
+static void
+list_instances(standin_t *standin, struct evhttp_request *req,
+               const char *unused)
+{
+    json_t *array = json_array();
+    const char *name;
+    json_t *entry, *change;
+
+    (void)unused;
+    while ((change = json_array_get(standin->unlisted, 0)) != NULL
+           && json_integer_value(json_array_get(change, 0))
+                  <= mr_clock_now(NULL)) {
+        name = json_string_value(json_array_get(change, 1));
+        entry = json_array_get(change, 2);
+        if (json_is_null(entry)) {
+            json_object_del(standin->instances, name);
+        }
+        else {
+            json_object_set(standin->instances, name, entry);
+        }
+        json_array_remove(standin->unlisted, 0);
+    }
+    json_object_foreach(standin->instances, name, entry)
+    {
+        json_array_append(array, entry);
+    }
+    send_json(req, 200, json_pack("{s:o}", "instances", array));
+}
+
+static void
+change_list(standin_t *standin, struct evhttp_request *req, const char *name,
+            json_t *entry)
+{
+    json_int_t at = mr_clock_now(NULL) + standin->faults.list_lag_ms;
+
+    json_array_append_new(standin->unlisted,
+                          json_pack("[I,s,o]", at, name, entry));
+    send_change(standin, req, json_object());
+}
+
+static void
+delete_instance(standin_t *standin, struct evhttp_request *req,
+                const char *name)
+{
+    change_list(standin, req, name, json_null());
+}
+
+static void
+put_instance(standin_t *standin, struct evhttp_request *req, const char *name)
+{
+    json_t *body = read_json(req);
+    const char *data_centre, *address, *kind, *state;
+
+    if (body == NULL
+        || json_unpack(body, "{s:s,s:s,s:s,s:s}", "data_centre", &data_centre,
+                       "address", &address, "kind", &kind, "state", &state)
+               != 0) {
+        json_decref(body);
+        send_status(req, 400);
+        return;
+    }
+    json_object_set_new(body, "name", json_string(name));
+    change_list(standin, req, name, body);
+}
+
+static void
+set_faults(standin_t *standin, struct evhttp_request *req)
+{
+    faults_t *faults = &standin->faults;
+    json_t *body = read_json(req);
+    json_int_t delay_ms = faults->delay_ms;
+    json_int_t list_lag_ms = faults->list_lag_ms;
+    int down = faults->down;
+
+    if (body == NULL
+        || json_unpack(body, "{s?b,s?I,s?F,s?I!}", "down", &down, "delay_ms",
+                       &delay_ms, "lose_replies", &faults->lose_replies,
+                       "list_lag_ms", &list_lag_ms)
+               != 0) {
+        json_decref(body);
+        send_status(req, 400);
+        return;
+    }
+    json_decref(body);
+    faults->down = down != 0;
+    faults->delay_ms = delay_ms;
+    faults->list_lag_ms = list_lag_ms;
+    if (!faults->down) {
+        /* Clients that wait since the outage get no answer. */
+        MR_LIST_FOREACH(it, &standin->held)
+        {
+            on_drop(-1, 0, MR_LIST_ENTRY(it, held_t, link));
+        }
+    }
+    send_status(req, 200);
+}
+
+typedef struct route {
+    enum evhttp_cmd_type method;
+    const char *label;
+    const char *path; /* listings take the prefix, others the name behind it */
+    void (*fn)(standin_t *standin, struct evhttp_request *req,
+               const char *name);
+} route_t;
+
+static const route_t routes[] = {
+    {EVHTTP_REQ_GET, "GET /table", "/table", list_rows},
+    {EVHTTP_REQ_GET, "GET /table/", "/table/", get_row},
+    {EVHTTP_REQ_PUT, "PUT /table/", "/table/", put_row},
+    {EVHTTP_REQ_GET, "GET /objects", "/objects", list_objects},
+    {EVHTTP_REQ_GET, "GET /objects/", "/objects/", get_object},
+    {EVHTTP_REQ_PUT, "PUT /objects/", "/objects/", put_object},
+    {EVHTTP_REQ_GET, "GET /instances", "/instances", list_instances},
+    {EVHTTP_REQ_PUT, "PUT /instances/", "/instances/", put_instance},
+    {EVHTTP_REQ_DELETE, "DELETE /instances/", "/instances/", delete_instance},
+};
+
+static const route_t *
+find_route(enum evhttp_cmd_type method, const char *path)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
+        const char *known = routes[i].path;
+        bool folder = g_str_has_suffix(known, "/");
+        if (routes[i].method == method
+            && (folder ? g_str_has_prefix(path, known)
+                       : strcmp(path, known) == 0)) {
+            return &routes[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+count_request(standin_t *standin, const char *label)
+{
+    json_t *count = json_object_get(standin->counts, label);
+
+    json_object_set_new(standin->counts, label,
+                        json_integer(json_integer_value(count) + 1));
+}
+
+static void
+run_request(standin_t *standin, struct evhttp_request *req)
+{
+    const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(req);
+    char *path = evhttp_uridecode(evhttp_uri_get_path(uri), 0, NULL);
+    const char *query = evhttp_uri_get_query(uri);
+    struct evkeyvalq params = {0};
+    const char *prefix = NULL;
+    const route_t *route = find_route(evhttp_request_get_command(req), path);
+
+    if (query != NULL && evhttp_parse_query_str(query, &params) == 0) {
+        prefix = evhttp_find_header(&params, "prefix");
+    }
+    if (route == NULL) {
+        send_status(req, 404);
+    }
+    else if (g_str_has_suffix(route->path, "/")) {
+        route->fn(standin, req, path + strlen(route->path));
+    }
+    else {
+        route->fn(standin, req, prefix == NULL ? "" : prefix);
+    }
+    evhttp_clear_headers(&params);
+    free(path);
+}
+
+static void
+on_delay(evutil_socket_t fd, short what, void *ctx)
+{
+    held_t *held = ctx;
+
+    (void)fd;
+    (void)what;
+    run_request(held->standin, held->req);
+    free_held(held);
+}
+
+static void
+on_request(struct evhttp_request *req, void *ctx)
+{
+    standin_t *standin = ctx;
+    const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+
+    if (path == NULL || path[0] != '/') {
+        send_status(req, 400);
+        return;
+    }
+    if (strcmp(path, "/faults") == 0) {
+        set_faults(standin, req);
+        return;
+    }
+    if (strcmp(path, "/requests") == 0) {
+        send_json(req, 200, json_incref(standin->counts));
+        return;
+    }
+    const route_t *route = find_route(evhttp_request_get_command(req), path);
+    count_request(standin, route == NULL ? "other" : route->label);
+    if (standin->faults.down) {
+        held_t *held = hold(standin, req, NULL, 0);
+        mr_list_append(&standin->held, &held->link);
+    }
+    else if (standin->faults.delay_ms > 0) {
+        hold(standin, req, on_delay, standin->faults.delay_ms);
+    }
+    else {
+        run_request(standin, req);
+    }
+}
+
+static bool
+start_listening(standin_t *standin, const char *address)
+{
+    char ip[MR_ADDRESS_MAX_BYTES];
+    int port;
+    struct sockaddr_storage addr = {0};
+    socklen_t len = sizeof(addr);
+
+    if (!mr_address_split(address, ip, &port)) {
+        return false;
+    }
+    evhttp_set_max_body_size(standin->http, MAX_BODY_BYTES);
+    evhttp_set_timeout(standin->http, IDLE_TIMEOUT_S);
+    evhttp_set_allowed_methods(standin->http, EVHTTP_REQ_GET | EVHTTP_REQ_PUT
+                                                  | EVHTTP_REQ_POST
+                                                  | EVHTTP_REQ_DELETE);
+    evhttp_set_gencb(standin->http, on_request, standin);
+    struct evhttp_bound_socket *sock =
+        evhttp_bind_socket_with_handle(standin->http, ip, (uint16_t)port);
+    if (sock == NULL
+        || getsockname(evhttp_bound_socket_get_fd(sock),
+                       (struct sockaddr *)&addr, &len)
+               != 0) {
+        return false;
+    }
+    printf("listening on %s:%d\n", ip, mr_address_port(&addr));
+    fflush(stdout);
+    return true;
+}
+
+int
+main(int argc, char **argv)
+{
+    char *listen = NULL;
+    int list_lag_ms = 0;
+    int seed = 1;
+    GOptionEntry entries[] = {
+        {"listen", 0, 0, G_OPTION_ARG_STRING, &listen, "address", "IP:port"},
+        {"list-lag-ms", 0, 0, G_OPTION_ARG_INT, &list_lag_ms,
+         "lag of the instance list", "N"},
+        {"seed", 0, 0, G_OPTION_ARG_INT, &seed, "seed of random faults", "N"},
+        {0}};
+    GOptionContext *options = g_option_context_new(NULL);
+    GError *error = NULL;
+
+    g_option_context_add_main_entries(options, entries, NULL);
+    if (!g_option_context_parse(options, &argc, &argv, &error)) {
+        fprintf(stderr, "platform_standin: %s\n", error->message);
+        return 2;
+    }
+    g_option_context_free(options);
+    signal(SIGPIPE, SIG_IGN);
+    standin_t standin = {
+        .rows =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_row),
+        .objects =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_bytes),
+        .instances = json_object(),
+        .unlisted = json_array(),
+        .counts = json_object(),
+        .faults = {.list_lag_ms = list_lag_ms},
+        .random = g_rand_new_with_seed((guint32)seed),
+        .base = event_base_new(),
+    };
+    mr_list_init(&standin.held);
+    standin.http = evhttp_new(standin.base);
+    if (!start_listening(&standin, listen ? listen : "127.0.0.1:0")) {
+        fputs("platform_standin: cannot listen\n", stderr);
+        return 1;
+    }
+    event_base_dispatch(standin.base);
+    return 0;
+}
