--- a/Makefile
+++ b/Makefile
@@ -72,6 +72,9 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(PKG_LIBS) -o $@
 
+# These tests run the platform stand-in.
+$(BUILD)/unit/test_platform $(BUILD)/unit/test_config_store: | $(BUILD)/platform_standin
+
 $(BUILD)/integration/%: $(BUILD)/tests/integration/%.o \
     $(HARNESS_SRC:%.c=$(BUILD)/%.o) $(LIB)
 	@mkdir -p $(@D)
@@ -95,7 +98,7 @@
 	$(MAKE) all
 	./tools/run-tests $(BUILD)
 
-unit: tests
+unit: tests standins
 	./tools/run-tests $(BUILD) unit
 
 integration: all
