Shorten the platform stand-in

Rows and objects are kept as JSON values like the rest of the state, and one function answers all listings; listings are now in order of creation, which the protocol leaves open. 584 lines became 499.

--- a/tests/standins/platform_standin.c
+++ b/tests/standins/platform_standin.c
@@ -11,10 +11,8 @@
 #include <event2/keyvalq_struct.h>
 #include <glib.h>
 #include <jansson.h>
-#include <netinet/in.h>
 #include <signal.h>
 #include <stdbool.h>
-#include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -30,11 +28,6 @@
     IDLE_TIMEOUT_S = 3600,
 };
 
-typedef struct row {
-    int64_t revision;
-    json_t *value;
-} row_t;
-
 typedef struct faults {
     bool down;
     int64_t delay_ms;
@@ -45,12 +38,12 @@
 typedef struct standin {
     struct event_base *base;
     struct evhttp *http;
-    GHashTable *rows;    /* name -> row_t */
-    GHashTable *objects; /* name -> GBytes */
-    json_t *instances;   /* name -> entry, as the list shows them */
-    json_t *unlisted;    /* [visible at ms, name, entry or null], in order */
-    json_t *counts;      /* "GET /table/" -> number */
-    int64_t revision;
+    json_t *rows;      /* name -> {row, revision, value} */
+    json_t *objects;   /* name -> string with the object's bytes */
+    json_t *instances; /* name -> entry, as the list shows them */
+    json_t *unlisted;  /* [visible at ms, name, entry or null], in order */
+    json_t *counts;    /* "GET /table/" -> number */
+    json_int_t revision;
     faults_t faults;
     GRand *random;
     mr_list_t held; /* held_t, requests received while down */
@@ -61,24 +54,9 @@
     mr_list_t link;
     standin_t *standin;
     struct evhttp_request *req;
-    struct event *timer;
 } held_t;
 
-static void
-free_row(void *data)
-{
-    row_t *row = data;
-
-    json_decref(row->value);
-    free(row);
-}
-
-static void
-free_bytes(void *data)
-{
-    g_bytes_unref(data);
-}
-
+/* Keeps a request, until @fn handles it if there is one. */
 static held_t *
 hold(standin_t *standin, struct evhttp_request *req, event_callback_fn fn,
      int64_t delay_ms)
@@ -90,22 +68,11 @@
     held->req = req;
     mr_list_init(&held->link);
     if (fn != NULL) {
-        held->timer = evtimer_new(standin->base, fn, held);
-        evtimer_add(held->timer, &tv);
+        event_base_once(standin->base, -1, EV_TIMEOUT, fn, held, &tv);
     }
     return held;
 }
 
-static void
-free_held(held_t *held)
-{
-    mr_list_remove(&held->link);
-    if (held->timer != NULL) {
-        event_free(held->timer);
-    }
-    free(held);
-}
-
 /* Ends a request without an answer. */
 static void
 on_drop(evutil_socket_t fd, short what, void *ctx)
@@ -121,7 +88,8 @@
     else {
         evhttp_request_free(held->req);
     }
-    free_held(held);
+    mr_list_remove(&held->link);
+    free(held);
 }
 
 static void
@@ -170,99 +138,74 @@
 static void
 get_row(standin_t *standin, struct evhttp_request *req, const char *name)
 {
-    const row_t *row = g_hash_table_lookup(standin->rows, name);
+    json_t *row = json_object_get(standin->rows, name);
 
-    if (row == NULL) {
-        send_status(req, 404);
-        return;
-    }
-    send_json(req, 200,
-              json_pack("{s:I,s:O}", "revision", (json_int_t)row->revision,
-                        "value", row->value));
+    send_json(req, row == NULL ? 404 : 200,
+              row == NULL ? json_object() : json_incref(row));
 }
 
 static void
 put_row(standin_t *standin, struct evhttp_request *req, const char *name)
 {
     json_t *body = read_json(req);
-    json_t *value = NULL;
-    json_int_t expect = -1;
-    row_t *row = g_hash_table_lookup(standin->rows, name);
-    int64_t present = row == NULL ? 0 : row->revision;
+    json_t *row = json_object_get(standin->rows, name);
+    json_t *value = json_object_get(body, "value");
+    json_t *expect = json_object_get(body, "expect");
+    json_int_t present = json_integer_value(json_object_get(row, "revision"));
 
-    if (body == NULL
-        || json_unpack(body, "{s:I,s:o!}", "expect", &expect, "value", &value)
-               != 0) {
+    if (!json_is_integer(expect) || value == NULL) {
         send_status(req, 400);
     }
-    else if (expect != present) {
-        send_json(req, 409,
-                  json_pack("{s:I}", "revision", (json_int_t)present));
+    else if (json_integer_value(expect) != present) {
+        send_json(req, 409, json_pack("{s:I}", "revision", present));
     }
     else {
-        row = MR_NEW(row_t);
-        row->revision = ++standin->revision;
-        row->value = json_incref(value);
-        g_hash_table_replace(standin->rows, g_strdup(name), row);
+        standin->revision++;
+        row = json_pack("{s:s,s:I,s:O}", "row", name, "revision",
+                        standin->revision, "value", value);
+        json_object_set_new(standin->rows, name, row);
         send_change(standin, req,
-                    json_pack("{s:I}", "revision", (json_int_t)row->revision));
+                    json_pack("{s:I}", "revision", standin->revision));
     }
     json_decref(body);
 }
 
-static int
-compare_names(const void *a, const void *b)
-{
-    return strcmp(a, b);
-}
-
-/* Names in @table that start with @prefix, in order; free with g_list_free().
- */
-static GList *
-names_with_prefix(GHashTable *table, const char *prefix)
+/* Answers with the values, or the names, of entries below @prefix. */
+static void
+send_list(struct evhttp_request *req, json_t *entries, const char *prefix,
+          const char *field, bool names)
 {
-    GHashTableIter it;
-    void *name;
-    GList *names = NULL;
+    json_t *list = json_array();
+    const char *name;
+    json_t *entry;
 
-    g_hash_table_iter_init(&it, table);
-    while (g_hash_table_iter_next(&it, &name, NULL)) {
+    json_object_foreach(entries, name, entry)
+    {
         if (g_str_has_prefix(name, prefix)) {
-            names = g_list_prepend(names, name);
+            json_array_append_new(list, names ? json_string(name)
+                                              : json_incref(entry));
         }
     }
-    return g_list_sort(names, compare_names);
+    send_json(req, 200, json_pack("{s:o}", field, list));
 }
 
 static void
 list_rows(standin_t *standin, struct evhttp_request *req, const char *prefix)
 {
-    GList *names = names_with_prefix(standin->rows, prefix);
-    json_t *rows = json_array();
-
-    for (GList *it = names; it != NULL; it = it->next) {
-        const row_t *row = g_hash_table_lookup(standin->rows, it->data);
-        json_array_append_new(
-            rows, json_pack("{s:s,s:I,s:O}", "row", it->data, "revision",
-                            (json_int_t)row->revision, "value", row->value));
-    }
-    g_list_free(names);
-    send_json(req, 200, json_pack("{s:o}", "rows", rows));
+    send_list(req, standin->rows, prefix, "rows", false);
 }
 
 static void
 get_object(standin_t *standin, struct evhttp_request *req, const char *name)
 {
-    GBytes *bytes = g_hash_table_lookup(standin->objects, name);
-    size_t len;
+    json_t *object = json_object_get(standin->objects, name);
 
-    if (bytes == NULL) {
+    if (object == NULL) {
         send_status(req, 404);
         return;
     }
-    const void *data = g_bytes_get_data(bytes, &len);
     struct evbuffer *out = evbuffer_new();
-    evbuffer_add(out, data, len);
+    evbuffer_add(out, json_string_value(object), json_string_length(object));
     evhttp_send_reply(req, 200, NULL, out);
     evbuffer_free(out);
 }
@@ -271,16 +214,17 @@
 put_object(standin_t *standin, struct evhttp_request *req, const char *name)
 {
     struct evbuffer *in = evhttp_request_get_input_buffer(req);
-    GBytes *bytes =
-        g_bytes_new(evbuffer_pullup(in, -1), evbuffer_get_length(in));
-    GBytes *present = g_hash_table_lookup(standin->objects, name);
+    size_t len = evbuffer_get_length(in);
+    json_t *object =
+        json_stringn_nocheck((const char *)evbuffer_pullup(in, -1), len);
+    json_t *present = json_object_get(standin->objects, name);
 
-    if (present != NULL && !g_bytes_equal(present, bytes)) {
-        g_bytes_unref(bytes);
-        send_status(req, 409);
+    if (object == NULL || (present != NULL && !json_equal(present, object))) {
+        json_decref(object);
+        send_status(req, object == NULL ? 400 : 409);
         return;
     }
-    g_hash_table_replace(standin->objects, g_strdup(name), bytes);
+    json_object_set_new(standin->objects, name, object);
     send_change(standin, req, json_object());
 }
 
@@ -288,31 +232,21 @@
 list_objects(standin_t *standin, struct evhttp_request *req,
              const char *prefix)
 {
-    GList *names = names_with_prefix(standin->objects, prefix);
-    json_t *array = json_array();
-
-    for (GList *it = names; it != NULL; it = it->next) {
-        json_array_append_new(array, json_string(it->data));
-    }
-    g_list_free(names);
-    send_json(req, 200, json_pack("{s:o}", "names", array));
+    send_list(req, standin->objects, prefix, "names", true);
 }
 
 /* The list shows a change @list_lag_ms after it was made. */
 static void
 list_instances(standin_t *standin, struct evhttp_request *req,
-               const char *unused)
+               const char *prefix)
 {
-    json_t *array = json_array();
-    const char *name;
-    json_t *entry, *change;
+    json_t *change;
 
-    (void)unused;
     while ((change = json_array_get(standin->unlisted, 0)) != NULL
            && json_integer_value(json_array_get(change, 0))
                   <= mr_clock_now(NULL)) {
-        name = json_string_value(json_array_get(change, 1));
-        entry = json_array_get(change, 2);
+        const char *name = json_string_value(json_array_get(change, 1));
+        json_t *entry = json_array_get(change, 2);
         if (json_is_null(entry)) {
             json_object_del(standin->instances, name);
         }
@@ -321,11 +255,7 @@
         }
         json_array_remove(standin->unlisted, 0);
     }
-    json_object_foreach(standin->instances, name, entry)
-    {
-        json_array_append(array, entry);
-    }
-    send_json(req, 200, json_pack("{s:o}", "instances", array));
+    send_list(req, standin->instances, prefix, "instances", false);
 }
 
 static void
@@ -431,15 +361,6 @@
     return NULL;
 }
 
-static void
-count_request(standin_t *standin, const char *label)
-{
-    json_t *count = json_object_get(standin->counts, label);
-
-    json_object_set_new(standin->counts, label,
-                        json_integer(json_integer_value(count) + 1));
-}
-
 static void
 run_request(standin_t *standin, struct evhttp_request *req)
 {
@@ -474,7 +395,7 @@
     (void)fd;
     (void)what;
     run_request(held->standin, held->req);
-    free_held(held);
+    free(held);
 }
 
 static void
@@ -483,10 +404,6 @@
     standin_t *standin = ctx;
     const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
 
-    if (path == NULL || path[0] != '/') {
-        send_status(req, 400);
-        return;
-    }
     if (strcmp(path, "/faults") == 0) {
         set_faults(standin, req);
         return;
@@ -496,7 +413,10 @@
         return;
     }
     const route_t *route = find_route(evhttp_request_get_command(req), path);
-    count_request(standin, route == NULL ? "other" : route->label);
+    const char *label = route == NULL ? "other" : route->label;
+    json_t *count = json_object_get(standin->counts, label);
+    json_object_set_new(standin->counts, label,
+                        json_integer(json_integer_value(count) + 1));
     if (standin->faults.down) {
         held_t *held = hold(standin, req, NULL, 0);
         mr_list_append(&standin->held, &held->link);
@@ -522,9 +442,6 @@
     }
     evhttp_set_max_body_size(standin->http, MAX_BODY_BYTES);
     evhttp_set_timeout(standin->http, IDLE_TIMEOUT_S);
-    evhttp_set_allowed_methods(standin->http, EVHTTP_REQ_GET | EVHTTP_REQ_PUT
-                                                  | EVHTTP_REQ_POST
-                                                  | EVHTTP_REQ_DELETE);
     evhttp_set_gencb(standin->http, on_request, standin);
     struct evhttp_bound_socket *sock =
         evhttp_bind_socket_with_handle(standin->http, ip, (uint16_t)port);
@@ -562,10 +479,8 @@
     g_option_context_free(options);
     signal(SIGPIPE, SIG_IGN);
     standin_t standin = {
-        .rows =
-            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_row),
-        .objects =
-            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_bytes),
+        .rows = json_object(),
+        .objects = json_object(),
         .instances = json_object(),
         .unlisted = json_array(),
         .counts = json_object(),
