--- a/Makefile
+++ b/Makefile
@@ -58,12 +58,12 @@
 
 .SECONDEXPANSION:
 $(PROGRAMS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/programs/%.o \
-    $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard programs/%_*.c)) $(LIB)
+    $$(addprefix $(BUILD)/,$$(subst .c,.o,$$(wildcard programs/%_*.c))) $(LIB)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
 $(STANDINS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/tests/standins/%.o \
-    $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard tests/standins/common_*.c)) $(LIB)
+    $$(addprefix $(BUILD)/,$$(subst .c,.o,$$(wildcard tests/standins/common_*.c))) $(LIB)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
@@ -79,7 +79,7 @@
 	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(PKG_LIBS) -o $@
 
 $(BENCH:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/bench/%.o \
-    $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard bench/common_*.c)) $(LIB)
+    $$(addprefix $(BUILD)/,$$(subst .c,.o,$$(wildcard bench/common_*.c))) $(LIB)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
