--- /dev/null
+++ b/lib/member/member.c
@@ -0,0 +1,747 @@
+#include "member/member.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/address.h"
+#include "common/list.h"
+#include "common/log.h"
+#include "common/mem.h"
+#include "member/table.h"
+
+enum {
+    TICK_MS = 100,
+    /* A relay waits one ping timeout itself. */
+    RELAY_TIMEOUT_MS = 2 * MR_MEMBER_PING_TIMEOUT_MS,
+    PROBES_MAX = 8,
+    /* A new instance pings several members at once and learns of all others
+     * from the first answer. */
+    JOIN_PINGS = 3,
+    LEAVE_PINGS = 8,
+    /* The list is read at this interval while it is short, and at most at
+     * LIST_BYTES_PER_S when it is long: 8,300 entries take 140 s. */
+    LIST_INTERVAL_MS = 2000,
+    LIST_RETRY_MS = 1000,
+    LIST_ENTRY_BYTES = 100,
+    LIST_BYTES_PER_S = 6000,
+    /* The list lags, so a registration that it does not show yet is not
+     * repeated at every reading. */
+    REGISTER_RETRY_MS = 5000,
+    REGISTER_REFRESH_MS = 300000,
+};
+
+typedef struct subscriber {
+    mr_list_t link;
+    mr_members_change_fn_t fn;
+    void *ctx;
+} subscriber_t;
+
+/** Context of platform calls, which may end after the members. */
+typedef struct guard {
+    mr_members_t *members; /* NULL: destroyed */
+    int references;
+} guard_t;
+
+struct mr_members {
+    mr_members_options_t options;
+    mr_member_table_t *table;
+    struct event *tick;
+    struct event *notify; /* coalesces changes */
+    mr_list_t subscribers;
+    mr_members_config_fn_t config_fn;
+    void *config_ctx;
+    int64_t config_version;
+    guard_t *guard;
+    mr_list_t probes; /* probe_t */
+    size_t probe_count;
+    mr_list_t relays; /* relay_t */
+    mr_ms_t ping_at;
+    mr_ms_t list_at;
+    bool list_running;
+    mr_ms_t register_at; /* not before */
+    bool register_running;
+    bool joined; /* a member has answered */
+    json_t *leaving_targets;
+    mr_counter_t *pings;
+    mr_counter_t *ping_failures;
+    mr_counter_t *suspicions;
+    mr_counter_t *refutations;
+    mr_counter_t *pauses;
+    mr_counter_t *list_failures;
+    mr_counter_t *live;
+    mr_counter_t *known;
+};
+
+/** A ping of one member, with its indirect pings. */
+typedef struct probe {
+    mr_list_t link;
+    mr_members_t *members;
+    char *name;
+    char *address;
+    mr_peer_call_t *direct;
+    struct relay_call {
+        struct probe *probe;
+        mr_peer_call_t *call;
+    } indirect[MR_MEMBER_INDIRECT_PINGS];
+    int open; /* indirect calls without an answer */
+} probe_t;
+
+/** A ping on behalf of another member. */
+typedef struct relay {
+    mr_list_t link;
+    mr_members_t *members;
+    char *name;
+    mr_peer_request_t *request;
+    mr_peer_call_t *call;
+} relay_t;
+
+static void
+note_changes(mr_members_t *members)
+{
+    if (mr_member_table_take_changed(members->table)) {
+        event_active(members->notify, 0, 0);
+    }
+}
+
+static void
+on_notify(evutil_socket_t fd, short what, void *ctx)
+{
+    mr_members_t *members = ctx;
+
+    (void)fd;
+    (void)what;
+    mr_counter_set(members->live,
+                   (int64_t)mr_member_table_count(members->table, false));
+    mr_counter_set(members->known,
+                   (int64_t)mr_member_table_count(members->table, true));
+    MR_LIST_FOREACH(it, &members->subscribers)
+    {
+        const subscriber_t *subscriber = MR_LIST_ENTRY(it, subscriber_t, link);
+        subscriber->fn(subscriber->ctx);
+    }
+}
+
+/* Takes in the reports of a ping or its reply. Returns what the sender's own
+ * record, the first one, brought. */
+static mr_member_merge_t
+merge_ping(mr_members_t *members, const mr_msg_ping_t *ping)
+{
+    mr_member_merge_t first = MR_MEMBER_MERGE_KNOWN;
+
+    for (size_t i = 0; i < ping->change_count; i++) {
+        mr_member_merge_t result =
+            mr_member_table_merge(members->table, &ping->changes[i]);
+        if (i == 0) {
+            first = result;
+        }
+        if (result == MR_MEMBER_MERGE_REFUTED) {
+            mr_counter_add(members->refutations, 1);
+        }
+    }
+    note_changes(members);
+    if (ping->change_count > 0 && members->config_fn != NULL
+        && ping->config_version > members->config_version) {
+        const mr_member_t *from =
+            mr_member_table_find(members->table, ping->changes[0].name);
+        if (from != NULL) {
+            members->config_fn(members->config_ctx, from,
+                               ping->config_version);
+        }
+    }
+    return first;
+}
+
+static void
+fill_ping(mr_members_t *members, mr_msg_ping_t *ping, const char *receiver,
+          mr_msg_member_t *records)
+{
+    ping->incarnation = members->options.incarnation;
+    ping->config_version = members->config_version;
+    ping->changes = records;
+    ping->change_count =
+        mr_member_table_changes(members->table, receiver, records);
+}
+
+/* Whether the reply comes from the process that was meant: its address may
+ * have passed to another one. */
+static bool
+answered_by(const mr_msg_t *reply, const char *name)
+{
+    return reply->u.ping.change_count > 0
+           && strcmp(reply->u.ping.changes[0].name, name) == 0;
+}
+
+static mr_peer_call_t *
+send_ping(mr_members_t *members, const char *name, const char *address,
+          mr_peer_reply_fn_t fn, void *ctx)
+{
+    mr_msg_member_t records[MR_MEMBER_CHANGES_MAX + 2];
+    mr_msg_t msg = {.type = MR_MSG_PING};
+
+    fill_ping(members, &msg.u.ping, name, records);
+    mr_counter_add(members->pings, 1);
+    return mr_peer_call(members->options.peer, address, &msg,
+                        MR_MEMBER_PING_TIMEOUT_MS, fn, ctx);
+}
+
+static void
+free_probe(probe_t *probe)
+{
+    if (probe->direct != NULL) {
+        mr_peer_cancel(probe->direct);
+    }
+    for (int i = 0; i < MR_MEMBER_INDIRECT_PINGS; i++) {
+        if (probe->indirect[i].call != NULL) {
+            mr_peer_cancel(probe->indirect[i].call);
+        }
+    }
+    probe->members->probe_count--;
+    mr_list_remove(&probe->link);
+    free(probe->name);
+    free(probe->address);
+    free(probe);
+}
+
+static void
+fail_probe(probe_t *probe)
+{
+    mr_members_t *members = probe->members;
+    const mr_member_t *member =
+        mr_member_table_find(members->table, probe->name);
+
+    /* Silence while this process was paused says nothing. */
+    if (!mr_member_table_paused(members->table)) {
+        mr_counter_add(members->ping_failures, 1);
+        if (member != NULL && member->state == MR_MEMBER_LIVE) {
+            mr_counter_add(members->suspicions, 1);
+        }
+        mr_member_table_ping_failed(members->table, probe->name);
+        note_changes(members);
+    }
+    free_probe(probe);
+}
+
+static void
+on_indirect_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *reply)
+{
+    struct relay_call *call = ctx;
+    probe_t *probe = call->probe;
+
+    call->call = NULL;
+    probe->open--;
+    if (error == MR_OK && reply->u.ping_req_reply.answered) {
+        free_probe(probe);
+    }
+    else if (probe->open == 0) {
+        fail_probe(probe);
+    }
+}
+
+static void
+start_indirect(probe_t *probe)
+{
+    mr_members_t *members = probe->members;
+    const mr_member_t *relays[MR_MEMBER_INDIRECT_PINGS];
+    size_t count = mr_member_table_relays(members->table, probe->name, relays,
+                                          MR_MEMBER_INDIRECT_PINGS);
+    mr_msg_t msg = {.type = MR_MSG_PING_REQ};
+
+    if (count == 0 || mr_member_table_paused(members->table)) {
+        fail_probe(probe);
+        return;
+    }
+    msg.u.ping_req.member = probe->name;
+    msg.u.ping_req.address = probe->address;
+    probe->open = (int)count;
+    for (size_t i = 0; i < count; i++) {
+        probe->indirect[i].probe = probe;
+        probe->indirect[i].call = mr_peer_call(
+            members->options.peer, relays[i]->address, &msg, RELAY_TIMEOUT_MS,
+            on_indirect_reply, &probe->indirect[i]);
+    }
+}
+
+static void
+on_ping_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *reply)
+{
+    probe_t *probe = ctx;
+
+    probe->direct = NULL;
+    if (error == MR_OK) {
+        probe->members->joined = true;
+        merge_ping(probe->members, &reply->u.ping);
+        if (answered_by(reply, probe->name)) {
+            free_probe(probe);
+            return;
+        }
+    }
+    start_indirect(probe);
+}
+
+static void
+start_probe(mr_members_t *members, const mr_member_t *member)
+{
+    if (members->probe_count >= PROBES_MAX) {
+        return;
+    }
+    MR_LIST_FOREACH(it, &members->probes)
+    {
+        const probe_t *probe = MR_LIST_ENTRY(it, probe_t, link);
+        if (strcmp(probe->name, member->name) == 0) {
+            return;
+        }
+    }
+    probe_t *probe = MR_NEW(probe_t);
+    probe->members = members;
+    probe->name = mr_strdup(member->name);
+    probe->address = mr_strdup(member->address);
+    mr_list_append(&members->probes, &probe->link);
+    members->probe_count++;
+    probe->direct =
+        send_ping(members, probe->name, probe->address, on_ping_reply, probe);
+}
+
+static void
+on_ping(void *ctx, mr_peer_request_t *request, const mr_msg_t *msg,
+        const char *from)
+{
+    mr_members_t *members = ctx;
+    mr_msg_member_t records[MR_MEMBER_CHANGES_MAX + 2];
+    mr_msg_t reply = {.type = MR_MSG_PING_REPLY};
+    mr_member_merge_t first = merge_ping(members, &msg->u.ping);
+
+    if (request == NULL) {
+        return;
+    }
+    fill_ping(members, &reply.u.ping, from, records);
+    if (first != MR_MEMBER_MERGE_NEW) {
+        mr_peer_reply(request, &reply);
+        return;
+    }
+    mr_msg_member_t *all =
+        mr_member_table_all(members->table, &reply.u.ping.change_count);
+    reply.u.ping.changes = all;
+    mr_peer_reply(request, &reply);
+    free(all);
+}
+
+static void
+end_relay(relay_t *relay, bool answered)
+{
+    mr_msg_t reply = {.type = MR_MSG_PING_REQ_REPLY};
+
+    reply.u.ping_req_reply.answered = answered;
+    mr_peer_reply(relay->request, &reply);
+    mr_list_remove(&relay->link);
+    free(relay->name);
+    free(relay);
+}
+
+static void
+on_relay_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *reply)
+{
+    relay_t *relay = ctx;
+    bool answered = false;
+
+    if (error == MR_OK) {
+        merge_ping(relay->members, &reply->u.ping);
+        answered = answered_by(reply, relay->name);
+    }
+    end_relay(relay, answered);
+}
+
+static void
+on_ping_req(void *ctx, mr_peer_request_t *request, const mr_msg_t *msg,
+            const char *from)
+{
+    mr_members_t *members = ctx;
+
+    (void)from;
+    if (request == NULL) {
+        return;
+    }
+    relay_t *relay = MR_NEW(relay_t);
+    relay->members = members;
+    relay->name = mr_strdup(msg->u.ping_req.member);
+    relay->request = request;
+    mr_list_append(&members->relays, &relay->link);
+    relay->call = send_ping(members, relay->name, msg->u.ping_req.address,
+                            on_relay_reply, relay);
+}
+
+static guard_t *
+guard_take(mr_members_t *members)
+{
+    members->guard->references++;
+    return members->guard;
+}
+
+static mr_members_t *
+guard_drop(guard_t *guard)
+{
+    mr_members_t *members = guard->members;
+
+    if (--guard->references == 0) {
+        free(guard);
+    }
+    return members;
+}
+
+static void
+on_registered(void *ctx, mr_error_kind_t error, json_t *value)
+{
+    mr_members_t *members = guard_drop(ctx);
+
+    (void)value;
+    if (members == NULL) {
+        return;
+    }
+    members->register_running = false;
+    members->register_at =
+        mr_clock_now(NULL)
+        + (error == MR_OK ? REGISTER_REFRESH_MS : REGISTER_RETRY_MS);
+}
+
+static void
+start_register(mr_members_t *members)
+{
+    bool leaving =
+        mr_member_table_self(members->table)->state == MR_MEMBER_LEAVING;
+
+    members->register_running = true;
+    mr_platform_register(
+        members->options.platform, members->options.name,
+        members->options.data_centre, members->options.address,
+        leaving ? "leaving" : "live", on_registered, guard_take(members));
+}
+
+static bool
+get_text(const json_t *item, const char *key, const char **out)
+{
+    *out = json_string_value(json_object_get(item, key));
+    return *out != NULL && **out != '\0';
+}
+
+/* Takes in one entry of the list; returns whether it is the present
+ * registration of this instance. */
+static bool
+read_list_item(mr_members_t *members, const json_t *item, json_t *targets)
+{
+    const mr_member_t *self = mr_member_table_self(members->table);
+    const char *name, *data_centre, *address, *kind, *state;
+    struct sockaddr_storage parsed;
+    int len;
+
+    if (!get_text(item, "name", &name) || !get_text(item, "kind", &kind)
+        || !get_text(item, "state", &state)) {
+        return false;
+    }
+    bool leaving = strcmp(state, "leaving") == 0;
+    if (strcmp(kind, "target") == 0) {
+        if (leaving) {
+            json_object_set_new(targets, name, json_true());
+        }
+        return false;
+    }
+    if (!get_text(item, "data_centre", &data_centre)
+        || !get_text(item, "address", &address)
+        || !mr_address_parse(address, &parsed, &len)) {
+        return false;
+    }
+    if (strcmp(name, self->name) == 0) {
+        return strcmp(address, self->address) == 0
+               && leaving == (self->state == MR_MEMBER_LEAVING);
+    }
+    mr_member_table_list_add(members->table, name, data_centre, address,
+                             leaving);
+    return false;
+}
+
+static void
+read_list(mr_members_t *members, const json_t *list)
+{
+    json_t *targets = json_object();
+    const json_t *item;
+    size_t i;
+    bool registered = false;
+    mr_ms_t now = mr_clock_now(NULL);
+
+    mr_member_table_list_begin(members->table);
+    json_array_foreach(list, i, item)
+    {
+        if (read_list_item(members, item, targets)) {
+            registered = true;
+        }
+    }
+    mr_member_table_list_end(members->table);
+    if (!registered && members->register_at > now + REGISTER_RETRY_MS) {
+        members->register_at = now + REGISTER_RETRY_MS;
+    }
+    if (!json_equal(targets, members->leaving_targets)) {
+        event_active(members->notify, 0, 0);
+    }
+    json_decref(members->leaving_targets);
+    members->leaving_targets = targets;
+}
+
+static void
+send_pings(mr_members_t *members, size_t max)
+{
+    for (size_t i = 0; i < max; i++) {
+        const mr_member_t *member = mr_member_table_next_ping(members->table);
+        if (member == NULL) {
+            return;
+        }
+        start_probe(members, member);
+    }
+}
+
+static void
+on_list(void *ctx, mr_error_kind_t error, json_t *value)
+{
+    mr_members_t *members = guard_drop(ctx);
+    mr_ms_t interval = LIST_RETRY_MS;
+
+    if (members == NULL) {
+        return;
+    }
+    members->list_running = false;
+    if (error == MR_OK && json_is_array(value)) {
+        read_list(members, value);
+        interval = (mr_ms_t)json_array_size(value) * LIST_ENTRY_BYTES * 1000
+                   / LIST_BYTES_PER_S;
+        if (interval < LIST_INTERVAL_MS) {
+            interval = members->joined ? LIST_INTERVAL_MS : LIST_RETRY_MS;
+        }
+        if (!members->joined) {
+            send_pings(members, JOIN_PINGS);
+        }
+        note_changes(members);
+    }
+    else {
+        mr_counter_add(members->list_failures, 1);
+    }
+    /* A quarter of jitter keeps the instances from reading all at once. */
+    members->list_at = mr_clock_now(NULL) + interval
+                       + randombytes_uniform((uint32_t)(interval / 4));
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *ctx)
+{
+    mr_members_t *members = ctx;
+    mr_ms_t now = mr_clock_now(NULL);
+
+    (void)fd;
+    (void)what;
+    mr_ms_t pause = mr_member_table_tick(members->table);
+    if (pause > 0) {
+        mr_counter_add(members->pauses, 1);
+        mr_log(MR_LOG_WARNING, "process_paused", "ms=%lld", (long long)pause);
+        MR_LIST_FOREACH(it, &members->probes)
+        {
+            free_probe(MR_LIST_ENTRY(it, probe_t, link));
+        }
+    }
+    if (now >= members->ping_at) {
+        members->ping_at = now + MR_MEMBER_PING_INTERVAL_MS - TICK_MS / 2;
+        send_pings(members, 1);
+    }
+    if (!members->list_running && now >= members->list_at) {
+        members->list_running = true;
+        mr_platform_instances(members->options.platform, on_list,
+                              guard_take(members));
+    }
+    if (!members->register_running && now >= members->register_at) {
+        start_register(members);
+    }
+    note_changes(members);
+}
+
+static void
+create_counters(mr_members_t *members)
+{
+    mr_counters_t *set = members->options.counters;
+
+    members->pings = mr_counters_get(set, "masticrelay_member_pings_total", "",
+                                     "pings sent, also for others");
+    members->ping_failures = mr_counters_get(
+        set, "masticrelay_member_ping_failures_total", "",
+        "pings that got neither a direct nor an indirect answer");
+    members->suspicions =
+        mr_counters_get(set, "masticrelay_member_suspicions_total", "",
+                        "members that this instance suspected first");
+    members->refutations =
+        mr_counters_get(set, "masticrelay_member_refutations_total", "",
+                        "false reports about this instance");
+    members->pauses = mr_counters_get(set, "masticrelay_member_pauses_total",
+                                      "", "times this process was paused");
+    members->list_failures =
+        mr_counters_get(set, "masticrelay_member_list_failures_total", "",
+                        "failed readings of the platform's list");
+    members->live = mr_counters_get(set, "masticrelay_members", "",
+                                    "members of the own data centre");
+    members->known =
+        mr_counters_get(set, "masticrelay_members_known", "",
+                        "members of all data centres that are not dead");
+}
+
+mr_members_t *
+mr_members_create(const mr_members_options_t *options)
+{
+    mr_members_t *members = MR_NEW(mr_members_t);
+    struct timeval tick = mr_clock_timeval(TICK_MS);
+
+    members->options = *options;
+    members->table =
+        mr_member_table_create(NULL, options->name, options->data_centre,
+                               options->address, options->incarnation);
+    const mr_member_t *self = mr_member_table_self(members->table);
+    members->options.name = self->name;
+    members->options.data_centre = self->data_centre;
+    members->options.address = self->address;
+    members->guard = MR_NEW(guard_t);
+    members->guard->members = members;
+    members->guard->references = 1;
+    members->leaving_targets = json_object();
+    mr_list_init(&members->subscribers);
+    mr_list_init(&members->probes);
+    mr_list_init(&members->relays);
+    create_counters(members);
+    mr_peer_handle(options->peer, MR_MSG_PING, on_ping, members);
+    mr_peer_handle(options->peer, MR_MSG_PING_REQ, on_ping_req, members);
+    members->notify = event_new(options->base, -1, 0, on_notify, members);
+    members->tick = event_new(options->base, -1, EV_PERSIST, on_tick, members);
+    event_add(members->tick, &tick);
+    event_active(members->tick, 0, 0);
+    return members;
+}
+
+void
+mr_members_destroy(mr_members_t *members)
+{
+    mr_list_t *it;
+
+    if (members == NULL) {
+        return;
+    }
+    mr_peer_handle(members->options.peer, MR_MSG_PING, NULL, NULL);
+    mr_peer_handle(members->options.peer, MR_MSG_PING_REQ, NULL, NULL);
+    MR_LIST_FOREACH(probe, &members->probes)
+    {
+        free_probe(MR_LIST_ENTRY(probe, probe_t, link));
+    }
+    MR_LIST_FOREACH(link, &members->relays)
+    {
+        relay_t *relay = MR_LIST_ENTRY(link, relay_t, link);
+        mr_peer_cancel(relay->call);
+        end_relay(relay, false);
+    }
+    while ((it = mr_list_pop(&members->subscribers)) != NULL) {
+        free(MR_LIST_ENTRY(it, subscriber_t, link));
+    }
+    members->guard->members = NULL;
+    guard_drop(members->guard);
+    event_free(members->tick);
+    event_free(members->notify);
+    json_decref(members->leaving_targets);
+    mr_member_table_destroy(members->table);
+    free(members);
+}
+
+void
+mr_members_subscribe(mr_members_t *members, mr_members_change_fn_t fn,
+                     void *ctx)
+{
+    subscriber_t *subscriber = MR_NEW(subscriber_t);
+
+    subscriber->fn = fn;
+    subscriber->ctx = ctx;
+    mr_list_append(&members->subscribers, &subscriber->link);
+}
+
+const mr_member_t *
+mr_members_find(const mr_members_t *members, const char *name)
+{
+    return mr_member_table_find(members->table, name);
+}
+
+size_t
+mr_members_usable(const mr_members_t *members, const char *key,
+                  const char *data_centre, const mr_member_t **out, size_t max)
+{
+    return mr_member_table_usable(members->table, key, data_centre, out, max);
+}
+
+const mr_member_t *
+mr_members_owner(const mr_members_t *members, const char *key,
+                 const char *data_centre)
+{
+    return mr_member_table_owner(members->table, key, data_centre);
+}
+
+void
+mr_members_report_failure(mr_members_t *members, const char *name)
+{
+    const mr_member_t *member = mr_member_table_find(members->table, name);
+    const mr_member_t *self = mr_member_table_self(members->table);
+
+    if (member == NULL || member == self) {
+        return;
+    }
+    if (strcmp(member->data_centre, self->data_centre) != 0) {
+        mr_member_table_link_failed(members->table, name);
+        note_changes(members);
+    }
+    else if (member->state == MR_MEMBER_LIVE) {
+        start_probe(members, member);
+    }
+}
+
+bool
+mr_members_target_leaving(const mr_members_t *members, const char *target)
+{
+    return json_object_get(members->leaving_targets, target) != NULL;
+}
+
+void
+mr_members_set_config_version(mr_members_t *members, int64_t version)
+{
+    members->config_version = version;
+}
+
+void
+mr_members_on_config_version(mr_members_t *members, mr_members_config_fn_t fn,
+                             void *ctx)
+{
+    members->config_fn = fn;
+    members->config_ctx = ctx;
+}
+
+void
+mr_members_leave(mr_members_t *members)
+{
+    const mr_member_t *receivers[LEAVE_PINGS];
+    mr_msg_member_t records[MR_MEMBER_CHANGES_MAX + 2];
+
+    if (mr_member_table_self(members->table)->state == MR_MEMBER_LEAVING) {
+        return;
+    }
+    mr_member_table_leave(members->table);
+    size_t count =
+        mr_member_table_relays(members->table, "", receivers, LEAVE_PINGS);
+    for (size_t i = 0; i < count; i++) {
+        mr_msg_t msg = {.type = MR_MSG_PING};
+        fill_ping(members, &msg.u.ping, receivers[i]->name, records);
+        mr_peer_send(members->options.peer, receivers[i]->address, &msg);
+    }
+    start_register(members);
+    note_changes(members);
+}
+
+json_t *
+mr_members_status(const mr_members_t *members)
+{
+    return mr_member_table_status(members->table);
+}
