--- /dev/null
+++ b/lib/entry/admin.c
@@ -0,0 +1,182 @@
+#include "entry/admin.h"
+
+#include <event2/http.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/address.h"
+#include "common/mem.h"
+#include "entry/auth.h"
+
+enum {
+    HEADERS_MAX_BYTES = 16 << 10,
+    BODY_MAX_BYTES = 4 << 10,
+    TIMEOUT_S = 30
+};
+
+struct mr_admin {
+    mr_admin_options_t options;
+    struct evhttp *http;
+    bool draining;
+};
+
+static void
+send_text(struct evhttp_request *req, int status, const char *type,
+          struct evbuffer *body)
+{
+    evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type",
+                      type);
+    evhttp_send_reply(req, status, NULL, body);
+    evbuffer_free(body);
+}
+
+static void
+send_error(struct evhttp_request *req, mr_error_kind_t error,
+           const char *message)
+{
+    struct evbuffer *body = evbuffer_new();
+
+    evbuffer_add_printf(body,
+                        "{\"error\":{\"kind\":\"%s\",\"outcome\":\"%s\","
+                        "\"message\":\"%s\"}}",
+                        mr_error_name(error),
+                        mr_outcome_name(mr_error_outcome(error)), message);
+    send_text(req, mr_error_status(error), "application/json", body);
+}
+
+static bool
+check_operator(const mr_admin_t *admin, struct evhttp_request *req)
+{
+    const char *authorization = evhttp_find_header(
+        evhttp_request_get_input_headers(req), "Authorization");
+
+    if (mr_auth_credential_matches(authorization, admin->options.credential)) {
+        return true;
+    }
+    send_error(req, MR_ERR_UNAUTHENTICATED,
+               "an operator credential is required");
+    return false;
+}
+
+static bool
+check_get(struct evhttp_request *req)
+{
+    if (evhttp_request_get_command(req) == EVHTTP_REQ_GET) {
+        return true;
+    }
+    send_error(req, MR_ERR_METHOD_NOT_ALLOWED, "use GET");
+    return false;
+}
+
+static void
+on_metrics(struct evhttp_request *req, void *ctx)
+{
+    mr_admin_t *admin = ctx;
+
+    if (!check_get(req) || !check_operator(admin, req)) {
+        return;
+    }
+    struct evbuffer *body = evbuffer_new();
+    mr_counters_write(admin->options.counters, body);
+    send_text(req, 200, "text/plain; version=0.0.4", body);
+}
+
+static void
+on_health(struct evhttp_request *req, void *ctx)
+{
+    mr_admin_t *admin = ctx;
+
+    if (!check_get(req)) {
+        return;
+    }
+    if (admin->draining) {
+        send_error(req, MR_ERR_SHUTTING_DOWN, "the instance is stopping");
+        return;
+    }
+    if (mr_config_store_current(admin->options.config) == NULL) {
+        send_error(req, MR_ERR_CONFIG_MISSING,
+                   "no configuration has been accepted yet");
+        return;
+    }
+    struct evbuffer *body = evbuffer_new();
+    evbuffer_add_printf(body, "ok\n");
+    send_text(req, 200, "text/plain", body);
+}
+
+static void
+on_status(struct evhttp_request *req, void *ctx)
+{
+    mr_admin_t *admin = ctx;
+    const mr_admin_options_t *o = &admin->options;
+
+    if (!check_get(req) || !check_operator(admin, req)) {
+        return;
+    }
+    json_t *status = json_pack(
+        "{s:s, s:s, s:I, s:o, s:o, s:o, s:o}", "instance", o->name,
+        "data_centre", o->data_centre, "incarnation",
+        (json_int_t)o->incarnation, "config",
+        mr_config_store_status(o->config), "groups", mr_owner_status(o->owner),
+        "accounts", mr_limit_status(o->limit), "members",
+        mr_members_status(o->members));
+    char *text = status == NULL ? NULL : mr_json_canonical(status);
+    json_decref(status);
+    if (text == NULL) {
+        send_error(req, MR_ERR_INTERNAL, "the status cannot be printed");
+        return;
+    }
+    struct evbuffer *body = evbuffer_new();
+    evbuffer_add_printf(body, "%s", text);
+    free(text);
+    send_text(req, 200, "application/json", body);
+}
+
+static void
+on_other(struct evhttp_request *req, void *ctx)
+{
+    (void)ctx;
+    send_error(req, MR_ERR_NOT_FOUND, "there is no such path");
+}
+
+mr_admin_t *
+mr_admin_create(const mr_admin_options_t *options)
+{
+    mr_admin_t *admin = MR_NEW(mr_admin_t);
+
+    admin->options = *options;
+    admin->http = evhttp_new(options->base);
+    evhttp_set_max_headers_size(admin->http, HEADERS_MAX_BYTES);
+    evhttp_set_max_body_size(admin->http, BODY_MAX_BYTES);
+    evhttp_set_timeout(admin->http, TIMEOUT_S);
+    evhttp_set_cb(admin->http, "/metrics", on_metrics, admin);
+    evhttp_set_cb(admin->http, "/healthz", on_health, admin);
+    evhttp_set_cb(admin->http, "/status", on_status, admin);
+    evhttp_set_gencb(admin->http, on_other, admin);
+    return admin;
+}
+
+void
+mr_admin_destroy(mr_admin_t *admin)
+{
+    if (admin == NULL) {
+        return;
+    }
+    evhttp_free(admin->http);
+    free(admin);
+}
+
+bool
+mr_admin_listen(mr_admin_t *admin, const char *address)
+{
+    char ip[MR_ADDRESS_MAX_BYTES];
+    int port;
+
+    return mr_address_split(address, ip, &port)
+           && evhttp_bind_socket(admin->http, ip, (ev_uint16_t)port) == 0;
+}
+
+void
+mr_admin_set_draining(mr_admin_t *admin)
+{
+    admin->draining = true;
+}
--- /dev/null
+++ b/lib/entry/reqid.c
@@ -0,0 +1,355 @@
+#include "entry/reqid.h"
+
+#include <glib.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "common/list.h"
+#include "common/mem.h"
+
+enum {
+    /* How long an id can be used, and its record is kept. */
+    LIFETIME_MS = 120000,
+    SWEEP_MS = 1000,
+    RECORDS_MAX = 200000,
+    /* A longer answer is not kept; a retry is told that the request ran. */
+    ANSWER_MAX_BYTES = 64 << 10,
+    RANDOM_BYTES = 12,
+};
+
+/** State of the request behind an id. */
+typedef enum record_state {
+    RECORD_RUNNING,
+    RECORD_ANSWERED,
+} record_state_t;
+
+typedef struct record {
+    char *id;
+    mr_list_t link; /* in order of expiry */
+    mr_reqid_t *reqid;
+    record_state_t state;
+    mr_ms_t expires_at;
+    uint64_t fingerprint; /* of the request that used the id first */
+    mr_list_t waiters;
+    mr_msg_execute_reply_t *answer;
+} record_t;
+
+/** A caller that waits for a running request. */
+typedef struct waiter {
+    mr_list_t link;
+    mr_execute_fn_t fn;
+    void *ctx;
+    struct event *timer;
+} waiter_t;
+
+struct mr_reqid {
+    mr_reqid_options_t options;
+    GHashTable *records;
+    mr_list_t expiry;
+    struct event *timer;
+    size_t running;
+    mr_counter_t *answered;
+    mr_counter_t *expired;
+};
+
+static mr_ms_t
+now(const mr_reqid_t *reqid)
+{
+    return mr_clock_now(reqid->options.clock);
+}
+
+/* Texts are joined with a byte that no name has. */
+char *
+mr_reqid_issue(const mr_reqid_t *reqid, const char *account)
+{
+    uint8_t random[RANDOM_BYTES];
+    char hex[RANDOM_BYTES * 2 + 1];
+
+    randombytes_buf(random, sizeof(random));
+    sodium_bin2hex(hex, sizeof(hex), random, sizeof(random));
+    char *text = mr_asprintf("%s\n%lld\n%s\n%lld\n%s", reqid->options.name,
+                             (long long)reqid->options.incarnation, account,
+                             (long long)now(reqid), hex);
+    char *id = mr_seal_close(reqid->options.seal, text, strlen(text));
+    free(text);
+    return id;
+}
+
+bool
+mr_reqid_parse(const mr_reqid_t *reqid, const char *text,
+               mr_reqid_parts_t *parts)
+{
+    size_t len = 0;
+    long long incarnation;
+    long long issued_at;
+    char *plain = (char *)mr_seal_open(reqid->options.seal, text, &len);
+
+    if (plain == NULL) {
+        return false;
+    }
+    int got =
+        sscanf(plain, "%64[^\n]\n%lld\n%64[^\n]\n%lld\n", parts->instance,
+               &incarnation, parts->account, &issued_at);
+    free(plain);
+    if (got != 4) {
+        return false;
+    }
+    parts->incarnation = incarnation;
+    parts->issued_at = issued_at;
+    return true;
+}
+
+bool
+mr_reqid_is_own(const mr_reqid_t *reqid, const mr_reqid_parts_t *parts)
+{
+    return strcmp(parts->instance, reqid->options.name) == 0
+           && parts->incarnation == reqid->options.incarnation;
+}
+
+static void
+refuse(mr_execute_fn_t fn, void *ctx, mr_error_kind_t error,
+       const char *message)
+{
+    mr_msg_execute_reply_t reply;
+
+    mr_execute_reply_init(&reply, error, message);
+    fn(ctx, &reply);
+}
+
+static void
+free_waiter(waiter_t *waiter)
+{
+    mr_list_remove(&waiter->link);
+    event_free(waiter->timer);
+    free(waiter);
+}
+
+static void
+free_record(record_t *record)
+{
+    mr_list_t *link;
+
+    while ((link = mr_list_pop(&record->waiters)) != NULL) {
+        free_waiter(MR_LIST_ENTRY(link, waiter_t, link));
+    }
+    mr_list_remove(&record->link);
+    mr_execute_reply_free(record->answer);
+    free(record->id);
+    free(record);
+}
+
+static void
+remove_record(record_t *record)
+{
+    g_hash_table_remove(record->reqid->records, record->id);
+    free_record(record);
+}
+
+static void
+keep_answer(record_t *record, const mr_msg_execute_reply_t *reply)
+{
+    mr_msg_execute_reply_t kept = *reply;
+
+    if (kept.result.len > ANSWER_MAX_BYTES) {
+        kept.result = (mr_bytes_t){"null", strlen("null")};
+        kept.message = "the request ran; its answer was too long to keep";
+    }
+    record->state = RECORD_ANSWERED;
+    record->answer = mr_execute_reply_copy(&kept);
+}
+
+static void
+on_done(void *ctx, const mr_msg_execute_reply_t *reply)
+{
+    record_t *record = ctx;
+    mr_list_t waiters;
+    mr_list_t *link;
+
+    record->reqid->running--;
+    mr_list_init(&waiters);
+    while ((link = mr_list_pop(&record->waiters)) != NULL) {
+        mr_list_append(&waiters, link);
+    }
+    if (mr_error_outcome((mr_error_kind_t)reply->error)
+        == MR_OUTCOME_NOT_RUN) {
+        /* Certain not to have run: the id may be used again. */
+        remove_record(record);
+    }
+    else {
+        keep_answer(record, reply);
+    }
+    while ((link = mr_list_pop(&waiters)) != NULL) {
+        waiter_t *waiter = MR_LIST_ENTRY(link, waiter_t, link);
+        mr_execute_fn_t fn = waiter->fn;
+        void *fn_ctx = waiter->ctx;
+        free_waiter(waiter);
+        fn(fn_ctx, reply);
+    }
+}
+
+static void
+on_waiter_timeout(evutil_socket_t fd, short what, void *ctx)
+{
+    waiter_t *waiter = ctx;
+    mr_execute_fn_t fn = waiter->fn;
+    void *fn_ctx = waiter->ctx;
+
+    (void)fd;
+    (void)what;
+    free_waiter(waiter);
+    refuse(fn, fn_ctx, MR_ERR_OUTCOME_UNKNOWN,
+           "the request is still in progress");
+}
+
+static void
+add_waiter(record_t *record, mr_ms_t timeout, mr_execute_fn_t fn, void *ctx)
+{
+    waiter_t *waiter = MR_NEW(waiter_t);
+    struct timeval tv = mr_clock_timeval(timeout);
+
+    waiter->fn = fn;
+    waiter->ctx = ctx;
+    waiter->timer =
+        evtimer_new(record->reqid->options.base, on_waiter_timeout, waiter);
+    evtimer_add(waiter->timer, &tv);
+    mr_list_append(&record->waiters, &waiter->link);
+}
+
+/* An id stands for one request: a different one must not get its answer. */
+static uint64_t
+make_fingerprint(const mr_msg_execute_t *msg)
+{
+    uint64_t group = XXH3_64bits(msg->group, strlen(msg->group));
+
+    return XXH3_64bits_withSeed(msg->statement.data, msg->statement.len,
+                                group);
+}
+
+static void
+start(mr_reqid_t *reqid, const mr_msg_execute_t *msg, mr_ms_t expires_at,
+      mr_execute_fn_t fn, void *ctx)
+{
+    record_t *record = MR_NEW(record_t);
+    mr_msg_execute_t run = *msg;
+
+    record->reqid = reqid;
+    record->id = mr_strdup(msg->request_id);
+    record->expires_at = expires_at;
+    record->fingerprint = make_fingerprint(msg);
+    mr_list_init(&record->waiters);
+    mr_list_append(&reqid->expiry, &record->link);
+    g_hash_table_insert(reqid->records, record->id, record);
+    reqid->running++;
+    add_waiter(record, msg->deadline_ms, fn, ctx);
+    run.request_id = "";
+    reqid->options.run(reqid->options.run_ctx, &run, on_done, record);
+}
+
+void
+mr_reqid_execute(mr_reqid_t *reqid, const mr_msg_execute_t *msg,
+                 mr_execute_fn_t fn, void *ctx)
+{
+    mr_reqid_parts_t parts;
+
+    if (!mr_reqid_parse(reqid, msg->request_id, &parts)
+        || strcmp(parts.account, msg->account) != 0) {
+        refuse(fn, ctx, MR_ERR_INVALID_REQUEST_ID,
+               "the request id was not issued to this account");
+        return;
+    }
+    /* Another incarnation's records are gone: it may have run the request. */
+    mr_ms_t expires_at = parts.issued_at + LIFETIME_MS;
+    if (!mr_reqid_is_own(reqid, &parts) || now(reqid) >= expires_at) {
+        mr_counter_add(reqid->expired, 1);
+        refuse(fn, ctx, MR_ERR_REQUEST_ID_EXPIRED,
+               "it is not known any more whether the request ran");
+        return;
+    }
+    record_t *record = g_hash_table_lookup(reqid->records, msg->request_id);
+    if (record == NULL) {
+        if (g_hash_table_size(reqid->records) >= RECORDS_MAX) {
+            refuse(fn, ctx, MR_ERR_OVERLOADED, "too many request ids in use");
+            return;
+        }
+        start(reqid, msg, expires_at, fn, ctx);
+        return;
+    }
+    if (record->fingerprint != make_fingerprint(msg)) {
+        refuse(fn, ctx, MR_ERR_INVALID_REQUEST_ID,
+               "the request id was used for another request");
+        return;
+    }
+    mr_counter_add(reqid->answered, 1);
+    switch (record->state) {
+    case RECORD_RUNNING:
+        add_waiter(record, msg->deadline_ms, fn, ctx);
+        break;
+    case RECORD_ANSWERED:
+        fn(ctx, record->answer);
+        break;
+    }
+}
+
+size_t
+mr_reqid_running(const mr_reqid_t *reqid)
+{
+    return reqid->running;
+}
+
+/* An id is refused from its expiry on, so its record can go. A request that
+ * still runs keeps its record until it has ended. */
+static void
+on_sweep(evutil_socket_t fd, short what, void *ctx)
+{
+    mr_reqid_t *reqid = ctx;
+    struct timeval tv = mr_clock_timeval(SWEEP_MS);
+
+    (void)fd;
+    (void)what;
+    MR_LIST_FOREACH(it, &reqid->expiry)
+    {
+        record_t *record = MR_LIST_ENTRY(it, record_t, link);
+        if (record->expires_at <= now(reqid)
+            && record->state == RECORD_ANSWERED) {
+            remove_record(record);
+        }
+    }
+    evtimer_add(reqid->timer, &tv);
+}
+
+mr_reqid_t *
+mr_reqid_create(const mr_reqid_options_t *options)
+{
+    mr_reqid_t *reqid = MR_NEW(mr_reqid_t);
+    struct timeval tv = mr_clock_timeval(SWEEP_MS);
+
+    reqid->options = *options;
+    reqid->records = g_hash_table_new(g_str_hash, g_str_equal);
+    mr_list_init(&reqid->expiry);
+    reqid->answered = mr_counters_get(
+        options->counters, "masticrelay_request_ids_repeated_total", "",
+        "requests answered from the record of their id");
+    reqid->expired = mr_counters_get(
+        options->counters, "masticrelay_request_ids_expired_total", "",
+        "requests with an id that is not remembered");
+    reqid->timer = evtimer_new(options->base, on_sweep, reqid);
+    evtimer_add(reqid->timer, &tv);
+    return reqid;
+}
+
+void
+mr_reqid_destroy(mr_reqid_t *reqid)
+{
+    if (reqid == NULL) {
+        return;
+    }
+    MR_LIST_FOREACH(it, &reqid->expiry)
+    {
+        free_record(MR_LIST_ENTRY(it, record_t, link));
+    }
+    g_hash_table_destroy(reqid->records);
+    event_free(reqid->timer);
+    free(reqid);
+}
--- /dev/null
+++ b/lib/entry/route.c
@@ -0,0 +1,580 @@
+#include "entry/route.h"
+
+#include <glib.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/list.h"
+#include "common/mem.h"
+#include "group/view.h"
+
+enum {
+    /* Pause before a refused request is sent again: long enough not to flood
+     * an owner without a primary, short against a failover. */
+    RETRY_PAUSE_MS = 10,
+    /* Least time that an attempt at a read gets before another owner is
+     * tried. */
+    READ_ATTEMPT_MS = 250,
+    /* The first two owners in rendezvous order serve a target. */
+    OWNERS_MAX = 2,
+    /* The reply of a remote owner travels back within this time. */
+    REPLY_MARGIN_MS = 3,
+};
+
+/** The primary of a group as the last answer named it. */
+typedef struct primary_hint {
+    char target[MR_CONFIG_NAME_MAX + 1];
+    int64_t term;
+} primary_hint_t;
+
+struct mr_route {
+    mr_route_options_t options;
+    GHashTable *hints; /* group -> primary_hint_t */
+    mr_list_t attempts;
+    mr_counter_t *retries;
+};
+
+/** A request on its way. */
+typedef struct attempt {
+    mr_list_t link;
+    mr_route_t *route;
+    mr_config_t *config;
+    const mr_config_group_t *group;
+    mr_msg_execute_t *msg;
+    char *covering; /* target that covers the session, or "" */
+    mr_execute_fn_t fn;
+    void *ctx;
+    mr_ms_t deadline;
+    size_t order[MR_VIEW_TARGETS_MAX]; /* targets in order of preference */
+    size_t order_count;
+    size_t next; /* place in @order */
+    size_t owner_rank;
+    char member[MR_CONFIG_NAME_MAX + 1]; /* that was asked last */
+    bool maybe_run;                      /* an earlier attempt may have run */
+    mr_msg_execute_reply_t *last;
+    struct event *timer;
+    mr_peer_call_t *call;
+} attempt_t;
+
+static void send_attempt(attempt_t *a);
+
+static bool
+wants_primary(const attempt_t *a)
+{
+    return a->msg->access == MR_ACCESS_WRITE
+           || a->msg->freshness == MR_FRESHNESS_PRESENT
+           || a->msg->token_uncertain;
+}
+
+static bool
+may_repeat(const attempt_t *a)
+{
+    return a->msg->operation == MR_OPERATION_STATEMENT
+           && (a->msg->access == MR_ACCESS_READ || a->msg->idempotent);
+}
+
+static void
+free_attempt(attempt_t *a)
+{
+    if (a->call != NULL) {
+        mr_peer_cancel(a->call);
+    }
+    event_free(a->timer);
+    mr_list_remove(&a->link);
+    mr_config_unref(a->config);
+    mr_execute_free(a->msg);
+    mr_execute_reply_free(a->last);
+    free(a->covering);
+    free(a);
+}
+
+static void
+finish(attempt_t *a, const mr_msg_execute_reply_t *reply)
+{
+    mr_execute_fn_t fn = a->fn;
+    void *ctx = a->ctx;
+    mr_msg_execute_reply_t *copy = mr_execute_reply_copy(reply);
+
+    /* An earlier attempt that may have run decides the outcome of a write. */
+    if (a->maybe_run && a->msg->access == MR_ACCESS_WRITE
+        && mr_error_outcome((mr_error_kind_t)copy->error)
+               == MR_OUTCOME_NOT_RUN) {
+        copy->error = MR_ERR_OUTCOME_UNKNOWN;
+        copy->term = 0;
+        copy->position = 0;
+    }
+    free_attempt(a);
+    fn(ctx, copy);
+    mr_execute_reply_free(copy);
+}
+
+static void
+finish_error(attempt_t *a, mr_error_kind_t error, const char *message)
+{
+    mr_msg_execute_reply_t reply;
+
+    mr_execute_reply_init(&reply, error, message);
+    finish(a, &reply);
+}
+
+static mr_ms_t
+time_left(const attempt_t *a)
+{
+    return a->deadline - mr_clock_now(NULL);
+}
+
+/* Hints. */
+
+static void
+learn_primary(attempt_t *a, const mr_msg_execute_reply_t *reply)
+{
+    GHashTable *hints = a->route->hints;
+    primary_hint_t *hint = g_hash_table_lookup(hints, a->group->name);
+
+    if (reply->hint[0] == '\0'
+        || mr_config_group_target(a->group, reply->hint) == NULL) {
+        return;
+    }
+    if (hint == NULL) {
+        hint = MR_NEW(primary_hint_t);
+        g_hash_table_insert(hints, mr_strdup(a->group->name), hint);
+    }
+    if (reply->hint_term >= hint->term) {
+        hint->term = reply->hint_term;
+        snprintf(hint->target, sizeof(hint->target), "%s", reply->hint);
+    }
+}
+
+static const mr_config_target_t *
+hinted_primary(const attempt_t *a)
+{
+    const primary_hint_t *hint =
+        g_hash_table_lookup(a->route->hints, a->group->name);
+
+    if (hint == NULL) {
+        return NULL;
+    }
+    return mr_config_group_target(a->group, hint->target);
+}
+
+/* Order of targets. */
+
+static void
+add_target(attempt_t *a, size_t index)
+{
+    for (size_t i = 0; i < a->order_count; i++) {
+        if (a->order[i] == index) {
+            return;
+        }
+    }
+    a->order[a->order_count++] = index;
+}
+
+static bool
+is_leaving(const attempt_t *a, const mr_config_target_t *target)
+{
+    return target->leaving
+           || mr_members_target_leaving(a->route->options.members,
+                                        target->name);
+}
+
+/* Adds the replicas inside or outside the own data centre, starting at a
+ * random one, so that load spreads over them. */
+static void
+add_replicas(attempt_t *a, const mr_config_target_t *primary, bool inside)
+{
+    size_t count = a->group->target_count;
+    size_t start = randombytes_uniform((uint32_t)count);
+
+    for (size_t i = 0; i < count; i++) {
+        const mr_config_target_t *target =
+            &a->group->targets[(start + i) % count];
+        bool local =
+            strcmp(target->data_centre, a->route->options.data_centre) == 0;
+        if (local == inside && target != primary && !is_leaving(a, target)) {
+            add_target(a, target->index);
+        }
+    }
+}
+
+static void
+order_targets(attempt_t *a)
+{
+    const mr_config_target_t *primary = hinted_primary(a);
+
+    a->order_count = 0;
+    a->next = 0;
+    if (wants_primary(a)) {
+        if (primary != NULL) {
+            add_target(a, primary->index);
+        }
+    }
+    else {
+        const mr_config_target_t *covering =
+            mr_config_group_target(a->group, a->covering);
+        if (covering != NULL && !is_leaving(a, covering)) {
+            add_target(a, covering->index);
+        }
+        add_replicas(a, primary, true);
+        add_replicas(a, primary, false);
+        if (primary != NULL) {
+            add_target(a, primary->index);
+        }
+    }
+    for (size_t i = 0; i < a->group->target_count; i++) {
+        add_target(a, i);
+    }
+}
+
+/* Puts the target called @name next; false when it was just tried. */
+static bool
+prefer_target(attempt_t *a, const char *name)
+{
+    const mr_config_target_t *target = mr_config_group_target(a->group, name);
+
+    if (target == NULL || a->order[a->next] == target->index) {
+        return false;
+    }
+    for (size_t i = 0; i < a->order_count; i++) {
+        if (a->order[i] == target->index) {
+            a->next = i;
+            a->owner_rank = 0;
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Moves on to another target; true when all were tried. */
+static bool
+next_target(attempt_t *a)
+{
+    a->owner_rank = 0;
+    a->next = (a->next + 1) % a->order_count;
+    return a->next == 0;
+}
+
+/* Retries. */
+
+static void
+on_timer(evutil_socket_t fd, short what, void *ctx)
+{
+    (void)fd;
+    (void)what;
+    send_attempt(ctx);
+}
+
+static void
+retry(attempt_t *a, mr_ms_t pause)
+{
+    struct timeval tv = mr_clock_timeval(pause);
+
+    mr_counter_add(a->route->retries, 1);
+    evtimer_add(a->timer, &tv);
+}
+
+static void
+retry_elsewhere(attempt_t *a)
+{
+    retry(a, next_target(a) ? RETRY_PAUSE_MS : 0);
+}
+
+static void
+handle_wrong_owner(attempt_t *a, const mr_msg_execute_reply_t *reply)
+{
+    if (reply->hint[0] != '\0' && prefer_target(a, reply->hint)) {
+        retry(a, 0);
+        return;
+    }
+    retry_elsewhere(a);
+}
+
+static void
+handle_not_fresh(attempt_t *a, const mr_msg_execute_reply_t *reply)
+{
+    if (wants_primary(a)) {
+        retry(a, RETRY_PAUSE_MS);
+        return;
+    }
+    if (reply->covering[0] != '\0' && prefer_target(a, reply->covering)) {
+        retry(a, 0);
+        return;
+    }
+    retry_elsewhere(a);
+}
+
+static void
+handle_unavailable(attempt_t *a)
+{
+    mr_members_report_failure(a->route->options.members, a->member);
+    if (++a->owner_rank < OWNERS_MAX) {
+        retry(a, 0);
+        return;
+    }
+    retry_elsewhere(a);
+}
+
+static void
+handle_reply(attempt_t *a, const mr_msg_execute_reply_t *reply)
+{
+    mr_error_kind_t error = (mr_error_kind_t)reply->error;
+
+    learn_primary(a, reply);
+    mr_execute_reply_free(a->last);
+    a->last = mr_execute_reply_copy(reply);
+    if (time_left(a) <= RETRY_PAUSE_MS) {
+        finish(a, reply);
+        return;
+    }
+    switch (error) {
+    case MR_ERR_WRONG_OWNER:
+        handle_wrong_owner(a, reply);
+        return;
+    case MR_ERR_NOT_FRESH:
+        handle_not_fresh(a, reply);
+        return;
+    case MR_ERR_NO_PRIMARY:
+    case MR_ERR_SHUTTING_DOWN:
+        retry_elsewhere(a);
+        return;
+    case MR_ERR_UNAVAILABLE:
+        handle_unavailable(a);
+        return;
+    case MR_ERR_OUTCOME_UNKNOWN:
+    case MR_ERR_INTERNAL:
+        if (may_repeat(a)) {
+            a->maybe_run = true;
+            retry_elsewhere(a);
+            return;
+        }
+        break;
+    default:
+        break;
+    }
+    finish(a, reply);
+}
+
+static void
+on_local_reply(void *ctx, const mr_msg_execute_reply_t *reply)
+{
+    handle_reply(ctx, reply);
+}
+
+static void
+on_remote_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *reply)
+{
+    attempt_t *a = ctx;
+    mr_msg_execute_reply_t failed;
+
+    a->call = NULL;
+    if (error == MR_OK) {
+        mr_msg_execute_reply_t copy = reply->u.execute_reply;
+        copy.error = mr_error_from_wire(copy.error);
+        handle_reply(a, &copy);
+        return;
+    }
+    mr_execute_reply_init(&failed, error,
+                          error == MR_ERR_UNAVAILABLE
+                              ? "the pool owner is out of reach"
+                              : "the pool owner did not answer");
+    handle_reply(a, &failed);
+}
+
+static const mr_member_t *
+choose_owner(const attempt_t *a, const mr_config_target_t *target)
+{
+    const mr_member_t *owners[OWNERS_MAX];
+    size_t count = mr_members_usable(a->route->options.members, target->name,
+                                     target->data_centre, owners, OWNERS_MAX);
+
+    if (count == 0) {
+        return mr_members_owner(a->route->options.members, target->name,
+                                target->data_centre);
+    }
+    return owners[a->owner_rank % count];
+}
+
+/* A read is tried elsewhere when its owner does not answer in time. */
+static mr_ms_t
+attempt_time(const attempt_t *a)
+{
+    mr_ms_t left = time_left(a);
+
+    if (a->msg->access == MR_ACCESS_WRITE
+        || a->msg->operation != MR_OPERATION_STATEMENT) {
+        return left;
+    }
+    mr_ms_t share = left / 2 > READ_ATTEMPT_MS ? left / 2 : READ_ATTEMPT_MS;
+    return share < left ? share : left;
+}
+
+static void
+send_attempt(attempt_t *a)
+{
+    const mr_config_target_t *target = &a->group->targets[a->order[a->next]];
+    const mr_member_t *member = choose_owner(a, target);
+    mr_ms_t time = attempt_time(a);
+    mr_msg_t msg = {.type = MR_MSG_EXECUTE};
+
+    if (time_left(a) <= 0) {
+        if (a->last != NULL) {
+            finish(a, a->last);
+            return;
+        }
+        finish_error(a, MR_ERR_DEADLINE_EXCEEDED, "the deadline has passed");
+        return;
+    }
+    if (member == NULL) {
+        mr_msg_execute_reply_t none;
+        mr_execute_reply_init(&none, MR_ERR_UNAVAILABLE,
+                              "no instance for the target's data centre");
+        mr_execute_reply_free(a->last);
+        a->last = mr_execute_reply_copy(&none);
+        retry_elsewhere(a);
+        return;
+    }
+    snprintf(a->member, sizeof(a->member), "%s", member->name);
+    msg.u.execute = *a->msg;
+    msg.u.execute.target = target->name;
+    if (strcmp(member->name, a->route->options.name) == 0) {
+        msg.u.execute.deadline_ms = time;
+        mr_owner_execute(a->route->options.owner, &msg.u.execute,
+                         on_local_reply, a);
+        return;
+    }
+    msg.u.execute.deadline_ms = time - REPLY_MARGIN_MS;
+    a->call = mr_peer_call(a->route->options.peer, member->address, &msg, time,
+                           on_remote_reply, a);
+}
+
+static attempt_t *
+create_attempt(mr_route_t *route, const mr_msg_execute_t *msg,
+               mr_execute_fn_t fn, void *ctx)
+{
+    attempt_t *a = MR_NEW(attempt_t);
+
+    a->route = route;
+    a->msg = mr_execute_copy(msg);
+    a->covering = mr_strdup(msg->target);
+    a->fn = fn;
+    a->ctx = ctx;
+    a->deadline = mr_clock_now(NULL) + msg->deadline_ms;
+    a->timer = evtimer_new(route->options.base, on_timer, a);
+    mr_list_append(&route->attempts, &a->link);
+    return a;
+}
+
+static void
+on_unroutable(evutil_socket_t fd, short what, void *ctx)
+{
+    (void)fd;
+    (void)what;
+    finish_error(ctx, MR_ERR_UNAVAILABLE, "the group is not configured");
+}
+
+void
+mr_route_execute(mr_route_t *route, const mr_msg_execute_t *msg,
+                 mr_execute_fn_t fn, void *ctx)
+{
+    attempt_t *a = create_attempt(route, msg, fn, ctx);
+    struct timeval now = {0};
+    mr_config_t *config = mr_config_store_current(route->options.config);
+
+    if (config != NULL) {
+        a->config = mr_config_ref(config);
+        a->group = mr_config_group(config, msg->group);
+    }
+    if (a->group == NULL) {
+        event_assign(a->timer, route->options.base, -1, 0, on_unroutable, a);
+    }
+    else {
+        order_targets(a);
+    }
+    evtimer_add(a->timer, &now);
+}
+
+/* Forwarding to one instance. */
+
+static void
+on_forward_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *reply)
+{
+    attempt_t *a = ctx;
+
+    a->call = NULL;
+    if (error == MR_OK) {
+        mr_msg_execute_reply_t copy = reply->u.execute_reply;
+        copy.error = mr_error_from_wire(copy.error);
+        finish(a, &copy);
+        return;
+    }
+    finish_error(a, error, "the instance did not answer");
+}
+
+static void
+on_local_forward_reply(void *ctx, const mr_msg_execute_reply_t *reply)
+{
+    finish(ctx, reply);
+}
+
+static void
+on_forward_lost(evutil_socket_t fd, short what, void *ctx)
+{
+    (void)fd;
+    (void)what;
+    finish_error(ctx, MR_ERR_UNAVAILABLE, "the instance is gone");
+}
+
+void
+mr_route_forward(mr_route_t *route, const char *instance,
+                 const mr_msg_execute_t *msg, mr_execute_fn_t fn, void *ctx)
+{
+    attempt_t *a = create_attempt(route, msg, fn, ctx);
+    const mr_member_t *member =
+        mr_members_find(route->options.members, instance);
+    mr_msg_t out = {.type = MR_MSG_EXECUTE};
+    struct timeval now = {0};
+
+    if (strcmp(instance, route->options.name) == 0) {
+        mr_owner_execute(route->options.owner, a->msg, on_local_forward_reply,
+                         a);
+        return;
+    }
+    if (member == NULL || member->state == MR_MEMBER_DEAD) {
+        event_assign(a->timer, route->options.base, -1, 0, on_forward_lost, a);
+        evtimer_add(a->timer, &now);
+        return;
+    }
+    out.u.execute = *a->msg;
+    out.u.execute.deadline_ms = msg->deadline_ms - REPLY_MARGIN_MS;
+    a->call = mr_peer_call(route->options.peer, member->address, &out,
+                           msg->deadline_ms, on_forward_reply, a);
+}
+
+mr_route_t *
+mr_route_create(const mr_route_options_t *options)
+{
+    mr_route_t *route = MR_NEW(mr_route_t);
+
+    route->options = *options;
+    route->hints = g_hash_table_new_full(g_str_hash, g_str_equal, free, free);
+    mr_list_init(&route->attempts);
+    route->retries =
+        mr_counters_get(options->counters, "masticrelay_route_retries_total",
+                        "", "requests sent to an owner once more");
+    return route;
+}
+
+void
+mr_route_destroy(mr_route_t *route)
+{
+    if (route == NULL) {
+        return;
+    }
+    MR_LIST_FOREACH(it, &route->attempts)
+    {
+        free_attempt(MR_LIST_ENTRY(it, attempt_t, link));
+    }
+    g_hash_table_destroy(route->hints);
+    free(route);
+}
--- /dev/null
+++ b/lib/entry/route.h
@@ -0,0 +1,52 @@
+#ifndef MR_ENTRY_ROUTE_H
+#define MR_ENTRY_ROUTE_H
+
+/*
+ * Sends a request to the pool owner that should run it, follows hints, and
+ * retries within the deadline what is certain not to have run or may run
+ * twice.
+ */
+
+#include "config/store.h"
+#include "group/owner.h"
+#include "member/member.h"
+#include "wire/execute.h"
+#include "wire/peer.h"
+
+typedef struct mr_route mr_route_t;
+
+typedef struct mr_route_options {
+    struct event_base *base;
+    mr_counters_t *counters;
+    mr_peer_t *peer;
+    mr_members_t *members;
+    mr_config_store_t *config;
+    mr_owner_t *owner; /* this instance's own service */
+    const char *name;
+    const char *data_centre;
+} mr_route_options_t;
+
+mr_route_t *mr_route_create(const mr_route_options_t *options);
+
+/** mr_route_destroy() - requests in progress end without a callback. */
+void mr_route_destroy(mr_route_t *route);
+
+/**
+ * mr_route_execute() - run a request somewhere in its group
+ * @msg: copied; @msg->target names a target that covers the session, or is
+ *       empty
+ * @fn: called exactly once, never before this function returns
+ */
+void mr_route_execute(mr_route_t *route, const mr_msg_execute_t *msg,
+                      mr_execute_fn_t fn, void *ctx);
+
+/**
+ * mr_route_forward() - send a request to one instance, once; for transactions
+ * and request ids, which belong to an instance
+ * @fn: called exactly once, possibly before this function returns
+ */
+void mr_route_forward(mr_route_t *route, const char *instance,
+                      const mr_msg_execute_t *msg, mr_execute_fn_t fn,
+                      void *ctx);
+
+#endif
--- /dev/null
+++ b/lib/entry/txn.c
@@ -0,0 +1,37 @@
+#include "entry/txn.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/mem.h"
+
+/* Fields are joined with a byte that no name has. */
+char *
+mr_txn_close(const mr_seal_t *seal, const mr_txn_t *txn)
+{
+    char *text =
+        mr_asprintf("%s\n%s\n%s\n%s\n%s\n%d", txn->route, txn->instance,
+                    txn->account, txn->group, txn->id, txn->access);
+    char *handle = mr_seal_close(seal, text, strlen(text));
+
+    free(text);
+    return handle;
+}
+
+bool
+mr_txn_open(const mr_seal_t *seal, const char *text, mr_txn_t *txn)
+{
+    size_t len = 0;
+    char *plain = (char *)mr_seal_open(seal, text, &len);
+
+    if (plain == NULL) {
+        return false;
+    }
+    int got =
+        sscanf(plain, "%64[^\n]\n%64[^\n]\n%64[^\n]\n%64[^\n]\n%64[^\n]\n%d",
+               txn->route, txn->instance, txn->account, txn->group, txn->id,
+               &txn->access);
+    free(plain);
+    return got == 6;
+}
--- a/lib/group/transaction.c
+++ b/lib/group/transaction.c
@@ -208,7 +208,6 @@
         return;
     case MR_OPERATION_STATEMENT:
     case MR_OPERATION_BEGIN:
-    case MR_OPERATION_ISSUE_ID:
         break;
     }
     fill_reply(t, reply, &out);
@@ -288,7 +287,6 @@
         return MR_TARGET_ROLLBACK;
     case MR_OPERATION_STATEMENT:
     case MR_OPERATION_BEGIN:
-    case MR_OPERATION_ISSUE_ID:
         break;
     }
     return MR_TARGET_EXECUTE;
--- a/lib/group/work.c
+++ b/lib/group/work.c
@@ -473,6 +473,8 @@
     save_reply(work, reply);
     free((void *)work->saved->transaction);
     work->saved->transaction = mr_strdup(id);
+    free((void *)work->saved->instance);
+    work->saved->instance = mr_strdup(work->target->owner->options.name);
     finish(work, work->saved);
 }
 
--- a/lib/wire/execute.c
+++ b/lib/wire/execute.c
@@ -60,6 +60,7 @@
     copy->hint = copy_text(reply->hint);
     copy->request_id = copy_text(reply->request_id);
     copy->transaction = copy_text(reply->transaction);
+    copy->instance = copy_text(reply->instance);
     return copy;
 }
 
@@ -76,6 +77,7 @@
     free((void *)reply->hint);
     free((void *)reply->request_id);
     free((void *)reply->transaction);
+    free((void *)reply->instance);
     free(reply);
 }
 
@@ -91,6 +93,7 @@
     reply->hint = "";
     reply->request_id = "";
     reply->transaction = "";
+    reply->instance = "";
 }
 
 bool
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -87,6 +87,7 @@
     F(INTEGER, mr_msg_execute_reply_t, hint_term),
     F(STRING, mr_msg_execute_reply_t, request_id),
     F(STRING, mr_msg_execute_reply_t, transaction),
+    F(STRING, mr_msg_execute_reply_t, instance),
 };
 static const layout_t execute_reply_layout =
     LAYOUT(mr_msg_execute_reply_t, execute_reply_fields);
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -55,7 +55,6 @@
     MR_OPERATION_BEGIN,
     MR_OPERATION_COMMIT,
     MR_OPERATION_ROLLBACK,
-    MR_OPERATION_ISSUE_ID,
 } mr_operation_t;
 
 /** Whether a statement changes data. */
@@ -102,6 +101,7 @@
     int64_t hint_term;
     const char *request_id; /* a fresh one */
     const char *transaction;
+    const char *instance; /* that holds the transaction */
 } mr_msg_execute_reply_t;
 
 /** Asks an observer in another place how it sees a group. */
