Let a module cancel its calls to the platform

Modules are restarted by the supervisor while the platform client lives on, so an open call could call back into freed memory. Waiting for open calls at the end of a module was ruled out, as stop functions are synchronous. mr_platform_cancel() ends all calls of one context without a callback.

--- a/lib/platform/platform.c
+++ b/lib/platform/platform.c
@@ -174,6 +174,16 @@
                                                       : MR_ERR_UNAVAILABLE;
 }
 
+/* Closing keeps a late answer away from the next call. */
+static void
+close_conn(conn_t *conn)
+{
+    if (conn != NULL && conn->http != NULL) {
+        evhttp_connection_free(conn->http);
+        conn->http = NULL;
+    }
+}
+
 static void
 on_timeout(evutil_socket_t fd, short what, void *ctx)
 {
@@ -182,11 +192,7 @@
 
     (void)fd;
     (void)what;
-    if (call->conn != NULL && call->conn->http != NULL) {
-        /* Closing keeps a late answer away from the next call. */
-        evhttp_connection_free(call->conn->http);
-        call->conn->http = NULL;
-    }
+    close_conn(call->conn);
     end_call(call, &answer);
 }
 
@@ -510,6 +516,34 @@
     start_call(call);
 }
 
+static void
+cancel_calls(mr_list_t *calls, const void *ctx)
+{
+    MR_LIST_FOREACH(it, calls)
+    {
+        call_t *call = MR_LIST_ENTRY(it, call_t, link);
+        if (call->ctx != ctx) {
+            continue;
+        }
+        close_conn(call->conn);
+        if (call->conn == NULL) {
+            call->platform->queued--;
+        }
+        else {
+            call->conn->call = NULL;
+            event_active(call->platform->dispatcher, EV_TIMEOUT, 0);
+        }
+        free_call(call);
+    }
+}
+
+void
+mr_platform_cancel(mr_platform_t *platform, const void *ctx)
+{
+    cancel_calls(&platform->queue, ctx);
+    cancel_calls(&platform->running, ctx);
+}
+
 mr_platform_t *
 mr_platform_create(const mr_platform_options_t *options)
 {
--- a/lib/platform/platform.h
+++ b/lib/platform/platform.h
@@ -46,6 +46,10 @@
 /** mr_platform_destroy() - open calls end without a callback. */
 void mr_platform_destroy(mr_platform_t *platform);
 
+/** mr_platform_cancel() - end all open calls that were given @ctx, without a
+ * callback; a module calls it before it frees @ctx. */
+void mr_platform_cancel(mr_platform_t *platform, const void *ctx);
+
 void mr_platform_row_get(mr_platform_t *platform, const char *row,
                          mr_platform_row_fn_t fn, void *ctx);
 
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -290,6 +290,29 @@
 }
 END_TEST
 
+/* A module that is restarted must not be called back after its end, and the
+ * calls of others must go on. */
+START_TEST(test_cancel_drops_the_calls_of_one_context)
+{
+    client_t client, other = {0};
+
+    start(&client);
+    platform_process_faults(&client.process, "{\"delay_ms\":50}");
+    for (int i = 0; i < 20; i++) {
+        mr_platform_row_get(client.platform, "r", on_row, &client);
+        mr_platform_row_get(client.platform, "r", on_row, &other);
+    }
+    run_loop_for(client.base, 20);
+    mr_platform_cancel(client.platform, &other);
+    await(&client, 20);
+    run_loop_for(client.base, 100);
+    ck_assert_int_eq(other.ended, 0);
+    get(&client, "r");
+    ck_assert_int_eq(client.error, MR_ERR_NOT_FOUND);
+    stop(&client);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -306,6 +329,7 @@
     tcase_add_test(tcase, test_full_queue_refuses_at_once);
     tcase_add_test(tcase, test_late_answer_is_not_swapped);
     tcase_add_test(tcase, test_destroy_drops_open_calls);
+    tcase_add_test(tcase, test_cancel_drops_the_calls_of_one_context);
     suite_add_tcase(suite, tcase);
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
