--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -19,11 +19,12 @@
     MR_MEMBER_DEAD,
 } mr_member_state_t;
 
+/** struct mr_member - a member; valid until the caller returns to the loop */
 typedef struct mr_member {
     const char *name;
     const char *data_centre;
     const char *address; /* of the peer listener */
-    int64_t incarnation;
+    int64_t incarnation; /* of its process; 0 while it is only listed */
     mr_member_state_t state;
 } mr_member_t;
 
@@ -37,13 +38,15 @@
     const char *name;
     const char *data_centre;
     const char *address;
-    int64_t incarnation;
+    int64_t incarnation; /* at most 2^51, such as milliseconds since 1970 */
 } mr_members_options_t;
 
 /** mr_members_change_fn_t - the set of usable members may have changed. */
 typedef void (*mr_members_change_fn_t)(void *ctx);
 
 mr_members_t *mr_members_create(const mr_members_options_t *options);
+
+/** mr_members_destroy() - must come before mr_peer_destroy(). */
 void mr_members_destroy(mr_members_t *members);
 
 void mr_members_subscribe(mr_members_t *members, mr_members_change_fn_t fn,
@@ -59,7 +62,8 @@
  * @data_centre: whose members
  * @out: receives up to @max members
  *
- * The own instance counts while it is not leaving.
+ * The own instance counts while it is not leaving. Suspects come behind the
+ * live members.
  *
  * Return: the number written.
  */
@@ -76,8 +80,9 @@
 const mr_member_t *mr_members_owner(const mr_members_t *members,
                                     const char *key, const char *data_centre);
 
-/** mr_members_report_failure() - a link to a member of another data centre
- * failed; it is not used for a few seconds. */
+/** mr_members_report_failure() - a link to a member failed. One of another
+ * data centre is not used for a few seconds; one of the own data centre is
+ * pinged at once. */
 void mr_members_report_failure(mr_members_t *members, const char *name);
 
 /** mr_members_target_leaving() - whether the list says that a target leaves.
--- a/lib/member/table.c
+++ b/lib/member/table.c
@@ -338,7 +338,7 @@
     entry_t *entry = g_hash_table_lookup(table->by_name, report->name);
     bool is_new = entry == NULL || entry->version == 0;
 
-    if (entry == table->self) {
+    if (entry != NULL && entry == table->self) {
         return merge_self(table, report);
     }
     /* Members elsewhere come from the list only, which bounds the state. */
--- /dev/null
+++ b/tests/unit/test_member_table.c
@@ -0,0 +1,379 @@
+/* Guards against members that are declared dead too early or never, false
+ * deaths that cannot be refuted, and messages that grow with the fleet. */
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "member/rendezvous.h"
+#include "member/table.h"
+
+enum { START = 1000, INCARNATION = 50 };
+
+static mr_clock_t manual;
+static mr_member_table_t *table;
+
+static void
+setup(void)
+{
+    manual.kind = MR_CLOCK_MANUAL;
+    manual.u.manual.now = START;
+    table = mr_member_table_create(&manual, "self", "konya", "127.0.0.1:1",
+                                   INCARNATION);
+}
+
+static void
+teardown(void)
+{
+    mr_member_table_destroy(table);
+}
+
+/* Passes time in ticks, as the event loop does. */
+static void
+pass_time(mr_ms_t ms)
+{
+    for (mr_ms_t i = 0; i < ms; i += 100) {
+        manual.u.manual.now += 100;
+        ck_assert_int_eq(mr_member_table_tick(table), 0);
+    }
+}
+
+static int64_t
+version(int64_t incarnation, int64_t refutations)
+{
+    return (incarnation << MR_MEMBER_REFUTATION_BITS) + refutations;
+}
+
+static mr_member_merge_t
+report(const char *name, int64_t at, mr_member_state_t state)
+{
+    mr_msg_member_t msg = {name, "konya", "127.0.0.1:2", at, state};
+
+    return mr_member_table_merge(table, &msg);
+}
+
+static mr_member_merge_t
+report_self(const char *address, int64_t at, mr_member_state_t state)
+{
+    mr_msg_member_t msg = {"self", "konya", address, at, state};
+
+    return mr_member_table_merge(table, &msg);
+}
+
+static mr_member_state_t
+state_of(const char *name)
+{
+    const mr_member_t *member = mr_member_table_find(table, name);
+
+    ck_assert_ptr_nonnull(member);
+    return member->state;
+}
+
+static int64_t
+own_version(void)
+{
+    mr_msg_member_t out[MR_MEMBER_CHANGES_MAX + 2];
+
+    mr_member_table_changes(table, NULL, out);
+    ck_assert_str_eq(out[0].name, "self");
+    return out[0].incarnation;
+}
+
+static void
+add_members(int count)
+{
+    char name[16];
+
+    for (int i = 0; i < count; i++) {
+        snprintf(name, sizeof(name), "m%d", i);
+        report(name, version(10, 0), MR_MEMBER_LIVE);
+    }
+}
+
+START_TEST(test_higher_version_wins)
+{
+    ck_assert_int_eq(report("a", version(5, 1), MR_MEMBER_LIVE),
+                     MR_MEMBER_MERGE_NEW);
+    ck_assert_int_eq(report("a", version(5, 0), MR_MEMBER_DEAD),
+                     MR_MEMBER_MERGE_KNOWN);
+    ck_assert_int_eq(report("a", version(5, 1), MR_MEMBER_SUSPECT),
+                     MR_MEMBER_MERGE_CHANGED);
+    ck_assert_int_eq(report("a", version(5, 1), MR_MEMBER_LIVE),
+                     MR_MEMBER_MERGE_KNOWN);
+    ck_assert_int_eq(report("a", version(5, 2), MR_MEMBER_LIVE),
+                     MR_MEMBER_MERGE_CHANGED);
+    ck_assert_int_eq(state_of("a"), MR_MEMBER_LIVE);
+    ck_assert_int_eq(mr_member_table_find(table, "a")->incarnation, 5);
+    /* A restart. */
+    report("a", version(6, 0), MR_MEMBER_LIVE);
+    ck_assert_int_eq(mr_member_table_find(table, "a")->incarnation, 6);
+}
+END_TEST
+
+START_TEST(test_suspect_dies_after_a_second)
+{
+    report("a", version(5, 0), MR_MEMBER_LIVE);
+    mr_member_table_ping_failed(table, "a");
+    ck_assert_int_eq(state_of("a"), MR_MEMBER_SUSPECT);
+    pass_time(900);
+    ck_assert_int_eq(state_of("a"), MR_MEMBER_SUSPECT);
+    pass_time(100);
+    ck_assert_int_eq(state_of("a"), MR_MEMBER_DEAD);
+    /* Not revived by an old report, but by its own refutation. */
+    report("a", version(5, 0), MR_MEMBER_LIVE);
+    ck_assert_int_eq(state_of("a"), MR_MEMBER_DEAD);
+    report("a", version(5, 1), MR_MEMBER_LIVE);
+    ck_assert_int_eq(state_of("a"), MR_MEMBER_LIVE);
+}
+END_TEST
+
+START_TEST(test_refuted_suspect_lives)
+{
+    report("a", version(5, 0), MR_MEMBER_LIVE);
+    mr_member_table_ping_failed(table, "a");
+    pass_time(500);
+    report("a", version(5, 1), MR_MEMBER_LIVE);
+    pass_time(2000);
+    ck_assert_int_eq(state_of("a"), MR_MEMBER_LIVE);
+}
+END_TEST
+
+START_TEST(test_pause_kills_nobody)
+{
+    add_members(20);
+    for (int i = 0; i < 5; i++) {
+        char name[16];
+        snprintf(name, sizeof(name), "m%d", i);
+        mr_member_table_ping_failed(table, name);
+    }
+    pass_time(800);
+    manual.u.manual.now += 7000;
+    ck_assert(mr_member_table_paused(table));
+    ck_assert_int_eq(mr_member_table_tick(table), 7000);
+    pass_time(900);
+    ck_assert_uint_eq(mr_member_table_count(table, false), 21);
+    /* The suspicion itself goes on. */
+    pass_time(200);
+    ck_assert_uint_eq(mr_member_table_count(table, false), 16);
+}
+END_TEST
+
+START_TEST(test_own_suspicion_is_refuted)
+{
+    int64_t start = own_version();
+
+    ck_assert_int_eq(start, version(INCARNATION, 0));
+    ck_assert_int_eq(report_self("127.0.0.1:1", start, MR_MEMBER_SUSPECT),
+                     MR_MEMBER_MERGE_REFUTED);
+    ck_assert_int_eq(own_version(), start + 1);
+    ck_assert_int_eq(mr_member_table_self(table)->incarnation, INCARNATION);
+    ck_assert_int_eq(mr_member_table_self(table)->state, MR_MEMBER_LIVE);
+    /* The same report again is old. */
+    ck_assert_int_eq(report_self("127.0.0.1:1", start, MR_MEMBER_DEAD),
+                     MR_MEMBER_MERGE_KNOWN);
+    /* A predecessor with a clock that was ahead. */
+    report_self("127.0.0.1:9", version(90, 3), MR_MEMBER_DEAD);
+    ck_assert_int_eq(own_version(), version(90, 4));
+}
+END_TEST
+
+START_TEST(test_replaced_process_does_not_fight)
+{
+    int64_t start = own_version();
+
+    ck_assert_int_eq(
+        report_self("127.0.0.1:9", version(90, 0), MR_MEMBER_LIVE),
+        MR_MEMBER_MERGE_KNOWN);
+    ck_assert_int_eq(
+        report_self("127.0.0.1:9", version(90, 0), MR_MEMBER_SUSPECT),
+        MR_MEMBER_MERGE_KNOWN);
+    ck_assert_int_eq(own_version(), start);
+}
+END_TEST
+
+START_TEST(test_list_gives_candidates_only)
+{
+    mr_member_table_list_begin(table);
+    mr_member_table_list_add(table, "a", "konya", "127.0.0.1:2", false);
+    mr_member_table_list_add(table, "far", "nigde", "127.0.0.1:3", false);
+    mr_member_table_list_add(table, "off", "nigde", "127.0.0.1:4", true);
+    mr_member_table_list_end(table);
+    const mr_member_t *out[4];
+    ck_assert_uint_eq(mr_member_table_usable(table, "k", "konya", out, 4), 2);
+    ck_assert_uint_eq(mr_member_table_usable(table, "k", "nigde", out, 4), 1);
+    ck_assert_str_eq(out[0]->name, "far");
+    /* The list lags: it does not bring a dead member back. */
+    report("a", version(5, 0), MR_MEMBER_LIVE);
+    report("a", version(5, 0), MR_MEMBER_DEAD);
+    mr_member_table_list_begin(table);
+    mr_member_table_list_add(table, "a", "konya", "127.0.0.1:2", false);
+    mr_member_table_list_end(table);
+    ck_assert_int_eq(state_of("a"), MR_MEMBER_DEAD);
+    ck_assert_ptr_null(mr_member_table_find(table, "far"));
+    /* A member that reports itself stays without the list. */
+    report("b", version(5, 0), MR_MEMBER_LIVE);
+    mr_member_table_list_begin(table);
+    mr_member_table_list_end(table);
+    ck_assert_int_eq(state_of("b"), MR_MEMBER_LIVE);
+    /* A tombstone goes when the list no longer names it. */
+    pass_time(MR_MEMBER_TOMBSTONE_MS);
+    ck_assert_ptr_null(mr_member_table_find(table, "a"));
+}
+END_TEST
+
+START_TEST(test_failed_link_is_avoided_for_a_while)
+{
+    const mr_member_t *out[4];
+
+    mr_member_table_list_begin(table);
+    mr_member_table_list_add(table, "far", "nigde", "127.0.0.1:3", false);
+    mr_member_table_list_end(table);
+    mr_member_table_link_failed(table, "far");
+    ck_assert_uint_eq(mr_member_table_usable(table, "k", "nigde", out, 4), 0);
+    (void)mr_member_table_take_changed(table);
+    pass_time(MR_MEMBER_FAILED_LINK_MS);
+    ck_assert(mr_member_table_take_changed(table));
+    ck_assert_uint_eq(mr_member_table_usable(table, "k", "nigde", out, 4), 1);
+}
+END_TEST
+
+START_TEST(test_messages_are_bounded)
+{
+    mr_msg_member_t out[MR_MEMBER_CHANGES_MAX + 2];
+    int sends = 0;
+
+    add_members(325);
+    report("m7", version(10, 0), MR_MEMBER_DEAD);
+    size_t count = mr_member_table_changes(table, "m7", out);
+    ck_assert_uint_le(count, MR_MEMBER_CHANGES_MAX + 2);
+    ck_assert_str_eq(out[1].name, "m7");
+    ck_assert_int_eq(out[1].state, MR_MEMBER_DEAD);
+    while (mr_member_table_changes(table, NULL, out) > 1) {
+        sends++;
+        ck_assert_int_lt(sends, 325 * 30);
+    }
+    /* Each change was passed on about 3 log2(325) = 27 times. */
+    ck_assert_int_gt(sends, 325 * 20 / MR_MEMBER_CHANGES_MAX);
+    ck_assert_int_lt(sends, 325 * 31 / MR_MEMBER_CHANGES_MAX);
+}
+END_TEST
+
+START_TEST(test_each_member_is_pinged_once_a_round)
+{
+    int seen[20] = {0};
+    const int rounds = 30;
+
+    add_members(20);
+    for (int i = 0; i < 20 * rounds; i++) {
+        const mr_member_t *member = mr_member_table_next_ping(table);
+        ck_assert_ptr_nonnull(member);
+        seen[atoi(member->name + 1)]++;
+    }
+    for (int i = 0; i < 20; i++) {
+        ck_assert_int_eq(seen[i], rounds);
+    }
+}
+END_TEST
+
+START_TEST(test_dead_members_are_still_pinged_rarely)
+{
+    int dead = 0;
+
+    add_members(20);
+    report("m3", version(10, 0), MR_MEMBER_DEAD);
+    for (int i = 0; i < 200; i++) {
+        const mr_member_t *member = mr_member_table_next_ping(table);
+        dead += strcmp(member->name, "m3") == 0 ? 1 : 0;
+    }
+    ck_assert_int_eq(dead, 200 / MR_MEMBER_DEAD_PING_EVERY);
+}
+END_TEST
+
+START_TEST(test_owner_is_stable_and_moves_on)
+{
+    const mr_member_t *out[32];
+    char key[16];
+    int moved = 0;
+
+    add_members(20);
+    for (int i = 0; i < 200; i++) {
+        snprintf(key, sizeof(key), "t%d", i);
+        ck_assert_uint_eq(mr_member_table_usable(table, key, "konya", out, 32),
+                          21);
+        ck_assert_ptr_eq(out[0], mr_member_table_owner(table, key, "konya"));
+        for (int j = 1; j < 21; j++) {
+            ck_assert_uint_ge(mr_rendezvous_score(key, out[j - 1]->name),
+                              mr_rendezvous_score(key, out[j]->name));
+        }
+    }
+    for (int i = 0; i < 200; i++) {
+        snprintf(key, sizeof(key), "t%d", i);
+        const char *before = mr_member_table_owner(table, key, "konya")->name;
+        report("m3", version(10, i), MR_MEMBER_SUSPECT);
+        const char *after = mr_member_table_owner(table, key, "konya")->name;
+        report("m3", version(10, i + 1), MR_MEMBER_LIVE);
+        if (strcmp(before, "m3") == 0) {
+            moved++;
+            ck_assert_str_ne(after, "m3");
+        }
+    }
+    ck_assert_int_gt(moved, 1);
+    ck_assert_int_lt(moved, 40);
+}
+END_TEST
+
+START_TEST(test_owner_elsewhere_when_the_data_centre_is_empty)
+{
+    mr_member_table_list_begin(table);
+    mr_member_table_list_add(table, "far", "nigde", "127.0.0.1:3", false);
+    mr_member_table_list_end(table);
+    ck_assert_str_eq(mr_member_table_owner(table, "t", "nigde")->name, "far");
+    mr_member_table_link_failed(table, "far");
+    ck_assert_str_eq(mr_member_table_owner(table, "t", "nigde")->name, "self");
+    mr_member_table_leave(table);
+    ck_assert_ptr_null(mr_member_table_owner(table, "t", "nigde"));
+    ck_assert_ptr_null(mr_member_table_owner(table, "t", "karaman"));
+}
+END_TEST
+
+START_TEST(test_leaving_member_gets_no_work)
+{
+    const mr_member_t *out[4];
+
+    report("a", version(5, 0), MR_MEMBER_LIVE);
+    report("a", version(5, 0), MR_MEMBER_LEAVING);
+    ck_assert_uint_eq(mr_member_table_usable(table, "k", "konya", out, 4), 1);
+    mr_member_table_ping_failed(table, "a");
+    ck_assert_int_eq(state_of("a"), MR_MEMBER_DEAD);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("member_table");
+    TCase *tc = tcase_create("member_table");
+
+    tcase_add_checked_fixture(tc, setup, teardown);
+    tcase_add_test(tc, test_higher_version_wins);
+    tcase_add_test(tc, test_suspect_dies_after_a_second);
+    tcase_add_test(tc, test_refuted_suspect_lives);
+    tcase_add_test(tc, test_pause_kills_nobody);
+    tcase_add_test(tc, test_own_suspicion_is_refuted);
+    tcase_add_test(tc, test_replaced_process_does_not_fight);
+    tcase_add_test(tc, test_list_gives_candidates_only);
+    tcase_add_test(tc, test_failed_link_is_avoided_for_a_while);
+    tcase_add_test(tc, test_messages_are_bounded);
+    tcase_add_test(tc, test_each_member_is_pinged_once_a_round);
+    tcase_add_test(tc, test_dead_members_are_still_pinged_rarely);
+    tcase_add_test(tc, test_owner_is_stable_and_moves_on);
+    tcase_add_test(tc, test_owner_elsewhere_when_the_data_centre_is_empty);
+    tcase_add_test(tc, test_leaving_member_gets_no_work);
+    suite_add_tcase(suite, tc);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
