Refill buckets strictly within the continuous bound

Readings are whole milliseconds, so a bucket that was full could gain up to one millisecond of refill too early. Refilling now starts at the reading after the one at which a bucket was created, found full or given a higher rate. A smaller cap was ruled out, as a burst of one token would never admit.

--- a/lib/limit/bucket.c
+++ b/lib/limit/bucket.c
@@ -18,6 +18,7 @@
 
     if (now >= bucket->expiry) {
         bucket->level = 0;
+        bucket->since = now + 1;
         return;
     }
     if (now > bucket->since) {
@@ -47,8 +48,7 @@
                  mr_ms_t expiry)
 {
     refill(bucket, now);
-    if (amount.rate != bucket->amount.rate
-        || amount.burst != bucket->amount.burst) {
+    if (amount.rate > bucket->amount.rate) {
         bucket->since = now + 1;
     }
     bucket->amount = amount;
--- a/lib/limit/bucket.h
+++ b/lib/limit/bucket.h
@@ -9,8 +9,8 @@
  *
  * Clock readings are whole milliseconds. A reading is never after the moment
  * of use, so refilling starts at the reading after the one at which the bucket
- * was created, changed or found full. The bucket therefore never holds more
- * than a continuous bucket of the same rate and burst would.
+ * was created, found full or given a higher rate. The bucket therefore never
+ * holds more than a continuous bucket of the same rate and burst would.
  */
 
 #include <stdbool.h>
@@ -34,6 +34,20 @@
     mr_ms_t expiry;
 } mr_bucket_t;
 
+/**
+ * mr_limit_lapse() - how long others wait for something with @lifetime to
+ * lapse
+ *
+ * The holder counts @lifetime on its own clock from when it asked. 1/64 allows
+ * for two clocks whose rates differ by 1.5 %, 2 ms for readings in whole
+ * milliseconds.
+ */
+static inline mr_ms_t
+mr_limit_lapse(mr_ms_t lifetime)
+{
+    return lifetime + lifetime / 64 + 2;
+}
+
 /** mr_bucket_init() - an empty bucket that lapses at @expiry. */
 void mr_bucket_init(mr_bucket_t *bucket, mr_limit_amount_t amount, mr_ms_t now,
                     mr_ms_t expiry);
