Add grants from the limiter to instances

The book (limiter) and the hold (instance) decide without I/O. LONG and SHORT grants replace each other; the book counts the larger of those an instance may hold until the instance names the one it has. TOKENS grants carry tokens at once and are counted until returned. GRANT therefore carries the ids held, the amount of the long grant, so that a new limiter can renew it, and a number of the process, so that a paused process and its replacement are both counted.

--- /dev/null
+++ b/lib/limit/grant_hold.c
@@ -0,0 +1,167 @@
+#include <assert.h>
+
+#include "limit/grant.h"
+
+/* Tokens that lapse first are used first. */
+bool
+mr_grant_hold_admit(mr_grant_hold_t *hold, mr_ms_t now)
+{
+    int64_t need = MR_TOKEN_MILLI;
+
+    if (mr_grant_hold_level(hold, now) < need) {
+        return false;
+    }
+    for (size_t i = 0; i < MR_GRANT_TOKENS_MAX; i++) {
+        need -= mr_bucket_take(&hold->tokens[i], need, now);
+    }
+    need -= mr_bucket_take(&hold->bucket[MR_GRANT_SHORT], need, now);
+    need -= mr_bucket_take(&hold->bucket[MR_GRANT_LONG], need, now);
+    assert(need == 0);
+    return true;
+}
+
+int64_t
+mr_grant_hold_level(mr_grant_hold_t *hold, mr_ms_t now)
+{
+    int64_t level = mr_bucket_level(&hold->bucket[MR_GRANT_LONG], now)
+                    + mr_bucket_level(&hold->bucket[MR_GRANT_SHORT], now);
+
+    for (size_t i = 0; i < MR_GRANT_TOKENS_MAX; i++) {
+        level += mr_bucket_level(&hold->tokens[i], now);
+    }
+    return level;
+}
+
+int64_t
+mr_grant_hold_rate(const mr_grant_hold_t *hold, mr_ms_t now)
+{
+    int64_t rate = 0;
+
+    for (int kind = MR_GRANT_LONG; kind <= MR_GRANT_SHORT; kind++) {
+        if (now < hold->bucket[kind].expiry) {
+            rate += hold->bucket[kind].amount.rate;
+        }
+    }
+    return rate;
+}
+
+static void
+accept_tokens(mr_grant_hold_t *hold, const mr_msg_grant_item_t *item,
+              mr_ms_t expiry, mr_ms_t now)
+{
+    mr_limit_amount_t amount = {.burst = item->burst_milli};
+
+    for (size_t i = 0; i < MR_GRANT_TOKENS_MAX; i++) {
+        if (hold->token_id[i] == 0 || now >= hold->tokens[i].expiry) {
+            hold->token_id[i] = item->id;
+            mr_bucket_init(&hold->tokens[i], amount, now, expiry);
+            mr_bucket_put(&hold->tokens[i], amount.burst, now);
+            return;
+        }
+    }
+}
+
+void
+mr_grant_hold_accept(mr_grant_hold_t *hold, const mr_msg_grant_item_t *item,
+                     mr_ms_t sent, mr_ms_t now)
+{
+    mr_limit_amount_t amount = {.rate = item->rate_milli,
+                                .burst = item->burst_milli};
+    mr_ms_t expiry = sent + item->lifetime_ms;
+
+    if (now >= expiry || amount.rate < 0 || amount.burst < 0) {
+        return;
+    }
+    if (item->kind == MR_GRANT_TOKENS) {
+        accept_tokens(hold, item, expiry, now);
+        return;
+    }
+    if (item->kind != MR_GRANT_LONG && item->kind != MR_GRANT_SHORT) {
+        return;
+    }
+    /* An older grant that arrives late must not replace a newer one: the
+     * limiter was told that the older one is no longer held. */
+    if (item->id <= hold->id[item->kind]) {
+        return;
+    }
+    hold->id[item->kind] = item->id;
+    mr_bucket_change(&hold->bucket[item->kind], amount, now, expiry);
+}
+
+void
+mr_grant_hold_fill(const mr_grant_hold_t *hold, mr_grant_ask_t *ask,
+                   mr_ms_t now)
+{
+    const mr_bucket_t *base = &hold->bucket[MR_GRANT_LONG];
+
+    ask->held_long = 0;
+    ask->held_short = 0;
+    ask->held = (mr_limit_amount_t){0};
+    if (now < base->expiry) {
+        ask->held_long = hold->id[MR_GRANT_LONG];
+        ask->held = base->amount;
+    }
+    if (now < hold->bucket[MR_GRANT_SHORT].expiry) {
+        ask->held_short = hold->id[MR_GRANT_SHORT];
+    }
+}
+
+void
+mr_grant_hold_scale(mr_grant_hold_t *hold, mr_limit_amount_t from,
+                    mr_limit_amount_t to, mr_ms_t now)
+{
+    for (int kind = MR_GRANT_LONG; kind <= MR_GRANT_SHORT; kind++) {
+        mr_bucket_t *bucket = &hold->bucket[kind];
+        mr_limit_amount_t amount = bucket->amount;
+        if (to.rate < from.rate) {
+            amount.rate = mr_limit_scale(amount.rate, to.rate, from.rate);
+        }
+        if (to.burst < from.burst) {
+            amount.burst = mr_limit_scale(amount.burst, to.burst, from.burst);
+        }
+        mr_bucket_change(bucket, amount, now, bucket->expiry);
+    }
+    if (to.burst >= from.burst) {
+        return;
+    }
+    for (size_t i = 0; i < MR_GRANT_TOKENS_MAX; i++) {
+        mr_limit_amount_t amount = {
+            .burst = mr_limit_scale(hold->tokens[i].amount.burst, to.burst,
+                                    from.burst)};
+        mr_bucket_change(&hold->tokens[i], amount, now,
+                         hold->tokens[i].expiry);
+    }
+}
+
+int64_t
+mr_grant_hold_spent(mr_grant_hold_t *hold, mr_ms_t now)
+{
+    for (size_t i = 0; i < MR_GRANT_TOKENS_MAX; i++) {
+        int64_t id = hold->token_id[i];
+        if (id != 0 && mr_bucket_level(&hold->tokens[i], now) == 0) {
+            hold->token_id[i] = 0;
+            return id;
+        }
+    }
+    return 0;
+}
+
+int64_t
+mr_grant_hold_drop(mr_grant_hold_t *hold, mr_ms_t now)
+{
+    for (size_t i = 0; i < MR_GRANT_TOKENS_MAX; i++) {
+        int64_t id = hold->token_id[i];
+        if (id != 0) {
+            hold->token_id[i] = 0;
+            hold->tokens[i].expiry = now;
+            return id;
+        }
+    }
+    for (int kind = MR_GRANT_LONG; kind <= MR_GRANT_SHORT; kind++) {
+        if (now < hold->bucket[kind].expiry) {
+            hold->bucket[kind].expiry = now;
+            return hold->id[kind];
+        }
+    }
+    return 0;
+}
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -154,6 +154,11 @@
     F(STRING, mr_msg_grant_t, account),
     F(INTEGER, mr_msg_grant_t, demand_milli),
     F(INTEGER, mr_msg_grant_t, wanted),
+    F(INTEGER, mr_msg_grant_t, process),
+    F(INTEGER, mr_msg_grant_t, held_long),
+    F(INTEGER, mr_msg_grant_t, held_rate_milli),
+    F(INTEGER, mr_msg_grant_t, held_burst_milli),
+    F(INTEGER, mr_msg_grant_t, held_short),
 };
 static const layout_t grant_layout = LAYOUT(mr_msg_grant_t, grant_fields);
 
@@ -191,6 +196,7 @@
 static const field_t grant_return_fields[] = {
     F(STRING, mr_msg_grant_return_t, account),
     F(INTEGER, mr_msg_grant_return_t, id),
+    F(INTEGER, mr_msg_grant_return_t, process),
 };
 static const layout_t grant_return_layout =
     LAYOUT(mr_msg_grant_return_t, grant_return_fields);
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -159,6 +159,11 @@
     const char *account;
     int64_t demand_milli; /* recent demand, thousandths of requests/s */
     int64_t wanted;       /* tokens wanted at once */
+    int64_t process;      /* random number of the sender's process */
+    int64_t held_long;    /* id of the long grant that it holds, 0: none */
+    int64_t held_rate_milli;
+    int64_t held_burst_milli;
+    int64_t held_short; /* id of the short grant that it holds, 0: none */
 } mr_msg_grant_t;
 
 /** One grant: tokens at once and a rate for a lifetime. */
@@ -189,6 +194,7 @@
 typedef struct mr_msg_grant_return {
     const char *account;
     int64_t id;
+    int64_t process;
 } mr_msg_grant_return_t;
 
 /** struct mr_msg - a message of any type */
