Add the decisions about a shard's lease

Takeover by named successors after the lease, promises during an outage of the store, release on drain. Restarted owners wait like everybody else when successors are named, as the former process may only be paused.

--- /dev/null
+++ b/lib/limit/lease.c
@@ -0,0 +1,422 @@
+#include "limit/lease.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/json.h"
+#include "common/mem.h"
+
+enum {
+    POLL_MS = 2000,       /* of an instance that watches the row */
+    POLL_LAPSED_MS = 500, /* once the owner seems to be gone */
+    RETRY_MS = 300,
+    PROMISE_EVERY_MS = 500,
+};
+
+/* The latest promise of one named successor. */
+typedef struct promise {
+    char name[MR_LEASE_NAME_MAX];
+    mr_ms_t asked;
+    mr_ms_t until;
+} promise_t;
+
+struct mr_lease {
+    char name[MR_LEASE_NAME_MAX];
+    int64_t holder;
+    mr_lease_row_t row;
+    bool have_row;
+    mr_ms_t seen; /* when the row's revision was first seen */
+    mr_ms_t read_at;
+    bool stale;
+    bool busy;
+    bool writing;
+    bool released;       /* given up for good by a drain */
+    mr_lease_row_t sent; /* the write in progress or with unknown outcome */
+    mr_ms_t sent_at;
+    bool open;          /* @sent may take effect, now or later */
+    mr_ms_t open_since; /* when the first such write was sent */
+    bool owner;         /* confirmed as the owner of @epoch */
+    mr_ms_t since;      /* when the write that took it was sent */
+    mr_ms_t renewed;    /* when the last confirmed write was sent */
+    mr_ms_t tried;
+    promise_t promises[2 * MR_LEASE_SUCCESSORS_MAX];
+    size_t promise_count;
+    mr_ms_t bound_until; /* own promise not to take over */
+};
+
+bool
+mr_lease_row_parse(json_t *value, int64_t revision, mr_lease_row_t *row)
+{
+    mr_json_problem_t problem;
+    const char *owner = "";
+    json_t *names = NULL;
+    const mr_json_field_t fields[] = {
+        {"owner", MR_JSON_STRING, true, &owner, 0, 0},
+        {"holder", MR_JSON_INTEGER, true, &row->holder, 0, 0},
+        {"epoch", MR_JSON_INTEGER, true, &row->epoch, 1, INT32_MAX},
+        {"successors", MR_JSON_ARRAY, true, &names, 0, 0},
+        {"lease_ms", MR_JSON_INTEGER, true, &row->lease, 0, INT32_MAX},
+    };
+
+    *row = (mr_lease_row_t){.revision = revision};
+    if (!mr_json_read(value, "row", fields, sizeof(fields) / sizeof(fields[0]),
+                      &problem)
+        || json_array_size(names) > MR_LEASE_SUCCESSORS_MAX) {
+        return false;
+    }
+    snprintf(row->owner, sizeof(row->owner), "%s", owner);
+    row->successor_count = json_array_size(names);
+    for (size_t i = 0; i < row->successor_count; i++) {
+        const char *name = json_string_value(json_array_get(names, i));
+        if (name == NULL) {
+            return false;
+        }
+        snprintf(row->successors[i], MR_LEASE_NAME_MAX, "%s", name);
+    }
+    return true;
+}
+
+json_t *
+mr_lease_row_format(const mr_lease_row_t *row)
+{
+    json_t *names = json_array();
+
+    for (size_t i = 0; i < row->successor_count; i++) {
+        json_array_append_new(names, json_string(row->successors[i]));
+    }
+    return json_pack("{s:s,s:I,s:I,s:o,s:I}", "owner", row->owner, "holder",
+                     (json_int_t)row->holder, "epoch", (json_int_t)row->epoch,
+                     "successors", names, "lease_ms", (json_int_t)row->lease);
+}
+
+mr_lease_t *
+mr_lease_create(const char *name, int64_t holder)
+{
+    mr_lease_t *lease = MR_NEW(mr_lease_t);
+
+    snprintf(lease->name, sizeof(lease->name), "%s", name);
+    lease->holder = holder;
+    return lease;
+}
+
+void
+mr_lease_destroy(mr_lease_t *lease)
+{
+    free(lease);
+}
+
+static bool
+is_successor(const mr_lease_row_t *row, const char *name)
+{
+    for (size_t i = 0; i < row->successor_count; i++) {
+        if (strcmp(row->successors[i], name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_own(const mr_lease_t *lease, const mr_lease_row_t *row)
+{
+    return row->holder == lease->holder
+           && strcmp(row->owner, lease->name) == 0;
+}
+
+/* Whether the row allows this instance to take the lease at @now. */
+static bool
+may_take(const mr_lease_t *lease, bool preferred, mr_ms_t now)
+{
+    const mr_lease_row_t *row = &lease->row;
+    mr_ms_t wait = 0;
+
+    if (lease->released || now < lease->bound_until) {
+        return false;
+    }
+    if (row->revision == 0) {
+        return preferred;
+    }
+    if (row->owner[0] != '\0') {
+        wait = mr_limit_lapse(row->lease);
+    }
+    /* The owner's own name after a restart counts as named only when nobody
+     * else is. */
+    if (!is_successor(row, lease->name)
+        && (row->successor_count > 0
+            || strcmp(row->owner, lease->name) != 0)) {
+        wait += mr_limit_lapse(MR_LEASE_OUTAGE_MS);
+    }
+    /* The preferred one goes first, so that two do not race. */
+    if (!preferred) {
+        wait += RETRY_MS;
+    }
+    return now - lease->seen >= wait;
+}
+
+static mr_share_action_t
+send_row(mr_lease_t *lease, const char *const *order, size_t count,
+         int64_t epoch, mr_ms_t now, mr_lease_row_t *out)
+{
+    *out = (mr_lease_row_t){.revision = lease->row.revision,
+                            .holder = lease->holder,
+                            .epoch = epoch,
+                            .lease = MR_LEASE_MS};
+    snprintf(out->owner, sizeof(out->owner), "%s",
+             lease->released ? "" : lease->name);
+    for (size_t i = 0;
+         i < count && out->successor_count < MR_LEASE_SUCCESSORS_MAX; i++) {
+        if (strcmp(order[i], lease->name) != 0) {
+            snprintf(out->successors[out->successor_count++],
+                     MR_LEASE_NAME_MAX, "%s", order[i]);
+        }
+    }
+    /* While a write is open, any of the lists sent may come to stand in the
+     * row, so they stay the same. */
+    if (lease->open && lease->owner) {
+        memcpy(out->successors, lease->sent.successors,
+               sizeof(out->successors));
+        out->successor_count = lease->sent.successor_count;
+    }
+    lease->sent = *out;
+    lease->sent_at = now;
+    lease->tried = now;
+    lease->busy = true;
+    lease->writing = true;
+    return MR_SHARE_WRITE;
+}
+
+static bool
+read_due(const mr_lease_t *lease, mr_ms_t now)
+{
+    mr_ms_t interval = POLL_MS;
+
+    if (lease->read_at == 0) {
+        return true;
+    }
+    if (!lease->have_row || lease->stale) {
+        interval = RETRY_MS;
+    }
+    else if (lease->owner) {
+        return false;
+    }
+    else if (now - lease->seen >= MR_LEASE_MS / 2) {
+        interval = POLL_LAPSED_MS;
+    }
+    return now - lease->read_at >= interval;
+}
+
+mr_share_action_t
+mr_lease_plan(mr_lease_t *lease, const char *const *order, size_t count,
+              bool draining, mr_ms_t now, mr_lease_row_t *out)
+{
+    bool preferred = count > 0 && strcmp(order[0], lease->name) == 0;
+
+    if (draining) {
+        lease->released = true;
+    }
+    if (lease->busy) {
+        return MR_SHARE_NONE;
+    }
+    if (read_due(lease, now)) {
+        lease->busy = true;
+        return MR_SHARE_READ;
+    }
+    if (!lease->have_row || lease->stale) {
+        return MR_SHARE_NONE;
+    }
+    if (lease->owner) {
+        if (!lease->released && now - lease->tried < MR_LEASE_RENEW_MS) {
+            return MR_SHARE_NONE;
+        }
+        return send_row(lease, order, count, lease->row.epoch, now, out);
+    }
+    if (may_take(lease, preferred, now)
+        && (lease->tried == 0 || now - lease->tried >= RETRY_MS)) {
+        return send_row(lease, order, count, lease->row.epoch + 1, now, out);
+    }
+    return MR_SHARE_NONE;
+}
+
+static promise_t *
+find_promise(mr_lease_t *lease, const char *name)
+{
+    for (size_t i = 0; i < lease->promise_count; i++) {
+        if (strcmp(lease->promises[i].name, name) == 0) {
+            return &lease->promises[i];
+        }
+    }
+    return NULL;
+}
+
+/* A write by this process took effect. */
+static void
+own_write_made(mr_lease_t *lease, mr_ms_t sent, mr_ms_t now)
+{
+    if (lease->row.owner[0] == '\0') {
+        lease->owner = false;
+        return;
+    }
+    if (!lease->owner) {
+        lease->owner = true;
+        lease->since = sent;
+        lease->promise_count = 0;
+    }
+    lease->renewed = sent;
+    lease->seen = now;
+}
+
+void
+mr_lease_read(mr_lease_t *lease, const mr_lease_row_t *row, mr_ms_t now)
+{
+    lease->busy = false;
+    lease->read_at = now;
+    if (row == NULL
+        || (lease->have_row && row->revision < lease->row.revision)) {
+        return;
+    }
+    lease->stale = false;
+    if (lease->have_row && row->revision == lease->row.revision) {
+        return; /* a write with unknown outcome is still open */
+    }
+    lease->row = *row;
+    lease->have_row = true;
+    lease->seen = now;
+    if (!is_own(lease, row)) {
+        /* A newer revision by another process: no own write can follow. */
+        lease->owner = false;
+    }
+    else if (lease->open) {
+        own_write_made(lease, lease->open_since, now);
+    }
+    lease->open = false;
+}
+
+void
+mr_lease_written(mr_lease_t *lease, mr_share_result_t result, int64_t revision,
+                 mr_ms_t now)
+{
+    lease->busy = false;
+    lease->writing = false;
+    if (result == MR_SHARE_WRITTEN) {
+        lease->row = lease->sent;
+        lease->row.revision = revision;
+        lease->open = false;
+        own_write_made(lease, lease->sent_at, now);
+        return;
+    }
+    if (!lease->open) {
+        lease->open = true;
+        lease->open_since = lease->sent_at;
+    }
+    lease->stale = true;
+    lease->read_at = result == MR_SHARE_REFUSED ? 0 : now;
+}
+
+/* Whether every instance that could take over has promised not to. */
+static bool
+all_promised(const mr_lease_t *lease, mr_ms_t now)
+{
+    const mr_lease_row_t *rows[] = {&lease->row,
+                                    lease->open ? &lease->sent : &lease->row};
+
+    if (now - lease->renewed >= MR_LEASE_OUTAGE_MS) {
+        return false;
+    }
+    for (size_t r = 0; r < 2; r++) {
+        for (size_t i = 0; i < rows[r]->successor_count; i++) {
+            const promise_t *promise = find_promise(
+                (mr_lease_t *)(uintptr_t)lease, rows[r]->successors[i]);
+            if (promise == NULL || now >= promise->until) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+bool
+mr_lease_held(const mr_lease_t *lease, mr_ms_t now)
+{
+    if (!lease->owner || lease->released) {
+        return false;
+    }
+    return now - lease->renewed < MR_LEASE_MS || all_promised(lease, now);
+}
+
+int64_t
+mr_lease_epoch(const mr_lease_t *lease)
+{
+    return lease->owner ? lease->row.epoch : 0;
+}
+
+mr_ms_t
+mr_lease_since(const mr_lease_t *lease)
+{
+    return lease->since;
+}
+
+const char *
+mr_lease_owner(const mr_lease_t *lease)
+{
+    return lease->have_row ? lease->row.owner : "";
+}
+
+const char *
+mr_lease_promise_due(mr_lease_t *lease, mr_ms_t now)
+{
+    const mr_lease_row_t *rows[] = {&lease->row, &lease->sent};
+
+    if (!lease->owner || lease->released
+        || now - lease->renewed < MR_LEASE_RENEW_MS + PROMISE_EVERY_MS) {
+        return NULL;
+    }
+    for (size_t r = 0; r < (lease->open ? 2 : 1); r++) {
+        for (size_t i = 0; i < rows[r]->successor_count; i++) {
+            const char *name = rows[r]->successors[i];
+            promise_t *promise = find_promise(lease, name);
+            size_t max = sizeof(lease->promises) / sizeof(lease->promises[0]);
+            if (promise == NULL) {
+                if (lease->promise_count == max) {
+                    lease->promise_count = 0;
+                }
+                promise = &lease->promises[lease->promise_count++];
+                *promise = (promise_t){.asked = now - PROMISE_EVERY_MS};
+                snprintf(promise->name, sizeof(promise->name), "%s", name);
+            }
+            if (now - promise->asked >= PROMISE_EVERY_MS) {
+                promise->asked = now;
+                return promise->name;
+            }
+        }
+    }
+    return NULL;
+}
+
+void
+mr_lease_promised(mr_lease_t *lease, const char *successor, mr_ms_t sent,
+                  mr_ms_t promised)
+{
+    promise_t *promise = find_promise(lease, successor);
+
+    if (promise != NULL && promised > 0 && promise->until < sent + promised) {
+        promise->until = sent + promised;
+    }
+}
+
+mr_ms_t
+mr_lease_promise(mr_lease_t *lease, int64_t epoch, mr_ms_t now)
+{
+    mr_ms_t until = now + mr_limit_lapse(MR_LEASE_PROMISE_MS);
+
+    /* An own write that may have taken the lease, now or later, would break
+     * the promise. */
+    if (!lease->have_row || lease->owner || lease->writing || lease->open
+        || lease->row.epoch != epoch) {
+        return 0;
+    }
+    if (lease->bound_until < until) {
+        lease->bound_until = until;
+    }
+    return MR_LEASE_PROMISE_MS;
+}
