--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 INTEGRATION := $(patsubst tests/integration/%.c,%,$(wildcard tests/integration/test_*.c))
 HARNESS_SRC := $(wildcard tests/integration/harness*.c)
 BENCH := $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
-EXAMPLES := $(patsubst examples/%.c,%,$(wildcard examples/*.c))
+EXAMPLES := $(patsubst examples/%.c,%,$(filter-out examples/common_%.c,$(wildcard examples/*.c)))
 
 SOURCES := $(sort $(wildcard lib/*.h lib/*/*.[ch] programs/*.[ch] tests/*/*.[ch] \
            bench/*.[ch] examples/*.[ch] fuzz/*.[ch]))
@@ -83,7 +83,8 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
-$(BUILD)/examples/%: $(BUILD)/examples/%.o $(LIB)
+$(BUILD)/examples/%: $(BUILD)/examples/%.o \
+    $(patsubst %.c,$(BUILD)/%.o,$(wildcard examples/common_*.c)) $(LIB)
 	@mkdir -p $(@D)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
--- /dev/null
+++ b/tests/unit/test_key.c
@@ -0,0 +1,185 @@
+/* Guards against keys that are taken apart wrongly, hashes that differ between
+ * the daemon and the operators' library, and approvals that were forged or
+ * moved to another configuration. */
+
+#include <check.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/approval.h"
+#include "config/key.h"
+#include "masticrelay.h"
+
+#define SECRET "AAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8"
+
+START_TEST(test_parse)
+{
+    static const char *const bad[] = {
+        "",
+        "mrk.",
+        "mrk.." SECRET,
+        "mrk.k1.",
+        "mrk.k1." SECRET "A",
+        "xrk.k1." SECRET,
+        "mrk.k1" SECRET,
+        "mrk.a.b." SECRET,
+        "mrk.k 1." SECRET,
+        "mrk.k1.=" SECRET,
+    };
+    char long_id[200];
+    mr_key_t key;
+
+    ck_assert(mr_key_parse("mrk.k1." SECRET, 50, &key));
+    ck_assert_str_eq(key.id, "k1");
+    ck_assert_str_eq(key.secret, SECRET);
+    for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+        ck_assert_msg(!mr_key_parse(bad[i], strlen(bad[i]), &key), "'%s'",
+                      bad[i]);
+    }
+    snprintf(long_id, sizeof(long_id), "mrk.%065d." SECRET, 1);
+    ck_assert(!mr_key_parse(long_id, strlen(long_id), &key));
+    snprintf(long_id, sizeof(long_id), "mrk.%064d." SECRET, 1);
+    ck_assert(mr_key_parse(long_id, strlen(long_id), &key));
+}
+END_TEST
+
+START_TEST(test_hash)
+{
+    uint8_t hash[MR_CONFIG_KEY_HASH_BYTES];
+    uint8_t other[MR_CONFIG_KEY_HASH_BYTES];
+    char hex[65];
+    mr_key_t key;
+
+    ck_assert(mr_key_parse("mrk.k1." SECRET, 50, &key));
+    mr_key_hash(&key, hash);
+    sodium_bin2hex(hex, sizeof(hex), hash, sizeof(hash));
+    /* Computed with another implementation of the rule (Python's hashlib), so
+     * that a change of the rule cannot pass as a change of both sides. */
+    ck_assert_str_eq(
+        hex,
+        "b40d798801b45cf4916fa8dceab6684ec425a114ece07e813e1ee049c9a0feba");
+    ck_assert(mr_key_matches(&key, hash));
+    for (size_t i = 0; i < sizeof(hash); i++) {
+        memcpy(other, hash, sizeof(hash));
+        other[i] ^= 1;
+        ck_assert(!mr_key_matches(&key, other));
+    }
+    /* The same secret under another id has another hash. */
+    strcpy(key.id, "k2");
+    ck_assert(!mr_key_matches(&key, hash));
+}
+END_TEST
+
+/* Keys of equal length that differ in one character at any place are refused;
+ * mr_key_matches() compares with sodium_memcmp(), which takes the same time
+ * wherever the difference is. */
+START_TEST(test_equal_length)
+{
+    uint8_t hash[MR_CONFIG_KEY_HASH_BYTES];
+    mr_key_t key;
+
+    ck_assert(mr_key_parse("mrk.k1." SECRET, 50, &key));
+    mr_key_hash(&key, hash);
+    for (size_t i = 0; i < MR_KEY_SECRET_TEXT; i++) {
+        mr_key_t other = key;
+        other.secret[i] = other.secret[i] == 'x' ? 'y' : 'x';
+        ck_assert(!mr_key_matches(&other, hash));
+    }
+}
+END_TEST
+
+START_TEST(test_generate)
+{
+    char first[MR_OP_KEY_BYTES];
+    char second[MR_OP_KEY_BYTES];
+    char hash[MR_OP_KEY_HASH_BYTES];
+    char again[MR_OP_KEY_HASH_BYTES];
+    uint8_t raw[MR_CONFIG_KEY_HASH_BYTES];
+    mr_key_t key;
+
+    ck_assert(mr_op_key_generate("coop-1_a", first, hash));
+    ck_assert(mr_op_key_generate("coop-1_a", second, again));
+    ck_assert_str_ne(first, second);
+    ck_assert_str_ne(hash, again);
+    ck_assert(mr_key_parse(first, strlen(first), &key));
+    ck_assert_str_eq(key.id, "coop-1_a");
+    mr_key_hash(&key, raw);
+    sodium_bin2hex(again, sizeof(again), raw, sizeof(raw));
+    ck_assert_str_eq(hash, again);
+    ck_assert(!mr_op_key_generate("a.b", first, hash));
+    ck_assert(!mr_op_key_generate("", first, hash));
+}
+END_TEST
+
+START_TEST(test_approval)
+{
+    char public_key[MR_OP_APPROVER_PUBLIC_BYTES];
+    char secret_key[MR_OP_APPROVER_SECRET_BYTES];
+    char other_public[MR_OP_APPROVER_PUBLIC_BYTES];
+    char other_secret[MR_OP_APPROVER_SECRET_BYTES];
+    char approval[MR_OP_APPROVAL_BYTES];
+    char hash[MR_OP_HASH_BYTES];
+    char altered[MR_OP_HASH_BYTES];
+
+    ck_assert(mr_op_approver_create(public_key, secret_key));
+    ck_assert(mr_op_approver_create(other_public, other_secret));
+    mr_op_hash("{}", 2, hash);
+    ck_assert(mr_op_approve(secret_key, 7, hash, approval));
+    ck_assert(mr_op_approved(public_key, 7, hash, approval));
+
+    ck_assert(!mr_op_approved(public_key, 8, hash, approval));
+    ck_assert(!mr_op_approved(other_public, 7, hash, approval));
+    mr_op_hash("[]", 2, altered);
+    ck_assert(!mr_op_approved(public_key, 7, altered, approval));
+    for (size_t i = 0; i < MR_OP_APPROVAL_BYTES - 1; i++) {
+        char kept = approval[i];
+        approval[i] = kept == '0' ? '1' : '0';
+        ck_assert(!mr_op_approved(public_key, 7, hash, approval));
+        approval[i] = kept;
+    }
+    approval[MR_OP_APPROVAL_BYTES - 2] = '\0';
+    ck_assert(!mr_op_approved(public_key, 7, hash, approval));
+    ck_assert(!mr_op_approved(public_key, 7, hash, ""));
+}
+END_TEST
+
+START_TEST(test_approval_arguments)
+{
+    char public_key[MR_OP_APPROVER_PUBLIC_BYTES];
+    char secret_key[MR_OP_APPROVER_SECRET_BYTES];
+    char approval[MR_OP_APPROVAL_BYTES];
+    char hash[MR_OP_HASH_BYTES];
+
+    ck_assert(mr_op_approver_create(public_key, secret_key));
+    mr_op_hash("{}", 2, hash);
+    ck_assert(!mr_op_approve(secret_key, 0, hash, approval));
+    ck_assert(!mr_op_approve(secret_key, 1, "abc", approval));
+    ck_assert(!mr_op_approve("abc", 1, hash, approval));
+    hash[0] = 'X';
+    ck_assert(!mr_op_approve(secret_key, 1, hash, approval));
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("key");
+    TCase *keys = tcase_create("keys");
+    TCase *approval = tcase_create("approval");
+
+    tcase_add_test(keys, test_parse);
+    tcase_add_test(keys, test_hash);
+    tcase_add_test(keys, test_equal_length);
+    tcase_add_test(keys, test_generate);
+    suite_add_tcase(suite, keys);
+    tcase_add_test(approval, test_approval);
+    tcase_add_test(approval, test_approval_arguments);
+    suite_add_tcase(suite, approval);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/unit/test_operator.c
@@ -0,0 +1,412 @@
+/* Guards against configurations that depend on the order of calls, faulty
+ * descriptions that are printed, faults without the field's name, and keys
+ * that reach the printed configuration. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/model.h"
+#include "masticrelay.h"
+
+#define HASH "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+
+static const mr_op_target_t target_a = {
+    "db-0-a", "db-0", "konya", "127.0.0.1:7101", 2, 35, false};
+static const mr_op_target_t target_b = {
+    "db-0-b", "db-0", "nigde", "[::1]:7102", 2, 35, true};
+static const mr_op_target_t target_c = {
+    "db-1-a", "db-1", "konya", "127.0.0.1:7103", 2, 35, false};
+static const mr_op_account_t coop = {"coop-1", 100, 50, 1};
+static const mr_op_account_t board = {"board", 10, 5, 1};
+static const mr_op_route_t bookings = {
+    .name = "bookings",
+    .service = "db",
+    .deadline_ms = 2000,
+    .offline_limit_s = 3600,
+};
+static const mr_op_route_t schedule = {
+    .name = "schedule",
+    .service = "db",
+    .open = true,
+    .charged_account = "board",
+    .freshness = MR_OP_FRESHNESS_MAX_AGE,
+    .max_age_ms = 5000,
+    .deadline_ms = 2000,
+    .offline_limit_s = 3600,
+};
+
+enum { STEP_COUNT = 16 };
+
+/* Adds one part of the sample description. */
+static void
+add_step(mr_op_t *op, int step)
+{
+    switch (step) {
+    case 0:
+        mr_op_data_centre(op, "konya", "ic-anadolu");
+        break;
+    case 1:
+        mr_op_data_centre(op, "nigde", "ic-anadolu");
+        break;
+    case 2:
+        mr_op_service(op, "db");
+        break;
+    case 3:
+        mr_op_group(op, "db", "db-0");
+        break;
+    case 4:
+        mr_op_group(op, "db", "db-1");
+        break;
+    case 5:
+        mr_op_target(op, &target_a);
+        break;
+    case 6:
+        mr_op_target(op, &target_b);
+        break;
+    case 7:
+        mr_op_target(op, &target_c);
+        break;
+    case 8:
+        mr_op_account(op, &coop);
+        break;
+    case 9:
+        mr_op_account(op, &board);
+        break;
+    case 10:
+        mr_op_key(op, "coop-1", "k1", HASH);
+        break;
+    case 11:
+        mr_op_key(op, "coop-1", "k2", HASH);
+        break;
+    case 12:
+        mr_op_route(op, &bookings);
+        break;
+    case 13:
+        mr_op_route(op, &schedule);
+        break;
+    case 14:
+        mr_op_allow(op, "bookings", "coop-1");
+        break;
+    case 15:
+        mr_op_allow(op, "bookings", "board");
+        break;
+    default:
+        ck_abort();
+    }
+}
+
+static mr_op_t *
+sample(void)
+{
+    mr_op_t *op = mr_op_create("ovakoy", 3);
+
+    for (int i = 0; i < STEP_COUNT; i++) {
+        add_step(op, i);
+    }
+    return op;
+}
+
+static char *
+sample_text(void)
+{
+    mr_op_t *op = sample();
+    char *text = mr_op_print(op);
+
+    ck_assert_msg(text != NULL, "%s", mr_op_problem(op, 0));
+    mr_op_destroy(op);
+    return text;
+}
+
+/* Expects that @op prints nothing and that one fault contains @words. */
+static void
+expect_fault(mr_op_t *op, const char *words)
+{
+    bool found = false;
+    char *text = mr_op_print(op);
+
+    ck_assert_ptr_null(text);
+    for (size_t i = 0; i < mr_op_problem_count(op); i++) {
+        found = found || strstr(mr_op_problem(op, i), words) != NULL;
+    }
+    ck_assert_msg(found, "no fault with '%s'; first: %s", words,
+                  mr_op_problem_count(op) > 0 ? mr_op_problem(op, 0) : "none");
+    mr_op_destroy(op);
+}
+
+START_TEST(test_order)
+{
+    char *expected = sample_text();
+    mr_json_problem_t problem;
+
+    srand(7);
+    for (int round = 0; round < 200; round++) {
+        int steps[STEP_COUNT] = {0};
+        mr_op_t *op = mr_op_create("ovakoy", 3);
+        for (int i = 0; i < STEP_COUNT; i++) {
+            int j = rand() % (i + 1);
+            steps[i] = steps[j];
+            steps[j] = i;
+        }
+        for (int i = 0; i < STEP_COUNT; i++) {
+            add_step(op, steps[i]);
+        }
+        char *text = mr_op_print(op);
+        ck_assert_ptr_nonnull(text);
+        ck_assert_str_eq(text, expected);
+        free(text);
+        mr_op_destroy(op);
+    }
+    mr_config_t *config =
+        mr_config_parse(expected, strlen(expected), &problem);
+    ck_assert_ptr_nonnull(config);
+    ck_assert_uint_eq(config->services[0].group_count, 2);
+    ck_assert(mr_config_target(config, "db-0-b")->leaving);
+    ck_assert_uint_eq(mr_config_route(config, "bookings")->account_count, 2);
+    ck_assert_ptr_nonnull(mr_config_route(config, "schedule")->charged);
+    mr_config_unref(config);
+    free(expected);
+}
+END_TEST
+
+START_TEST(test_unknown_references)
+{
+    mr_op_t *op = sample();
+    mr_op_target_t target = target_a;
+    target.name = "db-9-a";
+    target.group = "db-9";
+    mr_op_target(op, &target);
+    expect_fault(op, "targets[db-9-a].group \"db-9\" is not described");
+
+    op = sample();
+    target.group = "db-0";
+    target.data_centre = "ankara";
+    mr_op_target(op, &target);
+    expect_fault(op, "targets[db-9-a].data_centre \"ankara\"");
+
+    op = sample();
+    mr_op_group(op, "nowhere", "db-2");
+    expect_fault(op, "groups[db-2].service \"nowhere\"");
+
+    op = sample();
+    mr_op_route_t route = schedule;
+    route.name = "other";
+    route.service = "nowhere";
+    route.charged_account = "nobody";
+    mr_op_route(op, &route);
+    expect_fault(op, "routes[other].charged_account \"nobody\"");
+
+    op = sample();
+    mr_op_allow(op, "bookings", "nobody");
+    expect_fault(op, "routes[bookings].accounts names \"nobody\"");
+
+    op = sample();
+    mr_op_key(op, "nobody", "k9", HASH);
+    expect_fault(op, "keys[k9].account \"nobody\"");
+}
+END_TEST
+
+START_TEST(test_duplicates)
+{
+    static const char *const words[STEP_COUNT] = {
+        "data_centres[konya].name",
+        "data_centres[nigde].name",
+        "services[db].name",
+        "groups[db-0].name",
+        "groups[db-1].name",
+        "targets[db-0-a].name",
+        "targets[db-0-b].name",
+        "targets[db-1-a].name",
+        "accounts[coop-1].name",
+        "accounts[board].name",
+        "keys[k1].id",
+        "keys[k2].id",
+        "routes[bookings].name",
+        "routes[schedule].name",
+        "\"coop-1\" twice",
+        "\"board\" twice",
+    };
+
+    for (int i = 0; i < STEP_COUNT; i++) {
+        mr_op_t *op = sample();
+        add_step(op, i);
+        expect_fault(op, words[i]);
+    }
+}
+END_TEST
+
+START_TEST(test_values)
+{
+    static const char *const addresses[] = {NULL,           "",
+                                            "localhost:1",  "127.0.0.1",
+                                            "127.0.0.1:0",  "127.0.0.1:70000",
+                                            "127.0.0.1:1x", "1.2.3:1"};
+    mr_op_account_t account = coop;
+    mr_op_target_t target = target_a;
+    mr_op_t *op;
+
+    for (size_t i = 0; i < sizeof(addresses) / sizeof(addresses[0]); i++) {
+        op = sample();
+        target.name = "x";
+        target.address = addresses[i];
+        mr_op_target(op, &target);
+        expect_fault(op, "targets[x].address");
+    }
+    op = sample();
+    account.name = "x";
+    account.rate = -5;
+    mr_op_account(op, &account);
+    expect_fault(op, "accounts[x].rate is -5");
+
+    /* Upper bounds are those of the daemons' whole check. */
+    op = sample();
+    account.rate = INT64_MAX;
+    mr_op_account(op, &account);
+    expect_fault(op, ".rate");
+
+    op = sample();
+    mr_op_account_t nameless = {"a b\n", 1, 1, 1};
+    mr_op_account(op, &nameless);
+    expect_fault(op, "accounts[a b?].name");
+
+    op = sample();
+    mr_op_set_version(op, 0);
+    expect_fault(op, "version is 0");
+
+    op = sample();
+    mr_op_route_t route = bookings;
+    route.name = "x";
+    route.charged_account = "board";
+    mr_op_route(op, &route);
+    expect_fault(op, "routes[x].charged_account");
+
+    op = sample();
+    mr_op_service(op, "empty");
+    expect_fault(op, "groups is empty");
+}
+END_TEST
+
+/* A program that fixes what was reported must be able to print; a fault of the
+ * references must not stay for ever. */
+START_TEST(test_faults_are_collected)
+{
+    mr_op_t *op = sample();
+    mr_op_account_t account = {"late", 1, 1, 1};
+
+    mr_op_allow(op, "bookings", "late");
+    ck_assert_ptr_null(mr_op_print(op));
+    ck_assert_uint_eq(mr_op_problem_count(op), 1);
+    ck_assert_ptr_null(mr_op_print(op));
+    ck_assert_uint_eq(mr_op_problem_count(op), 1);
+    mr_op_account(op, &account);
+    char *text = mr_op_print(op);
+    ck_assert_ptr_nonnull(text);
+    free(text);
+
+    account.name = "bad";
+    account.rate = 0;
+    account.burst = -1;
+    account.weight = 0;
+    mr_op_account(op, &account);
+    ck_assert_uint_eq(mr_op_problem_count(op), 3);
+    mr_op_destroy(op);
+}
+END_TEST
+
+START_TEST(test_key_is_not_printed)
+{
+    mr_op_t *op = sample();
+    char key[MR_OP_KEY_BYTES];
+
+    ck_assert(mr_op_key_issue(op, "coop-1", "issued", key));
+    char *text = mr_op_print(op);
+    ck_assert_ptr_nonnull(text);
+    ck_assert_ptr_nonnull(strstr(text, "\"issued\""));
+    const char *secret = strrchr(key, '.') + 1;
+    ck_assert_uint_eq(strlen(secret), 43);
+    ck_assert_ptr_null(strstr(text, secret));
+    ck_assert_ptr_null(strstr(text, "mrk."));
+    free(text);
+
+    /* A key that is passed as a hash is refused and not repeated. */
+    mr_op_key(op, "coop-1", "k9", key);
+    ck_assert_ptr_null(mr_op_print(op));
+    ck_assert_ptr_nonnull(strstr(mr_op_problem(op, 0), "keys[k9].hash"));
+    ck_assert_ptr_null(strstr(mr_op_problem(op, 0), secret));
+    mr_op_destroy(op);
+}
+END_TEST
+
+START_TEST(test_read_and_change)
+{
+    char problem[MR_OP_PROBLEM_BYTES];
+    char *text = sample_text();
+    mr_op_t *op = mr_op_read(text, strlen(text), problem);
+
+    ck_assert_ptr_nonnull(op);
+    char *again = mr_op_print(op);
+    ck_assert_str_eq(again, text);
+    free(again);
+
+    mr_op_set_version(op, mr_op_version(op) + 1);
+    ck_assert(mr_op_withdraw_key(op, "k1"));
+    ck_assert(!mr_op_withdraw_key(op, "k1"));
+    ck_assert(mr_op_set_leaving(op, "db-0-a", true));
+    ck_assert(!mr_op_set_leaving(op, "none", true));
+    again = mr_op_print(op);
+    ck_assert_ptr_nonnull(again);
+    mr_json_problem_t fault;
+    mr_config_t *config = mr_config_parse(again, strlen(again), &fault);
+    const mr_config_account_t *owner;
+    ck_assert_int_eq(config->version, 4);
+    ck_assert_ptr_null(mr_config_find_key(config, "k1", &owner));
+    ck_assert_ptr_nonnull(mr_config_find_key(config, "k2", &owner));
+    ck_assert(mr_config_target(config, "db-0-a")->leaving);
+    mr_config_unref(config);
+    free(again);
+    mr_op_destroy(op);
+
+    ck_assert_ptr_null(mr_op_read("{}", 2, problem));
+    ck_assert_ptr_nonnull(strstr(problem, "is missing"));
+    free(text);
+}
+END_TEST
+
+START_TEST(test_finish)
+{
+    char out[64] = "";
+    char err[256] = "";
+    FILE *out_file = fmemopen(out, sizeof(out), "w");
+    FILE *err_file = fmemopen(err, sizeof(err), "w");
+    mr_op_t *op = mr_op_create("", 1);
+
+    ck_assert_int_eq(mr_op_finish(op, out_file, err_file), 1);
+    fclose(out_file);
+    fclose(err_file);
+    ck_assert_str_eq(out, "");
+    ck_assert_ptr_nonnull(strstr(err, "deployment is missing"));
+    mr_op_destroy(op);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("operator");
+    TCase *tcase = tcase_create("description");
+
+    tcase_add_test(tcase, test_order);
+    tcase_add_test(tcase, test_unknown_references);
+    tcase_add_test(tcase, test_duplicates);
+    tcase_add_test(tcase, test_values);
+    tcase_add_test(tcase, test_faults_are_collected);
+    tcase_add_test(tcase, test_key_is_not_printed);
+    tcase_add_test(tcase, test_read_and_change);
+    tcase_add_test(tcase, test_finish);
+    suite_add_tcase(suite, tcase);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
