--- a/Makefile
+++ b/Makefile
@@ -58,12 +58,12 @@
 
 .SECONDEXPANSION:
 $(PROGRAMS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/programs/%.o \
-    $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard programs/%_*.c)) $(LIB)
+    $$(addprefix $(BUILD)/,$$(subst .c,.o,$$(wildcard programs/%_*.c))) $(LIB)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
 $(STANDINS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/tests/standins/%.o \
-    $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard tests/standins/common_*.c)) $(LIB)
+    $$(addprefix $(BUILD)/,$$(subst .c,.o,$$(wildcard tests/standins/common_*.c))) $(LIB)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
@@ -72,6 +72,9 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(PKG_LIBS) -o $@
 
+# These tests run the platform stand-in.
+$(BUILD)/unit/test_platform $(BUILD)/unit/test_config_store: | $(BUILD)/platform_standin
+
 $(BUILD)/integration/%: $(BUILD)/tests/integration/%.o \
     $(HARNESS_SRC:%.c=$(BUILD)/%.o) $(LIB)
 	@mkdir -p $(@D)
@@ -79,7 +82,7 @@
 	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(PKG_LIBS) -o $@
 
 $(BENCH:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/bench/%.o \
-    $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard bench/common_*.c)) $(LIB)
+    $$(addprefix $(BUILD)/,$$(subst .c,.o,$$(wildcard bench/common_*.c))) $(LIB)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
@@ -96,7 +99,7 @@
 	$(MAKE) all
 	./tools/run-tests $(BUILD)
 
-unit: tests
+unit: tests standins
 	./tools/run-tests $(BUILD) unit
 
 integration: all
