--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 
 # A program is one file in programs/; files named programs/PROGRAM_*.c belong
 # to PROGRAM.
-PROGRAMS := masticrelayd masticrelayctl
+PROGRAMS := $(filter masticrelayd masticrelayctl,$(patsubst programs/%.c,%,$(wildcard programs/*.c)))
 STANDINS := $(patsubst tests/standins/%.c,%,$(wildcard tests/standins/*_standin.c)) \
             $(patsubst tests/standins/%.c,%,$(wildcard tests/standins/fault_proxy.c))
 UNIT := $(patsubst tests/unit/%.c,%,$(wildcard tests/unit/test_*.c))
--- a/lib/config/model.c
+++ b/lib/config/model.c
@@ -48,13 +48,18 @@
     return true;
 }
 
-/* Names are compared pairwise: a configuration has at most some thousands of
- * each kind, and it is read a few times an hour. */
+/** Where a key stands. */
+typedef struct key_place {
+    const mr_config_key_t *key;
+    const mr_config_account_t *account;
+} key_place_t;
+
+/* Enters a name; false when it stands in the index already. */
 static bool
-check_unique(const parse_t *p, const char *path, const char *name,
-             const char *const *earlier)
+add_unique(const parse_t *p, GHashTable *index, const char *path,
+           const char *name, void *item)
 {
-    if (earlier != NULL && strcmp(*earlier, name) == 0) {
+    if (!g_hash_table_insert(index, (void *)name, item)) {
         return mr_json_problem_set(p->problem, "%s: '%s' stands twice", path,
                                    name);
     }
@@ -89,9 +94,9 @@
         return false;
     }
     for (size_t j = 0; j < i; j++) {
-        if (!check_unique(p, path, dc->name,
-                          &p->config->data_centres[j].name)) {
-            return false;
+        if (strcmp(dc->name, p->config->data_centres[j].name) == 0) {
+            return mr_json_problem_set(p->problem, "%s: '%s' stands twice",
+                                       path, dc->name);
         }
     }
     return true;
@@ -118,7 +123,9 @@
 
     snprintf(path, sizeof(path), "%s.targets[%zu]", parent, i);
     if (!mr_json_read(item, path, fields, COUNT_OF(fields), p->problem)
-        || !check_name(p, path, target->name)) {
+        || !check_name(p, path, target->name)
+        || !add_unique(p, p->config->target_index, path, target->name,
+                       target)) {
         return false;
     }
     if (!has_data_centre(p->config, target->data_centre)) {
@@ -151,8 +158,11 @@
         {"targets", MR_JSON_ARRAY, true, &targets, 0, 0},
     };
 
+    /* Groups and targets are found by name alone, so their names are unique
+     * over all services. */
     if (!mr_json_read(item, path, fields, COUNT_OF(fields), p->problem)
-        || !check_name(p, path, group->name)) {
+        || !check_name(p, path, group->name)
+        || !add_unique(p, p->config->group_index, path, group->name, group)) {
         return false;
     }
     size_t count = json_array_size(targets);
@@ -188,9 +198,9 @@
         return false;
     }
     for (size_t i = 0; i < index; i++) {
-        if (!check_unique(p, path, service->name,
-                          &p->config->services[i].name)) {
-            return false;
+        if (strcmp(service->name, p->config->services[i].name) == 0) {
+            return mr_json_problem_set(p->problem, "%s: '%s' stands twice",
+                                       path, service->name);
         }
     }
     size_t count = json_array_size(groups);
@@ -257,31 +267,28 @@
     snprintf(path, sizeof(path), "accounts[%zu]", index);
     account->weight = 1;
     if (!mr_json_read(item, path, fields, COUNT_OF(fields), p->problem)
-        || !check_name(p, path, account->name)) {
+        || !check_name(p, path, account->name)
+        || !add_unique(p, p->config->account_index, path, account->name,
+                       account)) {
         return false;
     }
-    for (size_t i = 0; i < index; i++) {
-        if (!check_unique(p, path, account->name,
-                          &p->config->accounts[i].name)) {
-            return false;
-        }
-    }
     size_t count = json_array_size(keys);
     account->keys = mr_calloc(count, sizeof(*account->keys));
     account->key_count = count;
     for (size_t i = 0; i < count; i++) {
         char key_path[PATH_BYTES];
-        const mr_config_account_t *other;
         snprintf(key_path, sizeof(key_path), "accounts[%zu].keys[%zu]", index,
                  i);
         if (!parse_key(p, json_array_get(keys, i), &account->keys[i],
                        key_path)) {
             return false;
         }
-        if (mr_config_find_key(p->config, account->keys[i].id, &other)
-            != &account->keys[i]) {
-            return mr_json_problem_set(p->problem, "%s: '%s' stands twice",
-                                       key_path, account->keys[i].id);
+        key_place_t *place = MR_NEW(key_place_t);
+        place->key = &account->keys[i];
+        place->account = account;
+        if (!add_unique(p, p->config->key_index, key_path, account->keys[i].id,
+                        place)) {
+            return false;
         }
     }
     return true;
@@ -384,14 +391,10 @@
 
     snprintf(path, sizeof(path), "routes[%zu]", index);
     if (!mr_json_read(item, path, fields, COUNT_OF(fields), p->problem)
-        || !check_name(p, path, route->name)) {
+        || !check_name(p, path, route->name)
+        || !add_unique(p, p->config->route_index, path, route->name, route)) {
         return false;
     }
-    for (size_t i = 0; i < index; i++) {
-        if (!check_unique(p, path, route->name, &p->config->routes[i].name)) {
-            return false;
-        }
-    }
     route->service = find_service(p->config, service);
     if (route->service == NULL) {
         return mr_json_problem_set(
@@ -406,38 +409,6 @@
            && parse_route_accounts(p, accounts, charged, route, path);
 }
 
-/* Groups and targets are found by name alone, so their names must be unique
- * over all services. */
-static bool
-check_group_names(const parse_t *p)
-{
-    const mr_config_t *config = p->config;
-
-    for (size_t s = 0; s < config->service_count; s++) {
-        const mr_config_service_t *service = &config->services[s];
-        for (size_t g = 0; g < service->group_count; g++) {
-            const mr_config_group_t *group = &service->groups[g];
-            if (mr_config_group(config, group->name) != group) {
-                return mr_json_problem_set(p->problem,
-                                           "services[%zu].groups[%zu]: '%s' "
-                                           "stands twice",
-                                           s, g, group->name);
-            }
-            for (size_t t = 0; t < group->target_count; t++) {
-                const mr_config_target_t *target = &group->targets[t];
-                if (mr_config_target(config, target->name) != target) {
-                    return mr_json_problem_set(
-                        p->problem,
-                        "services[%zu].groups[%zu].targets[%zu]: '%s' stands "
-                        "twice",
-                        s, g, t, target->name);
-                }
-            }
-        }
-    }
-    return true;
-}
-
 typedef bool (*parse_item_t)(const parse_t *p, json_t *item, size_t index);
 
 static bool
@@ -486,7 +457,7 @@
     c->route_count = json_array_size(routes);
     c->routes = mr_calloc(c->route_count, sizeof(*c->routes));
     return parse_items(p, data_centres, parse_data_centre)
-           && parse_items(p, services, parse_service) && check_group_names(p)
+           && parse_items(p, services, parse_service)
            && parse_items(p, accounts, parse_account)
            && parse_items(p, routes, parse_route);
 }
@@ -498,6 +469,12 @@
     const parse_t p = {config, problem};
 
     config->references = 1;
+    config->route_index = g_hash_table_new(g_str_hash, g_str_equal);
+    config->account_index = g_hash_table_new(g_str_hash, g_str_equal);
+    config->group_index = g_hash_table_new(g_str_hash, g_str_equal);
+    config->target_index = g_hash_table_new(g_str_hash, g_str_equal);
+    config->key_index =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
     config->document = json_incref(document);
     if (!parse_document(&p)) {
         mr_config_unref(config);
@@ -558,6 +535,11 @@
     for (size_t i = 0; i < config->route_count; i++) {
         free(config->routes[i].accounts);
     }
+    g_hash_table_destroy(config->route_index);
+    g_hash_table_destroy(config->account_index);
+    g_hash_table_destroy(config->group_index);
+    g_hash_table_destroy(config->target_index);
+    g_hash_table_destroy(config->key_index);
     free(config->data_centres);
     free(config->services);
     free(config->accounts);
@@ -569,63 +551,33 @@
 const mr_config_route_t *
 mr_config_route(const mr_config_t *config, const char *name)
 {
-    for (size_t i = 0; i < config->route_count; i++) {
-        const char *other = config->routes[i].name;
-        if (other != NULL && strcmp(other, name) == 0) {
-            return &config->routes[i];
-        }
-    }
-    return NULL;
+    return g_hash_table_lookup(config->route_index, name);
 }
 
 const mr_config_account_t *
 mr_config_account(const mr_config_t *config, const char *name)
 {
-    for (size_t i = 0; i < config->account_count; i++) {
-        const char *other = config->accounts[i].name;
-        if (other != NULL && strcmp(other, name) == 0) {
-            return &config->accounts[i];
-        }
-    }
-    return NULL;
+    return g_hash_table_lookup(config->account_index, name);
 }
 
 const mr_config_group_t *
 mr_config_group(const mr_config_t *config, const char *name)
 {
-    for (size_t s = 0; s < config->service_count; s++) {
-        const mr_config_service_t *service = &config->services[s];
-        for (size_t g = 0; g < service->group_count; g++) {
-            if (strcmp(service->groups[g].name, name) == 0) {
-                return &service->groups[g];
-            }
-        }
-    }
-    return NULL;
+    return g_hash_table_lookup(config->group_index, name);
 }
 
 const mr_config_target_t *
-mr_config_group_target(const mr_config_group_t *group, const char *name)
+mr_config_target(const mr_config_t *config, const char *name)
 {
-    for (size_t i = 0; i < group->target_count; i++) {
-        if (strcmp(group->targets[i].name, name) == 0) {
-            return &group->targets[i];
-        }
-    }
-    return NULL;
+    return g_hash_table_lookup(config->target_index, name);
 }
 
 const mr_config_target_t *
-mr_config_target(const mr_config_t *config, const char *name)
+mr_config_group_target(const mr_config_group_t *group, const char *name)
 {
-    for (size_t s = 0; s < config->service_count; s++) {
-        const mr_config_service_t *service = &config->services[s];
-        for (size_t g = 0; g < service->group_count; g++) {
-            const mr_config_target_t *target =
-                mr_config_group_target(&service->groups[g], name);
-            if (target != NULL) {
-                return target;
-            }
+    for (size_t i = 0; i < group->target_count; i++) {
+        if (strcmp(group->targets[i].name, name) == 0) {
+            return &group->targets[i];
         }
     }
     return NULL;
@@ -635,16 +587,13 @@
 mr_config_find_key(const mr_config_t *config, const char *id,
                    const mr_config_account_t **account)
 {
-    for (size_t a = 0; a < config->account_count; a++) {
-        for (size_t k = 0; k < config->accounts[a].key_count; k++) {
-            const mr_config_key_t *key = &config->accounts[a].keys[k];
-            if (key->id != NULL && strcmp(key->id, id) == 0) {
-                *account = &config->accounts[a];
-                return key;
-            }
-        }
+    const key_place_t *place = g_hash_table_lookup(config->key_index, id);
+
+    if (place == NULL) {
+        return NULL;
     }
-    return NULL;
+    *account = place->account;
+    return place->key;
 }
 
 void
--- a/lib/config/model.h
+++ b/lib/config/model.h
@@ -7,6 +7,8 @@
  * version they started with.
  */
 
+#include <glib.h>
+
 #include "common/clock.h"
 #include "common/json.h"
 #include "wire/msg.h"
@@ -78,6 +80,12 @@
 struct mr_config {
     int references;
     json_t *document;
+    /* Name -> item: each request looks up a route, a key and an account. */
+    GHashTable *route_index;
+    GHashTable *account_index;
+    GHashTable *group_index;
+    GHashTable *target_index;
+    GHashTable *key_index; /* id -> key_place_t in model.c */
     char hash[MR_CONFIG_KEY_HASH_BYTES * 2 + 1]; /* of the canonical form */
     int64_t version;
     const char *deployment;
--- /dev/null
+++ b/tests/unit/test_view.c
@@ -0,0 +1,255 @@
+/* Guards against acknowledgements, confirmations and ages that the reports of
+ * a group do not prove, and against promotions of groups that work. */
+
+#include <check.h>
+#include <stdlib.h>
+
+#include "group/view.h"
+
+static mr_log_state_t
+log_state(bool primary, int64_t term, int64_t last_term, int64_t position)
+{
+    return (mr_log_state_t){.primary = primary,
+                            .term = term,
+                            .last_term = last_term,
+                            .position = position};
+}
+
+static void
+report(mr_view_t *view, size_t index, mr_log_state_t state, mr_ms_t at)
+{
+    static uint64_t tick;
+
+    mr_view_answer(view, index, &state, at, ++tick, at);
+}
+
+/* Target 0 leads term 2 at position 10; 1 and 2 follow up to @position. */
+static void
+start_group(mr_view_t *view, int64_t position, mr_ms_t at)
+{
+    mr_view_init(view, 3);
+    report(view, 0, log_state(true, 2, 2, 10), at);
+    report(view, 1, log_state(false, 2, 2, position), at);
+    report(view, 2, log_state(false, 2, 2, position), at);
+}
+
+START_TEST(test_write_needs_one_replica)
+{
+    mr_view_t view;
+
+    start_group(&view, 9, 1000);
+    ck_assert(!mr_view_acknowledged(&view, 2, 10));
+    report(&view, 2, log_state(false, 2, 2, 10), 1010);
+    ck_assert(mr_view_acknowledged(&view, 2, 10));
+    ck_assert(!mr_view_acknowledged(&view, 2, 11));
+}
+END_TEST
+
+/* A divergent log of an older term may be as long. */
+START_TEST(test_position_of_another_term_does_not_count)
+{
+    mr_view_t view;
+
+    mr_view_init(&view, 3);
+    report(&view, 0, log_state(true, 3, 3, 10), 1000);
+    report(&view, 1, log_state(false, 3, 2, 12), 1000);
+    report(&view, 2, log_state(false, 3, 2, 10), 1000);
+    ck_assert(!mr_view_acknowledged(&view, 3, 10));
+}
+END_TEST
+
+/* The primary that executed the write must not count twice. */
+START_TEST(test_primary_counts_once)
+{
+    mr_view_t view;
+
+    mr_view_init(&view, 3);
+    report(&view, 0, log_state(true, 2, 2, 10), 1000);
+    ck_assert(!mr_view_acknowledged(&view, 2, 10));
+}
+END_TEST
+
+START_TEST(test_confirmation_needs_fresh_answers)
+{
+    mr_view_t view;
+
+    mr_view_init(&view, 3);
+    mr_log_state_t primary = log_state(true, 2, 2, 10);
+    mr_log_state_t replica = log_state(false, 2, 2, 10);
+    mr_log_state_t fenced = log_state(false, 3, 2, 10);
+    mr_view_answer(&view, 0, &primary, 1000, 1, 1000);
+    mr_view_answer(&view, 1, &replica, 1000, 2, 1000);
+    ck_assert(!mr_view_confirmed(&view, 2, 2));
+    mr_view_answer(&view, 0, &primary, 1010, 3, 1010);
+    ck_assert(!mr_view_confirmed(&view, 2, 2));
+    /* A replica that granted a higher term does not confirm. */
+    mr_view_answer(&view, 1, &fenced, 1010, 4, 1010);
+    ck_assert(!mr_view_confirmed(&view, 2, 2));
+    mr_view_answer(&view, 2, &replica, 1010, 5, 1010);
+    ck_assert(mr_view_confirmed(&view, 2, 2));
+}
+END_TEST
+
+START_TEST(test_isolated_primary_is_not_the_primary)
+{
+    mr_view_t view;
+
+    start_group(&view, 10, 1000);
+    ck_assert_uint_eq(mr_view_primary(&view, 1000), 0);
+    report(&view, 1, log_state(true, 3, 3, 11), 1100);
+    ck_assert_uint_eq(mr_view_primary(&view, 1100), 1);
+    ck_assert_int_eq(mr_view_highest_term(&view), 3);
+}
+END_TEST
+
+START_TEST(test_lost_primary_is_replaced_only_with_a_majority)
+{
+    mr_view_t view;
+
+    start_group(&view, 10, 1000);
+    ck_assert_int_eq(mr_view_verdict(&view, 1100), MR_VIEW_KEEP);
+    report(&view, 1, log_state(false, 2, 2, 10), 1350);
+    ck_assert_int_eq(mr_view_verdict(&view, 1350), MR_VIEW_KEEP);
+    report(&view, 2, log_state(false, 2, 2, 10), 1350);
+    ck_assert_int_eq(mr_view_verdict(&view, 1350), MR_VIEW_PRIMARY_LOST);
+}
+END_TEST
+
+START_TEST(test_refused_connections_shorten_suspicion)
+{
+    mr_view_t view;
+
+    start_group(&view, 10, 1000);
+    mr_view_refused(&view, 0);
+    ck_assert_int_eq(mr_view_verdict(&view, 1050), MR_VIEW_KEEP);
+    mr_view_refused(&view, 0);
+    ck_assert_int_eq(mr_view_verdict(&view, 1050), MR_VIEW_PRIMARY_LOST);
+}
+END_TEST
+
+/* A replica that lags but advances must not cause a promotion, nor a burst of
+ * writes after a quiet time. */
+START_TEST(test_stall_needs_replicas_that_stand_still)
+{
+    mr_view_t view;
+    mr_ms_t at = 1000;
+
+    start_group(&view, 10, at);
+    at += 60000;
+    report(&view, 1, log_state(false, 2, 2, 10), at);
+    report(&view, 2, log_state(false, 2, 2, 10), at);
+    report(&view, 0, log_state(true, 2, 2, 50), at);
+    ck_assert_int_eq(mr_view_verdict(&view, at), MR_VIEW_KEEP);
+    for (int64_t position = 11; position < 20; position++) {
+        at += 1000;
+        report(&view, 0, log_state(true, 2, 2, 100), at);
+        report(&view, 1, log_state(false, 2, 2, position), at);
+        report(&view, 2, log_state(false, 2, 2, 10), at);
+        ck_assert_int_eq(mr_view_verdict(&view, at), MR_VIEW_KEEP);
+    }
+    for (int i = 0; i < 4; i++) {
+        at += 1000;
+        report(&view, 0, log_state(true, 2, 2, 100), at);
+        report(&view, 1, log_state(false, 2, 2, 19), at);
+        report(&view, 2, log_state(false, 2, 2, 10), at);
+    }
+    ck_assert_int_eq(mr_view_verdict(&view, at), MR_VIEW_PRIMARY_STALLED);
+}
+END_TEST
+
+START_TEST(test_leaving_primary_waits_for_a_successor)
+{
+    mr_view_t view;
+
+    start_group(&view, 9, 1000);
+    view.targets[0].leaving = true;
+    ck_assert_int_eq(mr_view_verdict(&view, 1000), MR_VIEW_KEEP);
+    report(&view, 1, log_state(false, 2, 2, 10), 1010);
+    ck_assert_int_eq(mr_view_verdict(&view, 1010), MR_VIEW_PRIMARY_LEAVING);
+    view.targets[1].leaving = true;
+    ck_assert_int_eq(mr_view_verdict(&view, 1010), MR_VIEW_KEEP);
+}
+END_TEST
+
+START_TEST(test_age_grows_while_the_primary_is_out_of_sight)
+{
+    mr_view_t view;
+    mr_log_state_t replica = log_state(false, 2, 2, 10);
+    mr_log_state_t behind = log_state(false, 2, 2, 9);
+
+    start_group(&view, 10, 1000);
+    ck_assert_int_eq(mr_view_age(&view, &replica, 1200), 200);
+    ck_assert_int_eq(mr_view_age(&view, &behind, 1200), -1);
+    report(&view, 1, replica, 5000);
+    ck_assert_int_eq(mr_view_age(&view, &replica, 5000), 4000);
+}
+END_TEST
+
+/* An isolated old primary that a majority no longer backs must not make data
+ * look recent. */
+START_TEST(test_age_needs_a_majority_behind_the_primary)
+{
+    mr_view_t view;
+    mr_log_state_t old = log_state(true, 2, 2, 10);
+
+    start_group(&view, 10, 1000);
+    for (mr_ms_t at = 1100; at <= 3000; at += 100) {
+        report(&view, 0, old, at);
+    }
+    ck_assert_int_eq(mr_view_age(&view, &old, 3000), 2000);
+}
+END_TEST
+
+START_TEST(test_old_news_do_not_replace_newer)
+{
+    mr_view_t view;
+    mr_log_state_t old = log_state(false, 2, 2, 8);
+
+    start_group(&view, 10, 1000);
+    mr_view_answer(&view, 1, &old, 900, 0, 1010);
+    ck_assert_int_eq(view.targets[1].state.position, 10);
+    old.term = 1;
+    mr_view_answer(&view, 1, &old, 1020, 0, 1020);
+    ck_assert_int_eq(view.targets[1].state.term, 2);
+}
+END_TEST
+
+START_TEST(test_health_needs_followers)
+{
+    mr_view_t view;
+
+    start_group(&view, 10, 1000);
+    ck_assert(mr_view_healthy(&view, 1000));
+    report(&view, 0, log_state(true, 2, 2, 10), 1400);
+    ck_assert(!mr_view_healthy(&view, 1400));
+    report(&view, 2, log_state(false, 2, 2, 10), 1400);
+    ck_assert(mr_view_healthy(&view, 1400));
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("view");
+    TCase *tc = tcase_create("view");
+
+    tcase_add_test(tc, test_write_needs_one_replica);
+    tcase_add_test(tc, test_position_of_another_term_does_not_count);
+    tcase_add_test(tc, test_primary_counts_once);
+    tcase_add_test(tc, test_confirmation_needs_fresh_answers);
+    tcase_add_test(tc, test_isolated_primary_is_not_the_primary);
+    tcase_add_test(tc, test_lost_primary_is_replaced_only_with_a_majority);
+    tcase_add_test(tc, test_refused_connections_shorten_suspicion);
+    tcase_add_test(tc, test_stall_needs_replicas_that_stand_still);
+    tcase_add_test(tc, test_leaving_primary_waits_for_a_successor);
+    tcase_add_test(tc, test_age_grows_while_the_primary_is_out_of_sight);
+    tcase_add_test(tc, test_age_needs_a_majority_behind_the_primary);
+    tcase_add_test(tc, test_old_news_do_not_replace_newer);
+    tcase_add_test(tc, test_health_needs_followers);
+    suite_add_tcase(suite, tc);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
