--- /dev/null
+++ b/lib/group/pool.c
@@ -0,0 +1,524 @@
+#include "group/pool.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <stdlib.h>
+
+#include "common/list.h"
+#include "common/log.h"
+#include "common/mem.h"
+#include "group/fair.h"
+
+enum {
+    /* About what a target with few slots serves within a deadline of 2 s;
+     * beyond that a wait would only end with its deadline. */
+    ACCOUNT_WAITS_MAX = 1024,
+    /* Opening takes up to 30 ms; a target that needs longer is stalled. */
+    OPEN_TIMEOUT_MS = 1000,
+    RETRY_MIN_MS = 20,
+    RETRY_MAX_MS = 500,
+    /* How often idle connections are checked for a close by the target. */
+    CHECK_MS = 250,
+};
+
+/** A connection that no caller holds. */
+typedef struct pool_conn {
+    mr_list_t link; /* in idle or opening */
+    mr_pool_t *pool;
+    mr_target_conn_t *conn;
+} pool_conn_t;
+
+struct mr_pool_wait {
+    mr_fair_entry_t entry;
+    mr_list_t link; /* in ended */
+    mr_pool_t *pool;
+    bool queued;
+    mr_error_kind_t error;
+    mr_target_conn_t *pinned;
+    mr_ms_t since;
+    mr_pool_ready_fn_t fn;
+    void *ctx;
+};
+
+struct mr_pool {
+    mr_pool_options_t options;
+    char *target;
+    char *address;
+    mr_fair_t *fair;
+    mr_list_t ended; /* waits that only have to be called back */
+    size_t ended_count;
+    mr_list_t idle;
+    mr_list_t opening;
+    size_t idle_count;
+    size_t opening_count;
+    size_t in_use;       /* given out, with a slot or pinned */
+    size_t running;      /* slots held */
+    mr_ms_t retry_delay; /* 0: the last connection opened */
+    mr_ms_t retry_at;
+    bool closed;
+    struct event *work;     /* at once */
+    struct event *deadline; /* earliest deadline of a wait */
+    struct event *check;    /* upkeep of connections */
+    mr_counter_t *waits;
+    mr_counter_t *sheds_full;
+    mr_counter_t *sheds_deadline;
+    mr_counter_t *queue_ms;
+    mr_counter_t *opened;
+    mr_counter_t *connections_in_use;
+};
+
+static void
+set_timer(struct event *timer, mr_ms_t delay)
+{
+    struct timeval tv = mr_clock_timeval(delay);
+
+    event_add(timer, &tv);
+}
+
+/** wake() - continue in on_work(); callbacks never come from a caller's own
+ * call. */
+static void
+wake(mr_pool_t *pool)
+{
+    event_active(pool->work, EV_TIMEOUT, 1);
+}
+
+static void
+show_in_use(mr_pool_t *pool)
+{
+    mr_counter_set(pool->connections_in_use, (int64_t)pool->in_use);
+}
+
+static void
+pool_conn_free(pool_conn_t *item)
+{
+    mr_list_remove(&item->link);
+    mr_target_conn_destroy(item->conn);
+    free(item);
+}
+
+static void
+add_idle(mr_pool_t *pool, mr_target_conn_t *conn)
+{
+    pool_conn_t *item = MR_NEW(pool_conn_t);
+
+    item->pool = pool;
+    item->conn = conn;
+    mr_list_append(&pool->idle, &item->link);
+    pool->idle_count++;
+}
+
+/** take_idle() - the connection that was used last, as it is the least likely
+ * to have been closed; NULL when there is none. */
+static mr_target_conn_t *
+take_idle(mr_pool_t *pool)
+{
+    while (!mr_list_empty(&pool->idle)) {
+        pool_conn_t *item = MR_LIST_ENTRY(pool->idle.prev, pool_conn_t, link);
+        mr_target_conn_t *conn = item->conn;
+
+        mr_list_remove(&item->link);
+        free(item);
+        pool->idle_count--;
+        if (mr_target_conn_usable(conn)) {
+            return conn;
+        }
+        mr_target_conn_destroy(conn);
+    }
+    return NULL;
+}
+
+static size_t
+open_count(const mr_pool_t *pool)
+{
+    return pool->idle_count + pool->opening_count + pool->in_use;
+}
+
+static void
+note_open_result(mr_pool_t *pool, bool opened)
+{
+    if (opened && pool->retry_delay > 0) {
+        mr_log(MR_LOG_INFO, "target_connected", "target=%s", pool->target);
+    }
+    else if (!opened && pool->retry_delay == 0) {
+        mr_log(MR_LOG_WARNING, "target_connection_failed", "target=%s",
+               pool->target);
+    }
+    if (opened) {
+        pool->retry_delay = 0;
+        return;
+    }
+    pool->retry_delay =
+        CLAMP(2 * pool->retry_delay, RETRY_MIN_MS, RETRY_MAX_MS);
+    pool->retry_at = mr_clock_now(NULL) + pool->retry_delay;
+}
+
+static void
+on_opened(void *ctx, const mr_target_reply_t *reply)
+{
+    pool_conn_t *item = ctx;
+    mr_pool_t *pool = item->pool;
+    bool good = reply->error == MR_OK;
+
+    pool->opening_count--;
+    note_open_result(pool, good);
+    if (good) {
+        mr_counter_add(pool->opened, 1);
+        mr_list_remove(&item->link);
+        mr_list_append(&pool->idle, &item->link);
+        pool->idle_count++;
+    }
+    else {
+        pool_conn_free(item);
+    }
+    wake(pool);
+}
+
+/** open_one() - open a connection with a status request, so that a statement
+ * is never the first thing that is sent on it. */
+static bool
+open_one(mr_pool_t *pool)
+{
+    const mr_target_request_t request = {.operation = MR_TARGET_STATUS,
+                                         .timeout = OPEN_TIMEOUT_MS};
+    mr_target_conn_t *conn =
+        mr_target_conn_create(pool->options.base, pool->address);
+
+    if (conn == NULL) {
+        note_open_result(pool, false);
+        return false;
+    }
+    pool_conn_t *item = MR_NEW(pool_conn_t);
+    item->pool = pool;
+    item->conn = conn;
+    mr_list_append(&pool->opening, &item->link);
+    pool->opening_count++;
+    mr_target_conn_send(conn, &request, on_opened, item);
+    return true;
+}
+
+/** keep_spares() - have one free connection for each slot, so that neither a
+ * statement nor a transaction that pins one waits for an open. While opens
+ * fail, one is tried at a time. */
+static void
+keep_spares(mr_pool_t *pool)
+{
+    bool failing = pool->retry_delay > 0;
+    size_t wanted = failing ? 1 : (size_t)pool->options.slots;
+    mr_ms_t wait = pool->retry_at - mr_clock_now(NULL);
+
+    if (failing && wait > 0) {
+        set_timer(pool->check, MIN(wait, CHECK_MS));
+        return;
+    }
+    while ((failing ? pool->opening_count
+                    : pool->opening_count + pool->idle_count)
+               < wanted
+           && open_count(pool) < (size_t)pool->options.connections) {
+        if (!open_one(pool)) {
+            return;
+        }
+    }
+}
+
+/** drop_idle() - close idle connections that the target has closed, and those
+ * above the limit. */
+static void
+drop_idle(mr_pool_t *pool)
+{
+    MR_LIST_FOREACH(it, &pool->idle)
+    {
+        pool_conn_t *item = MR_LIST_ENTRY(it, pool_conn_t, link);
+
+        if (open_count(pool) > (size_t)pool->options.connections
+            || !mr_target_conn_usable(item->conn)) {
+            pool->idle_count--;
+            pool_conn_free(item);
+        }
+    }
+}
+
+static void
+on_check(evutil_socket_t fd, short what, void *ctx)
+{
+    mr_pool_t *pool = ctx;
+
+    (void)fd;
+    (void)what;
+    set_timer(pool->check, CHECK_MS);
+    drop_idle(pool);
+    keep_spares(pool);
+}
+
+/** finish() - call back and free a wait that is in no list; the pool may be
+ * gone afterwards. */
+static void
+finish(mr_pool_wait_t *wait, mr_error_kind_t error, mr_target_conn_t *conn)
+{
+    mr_pool_ready_fn_t fn = wait->fn;
+    void *ctx = wait->ctx;
+
+    if (wait->queued) {
+        mr_counter_add(wait->pool->queue_ms, mr_clock_now(NULL) - wait->since);
+    }
+    free(wait);
+    fn(ctx, error, conn);
+}
+
+static mr_pool_wait_t *
+wait_of(mr_fair_entry_t *entry)
+{
+    return entry == NULL ? NULL : MR_LIST_ENTRY(entry, mr_pool_wait_t, entry);
+}
+
+/** end_one() - call back one wait that cannot be served any more. */
+static bool
+end_one(mr_pool_t *pool)
+{
+    mr_list_t *link = mr_list_pop(&pool->ended);
+
+    if (link != NULL) {
+        mr_pool_wait_t *wait = MR_LIST_ENTRY(link, mr_pool_wait_t, link);
+
+        pool->ended_count--;
+        finish(wait, wait->error, NULL);
+        return true;
+    }
+    mr_pool_wait_t *late =
+        wait_of(mr_fair_expired(pool->fair, mr_clock_now(NULL)));
+    if (late != NULL) {
+        mr_counter_add(pool->sheds_deadline, 1);
+        finish(late, MR_ERR_DEADLINE_EXCEEDED, NULL);
+        return true;
+    }
+    return false;
+}
+
+/** serve_one() - give a slot to the wait whose turn it is. Without a free
+ * connection only waits that bring their own can be served. */
+static bool
+serve_one(mr_pool_t *pool)
+{
+    if (pool->running >= (size_t)pool->options.slots
+        || mr_fair_count(pool->fair) == 0) {
+        return false;
+    }
+    mr_target_conn_t *conn = take_idle(pool);
+    mr_pool_wait_t *wait = wait_of(mr_fair_next(pool->fair, conn == NULL));
+    if (conn != NULL && (wait == NULL || wait->pinned != NULL)) {
+        add_idle(pool, conn);
+    }
+    if (wait == NULL) {
+        return false;
+    }
+    if (wait->pinned != NULL) {
+        conn = wait->pinned;
+    }
+    else {
+        pool->in_use++;
+        show_in_use(pool);
+    }
+    pool->running++;
+    finish(wait, MR_OK, conn);
+    return true;
+}
+
+static void
+on_work(evutil_socket_t fd, short what, void *ctx)
+{
+    mr_pool_t *pool = ctx;
+    mr_ms_t next = mr_fair_deadline(pool->fair);
+
+    (void)fd;
+    (void)what;
+    keep_spares(pool);
+    if (next >= 0) {
+        set_timer(pool->deadline, next - mr_clock_now(NULL));
+    }
+    /* One callback at a time, since it may destroy the pool; the event is
+     * active again before it. */
+    wake(pool);
+    if (!end_one(pool) && !serve_one(pool)) {
+        event_del(pool->work);
+    }
+}
+
+mr_pool_t *
+mr_pool_create(const mr_pool_options_t *options)
+{
+    mr_pool_t *pool = MR_NEW(mr_pool_t);
+    mr_counters_t *counters = options->counters;
+    char *full =
+        mr_asprintf("target=\"%s\",reason=\"queue_full\"", options->target);
+    char *late =
+        mr_asprintf("target=\"%s\",reason=\"deadline\"", options->target);
+    char *labels = mr_asprintf("target=\"%s\"", options->target);
+
+    pool->options = *options;
+    pool->target = mr_strdup(options->target);
+    pool->address = mr_strdup(options->address);
+    pool->fair = mr_fair_create(ACCOUNT_WAITS_MAX);
+    mr_list_init(&pool->ended);
+    mr_list_init(&pool->idle);
+    mr_list_init(&pool->opening);
+    pool->work = event_new(options->base, -1, 0, on_work, pool);
+    pool->deadline = event_new(options->base, -1, 0, on_work, pool);
+    pool->check = event_new(options->base, -1, 0, on_check, pool);
+    pool->waits = mr_counters_get(counters, "masticrelay_pool_waits_total",
+                                  labels, "waits for a slot");
+    pool->sheds_full =
+        mr_counters_get(counters, "masticrelay_pool_sheds_total", full,
+                        "waits that ended without a slot");
+    pool->sheds_deadline =
+        mr_counters_get(counters, "masticrelay_pool_sheds_total", late,
+                        "waits that ended without a slot");
+    pool->queue_ms =
+        mr_counters_get(counters, "masticrelay_pool_queue_ms_total", labels,
+                        "time spent waiting for a slot");
+    pool->opened = mr_counters_get(counters, "masticrelay_pool_opened_total",
+                                   labels, "connections opened");
+    pool->connections_in_use =
+        mr_counters_get(counters, "masticrelay_pool_connections_in_use",
+                        labels, "connections given out");
+    set_timer(pool->check, 0);
+    free(full);
+    free(late);
+    free(labels);
+    return pool;
+}
+
+/** end_all() - call back every wait of a closed pool. */
+static void
+end_all(mr_pool_t *pool)
+{
+    mr_fair_entry_t *entry;
+    mr_list_t *link;
+
+    do {
+        while ((entry = mr_fair_expired(pool->fair, INT64_MAX)) != NULL) {
+            finish(wait_of(entry), MR_ERR_UNAVAILABLE, NULL);
+        }
+        while ((link = mr_list_pop(&pool->ended)) != NULL) {
+            mr_pool_wait_t *wait = MR_LIST_ENTRY(link, mr_pool_wait_t, link);
+
+            pool->ended_count--;
+            finish(wait, wait->error, NULL);
+        }
+    } while (mr_fair_count(pool->fair) > 0);
+}
+
+void
+mr_pool_destroy(mr_pool_t *pool)
+{
+    if (pool == NULL) {
+        return;
+    }
+    pool->closed = true;
+    end_all(pool);
+    assert(pool->in_use == 0 && pool->running == 0);
+    MR_LIST_FOREACH(it, &pool->idle)
+    {
+        pool_conn_free(MR_LIST_ENTRY(it, pool_conn_t, link));
+    }
+    MR_LIST_FOREACH(it, &pool->opening)
+    {
+        pool_conn_free(MR_LIST_ENTRY(it, pool_conn_t, link));
+    }
+    event_free(pool->work);
+    event_free(pool->deadline);
+    event_free(pool->check);
+    mr_fair_destroy(pool->fair);
+    free(pool->target);
+    free(pool->address);
+    free(pool);
+}
+
+void
+mr_pool_resize(mr_pool_t *pool, int64_t slots, int64_t connections)
+{
+    pool->options.slots = slots;
+    pool->options.connections = connections;
+    drop_idle(pool);
+    wake(pool);
+}
+
+mr_pool_wait_t *
+mr_pool_acquire(mr_pool_t *pool, const char *account, int64_t weight,
+                mr_target_conn_t *pinned, mr_ms_t deadline,
+                mr_pool_ready_fn_t fn, void *ctx)
+{
+    mr_pool_wait_t *wait = MR_NEW(mr_pool_wait_t);
+
+    wait->pool = pool;
+    wait->pinned = pinned;
+    wait->since = mr_clock_now(NULL);
+    wait->fn = fn;
+    wait->ctx = ctx;
+    mr_list_init(&wait->link);
+    mr_counter_add(pool->waits, 1);
+    wait->queued = !pool->closed
+                   && mr_fair_push(pool->fair, &wait->entry, account, weight,
+                                   pinned != NULL, deadline);
+    if (!wait->queued) {
+        wait->error = pool->closed ? MR_ERR_UNAVAILABLE : MR_ERR_OVERLOADED;
+        mr_counter_add(pool->sheds_full, pool->closed ? 0 : 1);
+        mr_list_append(&pool->ended, &wait->link);
+        pool->ended_count++;
+    }
+    wake(pool);
+    return wait;
+}
+
+void
+mr_pool_cancel(mr_pool_wait_t *wait)
+{
+    if (wait->queued) {
+        mr_fair_remove(wait->pool->fair, &wait->entry);
+    }
+    else {
+        mr_list_remove(&wait->link);
+        wait->pool->ended_count--;
+    }
+    free(wait);
+}
+
+/** take_back() - a connection is no longer given out. */
+static void
+take_back(mr_pool_t *pool, mr_target_conn_t *conn, bool reuse)
+{
+    assert(pool->in_use > 0);
+    pool->in_use--;
+    show_in_use(pool);
+    if (reuse && mr_target_conn_usable(conn)
+        && open_count(pool) < (size_t)pool->options.connections) {
+        add_idle(pool, conn);
+    }
+    else {
+        mr_target_conn_destroy(conn);
+    }
+    wake(pool);
+}
+
+void
+mr_pool_release(mr_pool_t *pool, mr_target_conn_t *conn, mr_pool_keep_t keep)
+{
+    assert(pool->running > 0);
+    pool->running--;
+    if (keep == MR_POOL_PIN) {
+        wake(pool);
+        return;
+    }
+    take_back(pool, conn, keep == MR_POOL_REUSE);
+}
+
+void
+mr_pool_unpin(mr_pool_t *pool, mr_target_conn_t *conn, bool reuse)
+{
+    take_back(pool, conn, reuse);
+}
+
+size_t
+mr_pool_running(const mr_pool_t *pool)
+{
+    return pool->running + mr_fair_count(pool->fair) + pool->ended_count;
+}
