Add the read-only commands of masticrelayctl

Cause: operators and the customer need to check, compare and watch configurations. Conclusion: not linked yet: propose, approve, veto, accept and audit wait for lib/config/change.h.

--- a/examples/calor_limpio.c
+++ b/examples/calor_limpio.c
@@ -13,8 +13,8 @@
 /* Length of an array. */
 #define COUNT_OF(array) (sizeof(array) / sizeof((array)[0]))
 
-static const char REGION[] = "cantabrico";
-static const char SERVICE[] = "servicio-db";
+static const char region[] = "cantabrico";
+static const char service[] = "servicio-db";
 
 enum {
     TARGET_SLOTS = 3,
@@ -61,10 +61,10 @@
 static void
 describe_targets(options_t *options, mr_op_t *op)
 {
-    mr_op_service(op, SERVICE);
-    mr_op_group(op, SERVICE, "servicio-db-0");
-    mr_op_group(op, SERVICE, "servicio-db-1");
-    mr_op_group(op, SERVICE, "servicio-db-2");
+    mr_op_service(op, service);
+    mr_op_group(op, service, "servicio-db-0");
+    mr_op_group(op, service, "servicio-db-1");
+    mr_op_group(op, service, "servicio-db-2");
     for (size_t i = 0; i < COUNT_OF(targets); i++) {
         mr_op_target_t target = targets[i];
         target.address = options_address(options, target.name, target.address);
@@ -78,7 +78,7 @@
     /* Visits: the answer includes what the session itself wrote. */
     mr_op_route_t visits = {
         .name = "visits",
-        .service = SERVICE,
+        .service = service,
         .freshness = MR_OP_FRESHNESS_SESSION,
         .deadline_ms = VISIT_DEADLINE_MS,
         .offline_limit_s = OFFLINE_LIMIT_S,
@@ -86,7 +86,7 @@
     /* Repair records are read before a stove is lit: the present data only. */
     mr_op_route_t repairs = {
         .name = "repairs",
-        .service = SERVICE,
+        .service = service,
         .freshness = MR_OP_FRESHNESS_PRESENT,
         .deadline_ms = VISIT_DEADLINE_MS,
         .offline_limit_s = OFFLINE_LIMIT_S,
@@ -94,7 +94,7 @@
     /* Public notices need no key. */
     mr_op_route_t notices = {
         .name = "notices",
-        .service = SERVICE,
+        .service = service,
         .open = true,
         .charged_account = "avisos",
         .freshness = MR_OP_FRESHNESS_MAX_AGE,
@@ -125,7 +125,7 @@
     }
     mr_op_t *op = mr_op_create("calor-limpio", options.version);
     for (size_t i = 0; i < COUNT_OF(data_centres); i++) {
-        mr_op_data_centre(op, data_centres[i], REGION);
+        mr_op_data_centre(op, data_centres[i], region);
     }
     describe_targets(&options, op);
     for (size_t i = 0; i < COUNT_OF(accounts); i++) {
--- a/examples/ovakoy.c
+++ b/examples/ovakoy.c
@@ -13,8 +13,8 @@
 /* Length of an array. */
 #define COUNT_OF(array) (sizeof(array) / sizeof((array)[0]))
 
-static const char REGION[] = "ic-anadolu";
-static const char SERVICE[] = "rez-db";
+static const char region[] = "ic-anadolu";
+static const char service[] = "rez-db";
 
 enum {
     TARGET_SLOTS = 2,
@@ -62,10 +62,10 @@
 static void
 describe_targets(options_t *options, mr_op_t *op)
 {
-    mr_op_service(op, SERVICE);
-    mr_op_group(op, SERVICE, "rez-db-0");
-    mr_op_group(op, SERVICE, "rez-db-1");
-    mr_op_group(op, SERVICE, "rez-db-2");
+    mr_op_service(op, service);
+    mr_op_group(op, service, "rez-db-0");
+    mr_op_group(op, service, "rez-db-1");
+    mr_op_group(op, service, "rez-db-2");
     for (size_t i = 0; i < COUNT_OF(targets); i++) {
         mr_op_target_t target = targets[i];
         target.address = options_address(options, target.name, target.address);
@@ -79,7 +79,7 @@
     /* Bookings: the answer includes what the session itself wrote. */
     mr_op_route_t bookings = {
         .name = "bookings",
-        .service = SERVICE,
+        .service = service,
         .freshness = MR_OP_FRESHNESS_SESSION,
         .deadline_ms = BOOKING_DEADLINE_MS,
         .offline_limit_s = OFFLINE_LIMIT_S,
@@ -87,7 +87,7 @@
     /* Weighbridges release a dryer only on the primary's present data. */
     mr_op_route_t dryers = {
         .name = "dryers",
-        .service = SERVICE,
+        .service = service,
         .freshness = MR_OP_FRESHNESS_PRESENT,
         .deadline_ms = BOOKING_DEADLINE_MS,
         .offline_limit_s = OFFLINE_LIMIT_S,
@@ -95,7 +95,7 @@
     /* The public board of free slots needs no key. */
     mr_op_route_t schedule = {
         .name = "schedule",
-        .service = SERVICE,
+        .service = service,
         .open = true,
         .charged_account = "pano",
         .freshness = MR_OP_FRESHNESS_MAX_AGE,
@@ -124,7 +124,7 @@
     }
     mr_op_t *op = mr_op_create("ovakoy", options.version);
     for (size_t i = 0; i < COUNT_OF(data_centres); i++) {
-        mr_op_data_centre(op, data_centres[i], REGION);
+        mr_op_data_centre(op, data_centres[i], region);
     }
     describe_targets(&options, op);
     for (size_t i = 0; i < COUNT_OF(accounts); i++) {
--- a/lib/config/approval.c
+++ b/lib/config/approval.c
@@ -12,7 +12,7 @@
 
 /* The first line separates approvals from anything else that the same key may
  * sign, and names the form of the message. */
-static const char MESSAGE_DOMAIN[] = "masticrelay approval 1\n";
+static const char message_domain[] = "masticrelay approval 1\n";
 
 /* Writes what is signed; returns its length, 0 when the input is invalid. */
 static size_t
@@ -23,7 +23,7 @@
         return 0;
     }
     int len = snprintf(message, MESSAGE_MAX, "%s%" PRId64 "\n%s",
-                       MESSAGE_DOMAIN, version, hash);
+                       message_domain, version, hash);
     return len > 0 && len < MESSAGE_MAX ? (size_t)len : 0;
 }
 
--- a/lib/config/key.c
+++ b/lib/config/key.c
@@ -7,7 +7,7 @@
 
 enum { HASH_KEY_BYTES = 16 };
 
-static const char KEY_PREFIX[] = "mrk.";
+static const char key_prefix[] = "mrk.";
 
 static bool
 valid_characters(const char *text, size_t len)
@@ -34,14 +34,14 @@
 bool
 mr_key_parse(const char *text, size_t len, mr_key_t *key)
 {
-    const size_t prefix_len = sizeof(KEY_PREFIX) - 1;
+    const size_t prefix_len = sizeof(key_prefix) - 1;
 
     memset(key, 0, sizeof(*key));
     if (len < prefix_len + 1 + 1 + MR_KEY_SECRET_TEXT
         || len >= MR_KEY_TEXT_MAX) {
         return false;
     }
-    if (memcmp(text, KEY_PREFIX, prefix_len) != 0) {
+    if (memcmp(text, key_prefix, prefix_len) != 0) {
         return false;
     }
     const char *id = text + prefix_len;
@@ -99,7 +99,7 @@
     sodium_bin2base64(key.secret, sizeof(key.secret), secret, sizeof(secret),
                       sodium_base64_VARIANT_URLSAFE_NO_PADDING);
     mr_key_hash(&key, hash);
-    snprintf(text, MR_KEY_TEXT_MAX, "%s%s.%s", KEY_PREFIX, key.id, key.secret);
+    snprintf(text, MR_KEY_TEXT_MAX, "%s%s.%s", key_prefix, key.id, key.secret);
     sodium_memzero(secret, sizeof(secret));
     sodium_memzero(&key, sizeof(key));
     return true;
--- /dev/null
+++ b/programs/masticrelayctl_fetch.c
@@ -0,0 +1,255 @@
+/* Reads from the platform and from the daemons' admin listeners. */
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/address.h"
+#include "common/json.h"
+#include "common/mem.h"
+#include "masticrelayctl.h"
+
+enum {
+    STATUS_MAX_BYTES = 64 << 20,
+    STATUS_UNAUTHORIZED = 401, /* libevent has no names for these two */
+    STATUS_FORBIDDEN = 403,
+};
+
+mr_platform_t *
+ctl_platform(ctl_t *ctl)
+{
+    const char *address = ctl->set.platform_address;
+    struct sockaddr_storage addr;
+    int len;
+
+    if (ctl->platform != NULL) {
+        return ctl->platform;
+    }
+    if (address == NULL) {
+        ctl_fail(ctl, CTL_USAGE,
+                 "--platform or MASTICRELAY_PLATFORM is needed");
+        return NULL;
+    }
+    if (!mr_address_parse(address, &addr, &len)) {
+        ctl_fail(ctl, CTL_USAGE, "--platform '%s' is not IP:port", address);
+        return NULL;
+    }
+    const mr_platform_options_t options = {.base = ctl->base,
+                                           .counters = ctl->counters,
+                                           .address = address,
+                                           .timeout = ctl->set.timeout_ms};
+    ctl->platform = mr_platform_create(&options);
+    return ctl->platform;
+}
+
+void
+ctl_run_until(ctl_t *ctl, const bool *done)
+{
+    while (!*done) {
+        event_base_loop(ctl->base, EVLOOP_ONCE);
+    }
+}
+
+/** One read that the loop runs for. */
+typedef struct fetch {
+    bool done;
+    mr_error_kind_t error;
+    json_t *value;
+    char *data;
+    size_t len;
+} fetch_t;
+
+static void
+on_row(void *ctx, mr_error_kind_t error, int64_t revision, json_t *value)
+{
+    fetch_t *fetch = ctx;
+
+    (void)revision;
+    fetch->done = true;
+    fetch->error = error;
+    fetch->value = json_incref(value);
+}
+
+static void
+on_json(void *ctx, mr_error_kind_t error, json_t *value)
+{
+    on_row(ctx, error, 0, value);
+}
+
+static void
+on_object(void *ctx, mr_error_kind_t error, const void *data, size_t len)
+{
+    fetch_t *fetch = ctx;
+
+    fetch->done = true;
+    fetch->error = error;
+    if (error == MR_OK) {
+        fetch->data = mr_memdup(data, len);
+        fetch->len = len;
+    }
+}
+
+/* Ends a read of JSON; an answer without a value counts as none. */
+static mr_error_kind_t
+finish_json(ctl_t *ctl, fetch_t *fetch, json_t **value)
+{
+    ctl_run_until(ctl, &fetch->done);
+    if (fetch->error != MR_OK || fetch->value == NULL) {
+        json_decref(fetch->value);
+        return fetch->error != MR_OK ? fetch->error : MR_ERR_INTERNAL;
+    }
+    *value = fetch->value;
+    return MR_OK;
+}
+
+mr_error_kind_t
+ctl_row(ctl_t *ctl, const char *row, json_t **value)
+{
+    fetch_t fetch = {0};
+
+    mr_platform_row_get(ctl->platform, row, on_row, &fetch);
+    return finish_json(ctl, &fetch, value);
+}
+
+mr_error_kind_t
+ctl_rows(ctl_t *ctl, const char *prefix, json_t **rows)
+{
+    fetch_t fetch = {0};
+
+    mr_platform_rows(ctl->platform, prefix, on_json, &fetch);
+    return finish_json(ctl, &fetch, rows);
+}
+
+mr_error_kind_t
+ctl_objects(ctl_t *ctl, const char *prefix, json_t **names)
+{
+    fetch_t fetch = {0};
+
+    mr_platform_objects(ctl->platform, prefix, on_json, &fetch);
+    return finish_json(ctl, &fetch, names);
+}
+
+mr_error_kind_t
+ctl_instances(ctl_t *ctl, json_t **instances)
+{
+    fetch_t fetch = {0};
+
+    mr_platform_instances(ctl->platform, on_json, &fetch);
+    return finish_json(ctl, &fetch, instances);
+}
+
+mr_error_kind_t
+ctl_object(ctl_t *ctl, const char *name, char **data, size_t *len)
+{
+    fetch_t fetch = {0};
+
+    mr_platform_object_get(ctl->platform, name, on_object, &fetch);
+    ctl_run_until(ctl, &fetch.done);
+    *data = fetch.data;
+    *len = fetch.len;
+    return fetch.error;
+}
+
+/** GET /status at one admin listener. */
+typedef struct admin_call {
+    bool done;
+    struct evhttp_connection *conn;
+    json_t *item;
+} admin_call_t;
+
+static void
+set_error(admin_call_t *call, const char *text)
+{
+    json_object_set_new(call->item, "error", json_string(text));
+}
+
+static void
+on_status(struct evhttp_request *req, void *ctx)
+{
+    admin_call_t *call = ctx;
+    mr_json_problem_t problem = {""};
+
+    call->done = true;
+    if (req == NULL || evhttp_request_get_response_code(req) == 0) {
+        set_error(call, "unreachable");
+        return;
+    }
+    int code = evhttp_request_get_response_code(req);
+    if (code != HTTP_OK) {
+        char *text = code == STATUS_UNAUTHORIZED || code == STATUS_FORBIDDEN
+                         ? g_strdup("operator credential refused")
+                         : g_strdup_printf("HTTP status %d", code);
+        set_error(call, text);
+        g_free(text);
+        return;
+    }
+    struct evbuffer *in = evhttp_request_get_input_buffer(req);
+    size_t len = evbuffer_get_length(in);
+    json_t *status = mr_json_parse(evbuffer_pullup(in, -1), len, &problem);
+    if (json_is_object(status)) {
+        json_object_set(call->item, "status", status);
+    }
+    else {
+        set_error(call, "malformed answer");
+    }
+    json_decref(status);
+}
+
+static void
+start_admin_call(ctl_t *ctl, const char *address, admin_call_t *call)
+{
+    char ip[MR_ADDRESS_MAX_BYTES];
+    int port;
+
+    call->item = json_pack("{s:s}", "address", address);
+    if (!mr_address_split(address, ip, &port)) {
+        set_error(call, "not IP:port");
+        call->done = true;
+        return;
+    }
+    call->conn =
+        evhttp_connection_base_new(ctl->base, NULL, ip, (unsigned short)port);
+    struct timeval timeout = mr_clock_timeval(ctl->set.timeout_ms);
+    evhttp_connection_set_timeout_tv(call->conn, &timeout);
+    evhttp_connection_set_max_body_size(call->conn, STATUS_MAX_BYTES);
+    struct evhttp_request *req = evhttp_request_new(on_status, call);
+    struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+    evhttp_add_header(headers, "Host", address);
+    evhttp_add_header(headers, "Connection", "close");
+    if (ctl->set.credential != NULL) {
+        char *value = g_strdup_printf("Bearer %s", ctl->set.credential);
+        evhttp_add_header(headers, "Authorization", value);
+        g_free(value);
+    }
+    if (evhttp_make_request(call->conn, req, EVHTTP_REQ_GET, "/status") != 0
+        && !call->done) {
+        set_error(call, "unreachable");
+        call->done = true;
+    }
+}
+
+json_t *
+ctl_admin_status(ctl_t *ctl)
+{
+    char **admins = ctl->set.admins;
+    size_t count = admins != NULL ? g_strv_length(admins) : 0;
+    admin_call_t *calls = mr_calloc(count, sizeof(*calls));
+    json_t *list = json_array();
+
+    for (size_t i = 0; i < count; i++) {
+        start_admin_call(ctl, admins[i], &calls[i]);
+    }
+    for (size_t i = 0; i < count; i++) {
+        ctl_run_until(ctl, &calls[i].done);
+        json_array_append_new(list, calls[i].item);
+    }
+    for (size_t i = 0; i < count; i++) {
+        if (calls[i].conn != NULL) {
+            evhttp_connection_free(calls[i].conn);
+        }
+    }
+    free(calls);
+    return list;
+}
--- /dev/null
+++ b/programs/masticrelayctl_options.c
@@ -0,0 +1,166 @@
+/* Settings of the control program: flags, and environment variables for those
+ * that are not given. */
+
+#include <string.h>
+
+#include "masticrelayctl.h"
+
+enum { DEFAULT_TIMEOUT_MS = 5000, LONGEST_TIMEOUT_MS = 600000 };
+
+static char *
+from_environment(const char *name)
+{
+    const char *value = g_getenv(name);
+
+    return value != NULL && value[0] != '\0' ? g_strdup(value) : NULL;
+}
+
+void
+ctl_defaults(ctl_t *ctl)
+{
+    const char *admins = g_getenv("MASTICRELAY_ADMIN");
+    const char *timeout = g_getenv("MASTICRELAY_TIMEOUT_MS");
+    const char *json = g_getenv("MASTICRELAY_JSON");
+
+    ctl->set.platform_address = from_environment("MASTICRELAY_PLATFORM");
+    ctl->set.credential = from_environment("MASTICRELAY_OPERATOR_CREDENTIAL");
+    ctl->set.approver_key = from_environment("MASTICRELAY_APPROVER_KEY");
+    ctl->set.operator_name = from_environment("MASTICRELAY_OPERATOR");
+    if (ctl->set.operator_name == NULL) {
+        ctl->set.operator_name = g_strdup(g_get_user_name());
+    }
+    if (admins != NULL && admins[0] != '\0') {
+        ctl->set.admins = g_strsplit(admins, ",", -1);
+    }
+    ctl->set.timeout_ms = timeout != NULL ? g_ascii_strtoll(timeout, NULL, 10)
+                                          : DEFAULT_TIMEOUT_MS;
+    ctl->set.json = json != NULL && strcmp(json, "1") == 0;
+}
+
+GOptionGroup *
+ctl_common_options(ctl_t *ctl)
+{
+    const GOptionEntry entries[] = {
+        {"platform", 0, 0, G_OPTION_ARG_STRING, &ctl->given.platform_address,
+         "Address of the platform", "IP:port"},
+        {"admin", 0, 0, G_OPTION_ARG_STRING_ARRAY, &ctl->given.admins,
+         "Admin listener of a daemon; may be repeated", "IP:port"},
+        {"operator-credential", 0, 0, G_OPTION_ARG_STRING,
+         &ctl->given.credential, "Credential for the admin listeners", "TEXT"},
+        {"approver-key", 0, 0, G_OPTION_ARG_FILENAME, &ctl->given.approver_key,
+         "The customer's secret key, for approve and veto", "FILE"},
+        {"operator", 0, 0, G_OPTION_ARG_STRING, &ctl->given.operator_name,
+         "Name for the audit records (the user's name)", "NAME"},
+        {"timeout-ms", 0, 0, G_OPTION_ARG_INT64, &ctl->given.timeout_ms,
+         "Longest time for one call (5000)", "N"},
+        {"json", 0, 0, G_OPTION_ARG_NONE, &ctl->given.json, "Print JSON",
+         NULL},
+        G_OPTION_ENTRY_NULL,
+    };
+    GOptionGroup *group =
+        g_option_group_new("common", "Settings:", "Settings", NULL, NULL);
+
+    g_option_group_add_entries(group, entries);
+    return group;
+}
+
+void
+ctl_settings_release(ctl_settings_t *settings)
+{
+    g_free(settings->platform_address);
+    g_strfreev(settings->admins);
+    g_free(settings->credential);
+    g_free(settings->approver_key);
+    g_free(settings->operator_name);
+    memset(settings, 0, sizeof(*settings));
+}
+
+static void
+replace_text(char **set, char **given)
+{
+    if (*given != NULL) {
+        g_free(*set);
+        *set = *given;
+        *given = NULL;
+    }
+}
+
+void
+ctl_take_given(ctl_t *ctl)
+{
+    ctl_settings_t *set = &ctl->set;
+    ctl_settings_t *given = &ctl->given;
+
+    replace_text(&set->platform_address, &given->platform_address);
+    replace_text(&set->credential, &given->credential);
+    replace_text(&set->approver_key, &given->approver_key);
+    replace_text(&set->operator_name, &given->operator_name);
+    if (given->admins != NULL) {
+        g_strfreev(set->admins);
+        set->admins = given->admins;
+        given->admins = NULL;
+    }
+    if (given->timeout_ms != 0) {
+        set->timeout_ms = given->timeout_ms;
+    }
+    set->json = set->json || given->json;
+}
+
+static bool
+check_common(const ctl_t *ctl)
+{
+    if (ctl->set.timeout_ms < 1 || ctl->set.timeout_ms > LONGEST_TIMEOUT_MS) {
+        ctl_fail(ctl, CTL_USAGE, "--timeout-ms must be 1 to %d",
+                 LONGEST_TIMEOUT_MS);
+        return false;
+    }
+    return true;
+}
+
+bool
+ctl_parse(ctl_t *ctl, const ctl_command_t *command,
+          const GOptionEntry *entries, int *argc, char ***argv)
+{
+    GError *error = NULL;
+    char *usage =
+        g_strdup_printf("%s - %s", command->arguments, command->summary);
+    GOptionContext *context = g_option_context_new(usage);
+    char *program = g_strdup_printf("masticrelayctl %s", command->name);
+    char *old_program = g_strdup(g_get_prgname());
+
+    /* GLib prints the program's name in front of the usage line. */
+    g_set_prgname(program);
+    g_option_context_set_main_group(context, ctl_common_options(ctl));
+    if (entries != NULL) {
+        g_option_context_add_main_entries(context, entries, NULL);
+    }
+    bool read = g_option_context_parse(context, argc, argv, &error);
+    g_set_prgname(old_program);
+    g_option_context_free(context);
+    g_free(old_program);
+    g_free(program);
+    g_free(usage);
+    (*argc)--;
+    (*argv)++;
+    ctl_take_given(ctl);
+    if (!read) {
+        ctl_fail(ctl, CTL_USAGE, "%s: %s", command->name, error->message);
+        g_error_free(error);
+        return false;
+    }
+    if (*argc > 0 && strcmp((*argv)[0], "--") == 0) {
+        (*argc)--;
+        (*argv)++;
+    }
+    if (*argc < command->min_arguments) {
+        ctl_fail(ctl, CTL_USAGE, "%s: missing argument; expected %s",
+                 command->name, command->arguments);
+        return false;
+    }
+    if (*argc > command->max_arguments) {
+        ctl_fail(ctl, CTL_USAGE, "%s: unexpected argument '%s'", command->name,
+                 (*argv)[command->max_arguments]);
+        return false;
+    }
+    return check_common(ctl);
+}
--- /dev/null
+++ b/programs/masticrelayctl_output.c
@@ -0,0 +1,163 @@
+/* Output of the control program: tables for people, JSON for programs. */
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/json.h"
+#include "common/mem.h"
+#include "masticrelayctl.h"
+
+ctl_status_t
+ctl_error_status(mr_error_kind_t error)
+{
+    switch (error) {
+    case MR_OK:
+        return CTL_DONE;
+    case MR_ERR_CONFLICT:
+        return CTL_CONFLICT;
+    case MR_ERR_NOT_FOUND:
+        return CTL_NOT_FOUND;
+    case MR_ERR_UNAVAILABLE:
+    case MR_ERR_DEADLINE_EXCEEDED:
+    case MR_ERR_OUTCOME_UNKNOWN:
+        return CTL_UNAVAILABLE;
+    default:
+        return CTL_FAILED;
+    }
+}
+
+static const char *
+status_name(ctl_status_t status)
+{
+    switch (status) {
+    case CTL_DONE:
+        return "done";
+    case CTL_FAILED:
+        return "failed";
+    case CTL_USAGE:
+        return "usage";
+    case CTL_CONFLICT:
+        return "conflict";
+    case CTL_NOT_FOUND:
+        return "not_found";
+    case CTL_UNAVAILABLE:
+        break;
+    }
+    return "unavailable";
+}
+
+/* Replaces control characters but newlines, so that no value from a file or
+ * the network can rewrite the terminal. */
+static void
+write_clean(FILE *file, const char *text)
+{
+    for (const char *p = text; *p != '\0'; p++) {
+        unsigned char c = (unsigned char)*p;
+        bool control = (c < 0x20 && c != '\n') || c == 0x7f;
+        fputc(control ? '?' : c, file);
+    }
+}
+
+ctl_status_t
+ctl_fail(const ctl_t *ctl, ctl_status_t status, const char *fmt, ...)
+{
+    va_list args;
+
+    va_start(args, fmt);
+    char *text = g_strdup_vprintf(fmt, args);
+    va_end(args);
+    if (ctl->set.json) {
+        json_t *error =
+            json_pack("{s:{s:i,s:s,s:s?}}", "error", "status", (int)status,
+                      "kind", status_name(status), "message", text);
+        char *line = mr_json_canonical(error);
+        fprintf(stderr, "%s\n", line != NULL ? line : "{}");
+        free(line);
+        json_decref(error);
+    }
+    else {
+        fputs("masticrelayctl: ", stderr);
+        write_clean(stderr, text);
+        fputc('\n', stderr);
+    }
+    g_free(text);
+    return status;
+}
+
+void
+ctl_print_json(const json_t *value)
+{
+    char *text = mr_json_canonical(value);
+
+    printf("%s\n", text != NULL ? text : "null");
+    free(text);
+}
+
+void
+ctl_print_text(const char *text)
+{
+    write_clean(stdout, text);
+}
+
+static char *
+cell_text(const json_t *value)
+{
+    if (value == NULL || json_is_null(value)) {
+        return g_strdup("-");
+    }
+    if (json_is_string(value)) {
+        return g_strdup(json_string_value(value));
+    }
+    if (json_is_boolean(value)) {
+        return g_strdup(json_is_true(value) ? "yes" : "no");
+    }
+    char *text = mr_json_canonical(value);
+    char *copy = g_strdup(text != NULL ? text : "-");
+    free(text);
+    return copy;
+}
+
+static void
+print_cell(const char *text, glong width, bool last)
+{
+    ctl_print_text(text);
+    if (last) {
+        putchar('\n');
+        return;
+    }
+    for (glong i = g_utf8_strlen(text, -1); i < width + 2; i++) {
+        putchar(' ');
+    }
+}
+
+void
+ctl_print_table(const json_t *rows, const ctl_column_t *columns, size_t count)
+{
+    glong *widths = mr_calloc(count, sizeof(*widths));
+    size_t index;
+    json_t *row;
+
+    for (size_t c = 0; c < count; c++) {
+        widths[c] = g_utf8_strlen(columns[c].title, -1);
+        json_array_foreach(rows, index, row)
+        {
+            char *text = cell_text(json_object_get(row, columns[c].field));
+            widths[c] = MAX(widths[c], g_utf8_strlen(text, -1));
+            g_free(text);
+        }
+    }
+    for (size_t c = 0; c < count; c++) {
+        print_cell(columns[c].title, widths[c], c + 1 == count);
+    }
+    json_array_foreach(rows, index, row)
+    {
+        for (size_t c = 0; c < count; c++) {
+            char *text = cell_text(json_object_get(row, columns[c].field));
+            print_cell(text, widths[c], c + 1 == count);
+            g_free(text);
+        }
+    }
+    free(widths);
+}
--- /dev/null
+++ b/programs/masticrelayctl_status.c
@@ -0,0 +1,433 @@
+/* Commands that show the fleet's state: status, groups, accounts, instances.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "masticrelayctl.h"
+
+#define COUNT_OF(array) (sizeof(array) / sizeof((array)[0]))
+
+static json_t *
+status_of(const json_t *answer)
+{
+    return json_object_get(answer, "status");
+}
+
+/* Copies @field of @from to @to; absent fields stay absent. */
+static void
+copy_field(json_t *to, const char *as, const json_t *from, const char *field)
+{
+    json_t *value = json_object_get(from, field);
+
+    if (value != NULL) {
+        json_object_set(to, as, value);
+    }
+}
+
+/* Reports listeners without an answer; they make the command fail. */
+static ctl_status_t
+report_admin_errors(const ctl_t *ctl, const json_t *answers)
+{
+    ctl_status_t status = CTL_DONE;
+    size_t index;
+    json_t *answer;
+
+    json_array_foreach(answers, index, answer)
+    {
+        const char *error =
+            json_string_value(json_object_get(answer, "error"));
+        if (error != NULL) {
+            status = ctl_fail(
+                ctl, CTL_UNAVAILABLE, "%s: %s",
+                json_string_value(json_object_get(answer, "address")), error);
+        }
+    }
+    return status;
+}
+
+/* ----------------------------------------------------------------- status */
+
+static json_t *
+instance_rows(const json_t *answers)
+{
+    json_t *rows = json_array();
+    size_t index;
+    json_t *answer;
+
+    json_array_foreach(answers, index, answer)
+    {
+        const json_t *status = status_of(answer);
+        const json_t *config = json_object_get(status, "config");
+        json_t *row = json_object();
+        copy_field(row, "address", answer, "address");
+        copy_field(row, "error", answer, "error");
+        copy_field(row, "instance", status, "instance");
+        copy_field(row, "data_centre", status, "data_centre");
+        copy_field(row, "incarnation", status, "incarnation");
+        copy_field(row, "version", json_object_get(config, "current"),
+                   "version");
+        copy_field(row, "staged_version", json_object_get(config, "staged"),
+                   "version");
+        copy_field(row, "contact_age_ms", config, "contact_age_ms");
+        json_array_append_new(rows, row);
+    }
+    return rows;
+}
+
+static json_t *
+find_row(const json_t *rows, const char *field, const char *name)
+{
+    size_t index;
+    json_t *row;
+
+    json_array_foreach(rows, index, row)
+    {
+        const char *value = json_string_value(json_object_get(row, field));
+        if (value != NULL && strcmp(value, name) == 0) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
+static json_t *
+data_centre_row(json_t *rows, const char *name)
+{
+    json_t *row = find_row(rows, "data_centre", name);
+
+    if (row == NULL) {
+        row = json_pack("{s:s}", "data_centre", name);
+        json_array_append_new(rows, row);
+    }
+    return row;
+}
+
+/* Adds a data centre's lowest and highest version in force. */
+static void
+merge_versions(json_t *rows, const json_t *instances)
+{
+    size_t index;
+    json_t *instance;
+
+    json_array_foreach(instances, index, instance)
+    {
+        const char *name =
+            json_string_value(json_object_get(instance, "data_centre"));
+        const json_t *version = json_object_get(instance, "version");
+        if (name == NULL || !json_is_integer(version)) {
+            continue;
+        }
+        json_int_t number = json_integer_value(version);
+        json_t *row = data_centre_row(rows, name);
+        const json_t *low = json_object_get(row, "lowest_version");
+        const json_t *high = json_object_get(row, "highest_version");
+        if (low == NULL || number < json_integer_value(low)) {
+            json_object_set_new(row, "lowest_version", json_integer(number));
+        }
+        if (high == NULL || number > json_integer_value(high)) {
+            json_object_set_new(row, "highest_version", json_integer(number));
+        }
+    }
+}
+
+static void
+merge_confirmations(json_t *rows, const json_t *confirms)
+{
+    const char prefix[] = "config/confirm/";
+    size_t index;
+    json_t *confirm;
+
+    json_array_foreach(confirms, index, confirm)
+    {
+        const char *name = json_string_value(json_object_get(confirm, "row"));
+        const json_t *value = json_object_get(confirm, "value");
+        if (name == NULL || strncmp(name, prefix, strlen(prefix)) != 0) {
+            continue;
+        }
+        json_t *row = data_centre_row(rows, name + strlen(prefix));
+        copy_field(row, "confirmed_version", value, "version");
+        copy_field(row, "confirmed_hash", value, "hash");
+    }
+}
+
+static void
+add_configured_data_centres(ctl_t *ctl, json_t *rows)
+{
+    mr_config_t *config = NULL;
+
+    if (ctl_load(ctl, "head", &config) != CTL_DONE) {
+        return;
+    }
+    for (size_t i = 0; i < config->data_centre_count; i++) {
+        data_centre_row(rows, config->data_centres[i].name);
+    }
+    mr_config_unref(config);
+}
+
+/* Adds the rows of the platform to @result. */
+static mr_error_kind_t
+add_platform_status(ctl_t *ctl, json_t *result, json_t *data_centres)
+{
+    json_t *head = NULL;
+    json_t *staged = NULL;
+    json_t *confirms = NULL;
+    mr_error_kind_t error = ctl_row(ctl, "config/head", &head);
+
+    if (error == MR_OK) {
+        add_configured_data_centres(ctl, data_centres);
+    }
+    if (error == MR_OK || error == MR_ERR_NOT_FOUND) {
+        error = ctl_row(ctl, "config/staged", &staged);
+    }
+    if (error == MR_OK || error == MR_ERR_NOT_FOUND) {
+        error = ctl_rows(ctl, "config/confirm/", &confirms);
+    }
+    if (error == MR_OK) {
+        merge_confirmations(data_centres, confirms);
+    }
+    json_object_set_new(result, "head", head != NULL ? head : json_null());
+    json_object_set_new(result, "staged",
+                        staged != NULL ? staged : json_null());
+    json_decref(confirms);
+    return error;
+}
+
+static void
+print_version(const char *title, const json_t *row)
+{
+    const json_t *version = json_object_get(row, "version");
+
+    if (!json_is_integer(version)) {
+        printf("%s -\n", title);
+        return;
+    }
+    printf("%s version %" JSON_INTEGER_FORMAT, title,
+           json_integer_value(version));
+    static const char *const fields[] = {"state", "proposer", "hash"};
+    for (size_t i = 0; i < COUNT_OF(fields); i++) {
+        const char *text = json_string_value(json_object_get(row, fields[i]));
+        if (text != NULL) {
+            printf("  %s ", fields[i]);
+            ctl_print_text(text);
+        }
+    }
+    putchar('\n');
+}
+
+static void
+print_status(const json_t *result)
+{
+    static const ctl_column_t centre_columns[] = {
+        {"DATA CENTRE", "data_centre"},
+        {"CONFIRMED", "confirmed_version"},
+        {"LOWEST IN FORCE", "lowest_version"},
+        {"HIGHEST IN FORCE", "highest_version"},
+    };
+    static const ctl_column_t instance_columns[] = {
+        {"INSTANCE", "instance"},
+        {"DATA CENTRE", "data_centre"},
+        {"IN FORCE", "version"},
+        {"STAGED", "staged_version"},
+        {"STORE AGE MS", "contact_age_ms"},
+        {"INCARNATION", "incarnation"},
+        {"ADDRESS", "address"},
+        {"ERROR", "error"},
+    };
+    const json_t *instances = json_object_get(result, "instances");
+
+    print_version("In force:", json_object_get(result, "head"));
+    print_version("Staged:  ", json_object_get(result, "staged"));
+    putchar('\n');
+    ctl_print_table(json_object_get(result, "data_centres"), centre_columns,
+                    COUNT_OF(centre_columns));
+    if (json_array_size(instances) > 0) {
+        putchar('\n');
+        ctl_print_table(instances, instance_columns,
+                        COUNT_OF(instance_columns));
+    }
+}
+
+ctl_status_t
+ctl_show_status(CTL_PARAMETERS)
+{
+    ctl_status_t status = CTL_DONE;
+
+    if (!ctl_parse(ctl, command, NULL, &argc, &argv)) {
+        return CTL_USAGE;
+    }
+    bool asks_platform = ctl->set.platform_address != NULL;
+    if (!asks_platform && ctl->set.admins == NULL) {
+        return ctl_fail(ctl, CTL_USAGE, "--platform or --admin is needed");
+    }
+    if (asks_platform && ctl_platform(ctl) == NULL) {
+        return CTL_USAGE;
+    }
+    json_t *answers = ctl_admin_status(ctl);
+    json_t *instances = instance_rows(answers);
+    json_t *data_centres = json_array();
+    json_t *result = json_object();
+    if (asks_platform) {
+        mr_error_kind_t error = add_platform_status(ctl, result, data_centres);
+        if (error != MR_OK) {
+            status = ctl_fail(ctl, ctl_error_status(error), "platform: %s",
+                              mr_error_name(error));
+        }
+    }
+    merge_versions(data_centres, instances);
+    json_object_set_new(result, "data_centres", data_centres);
+    json_object_set_new(result, "instances", instances);
+    if (ctl->set.json) {
+        ctl_print_json(result);
+    }
+    else {
+        print_status(result);
+    }
+    ctl_status_t admin_status = report_admin_errors(ctl, answers);
+    json_decref(answers);
+    json_decref(result);
+    return status != CTL_DONE ? status : admin_status;
+}
+
+/* ----------------------------------------------------- groups and accounts */
+
+typedef void (*add_rows_fn_t)(json_t *rows, const json_t *status);
+
+/* Prints the rows that each instance's status gives. */
+static ctl_status_t
+show_admin_rows(ctl_t *ctl, add_rows_fn_t add_rows,
+                const ctl_column_t *columns, size_t count)
+{
+    size_t index;
+    json_t *answer;
+
+    if (ctl->set.admins == NULL) {
+        return ctl_fail(ctl, CTL_USAGE,
+                        "--admin or MASTICRELAY_ADMIN is needed");
+    }
+    json_t *answers = ctl_admin_status(ctl);
+    json_t *rows = json_array();
+    json_array_foreach(answers, index, answer)
+    {
+        if (status_of(answer) != NULL) {
+            add_rows(rows, status_of(answer));
+        }
+    }
+    if (ctl->set.json) {
+        ctl_print_json(rows);
+    }
+    else {
+        ctl_print_table(rows, columns, count);
+    }
+    ctl_status_t status = report_admin_errors(ctl, answers);
+    json_decref(rows);
+    json_decref(answers);
+    return status;
+}
+
+static void
+add_group_rows(json_t *rows, const json_t *status)
+{
+    size_t group_index;
+    size_t target_index;
+    json_t *group;
+    json_t *target;
+
+    json_array_foreach(json_object_get(status, "groups"), group_index, group)
+    {
+        json_t *targets = json_object_get(group, "targets");
+        json_array_foreach(targets, target_index, target)
+        {
+            json_t *row =
+                json_is_object(target) ? json_copy(target) : json_object();
+            copy_field(row, "target", target, "name");
+            json_object_del(row, "name");
+            copy_field(row, "instance", status, "instance");
+            copy_field(row, "group", group, "name");
+            copy_field(row, "primary", group, "primary");
+            copy_field(row, "group_term", group, "term");
+            json_array_append_new(rows, row);
+        }
+    }
+}
+
+ctl_status_t
+ctl_show_groups(CTL_PARAMETERS)
+{
+    static const ctl_column_t columns[] = {
+        {"INSTANCE", "instance"},   {"GROUP", "group"},
+        {"PRIMARY", "primary"},     {"GROUP TERM", "group_term"},
+        {"TARGET", "target"},       {"OWNER", "owner"},
+        {"ROLE", "role"},           {"TERM", "term"},
+        {"LAST TERM", "last_term"}, {"POSITION", "position"},
+        {"LAG MS", "lag_ms"},       {"REACHABLE", "reachable"},
+    };
+
+    if (!ctl_parse(ctl, command, NULL, &argc, &argv)) {
+        return CTL_USAGE;
+    }
+    return show_admin_rows(ctl, add_group_rows, columns, COUNT_OF(columns));
+}
+
+static void
+add_account_rows(json_t *rows, const json_t *status)
+{
+    size_t index;
+    json_t *account;
+
+    json_array_foreach(json_object_get(status, "accounts"), index, account)
+    {
+        json_t *row =
+            json_is_object(account) ? json_copy(account) : json_object();
+        copy_field(row, "account", account, "name");
+        json_object_del(row, "name");
+        copy_field(row, "instance", status, "instance");
+        json_array_append_new(rows, row);
+    }
+}
+
+ctl_status_t
+ctl_show_accounts(CTL_PARAMETERS)
+{
+    static const ctl_column_t columns[] = {
+        {"INSTANCE", "instance"}, {"ACCOUNT", "account"},
+        {"RATE", "rate"},         {"SHARE", "share"},
+        {"ADMITTED", "admitted"}, {"REFUSED", "refused"},
+    };
+
+    if (!ctl_parse(ctl, command, NULL, &argc, &argv)) {
+        return CTL_USAGE;
+    }
+    return show_admin_rows(ctl, add_account_rows, columns, COUNT_OF(columns));
+}
+
+ctl_status_t
+ctl_show_instances(CTL_PARAMETERS)
+{
+    static const ctl_column_t columns[] = {
+        {"NAME", "name"},
+        {"KIND", "kind"},
+        {"DATA CENTRE", "data_centre"},
+        {"STATE", "state"},
+        {"ADDRESS", "address"},
+    };
+    json_t *instances = NULL;
+
+    if (!ctl_parse(ctl, command, NULL, &argc, &argv)
+        || ctl_platform(ctl) == NULL) {
+        return CTL_USAGE;
+    }
+    mr_error_kind_t error = ctl_instances(ctl, &instances);
+    if (error != MR_OK) {
+        return ctl_fail(ctl, ctl_error_status(error), "platform: %s",
+                        mr_error_name(error));
+    }
+    if (ctl->set.json) {
+        ctl_print_json(instances);
+    }
+    else {
+        ctl_print_table(instances, columns, COUNT_OF(columns));
+    }
+    json_decref(instances);
+    return CTL_DONE;
+}
