--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 INTEGRATION := $(patsubst tests/integration/%.c,%,$(wildcard tests/integration/test_*.c))
 HARNESS_SRC := $(wildcard tests/integration/harness*.c)
 BENCH := $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
-EXAMPLES := $(patsubst examples/%.c,%,$(wildcard examples/*.c))
+EXAMPLES := $(patsubst examples/%.c,%,$(filter-out examples/common_%.c,$(wildcard examples/*.c)))
 
 SOURCES := $(sort $(wildcard lib/*.h lib/*/*.[ch] programs/*.[ch] tests/*/*.[ch] \
            bench/*.[ch] examples/*.[ch] fuzz/*.[ch]))
@@ -58,12 +58,12 @@
 
 .SECONDEXPANSION:
 $(PROGRAMS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/programs/%.o \
-    $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard programs/%_*.c)) $(LIB)
+    $$(addprefix $(BUILD)/,$$(subst .c,.o,$$(wildcard programs/%_*.c))) $(LIB)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
 $(STANDINS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/tests/standins/%.o \
-    $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard tests/standins/common_*.c)) $(LIB)
+    $$(addprefix $(BUILD)/,$$(subst .c,.o,$$(wildcard tests/standins/common_*.c))) $(LIB)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
@@ -82,11 +82,12 @@
 	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(PKG_LIBS) -o $@
 
 $(BENCH:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/bench/%.o \
-    $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard bench/common_*.c)) $(LIB)
+    $$(addprefix $(BUILD)/,$$(subst .c,.o,$$(wildcard bench/common_*.c))) $(LIB)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
-$(BUILD)/examples/%: $(BUILD)/examples/%.o $(LIB)
+$(BUILD)/examples/%: $(BUILD)/examples/%.o \
+    $(patsubst %.c,$(BUILD)/%.o,$(wildcard examples/common_*.c)) $(LIB)
 	@mkdir -p $(@D)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
