Serve requests end to end, and fail over without waiting out deadlines

Cause of the first slow failover (3.0 s, the whole deadline): a write queued at a target that refused connections stayed in its queue, and an idempotent one was only resent at its deadline. Ruled out: detection, since the promotion was logged 330 ms after the kill. Change: a pool whose target refuses all connections ends its waits, a write learns of a new primary while it waits, and a target out of reach no longer counts as a failed instance.

--- a/Makefile
+++ b/Makefile
@@ -110,10 +110,10 @@
 	./tools/demo $(BUILD)
 
 format:
-	clang-format -i $(SOURCES)
+	@clang-format -i $(SOURCES)
 
 format-check:
-	clang-format --dry-run --Werror $(SOURCES)
+	@clang-format --dry-run --Werror $(SOURCES)
 
 # Two files a process, so that all cores work.
 lint:
--- a/lib/entry/route.c
+++ b/lib/entry/route.c
@@ -304,8 +304,10 @@
     retry_elsewhere(a);
 }
 
+/* The owner itself is out of reach: the next one in rendezvous order serves
+ * the same target. */
 static void
-handle_unavailable(attempt_t *a)
+handle_owner_lost(attempt_t *a)
 {
     mr_members_report_failure(a->route->options.members, a->member);
     if (++a->owner_rank < OWNERS_MAX) {
@@ -336,10 +338,8 @@
         return;
     case MR_ERR_NO_PRIMARY:
     case MR_ERR_SHUTTING_DOWN:
-        retry_elsewhere(a);
-        return;
     case MR_ERR_UNAVAILABLE:
-        handle_unavailable(a);
+        retry_elsewhere(a);
         return;
     case MR_ERR_OUTCOME_UNKNOWN:
     case MR_ERR_INTERNAL:
@@ -374,6 +374,10 @@
         handle_reply(a, &copy);
         return;
     }
+    if (error == MR_ERR_UNAVAILABLE && time_left(a) > RETRY_PAUSE_MS) {
+        handle_owner_lost(a);
+        return;
+    }
     mr_execute_reply_init(&failed, error,
                           error == MR_ERR_UNAVAILABLE
                               ? "the pool owner is out of reach"
@@ -540,7 +544,7 @@
                          a);
         return;
     }
-    if (member == NULL || member->state == MR_MEMBER_DEAD) {
+    if (member == NULL) {
         event_assign(a->timer, route->options.base, -1, 0, on_forward_lost, a);
         evtimer_add(a->timer, &now);
         return;
--- a/lib/group/pool.c
+++ b/lib/group/pool.c
@@ -153,6 +153,29 @@
     pool->retry_at = mr_clock_now(NULL) + pool->retry_delay;
 }
 
+static mr_pool_wait_t *
+wait_of(mr_fair_entry_t *entry)
+{
+    return entry == NULL ? NULL : MR_LIST_ENTRY(entry, mr_pool_wait_t, entry);
+}
+
+/** fail_waits() - end all waits of a target that refuses connections; their
+ * requests can still be served elsewhere in time. */
+static void
+fail_waits(mr_pool_t *pool)
+{
+    mr_fair_entry_t *entry;
+
+    while ((entry = mr_fair_expired(pool->fair, INT64_MAX)) != NULL) {
+        mr_pool_wait_t *wait = wait_of(entry);
+
+        wait->queued = false;
+        wait->error = MR_ERR_UNAVAILABLE;
+        mr_list_append(&pool->ended, &wait->link);
+        pool->ended_count++;
+    }
+}
+
 static void
 on_opened(void *ctx, const mr_target_reply_t *reply)
 {
@@ -170,6 +193,9 @@
     }
     else {
         pool_conn_free(item);
+        if (reply->error == MR_ERR_UNAVAILABLE && open_count(pool) == 0) {
+            fail_waits(pool);
+        }
     }
     wake(pool);
 }
@@ -265,12 +291,6 @@
     fn(ctx, error, conn);
 }
 
-static mr_pool_wait_t *
-wait_of(mr_fair_entry_t *entry)
-{
-    return entry == NULL ? NULL : MR_LIST_ENTRY(entry, mr_pool_wait_t, entry);
-}
-
 /** end_one() - call back one wait that cannot be served any more. */
 static bool
 end_one(mr_pool_t *pool)
--- a/lib/group/work.c
+++ b/lib/group/work.c
@@ -33,6 +33,7 @@
     mr_pool_wait_t *queued;
     mr_observer_wait_t *waiting;    /* primary, cover or acknowledgement */
     mr_observer_wait_t *confirming; /* present reads */
+    mr_observer_wait_t *replaced;   /* writes: a primary of a higher term */
     bool confirmed;
     struct event *pause;
     mr_target_conn_t *conn;
@@ -78,6 +79,9 @@
     if (work->confirming != NULL) {
         mr_observer_cancel(work->confirming);
     }
+    if (work->replaced != NULL) {
+        mr_observer_cancel(work->replaced);
+    }
     if (work->conn != NULL) {
         mr_pool_release(work->target->pool, work->conn, MR_POOL_CLOSE);
     }
@@ -225,6 +229,46 @@
         work->deadline, on_slot, work);
 }
 
+/* Another primary has taken over. A write that was sent can still be in the
+ * log, but will not be acknowledged under its term any more; telling the
+ * caller now lets it go on at the new primary. */
+static void
+on_replaced(void *ctx, bool ok)
+{
+    mr_work_t *work = ctx;
+    bool sent = work->conn != NULL || work->saved != NULL;
+
+    work->replaced = NULL;
+    if (!ok) {
+        return;
+    }
+    if (sent) {
+        fail(work, MR_ERR_OUTCOME_UNKNOWN,
+             "the primary was replaced before the write was acknowledged");
+    }
+    else if (work->queued != NULL) {
+        mr_pool_cancel(work->queued);
+        work->queued = NULL;
+        start_write(work);
+    }
+}
+
+static void
+watch_for_replacement(mr_work_t *work)
+{
+    mr_observer_condition_t condition = {
+        .kind = MR_WAIT_PRIMARY,
+        .term = work->term,
+        .deadline = work->deadline,
+    };
+
+    if (work->replaced != NULL) {
+        mr_observer_cancel(work->replaced);
+    }
+    work->replaced =
+        mr_observer_wait(observer_of(work), &condition, on_replaced, work);
+}
+
 static void
 start_write(mr_work_t *work)
 {
@@ -241,6 +285,7 @@
         return;
     }
     work->term = term;
+    watch_for_replacement(work);
     enter_queue(work);
 }
 
