Carry the holder's address in transaction handles and request ids

An instance that had just started was unknown to entries in other data centres until their next look at the platform's list; a transaction that it held was answered transaction_lost there. The handle now names its address.

--- a/lib/daemon/daemon.c
+++ b/lib/daemon/daemon.c
@@ -185,6 +185,7 @@
         .members = d->members,
         .config = d->config,
         .name = s->name,
+        .address = s->peer,
     };
 
     d->owner = mr_owner_create(&owner);
@@ -214,6 +215,7 @@
         .counters = d->counters,
         .seal = d->reqid_seal,
         .name = s->name,
+        .address = s->peer,
         .incarnation = d->incarnation,
         .run = mr_service_run,
         .run_ctx = d->service,
--- a/lib/entry/txn.h
+++ b/lib/entry/txn.h
@@ -11,6 +11,7 @@
 typedef struct mr_txn {
     char route[MR_TXN_TEXT_MAX];
     char instance[MR_TXN_TEXT_MAX]; /* that holds the connection */
+    char address[MR_TXN_TEXT_MAX];  /* of that instance */
     char account[MR_TXN_TEXT_MAX];
     char group[MR_TXN_TEXT_MAX];
     char id[MR_TXN_TEXT_MAX]; /* at that instance */
--- a/lib/group/owner.h
+++ b/lib/group/owner.h
@@ -23,6 +23,7 @@
     mr_members_t *members;
     mr_config_store_t *config;
     const char *name;
+    const char *address; /* of this instance's peer listener */
 } mr_owner_options_t;
 
 mr_owner_t *mr_owner_create(const mr_owner_options_t *options);
--- a/lib/group/work.c
+++ b/lib/group/work.c
@@ -520,6 +520,8 @@
     work->saved->transaction = mr_strdup(id);
     free((void *)work->saved->instance);
     work->saved->instance = mr_strdup(work->target->owner->options.name);
+    free((void *)work->saved->address);
+    work->saved->address = mr_strdup(work->target->owner->options.address);
     finish(work, work->saved);
 }
 
--- a/lib/wire/execute.c
+++ b/lib/wire/execute.c
@@ -61,6 +61,7 @@
     copy->request_id = copy_text(reply->request_id);
     copy->transaction = copy_text(reply->transaction);
     copy->instance = copy_text(reply->instance);
+    copy->address = copy_text(reply->address);
     return copy;
 }
 
@@ -78,6 +79,7 @@
     free((void *)reply->request_id);
     free((void *)reply->transaction);
     free((void *)reply->instance);
+    free((void *)reply->address);
     free(reply);
 }
 
@@ -94,6 +96,7 @@
     reply->request_id = "";
     reply->transaction = "";
     reply->instance = "";
+    reply->address = "";
 }
 
 bool
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -88,6 +88,7 @@
     F(STRING, mr_msg_execute_reply_t, request_id),
     F(STRING, mr_msg_execute_reply_t, transaction),
     F(STRING, mr_msg_execute_reply_t, instance),
+    F(STRING, mr_msg_execute_reply_t, address),
 };
 static const layout_t execute_reply_layout =
     LAYOUT(mr_msg_execute_reply_t, execute_reply_fields);
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -102,6 +102,7 @@
     const char *request_id; /* a fresh one */
     const char *transaction;
     const char *instance; /* that holds the transaction */
+    const char *address;  /* of that instance */
 } mr_msg_execute_reply_t;
 
 /** Asks an observer in another place how it sees a group. */
