--- a/lib/entry/reqid.h
+++ b/lib/entry/reqid.h
@@ -19,6 +19,7 @@
 /** What an id says. */
 typedef struct mr_reqid_parts {
     char instance[65];
+    char address[65]; /* of that instance */
     int64_t incarnation;
     char account[65];
     int64_t issued_at; /* clock of the issuing instance */
@@ -34,6 +35,7 @@
     mr_counters_t *counters;
     const mr_seal_t *seal;
     const char *name;
+    const char *address; /* of this instance's peer listener */
     int64_t incarnation;
     mr_reqid_run_fn_t run;
     void *run_ctx;
--- a/lib/entry/txn.c
+++ b/lib/entry/txn.c
@@ -10,9 +10,9 @@
 char *
 mr_txn_close(const mr_seal_t *seal, const mr_txn_t *txn)
 {
-    char *text =
-        mr_asprintf("%s\n%s\n%s\n%s\n%s\n%d", txn->route, txn->instance,
-                    txn->account, txn->group, txn->id, txn->access);
+    char *text = mr_asprintf("%s\n%s\n%s\n%s\n%s\n%s\n%d", txn->route,
+                             txn->instance, txn->address, txn->account,
+                             txn->group, txn->id, txn->access);
     char *handle = mr_seal_close(seal, text, strlen(text));
 
     free(text);
@@ -28,10 +28,11 @@
     if (plain == NULL) {
         return false;
     }
-    int got =
-        sscanf(plain, "%64[^\n]\n%64[^\n]\n%64[^\n]\n%64[^\n]\n%64[^\n]\n%d",
-               txn->route, txn->instance, txn->account, txn->group, txn->id,
-               &txn->access);
+    int got = sscanf(plain,
+                     "%64[^\n]\n%64[^\n]\n%64[^\n]\n%64[^\n]\n%64[^\n]\n"
+                     "%64[^\n]\n%d",
+                     txn->route, txn->instance, txn->address, txn->account,
+                     txn->group, txn->id, &txn->access);
     free(plain);
-    return got == 6;
+    return got == 7;
 }
