Test the pool of a target

The pool decides how many statements run at a target and who goes next, and its callbacks may destroy it, so failures here would show up far away.

The fake target counts statements at once, connections, and statements that come first on a connection. Checked: bounds, a burst of ten times the other account's requests, deadlines in the queue, a full queue, destroy with waits and inside a callback, transactions that hold all connections, and a target that restarts.

--- /dev/null
+++ b/tests/unit/test_pool.c
@@ -0,0 +1,421 @@
+/* Guards against more statements at a target than it has slots, accounts that
+ * starve others, waits that end twice or never, and transactions that lock
+ * each other out. */
+
+#include <check.h>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/address.h"
+#include "common/list.h"
+#include "group/pool.h"
+
+enum { SLOTS = 2, CONNECTIONS = 5, STATEMENT_MS = 2, FAR_MS = 5000 };
+
+/** Target that answers statements after STATEMENT_MS. */
+static struct {
+    struct event_base *base;
+    struct evhttp *http;
+    struct evhttp_bound_socket *socket;
+    char address[32];
+    GHashTable *connections;
+    int running;
+    int most_running;
+    size_t most_connections;
+    int statements;
+    int first_statements; /* that came first on a connection */
+} fake;
+
+typedef struct client {
+    const char *account;
+    mr_pool_wait_t *wait;
+    mr_target_conn_t *conn;
+    mr_pool_keep_t keep; /* after the statement */
+    bool hold;           /* keep the slot, send no statement */
+    int ended;
+    mr_error_kind_t error;
+    int order; /* in which waits ended */
+} client_t;
+
+static mr_pool_t *pool;
+static mr_counters_t *counters;
+static client_t clients[1200];
+static int ended_count;
+
+static void
+on_fake_close(struct evhttp_connection *connection, void *ctx)
+{
+    (void)ctx;
+    g_hash_table_remove(fake.connections, connection);
+}
+
+static void
+on_fake_end(evutil_socket_t fd, short what, void *ctx)
+{
+    struct evbuffer *body = evbuffer_new();
+
+    (void)fd;
+    (void)what;
+    fake.running--;
+    evbuffer_add_printf(body, "{\"result\":{},\"state\":{\"role\":\"primary\","
+                              "\"term\":1,\"last_term\":1,\"position\":1}}");
+    evhttp_send_reply(ctx, 200, NULL, body);
+    evbuffer_free(body);
+}
+
+static void
+on_fake_request(struct evhttp_request *req, void *ctx)
+{
+    struct evhttp_connection *connection = evhttp_request_get_connection(req);
+    bool statement = strcmp(evhttp_request_get_uri(req), "/execute") == 0;
+    struct timeval tv = mr_clock_timeval(STATEMENT_MS);
+    struct evbuffer *body;
+
+    (void)ctx;
+    if (g_hash_table_add(fake.connections, connection)) {
+        evhttp_connection_set_closecb(connection, on_fake_close, NULL);
+        fake.first_statements += statement;
+    }
+    fake.most_connections =
+        MAX(fake.most_connections, g_hash_table_size(fake.connections));
+    if (statement) {
+        fake.statements++;
+        fake.running++;
+        fake.most_running = MAX(fake.most_running, fake.running);
+        event_base_once(fake.base, -1, EV_TIMEOUT, on_fake_end, req, &tv);
+        return;
+    }
+    body = evbuffer_new();
+    evbuffer_add_printf(body, "{\"role\":\"primary\",\"term\":1,"
+                              "\"last_term\":1,\"position\":1}");
+    evhttp_send_reply(req, 200, NULL, body);
+    evbuffer_free(body);
+}
+
+static void
+open_fake(int port)
+{
+    struct sockaddr_storage addr;
+    socklen_t size = sizeof(addr);
+
+    fake.http = evhttp_new(fake.base);
+    evhttp_set_gencb(fake.http, on_fake_request, NULL);
+    fake.socket =
+        evhttp_bind_socket_with_handle(fake.http, "127.0.0.1", (uint16_t)port);
+    ck_assert_ptr_nonnull(fake.socket);
+    getsockname(evhttp_bound_socket_get_fd(fake.socket),
+                (struct sockaddr *)&addr, &size);
+    snprintf(fake.address, sizeof(fake.address), "127.0.0.1:%d",
+             mr_address_port(&addr));
+}
+
+static void
+turn(mr_ms_t duration)
+{
+    struct timeval tv = mr_clock_timeval(duration);
+
+    event_base_loopexit(fake.base, &tv);
+    event_base_dispatch(fake.base);
+}
+
+static void
+open_pool(void)
+{
+    const mr_pool_options_t options = {
+        .base = fake.base,
+        .counters = counters,
+        .target = "t",
+        .address = fake.address,
+        .slots = SLOTS,
+        .connections = CONNECTIONS,
+    };
+
+    pool = mr_pool_create(&options);
+}
+
+static void
+set_up(void)
+{
+    signal(SIGPIPE, SIG_IGN);
+    memset(&fake, 0, sizeof(fake));
+    memset(clients, 0, sizeof(clients));
+    ended_count = 0;
+    fake.base = event_base_new();
+    fake.connections = g_hash_table_new(NULL, NULL);
+    counters = mr_counters_create();
+    open_fake(0);
+    open_pool();
+}
+
+static void
+tear_down(void)
+{
+    mr_pool_destroy(pool);
+    mr_counters_destroy(counters);
+    turn(5);
+    evhttp_free(fake.http);
+    event_base_loop(fake.base, EVLOOP_NONBLOCK);
+    g_hash_table_destroy(fake.connections);
+    event_base_free(fake.base);
+}
+
+static void
+on_reply(void *ctx, const mr_target_reply_t *reply)
+{
+    client_t *client = ctx;
+
+    client->error = reply->error;
+    mr_pool_release(pool, client->conn, client->keep);
+}
+
+static void
+on_ready(void *ctx, mr_error_kind_t error, mr_target_conn_t *conn)
+{
+    client_t *client = ctx;
+    const mr_target_request_t request = {
+        .operation = MR_TARGET_EXECUTE,
+        .statement = {"{}", 2},
+        .timeout = FAR_MS,
+    };
+
+    client->wait = NULL;
+    client->conn = conn;
+    client->error = error;
+    client->order = ++ended_count;
+    client->ended++;
+    if (error == MR_OK && !client->hold) {
+        mr_target_conn_send(conn, &request, on_reply, client);
+    }
+}
+
+static void
+acquire(client_t *client, const char *account, mr_ms_t limit)
+{
+    client->account = account;
+    client->wait =
+        mr_pool_acquire(pool, account, 1, client->conn,
+                        mr_clock_now(NULL) + limit, on_ready, client);
+    ck_assert_int_eq(client->ended, 0);
+}
+
+/** give_back() - release the slot of a client that holds it. */
+static void
+give_back(client_t *client, mr_pool_keep_t keep)
+{
+    ck_assert_ptr_nonnull(client->conn);
+    mr_pool_release(pool, client->conn, keep);
+}
+
+static int64_t
+counter(const char *name, const char *labels)
+{
+    return mr_counter_value(mr_counters_get(counters, name, labels, ""));
+}
+
+START_TEST(test_statements_stay_within_slots_and_connections)
+{
+    for (int i = 0; i < 100; i++) {
+        clients[i].keep = i % 10 == 0 ? MR_POOL_CLOSE : MR_POOL_REUSE;
+        acquire(&clients[i], i % 2 == 0 ? "a" : "b", FAR_MS);
+    }
+    turn(400);
+    for (int i = 0; i < 100; i++) {
+        ck_assert_int_eq(clients[i].ended, 1);
+        ck_assert_int_eq(clients[i].error, MR_OK);
+    }
+    ck_assert_int_eq(fake.statements, 100);
+    ck_assert_int_eq(fake.most_running, SLOTS);
+    ck_assert_int_eq(fake.first_statements, 0);
+    ck_assert_uint_le(fake.most_connections, CONNECTIONS);
+    ck_assert_uint_eq(mr_pool_running(pool), 0);
+    ck_assert_int_eq(counter("masticrelay_pool_waits_total", "target=\"t\""),
+                     100);
+    ck_assert_int_gt(
+        counter("masticrelay_pool_queue_ms_total", "target=\"t\""), 0);
+}
+END_TEST
+
+/* The account within its share must not wait behind the burst. */
+START_TEST(test_a_burst_does_not_starve_others)
+{
+    for (int i = 0; i < 200; i++) {
+        acquire(&clients[i], "hog", FAR_MS);
+    }
+    for (int i = 200; i < 220; i++) {
+        acquire(&clients[i], "b", FAR_MS);
+    }
+    turn(600);
+    for (int i = 200; i < 220; i++) {
+        ck_assert_int_eq(clients[i].error, MR_OK);
+        ck_assert_int_le(clients[i].order, 2 * (i - 199) + SLOTS);
+    }
+}
+END_TEST
+
+START_TEST(test_deadline_passes_in_the_queue)
+{
+    for (int i = 0; i < SLOTS; i++) {
+        clients[i].hold = true;
+        acquire(&clients[i], "a", FAR_MS);
+    }
+    turn(50);
+    acquire(&clients[2], "a", 60);
+    acquire(&clients[3], "a", FAR_MS);
+    turn(30);
+    ck_assert_int_eq(clients[2].ended, 0);
+    turn(50);
+    ck_assert_int_eq(clients[2].ended, 1);
+    ck_assert_int_eq(clients[2].error, MR_ERR_DEADLINE_EXCEEDED);
+    ck_assert_int_eq(clients[3].ended, 0);
+    ck_assert_int_eq(counter("masticrelay_pool_sheds_total",
+                             "target=\"t\",reason=\"deadline\""),
+                     1);
+    give_back(&clients[0], MR_POOL_REUSE);
+    give_back(&clients[1], MR_POOL_REUSE);
+    turn(20);
+    ck_assert_int_eq(clients[3].error, MR_OK);
+    ck_assert_int_eq(fake.statements, 1);
+}
+END_TEST
+
+START_TEST(test_a_full_queue_sheds_at_once)
+{
+    for (int i = 0; i < 1025; i++) {
+        acquire(&clients[i], "hog", 10);
+    }
+    acquire(&clients[1025], "b", FAR_MS);
+    turn(100);
+    ck_assert_int_eq(clients[1024].error, MR_ERR_OVERLOADED);
+    ck_assert_int_eq(clients[1024].order, 1);
+    ck_assert_int_eq(clients[1025].error, MR_OK);
+    for (int i = 0; i < 1025; i++) {
+        ck_assert_int_eq(clients[i].ended, 1);
+    }
+}
+END_TEST
+
+START_TEST(test_destroy_ends_waits_and_cancel_does_not)
+{
+    for (int i = 0; i < 10; i++) {
+        acquire(&clients[i], "a", FAR_MS);
+    }
+    mr_pool_cancel(clients[0].wait);
+    mr_pool_destroy(pool);
+    ck_assert_int_eq(clients[0].ended, 0);
+    for (int i = 1; i < 10; i++) {
+        ck_assert_int_eq(clients[i].ended, 1);
+        ck_assert_int_eq(clients[i].error, MR_ERR_UNAVAILABLE);
+    }
+    turn(50);
+    ck_assert_int_eq(ended_count, 9);
+    open_pool();
+}
+END_TEST
+
+static void
+destroy_pool(void *ctx, mr_error_kind_t error, mr_target_conn_t *conn)
+{
+    (void)ctx;
+    (void)conn;
+    ended_count++;
+    if (error == MR_ERR_DEADLINE_EXCEEDED) {
+        mr_pool_destroy(pool);
+        open_pool();
+    }
+}
+
+/* The pool must not be used after a callback that destroyed it. */
+START_TEST(test_pool_destroyed_in_a_callback)
+{
+    mr_ms_t now = mr_clock_now(NULL);
+
+    mr_pool_acquire(pool, "a", 1, NULL, now, destroy_pool, NULL);
+    mr_pool_acquire(pool, "a", 1, NULL, now + FAR_MS, destroy_pool, NULL);
+    turn(20);
+    ck_assert_int_eq(ended_count, 2);
+}
+END_TEST
+
+/* When transactions hold all connections, their own statements must pass the
+ * waits that need one, or nothing would move until the deadlines. */
+START_TEST(test_pinned_connections_do_not_lock_the_pool)
+{
+    for (int i = 0; i < CONNECTIONS; i++) {
+        clients[i].keep = MR_POOL_PIN;
+        acquire(&clients[i], "a", FAR_MS);
+        turn(20);
+        ck_assert_int_eq(clients[i].error, MR_OK);
+    }
+    ck_assert_uint_eq(mr_pool_running(pool), 0);
+    for (int i = 10; i < 15; i++) {
+        acquire(&clients[i], "b", FAR_MS);
+    }
+    turn(30);
+    ck_assert_int_eq(clients[10].ended, 0);
+    clients[0].ended = 0;
+    clients[0].keep = MR_POOL_REUSE;
+    acquire(&clients[0], "a", FAR_MS);
+    turn(100);
+    ck_assert_int_eq(clients[0].error, MR_OK);
+    for (int i = 10; i < 15; i++) {
+        ck_assert_int_eq(clients[i].error, MR_OK);
+    }
+    ck_assert_uint_eq(fake.most_connections, CONNECTIONS);
+    for (int i = 1; i < CONNECTIONS; i++) {
+        mr_pool_unpin(pool, clients[i].conn, i % 2 == 0);
+    }
+    ck_assert_int_eq(
+        counter("masticrelay_pool_connections_in_use", "target=\"t\""), 0);
+}
+END_TEST
+
+/* A target that restarts closes the idle connections; the next statement must
+ * neither fail nor come first on a connection. */
+START_TEST(test_closed_idle_connections_are_replaced)
+{
+    const char *port = strchr(fake.address, ':') + 1;
+
+    turn(50);
+    ck_assert_uint_eq(g_hash_table_size(fake.connections), SLOTS);
+    evhttp_free(fake.http);
+    acquire(&clients[0], "a", FAR_MS);
+    turn(200);
+    ck_assert_int_eq(clients[0].ended, 0);
+    open_fake(atoi(port));
+    turn(600);
+    ck_assert_int_eq(clients[0].error, MR_OK);
+    ck_assert_int_eq(fake.statements, 1);
+    ck_assert_int_eq(fake.first_statements, 0);
+    /* One free connection for each slot, and the one of the statement. */
+    ck_assert_int_eq(counter("masticrelay_pool_opened_total", "target=\"t\""),
+                     2 * SLOTS + 1);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("pool");
+    TCase *tc = tcase_create("pool");
+
+    tcase_add_checked_fixture(tc, set_up, tear_down);
+    tcase_add_test(tc, test_statements_stay_within_slots_and_connections);
+    tcase_add_test(tc, test_a_burst_does_not_starve_others);
+    tcase_add_test(tc, test_deadline_passes_in_the_queue);
+    tcase_add_test(tc, test_a_full_queue_sheds_at_once);
+    tcase_add_test(tc, test_destroy_ends_waits_and_cancel_does_not);
+    tcase_add_test(tc, test_pool_destroyed_in_a_callback);
+    tcase_add_test(tc, test_pinned_connections_do_not_lock_the_pool);
+    tcase_add_test(tc, test_closed_idle_connections_are_replaced);
+    suite_add_tcase(suite, tc);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
