--- a/lib/operator/diff.c
+++ b/lib/operator/diff.c
@@ -26,6 +26,9 @@
     {"general", "General"},
 };
 
+/* An account that may use a route is a field of the route with this prefix. */
+static const char permission_prefix[] = "accounts.";
+
 enum { SECTION_COUNT = sizeof(sections) / sizeof(sections[0]) };
 
 /* Copies the fields of @object that are not lists of parts; fields of inner
@@ -85,8 +88,8 @@
             json_t *account;
             json_array_foreach(json_object_get(value, "accounts"), i, account)
             {
-                char *path =
-                    mr_asprintf("accounts.%s", json_string_value(account));
+                char *path = mr_asprintf("%s%s", permission_prefix,
+                                         json_string_value(account));
                 json_object_set_new(fields, path, json_true());
                 free(path);
             }
@@ -254,8 +257,14 @@
 
     for (guint i = 0; i < names->len; i++) {
         const char *name = g_ptr_array_index(names, i);
-        g_string_append_printf(out, "%s%s ", separator, name);
-        append_value(out, json_object_get(fields, name));
+        if (g_str_has_prefix(name, permission_prefix)) {
+            g_string_append_printf(out, "%saccount %s allowed", separator,
+                                   name + strlen(permission_prefix));
+        }
+        else {
+            g_string_append_printf(out, "%s%s ", separator, name);
+            append_value(out, json_object_get(fields, name));
+        }
         separator = ", ";
     }
     g_ptr_array_free(names, TRUE);
@@ -275,9 +284,9 @@
         g_string_append_printf(out, "  %c %s", added ? '+' : '-', name);
         append_part(out, added ? after : before);
     }
-    else if (g_str_has_prefix(field, "accounts.")) {
+    else if (g_str_has_prefix(field, permission_prefix)) {
         g_string_append_printf(out, "  ~ %s: account %s %s", name,
-                               field + strlen("accounts."),
+                               field + strlen(permission_prefix),
                                after != NULL ? "allowed" : "not allowed");
     }
     else {
--- a/programs/masticrelayctl_file.c
+++ b/programs/masticrelayctl_file.c
@@ -28,7 +28,7 @@
     else {
         printf("%s version %" G_GINT64_FORMAT ": valid\n"
                "hash %s\n"
-               "%zu data centres, %zu services, %zu accounts, %zu routes\n",
+               "data centres %zu, services %zu, accounts %zu, routes %zu\n",
                config->deployment, (gint64)config->version, config->hash,
                config->data_centre_count, config->service_count,
                config->account_count, config->route_count);
--- a/programs/masticrelayctl_status.c
+++ b/programs/masticrelayctl_status.c
@@ -165,30 +165,43 @@
     mr_config_unref(config);
 }
 
+/* Adds a row to @result: null when there is none, absent when it could not be
+ * read. */
+static mr_error_kind_t
+add_row(ctl_t *ctl, json_t *result, const char *field, const char *row)
+{
+    json_t *value = NULL;
+    mr_error_kind_t error = ctl_row(ctl, row, &value);
+
+    if (error == MR_OK) {
+        json_object_set_new(result, field, value);
+    }
+    else if (error == MR_ERR_NOT_FOUND) {
+        json_object_set_new(result, field, json_null());
+        error = MR_OK;
+    }
+    return error;
+}
+
 /* Adds the rows of the platform to @result. */
 static mr_error_kind_t
 add_platform_status(ctl_t *ctl, json_t *result, json_t *data_centres)
 {
-    json_t *head = NULL;
-    json_t *staged = NULL;
     json_t *confirms = NULL;
-    mr_error_kind_t error = ctl_row(ctl, "config/head", &head);
+    mr_error_kind_t error = add_row(ctl, result, "head", "config/head");
 
-    if (error == MR_OK) {
+    if (error == MR_OK && json_is_object(json_object_get(result, "head"))) {
         add_configured_data_centres(ctl, data_centres);
     }
-    if (error == MR_OK || error == MR_ERR_NOT_FOUND) {
-        error = ctl_row(ctl, "config/staged", &staged);
+    if (error == MR_OK) {
+        error = add_row(ctl, result, "staged", "config/staged");
     }
-    if (error == MR_OK || error == MR_ERR_NOT_FOUND) {
+    if (error == MR_OK) {
         error = ctl_rows(ctl, "config/confirm/", &confirms);
     }
     if (error == MR_OK) {
         merge_confirmations(data_centres, confirms);
     }
-    json_object_set_new(result, "head", head != NULL ? head : json_null());
-    json_object_set_new(result, "staged",
-                        staged != NULL ? staged : json_null());
     json_decref(confirms);
     return error;
 }
@@ -199,7 +212,7 @@
     const json_t *version = json_object_get(row, "version");
 
     if (!json_is_integer(version)) {
-        printf("%s -\n", title);
+        printf("%s %s\n", title, row == NULL ? "unknown" : "-");
         return;
     }
     printf("%s version %" JSON_INTEGER_FORMAT, title,
--- a/tests/unit/test_diff.c
+++ b/tests/unit/test_diff.c
@@ -119,6 +119,8 @@
     ck_assert_ptr_nonnull(
         strstr(text, "  + coop-1: burst 50, rate 100, weight 9\n"));
     ck_assert_ptr_nonnull(strstr(text, "Services\n  + db\n"));
+    ck_assert_ptr_nonnull(strstr(
+        text, "+ bookings: access keyed, account coop-1 allowed, deadline"));
     free(text);
 }
 END_TEST
