--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -172,6 +172,8 @@
     snprintf(call->txn.id, sizeof(call->txn.id), "%s", reply->transaction);
     snprintf(call->txn.instance, sizeof(call->txn.instance), "%s",
              reply->instance);
+    snprintf(call->txn.address, sizeof(call->txn.address), "%s",
+             reply->address);
     char *handle = mr_txn_close(call->entry->txn_seal, &call->txn);
     mr_counter_add(call->entry->outcomes[MR_OK], 1);
     evbuffer_add_printf(body, "{\"transaction\":\"%s\"}", handle);
@@ -344,8 +346,8 @@
 run_in_transaction(call_t *call, mr_msg_execute_t *msg)
 {
     msg->transaction = call->txn.id;
-    mr_route_forward(call->entry->options.route, call->txn.instance, msg,
-                     on_executed, call);
+    mr_route_forward(call->entry->options.route, call->txn.instance,
+                     call->txn.address, msg, on_executed, call);
 }
 
 static void
@@ -365,8 +367,8 @@
         mr_reqid_execute(entry->options.reqid, msg, on_executed, call);
         return;
     }
-    mr_route_forward(entry->options.route, parts.instance, msg, on_executed,
-                     call);
+    mr_route_forward(entry->options.route, parts.instance, parts.address, msg,
+                     on_executed, call);
 }
 
 static void
--- a/lib/entry/reqid.c
+++ b/lib/entry/reqid.c
@@ -69,7 +69,8 @@
 
     randombytes_buf(random, sizeof(random));
     sodium_bin2hex(hex, sizeof(hex), random, sizeof(random));
-    char *text = mr_asprintf("%s\n%lld\n%s\n%lld\n%s", reqid->options.name,
+    char *text = mr_asprintf("%s\n%s\n%lld\n%s\n%lld\n%s", reqid->options.name,
+                             reqid->options.address,
                              (long long)reqid->options.incarnation, account,
                              (long long)now(reqid), hex);
     char *id = mr_seal_close(reqid->options.seal, text, strlen(text));
@@ -89,11 +90,11 @@
     if (plain == NULL) {
         return false;
     }
-    int got =
-        sscanf(plain, "%64[^\n]\n%lld\n%64[^\n]\n%lld\n", parts->instance,
-               &incarnation, parts->account, &issued_at);
+    int got = sscanf(plain, "%64[^\n]\n%64[^\n]\n%lld\n%64[^\n]\n%lld\n",
+                     parts->instance, parts->address, &incarnation,
+                     parts->account, &issued_at);
     free(plain);
-    if (got != 4) {
+    if (got != 5) {
         return false;
     }
     parts->incarnation = incarnation;
--- a/lib/entry/route.c
+++ b/lib/entry/route.c
@@ -521,37 +521,21 @@
     finish(ctx, reply);
 }
 
-static void
-on_forward_lost(evutil_socket_t fd, short what, void *ctx)
-{
-    (void)fd;
-    (void)what;
-    finish_error(ctx, MR_ERR_UNAVAILABLE, "the instance is gone");
-}
-
 void
-mr_route_forward(mr_route_t *route, const char *instance,
+mr_route_forward(mr_route_t *route, const char *instance, const char *address,
                  const mr_msg_execute_t *msg, mr_execute_fn_t fn, void *ctx)
 {
     attempt_t *a = create_attempt(route, msg, fn, ctx);
-    const mr_member_t *member =
-        mr_members_find(route->options.members, instance);
     mr_msg_t out = {.type = MR_MSG_EXECUTE};
-    struct timeval now = {0};
 
     if (strcmp(instance, route->options.name) == 0) {
         mr_owner_execute(route->options.owner, a->msg, on_local_forward_reply,
                          a);
         return;
     }
-    if (member == NULL) {
-        event_assign(a->timer, route->options.base, -1, 0, on_forward_lost, a);
-        evtimer_add(a->timer, &now);
-        return;
-    }
     out.u.execute = *a->msg;
     out.u.execute.deadline_ms = msg->deadline_ms - REPLY_MARGIN_MS;
-    a->call = mr_peer_call(route->options.peer, member->address, &out,
+    a->call = mr_peer_call(route->options.peer, address, &out,
                            msg->deadline_ms, on_forward_reply, a);
 }
 
--- a/lib/entry/route.h
+++ b/lib/entry/route.h
@@ -43,10 +43,12 @@
 /**
  * mr_route_forward() - send a request to one instance, once; for transactions
  * and request ids, which belong to an instance
+ * @instance: its name
+ * @address: of its peer listener; this instance may not know it as a member
  * @fn: called exactly once, possibly before this function returns
  */
 void mr_route_forward(mr_route_t *route, const char *instance,
-                      const mr_msg_execute_t *msg, mr_execute_fn_t fn,
-                      void *ctx);
+                      const char *address, const mr_msg_execute_t *msg,
+                      mr_execute_fn_t fn, void *ctx);
 
 #endif
