--- /dev/null
+++ b/tests/unit/test_session.c
@@ -0,0 +1,154 @@
+/* Guards against forged or mixed-up tokens, sessions that go back, and
+ * uncertain writes that are forgotten too early. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/session.h"
+#include "entry/txn.h"
+
+static mr_seal_t *
+create_seal(uint8_t fill, mr_seal_purpose_t purpose)
+{
+    uint8_t secret[MR_SEAL_SECRET_BYTES];
+
+    memset(secret, fill, sizeof(secret));
+    return mr_seal_create(secret, purpose);
+}
+
+START_TEST(test_token_carries_the_session)
+{
+    mr_seal_t *seal = create_seal(1, MR_SEAL_SESSION);
+    mr_session_t session = {.count = 0};
+    mr_session_t again;
+
+    mr_session_wrote(&session, 7, 2, 10, 1);
+    mr_session_wrote_unknown(&session, 9, 3);
+    char *token = mr_session_close(seal, &session);
+    ck_assert(mr_session_open(seal, token, &again));
+    ck_assert_uint_eq(again.count, 2);
+    ck_assert_int_eq(mr_session_find(&again, 7)->position, 10);
+    ck_assert_int_eq(mr_session_find(&again, 7)->covering, 1);
+    ck_assert_int_eq(mr_session_find(&again, 9)->uncertain_term, 3);
+    free(token);
+    mr_seal_destroy(seal);
+}
+END_TEST
+
+START_TEST(test_altered_token_is_refused)
+{
+    mr_seal_t *seal = create_seal(1, MR_SEAL_SESSION);
+    mr_session_t session = {.count = 0};
+    mr_session_t again;
+
+    mr_session_wrote(&session, 7, 2, 10, 1);
+    char *token = mr_session_close(seal, &session);
+    for (size_t i = 0; i < strlen(token); i++) {
+        char kept = token[i];
+        token[i] = kept == 'A' ? 'B' : 'A';
+        ck_assert(!mr_session_open(seal, token, &again));
+        token[i] = kept;
+    }
+    ck_assert(!mr_session_open(seal, "", &again));
+    ck_assert(!mr_session_open(seal, "no token", &again));
+    free(token);
+    mr_seal_destroy(seal);
+}
+END_TEST
+
+/* A transaction handle must not pass for a session, nor a token of another
+ * fleet. */
+START_TEST(test_tokens_of_other_kinds_are_refused)
+{
+    mr_seal_t *sessions = create_seal(1, MR_SEAL_SESSION);
+    mr_seal_t *handles = create_seal(1, MR_SEAL_TRANSACTION);
+    mr_seal_t *others = create_seal(2, MR_SEAL_SESSION);
+    mr_session_t session = {.count = 0};
+    mr_txn_t txn;
+
+    mr_session_wrote(&session, 7, 2, 10, 1);
+    char *token = mr_session_close(sessions, &session);
+    ck_assert(!mr_txn_open(handles, token, &txn));
+    ck_assert(!mr_session_open(others, token, &session));
+    free(token);
+    mr_seal_destroy(sessions);
+    mr_seal_destroy(handles);
+    mr_seal_destroy(others);
+}
+END_TEST
+
+START_TEST(test_positions_only_go_up)
+{
+    mr_session_t session = {.count = 0};
+
+    mr_session_wrote(&session, 7, 2, 10, 1);
+    mr_session_wrote(&session, 7, 2, 9, 2);
+    mr_session_wrote(&session, 7, 1, 99, 2);
+    ck_assert_int_eq(mr_session_find(&session, 7)->position, 10);
+    ck_assert_int_eq(mr_session_find(&session, 7)->term, 2);
+    mr_session_wrote(&session, 7, 3, 4, 0);
+    ck_assert_int_eq(mr_session_find(&session, 7)->position, 4);
+}
+END_TEST
+
+START_TEST(test_uncertain_write_lasts_until_its_term_is_over)
+{
+    mr_session_t session = {.count = 0};
+
+    mr_session_wrote_unknown(&session, 7, 3);
+    ck_assert(!mr_session_read_present(&session, 7, 3, 50));
+    mr_session_wrote(&session, 7, 3, 51, 0);
+    ck_assert_int_eq(mr_session_find(&session, 7)->uncertain_term, 3);
+    ck_assert(mr_session_read_present(&session, 7, 4, 60));
+    ck_assert_int_eq(mr_session_find(&session, 7)->uncertain_term, 0);
+    /* A later read must cover what the confirmed one saw. */
+    ck_assert_int_eq(mr_session_find(&session, 7)->term, 4);
+    ck_assert_int_eq(mr_session_find(&session, 7)->position, 60);
+}
+END_TEST
+
+START_TEST(test_write_of_unknown_term_stays_uncertain)
+{
+    mr_session_t session = {.count = 0};
+
+    mr_session_wrote_unknown(&session, 7, MR_SESSION_ANY_TERM);
+    ck_assert(!mr_session_read_present(&session, 7, 1000, 50));
+    mr_session_wrote(&session, 7, 1001, 51, 0);
+    ck_assert(mr_session_find(&session, 7)->uncertain_term != 0);
+}
+END_TEST
+
+START_TEST(test_full_session_has_no_room)
+{
+    mr_session_t session = {.count = 0};
+
+    for (uint64_t group = 1; group <= MR_SESSION_GROUPS_MAX; group++) {
+        ck_assert(mr_session_has_room(&session, group));
+        mr_session_wrote(&session, group, 1, 1, 0);
+    }
+    ck_assert(!mr_session_has_room(&session, 1000));
+    ck_assert(mr_session_has_room(&session, 1));
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("session");
+    TCase *tc = tcase_create("session");
+
+    tcase_add_test(tc, test_token_carries_the_session);
+    tcase_add_test(tc, test_altered_token_is_refused);
+    tcase_add_test(tc, test_tokens_of_other_kinds_are_refused);
+    tcase_add_test(tc, test_positions_only_go_up);
+    tcase_add_test(tc, test_uncertain_write_lasts_until_its_term_is_over);
+    tcase_add_test(tc, test_write_of_unknown_term_stays_uncertain);
+    tcase_add_test(tc, test_full_session_has_no_room);
+    suite_add_tcase(suite, tc);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
