Count the time that a message was held up against its deadline

Cause: a pool owner that was paused, or a link that held bytes back, gave an old EXECUTE a fresh deadline on arrival. A write whose caller had long been told that its outcome is unknown could then run after later acknowledged writes and undo them. The same holds for an idempotent write that is sent a second time under the same term while the first copy is still on its way.

Ruled out: wall clocks in messages, since instances need not agree on them.

Change: each message carries the sender's monotonic clock; the receiver takes what exceeds the link's least difference from the deadline.

--- a/lib/daemon/service.c
+++ b/lib/daemon/service.c
@@ -32,17 +32,27 @@
            const char *from)
 {
     mr_service_t *service = ctx;
-    const mr_msg_execute_t *execute = &msg->u.execute;
+    mr_msg_execute_t execute = msg->u.execute;
 
     (void)from;
     if (request == NULL) {
         return;
     }
-    if (execute->request_id[0] != '\0') {
-        mr_reqid_execute(service->reqid, execute, on_executed, request);
+    /* Time that a link or a pause of this process took counts against the
+     * deadline: the caller may have been answered long ago, and a late write
+     * would undo what was written since. */
+    execute.deadline_ms -= msg->late_ms;
+    if (execute.deadline_ms <= 0) {
+        mr_msg_execute_reply_t reply;
+        mr_execute_reply_init(&reply, MR_ERR_DEADLINE_EXCEEDED,
+                              "the request arrived too late");
+        on_executed(request, &reply);
+    }
+    else if (execute.request_id[0] != '\0') {
+        mr_reqid_execute(service->reqid, &execute, on_executed, request);
     }
     else {
-        mr_owner_execute(service->options.owner, execute, on_executed,
+        mr_owner_execute(service->options.owner, &execute, on_executed,
                          request);
     }
 }
--- a/lib/entry/route.c
+++ b/lib/entry/route.c
@@ -67,11 +67,20 @@
            || a->msg->token_uncertain;
 }
 
+/*
+ * Whether a request with unknown outcome may be sent again. A write is only
+ * repeated under a higher term, where its first attempt can no longer run:
+ * under the same term a delayed first attempt could run after later writes and
+ * undo them, idempotent or not.
+ */
 static bool
-may_repeat(const attempt_t *a)
+may_repeat(const attempt_t *a, const mr_msg_execute_reply_t *reply)
 {
-    return a->msg->operation == MR_OPERATION_STATEMENT
-           && (a->msg->access == MR_ACCESS_READ || a->msg->idempotent);
+    if (a->msg->operation != MR_OPERATION_STATEMENT) {
+        return false;
+    }
+    return a->msg->access == MR_ACCESS_READ
+           || (a->msg->idempotent && reply->term > 0);
 }
 
 static void
@@ -101,7 +110,7 @@
         && mr_error_outcome((mr_error_kind_t)copy->error)
                == MR_OUTCOME_NOT_RUN) {
         copy->error = MR_ERR_OUTCOME_UNKNOWN;
-        copy->term = 0;
+        copy->term = a->msg->min_term - 1;
         copy->position = 0;
     }
     free_attempt(a);
@@ -343,8 +352,11 @@
         return;
     case MR_ERR_OUTCOME_UNKNOWN:
     case MR_ERR_INTERNAL:
-        if (may_repeat(a)) {
+        if (may_repeat(a, reply)) {
             a->maybe_run = true;
+            if (a->msg->access == MR_ACCESS_WRITE) {
+                a->msg->min_term = reply->term + 1;
+            }
             retry_elsewhere(a);
             return;
         }
--- a/lib/group/work.c
+++ b/lib/group/work.c
@@ -275,8 +275,10 @@
     int64_t term = 0;
     const char *primary = mr_observer_primary(observer_of(work), &term, false);
 
-    if (primary == NULL || term < work->term) {
-        wait_for(work, MR_WAIT_PRIMARY, work->term - 1, 0, work->deadline,
+    int64_t least =
+        work->term > work->msg->min_term ? work->term : work->msg->min_term;
+    if (primary == NULL || term < least) {
+        wait_for(work, MR_WAIT_PRIMARY, least - 1, 0, work->deadline,
                  on_primary);
         return;
     }
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -3,6 +3,8 @@
 #include <assert.h>
 #include <string.h>
 
+#include "common/clock.h"
+
 /** Kind of a field in a message's struct. */
 typedef enum field_kind {
     FIELD_INTEGER, /* int64_t */
@@ -31,6 +33,9 @@
  * memory. */
 enum { LIST_MAX_ITEMS = 4096 };
 
+/* Fields before a type's own: type, call, time sent. */
+enum { HEADER_FIELDS = 3 };
+
 #define F(kind, type, member)                                                 \
     {                                                                         \
         FIELD_##kind, offsetof(type, member), 0, NULL                         \
@@ -66,6 +71,7 @@
     F(INTEGER, mr_msg_execute_t, token_position),
     F(BOOL, mr_msg_execute_t, token_uncertain),
     F(INTEGER, mr_msg_execute_t, deadline_ms),
+    F(INTEGER, mr_msg_execute_t, min_term),
     F(BOOL, mr_msg_execute_t, idempotent),
     F(STRING, mr_msg_execute_t, request_id),
     F(STRING, mr_msg_execute_t, transaction),
@@ -322,9 +328,10 @@
 
     assert(layout != NULL);
     msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, layout->count + 2);
+    msgpack_pack_array(&pk, layout->count + HEADER_FIELDS);
     msgpack_pack_int64(&pk, msg->type);
     msgpack_pack_int64(&pk, msg->call);
+    msgpack_pack_int64(&pk, mr_clock_now(NULL));
     encode_fields(&pk, layout, (const char *)&msg->u);
 }
 
@@ -449,12 +456,14 @@
 {
     int64_t type;
 
-    if (array->type != MSGPACK_OBJECT_ARRAY || array->via.array.size < 2) {
+    if (array->type != MSGPACK_OBJECT_ARRAY
+        || array->via.array.size < HEADER_FIELDS) {
         return MR_MSG_MALFORMED;
     }
     const msgpack_object *objs = array->via.array.ptr;
     if (!read_integer(&objs[0], &type)
-        || !read_integer(&objs[1], &holder->msg.call)) {
+        || !read_integer(&objs[1], &holder->msg.call)
+        || !read_integer(&objs[2], &holder->msg.sent_at)) {
         return MR_MSG_MALFORMED;
     }
     const layout_t *layout = find_layout(type);
@@ -462,9 +471,9 @@
         return MR_MSG_UNKNOWN_TYPE;
     }
     holder->msg.type = (mr_msg_type_t)type;
-    if (!decode_fields(objs + 2, array->via.array.size - 2,
-                       holder->unpacked.zone, layout,
-                       message_body(&holder->msg))) {
+    if (!decode_fields(
+            objs + HEADER_FIELDS, array->via.array.size - HEADER_FIELDS,
+            holder->unpacked.zone, layout, message_body(&holder->msg))) {
         return MR_MSG_MALFORMED;
     }
     return MR_MSG_GOOD;
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -3,8 +3,8 @@
 
 /*
  * Typed messages between instances. A message is one msgpack array
- * [type, call, fields...]; a table in msg.c describes the fields of each type,
- * so that a new message needs a struct and a table row.
+ * [type, call, time sent, fields...]; a table in msg.c describes the fields of
+ * each type, so that a new message needs a struct and a table row.
  */
 
 #include <msgpack.h>
@@ -82,6 +82,7 @@
     int64_t token_position;
     bool token_uncertain;
     int64_t deadline_ms; /* time left when the message was sent */
+    int64_t min_term;    /* writes run only under this term or a higher one */
     bool idempotent;
     const char *request_id;
     const char *transaction;
@@ -201,7 +202,9 @@
 /** struct mr_msg - a message of any type */
 typedef struct mr_msg {
     mr_msg_type_t type;
-    int64_t call; /* 0: one-way */
+    int64_t call;    /* 0: one-way */
+    int64_t sent_at; /* sender's clock; set by mr_msg_encode() */
+    int64_t late_ms; /* how much later than usual it arrived; received ones */
     union {
         mr_msg_hello_t hello; /* HELLO and HELLO_REPLY */
         mr_msg_execute_t execute;
--- a/lib/wire/peer_link.c
+++ b/lib/wire/peer_link.c
@@ -11,6 +11,7 @@
 
 #include "common/address.h"
 #include "common/mem.h"
+#include "wire/lateness.h"
 
 enum {
     HANDSHAKE_TIMEOUT_S = 3,
@@ -31,6 +32,7 @@
     uint8_t nonce[MR_PEER_NONCE_BYTES];
     uint8_t peer_nonce[MR_PEER_NONCE_BYTES];
     char name[MR_PEER_NAME_MAX_BYTES];
+    mr_lateness_t lateness;
 };
 
 /*
@@ -186,6 +188,8 @@
              && handle_hello(link, &holder.msg.u.hello);
     }
     else if (!hello) {
+        holder.msg.late_ms = mr_lateness_note(
+            &link->lateness, holder.msg.sent_at, mr_clock_now(NULL));
         link->events.message(link->ctx, link, &holder.msg);
     }
     mr_msg_release(&holder);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "common/counters.h"
+#include "wire/lateness.h"
 #include "wire/peer.h"
 
 typedef struct side {
@@ -225,6 +226,27 @@
 }
 END_TEST
 
+/* A request that a paused process or a broken link held back must show its
+ * age, whatever the two clocks started from. */
+START_TEST(test_held_message_is_late)
+{
+    mr_lateness_t lateness = {0};
+    mr_ms_t offset = 5000000;
+
+    for (mr_ms_t now = 1000; now < 200000; now += 100) {
+        mr_ms_t travel = 2 + now / 100 % 3;
+        ck_assert_int_le(
+            mr_lateness_note(&lateness, now + offset, now + travel), 2);
+    }
+    ck_assert_int_ge(mr_lateness_note(&lateness, 200000 + offset, 204000),
+                     3990);
+    ck_assert_int_ge(mr_lateness_note(&lateness, 200100 + offset, 204000),
+                     3890);
+    /* The held ones must not become the new normal. */
+    ck_assert_int_le(mr_lateness_note(&lateness, 204000 + offset, 204003), 2);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -237,6 +259,7 @@
     tcase_add_test(tc, test_closed_port_is_unavailable);
     tcase_add_test(tc, test_peer_death_makes_calls_unknown);
     tcase_add_test(tc, test_messages_survive_encoding);
+    tcase_add_test(tc, test_held_message_is_late);
     suite_add_tcase(suite, tc);
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
