--- a/lib/limit/grant.c
+++ b/lib/limit/grant.c
@@ -395,8 +395,9 @@
     }
     if (now < book->former.long_until) {
         /* The predecessor's grants are unknown. The one that this instance
-         * reports may be renewed as it is. */
-        if (ask->held_long == 0
+         * reports may be renewed as it is, unless the report is so old that
+         * the predecessor may have given the same part to another since. */
+        if (ask->held_long == 0 || now < book->former.adopt_from
             || (last != NULL && now - last->given < LONG_RENEW_MS)) {
             return false;
         }
--- a/lib/limit/grant.h
+++ b/lib/limit/grant.h
@@ -28,6 +28,8 @@
 enum {
     MR_GRANT_LONG_MS = 60000,
     MR_GRANT_SHORT_MS = 500,
+    /* An instance ignores a reply to an ask older than this. */
+    MR_GRANT_REPLY_MS = 1000,
     MR_GRANT_ITEMS_MAX = 3, /* grants in one reply */
     MR_GRANT_TOKENS_MAX = 8,
 };
@@ -45,6 +47,8 @@
 
 /** What a new limiter knows of its predecessor's grants. */
 typedef struct mr_grant_former {
+    mr_ms_t adopt_from;      /* asks answered from then on were sent after it
+                                gave its last grant */
     mr_ms_t short_until;     /* its short grants have lapsed by then */
     mr_ms_t long_until;      /* its long grants have lapsed by then */
     mr_limit_amount_t share; /* the share that they were given from */
--- a/lib/limit/grant_hold.c
+++ b/lib/limit/grant_hold.c
@@ -69,7 +69,8 @@
                                 .burst = item->burst_milli};
     mr_ms_t expiry = sent + item->lifetime_ms;
 
-    if (now >= expiry || amount.rate < 0 || amount.burst < 0) {
+    if (now >= expiry || now - sent >= MR_GRANT_REPLY_MS || amount.rate < 0
+        || amount.burst < 0) {
         return;
     }
     if (item->kind == MR_GRANT_TOKENS) {
--- /dev/null
+++ b/lib/limit/limiter_account.c
@@ -0,0 +1,129 @@
+#include "limit/limiter_account.h"
+
+#include <stdlib.h>
+
+#include "common/mem.h"
+
+struct mr_limiter_account {
+    int64_t epoch;
+    mr_ms_t since;
+    mr_share_t *share;
+    mr_grant_book_t *book; /* NULL until the own entry is renewed */
+    mr_share_input_t input;
+};
+
+mr_limiter_account_t *
+mr_limiter_account_create(const char *data_centre, int64_t epoch,
+                          mr_ms_t since)
+{
+    mr_limiter_account_t *account = MR_NEW(mr_limiter_account_t);
+
+    account->epoch = epoch;
+    account->since = since;
+    account->share = mr_share_create(data_centre);
+    return account;
+}
+
+void
+mr_limiter_account_destroy(mr_limiter_account_t *account)
+{
+    if (account == NULL) {
+        return;
+    }
+    mr_share_destroy(account->share);
+    mr_grant_book_destroy(account->book);
+    free(account);
+}
+
+void
+mr_limiter_account_configure(mr_limiter_account_t *account, int64_t version,
+                             mr_limit_amount_t limit)
+{
+    account->input.version = version;
+    account->input.limit = limit;
+}
+
+/* Bring the book up to the share in force. A predecessor's grants were given
+ * before the lease was taken, from at most the own entry as first seen. */
+static void
+sync_book(mr_limiter_account_t *account, mr_ms_t now)
+{
+    mr_limit_amount_t first;
+
+    if (!mr_share_first(account->share, &first)) {
+        return;
+    }
+    if (account->book == NULL) {
+        mr_grant_former_t former = {
+            .adopt_from = account->since + mr_limit_lapse(MR_GRANT_REPLY_MS),
+            .short_until = account->since + mr_limit_lapse(MR_GRANT_SHORT_MS),
+            .long_until = account->since + mr_limit_lapse(MR_GRANT_LONG_MS),
+            .share = first,
+        };
+        account->book = mr_grant_book_create(
+            account->epoch, first.rate > 0 ? &former : NULL, now);
+    }
+    mr_grant_book_set_share(
+        account->book, mr_share_usable(account->share, &account->input, now),
+        mr_share_expiry(account->share), now);
+}
+
+mr_share_action_t
+mr_limiter_account_plan(mr_limiter_account_t *account, mr_ms_t now,
+                        mr_share_row_t *out)
+{
+    sync_book(account, now);
+    if (account->book != NULL) {
+        account->input.demand = mr_grant_book_demand(account->book, now);
+        account->input.least = mr_grant_book_least_share(account->book, now);
+    }
+    mr_share_action_t action =
+        mr_share_plan(account->share, &account->input, now, out);
+    sync_book(account, now);
+    return action;
+}
+
+void
+mr_limiter_account_read(mr_limiter_account_t *account,
+                        const mr_share_row_t *row, mr_ms_t now)
+{
+    mr_share_read(account->share, row, now);
+    sync_book(account, now);
+}
+
+void
+mr_limiter_account_written(mr_limiter_account_t *account,
+                           mr_share_result_t result, int64_t revision,
+                           mr_ms_t now)
+{
+    mr_share_written(account->share, result, revision, now);
+    sync_book(account, now);
+}
+
+size_t
+mr_limiter_account_ask(mr_limiter_account_t *account,
+                       const mr_grant_ask_t *ask, mr_ms_t now,
+                       mr_msg_grant_item_t *out, bool *refused)
+{
+    *refused = false;
+    sync_book(account, now);
+    if (account->book == NULL) {
+        return 0;
+    }
+    return mr_grant_book_ask(account->book, ask, now, out, refused);
+}
+
+void
+mr_limiter_account_return(mr_limiter_account_t *account, const char *instance,
+                          int64_t process, int64_t id, mr_ms_t now)
+{
+    if (account->book != NULL) {
+        mr_grant_book_return(account->book, instance, process, id, now);
+    }
+}
+
+mr_limit_amount_t
+mr_limiter_account_usable(const mr_limiter_account_t *account, mr_ms_t now)
+{
+    return mr_share_usable(account->share, &account->input, now);
+}
--- /dev/null
+++ b/lib/limit/limiter_account.h
@@ -0,0 +1,50 @@
+#ifndef MR_LIMIT_LIMITER_ACCOUNT_H
+#define MR_LIMIT_LIMITER_ACCOUNT_H
+
+/*
+ * One account at the limiter that holds its shard: the data centre's share and
+ * the grants given from it. No I/O; the driver reads and writes the row
+ * share/{account}, and calls mr_limiter_account_ask() only while it holds the
+ * lease.
+ */
+
+#include "limit/grant.h"
+#include "limit/share.h"
+
+typedef struct mr_limiter_account mr_limiter_account_t;
+
+/** mr_limiter_account_create() - @epoch and @since: of the lease, which was
+ * taken by a write sent at @since. */
+mr_limiter_account_t *mr_limiter_account_create(const char *data_centre,
+                                                int64_t epoch, mr_ms_t since);
+void mr_limiter_account_destroy(mr_limiter_account_t *account);
+
+/** mr_limiter_account_configure() - the account's limit in configuration
+ * @version. */
+void mr_limiter_account_configure(mr_limiter_account_t *account,
+                                  int64_t version, mr_limit_amount_t limit);
+
+/** mr_limiter_account_plan() - see mr_share_plan(). */
+mr_share_action_t mr_limiter_account_plan(mr_limiter_account_t *account,
+                                          mr_ms_t now, mr_share_row_t *out);
+void mr_limiter_account_read(mr_limiter_account_t *account,
+                             const mr_share_row_t *row, mr_ms_t now);
+void mr_limiter_account_written(mr_limiter_account_t *account,
+                                mr_share_result_t result, int64_t revision,
+                                mr_ms_t now);
+
+/** mr_limiter_account_ask() - see mr_grant_book_ask(). */
+size_t mr_limiter_account_ask(mr_limiter_account_t *account,
+                              const mr_grant_ask_t *ask, mr_ms_t now,
+                              mr_msg_grant_item_t *out, bool *refused);
+
+/** mr_limiter_account_return() - see mr_grant_book_return(). */
+void mr_limiter_account_return(mr_limiter_account_t *account,
+                               const char *instance, int64_t process,
+                               int64_t id, mr_ms_t now);
+
+/** mr_limiter_account_usable() - the data centre's share in force. */
+mr_limit_amount_t
+mr_limiter_account_usable(const mr_limiter_account_t *account, mr_ms_t now);
+
+#endif
--- /dev/null
+++ b/lib/limit/local.c
@@ -0,0 +1,107 @@
+#include "limit/local.h"
+
+enum {
+    WINDOW_MS = 500,
+    /* Asks for requests that are held, and at low level before any is. */
+    ASK_HELD_MS = 10,
+    ASK_LOW_MS = 25,
+    /* Renews the short grant well before it lapses. */
+    ASK_USED_MS = 200,
+    /* Renews the long grant of an account that is not in use. */
+    ASK_IDLE_MS = 5000,
+    OUTSTANDING_MAX = 4,
+    LOW_MS = 50, /* tokens for less demand than this are low */
+};
+
+void
+mr_limit_local_init(mr_limit_local_t *local, mr_ms_t now)
+{
+    *local = (mr_limit_local_t){.window = now, .asked = now - ASK_IDLE_MS};
+}
+
+void
+mr_limit_local_configure(mr_limit_local_t *local, mr_limit_amount_t limit,
+                         mr_ms_t now)
+{
+    if (local->limit.rate > 0 && local->limit.burst > 0) {
+        mr_grant_hold_scale(&local->hold, local->limit, limit, now);
+    }
+    local->limit = limit;
+}
+
+/* Demand is the mean of the past windows, or of the current one if that is
+ * higher already. */
+static int64_t
+update_demand(mr_limit_local_t *local, mr_ms_t now)
+{
+    int64_t sample = local->arrivals * 1000 * 1000 / WINDOW_MS;
+
+    if (now - local->window >= 8 * WINDOW_MS) {
+        local->demand = 0;
+        local->arrivals = 0;
+        local->window = now;
+        return 0;
+    }
+    while (now - local->window >= WINDOW_MS) {
+        local->demand = (local->demand + sample) / 2;
+        local->arrivals = 0;
+        local->window += WINDOW_MS;
+        sample = 0;
+    }
+    return sample > local->demand ? sample : local->demand;
+}
+
+bool
+mr_limit_local_arrive(mr_limit_local_t *local, mr_ms_t now)
+{
+    update_demand(local, now);
+    local->arrivals++;
+    local->used = now;
+    return mr_grant_hold_admit(&local->hold, now);
+}
+
+bool
+mr_limit_local_ask(mr_limit_local_t *local, size_t waiting, mr_ms_t now,
+                   mr_grant_ask_t *ask)
+{
+    int64_t demand = update_demand(local, now);
+    int64_t level = mr_grant_hold_level(&local->hold, now);
+    int64_t soon =
+        level + mr_grant_hold_rate(&local->hold, now) * LOW_MS / 1000;
+    int64_t need = demand * LOW_MS / 1000;
+    bool low = demand > 0 && (soon < need || soon < MR_TOKEN_MILLI);
+    mr_ms_t interval = ASK_IDLE_MS;
+
+    if (waiting > 0) {
+        interval = ASK_HELD_MS;
+    }
+    else if (low) {
+        interval = ASK_LOW_MS;
+    }
+    else if (demand > 0) {
+        interval = ASK_USED_MS;
+    }
+    if (now - local->asked < interval
+        || local->outstanding >= OUTSTANDING_MAX) {
+        return false;
+    }
+    ask->demand = demand;
+    ask->wanted = (int64_t)waiting;
+    if (low) {
+        ask->wanted += (need - soon) / MR_TOKEN_MILLI + 1;
+    }
+    mr_grant_hold_fill(&local->hold, ask, now);
+    local->asked = now;
+    local->outstanding++;
+    return true;
+}
+
+void
+mr_limit_local_reply(mr_limit_local_t *local, const mr_msg_grant_item_t *items,
+                     size_t count, mr_ms_t sent, mr_ms_t now)
+{
+    local->outstanding--;
+    for (size_t i = 0; i < count; i++) {
+        mr_grant_hold_accept(&local->hold, &items[i], sent, now);
+    }
+}
