Add TLS for callers, operators and links, and a limit on connections

Tried and given up: counting connections by a pass-through bufferevent filter, since the HTTP library's writes were never flushed through it (answers hung). Open descriptors are counted by the lowest free number instead.

--- a/lib/daemon/daemon.c
+++ b/lib/daemon/daemon.c
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 
 #include "common/mem.h"
 #include "daemon/service.h"
@@ -10,6 +11,8 @@
 #include "entry/entry.h"
 
 enum {
+    /* For links between instances, targets, the platform and operators. */
+    RESERVED_DESCRIPTORS = 1024,
     PLATFORM_TIMEOUT_MS = 1000,
     DRAIN_TICK_MS = 25,
     /* After announcing that it leaves, the instance still accepts callers for
@@ -30,6 +33,8 @@
     mr_settings_t settings;
     struct event_base *base;
     mr_counters_t *counters;
+    mr_tls_t *tls;
+    mr_tls_t *peer_tls;
     mr_peer_t *peer;
     mr_platform_t *platform;
     mr_members_t *members;
@@ -127,6 +132,7 @@
         .data_centre = s->data_centre,
         .incarnation = d->incarnation,
         .secret = s->secret,
+        .tls = d->peer_tls,
     };
     mr_platform_options_t platform = {
         .base = d->base,
@@ -237,6 +243,8 @@
         .reqid = d->reqid,
         .secret = s->secret,
         .name = s->name,
+        .tls = d->tls,
+        .descriptors_max = (size_t)s->connections_max + RESERVED_DESCRIPTORS,
     };
     mr_admin_options_t admin = {
         .base = d->base,
@@ -249,6 +257,7 @@
         .data_centre = s->data_centre,
         .incarnation = d->incarnation,
         .credential = s->operator_credential,
+        .tls = d->tls,
     };
 
     d->entry = mr_entry_create(&entry);
@@ -283,6 +292,59 @@
     evsignal_add(d->signals[index], NULL);
 }
 
+static mr_tls_t *
+read_tls(mr_daemon_t *d, const char *flag, const char *certificate,
+         const char *key, const char *authorities)
+{
+    mr_tls_options_t options = {.base = d->base,
+                                .certificate = certificate,
+                                .key = key,
+                                .authorities = authorities};
+    char problem[256];
+    mr_tls_t *tls = mr_tls_create(&options, problem, sizeof(problem));
+
+    if (tls == NULL) {
+        fprintf(stderr, "masticrelayd: --%s: %s\n", flag, problem);
+    }
+    return tls;
+}
+
+static bool
+create_tls(mr_daemon_t *d)
+{
+    const mr_settings_t *s = &d->settings;
+
+    if (s->tls_certificate != NULL) {
+        d->tls = read_tls(d, "tls-certificate", s->tls_certificate, s->tls_key,
+                          NULL);
+    }
+    if (s->peer_certificate != NULL) {
+        d->peer_tls = read_tls(d, "peer-certificate", s->peer_certificate,
+                               s->peer_key, s->peer_authorities);
+    }
+    return (s->tls_certificate == NULL || d->tls != NULL)
+           && (s->peer_certificate == NULL || d->peer_tls != NULL);
+}
+
+/* The soft limit is often 1,024; the hard one is the machine's own. */
+static void
+raise_descriptor_limit(const mr_settings_t *settings)
+{
+    struct rlimit limit;
+    rlim_t wanted =
+        (rlim_t)settings->connections_max + 2 * RESERVED_DESCRIPTORS;
+
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= wanted) {
+        return;
+    }
+    limit.rlim_cur = wanted < limit.rlim_max ? wanted : limit.rlim_max;
+    if (setrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur < wanted) {
+        mr_log(MR_LOG_WARNING, "descriptor_limit_low",
+               "limit=%llu wanted=%llu", (unsigned long long)limit.rlim_cur,
+               (unsigned long long)wanted);
+    }
+}
+
 mr_daemon_t *
 mr_daemon_create(const mr_settings_t *settings)
 {
@@ -293,9 +355,18 @@
      * clock gives that without a disk. */
     d->incarnation = mr_clock_wall();
     signal(SIGPIPE, SIG_IGN);
+    raise_descriptor_limit(settings);
     mr_log_setup(settings->name, settings->log_level);
     d->base = event_base_new();
     d->counters = mr_counters_create();
+    if (!create_tls(d)) {
+        mr_tls_destroy(d->tls);
+        mr_tls_destroy(d->peer_tls);
+        mr_counters_destroy(d->counters);
+        event_base_free(d->base);
+        free(d);
+        return NULL;
+    }
     create_platform_parts(d);
     create_request_parts(d);
     create_listeners(d);
@@ -331,6 +402,8 @@
     mr_platform_destroy(d->platform);
     mr_peer_destroy(d->peer);
     mr_seal_destroy(d->reqid_seal);
+    mr_tls_destroy(d->tls);
+    mr_tls_destroy(d->peer_tls);
     event_free(d->drain_timer);
     event_free(d->signals[0]);
     event_free(d->signals[1]);
--- a/lib/daemon/settings.c
+++ b/lib/daemon/settings.c
@@ -16,6 +16,9 @@
     CREDENTIAL_MIN_BYTES = 16,
     DRAIN_DEFAULT_MS = 15000,
     DRAIN_MAX_MS = 600000,
+    /* Twice the callers of a daemon at 5.5 million over 2,600. */
+    CONNECTIONS_DEFAULT = 4096,
+    CONNECTIONS_MAX = 1000000,
 };
 
 static const char env_prefix[] = "MASTICRELAY_";
@@ -43,6 +46,12 @@
     SETTING_CREDENTIAL,
     SETTING_LOG_LEVEL,
     SETTING_DRAIN_MS,
+    SETTING_TLS_CERTIFICATE,
+    SETTING_TLS_KEY,
+    SETTING_PEER_CERTIFICATE,
+    SETTING_PEER_KEY,
+    SETTING_PEER_AUTHORITIES,
+    SETTING_CONNECTIONS,
     SETTING_COUNT,
 } setting_index_t;
 
@@ -73,6 +82,21 @@
                            "LEVEL", false, NULL},
     [SETTING_DRAIN_MS] = {"drain-ms", "longest graceful stop in milliseconds",
                           "MS", false, NULL},
+    [SETTING_TLS_CERTIFICATE] = {"tls-certificate",
+                                 "certificate for callers and operators",
+                                 "PEM", false, NULL},
+    [SETTING_TLS_KEY] = {"tls-key", "its key", "PEM", false, NULL},
+    [SETTING_PEER_CERTIFICATE] = {"peer-certificate",
+                                  "certificate for links between instances",
+                                  "PEM", false, NULL},
+    [SETTING_PEER_KEY] = {"peer-key", "its key", "PEM", false, NULL},
+    [SETTING_PEER_AUTHORITIES] =
+        {"peer-authorities",
+         "authorities of the other instances' certificates", "PEM", false,
+         NULL},
+    [SETTING_CONNECTIONS] = {"connections",
+                             "most connections of callers at one time", "N",
+                             false, NULL},
 };
 
 static bool
@@ -220,19 +244,53 @@
 }
 
 static bool
-read_drain(const setting_t *setting, mr_settings_t *out)
+read_number(const setting_t *setting, guint64 fallback, guint64 max,
+            int64_t *out)
 {
-    guint64 value = DRAIN_DEFAULT_MS;
+    guint64 value = fallback;
 
     if (setting->value != NULL
-        && !g_ascii_string_to_unsigned(setting->value, 10, 0, DRAIN_MAX_MS,
-                                       &value, NULL)) {
-        return complain(setting->flag, "must be a number up to 600000");
+        && !g_ascii_string_to_unsigned(setting->value, 10, 0, max, &value,
+                                       NULL)) {
+        char what[64];
+        snprintf(what, sizeof(what), "must be a number up to %llu",
+                 (unsigned long long)max);
+        return complain(setting->flag, what);
     }
-    out->drain_limit = (mr_ms_t)value;
+    *out = (int64_t)value;
     return true;
 }
 
+/* Settings that only make sense together. */
+static bool
+check_together(const setting_t *settings, const setting_index_t *places,
+               size_t count)
+{
+    bool given = settings[places[0]].value != NULL;
+
+    for (size_t i = 1; i < count; i++) {
+        if ((settings[places[i]].value != NULL) != given) {
+            char what[64];
+            snprintf(what, sizeof(what), "goes only together with --%s",
+                     settings[places[given ? i : 0]].flag);
+            return complain(settings[places[given ? 0 : i]].flag, what);
+        }
+    }
+    return true;
+}
+
+static bool
+check_tls(const setting_t *settings)
+{
+    static const setting_index_t listeners[] = {SETTING_TLS_CERTIFICATE,
+                                                SETTING_TLS_KEY};
+    static const setting_index_t peers[] = {
+        SETTING_PEER_CERTIFICATE, SETTING_PEER_KEY, SETTING_PEER_AUTHORITIES};
+
+    return check_together(settings, listeners, 2)
+           && check_together(settings, peers, 3);
+}
+
 static bool
 check_listeners(const setting_t *settings)
 {
@@ -261,7 +319,11 @@
                      settings[SETTING_APPROVER_KEY].value, out->approver_key,
                      sizeof(out->approver_key))
         || !read_level(&settings[SETTING_LOG_LEVEL], out)
-        || !read_drain(&settings[SETTING_DRAIN_MS], out)) {
+        || !read_number(&settings[SETTING_DRAIN_MS], DRAIN_DEFAULT_MS,
+                        DRAIN_MAX_MS, &out->drain_limit)
+        || !read_number(&settings[SETTING_CONNECTIONS], CONNECTIONS_DEFAULT,
+                        CONNECTIONS_MAX, &out->connections_max)
+        || !check_tls(settings)) {
         return false;
     }
     if (strlen(settings[SETTING_CREDENTIAL].value) < CREDENTIAL_MIN_BYTES) {
@@ -275,6 +337,13 @@
     out->admin = mr_strdup(settings[SETTING_ADMIN].value);
     out->platform = mr_strdup(settings[SETTING_PLATFORM].value);
     out->operator_credential = mr_strdup(settings[SETTING_CREDENTIAL].value);
+    out->tls_certificate = mr_strdup(settings[SETTING_TLS_CERTIFICATE].value);
+    out->tls_key = mr_strdup(settings[SETTING_TLS_KEY].value);
+    out->peer_certificate =
+        mr_strdup(settings[SETTING_PEER_CERTIFICATE].value);
+    out->peer_key = mr_strdup(settings[SETTING_PEER_KEY].value);
+    out->peer_authorities =
+        mr_strdup(settings[SETTING_PEER_AUTHORITIES].value);
     return true;
 }
 
@@ -341,5 +410,10 @@
     free(settings->admin);
     free(settings->platform);
     free(settings->operator_credential);
+    free(settings->tls_certificate);
+    free(settings->tls_key);
+    free(settings->peer_certificate);
+    free(settings->peer_key);
+    free(settings->peer_authorities);
     sodium_memzero(settings, sizeof(*settings));
 }
--- a/lib/daemon/settings.h
+++ b/lib/daemon/settings.h
@@ -19,6 +19,12 @@
     uint8_t secret[MR_SEAL_SECRET_BYTES];
     uint8_t approver_key[MR_APPROVAL_PUBLIC_KEY_BYTES];
     char *operator_credential;
+    char *tls_certificate; /* of callers' and operators' listeners; or NULL */
+    char *tls_key;
+    char *peer_certificate; /* of links between instances; or NULL */
+    char *peer_key;
+    char *peer_authorities;
+    int64_t connections_max; /* of callers */
     mr_log_level_t log_level;
     mr_ms_t drain_limit; /* longest graceful stop */
 } mr_settings_t;
--- a/lib/entry/admin.c
+++ b/lib/entry/admin.c
@@ -1,22 +1,20 @@
 #include "entry/admin.h"
 
-#include <event2/http.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/address.h"
 #include "common/mem.h"
 #include "entry/auth.h"
 
 enum {
     HEADERS_MAX_BYTES = 16 << 10,
     BODY_MAX_BYTES = 4 << 10,
-    TIMEOUT_S = 30
+    TIMEOUT_S = 30,
 };
 
 struct mr_admin {
     mr_admin_options_t options;
-    struct evhttp *http;
+    mr_listener_t *listener;
     bool draining;
 };
 
@@ -132,26 +130,41 @@
 }
 
 static void
-on_other(struct evhttp_request *req, void *ctx)
+on_request(struct evhttp_request *req, void *ctx)
 {
-    (void)ctx;
-    send_error(req, MR_ERR_NOT_FOUND, "there is no such path");
+    const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+
+    if (path != NULL && strcmp(path, "/metrics") == 0) {
+        on_metrics(req, ctx);
+    }
+    else if (path != NULL && strcmp(path, "/healthz") == 0) {
+        on_health(req, ctx);
+    }
+    else if (path != NULL && strcmp(path, "/status") == 0) {
+        on_status(req, ctx);
+    }
+    else {
+        send_error(req, MR_ERR_NOT_FOUND, "there is no such path");
+    }
 }
 
 mr_admin_t *
 mr_admin_create(const mr_admin_options_t *options)
 {
     mr_admin_t *admin = MR_NEW(mr_admin_t);
+    mr_listener_options_t listener = {
+        .base = options->base,
+        .counters = options->counters,
+        .label = "operators",
+        .tls = options->tls,
+        .headers_max_bytes = HEADERS_MAX_BYTES,
+        .body_max_bytes = BODY_MAX_BYTES,
+        .idle_timeout_s = TIMEOUT_S,
+        .descriptors_max = SIZE_MAX,
+    };
 
     admin->options = *options;
-    admin->http = evhttp_new(options->base);
-    evhttp_set_max_headers_size(admin->http, HEADERS_MAX_BYTES);
-    evhttp_set_max_body_size(admin->http, BODY_MAX_BYTES);
-    evhttp_set_timeout(admin->http, TIMEOUT_S);
-    evhttp_set_cb(admin->http, "/metrics", on_metrics, admin);
-    evhttp_set_cb(admin->http, "/healthz", on_health, admin);
-    evhttp_set_cb(admin->http, "/status", on_status, admin);
-    evhttp_set_gencb(admin->http, on_other, admin);
+    admin->listener = mr_listener_create(&listener, on_request, admin);
     return admin;
 }
 
@@ -161,18 +174,14 @@
     if (admin == NULL) {
         return;
     }
-    evhttp_free(admin->http);
+    mr_listener_destroy(admin->listener);
     free(admin);
 }
 
 bool
 mr_admin_listen(mr_admin_t *admin, const char *address)
 {
-    char ip[MR_ADDRESS_MAX_BYTES];
-    int port;
-
-    return mr_address_split(address, ip, &port)
-           && evhttp_bind_socket(admin->http, ip, (ev_uint16_t)port) == 0;
+    return mr_listener_open(admin->listener, address);
 }
 
 void
--- a/lib/entry/admin.h
+++ b/lib/entry/admin.h
@@ -4,6 +4,7 @@
 /* The operators' HTTP listener: counters, health and status. */
 
 #include "config/store.h"
+#include "entry/listener.h"
 #include "group/owner.h"
 #include "limit/limit.h"
 #include "member/member.h"
@@ -21,6 +22,7 @@
     const char *data_centre;
     int64_t incarnation;
     const char *credential; /* of operators */
+    mr_tls_t *tls;          /* NULL: none */
 } mr_admin_options_t;
 
 mr_admin_t *mr_admin_create(const mr_admin_options_t *options);
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -1,11 +1,9 @@
 #include "entry/entry.h"
 
-#include <event2/http.h>
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/address.h"
 #include "common/mem.h"
 #include "entry/auth.h"
 #include "entry/session.h"
@@ -24,8 +22,7 @@
 
 struct mr_entry {
     mr_entry_options_t options;
-    struct evhttp *http;
-    struct evhttp_bound_socket *socket;
+    mr_listener_t *listener;
     mr_seal_t *session_seal;
     mr_seal_t *txn_seal;
     bool draining;
@@ -672,24 +669,13 @@
 bool
 mr_entry_listen(mr_entry_t *entry, const char *address)
 {
-    char ip[MR_ADDRESS_MAX_BYTES];
-    int port;
-
-    if (!mr_address_split(address, ip, &port)) {
-        return false;
-    }
-    entry->socket =
-        evhttp_bind_socket_with_handle(entry->http, ip, (ev_uint16_t)port);
-    return entry->socket != NULL;
+    return mr_listener_open(entry->listener, address);
 }
 
 void
 mr_entry_drain(mr_entry_t *entry)
 {
-    if (!entry->draining && entry->socket != NULL) {
-        evhttp_del_accept_socket(entry->http, entry->socket);
-        entry->socket = NULL;
-    }
+    mr_listener_close(entry->listener);
     entry->draining = true;
 }
 
@@ -724,15 +710,21 @@
 mr_entry_create(const mr_entry_options_t *options)
 {
     mr_entry_t *entry = MR_NEW(mr_entry_t);
+    mr_listener_options_t listener = {
+        .base = options->base,
+        .counters = options->counters,
+        .label = "callers",
+        .tls = options->tls,
+        .headers_max_bytes = HEADERS_MAX_BYTES,
+        .body_max_bytes = TRANSPORT_BODY_MAX_BYTES,
+        .idle_timeout_s = CONNECTION_TIMEOUT_S,
+        .descriptors_max = options->descriptors_max,
+    };
 
     entry->options = *options;
-    entry->http = evhttp_new(options->base);
     entry->session_seal = mr_seal_create(options->secret, MR_SEAL_SESSION);
     entry->txn_seal = mr_seal_create(options->secret, MR_SEAL_TRANSACTION);
-    evhttp_set_max_headers_size(entry->http, HEADERS_MAX_BYTES);
-    evhttp_set_max_body_size(entry->http, TRANSPORT_BODY_MAX_BYTES);
-    evhttp_set_timeout(entry->http, CONNECTION_TIMEOUT_S);
-    evhttp_set_gencb(entry->http, on_request, entry);
+    entry->listener = mr_listener_create(&listener, on_request, entry);
     create_counters(entry);
     return entry;
 }
@@ -743,7 +735,7 @@
     if (entry == NULL) {
         return;
     }
-    evhttp_free(entry->http);
+    mr_listener_destroy(entry->listener);
     mr_seal_destroy(entry->session_seal);
     mr_seal_destroy(entry->txn_seal);
     free(entry);
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -5,6 +5,7 @@
  * and answers it. */
 
 #include "common/seal.h"
+#include "entry/listener.h"
 #include "entry/reqid.h"
 #include "entry/route.h"
 #include "limit/limit.h"
@@ -20,6 +21,8 @@
     mr_reqid_t *reqid;
     const uint8_t *secret; /* fleet secret, MR_SEAL_SECRET_BYTES bytes */
     const char *name;
+    mr_tls_t *tls;          /* NULL: none */
+    size_t descriptors_max; /* see mr_listener_options_t */
 } mr_entry_options_t;
 
 mr_entry_t *mr_entry_create(const mr_entry_options_t *options);
--- /dev/null
+++ b/lib/entry/listener.c
@@ -0,0 +1,142 @@
+#include "entry/listener.h"
+
+#include <event2/listener.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "common/address.h"
+#include "common/clock.h"
+#include "common/mem.h"
+
+enum { RESUME_CHECK_MS = 100 };
+
+struct mr_listener {
+    mr_listener_options_t options;
+    struct evhttp *http;
+    struct evhttp_bound_socket *socket;
+    struct event *resume;
+    mr_counter_t *full;
+};
+
+/*
+ * The HTTP library does not tell when a connection ends, so open descriptors
+ * are counted instead: the kernel always gives out the lowest free number, so
+ * all numbers below it are open.
+ */
+static bool
+is_full(const mr_listener_t *listener)
+{
+    int lowest_free = dup(STDERR_FILENO);
+
+    if (lowest_free < 0) {
+        return true;
+    }
+    close(lowest_free);
+    return (size_t)lowest_free >= listener->options.descriptors_max;
+}
+
+static void
+schedule_resume(mr_listener_t *listener)
+{
+    struct timeval tv = mr_clock_timeval(RESUME_CHECK_MS);
+
+    evtimer_add(listener->resume, &tv);
+}
+
+static void
+pause_accepting(mr_listener_t *listener)
+{
+    mr_counter_add(listener->full, 1);
+    evconnlistener_disable(evhttp_bound_socket_get_listener(listener->socket));
+    schedule_resume(listener);
+}
+
+static void
+on_resume(evutil_socket_t fd, short what, void *ctx)
+{
+    mr_listener_t *listener = ctx;
+
+    (void)fd;
+    (void)what;
+    if (listener->socket == NULL) {
+        return;
+    }
+    if (is_full(listener)) {
+        schedule_resume(listener);
+        return;
+    }
+    evconnlistener_enable(evhttp_bound_socket_get_listener(listener->socket));
+}
+
+static struct bufferevent *
+on_connection(struct event_base *base, void *ctx)
+{
+    mr_listener_t *listener = ctx;
+
+    if (listener->socket != NULL && is_full(listener)) {
+        pause_accepting(listener);
+    }
+    if (listener->options.tls != NULL) {
+        return mr_tls_accept(listener->options.tls, -1);
+    }
+    return bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+}
+
+mr_listener_t *
+mr_listener_create(const mr_listener_options_t *options, mr_listener_fn_t fn,
+                   void *ctx)
+{
+    mr_listener_t *listener = MR_NEW(mr_listener_t);
+    char *labels = mr_asprintf("listener=\"%s\"", options->label);
+
+    listener->options = *options;
+    listener->full = mr_counters_get(
+        options->counters, "masticrelay_listener_full_total", labels,
+        "times that a listener paused because too many connections are open");
+    free(labels);
+    listener->resume = evtimer_new(options->base, on_resume, listener);
+    listener->http = evhttp_new(options->base);
+    evhttp_set_max_headers_size(listener->http,
+                                (ev_ssize_t)options->headers_max_bytes);
+    evhttp_set_max_body_size(listener->http,
+                             (ev_ssize_t)options->body_max_bytes);
+    evhttp_set_timeout(listener->http, options->idle_timeout_s);
+    evhttp_set_bevcb(listener->http, on_connection, listener);
+    evhttp_set_gencb(listener->http, fn, ctx);
+    return listener;
+}
+
+void
+mr_listener_destroy(mr_listener_t *listener)
+{
+    if (listener == NULL) {
+        return;
+    }
+    mr_listener_close(listener);
+    evhttp_free(listener->http);
+    event_free(listener->resume);
+    free(listener);
+}
+
+bool
+mr_listener_open(mr_listener_t *listener, const char *address)
+{
+    char ip[MR_ADDRESS_MAX_BYTES];
+    int port;
+
+    if (!mr_address_split(address, ip, &port)) {
+        return false;
+    }
+    listener->socket =
+        evhttp_bind_socket_with_handle(listener->http, ip, (ev_uint16_t)port);
+    return listener->socket != NULL;
+}
+
+void
+mr_listener_close(mr_listener_t *listener)
+{
+    if (listener->socket != NULL) {
+        evhttp_del_accept_socket(listener->http, listener->socket);
+        listener->socket = NULL;
+    }
+}
--- /dev/null
+++ b/lib/entry/listener.h
@@ -0,0 +1,41 @@
+#ifndef MR_ENTRY_LISTENER_H
+#define MR_ENTRY_LISTENER_H
+
+/* An HTTP listener with its limits and, where configured, TLS. */
+
+#include <event2/http.h>
+
+#include "common/counters.h"
+#include "common/tls.h"
+
+typedef struct mr_listener mr_listener_t;
+
+typedef struct mr_listener_options {
+    struct event_base *base;
+    mr_counters_t *counters;
+    const char *label; /* in counters, such as "callers" */
+    mr_tls_t *tls;     /* NULL: none */
+    size_t headers_max_bytes;
+    size_t body_max_bytes;
+    int idle_timeout_s;
+    /* Open descriptors of the process from which on no connection is accepted;
+     * callers then wait in the kernel's queue. */
+    size_t descriptors_max;
+} mr_listener_options_t;
+
+/** mr_listener_fn_t - handles a request; it must be answered once. */
+typedef void (*mr_listener_fn_t)(struct evhttp_request *request, void *ctx);
+
+mr_listener_t *mr_listener_create(const mr_listener_options_t *options,
+                                  mr_listener_fn_t fn, void *ctx);
+
+/** mr_listener_destroy() - close the listener and all connections. */
+void mr_listener_destroy(mr_listener_t *listener);
+
+/** mr_listener_open() - accept on "IP:port"; false when that fails. */
+bool mr_listener_open(mr_listener_t *listener, const char *address);
+
+/** mr_listener_close() - accept no more; open connections go on. */
+void mr_listener_close(mr_listener_t *listener);
+
+#endif
--- a/lib/wire/peer.h
+++ b/lib/wire/peer.h
@@ -13,6 +13,7 @@
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/error.h"
+#include "common/tls.h"
 #include "wire/msg.h"
 
 enum {
@@ -38,7 +39,7 @@
     const char *data_centre;
     int64_t incarnation;
     const uint8_t *secret; /* MR_PEER_SECRET_BYTES bytes */
-    void *ssl_ctx;         /* SSL_CTX; NULL: no TLS */
+    mr_tls_t *tls;         /* NULL: none */
 } mr_peer_options_t;
 
 /** mr_peer_handler_fn_t - handles a request or, with @request NULL, a one-way
--- a/lib/wire/peer_link.c
+++ b/lib/wire/peer_link.c
@@ -2,9 +2,7 @@
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
-#include <event2/bufferevent_ssl.h>
 #include <netinet/tcp.h>
-#include <openssl/ssl.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
@@ -250,7 +248,11 @@
         int on = 1;
         setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
                    sizeof(on));
-        send_hello(link, false);
+        /* With TLS the accepting side learns of the connection as well, but
+         * waits for the opener's HELLO. */
+        if (link->opener) {
+            send_hello(link, false);
+        }
         return;
     }
     close_link(link);
@@ -260,19 +262,12 @@
 create_bufferevent(const mr_peer_options_t *options, evutil_socket_t fd,
                    bool opener)
 {
-    int flags = BEV_OPT_CLOSE_ON_FREE;
-
-    if (options->ssl_ctx == NULL) {
-        return bufferevent_socket_new(options->base, fd, flags);
-    }
-    SSL *ssl = SSL_new(options->ssl_ctx);
-    if (ssl == NULL) {
-        return NULL;
+    if (options->tls == NULL) {
+        return bufferevent_socket_new(options->base, fd,
+                                      BEV_OPT_CLOSE_ON_FREE);
     }
-    return bufferevent_openssl_socket_new(options->base, fd, ssl,
-                                          opener ? BUFFEREVENT_SSL_CONNECTING
-                                                 : BUFFEREVENT_SSL_ACCEPTING,
-                                          flags);
+    return opener ? mr_tls_open(options->tls)
+                  : mr_tls_accept(options->tls, fd);
 }
 
 static mr_peer_link_t *
