Test the configuration store at up to 20 instances

The tests bring about a lower version, forged approvals in rows and from peers, bodies that do not match, lost replies, outages, lost pollers and restarts, over real links and the platform stand-in. They found one fault: the first tick was activated as a timeout, which put the second poll off by a whole interval, so that the second poll came after 1 s instead of 0.5 s.

--- a/lib/config/store.c
+++ b/lib/config/store.c
@@ -90,7 +90,8 @@
     store->tick =
         event_new(options->base, -1, EV_PERSIST, mr_config_store_tick, store);
     event_add(store->tick, &interval);
-    event_active(store->tick, EV_TIMEOUT, 0);
+    /* Not as a timeout: that would put the second poll off by an interval. */
+    event_active(store->tick, 0, 0);
     return store;
 }
 
--- a/tests/unit/platform_process.h
+++ b/tests/unit/platform_process.h
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <check.h>
 #include <event2/event.h>
+#include <jansson.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -60,25 +61,96 @@
     }
 }
 
-/* Sets faults and waits for the answer. */
-static inline void
-platform_process_faults(const platform_process_t *process, const char *json)
+/* One call to the stand-in; returns the status and the answer's body. */
+static inline int
+platform_process_call(const platform_process_t *process, const char *method,
+                      const char *path, const char *body, char *answer,
+                      size_t size)
 {
     struct sockaddr_storage addr;
     int len;
-    char text[512];
+    size_t got = 0;
+    ssize_t part;
 
     ck_assert(mr_address_parse(process->address, &addr, &len));
     int fd = socket(AF_INET, SOCK_STREAM, 0);
     ck_assert_int_eq(connect(fd, (struct sockaddr *)&addr, (socklen_t)len), 0);
-    int size = snprintf(text, sizeof(text),
-                        "POST /faults HTTP/1.1\r\nHost: standin\r\n"
-                        "Content-Length: %zu\r\n\r\n%s",
-                        strlen(json), json);
-    ck_assert_int_eq(write(fd, text, (size_t)size), size);
-    ck_assert_int_gt(read(fd, text, sizeof(text) - 1), 12);
-    ck_assert_mem_eq(text, "HTTP/1.1 200", 12);
+    dprintf(fd,
+            "%s %s HTTP/1.1\r\nHost: standin\r\nConnection: close\r\n"
+            "Content-Length: %zu\r\n\r\n%s",
+            method, path, strlen(body), body);
+    while ((part = read(fd, answer + got, size - got - 1)) > 0) {
+        got += (size_t)part;
+    }
     close(fd);
+    answer[got] = '\0';
+    char *end = strstr(answer, "\r\n\r\n");
+    ck_assert_ptr_nonnull(end);
+    int status = atoi(answer + strlen("HTTP/1.1 "));
+    memmove(answer, end + 4, strlen(end + 4) + 1);
+    return status;
+}
+
+static inline void
+platform_process_faults(const platform_process_t *process, const char *json)
+{
+    char answer[512];
+
+    ck_assert_int_eq(platform_process_call(process, "POST", "/faults", json,
+                                           answer, sizeof(answer)),
+                     200);
+}
+
+/* Value of a row, or NULL; sets @revision, 0 when there is no row. */
+static inline json_t *
+platform_process_row(const platform_process_t *process, const char *row,
+                     json_int_t *revision)
+{
+    char path[256];
+    char answer[8192];
+
+    snprintf(path, sizeof(path), "/table/%s", row);
+    int status = platform_process_call(process, "GET", path, "", answer,
+                                       sizeof(answer));
+    json_t *document = json_loads(answer, 0, NULL);
+    json_t *value = json_incref(json_object_get(document, "value"));
+    *revision = json_integer_value(json_object_get(document, "revision"));
+    json_decref(document);
+    ck_assert(status == 200 || status == 404);
+    return value;
+}
+
+/* Writes a row, whatever it holds; takes over @value. */
+static inline void
+platform_process_put_row(const platform_process_t *process, const char *row,
+                         json_t *value)
+{
+    char path[256];
+    char answer[512];
+    json_int_t revision;
+
+    json_decref(platform_process_row(process, row, &revision));
+    json_t *body = json_pack("{s:I,s:o}", "expect", revision, "value", value);
+    char *text = json_dumps(body, 0);
+    snprintf(path, sizeof(path), "/table/%s", row);
+    ck_assert_int_eq(platform_process_call(process, "PUT", path, text, answer,
+                                           sizeof(answer)),
+                     200);
+    free(text);
+    json_decref(body);
+}
+
+static inline void
+platform_process_put_object(const platform_process_t *process,
+                            const char *name, const char *text)
+{
+    char path[256];
+    char answer[512];
+
+    snprintf(path, sizeof(path), "/objects/%s", name);
+    ck_assert_int_eq(platform_process_call(process, "PUT", path, text, answer,
+                                           sizeof(answer)),
+                     200);
 }
 
 static inline void
--- /dev/null
+++ b/tests/unit/test_config_store.c
@@ -0,0 +1,824 @@
+/*
+ * Guards against configurations that go back, take effect without an approval
+ * or reach only some instances, against confirmations of what is not held,
+ * and against withdrawn keys that work on during an outage.
+ *
+ * All instances of a test run in this process, with real links and the
+ * platform stand-in; membership is a fake whose rendezvous order is the order
+ * of creation.
+ */
+
+#include <check.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/json.h"
+#include "common/mem.h"
+#include "config/rows.h"
+#include "config/store_internal.h"
+#include "platform_process.h"
+
+enum { INSTANCES_MAX = 24, PLATFORM_TIMEOUT_MS = 300 };
+
+typedef struct fleet fleet_t;
+
+struct mr_members {
+    fleet_t *fleet;
+    mr_members_config_fn_t fn;
+    void *ctx;
+};
+
+typedef struct instance {
+    char name[16];
+    char address[32];
+    mr_member_t member;
+    mr_members_t members;
+    mr_counters_t *counters;
+    mr_platform_t *platform;
+    mr_peer_t *peer;
+    mr_config_store_t *store; /* NULL: a peer that the test answers for */
+    int changes;
+    int64_t answer_version; /* what such a peer says */
+    char answer_body[4096];
+    char answer_head[1024];
+} instance_t;
+
+struct fleet {
+    struct event_base *base;
+    platform_process_t process;
+    instance_t instances[INSTANCES_MAX];
+    size_t count;
+    uint8_t public_key[MR_APPROVAL_PUBLIC_KEY_BYTES];
+    uint8_t secret_key[MR_APPROVAL_SECRET_KEY_BYTES];
+};
+
+/* Fake membership. */
+
+const mr_member_t *
+mr_members_find(const mr_members_t *members, const char *name)
+{
+    const fleet_t *fleet = members->fleet;
+
+    for (size_t i = 0; i < fleet->count; i++) {
+        if (strcmp(fleet->instances[i].name, name) == 0) {
+            return &fleet->instances[i].member;
+        }
+    }
+    return NULL;
+}
+
+size_t
+mr_members_usable(const mr_members_t *members, const char *key,
+                  const char *data_centre, const mr_member_t **out, size_t max)
+{
+    const fleet_t *fleet = members->fleet;
+    size_t count = 0;
+
+    (void)key;
+    for (size_t i = 0; i < fleet->count && count < max; i++) {
+        const mr_member_t *member = &fleet->instances[i].member;
+        if (member->state == MR_MEMBER_LIVE
+            && strcmp(member->data_centre, data_centre) == 0) {
+            out[count++] = member;
+        }
+    }
+    return count;
+}
+
+void
+mr_members_report_failure(mr_members_t *members, const char *name)
+{
+    (void)members;
+    (void)name;
+}
+
+void
+mr_members_set_config_version(mr_members_t *members, int64_t version)
+{
+    (void)members;
+    (void)version;
+}
+
+void
+mr_members_on_config_version(mr_members_t *members, mr_members_config_fn_t fn,
+                             void *ctx)
+{
+    members->fn = fn;
+    members->ctx = ctx;
+}
+
+/* Instances. */
+
+static void
+on_change(void *ctx, mr_config_t *config)
+{
+    instance_t *instance = ctx;
+
+    (void)config;
+    instance->changes++;
+}
+
+static void
+on_scripted_fetch(void *ctx, mr_peer_request_t *request, const mr_msg_t *msg,
+                  const char *from)
+{
+    instance_t *instance = ctx;
+    mr_msg_t reply = {.type = MR_MSG_CONFIG_FETCH_REPLY};
+    mr_msg_config_t *config = &reply.u.config;
+
+    (void)from;
+    config->version = instance->answer_version;
+    config->head =
+        (mr_bytes_t){instance->answer_head, strlen(instance->answer_head)};
+    if (instance->answer_version > msg->u.config_fetch.after) {
+        config->body =
+            (mr_bytes_t){instance->answer_body, strlen(instance->answer_body)};
+    }
+    mr_peer_reply(request, &reply);
+}
+
+static instance_t *
+add_peer(fleet_t *fleet, const char *data_centre)
+{
+    instance_t *instance = &fleet->instances[fleet->count];
+    uint8_t secret[MR_PEER_SECRET_BYTES] = {1};
+
+    memset(instance, 0, sizeof(*instance));
+    snprintf(instance->name, sizeof(instance->name), "i%02zu", fleet->count);
+    instance->members.fleet = fleet;
+    instance->counters = mr_counters_create();
+    mr_peer_options_t options = {.base = fleet->base,
+                                 .counters = instance->counters,
+                                 .name = instance->name,
+                                 .data_centre = data_centre,
+                                 .incarnation = 1,
+                                 .secret = secret};
+    instance->peer = mr_peer_create(&options);
+    int port = mr_peer_listen(instance->peer, "127.0.0.1:0");
+    ck_assert_int_gt(port, 0);
+    snprintf(instance->address, sizeof(instance->address), "127.0.0.1:%d",
+             port);
+    instance->member = (mr_member_t){.name = instance->name,
+                                     .data_centre = data_centre,
+                                     .address = instance->address,
+                                     .state = MR_MEMBER_LIVE};
+    mr_peer_handle(instance->peer, MR_MSG_CONFIG_FETCH, on_scripted_fetch,
+                   instance);
+    fleet->count++;
+    return instance;
+}
+
+static void
+start_store(fleet_t *fleet, instance_t *instance, const char *platform)
+{
+    mr_platform_options_t platform_options = {.base = fleet->base,
+                                              .counters = instance->counters,
+                                              .address = platform,
+                                              .timeout = PLATFORM_TIMEOUT_MS};
+
+    instance->platform = mr_platform_create(&platform_options);
+    mr_config_store_options_t options = {
+        .base = fleet->base,
+        .counters = instance->counters,
+        .platform = instance->platform,
+        .peer = instance->peer,
+        .members = &instance->members,
+        .data_centre = instance->member.data_centre,
+        .name = instance->name,
+        .approver_key = fleet->public_key,
+    };
+    instance->store = mr_config_store_create(&options);
+    mr_config_store_subscribe(instance->store, on_change, instance);
+}
+
+static instance_t *
+add_instance(fleet_t *fleet, const char *data_centre)
+{
+    instance_t *instance = add_peer(fleet, data_centre);
+
+    start_store(fleet, instance, fleet->process.address);
+    return instance;
+}
+
+static void
+stop_instance(instance_t *instance)
+{
+    instance->member.state = MR_MEMBER_DEAD;
+    mr_config_store_destroy(instance->store);
+    mr_platform_destroy(instance->platform);
+    mr_peer_destroy(instance->peer);
+    mr_counters_destroy(instance->counters);
+    instance->store = NULL;
+    instance->platform = NULL;
+    instance->peer = NULL;
+    instance->counters = NULL;
+}
+
+static fleet_t *
+start(size_t count)
+{
+    fleet_t *fleet = MR_NEW(fleet_t);
+    uint8_t seed[crypto_sign_SEEDBYTES] = {7};
+
+    ck_assert_int_ge(sodium_init(), 0);
+    crypto_sign_seed_keypair(fleet->public_key, fleet->secret_key, seed);
+    platform_process_start(&fleet->process);
+    fleet->base = event_base_new();
+    for (size_t i = 0; i < count; i++) {
+        add_instance(fleet, "konya");
+    }
+    return fleet;
+}
+
+static void
+stop(fleet_t *fleet)
+{
+    for (size_t i = 0; i < fleet->count; i++) {
+        if (fleet->instances[i].peer != NULL) {
+            stop_instance(&fleet->instances[i]);
+        }
+    }
+    event_base_free(fleet->base);
+    platform_process_stop(&fleet->process);
+    free(fleet);
+}
+
+/* Configurations. */
+
+/* Canonical text of a version whose one account has the keys in @keys, each
+ * one letter; sets @hash. */
+static char *
+make_body(int64_t version, const char *keys, char *hash)
+{
+    char key_hash[65];
+    json_t *list = json_array();
+
+    for (const char *key = keys; *key != '\0'; key++) {
+        memset(key_hash, 'a', 64);
+        key_hash[64] = '\0';
+        json_array_append_new(list, json_pack("{s:s%,s:s}", "id", key,
+                                              (size_t)1, "hash", key_hash));
+    }
+    json_t *document = json_pack(
+        "{s:i,s:I,s:s,s:[{s:s,s:s},{s:s,s:s}],s:[],s:[{s:s,s:i,s:i,s:o}],"
+        "s:[]}",
+        "format", 1, "version", (json_int_t)version, "deployment", "ovakoy",
+        "data_centres", "name", "konya", "region", "ic-anadolu", "name",
+        "aksaray", "region", "ic-anadolu", "services", "accounts", "name",
+        "coop-1", "rate", 100, "burst", 50, "keys", list, "routes");
+    char *text = mr_json_canonical(document);
+    json_decref(document);
+    mr_config_hash(text, strlen(text), hash);
+    return text;
+}
+
+static mr_config_head_t
+make_head(const fleet_t *fleet, int64_t version, const char *hash)
+{
+    mr_config_head_t head = {.version = version};
+
+    strcpy(head.hash, hash);
+    ck_assert(
+        mr_approval_sign(fleet->secret_key, version, hash, head.approval));
+    return head;
+}
+
+/* Writes the object of a version and returns its approved row. */
+static mr_config_head_t
+put_body(fleet_t *fleet, int64_t version, const char *keys)
+{
+    char hash[MR_CONFIG_HASH_HEX_BYTES];
+    char name[128];
+    char *body = make_body(version, keys, hash);
+
+    snprintf(name, sizeof(name), "config/%s", hash);
+    platform_process_put_object(&fleet->process, name, body);
+    free(body);
+    return make_head(fleet, version, hash);
+}
+
+static void
+put_head(fleet_t *fleet, const mr_config_head_t *head)
+{
+    platform_process_put_row(&fleet->process, MR_CONFIG_ROW_HEAD,
+                             mr_config_head_write(head));
+}
+
+static void
+put_staged(fleet_t *fleet, const mr_config_head_t *head,
+           mr_config_staged_state_t state)
+{
+    mr_config_staged_t staged = {.version = head->version, .state = state};
+
+    strcpy(staged.hash, head->hash);
+    strcpy(staged.approval, state == MR_CONFIG_APPROVED ? head->approval : "");
+    strcpy(staged.proposer, "test");
+    platform_process_put_row(&fleet->process, MR_CONFIG_ROW_STAGED,
+                             mr_config_staged_write(&staged));
+}
+
+static void
+accept_version(fleet_t *fleet, int64_t version, const char *keys)
+{
+    mr_config_head_t head = put_body(fleet, version, keys);
+
+    put_head(fleet, &head);
+}
+
+/* Queries. */
+
+static int64_t
+version_of(const instance_t *instance)
+{
+    mr_config_t *config = mr_config_store_current(instance->store);
+
+    return config == NULL ? 0 : config->version;
+}
+
+static size_t
+count_at(const fleet_t *fleet, int64_t version)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; i < fleet->count; i++) {
+        const instance_t *instance = &fleet->instances[i];
+        count += instance->store != NULL && version_of(instance) == version;
+    }
+    return count;
+}
+
+/* Waits until @count instances run @version; returns the time taken. */
+static mr_ms_t
+await_version(fleet_t *fleet, int64_t version, size_t count, mr_ms_t limit)
+{
+    mr_ms_t begin = mr_clock_now(NULL);
+
+    while (count_at(fleet, version) < count
+           && mr_clock_now(NULL) < begin + limit) {
+        run_loop_for(fleet->base, 5);
+    }
+    ck_assert_uint_eq(count_at(fleet, version), count);
+    return mr_clock_now(NULL) - begin;
+}
+
+static int64_t
+refusals(const instance_t *instance, const char *reason)
+{
+    char labels[64];
+
+    snprintf(labels, sizeof(labels), "reason=\"%s\"", reason);
+    return mr_counter_value(mr_counters_get(
+        instance->counters, "masticrelay_config_refused_total", labels, ""));
+}
+
+static int64_t
+counter(const instance_t *instance, const char *name)
+{
+    return mr_counter_value(mr_counters_get(instance->counters, name, "", ""));
+}
+
+static int64_t
+confirmed_version(const fleet_t *fleet)
+{
+    json_int_t revision;
+    json_t *value = platform_process_row(&fleet->process,
+                                         "config/confirm/konya", &revision);
+    int64_t version = json_integer_value(json_object_get(value, "version"));
+
+    json_decref(value);
+    return version;
+}
+
+static void
+await_confirmed(fleet_t *fleet, int64_t version, mr_ms_t limit)
+{
+    mr_ms_t begin = mr_clock_now(NULL);
+
+    while (confirmed_version(fleet) != version
+           && mr_clock_now(NULL) < begin + limit) {
+        run_loop_for(fleet->base, 20);
+    }
+    ck_assert_int_eq(confirmed_version(fleet), version);
+}
+
+/* Tests. */
+
+START_TEST(test_accepted_version_reaches_all_instances)
+{
+    fleet_t *fleet = start(20);
+    int64_t polls = 0;
+
+    run_loop_for(fleet->base, 600);
+    ck_assert_uint_eq(count_at(fleet, 0), 20);
+    accept_version(fleet, 1, "ab");
+    await_version(fleet, 1, 20, 3000);
+    for (int64_t version = 2; version <= 5; version++) {
+        accept_version(fleet, version, "ab");
+        mr_ms_t took = await_version(fleet, version, 20, 3000);
+        printf("version %lld in force at 20 instances after %lld ms\n",
+               (long long)version, (long long)took);
+    }
+    for (size_t i = 0; i < 20; i++) {
+        polls -=
+            counter(&fleet->instances[i], "masticrelay_config_polls_total");
+    }
+    run_loop_for(fleet->base, 2000);
+    for (size_t i = 0; i < 20; i++) {
+        const instance_t *instance = &fleet->instances[i];
+        polls += counter(instance, "masticrelay_config_polls_total");
+        ck_assert_int_eq(instance->changes, 5);
+        ck_assert_int_lt(mr_config_store_contact_age(instance->store), 1200);
+    }
+    /* Three pollers, twice a second. */
+    ck_assert_int_ge(polls, 11);
+    ck_assert_int_le(polls, 15);
+    stop(fleet);
+}
+END_TEST
+
+START_TEST(test_lower_version_is_refused)
+{
+    fleet_t *fleet = start(4);
+
+    accept_version(fleet, 5, "a");
+    await_version(fleet, 5, 4, 3000);
+    accept_version(fleet, 4, "ab");
+    run_loop_for(fleet->base, 1200);
+    ck_assert_uint_eq(count_at(fleet, 5), 4);
+    ck_assert_int_gt(refusals(&fleet->instances[0], "lower_version"), 0);
+    accept_version(fleet, 5, "ab");
+    run_loop_for(fleet->base, 1200);
+    ck_assert_int_gt(refusals(&fleet->instances[0], "other_hash"), 0);
+    ck_assert_int_eq(fleet->instances[0].changes, 1);
+    ck_assert_int_eq(fleet->instances[3].changes, 1);
+    /* What is refused proves nothing about how fresh the present one is. */
+    ck_assert_int_gt(mr_config_store_contact_age(fleet->instances[0].store),
+                     2000);
+    stop(fleet);
+}
+END_TEST
+
+START_TEST(test_forged_approval_is_refused)
+{
+    fleet_t *fleet = start(4);
+
+    accept_version(fleet, 1, "a");
+    await_version(fleet, 1, 4, 3000);
+    mr_config_head_t head = put_body(fleet, 2, "ab");
+    head.approval[5] = head.approval[5] == '0' ? '1' : '0';
+    put_head(fleet, &head);
+    put_staged(fleet, &head, MR_CONFIG_APPROVED);
+    run_loop_for(fleet->base, 1500);
+    ck_assert_uint_eq(count_at(fleet, 1), 4);
+    ck_assert_int_gt(refusals(&fleet->instances[0], "unapproved"), 0);
+    ck_assert_int_eq(confirmed_version(fleet), 0);
+    /* An approval of another version does not count either. */
+    head = put_body(fleet, 3, "ab");
+    head.version = 4;
+    put_head(fleet, &head);
+    run_loop_for(fleet->base, 1000);
+    ck_assert_uint_eq(count_at(fleet, 1), 4);
+    stop(fleet);
+}
+END_TEST
+
+START_TEST(test_forged_staged_version_is_not_staged)
+{
+    fleet_t *fleet = start(3);
+
+    accept_version(fleet, 1, "a");
+    await_version(fleet, 1, 3, 3000);
+    mr_config_head_t head = put_body(fleet, 2, "");
+    head.approval[5] = head.approval[5] == '0' ? '1' : '0';
+    put_staged(fleet, &head, MR_CONFIG_APPROVED);
+    run_loop_for(fleet->base, 1500);
+    ck_assert_int_eq(confirmed_version(fleet), 0);
+    ck_assert_int_gt(refusals(&fleet->instances[0], "unapproved"), 0);
+    platform_process_faults(&fleet->process, "{\"down\":true}");
+    run_loop_for(fleet->base, 3000);
+    ck_assert(!mr_config_store_key_revoked(fleet->instances[0].store, "a"));
+    stop(fleet);
+}
+END_TEST
+
+START_TEST(test_body_that_does_not_match_is_refused)
+{
+    fleet_t *fleet = start(2);
+    char hash[MR_CONFIG_HASH_HEX_BYTES];
+    char name[128];
+
+    accept_version(fleet, 1, "a");
+    await_version(fleet, 1, 2, 3000);
+    /* Another body under the approved hash. */
+    free(make_body(2, "ab", hash));
+    char *other = make_body(2, "abc", name);
+    snprintf(name, sizeof(name), "config/%s", hash);
+    platform_process_put_object(&fleet->process, name, other);
+    free(other);
+    mr_config_head_t head = make_head(fleet, 2, hash);
+    put_head(fleet, &head);
+    run_loop_for(fleet->base, 800);
+    ck_assert_int_gt(refusals(&fleet->instances[0], "hash_mismatch"), 0);
+    /* A body with another version than its row. */
+    char *body = make_body(3, "ab", hash);
+    snprintf(name, sizeof(name), "config/%s", hash);
+    platform_process_put_object(&fleet->process, name, body);
+    free(body);
+    head = make_head(fleet, 4, hash);
+    put_head(fleet, &head);
+    run_loop_for(fleet->base, 800);
+    ck_assert_int_gt(refusals(&fleet->instances[0], "version_mismatch"), 0);
+    /* A row without its object. */
+    free(make_body(6, "ab", hash));
+    head = make_head(fleet, 6, hash);
+    put_head(fleet, &head);
+    run_loop_for(fleet->base, 800);
+    ck_assert_int_gt(refusals(&fleet->instances[0], "missing_body"), 0);
+    ck_assert_uint_eq(count_at(fleet, 1), 2);
+    stop(fleet);
+}
+END_TEST
+
+START_TEST(test_staged_version_is_confirmed_when_all_hold_it)
+{
+    fleet_t *fleet = start(12);
+
+    accept_version(fleet, 1, "ab");
+    await_version(fleet, 1, 12, 3000);
+    mr_config_head_t head = put_body(fleet, 2, "b");
+    put_staged(fleet, &head, MR_CONFIG_PROPOSED);
+    run_loop_for(fleet->base, 1200);
+    ck_assert_int_eq(confirmed_version(fleet), 0);
+    put_staged(fleet, &head, MR_CONFIG_APPROVED);
+    await_confirmed(fleet, 2, 3000);
+    for (size_t i = 0; i < fleet->count; i++) {
+        ck_assert_int_eq(
+            counter(&fleet->instances[i], "masticrelay_config_staged_total"),
+            1);
+        ck_assert_int_eq(
+            counter(&fleet->instances[i],
+                    "masticrelay_config_confirm_incomplete_total"),
+            0);
+    }
+    ck_assert_uint_eq(count_at(fleet, 1), 12);
+    stop(fleet);
+}
+END_TEST
+
+START_TEST(test_member_without_the_version_delays_confirmation)
+{
+    fleet_t *fleet = start(3);
+
+    /* This member answers, but never takes the version over. */
+    add_peer(fleet, "konya");
+    accept_version(fleet, 1, "ab");
+    await_version(fleet, 1, 3, 3000);
+    mr_config_head_t head = put_body(fleet, 2, "b");
+    put_staged(fleet, &head, MR_CONFIG_APPROVED);
+    run_loop_for(fleet->base, 4000);
+    ck_assert_int_eq(confirmed_version(fleet), 0);
+    await_confirmed(fleet, 2, 4000);
+    ck_assert_int_eq(counter(&fleet->instances[0],
+                             "masticrelay_config_confirm_incomplete_total"),
+                     1);
+    stop(fleet);
+}
+END_TEST
+
+START_TEST(test_lost_reply_to_a_confirmation)
+{
+    fleet_t *fleet = start(3);
+
+    accept_version(fleet, 1, "ab");
+    await_version(fleet, 1, 3, 3000);
+    json_int_t before, after;
+    mr_config_head_t head = put_body(fleet, 2, "b");
+    put_staged(fleet, &head, MR_CONFIG_APPROVED);
+    platform_process_faults(&fleet->process, "{\"lose_replies\":1.0}");
+    await_confirmed(fleet, 2, 3000);
+    json_decref(platform_process_row(&fleet->process, "config/confirm/konya",
+                                     &before));
+    run_loop_for(fleet->base, 2500);
+    json_decref(
+        platform_process_row(&fleet->process, "config/confirm/konya", &after));
+    ck_assert_int_eq(before, after);
+    ck_assert_int_eq(
+        counter(&fleet->instances[0], "masticrelay_config_confirmed_total"),
+        0);
+    stop(fleet);
+}
+END_TEST
+
+START_TEST(test_outage_presumes_withdrawn_keys)
+{
+    fleet_t *fleet = start(12);
+
+    accept_version(fleet, 1, "ab");
+    await_version(fleet, 1, 12, 3000);
+    mr_config_head_t head = put_body(fleet, 2, "b");
+    put_staged(fleet, &head, MR_CONFIG_APPROVED);
+    await_confirmed(fleet, 2, 3000);
+    run_loop_for(fleet->base, 2500);
+    for (size_t i = 0; i < fleet->count; i++) {
+        ck_assert(
+            !mr_config_store_key_revoked(fleet->instances[i].store, "a"));
+    }
+    platform_process_faults(&fleet->process, "{\"down\":true}");
+    run_loop_for(fleet->base, 900);
+    for (size_t i = 0; i < fleet->count; i++) {
+        ck_assert(
+            !mr_config_store_key_revoked(fleet->instances[i].store, "a"));
+    }
+    run_loop_for(fleet->base, 1300);
+    for (size_t i = 0; i < fleet->count; i++) {
+        const mr_config_store_t *store = fleet->instances[i].store;
+        ck_assert_int_ge(mr_config_store_contact_age(store), 2000);
+        ck_assert(mr_config_store_key_revoked(store, "a"));
+        ck_assert(!mr_config_store_key_revoked(store, "b"));
+        ck_assert(!mr_config_store_key_revoked(store, "z"));
+    }
+    platform_process_faults(&fleet->process, "{\"down\":false}");
+    run_loop_for(fleet->base, 1500);
+    ck_assert(!mr_config_store_key_revoked(fleet->instances[11].store, "a"));
+    /* A vetoed version withdraws nothing. */
+    put_staged(fleet, &head, MR_CONFIG_VETOED);
+    run_loop_for(fleet->base, 3000);
+    platform_process_faults(&fleet->process, "{\"down\":true}");
+    run_loop_for(fleet->base, 3000);
+    for (size_t i = 0; i < fleet->count; i++) {
+        ck_assert(
+            !mr_config_store_key_revoked(fleet->instances[i].store, "a"));
+    }
+    stop(fleet);
+}
+END_TEST
+
+/* Fills in what a scripted peer answers. */
+static void
+script(fleet_t *fleet, instance_t *peer, int64_t version, const char *keys)
+{
+    char hash[MR_CONFIG_HASH_HEX_BYTES];
+    char *body = make_body(version, keys, hash);
+    mr_config_head_t head = make_head(fleet, version, hash);
+    json_t *value = mr_config_head_write(&head);
+    char *text = mr_json_canonical(value);
+
+    peer->answer_version = version;
+    snprintf(peer->answer_body, sizeof(peer->answer_body), "%s", body);
+    snprintf(peer->answer_head, sizeof(peer->answer_head), "%s", text);
+    json_decref(value);
+    free(body);
+    free(text);
+}
+
+START_TEST(test_restart_in_an_outage_takes_the_highest_version)
+{
+    fleet_t *fleet = start(0);
+
+    for (int64_t version = 3; version <= 5; version++) {
+        script(fleet, add_peer(fleet, "konya"), version == 4 ? 7 : version,
+               "a");
+    }
+    /* Another data centre's member is not asked. */
+    script(fleet, add_peer(fleet, "aksaray"), 9, "a");
+    instance_t *instance = add_peer(fleet, "konya");
+    start_store(fleet, instance, "127.0.0.1:1");
+    await_version(fleet, 7, 1, 2000);
+    ck_assert_int_eq(instance->changes, 1);
+    stop(fleet);
+}
+END_TEST
+
+START_TEST(test_restart_without_store_and_peers_serves_nothing)
+{
+    fleet_t *fleet = start(1);
+
+    stop_instance(&fleet->instances[0]);
+    platform_process_faults(&fleet->process, "{\"down\":true}");
+    instance_t *instance = add_instance(fleet, "konya");
+    /* A peer that has no version itself is no source. */
+    add_peer(fleet, "konya");
+    run_loop_for(fleet->base, 1500);
+    ck_assert_int_eq(version_of(instance), 0);
+    ck_assert_int_eq(mr_config_store_contact_age(instance->store), INT64_MAX);
+    platform_process_faults(&fleet->process, "{\"down\":false}");
+    accept_version(fleet, 1, "a");
+    await_version(fleet, 1, 1, 2000);
+    stop(fleet);
+}
+END_TEST
+
+START_TEST(test_peers_cannot_forge_or_go_back)
+{
+    fleet_t *fleet = start(1);
+    instance_t *instance = &fleet->instances[0];
+
+    accept_version(fleet, 5, "a");
+    await_version(fleet, 5, 1, 2000);
+    instance_t *peer = add_peer(fleet, "konya");
+    script(fleet, peer, 6, "ab");
+    char *approval = strstr(peer->answer_head, "approval\":\"") + 11;
+    *approval = *approval == '0' ? '1' : '0';
+    instance->members.fn(instance->members.ctx, &peer->member, 6);
+    run_loop_for(fleet->base, 100);
+    ck_assert_int_eq(refusals(instance, "unapproved"), 1);
+    script(fleet, peer, 4, "ab");
+    instance->members.fn(instance->members.ctx, &peer->member, 6);
+    run_loop_for(fleet->base, 100);
+    ck_assert_int_eq(refusals(instance, "lower_version"), 1);
+    strcpy(peer->answer_head, "{");
+    instance->members.fn(instance->members.ctx, &peer->member, 6);
+    run_loop_for(fleet->base, 100);
+    ck_assert_int_eq(refusals(instance, "malformed_message"), 1);
+    ck_assert_int_eq(version_of(instance), 5);
+    /* A good version from a ping is taken over. */
+    script(fleet, peer, 6, "ab");
+    instance->members.fn(instance->members.ctx, &peer->member, 6);
+    await_version(fleet, 6, 1, 300);
+    stop(fleet);
+}
+END_TEST
+
+START_TEST(test_next_poller_takes_over)
+{
+    fleet_t *fleet = start(6);
+
+    accept_version(fleet, 1, "a");
+    await_version(fleet, 1, 6, 3000);
+    for (size_t i = 0; i < 3; i++) {
+        stop_instance(&fleet->instances[i]);
+    }
+    accept_version(fleet, 2, "a");
+    await_version(fleet, 2, 3, 3000);
+    stop(fleet);
+}
+END_TEST
+
+/* A data centre without the platform keeps up through another one, and a
+ * single instance without it through its own. */
+START_TEST(test_instances_without_the_platform_learn_from_peers)
+{
+    fleet_t *fleet = start(4);
+
+    accept_version(fleet, 1, "a");
+    await_version(fleet, 1, 4, 3000);
+    for (size_t i = 0; i < 2; i++) {
+        add_instance(fleet, "aksaray");
+    }
+    await_version(fleet, 1, 6, 3000);
+    for (size_t i = 0; i < fleet->count; i++) {
+        if (i != 1 && i != 2) {
+            /* Its calls to the platform fail from now on. */
+            instance_t *instance = &fleet->instances[i];
+            mr_platform_cancel(instance->platform, instance->store);
+            mr_platform_destroy(instance->platform);
+            mr_platform_options_t options = {.base = fleet->base,
+                                             .counters = instance->counters,
+                                             .address = "127.0.0.1:1",
+                                             .timeout = PLATFORM_TIMEOUT_MS};
+            instance->platform = mr_platform_create(&options);
+            instance->store->options.platform = instance->platform;
+            instance->store->polling = false;
+        }
+    }
+    accept_version(fleet, 2, "a");
+    await_version(fleet, 2, 6, 5000);
+    run_loop_for(fleet->base, 3000);
+    for (size_t i = 0; i < fleet->count; i++) {
+        ck_assert_int_lt(
+            mr_config_store_contact_age(fleet->instances[i].store), 3500);
+    }
+    stop(fleet);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("config_store");
+    TCase *tcase = tcase_create("store");
+
+    tcase_set_timeout(tcase, 30);
+    tcase_add_test(tcase, test_accepted_version_reaches_all_instances);
+    tcase_add_test(tcase, test_lower_version_is_refused);
+    tcase_add_test(tcase, test_forged_approval_is_refused);
+    tcase_add_test(tcase, test_forged_staged_version_is_not_staged);
+    tcase_add_test(tcase, test_body_that_does_not_match_is_refused);
+    tcase_add_test(tcase, test_staged_version_is_confirmed_when_all_hold_it);
+    tcase_add_test(tcase, test_member_without_the_version_delays_confirmation);
+    tcase_add_test(tcase, test_lost_reply_to_a_confirmation);
+    tcase_add_test(tcase, test_outage_presumes_withdrawn_keys);
+    tcase_add_test(tcase, test_restart_in_an_outage_takes_the_highest_version);
+    tcase_add_test(tcase, test_restart_without_store_and_peers_serves_nothing);
+    tcase_add_test(tcase, test_peers_cannot_forge_or_go_back);
+    tcase_add_test(tcase, test_next_poller_takes_over);
+    tcase_add_test(tcase,
+                   test_instances_without_the_platform_learn_from_peers);
+    suite_add_tcase(suite, tcase);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? 0 : 1;
+}
