Admit by grants and run the limiter role

limit.c holds requests up to 50 ms and asks the shard's limiter, refusing on its word or at that bound; limiter.c takes leases of 16 shards, keeps the shares and answers asks. Decisions stay in the modules without I/O.

--- a/lib/limit/lease.c
+++ b/lib/limit/lease.c
@@ -9,7 +9,8 @@
 
 enum {
     POLL_MS = 2000,       /* of an instance that watches the row */
-    POLL_LAPSED_MS = 500, /* once the owner seems to be gone */
+    POLL_LAPSED_MS = 500, /* once the row has not been renewed */
+    POLL_GONE_MS = 200,   /* once the owner is no usable member */
     RETRY_MS = 300,
     PROMISE_EVERY_MS = 500,
 };
@@ -139,13 +140,13 @@
     }
     if (row->owner[0] != '\0') {
         wait = mr_limit_lapse(row->lease);
-    }
-    /* The owner's own name after a restart counts as named only when nobody
-     * else is. */
-    if (!is_successor(row, lease->name)
-        && (row->successor_count > 0
-            || strcmp(row->owner, lease->name) != 0)) {
-        wait += mr_limit_lapse(MR_LEASE_OUTAGE_MS);
+        /* The owner's own name after a restart counts as named only when
+         * nobody else is. */
+        if (!is_successor(row, lease->name)
+            && (row->successor_count > 0
+                || strcmp(row->owner, lease->name) != 0)) {
+            wait += mr_limit_lapse(MR_LEASE_OUTAGE_MS);
+        }
     }
     /* The preferred one goes first, so that two do not race. */
     if (!preferred) {
@@ -187,7 +188,7 @@
 }
 
 static bool
-read_due(const mr_lease_t *lease, mr_ms_t now)
+read_due(const mr_lease_t *lease, bool owner_usable, mr_ms_t now)
 {
     mr_ms_t interval = POLL_MS;
 
@@ -200,6 +201,9 @@
     else if (lease->owner) {
         return false;
     }
+    else if (!owner_usable) {
+        interval = POLL_GONE_MS;
+    }
     else if (now - lease->seen >= MR_LEASE_MS / 2) {
         interval = POLL_LAPSED_MS;
     }
@@ -211,6 +215,7 @@
               bool draining, mr_ms_t now, mr_lease_row_t *out)
 {
     bool preferred = count > 0 && strcmp(order[0], lease->name) == 0;
+    bool usable = false;
 
     if (draining) {
         lease->released = true;
@@ -218,7 +223,10 @@
     if (lease->busy) {
         return MR_SHARE_NONE;
     }
-    if (read_due(lease, now)) {
+    for (size_t i = 0; i < count; i++) {
+        usable = usable || strcmp(order[i], lease->row.owner) == 0;
+    }
+    if (read_due(lease, usable, now)) {
         lease->busy = true;
         return MR_SHARE_READ;
     }
@@ -356,6 +364,12 @@
     return lease->since;
 }
 
+bool
+mr_lease_named(const mr_lease_t *lease)
+{
+    return lease->have_row && is_successor(&lease->row, lease->name);
+}
+
 const char *
 mr_lease_owner(const mr_lease_t *lease)
 {
--- a/lib/limit/lease.h
+++ b/lib/limit/lease.h
@@ -74,6 +74,9 @@
 /** mr_lease_since() - when the write that took the lease was sent. */
 mr_ms_t mr_lease_since(const mr_lease_t *lease);
 
+/** mr_lease_named() - whether the row names this instance as a successor. */
+bool mr_lease_named(const mr_lease_t *lease);
+
 /** mr_lease_owner() - owner by the row as last seen, "" when unknown. */
 const char *mr_lease_owner(const mr_lease_t *lease);
 
--- a/lib/limit/limit.c
+++ b/lib/limit/limit.c
@@ -1,206 +1,541 @@
 #include "limit/limit.h"
 
+#include <glib.h>
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "common/list.h"
 #include "common/mem.h"
-#include "limit/bucket.h"
+#include "limit/limiter.h"
+#include "limit/local.h"
 
-enum { HOLD_MS = 50, MEMBERS_MAX = 256 };
+enum {
+    /* While requests are held, and otherwise. */
+    TICK_HELD_MS = 4,
+    TICK_IDLE_MS = 50,
+    ASK_TIMEOUT_MS = 200,
+    CANDIDATES_MAX = 8,
+    /* With at most this many accounts, an instance keeps a base of each;
+     * otherwise only of those that it has served. */
+    BASE_ACCOUNTS_MAX = 32,
+};
 
 typedef struct account {
     mr_list_t link;
+    mr_limit_t *limit;
     char *name;
-    mr_bucket_t bucket;
+    mr_limit_local_t local;
+    mr_list_t waits; /* by arrival */
+    size_t wait_count;
+    mr_list_t asks;
     int64_t admitted;
     int64_t refused;
+    bool configured; /* in the configuration in force */
 } account_t;
 
+/* An ask that waits for its reply. */
+typedef struct ask {
+    mr_list_t link;
+    account_t *account;
+    mr_peer_call_t *call;
+    mr_ms_t sent;
+} ask_t;
+
+struct mr_limit_wait {
+    mr_list_t link;
+    account_t *account;
+    mr_ms_t since;
+    mr_limit_fn_t fn;
+    void *ctx;
+};
+
+/* Who is believed to be the limiter of a shard. */
+typedef struct route {
+    char *owner;
+    size_t next; /* candidate that is asked when the owner fails */
+} route_t;
+
 struct mr_limit {
     mr_limit_options_t options;
+    char *name;
     char *data_centre;
+    int64_t process;
+    mr_limiter_t *limiter;
+    GHashTable *by_name;
     mr_list_t accounts;
-    mr_list_t waits;
+    route_t routes[MR_LIMITER_SHARDS];
+    size_t held_now;
+    struct event *timer;
+    bool fast; /* the timer runs at TICK_HELD_MS */
     mr_counter_t *admitted;
     mr_counter_t *refused;
+    mr_counter_t *refused_late;
     mr_counter_t *held;
+    mr_counter_t *asked;
+    mr_counter_t *ask_failures;
 };
 
-struct mr_limit_wait {
-    mr_list_t link;
-    mr_limit_t *limit;
-    account_t *account;
-    struct event *timer;
-    mr_limit_fn_t fn;
-    void *ctx;
-};
+static mr_ms_t
+now_of(const mr_limit_t *limit)
+{
+    return mr_clock_now(limit->options.clock);
+}
 
-mr_limit_t *
-mr_limit_create(const mr_limit_options_t *options)
+static void
+set_tick(mr_limit_t *limit)
 {
-    mr_limit_t *limit = MR_NEW(mr_limit_t);
+    bool fast = limit->held_now > 0;
+    struct timeval tv = mr_clock_timeval(fast ? TICK_HELD_MS : TICK_IDLE_MS);
 
-    limit->options = *options;
-    limit->data_centre = mr_strdup(options->data_centre);
-    mr_list_init(&limit->accounts);
-    mr_list_init(&limit->waits);
-    limit->admitted =
-        mr_counters_get(options->counters, "mr_limit_admitted_total", "",
-                        "requests that got a token");
-    limit->refused =
-        mr_counters_get(options->counters, "mr_limit_refused_total", "",
-                        "requests refused by the rate limit");
-    limit->held = mr_counters_get(options->counters, "mr_limit_held_total", "",
-                                  "requests held for a token");
-    return limit;
+    if (fast != limit->fast) {
+        limit->fast = fast;
+        event_add(limit->timer, &tv);
+    }
 }
 
-void
-mr_limit_cancel(mr_limit_wait_t *wait)
+/* Held requests. */
+
+static void
+forget_wait(mr_limit_wait_t *wait)
 {
     mr_list_remove(&wait->link);
-    event_free(wait->timer);
+    wait->account->wait_count--;
+    wait->account->limit->held_now--;
     free(wait);
 }
 
 void
-mr_limit_destroy(mr_limit_t *limit)
+mr_limit_cancel(mr_limit_wait_t *wait)
 {
-    mr_list_t *link;
+    forget_wait(wait);
+}
 
-    if (limit == NULL) {
+static void
+end_wait(mr_limit_wait_t *wait, mr_error_kind_t error)
+{
+    account_t *account = wait->account;
+    mr_limit_fn_t fn = wait->fn;
+    void *ctx = wait->ctx;
+
+    if (error == MR_OK) {
+        account->admitted++;
+        mr_counter_add(account->limit->admitted, 1);
+    }
+    else {
+        account->refused++;
+        mr_counter_add(account->limit->refused, 1);
+    }
+    forget_wait(wait);
+    fn(ctx, error);
+}
+
+/* Admit held requests in order; refuse those that arrived up to @refuse_to,
+ * and those that were held as long as allowed. */
+static void
+serve_waits(account_t *account, mr_ms_t refuse_to)
+{
+    while (!mr_list_empty(&account->waits)) {
+        mr_limit_wait_t *wait =
+            MR_LIST_ENTRY(account->waits.next, mr_limit_wait_t, link);
+        mr_ms_t now = now_of(account->limit);
+        if (mr_grant_hold_admit(&account->local.hold, now)) {
+            end_wait(wait, MR_OK);
+        }
+        else if (wait->since <= refuse_to) {
+            end_wait(wait, MR_ERR_RATE_LIMITED);
+        }
+        else if (now - wait->since >= MR_LIMIT_HOLD_MS) {
+            mr_counter_add(account->limit->refused_late, 1);
+            end_wait(wait, MR_ERR_RATE_LIMITED);
+        }
+        else {
+            return;
+        }
+    }
+}
+
+/* Asks. */
+
+static void
+set_owner(route_t *route, const char *owner)
+{
+    if (route->owner == NULL || strcmp(route->owner, owner) != 0) {
+        free(route->owner);
+        route->owner = mr_strdup(owner);
+    }
+}
+
+/* Turn to the next candidate in rendezvous order, as the one asked does not
+ * answer or does not know the owner. */
+static void
+rotate_owner(mr_limit_t *limit, unsigned shard)
+{
+    route_t *route = &limit->routes[shard];
+    const mr_member_t *members[CANDIDATES_MAX];
+    char key[160];
+    size_t count;
+
+    mr_limiter_key(limit->data_centre, shard, key, sizeof(key));
+    count = mr_members_usable(limit->options.members, key, limit->data_centre,
+                              members, CANDIDATES_MAX);
+    if (count == 0) {
         return;
     }
-    while (!mr_list_empty(&limit->waits)) {
-        mr_limit_cancel(
-            MR_LIST_ENTRY(limit->waits.next, mr_limit_wait_t, link));
+    set_owner(route, members[route->next % count]->name);
+    route->next = (route->next + 1) % count;
+}
+
+static void
+take_reply(account_t *account, const mr_msg_grant_reply_t *reply, mr_ms_t sent)
+{
+    unsigned shard = mr_limiter_shard(account->name);
+    mr_limit_t *limit = account->limit;
+    mr_ms_t refuse_to = INT64_MIN;
+
+    if (reply == NULL || reply->owner[0] == '\0') {
+        rotate_owner(limit, shard);
+    }
+    else {
+        set_owner(&limit->routes[shard], reply->owner);
     }
-    while ((link = mr_list_pop(&limit->accounts)) != NULL) {
-        account_t *account = MR_LIST_ENTRY(link, account_t, link);
-        free(account->name);
-        free(account);
+    mr_limit_local_reply(&account->local, reply ? reply->grants : NULL,
+                         reply ? reply->grant_count : 0, sent, now_of(limit));
+    if (reply != NULL && reply->error == MR_ERR_RATE_LIMITED) {
+        refuse_to = sent;
     }
-    free(limit->data_centre);
-    free(limit);
+    serve_waits(account, refuse_to);
 }
 
-/* Equal division over data centres and members, until grants exist. */
-static mr_limit_amount_t
-equal_share(mr_limit_t *limit, const mr_config_account_t *account)
+static void
+on_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *reply)
 {
-    const mr_member_t *members[MEMBERS_MAX];
-    const mr_config_t *config = mr_config_store_current(limit->options.config);
-    size_t count = mr_members_usable(limit->options.members, "",
-                                     limit->data_centre, members, MEMBERS_MAX);
-    int64_t parts = (int64_t)(count > 0 ? count : 1);
+    ask_t *ask = ctx;
+    account_t *account = ask->account;
+    mr_ms_t sent = ask->sent;
+    bool good = error == MR_OK && reply->type == MR_MSG_GRANT_REPLY;
 
-    if (config != NULL && config->data_centre_count > 0) {
-        parts *= (int64_t)config->data_centre_count;
+    mr_list_remove(&ask->link);
+    free(ask);
+    if (!good) {
+        mr_counter_add(account->limit->ask_failures, 1);
     }
-    return (mr_limit_amount_t){
-        .rate = account->rate * MR_TOKEN_MILLI / parts,
-        .burst = account->burst * MR_TOKEN_MILLI / parts,
+    take_reply(account, good ? &reply->u.grant_reply : NULL, sent);
+}
+
+static void
+send_ask(account_t *account, const mr_grant_ask_t *ask, mr_ms_t now)
+{
+    mr_limit_t *limit = account->limit;
+    route_t *route = &limit->routes[mr_limiter_shard(account->name)];
+    const mr_member_t *member;
+
+    mr_counter_add(limit->asked, 1);
+    if (route->owner == NULL) {
+        rotate_owner(limit, mr_limiter_shard(account->name));
+    }
+    if (route->owner != NULL && strcmp(route->owner, limit->name) == 0) {
+        mr_msg_grant_item_t items[MR_GRANT_ITEMS_MAX];
+        mr_msg_grant_reply_t reply;
+        mr_limiter_ask(limit->limiter, account->name, ask, items, &reply);
+        take_reply(account, &reply, now);
+        return;
+    }
+    member = route->owner == NULL
+                 ? NULL
+                 : mr_members_find(limit->options.members, route->owner);
+    if (member == NULL) {
+        take_reply(account, NULL, now);
+        return;
+    }
+    mr_msg_t msg = {.type = MR_MSG_GRANT};
+    msg.u.grant = (mr_msg_grant_t){
+        .account = account->name,
+        .demand_milli = ask->demand,
+        .wanted = ask->wanted,
+        .process = limit->process,
+        .held_long = ask->held_long,
+        .held_rate_milli = ask->held.rate,
+        .held_burst_milli = ask->held.burst,
+        .held_short = ask->held_short,
     };
+    ask_t *call = MR_NEW(ask_t);
+    call->account = account;
+    call->sent = now;
+    mr_list_append(&account->asks, &call->link);
+    call->call = mr_peer_call(limit->options.peer, member->address, &msg,
+                              ASK_TIMEOUT_MS, on_reply, call);
 }
 
-static account_t *
-find_account(mr_limit_t *limit, const mr_config_account_t *config)
+static void
+send_return(account_t *account, int64_t id)
+{
+    mr_limit_t *limit = account->limit;
+    const char *owner = limit->routes[mr_limiter_shard(account->name)].owner;
+    const mr_member_t *member;
+
+    if (owner == NULL) {
+        return;
+    }
+    if (strcmp(owner, limit->name) == 0) {
+        mr_limiter_return(limit->limiter, account->name, limit->name,
+                          limit->process, id);
+        return;
+    }
+    member = mr_members_find(limit->options.members, owner);
+    if (member != NULL) {
+        mr_msg_t msg = {.type = MR_MSG_GRANT_RETURN};
+        msg.u.grant_return = (mr_msg_grant_return_t){
+            .account = account->name, .id = id, .process = limit->process};
+        mr_peer_send(limit->options.peer, member->address, &msg);
+    }
+}
+
+static void
+run_account(account_t *account)
+{
+    mr_limit_t *limit = account->limit;
+    mr_ms_t now = now_of(limit);
+    mr_grant_ask_t ask = {.instance = limit->name, .process = limit->process};
+    int64_t id;
+
+    while ((id = mr_grant_hold_spent(&account->local.hold, now)) != 0) {
+        send_return(account, id);
+    }
+    if (mr_limit_local_ask(&account->local, account->wait_count, now, &ask)) {
+        send_ask(account, &ask, now);
+    }
+}
+
+static void
+on_tick(evutil_socket_t fd, short events, void *arg)
 {
-    mr_limit_amount_t amount = equal_share(limit, config);
-    mr_ms_t now = mr_clock_now(limit->options.clock);
+    mr_limit_t *limit = arg;
 
+    (void)fd;
+    (void)events;
     MR_LIST_FOREACH(it, &limit->accounts)
     {
         account_t *account = MR_LIST_ENTRY(it, account_t, link);
-        if (strcmp(account->name, config->name) == 0) {
-            mr_bucket_change(&account->bucket, amount, now, INT64_MAX);
-            return account;
-        }
+        serve_waits(account, INT64_MIN);
+        run_account(account);
     }
-    account_t *account = MR_NEW(account_t);
+    set_tick(limit);
+}
+
+/* Accounts. */
+
+static account_t *
+get_account(mr_limit_t *limit, const mr_config_account_t *config)
+{
+    mr_limit_amount_t amount = {config->rate * MR_TOKEN_MILLI,
+                                config->burst * MR_TOKEN_MILLI};
+    account_t *account = g_hash_table_lookup(limit->by_name, config->name);
+    mr_ms_t now = now_of(limit);
+
+    if (account != NULL) {
+        return account;
+    }
+    account = MR_NEW(account_t);
+    account->limit = limit;
     account->name = mr_strdup(config->name);
-    mr_bucket_init(&account->bucket, amount, now, INT64_MAX);
+    mr_list_init(&account->waits);
+    mr_list_init(&account->asks);
+    mr_limit_local_init(&account->local, now);
+    mr_limit_local_configure(&account->local, amount, now);
     mr_list_append(&limit->accounts, &account->link);
+    g_hash_table_insert(limit->by_name, account->name, account);
     return account;
 }
 
-static bool
-take(mr_limit_t *limit, account_t *account)
+/* Held requests get no callback; the caller ends them before. */
+static void
+destroy_account(account_t *account)
 {
-    mr_ms_t now = mr_clock_now(limit->options.clock);
+    mr_list_t *link;
 
-    if (mr_bucket_level(&account->bucket, now) < MR_TOKEN_MILLI) {
-        return false;
+    while (!mr_list_empty(&account->waits)) {
+        forget_wait(MR_LIST_ENTRY(account->waits.next, mr_limit_wait_t, link));
+    }
+    while ((link = mr_list_pop(&account->asks)) != NULL) {
+        ask_t *ask = MR_LIST_ENTRY(link, ask_t, link);
+        mr_peer_cancel(ask->call);
+        free(ask);
     }
-    mr_bucket_take(&account->bucket, MR_TOKEN_MILLI, now);
-    mr_counter_add(limit->admitted, 1);
-    account->admitted++;
-    return true;
+    g_hash_table_remove(account->limit->by_name, account->name);
+    mr_list_remove(&account->link);
+    free(account->name);
+    free(account);
 }
 
 static void
-on_wait_over(evutil_socket_t fd, short events, void *arg)
+on_config(void *ctx, mr_config_t *config)
 {
-    mr_limit_wait_t *wait = arg;
-    mr_limit_fn_t fn = wait->fn;
-    void *ctx = wait->ctx;
-    mr_error_kind_t error = MR_OK;
+    mr_limit_t *limit = ctx;
+    mr_ms_t now = now_of(limit);
 
-    (void)fd;
-    (void)events;
-    if (!take(wait->limit, wait->account)) {
-        mr_counter_add(wait->limit->refused, 1);
-        wait->account->refused++;
-        error = MR_ERR_RATE_LIMITED;
+    MR_LIST_FOREACH(it, &limit->accounts)
+    {
+        MR_LIST_ENTRY(it, account_t, link)->configured = false;
+    }
+    for (size_t i = 0; i < config->account_count; i++) {
+        const mr_config_account_t *source = &config->accounts[i];
+        mr_limit_amount_t amount = {source->rate * MR_TOKEN_MILLI,
+                                    source->burst * MR_TOKEN_MILLI};
+        account_t *account = g_hash_table_lookup(limit->by_name, source->name);
+        if (account == NULL && config->account_count > BASE_ACCOUNTS_MAX) {
+            continue;
+        }
+        account = get_account(limit, source);
+        account->configured = true;
+        mr_limit_local_configure(&account->local, amount, now);
+    }
+    MR_LIST_FOREACH(it, &limit->accounts)
+    {
+        account_t *account = MR_LIST_ENTRY(it, account_t, link);
+        /* One with held requests goes at a later change. */
+        if (!account->configured && account->wait_count == 0) {
+            destroy_account(account);
+        }
     }
-    mr_limit_cancel(wait);
-    fn(ctx, error);
 }
 
+/* Interface. */
+
 mr_limit_wait_t *
 mr_limit_admit(mr_limit_t *limit, const mr_config_account_t *account,
                mr_limit_fn_t fn, void *ctx)
 {
-    account_t *own = find_account(limit, account);
-    struct timeval tv = mr_clock_timeval(HOLD_MS);
+    account_t *own = get_account(limit, account);
+    mr_limit_wait_t *wait;
 
-    if (take(limit, own)) {
+    if (mr_limit_local_arrive(&own->local, now_of(limit))) {
+        own->admitted++;
+        mr_counter_add(limit->admitted, 1);
+        run_account(own);
         return NULL;
     }
-    mr_limit_wait_t *wait = MR_NEW(mr_limit_wait_t);
-    wait->limit = limit;
+    wait = MR_NEW(mr_limit_wait_t);
     wait->account = own;
+    wait->since = now_of(limit);
     wait->fn = fn;
     wait->ctx = ctx;
-    wait->timer = event_new(limit->options.base, -1, 0, on_wait_over, wait);
-    event_add(wait->timer, &tv);
-    mr_list_append(&limit->waits, &wait->link);
+    mr_list_append(&own->waits, &wait->link);
+    own->wait_count++;
+    limit->held_now++;
     mr_counter_add(limit->held, 1);
+    set_tick(limit);
     return wait;
 }
 
+static void
+create_counters(mr_limit_t *limit)
+{
+    mr_counters_t *counters = limit->options.counters;
+
+    limit->admitted = mr_counters_get(counters, "mr_limit_admitted_total", "",
+                                      "requests that got a token");
+    limit->refused = mr_counters_get(counters, "mr_limit_refused_total", "",
+                                     "requests refused by the rate limit");
+    limit->refused_late = mr_counters_get(
+        counters, "mr_limit_refused_without_word_total", "",
+        "requests refused because the limiter gave no answer in time");
+    limit->held = mr_counters_get(counters, "mr_limit_held_total", "",
+                                  "requests held for a token");
+    limit->asked = mr_counters_get(counters, "mr_limit_asked_total", "",
+                                   "asks to limiters");
+    limit->ask_failures =
+        mr_counters_get(counters, "mr_limit_ask_failures_total", "",
+                        "asks to limiters without an answer");
+}
+
+mr_limit_t *
+mr_limit_create(const mr_limit_options_t *options)
+{
+    mr_limit_t *limit = MR_NEW(mr_limit_t);
+    struct timeval tv = mr_clock_timeval(TICK_IDLE_MS);
+
+    limit->options = *options;
+    limit->name = mr_strdup(options->name);
+    limit->data_centre = mr_strdup(options->data_centre);
+    while (limit->process <= 0) {
+        randombytes_buf(&limit->process, sizeof(limit->process));
+    }
+    mr_list_init(&limit->accounts);
+    limit->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    create_counters(limit);
+    limit->limiter = mr_limiter_create(options, limit->process);
+    limit->timer = event_new(options->base, -1, EV_PERSIST, on_tick, limit);
+    event_add(limit->timer, &tv);
+    mr_config_store_subscribe(options->config, on_config, limit);
+    return limit;
+}
+
+void
+mr_limit_destroy(mr_limit_t *limit)
+{
+    if (limit == NULL) {
+        return;
+    }
+    event_free(limit->timer);
+    while (!mr_list_empty(&limit->accounts)) {
+        destroy_account(MR_LIST_ENTRY(limit->accounts.next, account_t, link));
+    }
+    g_hash_table_destroy(limit->by_name);
+    mr_limiter_destroy(limit->limiter);
+    for (size_t i = 0; i < MR_LIMITER_SHARDS; i++) {
+        free(limit->routes[i].owner);
+    }
+    free(limit->name);
+    free(limit->data_centre);
+    free(limit);
+}
+
 void
 mr_limit_drain(mr_limit_t *limit)
 {
-    (void)limit;
+    mr_ms_t now = now_of(limit);
+    int64_t id;
+
+    MR_LIST_FOREACH(it, &limit->accounts)
+    {
+        account_t *account = MR_LIST_ENTRY(it, account_t, link);
+        while ((id = mr_grant_hold_drop(&account->local.hold, now)) != 0) {
+            send_return(account, id);
+        }
+    }
+    mr_limiter_drain(limit->limiter);
 }
 
 json_t *
 mr_limit_status(const mr_limit_t *limit)
 {
     json_t *array = json_array();
+    mr_ms_t now = now_of(limit);
 
     MR_LIST_FOREACH(it, &limit->accounts)
     {
-        const account_t *account = MR_LIST_ENTRY(it, account_t, link);
+        account_t *account = MR_LIST_ENTRY(it, account_t, link);
+        const char *owner =
+            limit->routes[mr_limiter_shard(account->name)].owner;
+        mr_limit_amount_t share =
+            mr_limiter_usable(limit->limiter, account->name);
+        mr_grant_hold_t *hold = &account->local.hold;
         json_array_append_new(
             array,
-            json_pack("{s:s,s:I,s:I,s:I,s:I}", "account", account->name,
-                      "rate_milli", (json_int_t)account->bucket.amount.rate,
-                      "burst_milli", (json_int_t)account->bucket.amount.burst,
-                      "admitted", (json_int_t)account->admitted, "refused",
-                      (json_int_t)account->refused));
+            json_pack(
+                "{s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:s,s:I,s:I}", "account",
+                account->name, "rate_milli",
+                (json_int_t)account->local.limit.rate, "burst_milli",
+                (json_int_t)account->local.limit.burst, "granted_rate_milli",
+                (json_int_t)mr_grant_hold_rate(hold, now), "tokens_milli",
+                (json_int_t)mr_grant_hold_level(hold, now), "demand_milli",
+                (json_int_t)account->local.demand, "admitted",
+                (json_int_t)account->admitted, "refused",
+                (json_int_t)account->refused, "limiter",
+                owner != NULL ? owner : "", "share_rate_milli",
+                (json_int_t)share.rate, "share_burst_milli",
+                (json_int_t)share.burst));
     }
     return array;
 }
