Add generation and reading of the customer's key pair

Change: `approver create` writes a secret key that only its owner may read and never replaces a file; a key file that others may access is refused.

--- a/programs/masticrelayctl.h
+++ b/programs/masticrelayctl.h
@@ -12,6 +12,7 @@
 
 #include "common/counters.h"
 #include "common/error.h"
+#include "config/approval.h"
 #include "config/model.h"
 #include "platform/platform.h"
 
@@ -74,9 +75,14 @@
 ctl_status_t ctl_approve(CTL_PARAMETERS);
 ctl_status_t ctl_veto(CTL_PARAMETERS);
 ctl_status_t ctl_accept(CTL_PARAMETERS);
-ctl_status_t ctl_approver_create(CTL_PARAMETERS);
 /** ctl_stage() - propose the configuration @text; see propose. */
 ctl_status_t ctl_stage(ctl_t *ctl, const char *text);
+/* masticrelayctl_approver.c */
+ctl_status_t ctl_approver_create(CTL_PARAMETERS);
+/** ctl_read_approver_key() - the secret key of --approver-key. */
+ctl_status_t
+ctl_read_approver_key(const ctl_t *ctl,
+                      uint8_t secret_key[MR_APPROVAL_SECRET_KEY_BYTES]);
 /* masticrelayctl_status.c */
 ctl_status_t ctl_show_status(CTL_PARAMETERS);
 ctl_status_t ctl_show_groups(CTL_PARAMETERS);
--- /dev/null
+++ b/programs/masticrelayctl_approver.c
@@ -0,0 +1,110 @@
+/* The customer's key pair: generation, and reading of the secret key. */
+
+#include <errno.h>
+#include <fcntl.h>
+#include <sodium.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "config/approval.h"
+#include "masticrelay.h"
+#include "masticrelayctl.h"
+
+/* Creates @path for its owner only; an existing key is never replaced. */
+static ctl_status_t
+write_secret(const ctl_t *ctl, const char *path, const char *secret)
+{
+    int fd = open(path, O_WRONLY | O_CREAT | O_EXCL, S_IRUSR | S_IWUSR);
+
+    if (fd < 0) {
+        return ctl_fail(ctl, CTL_FAILED, "%s: %s", path, strerror(errno));
+    }
+    FILE *file = fdopen(fd, "w");
+    bool written = file != NULL && fprintf(file, "%s\n", secret) > 0
+                   && fflush(file) == 0 && fsync(fd) == 0;
+    if (file != NULL) {
+        written = fclose(file) == 0 && written;
+    }
+    else {
+        close(fd);
+    }
+    if (!written) {
+        unlink(path);
+        return ctl_fail(ctl, CTL_FAILED, "%s cannot be written", path);
+    }
+    return CTL_DONE;
+}
+
+ctl_status_t
+ctl_approver_create(CTL_PARAMETERS)
+{
+    char public_key[MR_OP_APPROVER_PUBLIC_BYTES];
+    char secret_key[MR_OP_APPROVER_SECRET_BYTES];
+
+    if (!ctl_parse(ctl, command, NULL, &argc, &argv)) {
+        return CTL_USAGE;
+    }
+    if (!mr_op_approver_create(public_key, secret_key)) {
+        return ctl_fail(ctl, CTL_FAILED, "no key pair can be generated");
+    }
+    ctl_status_t status = write_secret(ctl, argv[0], secret_key);
+    sodium_memzero(secret_key, sizeof(secret_key));
+    if (status != CTL_DONE) {
+        return status;
+    }
+    if (ctl->set.json) {
+        json_t *result =
+            json_pack("{s:s,s:s}", "public_key", public_key, "file", argv[0]);
+        ctl_print_json(result);
+        json_decref(result);
+    }
+    else {
+        printf("%s\n", public_key);
+    }
+    return CTL_DONE;
+}
+
+ctl_status_t
+ctl_read_approver_key(const ctl_t *ctl,
+                      uint8_t secret_key[MR_APPROVAL_SECRET_KEY_BYTES])
+{
+    const char *path = ctl->set.approver_key;
+    char text[MR_OP_APPROVER_SECRET_BYTES] = "";
+    struct stat info;
+    size_t len = 0;
+
+    if (path == NULL) {
+        return ctl_fail(ctl, CTL_USAGE,
+                        "--approver-key or MASTICRELAY_APPROVER_KEY is "
+                        "needed");
+    }
+    int fd = open(path, O_RDONLY);
+    if (fd < 0 || fstat(fd, &info) != 0) {
+        ctl_fail(ctl, CTL_FAILED, "%s: %s", path, strerror(errno));
+        goto fail;
+    }
+    if ((info.st_mode & (S_IRWXG | S_IRWXO)) != 0) {
+        ctl_fail(ctl, CTL_FAILED,
+                 "%s may be accessed by others than its owner", path);
+        goto fail;
+    }
+    ssize_t got = read(fd, text, sizeof(text) - 1);
+    if (got != sizeof(text) - 1
+        || sodium_hex2bin(secret_key, MR_APPROVAL_SECRET_KEY_BYTES, text,
+                          sizeof(text) - 1, NULL, &len, NULL)
+               != 0
+        || len != MR_APPROVAL_SECRET_KEY_BYTES) {
+        ctl_fail(ctl, CTL_FAILED, "%s does not hold a secret key", path);
+        goto fail;
+    }
+    close(fd);
+    sodium_memzero(text, sizeof(text));
+    return CTL_DONE;
+fail:
+    if (fd >= 0) {
+        close(fd);
+    }
+    sodium_memzero(text, sizeof(text));
+    return CTL_FAILED;
+}
