--- a/programs/masticrelayctl_files.c
+++ b/programs/masticrelayctl_files.c
@@ -75,9 +75,11 @@
     char *name = g_strdup_printf("config/%s", hash);
     char *data = NULL;
     size_t len = 0;
-    mr_error_kind_t error = ctl_object(ctl, name, &data, &len);
     ctl_status_t status;
 
+    *config = NULL;
+    mr_error_kind_t error = ctl_object(ctl, name, &data, &len);
+
     if (error != MR_OK) {
         status = ctl_fail(ctl, ctl_error_status(error), "%s: %s", name,
                           mr_error_name(error));
@@ -85,7 +87,7 @@
     else {
         status = parse_config(ctl, name, data, len, config);
     }
-    if (status == CTL_DONE && strcmp((*config)->hash, hash) != 0) {
+    if (*config != NULL && strcmp((*config)->hash, hash) != 0) {
         status = ctl_fail(ctl, CTL_FAILED, "%s has other content: hash %s",
                           name, (*config)->hash);
         mr_config_unref(*config);
@@ -134,10 +136,13 @@
     ctl_status_t status = CTL_DONE;
     json_array_foreach(names, index, name)
     {
+        const char *object = json_string_value(name);
         mr_config_t *other = NULL;
-        status = load_hash(ctl, json_string_value(name) + strlen("config/"),
-                           &other);
-        if (status != CTL_DONE) {
+        if (object == NULL || !g_str_has_prefix(object, "config/")) {
+            continue;
+        }
+        status = load_hash(ctl, object + strlen("config/"), &other);
+        if (other == NULL) {
             break;
         }
         if (other->version != version) {
