--- a/lib/entry/route.c
+++ b/lib/entry/route.c
@@ -67,11 +67,20 @@
            || a->msg->token_uncertain;
 }
 
+/*
+ * Whether a request with unknown outcome may be sent again. A write is only
+ * repeated under a higher term, where its first attempt can no longer run:
+ * under the same term a delayed first attempt could run after later writes and
+ * undo them, idempotent or not.
+ */
 static bool
-may_repeat(const attempt_t *a)
+may_repeat(const attempt_t *a, const mr_msg_execute_reply_t *reply)
 {
-    return a->msg->operation == MR_OPERATION_STATEMENT
-           && (a->msg->access == MR_ACCESS_READ || a->msg->idempotent);
+    if (a->msg->operation != MR_OPERATION_STATEMENT) {
+        return false;
+    }
+    return a->msg->access == MR_ACCESS_READ
+           || (a->msg->idempotent && reply->term > 0);
 }
 
 static void
@@ -101,7 +110,7 @@
         && mr_error_outcome((mr_error_kind_t)copy->error)
                == MR_OUTCOME_NOT_RUN) {
         copy->error = MR_ERR_OUTCOME_UNKNOWN;
-        copy->term = 0;
+        copy->term = a->msg->min_term - 1;
         copy->position = 0;
     }
     free_attempt(a);
@@ -304,8 +313,10 @@
     retry_elsewhere(a);
 }
 
+/* The owner itself is out of reach: the next one in rendezvous order serves
+ * the same target. */
 static void
-handle_unavailable(attempt_t *a)
+handle_owner_lost(attempt_t *a)
 {
     mr_members_report_failure(a->route->options.members, a->member);
     if (++a->owner_rank < OWNERS_MAX) {
@@ -336,15 +347,16 @@
         return;
     case MR_ERR_NO_PRIMARY:
     case MR_ERR_SHUTTING_DOWN:
-        retry_elsewhere(a);
-        return;
     case MR_ERR_UNAVAILABLE:
-        handle_unavailable(a);
+        retry_elsewhere(a);
         return;
     case MR_ERR_OUTCOME_UNKNOWN:
     case MR_ERR_INTERNAL:
-        if (may_repeat(a)) {
+        if (may_repeat(a, reply)) {
             a->maybe_run = true;
+            if (a->msg->access == MR_ACCESS_WRITE) {
+                a->msg->min_term = reply->term + 1;
+            }
             retry_elsewhere(a);
             return;
         }
@@ -374,6 +386,10 @@
         handle_reply(a, &copy);
         return;
     }
+    if (error == MR_ERR_UNAVAILABLE && time_left(a) > RETRY_PAUSE_MS) {
+        handle_owner_lost(a);
+        return;
+    }
     mr_execute_reply_init(&failed, error,
                           error == MR_ERR_UNAVAILABLE
                               ? "the pool owner is out of reach"
@@ -517,37 +533,21 @@
     finish(ctx, reply);
 }
 
-static void
-on_forward_lost(evutil_socket_t fd, short what, void *ctx)
-{
-    (void)fd;
-    (void)what;
-    finish_error(ctx, MR_ERR_UNAVAILABLE, "the instance is gone");
-}
-
 void
-mr_route_forward(mr_route_t *route, const char *instance,
+mr_route_forward(mr_route_t *route, const char *instance, const char *address,
                  const mr_msg_execute_t *msg, mr_execute_fn_t fn, void *ctx)
 {
     attempt_t *a = create_attempt(route, msg, fn, ctx);
-    const mr_member_t *member =
-        mr_members_find(route->options.members, instance);
     mr_msg_t out = {.type = MR_MSG_EXECUTE};
-    struct timeval now = {0};
 
     if (strcmp(instance, route->options.name) == 0) {
         mr_owner_execute(route->options.owner, a->msg, on_local_forward_reply,
                          a);
         return;
     }
-    if (member == NULL || member->state == MR_MEMBER_DEAD) {
-        event_assign(a->timer, route->options.base, -1, 0, on_forward_lost, a);
-        evtimer_add(a->timer, &now);
-        return;
-    }
     out.u.execute = *a->msg;
     out.u.execute.deadline_ms = msg->deadline_ms - REPLY_MARGIN_MS;
-    a->call = mr_peer_call(route->options.peer, member->address, &out,
+    a->call = mr_peer_call(route->options.peer, address, &out,
                            msg->deadline_ms, on_forward_reply, a);
 }
 
