Let a daemon advertise an address and bind its outgoing connections

On machines with several addresses the other side must see the one that the settings name, and tests can tell by it which data centre a connection comes from.

--- a/lib/common/address.c
+++ b/lib/common/address.c
@@ -3,8 +3,12 @@
 #include <arpa/inet.h>
 #include <event2/util.h>
 #include <netinet/in.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
+
+static char source[MR_ADDRESS_MAX_BYTES];
 
 bool
 mr_address_split(const char *text, char *ip, int *port)
@@ -68,3 +72,50 @@
     }
     return ntohs(((const struct sockaddr_in *)addr)->sin_port);
 }
+
+void
+mr_address_set_source(const char *ip)
+{
+    snprintf(source, sizeof(source), "%s", ip);
+}
+
+const char *
+mr_address_source(void)
+{
+    return source[0] != '\0' ? source : NULL;
+}
+
+static bool
+bind_source(int fd)
+{
+    struct sockaddr_storage addr = {0};
+    struct sockaddr_in *in = (struct sockaddr_in *)&addr;
+    struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)&addr;
+
+    if (evutil_inet_pton(AF_INET, source, &in->sin_addr) == 1) {
+        in->sin_family = AF_INET;
+        return bind(fd, (struct sockaddr *)in, sizeof(*in)) == 0;
+    }
+    if (evutil_inet_pton(AF_INET6, source, &in6->sin6_addr) == 1) {
+        in6->sin6_family = AF_INET6;
+        return bind(fd, (struct sockaddr *)in6, sizeof(*in6)) == 0;
+    }
+    return false;
+}
+
+int
+mr_address_socket(const struct sockaddr_storage *addr)
+{
+    int fd = socket(addr->ss_family, SOCK_STREAM, 0);
+
+    if (fd < 0) {
+        return -1;
+    }
+    if (evutil_make_socket_nonblocking(fd) != 0
+        || evutil_make_socket_closeonexec(fd) != 0
+        || (source[0] != '\0' && !bind_source(fd))) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
--- a/lib/common/address.h
+++ b/lib/common/address.h
@@ -28,4 +28,20 @@
  */
 bool mr_address_split(const char *text, char *ip, int *port);
 
+/**
+ * mr_address_set_source() - bind outgoing connections of this process
+ * @ip: IP number; copied
+ *
+ * On a machine with several addresses, the other side then sees the one that
+ * the settings name.
+ */
+void mr_address_set_source(const char *ip);
+
+/** mr_address_source() - the IP number set, or NULL. */
+const char *mr_address_source(void);
+
+/** mr_address_socket() - a non-blocking socket for connecting to @addr, bound
+ * to the source address; -1 when that fails. */
+int mr_address_socket(const struct sockaddr_storage *addr);
+
 #endif
--- a/lib/common/tls.c
+++ b/lib/common/tls.c
@@ -186,7 +186,7 @@
 }
 
 struct bufferevent *
-mr_tls_open(mr_tls_t *tls)
+mr_tls_open(mr_tls_t *tls, evutil_socket_t fd)
 {
-    return create(tls, -1, BUFFEREVENT_SSL_CONNECTING);
+    return create(tls, fd, BUFFEREVENT_SSL_CONNECTING);
 }
--- a/lib/common/tls.h
+++ b/lib/common/tls.h
@@ -35,7 +35,7 @@
 /** mr_tls_accept() - a bufferevent for an accepted socket; -1: set later. */
 struct bufferevent *mr_tls_accept(mr_tls_t *tls, evutil_socket_t fd);
 
-/** mr_tls_open() - a bufferevent for a connection to be opened. */
-struct bufferevent *mr_tls_open(mr_tls_t *tls);
+/** mr_tls_open() - a bufferevent for a socket that is to be connected. */
+struct bufferevent *mr_tls_open(mr_tls_t *tls, evutil_socket_t fd);
 
 #endif
--- a/lib/daemon/daemon.c
+++ b/lib/daemon/daemon.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <sys/resource.h>
 
+#include "common/address.h"
 #include "common/mem.h"
 #include "daemon/service.h"
 #include "entry/admin.h"
@@ -150,7 +151,7 @@
         .peer = d->peer,
         .name = s->name,
         .data_centre = s->data_centre,
-        .address = s->peer,
+        .address = s->advertise,
         .incarnation = d->incarnation,
     };
     d->members = mr_members_create(&members);
@@ -191,7 +192,7 @@
         .members = d->members,
         .config = d->config,
         .name = s->name,
-        .address = s->peer,
+        .address = s->advertise,
     };
 
     d->owner = mr_owner_create(&owner);
@@ -221,7 +222,7 @@
         .counters = d->counters,
         .seal = d->reqid_seal,
         .name = s->name,
-        .address = s->peer,
+        .address = s->advertise,
         .incarnation = d->incarnation,
         .run = mr_service_run,
         .run_ctx = d->service,
@@ -356,6 +357,9 @@
     d->incarnation = mr_clock_wall();
     signal(SIGPIPE, SIG_IGN);
     raise_descriptor_limit(settings);
+    if (settings->source != NULL) {
+        mr_address_set_source(settings->source);
+    }
     mr_log_setup(settings->name, settings->log_level);
     d->base = event_base_new();
     d->counters = mr_counters_create();
--- a/lib/daemon/settings.c
+++ b/lib/daemon/settings.c
@@ -52,6 +52,8 @@
     SETTING_PEER_KEY,
     SETTING_PEER_AUTHORITIES,
     SETTING_CONNECTIONS,
+    SETTING_ADVERTISE,
+    SETTING_SOURCE,
     SETTING_COUNT,
 } setting_index_t;
 
@@ -94,6 +96,12 @@
         {"peer-authorities",
          "authorities of the other instances' certificates", "PEM", false,
          NULL},
+    [SETTING_ADVERTISE] = {"advertise",
+                           "address that other instances use, if not --peer",
+                           "IP:PORT", false, NULL},
+    [SETTING_SOURCE] = {"source",
+                        "IP number that outgoing connections come from", "IP",
+                        false, NULL},
     [SETTING_CONNECTIONS] = {"connections",
                              "most connections of callers at one time", "N",
                              false, NULL},
@@ -189,6 +197,23 @@
     return true;
 }
 
+static bool
+check_source(const setting_t *setting)
+{
+    char address[MR_ADDRESS_MAX_BYTES];
+    struct sockaddr_storage addr;
+    int len;
+
+    if (setting->value == NULL) {
+        return true;
+    }
+    snprintf(address, sizeof(address), "%s:0", setting->value);
+    if (!mr_address_parse(address, &addr, &len)) {
+        return complain(setting->flag, "must be an IP number");
+    }
+    return true;
+}
+
 static bool
 read_hex(const char *flag, const char *text, uint8_t *out, size_t size)
 {
@@ -314,6 +339,9 @@
         || !check_address(&settings[SETTING_PEER])
         || !check_address(&settings[SETTING_ADMIN])
         || !check_address(&settings[SETTING_PLATFORM])
+        || (settings[SETTING_ADVERTISE].value != NULL
+            && !check_address(&settings[SETTING_ADVERTISE]))
+        || !check_source(&settings[SETTING_SOURCE])
         || !check_listeners(settings) || !read_secret(settings, out)
         || !read_hex("approver-public-key",
                      settings[SETTING_APPROVER_KEY].value, out->approver_key,
@@ -334,6 +362,10 @@
     out->data_centre = mr_strdup(settings[SETTING_DATA_CENTRE].value);
     out->listen = mr_strdup(settings[SETTING_LISTEN].value);
     out->peer = mr_strdup(settings[SETTING_PEER].value);
+    out->advertise = mr_strdup(settings[SETTING_ADVERTISE].value != NULL
+                                   ? settings[SETTING_ADVERTISE].value
+                                   : settings[SETTING_PEER].value);
+    out->source = mr_strdup(settings[SETTING_SOURCE].value);
     out->admin = mr_strdup(settings[SETTING_ADMIN].value);
     out->platform = mr_strdup(settings[SETTING_PLATFORM].value);
     out->operator_credential = mr_strdup(settings[SETTING_CREDENTIAL].value);
@@ -407,6 +439,8 @@
     free(settings->data_centre);
     free(settings->listen);
     free(settings->peer);
+    free(settings->advertise);
+    free(settings->source);
     free(settings->admin);
     free(settings->platform);
     free(settings->operator_credential);
--- a/lib/daemon/settings.h
+++ b/lib/daemon/settings.h
@@ -12,10 +12,12 @@
 typedef struct mr_settings {
     char *name;
     char *data_centre;
-    char *listen;   /* callers */
-    char *peer;     /* other instances */
-    char *admin;    /* operators */
-    char *platform; /* address of the platform's service */
+    char *listen;    /* callers */
+    char *peer;      /* other instances */
+    char *advertise; /* address that other instances use; default: peer */
+    char *source;    /* IP number of outgoing connections; or NULL */
+    char *admin;     /* operators */
+    char *platform;  /* address of the platform's service */
     uint8_t secret[MR_SEAL_SECRET_BYTES];
     uint8_t approver_key[MR_APPROVAL_PUBLIC_KEY_BYTES];
     char *operator_credential;
--- a/lib/group/target.c
+++ b/lib/group/target.c
@@ -338,6 +338,9 @@
         evhttp_connection_base_new(base, NULL, conn->ip, (uint16_t)conn->port);
     evhttp_connection_set_timeout(conn->http, LIBRARY_TIMEOUT_S);
     evhttp_connection_set_retries(conn->http, 0);
+    if (mr_address_source() != NULL) {
+        evhttp_connection_set_local_address(conn->http, mr_address_source());
+    }
     evhttp_connection_set_max_headers_size(conn->http, HEADERS_MAX_BYTES);
     evhttp_connection_set_max_body_size(conn->http, MR_TARGET_BODY_MAX_BYTES);
     evhttp_connection_set_closecb(conn->http, on_closed, conn);
--- a/lib/platform/platform.c
+++ b/lib/platform/platform.c
@@ -302,6 +302,9 @@
 
     if (http != NULL) {
         evhttp_connection_set_max_body_size(http, BODY_MAX_BYTES);
+        if (mr_address_source() != NULL) {
+            evhttp_connection_set_local_address(http, mr_address_source());
+        }
     }
     return http;
 }
--- a/lib/wire/peer_link.c
+++ b/lib/wire/peer_link.c
@@ -266,7 +266,7 @@
         return bufferevent_socket_new(options->base, fd,
                                       BEV_OPT_CLOSE_ON_FREE);
     }
-    return opener ? mr_tls_open(options->tls)
+    return opener ? mr_tls_open(options->tls, fd)
                   : mr_tls_accept(options->tls, fd);
 }
 
@@ -303,8 +303,13 @@
     if (!mr_address_parse(address, &addr, &len)) {
         return NULL;
     }
-    mr_peer_link_t *link = create_link(options, -1, true, events, ctx);
+    int fd = mr_address_socket(&addr);
+    if (fd < 0) {
+        return NULL;
+    }
+    mr_peer_link_t *link = create_link(options, fd, true, events, ctx);
     if (link == NULL) {
+        evutil_closesocket(fd);
         return NULL;
     }
     if (bufferevent_socket_connect(link->bev, (struct sockaddr *)&addr, len)
