Check announced sizes before a message is decoded

The fuzzer of the message decoder found within seconds that msgpack-c allocates what an array or map announces: a frame of 11 bytes asked for 256 GiB. The first message on a link comes from an unauthenticated sender, so this is open to anyone who reaches the port. Where the allocation fails the frame is refused; where memory is overcommitted, nested announcements and 16 MiB of empty values take real memory (24 bytes each).

A scan now walks the value without allocating and bounds the number of values by 65,536, the longest list with 16 fields an item. Ruled out: a lower frame limit before HELLO, as it bounds the frame but not what it announces.

--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -3,6 +3,8 @@
 #include <assert.h>
 #include <string.h>
 
+#include "wire/msg_scan.h"
+
 /** Kind of a field in a message's struct. */
 typedef enum field_kind {
     FIELD_INTEGER, /* int64_t */
@@ -29,7 +31,11 @@
 
 /* Upper bound on list items, so that a small frame cannot ask for much
  * memory. */
-enum { LIST_MAX_ITEMS = 4096 };
+enum {
+    LIST_MAX_ITEMS = 4096,
+    /* Longest list, with up to 16 fields an item. */
+    VALUES_MAX = 16 * LIST_MAX_ITEMS,
+};
 
 #define F(kind, type, member)                                                 \
     {                                                                         \
@@ -470,8 +476,9 @@
 
     memset(&holder->msg, 0, sizeof(holder->msg));
     msgpack_unpacked_init(&holder->unpacked);
-    if (msgpack_unpack_next(&holder->unpacked, data, len, &offset)
-            == MSGPACK_UNPACK_SUCCESS
+    if (mr_msg_scan(data, len, VALUES_MAX)
+        && msgpack_unpack_next(&holder->unpacked, data, len, &offset)
+               == MSGPACK_UNPACK_SUCCESS
         && offset == len) {
         if (holder->unpacked.zone == NULL) {
             holder->unpacked.zone = msgpack_zone_new(MSGPACK_ZONE_CHUNK_SIZE);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "common/counters.h"
+#include "wire/msg_scan.h"
 #include "wire/peer.h"
 
 typedef struct side {
@@ -225,6 +226,33 @@
 }
 END_TEST
 
+/* A small frame must not make the decoder allocate what it announces. */
+START_TEST(test_announced_sizes_are_checked)
+{
+    static const struct {
+        const char *data;
+        size_t len;
+        bool good;
+    } cases[] = {
+        {"\x92\x14\x00", 3, true},
+        {"\x92\x14", 2, false},
+        {"\x92\x14\x00\x00", 4, false},
+        {"\xdf\xdf\xdf\xdf\x0a\xdf\xdf\xdf\xdf\xdf\xdf", 11, false},
+        {"\xdd\x00\x01\x00\x00\xc0", 6, false},
+        {"\xc6\xff\xff\xff\xff\x00", 6, false},
+        {"\xd9\x02hi", 4, true},
+        {"\x81\xa1k\xcb\x00\x00\x00\x00\x00\x00\x00\x00", 12, true},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        ck_assert_msg(mr_msg_scan(cases[i].data, cases[i].len, 100)
+                          == cases[i].good,
+                      "case %zu", i);
+    }
+    ck_assert(!mr_msg_scan("\x93\xc0\xc0\xc0", 4, 3));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -237,6 +265,7 @@
     tcase_add_test(tc, test_closed_port_is_unavailable);
     tcase_add_test(tc, test_peer_death_makes_calls_unknown);
     tcase_add_test(tc, test_messages_survive_encoding);
+    tcase_add_test(tc, test_announced_sizes_are_checked);
     suite_add_tcase(suite, tc);
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
