--- a/Makefile
+++ b/Makefile
@@ -91,6 +91,31 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
+# Fuzzers with the fuzzing library where clang has it, and programs that
+# replay files given as arguments.
+FUZZ := $(patsubst fuzz/%.c,%,$(wildcard fuzz/fuzz_*.c))
+FUZZ_FLAGS := -fsanitize=fuzzer,address
+FUZZ_PROBE = echo 'int LLVMFuzzerTestOneInput(void) { return 0; }' | \
+             clang $(FUZZ_FLAGS) -x c - -o /dev/null 2>/dev/null
+.PHONY: fuzz
+fuzz: $(FUZZ:%=$(BUILD)/fuzz/%_replay)
+	@if $(FUZZ_PROBE); then \
+	    $(MAKE) $(FUZZ:%=$(BUILD)/fuzz/%); \
+	else \
+	    echo "clang's fuzzing library is missing: built the replay programs only"; \
+	fi
+
+$(FUZZ:%=$(BUILD)/fuzz/%_replay): $(BUILD)/fuzz/%_replay: $(BUILD)/fuzz/%.o \
+    $(BUILD)/fuzz/replay.o $(LIB)
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
+
+$(FUZZ:%=$(BUILD)/fuzz/%): $(BUILD)/fuzz/%: fuzz/%.c \
+    $(wildcard lib/common/*.c) $(wildcard lib/wire/msg*.c)
+	@mkdir -p $(@D)
+	@echo "CC $@"
+	@clang $(ALL_CFLAGS) -Wno-unknown-warning-option $(FUZZ_FLAGS) $^ $(PKG_LIBS) -o $@
+
 packages:
 	@./tools/install-packages
 
--- /dev/null
+++ b/fuzz/fuzz_msg.c
@@ -0,0 +1,28 @@
+/* Fuzzer of the decoder of messages between instances. A decoded message must
+ * survive encoding and decoding. */
+
+#include <stdlib.h>
+
+#include "fuzz.h"
+#include "wire/msg.h"
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t len)
+{
+    mr_msg_holder_t holder;
+    mr_msg_holder_t again;
+    msgpack_sbuffer buf;
+
+    if (mr_msg_decode(data, len, &holder) != MR_MSG_GOOD) {
+        return 0;
+    }
+    msgpack_sbuffer_init(&buf);
+    mr_msg_encode(&holder.msg, &buf);
+    if (mr_msg_decode(buf.data, buf.size, &again) != MR_MSG_GOOD) {
+        abort();
+    }
+    mr_msg_release(&again);
+    msgpack_sbuffer_destroy(&buf);
+    mr_msg_release(&holder);
+    return 0;
+}
