--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
             $(patsubst tests/standins/%.c,%,$(wildcard tests/standins/fault_proxy.c))
 UNIT := $(patsubst tests/unit/%.c,%,$(wildcard tests/unit/test_*.c))
 INTEGRATION := $(patsubst tests/integration/%.c,%,$(wildcard tests/integration/test_*.c))
-HARNESS_SRC := $(wildcard tests/integration/harness*.c)
+HARNESS_SRC := $(wildcard tests/integration/harness*.c tests/integration/trace.c)
 BENCH := $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
 EXAMPLES := $(patsubst examples/%.c,%,$(filter-out examples/common_%.c,$(wildcard examples/*.c)))
 
