Add the harness that runs a fleet of processes

Cause: integration tests need real daemons, stand-ins and callers.

Change: tests/integration/harness_*.c start and end the processes (killed with the test by PR_SET_PDEATHSIG), choose ports, put a signed configuration in force, run callers with sessions on one event loop and record a trace. test_membership pauses, kills and restarts daemons and checks the promises over its trace.

--- /dev/null
+++ b/tests/integration/harness.h
@@ -0,0 +1,227 @@
+#ifndef MR_TESTS_HARNESS_H
+#define MR_TESTS_HARNESS_H
+
+/*
+ * Runs a fleet of real processes for a test: platform and target stand-ins,
+ * daemons and a fault proxy, callers with sessions, and a trace of what the
+ * callers sent and got. One event loop; calls that wait run it, so that
+ * callers go on meanwhile. Failures of the harness itself abort the test.
+ */
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <sys/types.h>
+
+#include "common/address.h"
+#include "common/clock.h"
+#include "masticrelay.h"
+
+enum {
+    HARNESS_NAME_BYTES = 64,
+    HARNESS_PATH_BYTES = 256,
+    HARNESS_ARGS_MAX = 128,
+    HARNESS_READY_MS = 10000,
+};
+
+/* ---------------------------------------------------------- Processes */
+
+typedef struct harness_process {
+    char name[HARNESS_NAME_BYTES];
+    char address[MR_ADDRESS_MAX_BYTES]; /* that callers use */
+    char *args[HARNESS_ARGS_MAX];       /* with the program's path */
+    const char *ready; /* beginning of the line that says it is ready */
+    char log[HARNESS_PATH_BYTES]; /* receives standard error */
+    pid_t pid;                    /* 0: not running */
+} harness_process_t;
+
+/** harness_port() - a free loopback port outside the range from which the
+ * system takes ports of outgoing connections. */
+int harness_port(void);
+
+/** harness_process_arg() - append an argument. */
+void harness_process_arg(harness_process_t *process, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+
+/** harness_process_start() - start the process and wait for its line. */
+void harness_process_start(harness_process_t *process);
+
+/** harness_process_signal() - SIGSTOP, SIGCONT, SIGTERM, ... */
+void harness_process_signal(const harness_process_t *process, int number);
+
+/** harness_process_kill() - SIGKILL, and wait for the end. */
+void harness_process_kill(harness_process_t *process);
+
+/** harness_process_wait() - wait for the end while the loop runs; returns the
+ * exit status, or -1 when it did not end by itself in time. */
+int harness_process_wait(harness_process_t *process, struct event_base *base,
+                         mr_ms_t max);
+
+/* --------------------------------------------------------------- Fleet */
+
+typedef struct harness_options {
+    const char *const *data_centres; /* ends with NULL */
+    int instances;                   /* in each data centre */
+    int groups;                      /* of three targets each */
+    int accounts;
+    int64_t rate; /* of each account */
+    int64_t burst;
+    int slots;
+    int connections;
+    int lag_ms;
+    int statement_ms;
+    int connect_ms;
+    int list_lag_ms;
+    int64_t offline_limit_s;
+    /* The daemons' links to the platform and to targets, and those between
+     * targets, pass the fault proxy; see harness_fault(). */
+    bool proxied;
+    const char *trace; /* path; NULL: no trace */
+} harness_options_t;
+
+typedef struct harness_instance {
+    harness_process_t process; /* address: callers' listener */
+    const char *data_centre;
+    char peer[MR_ADDRESS_MAX_BYTES];
+    char admin[MR_ADDRESS_MAX_BYTES];
+} harness_instance_t;
+
+typedef struct harness_target {
+    harness_process_t process;
+    const char *data_centre;
+    char configured[MR_ADDRESS_MAX_BYTES]; /* address in the configuration */
+    int group;
+} harness_target_t;
+
+typedef struct harness_account {
+    char name[HARNESS_NAME_BYTES];
+    char key_id[HARNESS_NAME_BYTES];
+    char key[MR_OP_KEY_BYTES];
+} harness_account_t;
+
+typedef struct harness_caller harness_caller_t;
+
+typedef struct harness {
+    harness_options_t options;
+    struct event_base *base;
+    char folder[HARNESS_PATH_BYTES]; /* logs, records and the secret */
+    harness_process_t platform;
+    harness_process_t proxy;
+    harness_instance_t *instances;
+    size_t instance_count;
+    harness_target_t *targets;
+    size_t target_count;
+    harness_account_t *accounts;
+    mr_op_t *config; /* change it and call harness_put_config() */
+    int64_t version; /* in force */
+    char approver_public[MR_OP_APPROVER_PUBLIC_BYTES];
+    char approver_secret[MR_OP_APPROVER_SECRET_BYTES];
+    FILE *trace;
+    int64_t next_request;
+    mr_ms_t started;
+} harness_t;
+
+/** harness_start() - start the stand-ins and the daemons, put a first
+ * configuration in force and wait until every daemon is healthy. Routes:
+ * "data" (keyed, all accounts). Names: DATACENTRE-N, g0-a to g0-c, account-N.
+ */
+harness_t *harness_start(const harness_options_t *options);
+
+/** harness_end() - end all processes. The folder is kept after a failure. */
+void harness_end(harness_t *harness);
+
+/** harness_put_config() - sign the description with the next version and make
+ * it the accepted configuration at the platform. */
+void harness_put_config(harness_t *harness);
+
+harness_instance_t *harness_instance(harness_t *harness, const char *name);
+harness_target_t *harness_target(harness_t *harness, const char *name);
+
+/** harness_primary() - the running target of @group that is primary under the
+ * highest term, asked directly; NULL when there is none. */
+harness_target_t *harness_primary(harness_t *harness, int group);
+
+/**
+ * harness_fault() - set faults of links, see tests/standins/fault_proxy.c
+ * @link: "platform.INSTANCE", "target.TARGET" (from all daemons) or
+ *        "replication.FROM.TO"; may be a pattern
+ */
+void harness_fault(harness_t *harness, const char *link, const char *json);
+
+/** harness_platform_fault() - body of POST /faults at the platform. */
+void harness_platform_fault(harness_t *harness, const char *json);
+
+/* ---------------------------------------------------------------- HTTP */
+
+/** harness_run() - run the loop. */
+void harness_run(struct event_base *base, mr_ms_t ms);
+
+/**
+ * harness_http() - one request; runs the loop until it ends
+ * @path: "/..."
+ * @bearer: NULL: no Authorization header
+ * @body: NULL: none; text
+ * @reply: receives JSON or NULL; may be NULL
+ *
+ * Return: the HTTP status, or 0 when there was no answer.
+ */
+int harness_http(struct event_base *base, const char *method,
+                 const char *address, const char *path, const char *bearer,
+                 const char *body, json_t **reply);
+
+/** harness_status() - /status of an instance; NULL when it does not answer. */
+json_t *harness_status(harness_t *harness, const harness_instance_t *instance);
+
+/* ------------------------------------------------------------- Callers */
+
+typedef struct harness_load {
+    int callers;
+    int account; /* index; -1: callers take turns */
+    int write_percent;
+    int append_percent; /* of writes: not idempotent */
+    int keys;           /* of each caller */
+    mr_ms_t pause;      /* between an answer and the next request */
+    mr_ms_t deadline;   /* 0: the route's */
+} harness_load_t;
+
+/** struct harness_counts - what a group of callers saw */
+typedef struct harness_counts {
+    int64_t sent;
+    int64_t ran;
+    int64_t not_run;
+    int64_t unknown;
+    int64_t limited; /* of not_run: rate_limited */
+    int64_t from_replicas;
+    mr_ms_t longest_gap; /* between two answers that ran */
+    mr_ms_t last_ran;
+} harness_counts_t;
+
+/** harness_callers_start() - callers with one session each, which send one
+ * request after another to changing instances. */
+harness_caller_t *harness_callers_start(harness_t *harness,
+                                        const harness_load_t *load);
+
+/** harness_callers_stop() - let requests in progress end, and free. */
+harness_counts_t harness_callers_stop(harness_caller_t *group);
+
+harness_counts_t harness_callers_counts(const harness_caller_t *group);
+
+/* --------------------------------------------------------------- Trace */
+
+/** harness_trace() - write one line; adds the time. Takes over @event. */
+void harness_trace(harness_t *harness, const char *event, json_t *fields);
+
+/** harness_trace_versions() - record the version at each daemon. */
+void harness_trace_versions(harness_t *harness);
+
+/** harness_trace_logs() - record the log of each group's primary and whether
+ * a target saw a key. */
+void harness_trace_logs(harness_t *harness);
+
+/** harness_check_trace() - end the trace and return the violated promises,
+ * an array of {promise, text}; a new reference. */
+json_t *harness_check_trace(harness_t *harness);
+
+#endif
--- /dev/null
+++ b/tests/integration/harness_caller.c
@@ -0,0 +1,295 @@
+#include <check.h>
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/mem.h"
+#include "harness.h"
+
+/* Longer than any deadline, so that a timeout means that nobody answers. */
+enum { TIMEOUT_S = 3, STOP_MS = 5000 };
+
+/** One session; it sends one request at a time. */
+typedef struct session {
+    harness_caller_t *group;
+    int index;
+    const harness_account_t *account;
+    char *token;
+    struct evhttp_connection **conns; /* by instance */
+    size_t instance;                  /* of the request in progress */
+    int64_t request;                  /* 0: none in progress */
+    struct event *timer;
+} session_t;
+
+struct harness_caller {
+    harness_t *harness;
+    harness_load_t load;
+    harness_counts_t counts;
+    session_t *sessions;
+    bool stopping;
+    int open; /* requests in progress */
+};
+
+static void send_next(session_t *session);
+
+static const char *
+text_of(const json_t *object, const char *key, const char *otherwise)
+{
+    const char *text = json_string_value(json_object_get(object, key));
+
+    return text == NULL ? otherwise : text;
+}
+
+static void
+count_answer(harness_caller_t *group, const char *outcome, const char *kind,
+             const char *role)
+{
+    harness_counts_t *counts = &group->counts;
+    mr_ms_t now = mr_clock_now(NULL);
+
+    if (strcmp(outcome, "ran") == 0) {
+        mr_ms_t gap = counts->last_ran == 0 ? 0 : now - counts->last_ran;
+        counts->ran++;
+        counts->from_replicas += strcmp(role, "replica") == 0 ? 1 : 0;
+        counts->longest_gap =
+            gap > counts->longest_gap ? gap : counts->longest_gap;
+        counts->last_ran = now;
+    }
+    else if (strcmp(outcome, "not_run") == 0) {
+        counts->not_run++;
+        counts->limited += strcmp(kind, "rate_limited") == 0 ? 1 : 0;
+    }
+    else {
+        counts->unknown++;
+    }
+}
+
+static void
+take_answer(session_t *session, int status, const json_t *answer)
+{
+    harness_caller_t *group = session->group;
+    const json_t *error = json_object_get(answer, "error");
+    const char *kind = text_of(error, "kind", "connection");
+    const char *outcome = text_of(error, "outcome", "unknown");
+    const char *token = text_of(answer, "session", NULL);
+    const char *role = text_of(answer, "role", "");
+    json_t *result = json_object_get(answer, "result");
+
+    if (status == 200) {
+        kind = "ok";
+        outcome = text_of(answer, "outcome", "unknown");
+    }
+    if (token != NULL) {
+        free(session->token);
+        session->token = mr_strdup(token);
+    }
+    count_answer(group, outcome, kind, role);
+    harness_trace(group->harness, "answer",
+                  json_pack("{s:I,s:i,s:s,s:s,s:s,s:s,s:O*}", "id",
+                            (json_int_t)session->request, "status", status,
+                            "outcome", outcome, "kind", kind, "served_by",
+                            text_of(answer, "served_by", ""), "role", role,
+                            "result", result));
+}
+
+static void
+on_pause_end(evutil_socket_t fd, short what, void *ctx)
+{
+    (void)fd;
+    (void)what;
+    send_next(ctx);
+}
+
+static void
+on_reply(struct evhttp_request *req, void *ctx)
+{
+    session_t *session = ctx;
+    harness_caller_t *group = session->group;
+    json_t *answer = NULL;
+    int status = 0;
+    struct timeval pause = mr_clock_timeval(group->load.pause);
+
+    if (req != NULL) {
+        struct evbuffer *input = evhttp_request_get_input_buffer(req);
+        size_t len = evbuffer_get_length(input);
+        status = evhttp_request_get_response_code(req);
+        if (len > 0) {
+            answer =
+                json_loadb((char *)evbuffer_pullup(input, -1), len, 0, NULL);
+        }
+    }
+    take_answer(session, status, answer);
+    json_decref(answer);
+    session->request = 0;
+    group->open--;
+    if (!group->stopping) {
+        evtimer_add(session->timer, &pause);
+    }
+}
+
+/* The statement carries the request's number, so that the trace shows which
+ * write a read returns: KEY/NUMBER. */
+static json_t *
+make_body(session_t *session, bool write, bool append, const char *key)
+{
+    const harness_load_t *load = &session->group->load;
+    json_t *statement =
+        json_pack("{s:s,s:s}", "op",
+                  append ? "append" : (write ? "put" : "get"), "key", key);
+
+    if (write) {
+        json_object_set_new(
+            statement, "value",
+            json_sprintf("%s/%lld", key, (long long)session->request));
+    }
+    json_t *body =
+        json_pack("{s:s,s:s,s:o,s:b}", "access", write ? "write" : "read",
+                  "shard", key, "statement", statement, "idempotent", !append);
+    if (session->token != NULL) {
+        json_object_set_new(body, "session", json_string(session->token));
+    }
+    if (load->deadline > 0) {
+        json_object_set_new(body, "deadline_ms", json_integer(load->deadline));
+    }
+    return body;
+}
+
+static void
+post(session_t *session, const json_t *body)
+{
+    harness_t *h = session->group->harness;
+    const char *address = h->instances[session->instance].process.address;
+    struct evhttp_connection **conn = &session->conns[session->instance];
+    struct evhttp_request *req = evhttp_request_new(on_reply, session);
+    struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+    char bearer[MR_OP_KEY_BYTES + 16];
+    char *text = json_dumps(body, JSON_COMPACT);
+
+    if (*conn == NULL) {
+        char ip[MR_ADDRESS_MAX_BYTES];
+        int port;
+        ck_assert(mr_address_split(address, ip, &port));
+        *conn = evhttp_connection_base_new(h->base, NULL, ip, (uint16_t)port);
+        evhttp_connection_set_timeout(*conn, TIMEOUT_S);
+    }
+    snprintf(bearer, sizeof(bearer), "Bearer %s", session->account->key);
+    evhttp_add_header(headers, "Host", address);
+    evhttp_add_header(headers, "Authorization", bearer);
+    evbuffer_add(evhttp_request_get_output_buffer(req), text, strlen(text));
+    free(text);
+    ck_assert_int_eq(evhttp_make_request(*conn, req, EVHTTP_REQ_POST,
+                                         "/v1/routes/data/statements"),
+                     0);
+}
+
+/* The platform's balancer leaves out instances that do not run. */
+static size_t
+choose_instance(const harness_t *h)
+{
+    size_t chosen = 0;
+    uint32_t seen = 0;
+
+    for (size_t i = 0; i < h->instance_count; i++) {
+        if (h->instances[i].process.pid != 0
+            && randombytes_uniform(++seen) == 0) {
+            chosen = i;
+        }
+    }
+    return chosen;
+}
+
+static void
+send_next(session_t *session)
+{
+    harness_caller_t *group = session->group;
+    harness_t *h = group->harness;
+    const harness_load_t *load = &group->load;
+    bool write = (int)randombytes_uniform(100) < load->write_percent;
+    bool append =
+        write && (int)randombytes_uniform(100) < load->append_percent;
+    char key[HARNESS_NAME_BYTES];
+
+    /* Appended lists have keys of their own. */
+    snprintf(key, sizeof(key), "%c%d-%u", append ? 'a' : 'k', session->index,
+             randombytes_uniform((uint32_t)load->keys));
+    session->instance = choose_instance(h);
+    session->request = ++h->next_request;
+    group->open++;
+    group->counts.sent++;
+    json_t *body = make_body(session, write, append, key);
+    harness_trace(h, "request",
+                  json_pack("{s:I,s:i,s:s,s:s,s:s,s:s,s:O,s:b}", "id",
+                            (json_int_t)session->request, "caller",
+                            session->index, "account", session->account->name,
+                            "key", session->account->key_id, "instance",
+                            h->instances[session->instance].process.name,
+                            "access", write ? "write" : "read", "statement",
+                            json_object_get(body, "statement"), "idempotent",
+                            !append));
+    post(session, body);
+    json_decref(body);
+}
+
+harness_caller_t *
+harness_callers_start(harness_t *h, const harness_load_t *load)
+{
+    static int sessions_started;
+    harness_caller_t *group = MR_NEW(harness_caller_t);
+
+    group->harness = h;
+    group->load = *load;
+    group->sessions = mr_calloc((size_t)load->callers, sizeof(session_t));
+    for (int i = 0; i < load->callers; i++) {
+        session_t *session = &group->sessions[i];
+        int account =
+            load->account >= 0 ? load->account : i % h->options.accounts;
+        session->group = group;
+        session->index = sessions_started++;
+        session->account = &h->accounts[account];
+        session->conns = mr_calloc(h->instance_count, sizeof(void *));
+        session->timer = evtimer_new(h->base, on_pause_end, session);
+        struct timeval spread =
+            mr_clock_timeval(randombytes_uniform((uint32_t)load->pause + 1));
+        evtimer_add(session->timer, &spread);
+    }
+    return group;
+}
+
+harness_counts_t
+harness_callers_counts(const harness_caller_t *group)
+{
+    return group->counts;
+}
+
+harness_counts_t
+harness_callers_stop(harness_caller_t *group)
+{
+    harness_counts_t counts;
+    mr_ms_t end = mr_clock_now(NULL) + STOP_MS;
+
+    group->stopping = true;
+    for (int i = 0; i < group->load.callers; i++) {
+        evtimer_del(group->sessions[i].timer);
+    }
+    while (group->open > 0 && mr_clock_now(NULL) < end) {
+        harness_run(group->harness->base, 10);
+    }
+    ck_assert_msg(group->open == 0, "%d requests got no end", group->open);
+    for (int i = 0; i < group->load.callers; i++) {
+        session_t *session = &group->sessions[i];
+        for (size_t j = 0; j < group->harness->instance_count; j++) {
+            if (session->conns[j] != NULL) {
+                evhttp_connection_free(session->conns[j]);
+            }
+        }
+        event_free(session->timer);
+        free(session->conns);
+        free(session->token);
+    }
+    counts = group->counts;
+    free(group->sessions);
+    free(group);
+    return counts;
+}
--- /dev/null
+++ b/tests/integration/harness_fleet.c
@@ -0,0 +1,452 @@
+#include <check.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/mem.h"
+#include "config/rows.h"
+#include "harness.h"
+
+enum { TARGETS_PER_GROUP = 3, SETTLE_MS = 15000, FOLDER_LINE_BYTES = 512 };
+
+static const char credential[] = "operator-credential-of-tests";
+
+static void
+set_process(harness_t *h, harness_process_t *process, const char *program,
+            const char *name, const char *ready)
+{
+    const char *build = getenv("MASTICRELAY_BUILD");
+
+    snprintf(process->name, sizeof(process->name), "%s", name);
+    snprintf(process->address, sizeof(process->address), "127.0.0.1:%d",
+             harness_port());
+    ck_assert_int_lt(snprintf(process->log, sizeof(process->log), "%s/%s.log",
+                              h->folder, name),
+                     (int)sizeof(process->log));
+    process->ready = ready;
+    harness_process_arg(process, "%s/%s", build == NULL ? "build" : build,
+                        program);
+}
+
+/* Adds a link to the proxy; @through receives its address, which is that of
+ * @to without a proxy. */
+static void
+add_link(harness_t *h, const char *name, const char *to, char *through)
+{
+    snprintf(through, MR_ADDRESS_MAX_BYTES, "%s", to);
+    if (h->options.proxied) {
+        snprintf(through, MR_ADDRESS_MAX_BYTES, "127.0.0.1:%d",
+                 harness_port());
+        harness_process_arg(&h->proxy, "--link");
+        harness_process_arg(&h->proxy, "%s=%s=%s", name, through, to);
+    }
+}
+
+static size_t
+count_data_centres(const harness_t *h)
+{
+    size_t count = 0;
+
+    while (h->options.data_centres[count] != NULL) {
+        count++;
+    }
+    ck_assert_uint_gt(count, 0);
+    return count;
+}
+
+static void
+prepare_targets(harness_t *h)
+{
+    size_t places = count_data_centres(h);
+    char link[2 * HARNESS_NAME_BYTES + 32];
+
+    h->target_count = (size_t)h->options.groups * TARGETS_PER_GROUP;
+    h->targets = mr_calloc(h->target_count, sizeof(*h->targets));
+    for (size_t i = 0; i < h->target_count; i++) {
+        harness_target_t *t = &h->targets[i];
+        char name[HARNESS_NAME_BYTES];
+        size_t member = i % TARGETS_PER_GROUP;
+        t->group = (int)(i / TARGETS_PER_GROUP);
+        t->data_centre =
+            h->options.data_centres[((size_t)t->group + member) % places];
+        snprintf(name, sizeof(name), "g%d-%c", t->group,
+                 (char)('a' + (char)member));
+        set_process(h, &t->process, "target_standin", name, "listening on");
+        snprintf(link, sizeof(link), "target.%s", name);
+        add_link(h, link, t->process.address, t->configured);
+    }
+    for (size_t i = 0; i < h->target_count; i++) {
+        harness_process_t *p = &h->targets[i].process;
+        size_t first = i - i % TARGETS_PER_GROUP;
+        char peers[TARGETS_PER_GROUP * MR_ADDRESS_MAX_BYTES] = "";
+        for (size_t j = first; j < first + TARGETS_PER_GROUP; j++) {
+            char address[MR_ADDRESS_MAX_BYTES];
+            if (j == i) {
+                continue;
+            }
+            snprintf(link, sizeof(link), "replication.%s.%s", p->name,
+                     h->targets[j].process.name);
+            add_link(h, link, h->targets[j].process.address, address);
+            strcat(strcat(peers, peers[0] == '\0' ? "" : ","), address);
+        }
+        harness_process_arg(p, "--listen=%s", p->address);
+        harness_process_arg(p, "--name=%s", p->name);
+        harness_process_arg(p, "--peers=%s", peers);
+        harness_process_arg(p, "--slots=%d", h->options.slots);
+        harness_process_arg(p, "--connections=%d", h->options.connections);
+        harness_process_arg(p, "--lag-ms=%d", h->options.lag_ms);
+        harness_process_arg(p, "--statement-ms=%d", h->options.statement_ms);
+        harness_process_arg(p, "--connect-ms=%d", h->options.connect_ms);
+        harness_process_arg(p, "--state-file=%s/%s.state", h->folder, p->name);
+        harness_process_arg(p, "--record=%s/%s.record", h->folder, p->name);
+        /* A restarted target comes back as a replica. */
+        if (i == first) {
+            harness_process_arg(p, "--primary");
+        }
+    }
+}
+
+static void
+prepare_instance(harness_t *h, harness_instance_t *instance, const char *name)
+{
+    harness_process_t *p = &instance->process;
+    char platform[MR_ADDRESS_MAX_BYTES];
+    char link[HARNESS_NAME_BYTES + 16];
+
+    set_process(h, p, "masticrelayd", name, "ready");
+    snprintf(instance->peer, sizeof(instance->peer), "127.0.0.1:%d",
+             harness_port());
+    snprintf(instance->admin, sizeof(instance->admin), "127.0.0.1:%d",
+             harness_port());
+    snprintf(link, sizeof(link), "platform.%s", name);
+    add_link(h, link, h->platform.address, platform);
+    harness_process_arg(p, "--name=%s", name);
+    harness_process_arg(p, "--data-centre=%s", instance->data_centre);
+    harness_process_arg(p, "--listen=%s", p->address);
+    harness_process_arg(p, "--peer=%s", instance->peer);
+    harness_process_arg(p, "--admin=%s", instance->admin);
+    harness_process_arg(p, "--platform=%s", platform);
+    harness_process_arg(p, "--secret-file=%s/secret", h->folder);
+    harness_process_arg(p, "--approver-public-key=%s", h->approver_public);
+    harness_process_arg(p, "--operator-credential=%s", credential);
+}
+
+static void
+prepare_instances(harness_t *h)
+{
+    size_t places = count_data_centres(h);
+    size_t each = (size_t)h->options.instances;
+
+    h->instance_count = places * each;
+    h->instances = mr_calloc(h->instance_count, sizeof(*h->instances));
+    for (size_t i = 0; i < h->instance_count; i++) {
+        char name[HARNESS_NAME_BYTES];
+        h->instances[i].data_centre = h->options.data_centres[i / each];
+        snprintf(name, sizeof(name), "%s-%zu", h->instances[i].data_centre,
+                 i % each);
+        prepare_instance(h, &h->instances[i], name);
+    }
+}
+
+static void
+describe_config(harness_t *h)
+{
+    const harness_options_t *o = &h->options;
+    mr_op_route_t route = {.name = "data",
+                           .service = "service",
+                           .freshness = MR_OP_FRESHNESS_SESSION,
+                           .deadline_ms = 2000,
+                           .offline_limit_s = o->offline_limit_s};
+
+    h->config = mr_op_create("harness", 1);
+    for (size_t i = 0; o->data_centres[i] != NULL; i++) {
+        mr_op_data_centre(h->config, o->data_centres[i], "region");
+    }
+    mr_op_service(h->config, "service");
+    for (int g = 0; g < o->groups; g++) {
+        char name[HARNESS_NAME_BYTES];
+        snprintf(name, sizeof(name), "g%d", g);
+        mr_op_group(h->config, "service", name);
+    }
+    for (size_t i = 0; i < h->target_count; i++) {
+        const harness_target_t *t = &h->targets[i];
+        char group[HARNESS_NAME_BYTES];
+        snprintf(group, sizeof(group), "g%d", t->group);
+        mr_op_target_t target = {.name = t->process.name,
+                                 .group = group,
+                                 .data_centre = t->data_centre,
+                                 .address = t->configured,
+                                 .slots = o->slots,
+                                 .connections = o->connections};
+        mr_op_target(h->config, &target);
+    }
+    mr_op_route(h->config, &route);
+    h->accounts = mr_calloc((size_t)o->accounts, sizeof(*h->accounts));
+    for (int i = 0; i < o->accounts; i++) {
+        harness_account_t *a = &h->accounts[i];
+        snprintf(a->name, sizeof(a->name), "account-%d", i);
+        snprintf(a->key_id, sizeof(a->key_id), "key-%d", i);
+        mr_op_account_t account = {a->name, o->rate, o->burst, 1};
+        mr_op_account(h->config, &account);
+        ck_assert(mr_op_key_issue(h->config, a->name, a->key_id, a->key));
+        mr_op_allow(h->config, "data", a->name);
+        harness_trace(h, "account",
+                      json_pack("{s:s,s:I,s:I}", "name", a->name, "rate",
+                                (json_int_t)o->rate, "burst",
+                                (json_int_t)o->burst));
+    }
+}
+
+void
+harness_put_config(harness_t *h)
+{
+    mr_config_head_t head = {.version = h->version + 1};
+    char path[128];
+    json_t *row = NULL;
+
+    mr_op_set_version(h->config, head.version);
+    char *text = mr_op_print(h->config);
+    if (text == NULL) {
+        ck_abort_msg("configuration: %s", mr_op_problem(h->config, 0));
+    }
+    mr_op_hash(text, strlen(text), head.hash);
+    ck_assert(mr_op_approve(h->approver_secret, head.version, head.hash,
+                            head.approval));
+    snprintf(path, sizeof(path), "/objects/" MR_CONFIG_OBJECT_PREFIX "%s",
+             head.hash);
+    ck_assert_int_eq(harness_http(h->base, "PUT", h->platform.address, path,
+                                  NULL, text, NULL),
+                     200);
+    free(text);
+    harness_http(h->base, "GET", h->platform.address,
+                 "/table/" MR_CONFIG_ROW_HEAD, NULL, NULL, &row);
+    json_int_t revision = json_integer_value(json_object_get(row, "revision"));
+    const char *previous = json_string_value(
+        json_object_get(json_object_get(row, "value"), "hash"));
+    snprintf(head.previous, sizeof(head.previous), "%s",
+             previous == NULL ? "" : previous);
+    json_t *put = json_pack("{s:I,s:o}", "expect", revision, "value",
+                            mr_config_head_write(&head));
+    char *body = json_dumps(put, JSON_COMPACT);
+    ck_assert_int_eq(harness_http(h->base, "PUT", h->platform.address,
+                                  "/table/" MR_CONFIG_ROW_HEAD, NULL, body,
+                                  NULL),
+                     200);
+    free(body);
+    json_decref(put);
+    json_decref(row);
+    h->version = head.version;
+    harness_trace(h, "accepted",
+                  json_pack("{s:I}", "version", (json_int_t)h->version));
+}
+
+/* Whether every daemon reads on behalf of callers, from any group. */
+static bool
+serves(harness_t *h)
+{
+    for (size_t i = 0; i < h->instance_count; i++) {
+        for (int shard = 0; shard < 4 * h->options.groups; shard++) {
+            char body[256];
+            snprintf(body, sizeof(body),
+                     "{\"access\":\"read\",\"shard\":\"s%d\",\"statement\":"
+                     "{\"op\":\"get\",\"key\":\"none\"},\"freshness\":"
+                     "{\"mode\":\"present\"}}",
+                     shard);
+            if (harness_http(h->base, "POST", h->instances[i].process.address,
+                             "/v1/routes/data/statements", h->accounts[0].key,
+                             body, NULL)
+                != 200) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+static void
+write_secret(harness_t *h)
+{
+    char path[HARNESS_PATH_BYTES + 16];
+    unsigned char secret[32];
+    char hex[2 * sizeof(secret) + 1];
+
+    randombytes_buf(secret, sizeof(secret));
+    sodium_bin2hex(hex, sizeof(hex), secret, sizeof(secret));
+    snprintf(path, sizeof(path), "%s/secret", h->folder);
+    FILE *file = fopen(path, "we");
+    ck_assert_ptr_nonnull(file);
+    fprintf(file, "%s\n", hex);
+    ck_assert_int_eq(fclose(file), 0);
+}
+
+harness_t *
+harness_start(const harness_options_t *options)
+{
+    harness_t *h = MR_NEW(harness_t);
+    mr_ms_t end = mr_clock_now(NULL) + SETTLE_MS;
+
+    ck_assert_int_ge(sodium_init(), 0);
+    signal(SIGPIPE, SIG_IGN);
+    h->options = *options;
+    h->base = event_base_new();
+    h->started = mr_clock_now(NULL);
+    snprintf(h->folder, sizeof(h->folder), "/tmp/masticrelay-test-XXXXXX");
+    ck_assert_ptr_nonnull(mkdtemp(h->folder));
+    write_secret(h);
+    ck_assert(mr_op_approver_create(h->approver_public, h->approver_secret));
+    if (options->trace != NULL) {
+        h->trace = fopen(options->trace, "we");
+        ck_assert_ptr_nonnull(h->trace);
+    }
+    set_process(h, &h->platform, "platform_standin", "platform",
+                "listening on");
+    harness_process_arg(&h->platform, "--listen=%s", h->platform.address);
+    harness_process_arg(&h->platform, "--list-lag-ms=%d",
+                        options->list_lag_ms);
+    set_process(h, &h->proxy, "fault_proxy", "proxy", "listening on");
+    harness_process_arg(&h->proxy, "--control=%s", h->proxy.address);
+    prepare_targets(h);
+    prepare_instances(h);
+    harness_process_start(&h->platform);
+    if (options->proxied) {
+        harness_process_start(&h->proxy);
+    }
+    for (size_t i = 0; i < h->target_count; i++) {
+        harness_process_start(&h->targets[i].process);
+    }
+    describe_config(h);
+    harness_put_config(h);
+    for (size_t i = 0; i < h->instance_count; i++) {
+        harness_process_start(&h->instances[i].process);
+    }
+    while (!serves(h)) {
+        if (mr_clock_now(NULL) > end) {
+            ck_abort_msg("the fleet does not serve, see %s", h->folder);
+        }
+        harness_run(h->base, 50);
+    }
+    return h;
+}
+
+static void
+end_process(harness_process_t *process)
+{
+    harness_process_kill(process);
+    for (size_t i = 0; process->args[i] != NULL; i++) {
+        free(process->args[i]);
+    }
+}
+
+void
+harness_end(harness_t *h)
+{
+    char command[FOLDER_LINE_BYTES];
+
+    for (size_t i = 0; i < h->instance_count; i++) {
+        end_process(&h->instances[i].process);
+    }
+    for (size_t i = 0; i < h->target_count; i++) {
+        end_process(&h->targets[i].process);
+    }
+    end_process(&h->proxy);
+    end_process(&h->platform);
+    if (h->trace != NULL) {
+        fclose(h->trace);
+    }
+    snprintf(command, sizeof(command), "rm -rf '%s'", h->folder);
+    if (system(command) != 0) {
+        fprintf(stderr, "cannot remove %s\n", h->folder);
+    }
+    mr_op_destroy(h->config);
+    event_base_free(h->base);
+    free(h->instances);
+    free(h->targets);
+    free(h->accounts);
+    free(h);
+}
+
+harness_instance_t *
+harness_instance(harness_t *h, const char *name)
+{
+    for (size_t i = 0; i < h->instance_count; i++) {
+        if (strcmp(h->instances[i].process.name, name) == 0) {
+            return &h->instances[i];
+        }
+    }
+    ck_abort_msg("no instance %s", name);
+    return NULL;
+}
+
+harness_target_t *
+harness_target(harness_t *h, const char *name)
+{
+    for (size_t i = 0; i < h->target_count; i++) {
+        if (strcmp(h->targets[i].process.name, name) == 0) {
+            return &h->targets[i];
+        }
+    }
+    ck_abort_msg("no target %s", name);
+    return NULL;
+}
+
+harness_target_t *
+harness_primary(harness_t *h, int group)
+{
+    harness_target_t *primary = NULL;
+    json_int_t best = -1;
+
+    for (size_t i = 0; i < h->target_count; i++) {
+        harness_target_t *t = &h->targets[i];
+        json_t *state = NULL;
+        const char *role = NULL;
+        json_int_t term = 0;
+        if (t->group != group || t->process.pid == 0) {
+            continue;
+        }
+        harness_http(h->base, "GET", t->process.address, "/status", NULL, NULL,
+                     &state);
+        if (json_unpack(state, "{s:s,s:I}", "role", &role, "term", &term) == 0
+            && strcmp(role, "primary") == 0 && term > best) {
+            best = term;
+            primary = t;
+        }
+        json_decref(state);
+    }
+    return primary;
+}
+
+void
+harness_fault(harness_t *h, const char *link, const char *json)
+{
+    char path[2 * HARNESS_NAME_BYTES + 32];
+
+    snprintf(path, sizeof(path), "/links/%s", link);
+    ck_assert_int_eq(harness_http(h->base, "POST", h->proxy.address, path,
+                                  NULL, json, NULL),
+                     200);
+}
+
+void
+harness_platform_fault(harness_t *h, const char *json)
+{
+    ck_assert_int_eq(harness_http(h->base, "POST", h->platform.address,
+                                  "/faults", NULL, json, NULL),
+                     200);
+}
+
+json_t *
+harness_status(harness_t *h, const harness_instance_t *instance)
+{
+    json_t *status = NULL;
+
+    if (instance->process.pid == 0
+        || harness_http(h->base, "GET", instance->admin, "/status", credential,
+                        NULL, &status)
+               != 200) {
+        json_decref(status);
+        return NULL;
+    }
+    return status;
+}
--- /dev/null
+++ b/tests/integration/harness_process.c
@@ -0,0 +1,183 @@
+#include <arpa/inet.h>
+#include <check.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "harness.h"
+
+extern char **environ;
+
+enum { PORT_MIN = 10000, PORT_MAX = 30000, WAIT_STEP_MS = 10 };
+
+int
+harness_port(void)
+{
+    static int next;
+
+    if (next == 0) {
+        /* Tests that run side by side begin at different places. */
+        next = PORT_MIN + (int)(getpid() * 97L % (PORT_MAX - PORT_MIN));
+    }
+    for (int i = 0; i < PORT_MAX - PORT_MIN; i++) {
+        struct sockaddr_in addr = {.sin_family = AF_INET};
+        int port = next;
+        next = next + 1 < PORT_MAX ? next + 1 : PORT_MIN;
+        addr.sin_port = htons((uint16_t)port);
+        addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        int rc = bind(fd, (struct sockaddr *)&addr, sizeof(addr));
+        close(fd);
+        if (rc == 0) {
+            return port;
+        }
+    }
+    ck_abort_msg("no free port");
+    return -1;
+}
+
+void
+harness_process_arg(harness_process_t *process, const char *fmt, ...)
+{
+    va_list args;
+    size_t i = 0;
+
+    while (process->args[i] != NULL) {
+        i++;
+    }
+    ck_assert_uint_lt(i + 1, HARNESS_ARGS_MAX);
+    va_start(args, fmt);
+    ck_assert_int_ge(vasprintf(&process->args[i], fmt, args), 0);
+    va_end(args);
+}
+
+/* The daemon refuses variables with its prefix that it does not know. */
+static void
+clear_settings(void)
+{
+    static const char prefix[] = "MASTICRELAY_";
+
+    for (char **it = environ; *it != NULL;) {
+        char name[128];
+        snprintf(name, sizeof(name), "%.*s", (int)strcspn(*it, "="), *it);
+        if (strncmp(name, prefix, strlen(prefix)) == 0) {
+            unsetenv(name);
+            it = environ;
+        }
+        else {
+            it++;
+        }
+    }
+}
+
+static void
+run_child(harness_process_t *process, pid_t parent, int out)
+{
+    int err = open(process->log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+
+    /* No process may outlive a test that aborts. */
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != parent) {
+        _exit(126);
+    }
+    dup2(out, STDOUT_FILENO);
+    dup2(err, STDERR_FILENO);
+    clear_settings();
+    execv(process->args[0], process->args);
+    _exit(127);
+}
+
+/* Reads lines until the one that says ready. */
+static bool
+wait_ready(const harness_process_t *process, int fd)
+{
+    mr_ms_t end = mr_clock_now(NULL) + HARNESS_READY_MS;
+    char line[256];
+    size_t len = 0;
+
+    while (mr_clock_now(NULL) < end && len + 1 < sizeof(line)) {
+        struct pollfd poller = {.fd = fd, .events = POLLIN};
+        poll(&poller, 1, 100);
+        if (poller.revents == 0) {
+            continue;
+        }
+        if (read(fd, &line[len], 1) != 1) {
+            return false;
+        }
+        line[++len] = '\0';
+        if (line[len - 1] != '\n') {
+            continue;
+        }
+        if (strncmp(line, process->ready, strlen(process->ready)) == 0) {
+            return true;
+        }
+        len = 0;
+    }
+    return false;
+}
+
+void
+harness_process_start(harness_process_t *process)
+{
+    pid_t parent = getpid();
+    int out[2];
+
+    ck_assert_int_eq(process->pid, 0);
+    ck_assert_int_eq(pipe2(out, O_CLOEXEC), 0);
+    process->pid = fork();
+    ck_assert_int_ge(process->pid, 0);
+    if (process->pid == 0) {
+        run_child(process, parent, out[1]);
+    }
+    close(out[1]);
+    bool ready = wait_ready(process, out[0]);
+    close(out[0]);
+    if (!ready) {
+        harness_process_kill(process);
+        ck_abort_msg("%s did not get ready, see %s", process->name,
+                     process->log);
+    }
+}
+
+void
+harness_process_signal(const harness_process_t *process, int number)
+{
+    if (process->pid > 0) {
+        kill(process->pid, number);
+    }
+}
+
+void
+harness_process_kill(harness_process_t *process)
+{
+    if (process->pid > 0) {
+        kill(process->pid, SIGKILL);
+        waitpid(process->pid, NULL, 0);
+        process->pid = 0;
+    }
+}
+
+int
+harness_process_wait(harness_process_t *process, struct event_base *base,
+                     mr_ms_t max)
+{
+    mr_ms_t end = mr_clock_now(NULL) + max;
+    int status = 0;
+
+    while (mr_clock_now(NULL) < end) {
+        if (waitpid(process->pid, &status, WNOHANG) == process->pid) {
+            process->pid = 0;
+            return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+        }
+        harness_run(base, WAIT_STEP_MS);
+    }
+    return -1;
+}
--- /dev/null
+++ b/tests/integration/harness_trace.c
@@ -0,0 +1,95 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "harness.h"
+#include "trace.h"
+
+void
+harness_trace(harness_t *h, const char *event, json_t *fields)
+{
+    if (h->trace != NULL) {
+        json_object_set_new(fields, "event", json_string(event));
+        json_object_set_new(fields, "t",
+                            json_integer(mr_clock_now(NULL) - h->started));
+        json_dumpf(fields, h->trace, JSON_COMPACT | JSON_SORT_KEYS);
+        fputc('\n', h->trace);
+    }
+    json_decref(fields);
+}
+
+void
+harness_trace_versions(harness_t *h)
+{
+    for (size_t i = 0; i < h->instance_count; i++) {
+        json_t *status = harness_status(h, &h->instances[i]);
+        json_int_t version = 0;
+        if (json_unpack(status, "{s:{s:{s:I}}}", "config", "current",
+                        "version", &version)
+            == 0) {
+            harness_trace(h, "version",
+                          json_pack("{s:s,s:I}", "instance",
+                                    h->instances[i].process.name, "version",
+                                    version));
+        }
+        json_decref(status);
+    }
+}
+
+/* Looks for the secret part of each key in what a target received. */
+static void
+search_record(harness_t *h, const harness_target_t *target)
+{
+    char path[2 * HARNESS_PATH_BYTES];
+    char *line = NULL;
+    size_t size = 0;
+
+    snprintf(path, sizeof(path), "%s/%s.record", h->folder,
+             target->process.name);
+    FILE *file = fopen(path, "re");
+    if (file == NULL) {
+        return;
+    }
+    while (getline(&line, &size, file) > 0) {
+        for (int i = 0; i < h->options.accounts; i++) {
+            if (strstr(line, strrchr(h->accounts[i].key, '.') + 1) != NULL) {
+                harness_trace(h, "key_seen",
+                              json_pack("{s:s,s:s}", "target",
+                                        target->process.name, "key",
+                                        h->accounts[i].key_id));
+            }
+        }
+    }
+    free(line);
+    fclose(file);
+}
+
+void
+harness_trace_logs(harness_t *h)
+{
+    for (int group = 0; group < h->options.groups; group++) {
+        const harness_target_t *primary = harness_primary(h, group);
+        json_t *entries = NULL;
+        ck_assert_msg(primary != NULL, "group %d has no primary", group);
+        ck_assert_int_eq(harness_http(h->base, "GET", primary->process.address,
+                                      "/log", NULL, NULL, &entries),
+                         200);
+        harness_trace(h, "log",
+                      json_pack("{s:i,s:s,s:o}", "group", group, "target",
+                                primary->process.name, "entries", entries));
+    }
+    for (size_t i = 0; i < h->target_count; i++) {
+        search_record(h, &h->targets[i]);
+    }
+}
+
+json_t *
+harness_check_trace(harness_t *h)
+{
+    ck_assert_ptr_nonnull(h->trace);
+    fclose(h->trace);
+    h->trace = NULL;
+    json_t *violations = trace_check(h->options.trace);
+    ck_assert_ptr_nonnull(violations);
+    return violations;
+}
--- /dev/null
+++ b/tests/integration/test_membership.c
@@ -0,0 +1,149 @@
+/* Guards against a paused process that declares everybody dead, instances
+ * that do not come back, and promises broken while instances fail. */
+
+#include <check.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "harness.h"
+
+static const char *const places[] = {"konya", "aksaray", "nigde", NULL};
+
+static const harness_options_t options = {
+    .data_centres = places,
+    .instances = 3,
+    .groups = 3,
+    .accounts = 2,
+    .rate = 2000,
+    .burst = 500,
+    .slots = 4,
+    .connections = 35,
+    .lag_ms = 20,
+    .statement_ms = 1,
+    .connect_ms = 10,
+    .list_lag_ms = 500,
+    .offline_limit_s = 3600,
+    .proxied = true,
+    .trace = "/tmp/masticrelay-membership.jsonl",
+};
+
+/* How many members of its data centre @instance sees in @state. */
+static int
+count_members(harness_t *h, const harness_instance_t *instance,
+              const char *state)
+{
+    json_t *status = harness_status(h, instance);
+    size_t i;
+    json_t *member;
+    int count = 0;
+
+    ck_assert_ptr_nonnull(status);
+    json_array_foreach(json_object_get(status, "members"), i, member)
+    {
+        const char *name, *place;
+        ck_assert_int_eq(json_unpack(member, "{s:s,s:s}", "state", &name,
+                                     "data_centre", &place),
+                         0);
+        count += strcmp(name, state) == 0
+                         && strcmp(place, instance->data_centre) == 0
+                     ? 1
+                     : 0;
+    }
+    json_decref(status);
+    return count;
+}
+
+static void
+wait_members(harness_t *h, const char *instance, const char *state, int count,
+             mr_ms_t max)
+{
+    const harness_instance_t *at = harness_instance(h, instance);
+    mr_ms_t end = mr_clock_now(NULL) + max;
+
+    while (count_members(h, at, state) != count) {
+        ck_assert_msg(mr_clock_now(NULL) < end, "%s: not %d %s", instance,
+                      count, state);
+        harness_run(h->base, 50);
+    }
+}
+
+static void
+check_promises(harness_t *h)
+{
+    harness_trace_versions(h);
+    harness_trace_logs(h);
+    json_t *violations = harness_check_trace(h);
+    char *text = json_dumps(violations, 0);
+    ck_assert_msg(json_array_size(violations) == 0, "%s", text);
+    free(text);
+    json_decref(violations);
+}
+
+START_TEST(test_pause_death_and_restart)
+{
+    harness_t *h = harness_start(&options);
+    harness_load_t load = {.callers = 12,
+                           .account = -1,
+                           .write_percent = 30,
+                           .append_percent = 30,
+                           .keys = 4,
+                           .pause = 20};
+    harness_process_t *first = &harness_instance(h, "konya-0")->process;
+    harness_process_t *third = &harness_instance(h, "konya-2")->process;
+
+    wait_members(h, "konya-0", "live", 3, 5000);
+    harness_caller_t *callers = harness_callers_start(h, &load);
+    harness_run(h->base, 1000);
+
+    harness_process_signal(first, SIGSTOP);
+    wait_members(h, "konya-1", "dead", 1, 4000);
+    harness_run(h->base, 2000);
+    harness_process_signal(first, SIGCONT);
+    ck_assert_int_eq(count_members(h, harness_instance(h, "konya-0"), "dead"),
+                     0);
+    wait_members(h, "konya-1", "live", 3, 4000);
+    ck_assert_int_eq(count_members(h, harness_instance(h, "konya-0"), "dead"),
+                     0);
+
+    harness_process_kill(third);
+    wait_members(h, "konya-0", "dead", 1, 4000);
+    wait_members(h, "konya-1", "dead", 1, 4000);
+    /* Membership needs no platform once members know each other, and a new
+     * process joins when the platform is back. */
+    harness_platform_fault(h, "{\"down\":true}");
+    harness_run(h->base, 1000);
+    ck_assert_int_eq(count_members(h, harness_instance(h, "konya-0"), "live"),
+                     2);
+    harness_platform_fault(h, "{\"down\":false}");
+    harness_process_start(third);
+    wait_members(h, "konya-0", "live", 3, 5000);
+    wait_members(h, "konya-1", "live", 3, 5000);
+
+    harness_counts_t counts = harness_callers_stop(callers);
+    printf("sent %ld ran %ld not_run %ld unknown %ld limited %ld replicas %ld "
+           "longest gap %ld ms\n",
+           (long)counts.sent, (long)counts.ran, (long)counts.not_run,
+           (long)counts.unknown, (long)counts.limited,
+           (long)counts.from_replicas, (long)counts.longest_gap);
+    ck_assert_int_gt(counts.ran, counts.sent / 2);
+    check_promises(h);
+    harness_end(h);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("membership");
+    TCase *tc = tcase_create("membership");
+
+    tcase_set_timeout(tc, 90);
+    tcase_add_test(tc, test_pause_death_and_restart);
+    suite_add_tcase(suite, tc);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
