Move shares and grants faster when demand shifts

Refusals came from shares that moved 1-2 s after demand did, and from tokens that lay idle in other instances' grants. Demand that chance does not explain counts at once, grants are sized to demand without a margin so that the reserve is pooled, a shrunk grant is confirmed at once, and a data centre under pressure gives way by its present demand instead of its past peak.

--- a/lib/limit/grant.c
+++ b/lib/limit/grant.c
@@ -364,7 +364,7 @@
     int64_t base = cap.rate / (8 * most(count, 1));
     int64_t weights = most(demand + base * count, 1);
     target.rate = mr_limit_scale(cap.rate, holder->demand + base, weights);
-    target.rate = least(target.rate, holder->demand * 3 / 2 + base);
+    target.rate = least(target.rate, holder->demand + base);
     target.burst = mr_limit_scale(cap.burst, target.rate, most(cap.rate, 1));
     if (target.burst < MR_TOKEN_MILLI && holder->demand > 0) {
         target.burst = MR_TOKEN_MILLI;
@@ -422,7 +422,7 @@
     if (now - holder->asked >= DEMAND_MS) {
         return 0;
     }
-    return most(holder->demand * 5 / 4 - (base ? base->amount.rate : 0), 0);
+    return most(holder->demand - (base ? base->amount.rate : 0), 0);
 }
 
 static bool
@@ -432,6 +432,7 @@
     mr_limit_amount_t base = long_sum(book, NULL, now);
     mr_limit_amount_t pool = amount_left(book->share, base);
     mr_limit_amount_t mine = holder_sum(holder, MR_GRANT_SHORT, now);
+    const slot_t *last = newest(holder, MR_GRANT_SHORT, now);
     mr_limit_amount_t free = amount_add(ungranted(book, now), mine);
     mr_limit_amount_t target;
     int64_t all = 0;
@@ -448,7 +449,9 @@
     }
     target.rate = least(target.rate, free.rate);
     if (target.rate == 0) {
-        return false;
+        /* An empty grant replaces one that is not needed any more. */
+        return mine.rate > 0 && last->amount.rate > 0
+               && give(book, holder, MR_GRANT_SHORT, target, now, item);
     }
     target.burst = MR_TOKEN_MILLI / 2 + target.rate * SHORT_BURST_MS / 1000;
     target.burst = least(target.burst, pool.burst / 4);
@@ -507,8 +510,9 @@
         else {
             int64_t soon = mr_bucket_level(&book->reserve, now)
                            + book->reserve.amount.rate * SOON_MS / 1000;
-            *refused = soon < MR_TOKEN_MILLI
-                       && mr_grant_book_demand(book, now) > book->share.rate;
+            *refused =
+                soon < MR_TOKEN_MILLI
+                && mr_grant_book_demand(book, now) > book->share.rate * 5 / 4;
         }
     }
     return count;
--- a/lib/limit/local.c
+++ b/lib/limit/local.c
@@ -1,7 +1,7 @@
 #include "limit/local.h"
 
 enum {
-    WINDOW_MS = 500,
+    WINDOW_MS = 250,
     /* Asks for requests that are held, and at low level before any is. */
     ASK_HELD_MS = 10,
     ASK_LOW_MS = 25,
@@ -29,6 +29,24 @@
     local->limit = limit;
 }
 
+static int64_t
+expected_in(int64_t demand)
+{
+    return demand * WINDOW_MS / (1000 * 1000);
+}
+
+/* A change that chance hardly explains counts at once. */
+static int64_t
+smoothed(int64_t demand, int64_t sample, int64_t arrivals)
+{
+    int64_t expected = expected_in(demand);
+
+    if (arrivals > 2 * expected + 3 || expected > 2 * arrivals + 3) {
+        return sample;
+    }
+    return (3 * demand + sample) / 4;
+}
+
 /* Demand is the mean of the past windows, or of the current one if that is
  * higher already. */
 static int64_t
@@ -43,12 +61,14 @@
         return 0;
     }
     while (now - local->window >= WINDOW_MS) {
-        local->demand = (local->demand + sample) / 2;
+        local->demand = smoothed(local->demand, sample, local->arrivals);
         local->arrivals = 0;
         local->window += WINDOW_MS;
         sample = 0;
     }
-    return sample > local->demand ? sample : local->demand;
+    return local->arrivals > 2 * expected_in(local->demand) + 3
+               ? sample
+               : local->demand;
 }
 
 bool
@@ -72,13 +92,13 @@
     bool low = demand > 0 && (soon < need || soon < MR_TOKEN_MILLI);
     mr_ms_t interval = ASK_IDLE_MS;
 
-    if (waiting > 0) {
+    if (waiting > 0 || local->unconfirmed) {
         interval = ASK_HELD_MS;
     }
     else if (low) {
         interval = ASK_LOW_MS;
     }
-    else if (demand > 0) {
+    else if (now - local->used < 3000) {
         interval = ASK_USED_MS;
     }
     if (now - local->asked < interval
@@ -92,6 +112,7 @@
     }
     mr_grant_hold_fill(&local->hold, ask, now);
     local->asked = now;
+    local->unconfirmed = false;
     local->outstanding++;
     return true;
 }
@@ -100,8 +121,15 @@
 mr_limit_local_reply(mr_limit_local_t *local, const mr_msg_grant_item_t *items,
                      size_t count, mr_ms_t sent, mr_ms_t now)
 {
+    int64_t rate = mr_grant_hold_rate(&local->hold, now);
+
     local->outstanding--;
     for (size_t i = 0; i < count; i++) {
         mr_grant_hold_accept(&local->hold, &items[i], sent, now);
     }
+    /* The limiter counts a larger grant until it knows that it was replaced.
+     */
+    if (mr_grant_hold_rate(&local->hold, now) < rate) {
+        local->unconfirmed = true;
+    }
 }
--- a/lib/limit/local.h
+++ b/lib/limit/local.h
@@ -20,7 +20,8 @@
     mr_ms_t window;          /* start of the window */
     mr_ms_t asked;
     mr_ms_t used;
-    int outstanding; /* asks without a reply */
+    bool unconfirmed; /* a long grant arrived since the last ask */
+    int outstanding;  /* asks without a reply */
 } mr_limit_local_t;
 
 void mr_limit_local_init(mr_limit_local_t *local, mr_ms_t now);
--- a/lib/limit/share.c
+++ b/lib/limit/share.c
@@ -22,7 +22,7 @@
      * time, so that noise causes no writes. */
     DECAY_MS = 500,
     /* Changes below this part of the limit are not worth a write. */
-    NOTICEABLE = 32,
+    NOTICEABLE = 16,
     FLOOR_PARTS = 16,
 };
 
@@ -56,6 +56,7 @@
     int64_t peak; /* demand with slow decay */
     mr_ms_t decayed;
     bool is_short;
+    bool others_short;
     mr_bucket_t budget;
     sighting_t seen[MR_SHARE_ENTRIES_MAX];
     size_t seen_count;
@@ -284,7 +285,7 @@
     else if (share->stale) {
         interval = share->read_now ? 0 : RETRY_MS;
     }
-    else if (share->is_short) {
+    else if (share->is_short || share->others_short) {
         interval = POLL_SHORT_MS;
     }
     else if (share->peak > 0) {
@@ -350,6 +351,11 @@
                 && is_short_of(entry, target_of(out, entry), out->limit));
     }
     bool lower = over || others_short;
+    share->others_short = others_short;
+    if (lower) {
+        own->demand = input->demand;
+        target = target_of(out, own);
+    }
     bool stamp = out->limit.rate != share->row.limit.rate
                  || out->limit.burst != share->row.limit.burst;
     share->is_short = is_short_of(own, target, out->limit);
