--- a/lib/group/pool.c
+++ b/lib/group/pool.c
@@ -153,6 +153,23 @@
     pool->retry_at = mr_clock_now(NULL) + pool->retry_delay;
 }
 
+/** drop_idle() - close idle connections that the target has closed, and those
+ * above the limit. */
+static void
+drop_idle(mr_pool_t *pool)
+{
+    MR_LIST_FOREACH(it, &pool->idle)
+    {
+        pool_conn_t *item = MR_LIST_ENTRY(it, pool_conn_t, link);
+
+        if (open_count(pool) > (size_t)pool->options.connections
+            || !mr_target_conn_usable(item->conn)) {
+            pool->idle_count--;
+            pool_conn_free(item);
+        }
+    }
+}
+
 static mr_pool_wait_t *
 wait_of(mr_fair_entry_t *entry)
 {
@@ -193,7 +210,9 @@
     }
     else {
         pool_conn_free(item);
-        if (reply->error == MR_ERR_UNAVAILABLE && open_count(pool) == 0) {
+        drop_idle(pool);
+        if (reply->error == MR_ERR_UNAVAILABLE && pool->idle_count == 0
+            && pool->opening_count == 0) {
             fail_waits(pool);
         }
     }
@@ -247,23 +266,6 @@
     }
 }
 
-/** drop_idle() - close idle connections that the target has closed, and those
- * above the limit. */
-static void
-drop_idle(mr_pool_t *pool)
-{
-    MR_LIST_FOREACH(it, &pool->idle)
-    {
-        pool_conn_t *item = MR_LIST_ENTRY(it, pool_conn_t, link);
-
-        if (open_count(pool) > (size_t)pool->options.connections
-            || !mr_target_conn_usable(item->conn)) {
-            pool->idle_count--;
-            pool_conn_free(item);
-        }
-    }
-}
-
 static void
 on_check(evutil_socket_t fd, short what, void *ctx)
 {
@@ -359,6 +361,8 @@
      * active again before it. */
     wake(pool);
     if (!end_one(pool) && !serve_one(pool)) {
+        /* Taking an idle connection may have shown that all were closed. */
+        keep_spares(pool);
         event_del(pool->work);
     }
 }
--- a/lib/group/pool.h
+++ b/lib/group/pool.h
@@ -28,7 +28,8 @@
  * mr_pool_ready_fn_t - the wait has ended
  * @error: MR_OK with @conn set and a slot held; MR_ERR_DEADLINE_EXCEEDED;
  *         MR_ERR_OVERLOADED when the account's queue is full;
- *         MR_ERR_UNAVAILABLE when the pool was closed
+ *         MR_ERR_UNAVAILABLE when the pool was closed or the target refuses
+ *         all connections
  */
 typedef void (*mr_pool_ready_fn_t)(void *ctx, mr_error_kind_t error,
                                    mr_target_conn_t *conn);
