--- a/Makefile
+++ b/Makefile
@@ -73,7 +73,8 @@
 	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(PKG_LIBS) -o $@
 
 # These tests run the platform stand-in.
-$(BUILD)/unit/test_platform $(BUILD)/unit/test_config_store: | $(BUILD)/platform_standin
+$(addprefix $(BUILD)/unit/,test_platform test_config_store test_config_change): | \
+    $(BUILD)/platform_standin
 
 $(BUILD)/integration/%: $(BUILD)/tests/integration/%.o \
     $(HARNESS_SRC:%.c=$(BUILD)/%.o) $(LIB)
