--- a/lib/group/owner.c
+++ b/lib/group/owner.c
@@ -239,17 +239,44 @@
     }
 }
 
+/* Whether an instance of the target's own data centre can own it. */
+static bool
+has_home_owner(const mr_owner_t *owner, const char *data_centre)
+{
+    const mr_member_t *first;
+
+    return mr_members_usable(owner->options.members, "", data_centre, &first,
+                             1)
+           > 0;
+}
+
+static void
+open_owned_target(mr_owner_t *owner, const mr_config_target_t *config,
+                  const char *own_data_centre)
+{
+    /* Ranking is only worth while where this instance can come first. */
+    if (strcmp(config->data_centre, own_data_centre) != 0
+        && has_home_owner(owner, config->data_centre)) {
+        return;
+    }
+    if (owns(owner, config)) {
+        open_target(owner, config);
+    }
+}
+
 static void
 open_owned_targets(mr_owner_t *owner, const mr_config_t *config)
 {
+    const mr_member_t *self =
+        mr_members_find(owner->options.members, owner->options.name);
+    const char *own = self == NULL ? "" : self->data_centre;
+
     for (size_t s = 0; s < config->service_count; s++) {
         const mr_config_service_t *service = &config->services[s];
         for (size_t g = 0; g < service->group_count; g++) {
             const mr_config_group_t *group = &service->groups[g];
             for (size_t t = 0; t < group->target_count; t++) {
-                if (owns(owner, &group->targets[t])) {
-                    open_target(owner, &group->targets[t]);
-                }
+                open_owned_target(owner, &group->targets[t], own);
             }
         }
     }
@@ -259,6 +286,7 @@
 reconcile(mr_owner_t *owner)
 {
     mr_config_t *config = mr_config_store_current(owner->options.config);
+    uint64_t generation = mr_members_generation(owner->options.members);
 
     if (config == NULL) {
         return;
@@ -268,7 +296,12 @@
         update_target(it->data, config);
     }
     g_list_free(open);
-    open_owned_targets(owner, config);
+    if (generation != owner->generation
+        || config->version != owner->config_version) {
+        owner->generation = generation;
+        owner->config_version = config->version;
+        open_owned_targets(owner, config);
+    }
 }
 
 static void
--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -44,6 +44,7 @@
 } guard_t;
 
 struct mr_members {
+    uint64_t generation;
     mr_members_options_t options;
     mr_member_table_t *table;
     struct event *tick;
@@ -100,6 +101,7 @@
 note_changes(mr_members_t *members)
 {
     if (mr_member_table_take_changed(members->table)) {
+        members->generation++;
         event_active(members->notify, 0, 0);
     }
 }
@@ -681,6 +683,12 @@
     return mr_member_table_owner(members->table, key, data_centre);
 }
 
+uint64_t
+mr_members_generation(const mr_members_t *members)
+{
+    return members->generation;
+}
+
 void
 mr_members_report_failure(mr_members_t *members, const char *name)
 {
--- a/lib/wire/peer_link.c
+++ b/lib/wire/peer_link.c
@@ -2,15 +2,14 @@
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
-#include <event2/bufferevent_ssl.h>
 #include <netinet/tcp.h>
-#include <openssl/ssl.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "common/address.h"
 #include "common/mem.h"
+#include "wire/lateness.h"
 
 enum {
     HANDSHAKE_TIMEOUT_S = 3,
@@ -31,6 +30,7 @@
     uint8_t nonce[MR_PEER_NONCE_BYTES];
     uint8_t peer_nonce[MR_PEER_NONCE_BYTES];
     char name[MR_PEER_NAME_MAX_BYTES];
+    mr_lateness_t lateness;
 };
 
 /*
@@ -186,6 +186,8 @@
              && handle_hello(link, &holder.msg.u.hello);
     }
     else if (!hello) {
+        holder.msg.late_ms = mr_lateness_note(
+            &link->lateness, holder.msg.sent_at, mr_clock_now(NULL));
         link->events.message(link->ctx, link, &holder.msg);
     }
     mr_msg_release(&holder);
@@ -246,7 +248,11 @@
         int on = 1;
         setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
                    sizeof(on));
-        send_hello(link, false);
+        /* With TLS the accepting side learns of the connection as well, but
+         * waits for the opener's HELLO. */
+        if (link->opener) {
+            send_hello(link, false);
+        }
         return;
     }
     close_link(link);
@@ -256,19 +262,12 @@
 create_bufferevent(const mr_peer_options_t *options, evutil_socket_t fd,
                    bool opener)
 {
-    int flags = BEV_OPT_CLOSE_ON_FREE;
-
-    if (options->ssl_ctx == NULL) {
-        return bufferevent_socket_new(options->base, fd, flags);
-    }
-    SSL *ssl = SSL_new(options->ssl_ctx);
-    if (ssl == NULL) {
-        return NULL;
+    if (options->tls == NULL) {
+        return bufferevent_socket_new(options->base, fd,
+                                      BEV_OPT_CLOSE_ON_FREE);
     }
-    return bufferevent_openssl_socket_new(options->base, fd, ssl,
-                                          opener ? BUFFEREVENT_SSL_CONNECTING
-                                                 : BUFFEREVENT_SSL_ACCEPTING,
-                                          flags);
+    return opener ? mr_tls_open(options->tls, fd)
+                  : mr_tls_accept(options->tls, fd);
 }
 
 static mr_peer_link_t *
@@ -304,8 +303,13 @@
     if (!mr_address_parse(address, &addr, &len)) {
         return NULL;
     }
-    mr_peer_link_t *link = create_link(options, -1, true, events, ctx);
+    int fd = mr_address_socket(&addr);
+    if (fd < 0) {
+        return NULL;
+    }
+    mr_peer_link_t *link = create_link(options, fd, true, events, ctx);
     if (link == NULL) {
+        evutil_closesocket(fd);
         return NULL;
     }
     if (bufferevent_socket_connect(link->bev, (struct sockaddr *)&addr, len)
