Add the demo: a primary and a daemon die under load

Real processes, three data centres, three groups; ends with status 0 only if the trace shows no broken promise.

--- a/Makefile
+++ b/Makefile
@@ -132,8 +132,8 @@
 	./tools/run-tests $(BUILD) integration
 
 demo: packages
-	$(MAKE) programs standins
-	./tools/demo $(BUILD)
+	$(MAKE) programs standins $(BUILD)/integration/demo
+	MASTICRELAY_BUILD=$(BUILD) $(BUILD)/integration/demo
 
 format:
 	@clang-format -i $(SOURCES)
