Add the steps of a change and the audit trail to masticrelayctl

Cause: a change goes through proposal, approval or veto, and acceptance, and each step is recorded. Ruled out: approving whatever is staged, since another proposal may have come after the customer read the difference.

--- a/completion/masticrelayctl.bash
+++ b/completion/masticrelayctl.bash
@@ -7,7 +7,7 @@
     cur=${COMP_WORDS[COMP_CWORD]}
     prev=${COMP_WORDS[COMP_CWORD - 1]}
     local common="--platform --admin --operator-credential --approver-key
-        --operator --timeout-ms --json --help"
+        --approver-public-key --operator --timeout-ms --json --help"
     local commands="check diff propose approve veto accept key target approver
         status groups accounts instances audit"
     local command="" second="" word i skip=""
@@ -19,7 +19,7 @@
         return
         ;;
     --platform | --admin | --operator-credential | --operator | --timeout-ms | \
-        --without | --limit | --reason)
+        --approver-public-key | --without | --wait-ms | --limit | --reason)
         return
         ;;
     esac
@@ -32,7 +32,7 @@
             continue
         fi
         case $word in
-        --json | --help | --yes | --undo | --next-version | --verify) ;;
+        --json | --help | --yes | --undo | --next-version) ;;
         --*=*) ;;
         --*) skip=1 ;;
         *)
@@ -67,8 +67,9 @@
     local own=""
     case $command in
     propose) own="--next-version" ;;
-    approve | veto) own="--yes" ;;
-    accept) own="--without" ;;
+    approve) own="--yes" ;;
+    veto) own="--yes --reason" ;;
+    accept) own="--without --wait-ms" ;;
     key) own="--file" ;;
     target) own="--file --undo" ;;
     audit) own="--limit" ;;
--- a/programs/masticrelayctl.c
+++ b/programs/masticrelayctl.c
@@ -37,7 +37,7 @@
      ctl_show_accounts},
     {"instances", "", "the platform's list of instances and targets", 0, 0,
      ctl_show_instances},
-    {"audit", "", "audit records of configuration steps", 0, 0,
+    {"audit", "[SEQUENCE]", "audit records of configuration steps", 0, 1,
      ctl_show_audit},
 };
 
--- a/programs/masticrelayctl.h
+++ b/programs/masticrelayctl.h
@@ -31,7 +31,8 @@
     char *platform_address;
     char **admins;
     char *credential;
-    char *approver_key; /* file with the customer's secret key */
+    char *approver_key;        /* file with the customer's secret key */
+    char *approver_public_key; /* hex */
     char *operator_name;
     gint64 timeout_ms;
     gboolean json;
@@ -70,19 +71,27 @@
 ctl_status_t ctl_key_issue(CTL_PARAMETERS);
 ctl_status_t ctl_key_withdraw(CTL_PARAMETERS);
 ctl_status_t ctl_target_leave(CTL_PARAMETERS);
-/* masticrelayctl_change.c */
+/* masticrelayctl_propose.c */
 ctl_status_t ctl_propose(CTL_PARAMETERS);
+/** ctl_next_version() - the lowest version that can be proposed. */
+ctl_status_t ctl_next_version(ctl_t *ctl, int64_t *version);
+/** ctl_stage() - propose the configuration @text; see propose. */
+ctl_status_t ctl_stage(ctl_t *ctl, const char *text);
+/* masticrelayctl_change.c */
 ctl_status_t ctl_approve(CTL_PARAMETERS);
 ctl_status_t ctl_veto(CTL_PARAMETERS);
 ctl_status_t ctl_accept(CTL_PARAMETERS);
-/** ctl_stage() - propose the configuration @text; see propose. */
-ctl_status_t ctl_stage(ctl_t *ctl, const char *text);
 /* masticrelayctl_approver.c */
 ctl_status_t ctl_approver_create(CTL_PARAMETERS);
 /** ctl_read_approver_key() - the secret key of --approver-key. */
 ctl_status_t
 ctl_read_approver_key(const ctl_t *ctl,
                       uint8_t secret_key[MR_APPROVAL_SECRET_KEY_BYTES]);
+/** ctl_read_public_key() - the key of --approver-public-key, or the public
+ * half of --approver-key. */
+ctl_status_t
+ctl_read_public_key(const ctl_t *ctl,
+                    uint8_t public_key[MR_APPROVAL_PUBLIC_KEY_BYTES]);
 /* masticrelayctl_status.c */
 ctl_status_t ctl_show_status(CTL_PARAMETERS);
 ctl_status_t ctl_show_groups(CTL_PARAMETERS);
--- a/programs/masticrelayctl_approver.c
+++ b/programs/masticrelayctl_approver.c
@@ -108,3 +108,35 @@
     sodium_memzero(text, sizeof(text));
     return CTL_FAILED;
 }
+
+ctl_status_t
+ctl_read_public_key(const ctl_t *ctl,
+                    uint8_t public_key[MR_APPROVAL_PUBLIC_KEY_BYTES])
+{
+    const char *text = ctl->set.approver_public_key;
+    uint8_t secret_key[MR_APPROVAL_SECRET_KEY_BYTES];
+    size_t len = 0;
+
+    if (text == NULL && ctl->set.approver_key != NULL) {
+        ctl_status_t status = ctl_read_approver_key(ctl, secret_key);
+        if (status == CTL_DONE) {
+            crypto_sign_ed25519_sk_to_pk(public_key, secret_key);
+            sodium_memzero(secret_key, sizeof(secret_key));
+        }
+        return status;
+    }
+    if (text == NULL) {
+        return ctl_fail(ctl, CTL_USAGE,
+                        "--approver-public-key or "
+                        "MASTICRELAY_APPROVER_PUBLIC_KEY is needed");
+    }
+    if (strlen(text) != MR_APPROVAL_PUBLIC_KEY_BYTES * 2
+        || sodium_hex2bin(public_key, MR_APPROVAL_PUBLIC_KEY_BYTES, text,
+                          strlen(text), NULL, &len, NULL)
+               != 0
+        || len != MR_APPROVAL_PUBLIC_KEY_BYTES) {
+        return ctl_fail(ctl, CTL_USAGE,
+                        "--approver-public-key must be 64 hex digits");
+    }
+    return CTL_DONE;
+}
--- a/programs/masticrelayctl_edit.c
+++ b/programs/masticrelayctl_edit.c
@@ -40,7 +40,9 @@
         status = ctl_fail(ctl, CTL_FAILED, "%s", problem);
     }
     else if (file == NULL) {
-        mr_op_set_version(edit->op, config->version + 1);
+        int64_t version = 0;
+        status = ctl_next_version(ctl, &version);
+        mr_op_set_version(edit->op, version);
     }
     free(text);
     mr_config_unref(config);
@@ -119,6 +121,7 @@
     ctl_status_t status = edit_open(ctl, &edit, file);
 
     if (status != CTL_DONE) {
+        mr_op_destroy(edit.op);
         return status;
     }
     if (!mr_op_key_issue(edit.op, account, id, key)) {
@@ -180,6 +183,7 @@
     ctl_status_t status = edit_open(ctl, &edit, file);
 
     if (status != CTL_DONE) {
+        mr_op_destroy(edit.op);
         return status;
     }
     if (!change->apply(edit.op, name)) {
--- a/programs/masticrelayctl_options.c
+++ b/programs/masticrelayctl_options.c
@@ -25,6 +25,8 @@
     ctl->set.platform_address = from_environment("MASTICRELAY_PLATFORM");
     ctl->set.credential = from_environment("MASTICRELAY_OPERATOR_CREDENTIAL");
     ctl->set.approver_key = from_environment("MASTICRELAY_APPROVER_KEY");
+    ctl->set.approver_public_key =
+        from_environment("MASTICRELAY_APPROVER_PUBLIC_KEY");
     ctl->set.operator_name = from_environment("MASTICRELAY_OPERATOR");
     if (ctl->set.operator_name == NULL) {
         ctl->set.operator_name = g_strdup(g_get_user_name());
@@ -48,7 +50,10 @@
         {"operator-credential", 0, 0, G_OPTION_ARG_STRING,
          &ctl->given.credential, "Credential for the admin listeners", "TEXT"},
         {"approver-key", 0, 0, G_OPTION_ARG_FILENAME, &ctl->given.approver_key,
-         "The customer's secret key, for approve and veto", "FILE"},
+         "The customer's secret key, for approve", "FILE"},
+        {"approver-public-key", 0, 0, G_OPTION_ARG_STRING,
+         &ctl->given.approver_public_key,
+         "The customer's public key, for accept", "HEX"},
         {"operator", 0, 0, G_OPTION_ARG_STRING, &ctl->given.operator_name,
          "Name for the audit records (the user's name)", "NAME"},
         {"timeout-ms", 0, 0, G_OPTION_ARG_INT64, &ctl->given.timeout_ms,
@@ -71,6 +76,7 @@
     g_strfreev(settings->admins);
     g_free(settings->credential);
     g_free(settings->approver_key);
+    g_free(settings->approver_public_key);
     g_free(settings->operator_name);
     memset(settings, 0, sizeof(*settings));
 }
@@ -94,6 +100,7 @@
     replace_text(&set->platform_address, &given->platform_address);
     replace_text(&set->credential, &given->credential);
     replace_text(&set->approver_key, &given->approver_key);
+    replace_text(&set->approver_public_key, &given->approver_public_key);
     replace_text(&set->operator_name, &given->operator_name);
     if (given->admins != NULL) {
         g_strfreev(set->admins);
--- a/programs/masticrelayctl_status.c
+++ b/programs/masticrelayctl_status.c
@@ -249,8 +249,15 @@
     };
     const json_t *instances = json_object_get(result, "instances");
 
-    print_version("In force:", json_object_get(result, "head"));
-    print_version("Staged:  ", json_object_get(result, "staged"));
+    const json_t *head = json_object_get(result, "head");
+    const json_t *staged = json_object_get(result, "staged");
+    json_int_t in_force = json_integer_value(json_object_get(head, "version"));
+    json_int_t next = json_integer_value(json_object_get(staged, "version"));
+    bool pending = staged == NULL || next > in_force;
+    json_t *none = json_null();
+
+    print_version("In force:", head);
+    print_version("Staged:  ", pending ? staged : none);
     putchar('\n');
     ctl_print_table(json_object_get(result, "data_centres"), centre_columns,
                     COUNT_OF(centre_columns));
