--- a/tests/unit/test_limit_model.c
+++ b/tests/unit/test_limit_model.c
@@ -570,6 +570,22 @@
     free(w);
 }
 
+/* Ends a node; its load goes to the others of its data centre. */
+static void
+kill_node(world_t *w, int index)
+{
+    node_t *node = &w->nodes[index];
+
+    for (int i = 0; i < NODES; i++) {
+        if (i != index && w->nodes[i].centre == node->centre) {
+            w->nodes[i].load += node->load / (PER_CENTRE - 1);
+        }
+    }
+    node->load = 0;
+    node->paused_until = INT64_MAX / 2;
+    mr_limit_local_init(&node->local, node_now(w, node));
+}
+
 /* Skewed demand: each node's weight is random, some are idle. */
 static void
 shift_load(world_t *w, double part)
@@ -658,6 +674,50 @@
     }
 }
 
+START_TEST(test_limiter_dies)
+{
+    world_t *w = create_world(2, 300, 150);
+
+    for (int round = 0; round < 5; round++) {
+        run(w, 70000, 0.6, 100000);
+        reset(w);
+        for (int i = 0; i < NODES; i++) {
+            if (mr_lease_held(w->nodes[i].lease, node_now(w, &w->nodes[i]))) {
+                kill_node(w, i);
+                break;
+            }
+        }
+        run(w, 60000, 0, 1);
+        report(w, "limiter dies", 60000);
+        for (int i = 0; i < NODES; i++) {
+            if (w->nodes[i].paused_until > w->now) {
+                w->nodes[i].paused_until = 0;
+                start_node(w, i);
+            }
+        }
+    }
+    ck_assert_int_eq(w->violations, 0);
+    destroy_world(w);
+}
+END_TEST
+
+START_TEST(test_store_outage)
+{
+    world_t *w = create_world(3, 300, 150);
+
+    for (int round = 0; round < 3; round++) {
+        run(w, 30000, 0.6, 100000);
+        reset(w);
+        w->store_down = true;
+        run(w, 150000, 0, 1);
+        report(w, "store outage", 150000);
+        w->store_down = false;
+    }
+    ck_assert_int_eq(w->violations, 0);
+    destroy_world(w);
+}
+END_TEST
+
 /* One random fault, or the end of all. */
 static void
 disturb(world_t *w)
@@ -716,6 +776,8 @@
 
     tcase_set_timeout(tcase, 120);
     tcase_add_test(tcase, test_calm);
+    tcase_add_test(tcase, test_limiter_dies);
+    tcase_add_test(tcase, test_store_outage);
     tcase_add_loop_test(tcase, test_chaos, 0, 8);
     suite_add_tcase(suite, tcase);
     SRunner *runner = srunner_create(suite);
