Test leases and shares; claim rate for what dead instances held

The long grants of a dead instance are unusable until they lapse. The data centre now reports that rate as demand, so that others with some to spare give it. Asks that were lost no longer block further ones.

--- a/lib/limit/grant.c
+++ b/lib/limit/grant.c
@@ -239,6 +239,21 @@
     return demand;
 }
 
+int64_t
+mr_grant_book_stuck(const mr_grant_book_t *book, mr_ms_t now)
+{
+    int64_t stuck = long_sum(book, NULL, now).rate;
+
+    MR_LIST_FOREACH(it, &book->holders)
+    {
+        const holder_t *holder = MR_LIST_ENTRY(it, holder_t, link);
+        if (now - holder->asked < DEMAND_MS) {
+            stuck -= holder_sum(holder, MR_GRANT_LONG, now).rate;
+        }
+    }
+    return most(stuck, 0);
+}
+
 static holder_t *
 find_holder(mr_grant_book_t *book, const char *name, int64_t process)
 {
@@ -364,7 +379,7 @@
     int64_t base = cap.rate / (8 * most(count, 1));
     int64_t weights = most(demand + base * count, 1);
     target.rate = mr_limit_scale(cap.rate, holder->demand + base, weights);
-    target.rate = least(target.rate, holder->demand + base);
+    target.rate = least(target.rate, holder->demand * 3 / 2 + base);
     target.burst = mr_limit_scale(cap.burst, target.rate, most(cap.rate, 1));
     if (target.burst < MR_TOKEN_MILLI && holder->demand > 0) {
         target.burst = MR_TOKEN_MILLI;
--- a/lib/limit/grant.h
+++ b/lib/limit/grant.h
@@ -77,6 +77,10 @@
 /** mr_grant_book_demand() - recent demand of all instances. */
 int64_t mr_grant_book_demand(const mr_grant_book_t *book, mr_ms_t now);
 
+/** mr_grant_book_stuck() - rate of LONG grants that may be in force but are
+ * not held by an instance that asked recently. */
+int64_t mr_grant_book_stuck(const mr_grant_book_t *book, mr_ms_t now);
+
 /**
  * mr_grant_book_ask() - answer an instance
  * @out: receives up to MR_GRANT_ITEMS_MAX grants
--- a/lib/limit/limiter_account.c
+++ b/lib/limit/limiter_account.c
@@ -74,7 +74,11 @@
 {
     sync_book(account, now);
     if (account->book != NULL) {
-        account->input.demand = mr_grant_book_demand(account->book, now);
+        int64_t demand = mr_grant_book_demand(account->book, now);
+        int64_t stuck = mr_grant_book_stuck(account->book, now);
+        /* Rate that is stuck in grants of dead instances serves nobody until
+         * they lapse; the rest of the fleet may have some to spare. */
+        account->input.demand = demand + (stuck < demand ? stuck : demand);
         account->input.least = mr_grant_book_least_share(account->book, now);
     }
     mr_share_action_t action =
--- a/lib/limit/local.c
+++ b/lib/limit/local.c
@@ -10,6 +10,8 @@
     /* Renews the long grant of an account that is not in use. */
     ASK_IDLE_MS = 5000,
     OUTSTANDING_MAX = 4,
+    /* Asks without a reply for this long count as lost. */
+    LOST_MS = 200,
     LOW_MS = 50, /* tokens for less demand than this are low */
 };
 
@@ -101,6 +103,9 @@
     else if (now - local->used < 3000) {
         interval = ASK_USED_MS;
     }
+    if (now - local->asked >= LOST_MS) {
+        local->outstanding = 0;
+    }
     if (now - local->asked < interval
         || local->outstanding >= OUTSTANDING_MAX) {
         return false;
@@ -123,7 +128,7 @@
 {
     int64_t rate = mr_grant_hold_rate(&local->hold, now);
 
-    local->outstanding--;
+    local->outstanding -= local->outstanding > 0;
     for (size_t i = 0; i < count; i++) {
         mr_grant_hold_accept(&local->hold, &items[i], sent, now);
     }
--- /dev/null
+++ b/tests/unit/test_lease.c
@@ -0,0 +1,215 @@
+/* Guards against two limiters of one shard at a time. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "limit/lease.h"
+
+static const char *const order[] = {"a", "b", "c", "d"};
+
+/* Run @lease until it wants to write, with reads that return @row. */
+static bool
+wants_write(mr_lease_t *lease, const mr_lease_row_t *row, size_t first,
+            mr_ms_t now, mr_lease_row_t *out)
+{
+    for (int i = 0; i < 3; i++) {
+        switch (
+            mr_lease_plan(lease, order + first, 4 - first, false, now, out)) {
+        case MR_SHARE_READ:
+            mr_lease_read(lease, row, now);
+            break;
+        case MR_SHARE_WRITE:
+            return true;
+        case MR_SHARE_NONE:
+            return false;
+        }
+    }
+    return false;
+}
+
+/* "a" takes a shard that nobody had, at revision 1. */
+static mr_lease_t *
+create_owner(mr_lease_row_t *row, mr_ms_t now)
+{
+    mr_lease_t *lease = mr_lease_create("a", 11);
+
+    *row = (mr_lease_row_t){0};
+    ck_assert(wants_write(lease, row, 0, now, row));
+    ck_assert(!mr_lease_held(lease, now));
+    mr_lease_written(lease, MR_SHARE_WRITTEN, 1, now + 500);
+    row->revision = 1;
+    ck_assert(mr_lease_held(lease, now + 500));
+    ck_assert_int_eq(mr_lease_epoch(lease), 1);
+    ck_assert_int_eq(row->successor_count, 2);
+    return lease;
+}
+
+/* When @name first wants to take over, having seen @row at @now. */
+static mr_ms_t
+takes_at(const char *name, const mr_lease_row_t *row, mr_ms_t now)
+{
+    mr_lease_t *lease = mr_lease_create(name, 99);
+    mr_lease_row_t out;
+
+    while (!wants_write(lease, row, 1, now, &out)) {
+        now += 10;
+    }
+    ck_assert_int_eq(out.epoch, row->epoch + 1);
+    mr_lease_destroy(lease);
+    return now;
+}
+
+START_TEST(test_lease_counts_from_when_the_renewal_was_sent)
+{
+    mr_lease_row_t row;
+    mr_lease_t *lease = create_owner(&row, 1000);
+
+    ck_assert(mr_lease_held(lease, 1000 + MR_LEASE_MS - 1));
+    ck_assert(!mr_lease_held(lease, 1000 + MR_LEASE_MS));
+    mr_lease_destroy(lease);
+}
+END_TEST
+
+START_TEST(test_only_named_successors_take_over_after_the_lapse)
+{
+    mr_lease_row_t row;
+    mr_ms_t lapse = mr_limit_lapse(MR_LEASE_MS);
+    mr_lease_t *lease = create_owner(&row, 1000);
+
+    ck_assert_int_ge(takes_at("b", &row, 5000), 5000 + lapse);
+    ck_assert_int_lt(takes_at("b", &row, 5000), 5000 + lapse + 1000);
+    ck_assert_int_ge(takes_at("c", &row, 5000), 5000 + lapse);
+    ck_assert_int_ge(takes_at("d", &row, 5000),
+                     5000 + lapse + MR_LEASE_OUTAGE_MS);
+    /* Another process under the owner's name is not the owner. */
+    ck_assert_int_ge(takes_at("a", &row, 5000),
+                     5000 + lapse + MR_LEASE_OUTAGE_MS);
+    row.owner[0] = '\0';
+    ck_assert_int_lt(takes_at("b", &row, 5000), 6000);
+    mr_lease_destroy(lease);
+}
+END_TEST
+
+START_TEST(test_owner_goes_on_while_all_promise)
+{
+    mr_lease_row_t row;
+    mr_lease_row_t out;
+    mr_lease_t *lease = create_owner(&row, 1000);
+    mr_ms_t now = 1000 + MR_LEASE_RENEW_MS;
+
+    ck_assert(wants_write(lease, &row, 0, now, &out));
+    mr_lease_written(lease, MR_SHARE_UNKNOWN, 0, now + 1000);
+    now = 1000 + MR_LEASE_MS - 10;
+    ck_assert_str_eq(mr_lease_promise_due(lease, now), "b");
+    ck_assert_str_eq(mr_lease_promise_due(lease, now), "c");
+    ck_assert_ptr_null(mr_lease_promise_due(lease, now));
+    mr_lease_promised(lease, "b", now, MR_LEASE_PROMISE_MS);
+    ck_assert(!mr_lease_held(lease, now + 100));
+    mr_lease_promised(lease, "c", now, 0);
+    ck_assert(!mr_lease_held(lease, now + 100));
+    mr_lease_promised(lease, "c", now, MR_LEASE_PROMISE_MS);
+    ck_assert(mr_lease_held(lease, now + 100));
+    ck_assert(!mr_lease_held(lease, now + MR_LEASE_PROMISE_MS));
+    /* Not for ever. */
+    mr_lease_promised(lease, "b", 1000 + MR_LEASE_OUTAGE_MS, 3000);
+    mr_lease_promised(lease, "c", 1000 + MR_LEASE_OUTAGE_MS, 3000);
+    ck_assert(!mr_lease_held(lease, 1000 + MR_LEASE_OUTAGE_MS));
+    ck_assert(mr_lease_held(lease, 999 + MR_LEASE_OUTAGE_MS));
+    mr_lease_destroy(lease);
+}
+END_TEST
+
+START_TEST(test_promise_binds_the_successor)
+{
+    mr_lease_row_t row;
+    mr_lease_row_t out;
+    mr_ms_t lapse = mr_limit_lapse(MR_LEASE_MS);
+    mr_lease_t *owner = create_owner(&row, 1000);
+    mr_lease_t *lease = mr_lease_create("b", 12);
+
+    ck_assert_int_eq(mr_lease_promise(lease, 1, 2000), 0);
+    ck_assert(!wants_write(lease, &row, 1, 2000, &out));
+    ck_assert_int_eq(mr_lease_promise(lease, 2, 2000), 0);
+    mr_ms_t asked = 2000 + lapse - 10;
+    ck_assert_int_eq(mr_lease_promise(lease, 1, asked), MR_LEASE_PROMISE_MS);
+    mr_ms_t now = asked;
+    while (!wants_write(lease, &row, 1, now, &out)) {
+        now += 10;
+    }
+    ck_assert_int_ge(now, asked + mr_limit_lapse(MR_LEASE_PROMISE_MS));
+    /* No promise while its own takeover may take effect. */
+    ck_assert_int_eq(mr_lease_promise(lease, 1, now), 0);
+    mr_lease_written(lease, MR_SHARE_UNKNOWN, 0, now + 100);
+    ck_assert_int_eq(mr_lease_promise(lease, 1, now + 100), 0);
+    mr_lease_destroy(lease);
+    mr_lease_destroy(owner);
+}
+END_TEST
+
+START_TEST(test_lost_reply_of_a_takeover)
+{
+    mr_lease_row_t row;
+    mr_lease_row_t out;
+    mr_lease_t *owner = create_owner(&row, 1000);
+    mr_lease_t *lease = mr_lease_create("b", 12);
+    mr_ms_t now = 2000;
+
+    while (!wants_write(lease, &row, 1, now, &out)) {
+        now += 10;
+    }
+    mr_lease_written(lease, MR_SHARE_UNKNOWN, 0, now + 1000);
+    ck_assert(!mr_lease_held(lease, now + 1000));
+    out.revision = 2;
+    ck_assert(!wants_write(lease, &out, 1, now + 1500, &row));
+    ck_assert(mr_lease_held(lease, now + 1500));
+    ck_assert_int_eq(mr_lease_since(lease), now);
+    ck_assert(!mr_lease_held(lease, now + MR_LEASE_MS));
+    /* The former owner, paused until now, finds out by its own clock. */
+    ck_assert(!mr_lease_held(owner, now));
+    mr_lease_destroy(lease);
+    mr_lease_destroy(owner);
+}
+END_TEST
+
+START_TEST(test_drain_releases)
+{
+    mr_lease_row_t row;
+    mr_lease_row_t out;
+    mr_lease_t *lease = create_owner(&row, 1000);
+
+    ck_assert_int_eq(mr_lease_plan(lease, order, 4, true, 2000, &out),
+                     MR_SHARE_WRITE);
+    ck_assert(!mr_lease_held(lease, 2000));
+    ck_assert_str_eq(out.owner, "");
+    mr_lease_written(lease, MR_SHARE_WRITTEN, 2, 2010);
+    ck_assert_int_eq(mr_lease_epoch(lease), 0);
+    json_t *value = mr_lease_row_format(&out);
+    ck_assert(mr_lease_row_parse(value, 2, &row));
+    ck_assert_str_eq(row.successors[1], "c");
+    ck_assert_int_eq(row.epoch, 1);
+    json_decref(value);
+    mr_lease_destroy(lease);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("lease");
+    TCase *tcase = tcase_create("lease");
+
+    tcase_add_test(tcase, test_lease_counts_from_when_the_renewal_was_sent);
+    tcase_add_test(tcase,
+                   test_only_named_successors_take_over_after_the_lapse);
+    tcase_add_test(tcase, test_owner_goes_on_while_all_promise);
+    tcase_add_test(tcase, test_promise_binds_the_successor);
+    tcase_add_test(tcase, test_lost_reply_of_a_takeover);
+    tcase_add_test(tcase, test_drain_releases);
+    suite_add_tcase(suite, tcase);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/unit/test_share.c
@@ -0,0 +1,246 @@
+/* Guards against a data centre that uses a part of an account's rate which
+ * another may have too: after a lost reply, a lapse, or a lowered limit. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "limit/share.h"
+
+static const mr_limit_amount_t limit = {100000, 50000};
+
+static mr_share_input_t
+input_of(int64_t demand)
+{
+    return (mr_share_input_t){.version = 1, .limit = limit, .demand = demand};
+}
+
+static void
+add_entry(mr_share_row_t *row, const char *name, int64_t rate, int64_t burst,
+          int64_t demand, int64_t renewal)
+{
+    mr_share_entry_t *entry = &row->entries[row->count++];
+
+    *entry = (mr_share_entry_t){.amount = {rate, burst},
+                                .demand = demand,
+                                .renewal = renewal,
+                                .lease = MR_SHARE_LEASE_MS};
+    snprintf(entry->data_centre, sizeof(entry->data_centre), "%s", name);
+}
+
+/* Plan until something is to be written, with reads that return @row. */
+static bool
+plan_write(mr_share_t *share, const mr_share_input_t *input,
+           const mr_share_row_t *row, mr_ms_t now, mr_share_row_t *out)
+{
+    for (int i = 0; i < 3; i++) {
+        switch (mr_share_plan(share, input, now, out)) {
+        case MR_SHARE_READ:
+            mr_share_read(share, row, now);
+            break;
+        case MR_SHARE_WRITE:
+            return true;
+        case MR_SHARE_NONE:
+            return false;
+        }
+    }
+    return false;
+}
+
+/* A share alone in the row, at revision 1, with all of the limit. */
+static mr_share_t *
+create_full(mr_share_row_t *row, mr_ms_t now)
+{
+    mr_share_t *share = mr_share_create("konya");
+    mr_share_input_t input = input_of(50000);
+
+    *row = (mr_share_row_t){0};
+    ck_assert(plan_write(share, &input, row, now, row));
+    mr_share_written(share, MR_SHARE_WRITTEN, 1, now);
+    row->revision = 1;
+    ck_assert_int_eq(mr_share_usable(share, &input, now).rate, limit.rate);
+    ck_assert_int_eq(mr_share_usable(share, &input, now).burst, limit.burst);
+    return share;
+}
+
+START_TEST(test_lapses_from_when_the_renewal_was_sent)
+{
+    mr_share_row_t row = {0};
+    mr_share_row_t out;
+    mr_share_t *share = mr_share_create("konya");
+    mr_share_input_t input = input_of(0);
+
+    ck_assert(plan_write(share, &input, &row, 1000, &out));
+    ck_assert_int_eq(mr_share_usable(share, &input, 1000).rate, 0);
+    mr_share_written(share, MR_SHARE_WRITTEN, 1, 1900);
+    mr_ms_t expiry = 1000 + MR_SHARE_LEASE_MS;
+    ck_assert_int_eq(mr_share_expiry(share), expiry);
+    ck_assert_int_gt(mr_share_usable(share, &input, expiry - 1).rate, 0);
+    ck_assert_int_eq(mr_share_usable(share, &input, expiry).rate, 0);
+    mr_share_destroy(share);
+}
+END_TEST
+
+START_TEST(test_lost_lowering_counts_until_settled)
+{
+    mr_share_row_t row;
+    mr_share_row_t out;
+    mr_share_t *share = create_full(&row, 1000);
+    mr_share_input_t input = input_of(50000);
+    mr_share_row_t calm;
+
+    add_entry(&row, "nigde", 0, 0, 50000, 1);
+    row.revision = 2;
+    ck_assert(plan_write(share, &input, &row, 4000, &out));
+    mr_share_written(share, MR_SHARE_UNKNOWN, 0, 4100);
+    /* The other one does not want it any more, which must not give the part
+     * back while the lowering may still take effect. */
+    calm = row;
+    calm.entries[1].demand = 0;
+    mr_share_plan(share, &input, 5000, &out);
+    mr_share_read(share, &calm, 5000);
+    ck_assert_int_eq(mr_share_usable(share, &input, 5000).rate,
+                     limit.rate / 2);
+    ck_assert_int_eq(mr_share_plan(share, &input, 5000, &out), MR_SHARE_WRITE);
+    ck_assert_int_eq(out.revision, 2);
+    mr_share_destroy(share);
+}
+END_TEST
+
+START_TEST(test_lost_raise_counts_once_read_back)
+{
+    mr_share_row_t row = {.revision = 7, .version = 1, .limit = limit};
+    mr_share_row_t out;
+    mr_share_t *share = mr_share_create("konya");
+    mr_share_input_t input = input_of(90000);
+
+    add_entry(&row, "nigde", 40000, 20000, 40000, 6);
+    ck_assert(plan_write(share, &input, &row, 1000, &out));
+    ck_assert_int_eq(out.entries[1].amount.rate, 60000);
+    mr_share_written(share, MR_SHARE_UNKNOWN, 0, 1500);
+    ck_assert_int_eq(mr_share_usable(share, &input, 1500).rate, 0);
+    out.revision = 8;
+    mr_share_plan(share, &input, 2000, &row);
+    mr_share_read(share, &out, 2000);
+    ck_assert_int_eq(mr_share_usable(share, &input, 2000).rate, 60000);
+    ck_assert_int_eq(mr_share_expiry(share), 1000 + MR_SHARE_LEASE_MS);
+    mr_share_destroy(share);
+}
+END_TEST
+
+START_TEST(test_lowers_only_what_grants_allow)
+{
+    mr_share_row_t row;
+    mr_share_row_t out;
+    mr_share_t *share = create_full(&row, 1000);
+    mr_share_input_t input = input_of(0);
+
+    input.least = (mr_limit_amount_t){70000, 35000};
+    add_entry(&row, "nigde", 0, 0, 100000, 1);
+    row.revision = 2;
+    ck_assert(plan_write(share, &input, &row, 60000, &out));
+    ck_assert_int_eq(out.entries[0].amount.rate, 70000);
+    ck_assert_int_eq(out.entries[0].amount.burst, 35000);
+    /* New grants are bounded by the target already. */
+    ck_assert_int_lt(mr_share_usable(share, &input, 60000).rate, 70000);
+    mr_share_destroy(share);
+}
+END_TEST
+
+START_TEST(test_lapsed_entry_is_reused_only_then)
+{
+    mr_share_row_t row = {.revision = 7, .version = 1, .limit = limit};
+    mr_share_row_t out;
+    mr_share_t *share = mr_share_create("konya");
+    mr_share_input_t input = input_of(90000);
+    mr_ms_t now = 5000;
+
+    add_entry(&row, "nigde", 100000, 50000, 100000, 6);
+    ck_assert(plan_write(share, &input, &row, now, &out));
+    mr_share_written(share, MR_SHARE_WRITTEN, 8, now);
+    row = out;
+    row.revision = 8;
+    while (now < 5000 + mr_limit_lapse(MR_SHARE_LEASE_MS)) {
+        ck_assert_int_eq(mr_share_usable(share, &input, now).rate, 0);
+        if (plan_write(share, &input, &row, now, &out)) {
+            int64_t revision = row.revision + 1;
+            ck_assert_int_eq(out.count, 2);
+            row = out;
+            row.revision = revision;
+            mr_share_written(share, MR_SHARE_WRITTEN, revision, now);
+        }
+        now += 1000;
+    }
+    ck_assert(plan_write(share, &input, &row, now + 2000, &out));
+    ck_assert_int_eq(out.count, 1);
+    ck_assert_int_eq(out.entries[0].amount.rate, limit.rate);
+    mr_share_destroy(share);
+}
+END_TEST
+
+START_TEST(test_lowered_limit)
+{
+    mr_share_row_t row;
+    mr_share_row_t out;
+    mr_share_t *share = create_full(&row, 1000);
+    mr_share_input_t input = input_of(50000);
+    mr_share_input_t old = input;
+
+    input.version = 2;
+    input.limit = (mr_limit_amount_t){30000, 10000};
+    ck_assert_int_eq(mr_share_usable(share, &input, 2000).rate, 30000);
+    ck_assert_int_eq(mr_share_usable(share, &input, 2000).burst, 10000);
+    ck_assert(plan_write(share, &input, &row, 3000, &out));
+    ck_assert_int_eq(out.version, 2);
+    ck_assert_int_eq(out.entries[0].amount.rate, 30000);
+    mr_share_written(share, MR_SHARE_WRITTEN, 2, 3000);
+    out.revision = 2;
+    /* A data centre that has not heard of the new limit does not exceed it. */
+    mr_share_t *other = mr_share_create("nigde");
+    row = out;
+    ck_assert(plan_write(other, &old, &row, 4000, &out));
+    ck_assert_int_eq(out.version, 2);
+    ck_assert_int_eq(out.entries[1].amount.rate, 0);
+    mr_share_destroy(other);
+    mr_share_destroy(share);
+}
+END_TEST
+
+START_TEST(test_row_json)
+{
+    mr_share_row_t row = {.revision = 3, .version = 9, .limit = limit};
+    mr_share_row_t back;
+
+    add_entry(&row, "konya", 60000, 30000, 5, 2);
+    json_t *value = mr_share_row_format(&row);
+    ck_assert(mr_share_row_parse(value, 3, &back));
+    ck_assert_mem_eq(&back.entries[0].amount, &row.entries[0].amount,
+                     sizeof(row.entries[0].amount));
+    ck_assert_int_eq(back.version, 9);
+    json_object_set_new(json_object_get(value, "shares"), "nigde",
+                        json_pack("{s:i}", "rate", -1));
+    ck_assert(!mr_share_row_parse(value, 3, &back));
+    json_decref(value);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("share");
+    TCase *tcase = tcase_create("share");
+
+    tcase_add_test(tcase, test_lapses_from_when_the_renewal_was_sent);
+    tcase_add_test(tcase, test_lost_lowering_counts_until_settled);
+    tcase_add_test(tcase, test_lost_raise_counts_once_read_back);
+    tcase_add_test(tcase, test_lowers_only_what_grants_allow);
+    tcase_add_test(tcase, test_lapsed_entry_is_reused_only_then);
+    tcase_add_test(tcase, test_lowered_limit);
+    tcase_add_test(tcase, test_row_json);
+    suite_add_tcase(suite, tcase);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? 0 : 1;
+}
