--- a/lib/limit/grant.c
+++ b/lib/limit/grant.c
@@ -416,7 +416,10 @@
             || (last != NULL && now - last->given < LONG_RENEW_MS)) {
             return false;
         }
-        return give(book, holder, MR_GRANT_LONG, ask->held, now, item);
+        target = long_cap(book->share);
+        target.rate = least(target.rate, ask->held.rate);
+        target.burst = least(target.burst, ask->held.burst);
+        return give(book, holder, MR_GRANT_LONG, target, now, item);
     }
     target = long_target(book, holder, now);
     if (last == NULL ? target.rate == 0
--- a/lib/limit/share.c
+++ b/lib/limit/share.c
@@ -223,6 +223,8 @@
         out->version = input->version;
         out->limit = input->limit;
     }
+    out->prior.rate = most(share->row.prior.rate, share->row.limit.rate);
+    out->prior.burst = most(share->row.prior.burst, share->row.limit.burst);
     drop_lapsed(share, out, now);
     own = find_entry(out, share->data_centre);
     if (own == NULL) {
@@ -298,6 +300,14 @@
 send_write(mr_share_t *share, mr_share_entry_t *own, mr_ms_t now,
            mr_share_row_t *out)
 {
+    mr_limit_amount_t sum = row_sum(out);
+
+    if (sum.rate <= out->limit.rate) {
+        out->prior.rate = out->limit.rate;
+    }
+    if (sum.burst <= out->limit.burst) {
+        out->prior.burst = out->limit.burst;
+    }
     own->renewal = share->row.revision;
     own->lease = MR_SHARE_LEASE_MS;
     share->force = amount_least(share->force, own->amount);
@@ -502,27 +512,36 @@
     share->read_now = result == MR_SHARE_REFUSED;
 }
 
+/* @value of an entry, scaled to a limit that was lowered. */
+static int64_t
+scale_down(int64_t value, int64_t limit, int64_t sum, int64_t prior,
+           int64_t local)
+{
+    int64_t basis = sum > limit ? most(prior, limit) : limit;
+
+    limit = least(limit, local);
+    value = limit < basis ? mr_limit_scale(value, limit, basis) : value;
+    return least(value, limit);
+}
+
 mr_limit_amount_t
 mr_share_usable(const mr_share_t *share, const mr_share_input_t *input,
                 mr_ms_t now)
 {
+    const mr_share_row_t *row = &share->row;
     mr_limit_amount_t usable = amount_least(share->force, share->ceiling);
-    mr_limit_amount_t limit = share->row.limit;
+    mr_limit_amount_t sum = row_sum(row);
+    mr_limit_amount_t local =
+        input->version >= row->version ? input->limit : row->limit;
 
     if (!share->ours || now >= share->expiry) {
         return (mr_limit_amount_t){0};
     }
-    /* A lowered limit applies at once in proportion, before the row shrinks.
-     */
-    if (input->limit.rate < limit.rate) {
-        usable.rate =
-            mr_limit_scale(usable.rate, input->limit.rate, limit.rate);
-    }
-    if (input->limit.burst < limit.burst) {
-        usable.burst =
-            mr_limit_scale(usable.burst, input->limit.burst, limit.burst);
-    }
-    return amount_least(usable, input->limit);
+    usable.rate = scale_down(usable.rate, row->limit.rate, sum.rate,
+                             row->prior.rate, local.rate);
+    usable.burst = scale_down(usable.burst, row->limit.burst, sum.burst,
+                              row->prior.burst, local.burst);
+    return usable;
 }
 
 mr_ms_t
--- a/lib/limit/share.h
+++ b/lib/limit/share.h
@@ -39,6 +39,9 @@
     int64_t revision; /* 0: the row does not exist */
     int64_t version;  /* of the configuration that @limit is from */
     mr_limit_amount_t limit;
+    /* Limit that the entries' sum may still follow after @limit was lowered;
+     * until the sum fits, each holder uses limit / prior of its entry. */
+    mr_limit_amount_t prior;
     mr_share_entry_t entries[MR_SHARE_ENTRIES_MAX];
     size_t count;
 } mr_share_row_t;
--- a/tests/unit/test_share.c
+++ b/tests/unit/test_share.c
@@ -193,6 +193,7 @@
     ck_assert(plan_write(share, &input, &row, 3000, &out));
     ck_assert_int_eq(out.version, 2);
     ck_assert_int_eq(out.entries[0].amount.rate, 30000);
+    ck_assert_int_eq(out.prior.rate, 30000);
     mr_share_written(share, MR_SHARE_WRITTEN, 2, 3000);
     out.revision = 2;
     /* A data centre that has not heard of the new limit does not exceed it. */
@@ -206,6 +207,29 @@
 }
 END_TEST
 
+START_TEST(test_lowered_limit_while_another_is_cut_off)
+{
+    mr_share_row_t row;
+    mr_share_row_t out;
+    mr_share_t *share = create_full(&row, 1000);
+    mr_share_input_t input = input_of(50000);
+
+    row.entries[0].amount = (mr_limit_amount_t){50000, 25000};
+    add_entry(&row, "nigde", 50000, 25000, 50000, 1);
+    row.revision = 2;
+    mr_share_plan(share, &input, 4000, &out);
+    mr_share_read(share, &row, 4000);
+    input.version = 2;
+    input.limit = (mr_limit_amount_t){40000, 20000};
+    ck_assert(plan_write(share, &input, &row, 4000, &out));
+    /* nigde may go on with two fifths of its entry, and so may this one. */
+    mr_share_written(share, MR_SHARE_WRITTEN, 3, 4010);
+    ck_assert_int_eq(out.prior.rate, limit.rate);
+    ck_assert_int_le(mr_share_usable(share, &input, 4010).rate, 20000);
+    mr_share_destroy(share);
+}
+END_TEST
+
 START_TEST(test_row_json)
 {
     mr_share_row_t row = {.revision = 3, .version = 9, .limit = limit};
@@ -236,6 +260,7 @@
     tcase_add_test(tcase, test_lowers_only_what_grants_allow);
     tcase_add_test(tcase, test_lapsed_entry_is_reused_only_then);
     tcase_add_test(tcase, test_lowered_limit);
+    tcase_add_test(tcase, test_lowered_limit_while_another_is_cut_off);
     tcase_add_test(tcase, test_row_json);
     suite_add_tcase(suite, tcase);
     SRunner *runner = srunner_create(suite);
