Count the own instance as usable only after it has joined

Cause: a starting instance knows no other member, took itself for the owner of every target and opened pools to all of them. In a fleet of nine daemons that start together, the wrong owners held the targets' connections until they gave them up about 5 s later, and requests got no_primary meanwhile.

Ruled out: the platform's list (all nine daemons were listed and known after 1.5 s) and lost registrations (one PUT per daemon).

Change: mr_members_usable() and mr_members_owner() leave out the own instance until a member has answered it, or the list shows it and no other live one. Until then the list is read every 500 ms. Open platform calls are ended with mr_platform_cancel() instead of a reference-counted context. The harness's probe requests have a deadline of 300 ms.

--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -22,7 +22,8 @@
     /* The list is read at this interval while it is short, and at most at
      * LIST_BYTES_PER_S when it is long: 8,300 entries take 140 s. */
     LIST_INTERVAL_MS = 2000,
-    LIST_RETRY_MS = 1000,
+    /* Until an instance has joined or while the list cannot be read. */
+    LIST_RETRY_MS = 500,
     LIST_ENTRY_BYTES = 100,
     LIST_BYTES_PER_S = 6000,
     /* The list lags, so a registration that it does not show yet is not
@@ -37,12 +38,6 @@
     void *ctx;
 } subscriber_t;
 
-/** Context of platform calls, which may end after the members. */
-typedef struct guard {
-    mr_members_t *members; /* NULL: destroyed */
-    int references;
-} guard_t;
-
 struct mr_members {
     mr_members_options_t options;
     mr_member_table_t *table;
@@ -52,7 +47,6 @@
     mr_members_config_fn_t config_fn;
     void *config_ctx;
     int64_t config_version;
-    guard_t *guard;
     mr_list_t probes; /* probe_t */
     size_t probe_count;
     mr_list_t relays; /* relay_t */
@@ -61,7 +55,6 @@
     bool list_running;
     mr_ms_t register_at; /* not before */
     bool register_running;
-    bool joined; /* a member has answered */
     json_t *leaving_targets;
     mr_counter_t *pings;
     mr_counter_t *ping_failures;
@@ -269,7 +262,7 @@
 
     probe->direct = NULL;
     if (error == MR_OK) {
-        probe->members->joined = true;
+        mr_member_table_set_joined(probe->members->table);
         merge_ping(probe->members, &reply->u.ping);
         if (answered_by(reply, probe->name)) {
             free_probe(probe);
@@ -370,33 +363,12 @@
                             on_relay_reply, relay);
 }
 
-static guard_t *
-guard_take(mr_members_t *members)
-{
-    members->guard->references++;
-    return members->guard;
-}
-
-static mr_members_t *
-guard_drop(guard_t *guard)
-{
-    mr_members_t *members = guard->members;
-
-    if (--guard->references == 0) {
-        free(guard);
-    }
-    return members;
-}
-
 static void
 on_registered(void *ctx, mr_error_kind_t error, json_t *value)
 {
-    mr_members_t *members = guard_drop(ctx);
+    mr_members_t *members = ctx;
 
     (void)value;
-    if (members == NULL) {
-        return;
-    }
     members->register_running = false;
     members->register_at =
         mr_clock_now(NULL)
@@ -410,10 +382,10 @@
         mr_member_table_self(members->table)->state == MR_MEMBER_LEAVING;
 
     members->register_running = true;
-    mr_platform_register(
-        members->options.platform, members->options.name,
-        members->options.data_centre, members->options.address,
-        leaving ? "leaving" : "live", on_registered, guard_take(members));
+    mr_platform_register(members->options.platform, members->options.name,
+                         members->options.data_centre,
+                         members->options.address,
+                         leaving ? "leaving" : "live", on_registered, members);
 }
 
 static bool
@@ -475,6 +447,10 @@
         }
     }
     mr_member_table_list_end(members->table);
+    /* Instances that registered before this one are on the list by now. */
+    if (registered && mr_member_table_count(members->table, false) == 1) {
+        mr_member_table_set_joined(members->table);
+    }
     if (!registered && members->register_at > now + REGISTER_RETRY_MS) {
         members->register_at = now + REGISTER_RETRY_MS;
     }
@@ -500,21 +476,19 @@
 static void
 on_list(void *ctx, mr_error_kind_t error, json_t *value)
 {
-    mr_members_t *members = guard_drop(ctx);
+    mr_members_t *members = ctx;
     mr_ms_t interval = LIST_RETRY_MS;
 
-    if (members == NULL) {
-        return;
-    }
     members->list_running = false;
     if (error == MR_OK && json_is_array(value)) {
         read_list(members, value);
         interval = (mr_ms_t)json_array_size(value) * LIST_ENTRY_BYTES * 1000
                    / LIST_BYTES_PER_S;
         if (interval < LIST_INTERVAL_MS) {
-            interval = members->joined ? LIST_INTERVAL_MS : LIST_RETRY_MS;
+            interval = LIST_INTERVAL_MS;
         }
-        if (!members->joined) {
+        if (!mr_member_table_joined(members->table)) {
+            interval = LIST_RETRY_MS;
             send_pings(members, JOIN_PINGS);
         }
         note_changes(members);
@@ -550,8 +524,7 @@
     }
     if (!members->list_running && now >= members->list_at) {
         members->list_running = true;
-        mr_platform_instances(members->options.platform, on_list,
-                              guard_take(members));
+        mr_platform_instances(members->options.platform, on_list, members);
     }
     if (!members->register_running && now >= members->register_at) {
         start_register(members);
@@ -601,9 +574,6 @@
     members->options.name = self->name;
     members->options.data_centre = self->data_centre;
     members->options.address = self->address;
-    members->guard = MR_NEW(guard_t);
-    members->guard->members = members;
-    members->guard->references = 1;
     members->leaving_targets = json_object();
     mr_list_init(&members->subscribers);
     mr_list_init(&members->probes);
@@ -641,8 +611,7 @@
     while ((it = mr_list_pop(&members->subscribers)) != NULL) {
         free(MR_LIST_ENTRY(it, subscriber_t, link));
     }
-    members->guard->members = NULL;
-    guard_drop(members->guard);
+    mr_platform_cancel(members->options.platform, members);
     event_free(members->tick);
     event_free(members->notify);
     json_decref(members->leaving_targets);
--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -62,8 +62,9 @@
  * @data_centre: whose members
  * @out: receives up to @max members
  *
- * The own instance counts while it is not leaving. Suspects come behind the
- * live members.
+ * The own instance counts from the time when it has joined, that is, a member
+ * has answered it or the list shows no other, until it leaves. Suspects come
+ * behind the live members.
  *
  * Return: the number written.
  */
--- a/lib/member/table.c
+++ b/lib/member/table.c
@@ -41,6 +41,7 @@
     entry_t *self;
     mr_list_t changes; /* entry_t, next to be passed on first */
     bool changed;
+    bool joined;
     uint64_t list_round;
     uint64_t pings;
     entry_t **order; /* ping order of this round; rebuilt at its end */
@@ -139,7 +140,8 @@
 usable(const mr_member_table_t *table, const entry_t *entry)
 {
     return entry->member.state <= MR_MEMBER_SUSPECT
-           && entry->failed_til <= now(table);
+           && entry->failed_til <= now(table)
+           && (entry != table->self || table->joined);
 }
 
 /* A record is passed on a few times log2 of the members, which reaches all of
@@ -232,6 +234,21 @@
     return entry == NULL ? NULL : &entry->member;
 }
 
+void
+mr_member_table_set_joined(mr_member_table_t *table)
+{
+    if (!table->joined) {
+        table->joined = true;
+        table->changed = true;
+    }
+}
+
+bool
+mr_member_table_joined(const mr_member_table_t *table)
+{
+    return table->joined;
+}
+
 bool
 mr_member_table_take_changed(mr_member_table_t *table)
 {
--- a/lib/member/table.h
+++ b/lib/member/table.h
@@ -53,6 +53,15 @@
 /** mr_member_table_self() - the own instance. */
 const mr_member_t *mr_member_table_self(const mr_member_table_t *table);
 
+/**
+ * mr_member_table_set_joined() - the own instance is usable from now on
+ *
+ * Before, it does not know the others: it would take itself for the owner of
+ * every target of its data centre and open connections that they need.
+ */
+void mr_member_table_set_joined(mr_member_table_t *table);
+bool mr_member_table_joined(const mr_member_table_t *table);
+
 const mr_member_t *mr_member_table_find(const mr_member_table_t *table,
                                         const char *name);
 
--- a/tests/integration/harness_fleet.c
+++ b/tests/integration/harness_fleet.c
@@ -252,7 +252,7 @@
             snprintf(body, sizeof(body),
                      "{\"access\":\"read\",\"shard\":\"s%d\",\"statement\":"
                      "{\"op\":\"get\",\"key\":\"none\"},\"freshness\":"
-                     "{\"mode\":\"present\"}}",
+                     "{\"mode\":\"present\"},\"deadline_ms\":300}",
                      shard);
             if (harness_http(h->base, "POST", h->instances[i].process.address,
                              "/v1/routes/data/statements", h->accounts[0].key,
--- a/tests/unit/test_member_table.c
+++ b/tests/unit/test_member_table.c
@@ -21,6 +21,7 @@
     manual.u.manual.now = START;
     table = mr_member_table_create(&manual, "self", "konya", "127.0.0.1:1",
                                    INCARNATION);
+    mr_member_table_set_joined(table);
 }
 
 static void
@@ -337,6 +338,21 @@
 }
 END_TEST
 
+START_TEST(test_no_work_before_the_others_are_known)
+{
+    mr_member_table_t *fresh = mr_member_table_create(
+        &manual, "fresh", "konya", "127.0.0.1:8", INCARNATION);
+
+    ck_assert_ptr_null(mr_member_table_owner(fresh, "t", "konya"));
+    (void)mr_member_table_take_changed(fresh);
+    mr_member_table_set_joined(fresh);
+    ck_assert(mr_member_table_take_changed(fresh));
+    ck_assert_str_eq(mr_member_table_owner(fresh, "t", "konya")->name,
+                     "fresh");
+    mr_member_table_destroy(fresh);
+}
+END_TEST
+
 START_TEST(test_leaving_member_gets_no_work)
 {
     const mr_member_t *out[4];
@@ -369,6 +385,7 @@
     tcase_add_test(tc, test_dead_members_are_still_pinged_rarely);
     tcase_add_test(tc, test_owner_is_stable_and_moves_on);
     tcase_add_test(tc, test_owner_elsewhere_when_the_data_centre_is_empty);
+    tcase_add_test(tc, test_no_work_before_the_others_are_known);
     tcase_add_test(tc, test_leaving_member_gets_no_work);
     suite_add_tcase(suite, tc);
     SRunner *runner = srunner_create(suite);
--- a/tests/unit/test_members.c
+++ b/tests/unit/test_members.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/list.h"
 #include "common/log.h"
 #include "member/member.h"
 
@@ -25,12 +26,14 @@
 static struct event_base *base;
 static instance_t fleet[INSTANCES];
 static json_t *list;
+static mr_list_t answers; /* answer_t, under way */
 static bool platform_down;
 static int registrations;
 
 /* Stand-ins for the platform client, which is not under test. */
 
 typedef struct answer {
+    mr_list_t link;
     mr_platform_json_fn_t fn;
     void *ctx;
 } answer_t;
@@ -42,8 +45,11 @@
 
     (void)fd;
     (void)what;
-    answer->fn(answer->ctx, platform_down ? MR_ERR_UNAVAILABLE : MR_OK,
-               platform_down ? NULL : list);
+    if (answer->fn != NULL) {
+        answer->fn(answer->ctx, platform_down ? MR_ERR_UNAVAILABLE : MR_OK,
+                   platform_down ? NULL : list);
+    }
+    mr_list_remove(&answer->link);
     free(answer);
 }
 
@@ -56,6 +62,7 @@
     ck_assert_ptr_nonnull(answer);
     answer->fn = fn;
     answer->ctx = ctx;
+    mr_list_append(&answers, &answer->link);
     event_base_once(base, -1, EV_TIMEOUT, on_answer, answer, &tv);
 }
 
@@ -67,6 +74,19 @@
     answer_later(fn, ctx);
 }
 
+void
+mr_platform_cancel(mr_platform_t *platform, const void *ctx)
+{
+    (void)platform;
+    MR_LIST_FOREACH(it, &answers)
+    {
+        answer_t *answer = MR_LIST_ENTRY(it, answer_t, link);
+        if (answer->ctx == ctx) {
+            answer->fn = NULL;
+        }
+    }
+}
+
 void
 mr_platform_register(mr_platform_t *platform, const char *name,
                      const char *data_centre, const char *address,
@@ -209,6 +229,7 @@
 {
     platform_down = false;
     registrations = 0;
+    mr_list_init(&answers);
     ck_assert_int_ge(sodium_init(), 0);
     mr_log_setup("test", MR_LOG_ERROR);
     base = event_base_new();
