Let the harness cut links between data centres

Cause: with the proxy's addresses in the configuration, a link could not depend on who connects, so that two data centres could not be cut off from each other.

Change: tests/standins/redirect.c is loaded into the processes with LD_PRELOAD and sends each outgoing loopback connection to the link of its data centre. Links are named FROM--TO.NAME; harness_cut() cuts two data centres off. Neither daemon nor configuration names the proxy. The harness waits until every daemon has served every account.

Ruled out: a setting for an advertised peer address, which would not separate the links to targets.

--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 all: programs standins tests bench-programs examples
 
 programs: $(PROGRAMS:%=$(BUILD)/%)
-standins: $(STANDINS:%=$(BUILD)/%)
+standins: $(STANDINS:%=$(BUILD)/%) $(BUILD)/redirect.so
 tests: $(UNIT:%=$(BUILD)/unit/%) $(INTEGRATION:%=$(BUILD)/integration/%)
 bench-programs: $(BENCH:%=$(BUILD)/%)
 examples: $(EXAMPLES:%=$(BUILD)/examples/%)
@@ -67,6 +67,12 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
+# Loaded into other programs, so it is built without sanitizers.
+$(BUILD)/redirect.so: tests/standins/redirect.c
+	@mkdir -p $(@D)
+	@echo "LD $@"
+	@$(CC) $(filter-out $(SANITIZE),$(ALL_CFLAGS)) -fPIC -shared $< -o $@
+
 $(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(LIB)
 	@mkdir -p $(@D)
 	@echo "LD $@"
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -22,7 +22,8 @@
 enum {
     HARNESS_NAME_BYTES = 64,
     HARNESS_PATH_BYTES = 256,
-    HARNESS_ARGS_MAX = 128,
+    HARNESS_ARGS_MAX = 1024,
+    HARNESS_REDIRECT_BYTES = 4096,
     HARNESS_READY_MS = 10000,
 };
 
@@ -33,8 +34,9 @@
     char address[MR_ADDRESS_MAX_BYTES]; /* that callers use */
     char *args[HARNESS_ARGS_MAX];       /* with the program's path */
     const char *ready; /* beginning of the line that says it is ready */
-    char log[HARNESS_PATH_BYTES]; /* receives standard error */
-    pid_t pid;                    /* 0: not running */
+    char log[HARNESS_PATH_BYTES];          /* receives standard error */
+    char redirect[HARNESS_REDIRECT_BYTES]; /* see standins/redirect.c */
+    pid_t pid;                             /* 0: not running */
 } harness_process_t;
 
 /** harness_port() - a free loopback port outside the range from which the
@@ -75,8 +77,7 @@
     int connect_ms;
     int list_lag_ms;
     int64_t offline_limit_s;
-    /* The daemons' links to the platform and to targets, and those between
-     * targets, pass the fault proxy; see harness_fault(). */
+    /* All connections between processes pass the fault proxy. */
     bool proxied;
     const char *trace; /* path; NULL: no trace */
 } harness_options_t;
@@ -91,7 +92,6 @@
 typedef struct harness_target {
     harness_process_t process;
     const char *data_centre;
-    char configured[MR_ADDRESS_MAX_BYTES]; /* address in the configuration */
     int group;
 } harness_target_t;
 
@@ -143,13 +143,22 @@
  * highest term, asked directly; NULL when there is none. */
 harness_target_t *harness_primary(harness_t *harness, int group);
 
+/** harness_add_links() - add the links to the proxy's arguments. */
+void harness_add_links(harness_t *harness);
+
 /**
  * harness_fault() - set faults of links, see tests/standins/fault_proxy.c
- * @link: "platform.INSTANCE", "target.TARGET" (from all daemons) or
- *        "replication.FROM.TO"; may be a pattern
+ * @link: "FROM--TO.NAME": from all processes of data centre FROM to the
+ *        daemon or target NAME in data centre TO; or "INSTANCE--platform";
+ *        may be a pattern
  */
 void harness_fault(harness_t *harness, const char *link, const char *json);
 
+/** harness_cut() - drop all bytes between processes of two data centres, or
+ * stop to do so. */
+void harness_cut(harness_t *harness, const char *one, const char *other,
+                 bool cut);
+
 /** harness_platform_fault() - body of POST /faults at the platform. */
 void harness_platform_fault(harness_t *harness, const char *json);
 
--- a/tests/integration/harness_fleet.c
+++ b/tests/integration/harness_fleet.c
@@ -30,20 +30,6 @@
                         program);
 }
 
-/* Adds a link to the proxy; @through receives its address, which is that of
- * @to without a proxy. */
-static void
-add_link(harness_t *h, const char *name, const char *to, char *through)
-{
-    snprintf(through, MR_ADDRESS_MAX_BYTES, "%s", to);
-    if (h->options.proxied) {
-        snprintf(through, MR_ADDRESS_MAX_BYTES, "127.0.0.1:%d",
-                 harness_port());
-        harness_process_arg(&h->proxy, "--link");
-        harness_process_arg(&h->proxy, "%s=%s=%s", name, through, to);
-    }
-}
-
 static size_t
 count_data_centres(const harness_t *h)
 {
@@ -60,7 +46,6 @@
 prepare_targets(harness_t *h)
 {
     size_t places = count_data_centres(h);
-    char link[2 * HARNESS_NAME_BYTES + 32];
 
     h->target_count = (size_t)h->options.groups * TARGETS_PER_GROUP;
     h->targets = mr_calloc(h->target_count, sizeof(*h->targets));
@@ -74,22 +59,16 @@
         snprintf(name, sizeof(name), "g%d-%c", t->group,
                  (char)('a' + (char)member));
         set_process(h, &t->process, "target_standin", name, "listening on");
-        snprintf(link, sizeof(link), "target.%s", name);
-        add_link(h, link, t->process.address, t->configured);
     }
     for (size_t i = 0; i < h->target_count; i++) {
         harness_process_t *p = &h->targets[i].process;
         size_t first = i - i % TARGETS_PER_GROUP;
         char peers[TARGETS_PER_GROUP * MR_ADDRESS_MAX_BYTES] = "";
         for (size_t j = first; j < first + TARGETS_PER_GROUP; j++) {
-            char address[MR_ADDRESS_MAX_BYTES];
-            if (j == i) {
-                continue;
+            if (j != i) {
+                strcat(peers, peers[0] == '\0' ? "" : ",");
+                strcat(peers, h->targets[j].process.address);
             }
-            snprintf(link, sizeof(link), "replication.%s.%s", p->name,
-                     h->targets[j].process.name);
-            add_link(h, link, h->targets[j].process.address, address);
-            strcat(strcat(peers, peers[0] == '\0' ? "" : ","), address);
         }
         harness_process_arg(p, "--listen=%s", p->address);
         harness_process_arg(p, "--name=%s", p->name);
@@ -112,22 +91,18 @@
 prepare_instance(harness_t *h, harness_instance_t *instance, const char *name)
 {
     harness_process_t *p = &instance->process;
-    char platform[MR_ADDRESS_MAX_BYTES];
-    char link[HARNESS_NAME_BYTES + 16];
 
     set_process(h, p, "masticrelayd", name, "ready");
     snprintf(instance->peer, sizeof(instance->peer), "127.0.0.1:%d",
              harness_port());
     snprintf(instance->admin, sizeof(instance->admin), "127.0.0.1:%d",
              harness_port());
-    snprintf(link, sizeof(link), "platform.%s", name);
-    add_link(h, link, h->platform.address, platform);
     harness_process_arg(p, "--name=%s", name);
     harness_process_arg(p, "--data-centre=%s", instance->data_centre);
     harness_process_arg(p, "--listen=%s", p->address);
     harness_process_arg(p, "--peer=%s", instance->peer);
     harness_process_arg(p, "--admin=%s", instance->admin);
-    harness_process_arg(p, "--platform=%s", platform);
+    harness_process_arg(p, "--platform=%s", h->platform.address);
     harness_process_arg(p, "--secret-file=%s/secret", h->folder);
     harness_process_arg(p, "--approver-public-key=%s", h->approver_public);
     harness_process_arg(p, "--operator-credential=%s", credential);
@@ -177,7 +152,7 @@
         mr_op_target_t target = {.name = t->process.name,
                                  .group = group,
                                  .data_centre = t->data_centre,
-                                 .address = t->configured,
+                                 .address = t->process.address,
                                  .slots = o->slots,
                                  .connections = o->connections};
         mr_op_target(h->config, &target);
@@ -242,12 +217,15 @@
                   json_pack("{s:I}", "version", (json_int_t)h->version));
 }
 
-/* Whether every daemon reads on behalf of callers, from any group. */
+/* Whether every daemon reads for every account, from any group. */
 static bool
 serves(harness_t *h)
 {
+    int shards = 4 * h->options.groups + h->options.accounts;
+
     for (size_t i = 0; i < h->instance_count; i++) {
-        for (int shard = 0; shard < 4 * h->options.groups; shard++) {
+        for (int shard = 0; shard < shards; shard++) {
+            const char *key = h->accounts[shard % h->options.accounts].key;
             char body[256];
             snprintf(body, sizeof(body),
                      "{\"access\":\"read\",\"shard\":\"s%d\",\"statement\":"
@@ -255,8 +233,7 @@
                      "{\"mode\":\"present\"},\"deadline_ms\":300}",
                      shard);
             if (harness_http(h->base, "POST", h->instances[i].process.address,
-                             "/v1/routes/data/statements", h->accounts[0].key,
-                             body, NULL)
+                             "/v1/routes/data/statements", key, body, NULL)
                 != 200) {
                 return false;
             }
@@ -311,6 +288,7 @@
     prepare_instances(h);
     harness_process_start(&h->platform);
     if (options->proxied) {
+        harness_add_links(h);
         harness_process_start(&h->proxy);
     }
     for (size_t i = 0; i < h->target_count; i++) {
@@ -417,17 +395,6 @@
     return primary;
 }
 
-void
-harness_fault(harness_t *h, const char *link, const char *json)
-{
-    char path[2 * HARNESS_NAME_BYTES + 32];
-
-    snprintf(path, sizeof(path), "/links/%s", link);
-    ck_assert_int_eq(harness_http(h->base, "POST", h->proxy.address, path,
-                                  NULL, json, NULL),
-                     200);
-}
-
 void
 harness_platform_fault(harness_t *h, const char *json)
 {
--- /dev/null
+++ b/tests/integration/harness_links.c
@@ -0,0 +1,95 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "harness.h"
+
+/* Adds a link FROM--TO and returns its port. */
+static int
+add_link(harness_t *h, const char *from, const char *to, const char *address)
+{
+    int port = harness_port();
+
+    harness_process_arg(&h->proxy, "--link=%s--%s=127.0.0.1:%d=%s", from, to,
+                        port, address);
+    return port;
+}
+
+static void
+redirect(harness_process_t *process, const char *address, int port)
+{
+    size_t len = strlen(process->redirect);
+    int added =
+        snprintf(process->redirect + len, sizeof(process->redirect) - len,
+                 "%s:%d,", strrchr(address, ':') + 1, port);
+
+    ck_assert_int_lt(added, (int)(sizeof(process->redirect) - len));
+}
+
+/* One link from @place to an address, for all processes of @place. */
+static void
+add_place_link(harness_t *h, const char *place, const char *to_place,
+               const char *to_name, const char *address)
+{
+    char to[2 * HARNESS_NAME_BYTES];
+
+    snprintf(to, sizeof(to), "%s.%s", to_place, to_name);
+    int port = add_link(h, place, to, address);
+    for (size_t i = 0; i < h->instance_count; i++) {
+        if (strcmp(h->instances[i].data_centre, place) == 0) {
+            redirect(&h->instances[i].process, address, port);
+        }
+    }
+    for (size_t i = 0; i < h->target_count; i++) {
+        if (strcmp(h->targets[i].data_centre, place) == 0) {
+            redirect(&h->targets[i].process, address, port);
+        }
+    }
+}
+
+void
+harness_add_links(harness_t *h)
+{
+    for (size_t p = 0; h->options.data_centres[p] != NULL; p++) {
+        const char *place = h->options.data_centres[p];
+        for (size_t i = 0; i < h->instance_count; i++) {
+            const harness_instance_t *to = &h->instances[i];
+            add_place_link(h, place, to->data_centre, to->process.name,
+                           to->peer);
+        }
+        for (size_t i = 0; i < h->target_count; i++) {
+            const harness_target_t *to = &h->targets[i];
+            add_place_link(h, place, to->data_centre, to->process.name,
+                           to->process.address);
+        }
+    }
+    for (size_t i = 0; i < h->instance_count; i++) {
+        harness_process_t *from = &h->instances[i].process;
+        redirect(from, h->platform.address,
+                 add_link(h, from->name, "platform", h->platform.address));
+    }
+}
+
+void
+harness_fault(harness_t *h, const char *link, const char *json)
+{
+    char path[4 * HARNESS_NAME_BYTES];
+
+    ck_assert(h->options.proxied);
+    snprintf(path, sizeof(path), "/links/%s", link);
+    ck_assert_int_eq(harness_http(h->base, "POST", h->proxy.address, path,
+                                  NULL, json, NULL),
+                     200);
+}
+
+void
+harness_cut(harness_t *h, const char *one, const char *other, bool cut)
+{
+    const char *json = cut ? "{\"cut\":\"both\"}" : "{\"cut\":\"none\"}";
+    char link[2 * HARNESS_NAME_BYTES];
+
+    snprintf(link, sizeof(link), "%s--%s.*", one, other);
+    harness_fault(h, link, json);
+    snprintf(link, sizeof(link), "%s--%s.*", other, one);
+    harness_fault(h, link, json);
+}
--- a/tests/integration/harness_process.c
+++ b/tests/integration/harness_process.c
@@ -91,6 +91,14 @@
     dup2(out, STDOUT_FILENO);
     dup2(err, STDERR_FILENO);
     clear_settings();
+    if (process->redirect[0] != '\0') {
+        const char *slash = strrchr(process->args[0], '/');
+        char library[HARNESS_PATH_BYTES];
+        snprintf(library, sizeof(library), "%.*s/redirect.so",
+                 (int)(slash - process->args[0]), process->args[0]);
+        setenv("LD_PRELOAD", library, 1);
+        setenv("HARNESS_REDIRECT", process->redirect, 1);
+    }
     execv(process->args[0], process->args);
     _exit(127);
 }
