Add a load tool and make bench with the share of replica reads

It starts fleets with the objects of the test harness.

Harness: instances_total spreads any number of daemons over the data centres, large_accounts gives the first accounts four times the rate, experiment passes a setting to the daemons. The check that the fleet serves sends a probe again that is refused for the account's rate: with 18 daemons its 360 probes use up accounts of 100/s with burst 50, and it began anew each time.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,10 @@
 UNIT := $(patsubst tests/unit/%.c,%,$(wildcard tests/unit/test_*.c))
 INTEGRATION := $(patsubst tests/integration/%.c,%,$(wildcard tests/integration/test_*.c))
 HARNESS_SRC := $(wildcard tests/integration/harness*.c tests/integration/trace.c)
-BENCH := $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
+# bench_fleet starts fleets and is linked with the test harness.
+BENCH := $(filter-out bench_fleet,$(patsubst bench/%.c,%,$(wildcard bench/bench_*.c)))
+FLEET_SRC := bench/bench_fleet.c $(wildcard bench/fleet_*.c)
+GSL_LIBS = $(shell pkg-config --libs gsl)
 EXAMPLES := $(patsubst examples/%.c,%,$(filter-out examples/common_%.c,$(wildcard examples/*.c)))
 
 SOURCES := $(sort $(wildcard lib/*.h lib/*/*.[ch] programs/*.[ch] tests/*/*.[ch] \
@@ -43,7 +46,7 @@
 programs: $(PROGRAMS:%=$(BUILD)/%)
 standins: $(STANDINS:%=$(BUILD)/%) $(BUILD)/redirect.so
 tests: $(UNIT:%=$(BUILD)/unit/%) $(INTEGRATION:%=$(BUILD)/integration/%)
-bench-programs: $(BENCH:%=$(BUILD)/%)
+bench-programs: $(BENCH:%=$(BUILD)/%) $(BUILD)/bench_fleet
 examples: $(EXAMPLES:%=$(BUILD)/examples/%)
 
 $(BUILD)/%.o: %.c
@@ -93,6 +96,13 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
+$(BUILD)/bench/%.o: ALL_CFLAGS += -Itests
+
+$(BUILD)/bench_fleet: $(FLEET_SRC:%.c=$(BUILD)/%.o) \
+    $(HARNESS_SRC:%.c=$(BUILD)/%.o) $(LIB)
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(GSL_LIBS) $(PKG_LIBS) -o $@
+
 $(BUILD)/examples/%: $(BUILD)/examples/%.o \
     $(patsubst %.c,$(BUILD)/%.o,$(wildcard examples/common_*.c)) $(LIB)
 	@mkdir -p $(@D)
@@ -141,6 +151,10 @@
 	$(MAKE) programs standins $(BUILD)/integration/demo
 	MASTICRELAY_BUILD=$(BUILD) $(BUILD)/integration/demo
 
+bench: packages
+	@$(MAKE) programs standins $(BUILD)/bench_fleet
+	MASTICRELAY_BUILD=$(BUILD) $(BUILD)/bench_fleet
+
 format:
 	@clang-format -i $(SOURCES)
 
@@ -150,7 +164,7 @@
 # Two files a process, so that all cores work.
 lint:
 	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P 10 -n 2 \
-	    sh -c 'clang-tidy --quiet --header-filter="$(CURDIR)/.*" "$$@" -- -std=c11 -D_GNU_SOURCE -Ilib $(PKG_CFLAGS) 2>/dev/null' tidy
+	    sh -c 'clang-tidy --quiet --header-filter="$(CURDIR)/.*" "$$@" -- -std=c11 -D_GNU_SOURCE -Ilib -Itests $(PKG_CFLAGS) 2>/dev/null' tidy
 
 clean:
 	rm -rf $(BUILD)
--- /dev/null
+++ b/bench/fleet_load.c
@@ -0,0 +1,706 @@
+#include "fleet_load.h"
+
+#include <check.h>
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <gsl/gsl_randist.h>
+#include <gsl/gsl_rng.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "common/mem.h"
+
+enum {
+    TIMEOUT_S = 5, /* above the routes' deadline */
+    STOP_MS = 6000,
+    SESSIONS_FIRST = 24, /* of each stream */
+    TARGETS_PER_GROUP = 3,
+};
+
+/** Where requests go: an instance or, in direct load, a target. */
+typedef struct place {
+    const harness_process_t *process;
+    int open_max; /* 0: no bound */
+    int open;
+    GQueue *idle;    /* struct evhttp_connection */
+    GQueue *waiting; /* request_t */
+} place_t;
+
+typedef struct stream {
+    fleet_load_t *load;
+    size_t index;
+    fleet_stream_options_t options;
+    const harness_account_t *account;
+    fleet_stats_t stats;
+    struct event *timer;
+    double due; /* next arrival */
+    GQueue *idle_sessions;
+    int sessions;
+    gsl_ran_discrete_t *spread; /* over instances */
+    double tokens;              /* of the ideal bucket */
+    double tokens_at;
+    GArray *spans;
+} stream_t;
+
+/** One caller's session; it has one request at a time. */
+typedef struct session {
+    stream_t *stream;
+    int index;
+    char *token;
+    size_t instance; /* of the last request */
+} session_t;
+
+typedef struct request {
+    session_t *session;
+    place_t *place;
+    struct evhttp_connection *conn;
+    char *body;
+    bool write;
+    bool follow; /* a read right after an acknowledged write */
+    bool moved;  /* at another instance than the write */
+    bool within;
+    double due;
+    double sent;
+} request_t;
+
+struct fleet_load {
+    harness_t *harness;
+    gsl_rng *rng;
+    place_t *instances;
+    place_t *targets;
+    size_t *primaries; /* by group, as of the start */
+    int64_t *terms;
+    stream_t *streams;
+    size_t count;
+    double marked;
+    double started;
+    bool stopping;
+    int open;
+    fleet_ack_fn *on_ack;
+    void *on_ack_ctx;
+};
+
+static void post(request_t *request);
+static void send_request(session_t *session, bool write, bool follow,
+                         double due);
+
+double
+fleet_now(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_MONOTONIC, &ts);
+    return (double)ts.tv_sec * 1e3 + (double)ts.tv_nsec / 1e6;
+}
+
+/* ------------------------------------------------------------- Answers */
+
+static const char *
+text_of(const json_t *object, const char *key, const char *otherwise)
+{
+    const char *text = json_string_value(json_object_get(object, key));
+
+    return text == NULL ? otherwise : text;
+}
+
+static void
+count_kind(fleet_stats_t *stats, const char *kind)
+{
+    gpointer old = g_hash_table_lookup(stats->kinds, kind);
+
+    g_hash_table_replace(stats->kinds, g_strdup(kind),
+                         GINT_TO_POINTER(GPOINTER_TO_INT(old) + 1));
+}
+
+static void
+count_ran(stream_t *stream, const request_t *request, bool replica, double now)
+{
+    fleet_stats_t *stats = &stream->stats;
+    fleet_span_t span = {request->sent, now};
+    double ms = now - request->due;
+
+    g_array_append_val(stream->spans, span);
+    if (request->due < stream->load->marked) {
+        return;
+    }
+    stats->ran++;
+    stats->within_ran += request->within ? 1 : 0;
+    stats->last_ran = now;
+    if (request->write) {
+        fleet_hist_add(stats->write_ms, ms);
+        return;
+    }
+    stats->reads++;
+    stats->replica_reads += replica ? 1 : 0;
+    if (request->follow) {
+        stats->follow_reads++;
+        stats->follow_replica_reads += replica ? 1 : 0;
+        fleet_hist_add(request->moved ? stats->follow_other_ms
+                                      : stats->follow_same_ms,
+                       ms);
+    }
+    else {
+        fleet_hist_add(stats->read_ms, ms);
+    }
+}
+
+static void
+count_error(stream_t *stream, const request_t *request, const json_t *answer)
+{
+    fleet_stats_t *stats = &stream->stats;
+    const json_t *error = json_object_get(answer, "error");
+    const char *kind = text_of(error, "kind", "connection");
+    const char *outcome = text_of(error, "outcome", "unknown");
+
+    if (request->due < stream->load->marked) {
+        return;
+    }
+    count_kind(stats, kind);
+    if (strcmp(kind, "rate_limited") == 0) {
+        stats->limited++;
+        stats->within_limited += request->within ? 1 : 0;
+    }
+    else if (strcmp(outcome, "not_run") == 0) {
+        stats->refused++;
+    }
+    else {
+        stats->unknown++;
+    }
+}
+
+static void
+take_answer(request_t *request, int status, const json_t *answer)
+{
+    session_t *session = request->session;
+    stream_t *stream = session->stream;
+    fleet_load_t *load = stream->load;
+    double now = fleet_now();
+    const char *token = text_of(answer, "session", NULL);
+
+    if (token != NULL) {
+        free(session->token);
+        session->token = mr_strdup(token);
+    }
+    if (status != 200) {
+        count_error(stream, request, answer);
+        return;
+    }
+    count_ran(stream, request,
+              strcmp(text_of(answer, "role", ""), "replica") == 0, now);
+    if (request->write && load->on_ack != NULL) {
+        load->on_ack(load->on_ack_ctx, stream->index,
+                     text_of(answer, "served_by", ""), now);
+    }
+}
+
+static void
+free_request(request_t *request)
+{
+    free(request->body);
+    free(request);
+}
+
+static void
+release_place(request_t *request)
+{
+    place_t *place = request->place;
+
+    place->open--;
+    g_queue_push_head(place->idle, request->conn);
+    if (!g_queue_is_empty(place->waiting)) {
+        post(g_queue_pop_head(place->waiting));
+    }
+}
+
+static void
+on_reply(struct evhttp_request *req, void *ctx)
+{
+    request_t *request = ctx;
+    session_t *session = request->session;
+    stream_t *stream = session->stream;
+    json_t *answer = NULL;
+    int status = 0;
+
+    if (req != NULL) {
+        struct evbuffer *input = evhttp_request_get_input_buffer(req);
+        size_t len = evbuffer_get_length(input);
+        status = evhttp_request_get_response_code(req);
+        if (len > 0) {
+            answer =
+                json_loadb((char *)evbuffer_pullup(input, -1), len, 0, NULL);
+        }
+    }
+    take_answer(request, status, answer);
+    json_decref(answer);
+    release_place(request);
+    stream->load->open--;
+    if (status == 200 && request->write && stream->options.follow
+        && !stream->load->stopping) {
+        send_request(session, false, true, fleet_now());
+    }
+    else {
+        g_queue_push_tail(stream->idle_sessions, session);
+    }
+    free_request(request);
+}
+
+/* ------------------------------------------------------------ Requests */
+
+static void
+post(request_t *request)
+{
+    place_t *place = request->place;
+    stream_t *stream = request->session->stream;
+    const char *address = place->process->address;
+    struct evhttp_request *req = evhttp_request_new(on_reply, request);
+    struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+    char bearer[MR_OP_KEY_BYTES + 16];
+
+    request->conn = g_queue_pop_head(place->idle);
+    if (request->conn == NULL) {
+        char ip[MR_ADDRESS_MAX_BYTES];
+        int port;
+        ck_assert(mr_address_split(address, ip, &port));
+        request->conn = evhttp_connection_base_new(stream->load->harness->base,
+                                                   NULL, ip, (uint16_t)port);
+        evhttp_connection_set_timeout(request->conn, TIMEOUT_S);
+    }
+    evhttp_add_header(headers, "Host", address);
+    if (!stream->options.direct) {
+        snprintf(bearer, sizeof(bearer), "Bearer %s", stream->account->key);
+        evhttp_add_header(headers, "Authorization", bearer);
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(req), request->body,
+                 strlen(request->body));
+    place->open++;
+    ck_assert_int_eq(evhttp_make_request(request->conn, req, EVHTTP_REQ_POST,
+                                         stream->options.direct
+                                             ? "/execute"
+                                             : "/v1/routes/data/statements"),
+                     0);
+}
+
+static json_t *
+make_statement(const session_t *session, bool write)
+{
+    json_t *statement = json_pack(
+        "{s:s,s:o}", "op", write ? "put" : "get", "key",
+        json_sprintf("b%zu-%d", session->stream->index, session->index));
+
+    if (write) {
+        json_object_set_new(statement, "value",
+                            json_sprintf("%.3f", fleet_now()));
+    }
+    return statement;
+}
+
+static char *
+make_body(const session_t *session, bool write)
+{
+    const fleet_stream_options_t *o = &session->stream->options;
+    json_t *body = json_pack("{s:s,s:o,s:b}", "access",
+                             write ? "write" : "read", "statement",
+                             make_statement(session, write), "idempotent", 1);
+
+    json_object_set_new(
+        body, "shard",
+        o->shard != NULL
+            ? json_string(o->shard)
+            : json_sprintf("b%zu-%d", session->stream->index, session->index));
+    if (session->token != NULL) {
+        json_object_set_new(body, "session", json_string(session->token));
+    }
+    if (o->deadline > 0) {
+        json_object_set_new(body, "deadline_ms", json_integer(o->deadline));
+    }
+    char *text = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
+    return text;
+}
+
+static size_t
+other_instance(const fleet_load_t *load, size_t index)
+{
+    size_t count = load->harness->instance_count;
+    size_t step = 1 + gsl_rng_uniform_int(load->rng, count - 1);
+
+    return (index + step) % count;
+}
+
+/* The platform's balancer leaves out instances that do not run. */
+static size_t
+choose_instance(const stream_t *stream)
+{
+    const fleet_load_t *load = stream->load;
+    size_t count = load->harness->instance_count;
+    size_t chosen = gsl_ran_discrete(load->rng, stream->spread);
+
+    if (stream->options.jump > 0) {
+        size_t turn = (size_t)((fleet_now() - load->started)
+                               / (double)stream->options.jump);
+        chosen = (turn * 7 + stream->index) % count;
+    }
+    while (load->instances[chosen].process->pid == 0) {
+        chosen = (chosen + 1) % count;
+    }
+    return chosen;
+}
+
+static void
+address_direct(request_t *request)
+{
+    session_t *session = request->session;
+    fleet_load_t *load = session->stream->load;
+    size_t group =
+        (size_t)session->index % (size_t)load->harness->options.groups;
+    size_t target = load->primaries[group];
+
+    if (!request->write) {
+        size_t first = group * TARGETS_PER_GROUP;
+        target = first
+                 + (target - first + 1 + gsl_rng_uniform_int(load->rng, 2))
+                       % TARGETS_PER_GROUP;
+    }
+    json_t *body = json_pack(
+        "{s:s,s:I,s:o,s:i}", "access", request->write ? "write" : "read",
+        "term", (json_int_t)load->terms[group], "statement",
+        make_statement(session, request->write), "max_ms", 2000);
+    request->body = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
+    request->place = &load->targets[target];
+}
+
+static bool
+take_ideal_token(stream_t *stream, double now)
+{
+    const harness_account_t *a = stream->account;
+
+    stream->tokens = fmin(
+        (double)a->burst,
+        stream->tokens + (now - stream->tokens_at) * (double)a->rate / 1000);
+    stream->tokens_at = now;
+    if (stream->tokens < 1) {
+        return false;
+    }
+    stream->tokens -= 1;
+    return true;
+}
+
+static void
+send_request(session_t *session, bool write, bool follow, double due)
+{
+    stream_t *stream = session->stream;
+    fleet_load_t *load = stream->load;
+    request_t *request = MR_NEW(request_t);
+
+    request->session = session;
+    request->write = write;
+    request->follow = follow;
+    request->due = due;
+    request->sent = fleet_now();
+    request->within = take_ideal_token(stream, request->sent);
+    if (due >= load->marked) {
+        stream->stats.sent++;
+        stream->stats.within += request->within ? 1 : 0;
+    }
+    load->open++;
+    if (stream->options.direct) {
+        address_direct(request);
+    }
+    else {
+        request->moved = follow && gsl_rng_uniform_int(load->rng, 2) == 0;
+        if (request->moved) {
+            session->instance = other_instance(load, session->instance);
+        }
+        else if (!follow) {
+            session->instance = choose_instance(stream);
+        }
+        request->place = &load->instances[session->instance];
+        request->body = make_body(session, write);
+    }
+    if (request->place->open_max > 0
+        && request->place->open >= request->place->open_max) {
+        g_queue_push_tail(request->place->waiting, request);
+        return;
+    }
+    post(request);
+}
+
+/* ------------------------------------------------------------- Streams */
+
+static session_t *
+add_session(stream_t *stream)
+{
+    session_t *session = MR_NEW(session_t);
+
+    session->stream = stream;
+    session->index = stream->sessions++;
+    return session;
+}
+
+static void
+schedule(stream_t *stream)
+{
+    double wait = fmax(stream->due - fleet_now(), 0);
+    struct timeval tv = {.tv_sec = (time_t)(wait / 1000),
+                         .tv_usec = (suseconds_t)(fmod(wait, 1000) * 1000)};
+
+    evtimer_add(stream->timer, &tv);
+}
+
+static void
+on_arrival(evutil_socket_t fd, short what, void *ctx)
+{
+    stream_t *stream = ctx;
+    fleet_load_t *load = stream->load;
+
+    (void)fd;
+    (void)what;
+    while (stream->due <= fleet_now()) {
+        session_t *session = g_queue_pop_head(stream->idle_sessions);
+        bool write = gsl_rng_uniform(load->rng) < stream->options.write_share;
+        if (session == NULL) {
+            session = add_session(stream);
+        }
+        send_request(session, write, false, stream->due);
+        stream->due +=
+            gsl_ran_exponential(load->rng, 1000 / stream->options.rate);
+    }
+    schedule(stream);
+}
+
+static void
+reset_stats(fleet_stats_t *stats)
+{
+    fleet_hist_destroy(stats->read_ms);
+    fleet_hist_destroy(stats->write_ms);
+    fleet_hist_destroy(stats->follow_same_ms);
+    fleet_hist_destroy(stats->follow_other_ms);
+    if (stats->kinds != NULL) {
+        g_hash_table_destroy(stats->kinds);
+    }
+    *stats = (fleet_stats_t){
+        .read_ms = fleet_hist_create(),
+        .write_ms = fleet_hist_create(),
+        .follow_same_ms = fleet_hist_create(),
+        .follow_other_ms = fleet_hist_create(),
+        .kinds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+    };
+}
+
+static void
+set_spread(stream_t *stream)
+{
+    fleet_load_t *load = stream->load;
+    size_t count = load->harness->instance_count;
+    double *weights = mr_calloc(count, sizeof(*weights));
+
+    for (size_t i = 0; i < count; i++) {
+        weights[i] = 1 / pow((double)(i + 1), stream->options.skew);
+    }
+    gsl_ran_shuffle(load->rng, weights, count, sizeof(*weights));
+    stream->spread = gsl_ran_discrete_preproc(count, weights);
+    free(weights);
+}
+
+static void
+init_stream(fleet_load_t *load, size_t index,
+            const fleet_stream_options_t *options)
+{
+    stream_t *stream = &load->streams[index];
+
+    stream->load = load;
+    stream->index = index;
+    stream->options = *options;
+    stream->account = &load->harness->accounts[options->account];
+    stream->tokens = (double)stream->account->burst;
+    stream->tokens_at = load->started;
+    stream->spans = g_array_new(FALSE, FALSE, sizeof(fleet_span_t));
+    stream->idle_sessions = g_queue_new();
+    for (int i = 0; i < SESSIONS_FIRST; i++) {
+        g_queue_push_tail(stream->idle_sessions, add_session(stream));
+    }
+    reset_stats(&stream->stats);
+    set_spread(stream);
+    stream->due =
+        load->started + gsl_ran_exponential(load->rng, 1000 / options->rate);
+    stream->timer = evtimer_new(load->harness->base, on_arrival, stream);
+    schedule(stream);
+}
+
+static place_t
+make_place(const harness_process_t *process, int open_max)
+{
+    return (place_t){.process = process,
+                     .open_max = open_max,
+                     .idle = g_queue_new(),
+                     .waiting = g_queue_new()};
+}
+
+static void
+find_primaries(fleet_load_t *load)
+{
+    harness_t *h = load->harness;
+
+    for (int g = 0; g < h->options.groups; g++) {
+        harness_target_t *primary = harness_primary(h, g);
+        json_t *state = NULL;
+        ck_assert_ptr_nonnull(primary);
+        load->primaries[g] = (size_t)(primary - h->targets);
+        harness_http(h->base, "GET", primary->process.address, "/status", NULL,
+                     NULL, &state);
+        load->terms[g] = json_integer_value(json_object_get(state, "term"));
+        json_decref(state);
+    }
+}
+
+fleet_load_t *
+fleet_load_start(harness_t *h, const fleet_stream_options_t *streams,
+                 size_t count, unsigned long seed)
+{
+    fleet_load_t *load = MR_NEW(fleet_load_t);
+
+    load->harness = h;
+    load->rng = gsl_rng_alloc(gsl_rng_mt19937);
+    gsl_rng_set(load->rng, seed);
+    load->instances = mr_calloc(h->instance_count, sizeof(place_t));
+    for (size_t i = 0; i < h->instance_count; i++) {
+        load->instances[i] = make_place(&h->instances[i].process, 0);
+    }
+    load->targets = mr_calloc(h->target_count, sizeof(place_t));
+    for (size_t i = 0; i < h->target_count; i++) {
+        load->targets[i] =
+            make_place(&h->targets[i].process, h->options.slots);
+    }
+    load->primaries = mr_calloc((size_t)h->options.groups, sizeof(size_t));
+    load->terms = mr_calloc((size_t)h->options.groups, sizeof(int64_t));
+    find_primaries(load);
+    load->started = fleet_now();
+    load->count = count;
+    load->streams = mr_calloc(count, sizeof(*load->streams));
+    for (size_t i = 0; i < count; i++) {
+        init_stream(load, i, &streams[i]);
+    }
+    return load;
+}
+
+void
+fleet_load_on_ack(fleet_load_t *load, fleet_ack_fn *fn, void *ctx)
+{
+    load->on_ack = fn;
+    load->on_ack_ctx = ctx;
+}
+
+void
+fleet_load_mark(fleet_load_t *load)
+{
+    load->marked = fleet_now();
+    for (size_t i = 0; i < load->count; i++) {
+        reset_stats(&load->streams[i].stats);
+    }
+}
+
+const fleet_stats_t *
+fleet_load_stats(const fleet_load_t *load, size_t stream)
+{
+    return &load->streams[stream].stats;
+}
+
+static int
+compare_replied(const void *one, const void *other)
+{
+    const fleet_span_t *a = one;
+    const fleet_span_t *b = other;
+
+    return (a->replied > b->replied) - (a->replied < b->replied);
+}
+
+double
+fleet_load_over_admission(const fleet_load_t *load, size_t index)
+{
+    const stream_t *stream = &load->streams[index];
+    const fleet_span_t *spans = (const fleet_span_t *)stream->spans->data;
+    double rate = (double)stream->account->rate / 1000;
+    double most = -(double)stream->account->burst;
+
+    qsort(stream->spans->data, stream->spans->len, sizeof(fleet_span_t),
+          compare_replied);
+    for (size_t i = 0; i < stream->spans->len; i++) {
+        double inside = 0;
+        for (size_t j = 0; j < stream->spans->len; j++) {
+            if (spans[j].sent >= spans[i].sent) {
+                inside += 1;
+                most = fmax(most,
+                            inside - rate * (spans[j].replied - spans[i].sent)
+                                - (double)stream->account->burst);
+            }
+        }
+    }
+    return most;
+}
+
+void
+fleet_load_stop(fleet_load_t *load)
+{
+    double end = fleet_now() + STOP_MS;
+
+    load->stopping = true;
+    for (size_t i = 0; i < load->count; i++) {
+        evtimer_del(load->streams[i].timer);
+    }
+    while (load->open > 0 && fleet_now() < end) {
+        harness_run(load->harness->base, 10);
+    }
+    ck_assert_msg(load->open == 0, "%d requests got no end", load->open);
+}
+
+static void
+free_session(gpointer data)
+{
+    session_t *session = data;
+
+    free(session->token);
+    free(session);
+}
+
+static void
+free_conn(gpointer conn)
+{
+    evhttp_connection_free(conn);
+}
+
+static void
+free_places(place_t *places, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        g_queue_free_full(places[i].idle, free_conn);
+        g_queue_free(places[i].waiting);
+    }
+    free(places);
+}
+
+void
+fleet_load_destroy(fleet_load_t *load)
+{
+    for (size_t i = 0; i < load->count; i++) {
+        stream_t *stream = &load->streams[i];
+        event_free(stream->timer);
+        g_queue_free_full(stream->idle_sessions, free_session);
+        gsl_ran_discrete_free(stream->spread);
+        g_array_free(stream->spans, TRUE);
+        fleet_hist_destroy(stream->stats.read_ms);
+        fleet_hist_destroy(stream->stats.write_ms);
+        fleet_hist_destroy(stream->stats.follow_same_ms);
+        fleet_hist_destroy(stream->stats.follow_other_ms);
+        g_hash_table_destroy(stream->stats.kinds);
+    }
+    free_places(load->instances, load->harness->instance_count);
+    free_places(load->targets, load->harness->target_count);
+    gsl_rng_free(load->rng);
+    free(load->primaries);
+    free(load->terms);
+    free(load->streams);
+    free(load);
+}
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -66,10 +66,12 @@
 typedef struct harness_options {
     const char *const *data_centres; /* ends with NULL */
     int instances;                   /* in each data centre */
+    int instances_total;             /* spread evenly, instead of instances */
     int groups;                      /* of three targets each */
     int accounts;
     int64_t rate; /* of each account */
     int64_t burst;
+    int large_accounts; /* the first ones, with four times rate and burst */
     int slots;
     int connections;
     int lag_ms;
@@ -79,7 +81,8 @@
     int64_t offline_limit_s;
     /* All connections between processes pass the fault proxy. */
     bool proxied;
-    const char *trace; /* path; NULL: no trace */
+    const char *trace;      /* path; NULL: no trace */
+    const char *experiment; /* setting of the daemons; NULL: none */
 } harness_options_t;
 
 typedef struct harness_instance {
@@ -99,6 +102,8 @@
     char name[HARNESS_NAME_BYTES];
     char key_id[HARNESS_NAME_BYTES];
     char key[MR_OP_KEY_BYTES];
+    int64_t rate;
+    int64_t burst;
 } harness_account_t;
 
 typedef struct harness_caller harness_caller_t;
--- a/tests/integration/harness_fleet.c
+++ b/tests/integration/harness_fleet.c
@@ -9,7 +9,13 @@
 #include "config/rows.h"
 #include "harness.h"
 
-enum { TARGETS_PER_GROUP = 3, SETTLE_MS = 15000, FOLDER_LINE_BYTES = 512 };
+enum {
+    TARGETS_PER_GROUP = 3,
+    SETTLE_MS = 15000,
+    FOLDER_LINE_BYTES = 512,
+    LARGE_ACCOUNT = 4,
+    RATE_LIMITED = 429,
+};
 
 static const char credential[] = "operator-credential-of-tests";
 
@@ -106,22 +112,31 @@
     harness_process_arg(p, "--secret-file=%s/secret", h->folder);
     harness_process_arg(p, "--approver-public-key=%s", h->approver_public);
     harness_process_arg(p, "--operator-credential=%s", credential);
+    if (h->options.experiment != NULL) {
+        harness_process_arg(p, "--experiment=%s", h->options.experiment);
+    }
 }
 
 static void
 prepare_instances(harness_t *h)
 {
     size_t places = count_data_centres(h);
-    size_t each = (size_t)h->options.instances;
-
-    h->instance_count = places * each;
-    h->instances = mr_calloc(h->instance_count, sizeof(*h->instances));
-    for (size_t i = 0; i < h->instance_count; i++) {
-        char name[HARNESS_NAME_BYTES];
-        h->instances[i].data_centre = h->options.data_centres[i / each];
-        snprintf(name, sizeof(name), "%s-%zu", h->instances[i].data_centre,
-                 i % each);
-        prepare_instance(h, &h->instances[i], name);
+    size_t total = h->options.instances_total > 0
+                       ? (size_t)h->options.instances_total
+                       : places * (size_t)h->options.instances;
+    size_t made = 0;
+
+    h->instance_count = total;
+    h->instances = mr_calloc(total, sizeof(*h->instances));
+    for (size_t p = 0; p < places; p++) {
+        size_t here = total / places + (p < total % places ? 1 : 0);
+        for (size_t i = 0; i < here; i++) {
+            harness_instance_t *instance = &h->instances[made++];
+            char name[HARNESS_NAME_BYTES];
+            instance->data_centre = h->options.data_centres[p];
+            snprintf(name, sizeof(name), "%s-%zu", instance->data_centre, i);
+            prepare_instance(h, instance, name);
+        }
     }
 }
 
@@ -163,14 +178,16 @@
         harness_account_t *a = &h->accounts[i];
         snprintf(a->name, sizeof(a->name), "account-%d", i);
         snprintf(a->key_id, sizeof(a->key_id), "key-%d", i);
-        mr_op_account_t account = {a->name, o->rate, o->burst, 1};
+        a->rate = o->rate * (i < o->large_accounts ? LARGE_ACCOUNT : 1);
+        a->burst = o->burst * (i < o->large_accounts ? LARGE_ACCOUNT : 1);
+        mr_op_account_t account = {a->name, a->rate, a->burst, 1};
         mr_op_account(h->config, &account);
         ck_assert(mr_op_key_issue(h->config, a->name, a->key_id, a->key));
         mr_op_allow(h->config, "data", a->name);
         harness_trace(h, "account",
                       json_pack("{s:s,s:I,s:I}", "name", a->name, "rate",
-                                (json_int_t)o->rate, "burst",
-                                (json_int_t)o->burst));
+                                (json_int_t)a->rate, "burst",
+                                (json_int_t)a->burst));
     }
 }
 
@@ -217,9 +234,27 @@
                   json_pack("{s:I}", "version", (json_int_t)h->version));
 }
 
+/* A fleet of many daemons needs more probes than an account's burst, so a
+ * probe that is refused for the account's rate is sent again. */
+static bool
+probe(harness_t *h, const harness_instance_t *instance, const char *key,
+      const char *body, mr_ms_t end)
+{
+    int status = 0;
+
+    do {
+        if (status != 0) {
+            harness_run(h->base, 20);
+        }
+        status = harness_http(h->base, "POST", instance->process.address,
+                              "/v1/routes/data/statements", key, body, NULL);
+    } while (status == RATE_LIMITED && mr_clock_now(NULL) < end);
+    return status == 200;
+}
+
 /* Whether every daemon reads for every account, from any group. */
 static bool
-serves(harness_t *h)
+serves(harness_t *h, mr_ms_t end)
 {
     int shards = 4 * h->options.groups + h->options.accounts;
 
@@ -232,9 +267,7 @@
                      "{\"op\":\"get\",\"key\":\"none\"},\"freshness\":"
                      "{\"mode\":\"present\"},\"deadline_ms\":300}",
                      shard);
-            if (harness_http(h->base, "POST", h->instances[i].process.address,
-                             "/v1/routes/data/statements", key, body, NULL)
-                != 200) {
+            if (!probe(h, &h->instances[i], key, body, end)) {
                 return false;
             }
         }
@@ -299,7 +332,7 @@
     for (size_t i = 0; i < h->instance_count; i++) {
         harness_process_start(&h->instances[i].process);
     }
-    while (!serves(h)) {
+    while (!serves(h, end)) {
         if (mr_clock_now(NULL) > end) {
             ck_abort_msg("the fleet does not serve, see %s", h->folder);
         }
