Add failover, limit and cost parts to make bench

Failover: kills and data centre isolations, store up and down, with the stages from the daemons' event=promoted lines. Limits: wrongful refusals against an ideal token bucket, even, skewed and jumping, through daemons' deaths and a store outage; the worst-served account; over-admission from spans that a request surely ran in. Cost: latency and processor time against the same load sent straight to the targets. The harness reads /metrics.

--- a/bench/bench_fleet.c
+++ b/bench/bench_fleet.c
@@ -40,6 +40,10 @@
     fleet_part_fn *fn;
 } parts[] = {
     {"replica_read_share", fleet_part_reads},
+    {"failover_gap", fleet_part_failover},
+    {"worst_account_share", fleet_part_worst_account},
+    {"wrongful_refusals", fleet_part_refusals},
+    {"cost", fleet_part_cost},
 };
 
 void
@@ -73,6 +77,28 @@
     }
 }
 
+void
+fleet_print_counter(const fleet_bench_t *bench, const char *what,
+                    const char *counter)
+{
+    harness_t *h = bench->h;
+    long long sum = 0;
+
+    for (size_t i = 0; i < h->instance_count; i++) {
+        char *text = harness_metrics(h, &h->instances[i]);
+        const char *at = text;
+        while (at != NULL && (at = strstr(at, counter)) != NULL) {
+            bool first = at == text || at[-1] == '\n';
+            at += strlen(counter);
+            if (first && (*at == ' ' || *at == '{')) {
+                sum += strtoll(strchr(at, ' '), NULL, 10);
+            }
+        }
+        free(text);
+    }
+    printf("# %s: %s %lld\n", what, counter, sum);
+}
+
 void
 fleet_even_streams(const fleet_bench_t *bench, double fraction,
                    double write_share,
--- a/bench/fleet_bench.h
+++ b/bench/fleet_bench.h
@@ -37,6 +37,11 @@
 void fleet_print_errors(const char *what, const fleet_load_t *load,
                         size_t count);
 
+/** fleet_print_counter() - sum over the daemons' admin listeners, as a comment
+ * line. */
+void fleet_print_counter(const fleet_bench_t *bench, const char *what,
+                         const char *counter);
+
 /** fleet_share() - percent, 100 when @whole is 0. */
 double fleet_share(int64_t part, int64_t whole);
 
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -185,6 +185,14 @@
                  const char *address, const char *path, const char *bearer,
                  const char *body, json_t **reply);
 
+/** harness_http_text() - GET of anything but JSON; free @text. */
+int harness_http_text(struct event_base *base, const char *address,
+                      const char *path, const char *bearer, char **text);
+
+/** harness_metrics() - /metrics of an instance; NULL when it does not answer.
+ * Free it. */
+char *harness_metrics(harness_t *harness, const harness_instance_t *instance);
+
 /** harness_status() - /status of an instance; NULL when it does not answer. */
 json_t *harness_status(harness_t *harness, const harness_instance_t *instance);
 
--- a/tests/integration/harness_fleet.c
+++ b/tests/integration/harness_fleet.c
@@ -450,3 +450,18 @@
     }
     return status;
 }
+
+char *
+harness_metrics(harness_t *h, const harness_instance_t *instance)
+{
+    char *text = NULL;
+
+    if (instance->process.pid == 0
+        || harness_http_text(h->base, instance->admin, "/metrics", credential,
+                             &text)
+               != 200) {
+        free(text);
+        return NULL;
+    }
+    return text;
+}
--- a/tests/integration/harness_http.c
+++ b/tests/integration/harness_http.c
@@ -13,6 +13,7 @@
     bool done;
     int status;
     json_t *reply;
+    char *text;
 } exchange_t;
 
 void
@@ -34,6 +35,7 @@
         struct evbuffer *input = evhttp_request_get_input_buffer(req);
         size_t len = evbuffer_get_length(input);
         exchange->status = evhttp_request_get_response_code(req);
+        exchange->text = strndup((char *)evbuffer_pullup(input, -1), len);
         exchange->reply = len == 0
                               ? NULL
                               : json_loadb((char *)evbuffer_pullup(input, -1),
@@ -42,10 +44,9 @@
     event_base_loopbreak(exchange->base);
 }
 
-int
-harness_http(struct event_base *base, const char *method, const char *address,
-             const char *path, const char *bearer, const char *body,
-             json_t **reply)
+static exchange_t
+run_exchange(struct event_base *base, const char *method, const char *address,
+             const char *path, const char *bearer, const char *body)
 {
     exchange_t exchange = {.base = base};
     enum evhttp_cmd_type type = strcmp(method, "GET") == 0   ? EVHTTP_REQ_GET
@@ -77,6 +78,18 @@
         }
     }
     evhttp_connection_free(conn);
+    return exchange;
+}
+
+int
+harness_http(struct event_base *base, const char *method, const char *address,
+             const char *path, const char *bearer, const char *body,
+             json_t **reply)
+{
+    exchange_t exchange =
+        run_exchange(base, method, address, path, bearer, body);
+
+    free(exchange.text);
     if (reply != NULL) {
         *reply = exchange.reply;
     }
@@ -85,3 +98,15 @@
     }
     return exchange.status;
 }
+
+int
+harness_http_text(struct event_base *base, const char *address,
+                  const char *path, const char *bearer, char **text)
+{
+    exchange_t exchange =
+        run_exchange(base, "GET", address, path, bearer, NULL);
+
+    json_decref(exchange.reply);
+    *text = exchange.text;
+    return exchange.status;
+}
