Count a deposed primary once in the acknowledgement rule

Cause: the view counted the executing primary once by assumption, and left it out of the reports only while it reported to be primary.

Change: the view remembers the highest term under which each target reported to be primary, and leaves that target out for this term.

--- a/lib/group/view.c
+++ b/lib/group/view.c
@@ -168,6 +168,9 @@
     mr_view_target_t *target = &view->targets[index];
 
     target->refusals = 0;
+    if (state->primary && state->term > target->led) {
+        target->led = state->term;
+    }
     if (tick > target->tick) {
         target->tick = tick;
     }
@@ -203,8 +206,8 @@
 
     for (size_t i = 0; i < view->count; i++) {
         const mr_view_target_t *target = &view->targets[i];
-        bool own = target->state.primary && target->state.term == term;
-        if (target->known && !own && target->state.last_term == term
+        if (target->known && target->led != term
+            && target->state.last_term == term
             && target->state.position >= position) {
             holders++;
         }
--- a/lib/group/view.h
+++ b/lib/group/view.h
@@ -36,6 +36,7 @@
 typedef struct mr_view_target {
     bool known;
     mr_log_state_t state;
+    int64_t led;     /* highest term under which it reported to be primary */
     mr_ms_t sent_at; /* when the newest answered request was sent */
     uint64_t tick;   /* of the newest answered probe */
     int refusals;    /* connections refused since the last answer */
@@ -100,7 +101,8 @@
  *
  * Counts only logs whose last entry carries @term: a new primary opens its
  * term with an entry of its own, and a position alone may have been reached
- * by a divergent log.
+ * by a divergent log. The target that led @term counts once, also after it has
+ * stepped down: its log then still ends with @term, as a replica's would.
  */
 bool mr_view_acknowledged(const mr_view_t *view, int64_t term,
                           int64_t position);
--- a/tests/unit/test_view.c
+++ b/tests/unit/test_view.c
@@ -69,6 +69,19 @@
 }
 END_TEST
 
+/* A primary that stepped down reports as a replica, with its own write. */
+START_TEST(test_deposed_primary_counts_once)
+{
+    mr_view_t view;
+
+    start_group(&view, 9, 1000);
+    report(&view, 0, log_state(false, 3, 2, 10), 1010);
+    ck_assert(!mr_view_acknowledged(&view, 2, 10));
+    report(&view, 1, log_state(false, 2, 2, 10), 1020);
+    ck_assert(mr_view_acknowledged(&view, 2, 10));
+}
+END_TEST
+
 START_TEST(test_confirmation_needs_fresh_answers)
 {
     mr_view_t view;
@@ -236,6 +249,7 @@
     tcase_add_test(tc, test_write_needs_one_replica);
     tcase_add_test(tc, test_position_of_another_term_does_not_count);
     tcase_add_test(tc, test_primary_counts_once);
+    tcase_add_test(tc, test_deposed_primary_counts_once);
     tcase_add_test(tc, test_confirmation_needs_fresh_answers);
     tcase_add_test(tc, test_isolated_primary_is_not_the_primary);
     tcase_add_test(tc, test_lost_primary_is_replaced_only_with_a_majority);
