Add a test with random failures under load

Cause: the promises must hold when failures meet in combination.

Change: test_chaos pauses, kills and restarts daemons and targets, cuts data centres off from each other and takes the platform down, up to three failures at a time, under load, and checks the trace. The accounts' rate is above what the callers send.

--- /dev/null
+++ b/tests/integration/test_chaos.c
@@ -0,0 +1,262 @@
+/*
+ * Random failures of processes and links under load, then a check of the
+ * promises over the whole trace. Guards against failures that break a promise
+ * in combination. MASTICRELAY_SEED and MASTICRELAY_SECONDS choose other runs;
+ * a seed fixes the failures, but not how they meet the requests.
+ */
+
+#include <check.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "harness.h"
+
+enum { DEFAULT_SEED = 1, DEFAULT_SECONDS = 20, FAILURES_MAX = 3 };
+
+static const char *const places[] = {"konya", "aksaray", "nigde", NULL};
+static const char trace_path[] = "/tmp/masticrelay-chaos.jsonl";
+
+/** A failure that lasts for a while. */
+typedef struct failure {
+    mr_ms_t until; /* 0: none */
+    harness_process_t *process;
+    const char *one; /* data centres that are cut off from each other */
+    const char *other;
+    bool stopped;  /* process paused, otherwise killed */
+    bool platform; /* the platform is down */
+} failure_t;
+
+typedef struct chaos {
+    harness_t *harness;
+    GRand *random;
+    failure_t failures[FAILURES_MAX];
+} chaos_t;
+
+static int
+below(chaos_t *chaos, size_t limit)
+{
+    return g_rand_int_range(chaos->random, 0, (gint32)limit);
+}
+
+static void
+say(chaos_t *chaos, const char *what, const char *name)
+{
+    harness_trace(chaos->harness, "failure",
+                  json_pack("{s:s,s:s}", "what", what, "name", name));
+}
+
+static bool
+is_failing(const chaos_t *chaos, const harness_process_t *process)
+{
+    for (int i = 0; i < FAILURES_MAX; i++) {
+        if (chaos->failures[i].until != 0
+            && chaos->failures[i].process == process) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_target(const chaos_t *chaos, const harness_process_t *process)
+{
+    for (size_t i = 0; i < chaos->harness->target_count; i++) {
+        if (&chaos->harness->targets[i].process == process) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Fails one process. Of the targets only one at a time, so that a majority of
+ * each group keeps its log. */
+static void
+fail_process(chaos_t *chaos, failure_t *failure)
+{
+    harness_t *h = chaos->harness;
+    harness_process_t *process;
+
+    if (below(chaos, 2) == 0) {
+        process = &h->targets[below(chaos, h->target_count)].process;
+    }
+    else {
+        process = &h->instances[below(chaos, h->instance_count)].process;
+    }
+    for (int i = 0; i < FAILURES_MAX; i++) {
+        const failure_t *other = &chaos->failures[i];
+        if (other->until != 0 && other->process != NULL
+            && is_target(chaos, other->process) && is_target(chaos, process)) {
+            return;
+        }
+    }
+    if (is_failing(chaos, process)) {
+        return;
+    }
+    failure->process = process;
+    failure->stopped = below(chaos, 2) == 0;
+    failure->until = mr_clock_now(NULL) + 500 + below(chaos, 4000);
+    say(chaos, failure->stopped ? "pause" : "kill", process->name);
+    if (failure->stopped) {
+        harness_process_signal(process, SIGSTOP);
+    }
+    else {
+        harness_process_kill(process);
+    }
+}
+
+static void
+begin(chaos_t *chaos, failure_t *failure)
+{
+    size_t first = (size_t)below(chaos, 3);
+
+    memset(failure, 0, sizeof(*failure));
+    switch (below(chaos, 4)) {
+    case 0:
+        failure->one = places[first];
+        failure->other = places[(first + 1) % 3];
+        failure->until = mr_clock_now(NULL) + 500 + below(chaos, 4000);
+        say(chaos, "cut", failure->one);
+        harness_cut(chaos->harness, failure->one, failure->other, true);
+        return;
+    case 1:
+        failure->platform = true;
+        failure->until = mr_clock_now(NULL) + 500 + below(chaos, 4000);
+        say(chaos, "down", "platform");
+        harness_platform_fault(chaos->harness, "{\"down\":true}");
+        return;
+    default:
+        fail_process(chaos, failure);
+        return;
+    }
+}
+
+static void
+end(chaos_t *chaos, failure_t *failure)
+{
+    if (failure->until == 0) {
+        return;
+    }
+    say(chaos, "end", failure->process != NULL ? failure->process->name : "");
+    failure->until = 0;
+    if (failure->process != NULL && failure->stopped) {
+        harness_process_signal(failure->process, SIGCONT);
+    }
+    else if (failure->process != NULL) {
+        harness_process_start(failure->process);
+    }
+    else if (failure->platform) {
+        harness_platform_fault(chaos->harness, "{\"down\":false}");
+    }
+    else {
+        harness_cut(chaos->harness, failure->one, failure->other, false);
+    }
+}
+
+static long
+setting(const char *name, long otherwise)
+{
+    const char *text = getenv(name);
+
+    return text == NULL ? otherwise : strtol(text, NULL, 10);
+}
+
+static void
+run_chaos(chaos_t *chaos, mr_ms_t duration)
+{
+    mr_ms_t stop = mr_clock_now(NULL) + duration;
+
+    while (mr_clock_now(NULL) < stop) {
+        mr_ms_t now = mr_clock_now(NULL);
+        for (int i = 0; i < FAILURES_MAX; i++) {
+            failure_t *failure = &chaos->failures[i];
+            if (failure->until != 0 && now >= failure->until) {
+                end(chaos, failure);
+            }
+            else if (failure->until == 0 && below(chaos, 100) < 10) {
+                begin(chaos, failure);
+            }
+        }
+        harness_run(chaos->harness->base, 100);
+    }
+    for (int i = 0; i < FAILURES_MAX; i++) {
+        end(chaos, &chaos->failures[i]);
+    }
+}
+
+START_TEST(test_promises_hold)
+{
+    static const harness_options_t options = {
+        .data_centres = places,
+        .instances = 2,
+        .groups = 2,
+        .accounts = 2,
+        /* Above what the callers send, so that each refusal is wrongful. */
+        .rate = 1500,
+        .burst = 300,
+        .slots = 4,
+        .connections = 35,
+        .lag_ms = 20,
+        .statement_ms = 1,
+        .connect_ms = 10,
+        .list_lag_ms = 500,
+        .offline_limit_s = 3600,
+        .proxied = true,
+        .trace = trace_path,
+    };
+    const harness_load_t load = {.callers = 24,
+                                 .account = -1,
+                                 .write_percent = 40,
+                                 .append_percent = 40,
+                                 .keys = 3,
+                                 .pause = 20};
+    long seed = setting("MASTICRELAY_SEED", DEFAULT_SEED);
+    long seconds = setting("MASTICRELAY_SECONDS", DEFAULT_SECONDS);
+    chaos_t chaos = {.random = g_rand_new_with_seed((guint32)seed)};
+
+    printf("seed %ld\n", seed);
+    fflush(stdout);
+    chaos.harness = harness_start(&options);
+    harness_caller_t *callers = harness_callers_start(chaos.harness, &load);
+    run_chaos(&chaos, seconds * 1000);
+    /* All must work again. */
+    harness_run(chaos.harness->base, 5000);
+    int64_t before = harness_callers_counts(callers).ran;
+    harness_run(chaos.harness->base, 2000);
+    int64_t after = harness_callers_counts(callers).ran;
+    harness_counts_t counts = harness_callers_stop(callers);
+    printf("sent %ld ran %ld not_run %ld unknown %ld limited %ld gap %ld ms\n",
+           (long)counts.sent, (long)counts.ran, (long)counts.not_run,
+           (long)counts.unknown, (long)counts.limited,
+           (long)counts.longest_gap);
+    harness_trace_versions(chaos.harness);
+    harness_trace_logs(chaos.harness);
+    json_t *violations = harness_check_trace(chaos.harness);
+    char *text = json_dumps(violations, JSON_INDENT(1));
+    ck_assert_msg(json_array_size(violations) == 0, "seed %ld: %s", seed,
+                  text);
+    ck_assert_msg(after - before > 200, "only %ld requests ran at the end",
+                  (long)(after - before));
+    free(text);
+    json_decref(violations);
+    harness_end(chaos.harness);
+    g_rand_free(chaos.random);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("chaos");
+    TCase *tc = tcase_create("chaos");
+
+    tcase_set_timeout(tc, 580);
+    tcase_add_test(tc, test_promises_hold);
+    suite_add_tcase(suite, tc);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
