--- a/programs/masticrelayctl_options.c
+++ b/programs/masticrelayctl_options.c
@@ -7,6 +7,9 @@
 
 enum { DEFAULT_TIMEOUT_MS = 5000, LONGEST_TIMEOUT_MS = 600000 };
 
+/* Differs from every number that someone would give. */
+#define TIMEOUT_NOT_GIVEN G_MININT64
+
 static char *
 from_environment(const char *name)
 {
@@ -62,6 +65,7 @@
          NULL},
         G_OPTION_ENTRY_NULL,
     };
+    ctl->given.timeout_ms = TIMEOUT_NOT_GIVEN;
     GOptionGroup *group =
         g_option_group_new("common", "Settings:", "Settings", NULL, NULL);
 
@@ -107,7 +111,7 @@
         set->admins = given->admins;
         given->admins = NULL;
     }
-    if (given->timeout_ms != 0) {
+    if (given->timeout_ms != TIMEOUT_NOT_GIVEN) {
         set->timeout_ms = given->timeout_ms;
     }
     set->json = set->json || given->json;
--- a/programs/masticrelayctl_output.c
+++ b/programs/masticrelayctl_output.c
@@ -113,6 +113,9 @@
     if (json_is_boolean(value)) {
         return g_strdup(json_is_true(value) ? "yes" : "no");
     }
+    if (json_is_real(value)) {
+        return g_strdup_printf("%.3f", json_real_value(value));
+    }
     char *text = mr_json_canonical(value);
     char *copy = g_strdup(text != NULL ? text : "-");
     free(text);
--- a/programs/masticrelayctl_propose.c
+++ b/programs/masticrelayctl_propose.c
@@ -224,15 +224,17 @@
         return CTL_USAGE;
     }
     ctl_status_t status = ctl_load(ctl, argv[0], &config);
-    if (status == CTL_DONE && config == NULL) {
-        status = ctl_fail(ctl, CTL_USAGE,
-                          "propose: an empty configuration "
-                          "cannot be proposed");
+    if (status != CTL_DONE) {
+        return status;
     }
-    if (status == CTL_DONE && next_version) {
+    if (config == NULL) {
+        return ctl_fail(ctl, CTL_USAGE,
+                        "propose: an empty configuration cannot be proposed");
+    }
+    if (next_version) {
         status = set_next_version(ctl, &config);
     }
-    if (status == CTL_DONE) {
+    if (config != NULL && status == CTL_DONE) {
         status = propose_config(ctl, config, true);
     }
     mr_config_unref(config);
--- a/programs/masticrelayctl_status.c
+++ b/programs/masticrelayctl_status.c
@@ -380,7 +380,8 @@
         {"TARGET", "target"},       {"OWNER", "owner"},
         {"ROLE", "role"},           {"TERM", "term"},
         {"LAST TERM", "last_term"}, {"POSITION", "position"},
-        {"LAG MS", "lag_ms"},       {"REACHABLE", "reachable"},
+        {"LAG MS", "lag_ms"},       {"LEAVING", "leaving"},
+        {"REACHABLE", "reachable"},
     };
 
     if (!ctl_parse(ctl, command, NULL, &argc, &argv)) {
@@ -389,19 +390,50 @@
     return show_admin_rows(ctl, add_group_rows, columns, COUNT_OF(columns));
 }
 
+/* Copies an amount; instances give amounts in whole units or, with the suffix
+ * "_milli", in thousandths. */
+static void
+copy_amount(json_t *row, const char *as, const json_t *account,
+            const char *field)
+{
+    char *milli = g_strdup_printf("%s_milli", field);
+    const json_t *value = json_object_get(account, milli);
+    json_int_t number = json_integer_value(value);
+
+    if (!json_is_integer(value)) {
+        copy_field(row, as, account, field);
+    }
+    else if (number % 1000 == 0) {
+        json_object_set_new(row, as, json_integer(number / 1000));
+    }
+    else {
+        json_object_set_new(row, as, json_real((double)number / 1000));
+    }
+    g_free(milli);
+}
+
 static void
 add_account_rows(json_t *rows, const json_t *status)
 {
+    static const char *const amounts[] = {"rate", "burst", "granted_rate",
+                                          "share_rate", "demand"};
+    static const char *const fields[] = {"account", "admitted", "refused",
+                                         "limiter"};
     size_t index;
     json_t *account;
 
     json_array_foreach(json_object_get(status, "accounts"), index, account)
     {
-        json_t *row =
-            json_is_object(account) ? json_copy(account) : json_object();
-        copy_field(row, "account", account, "name");
-        json_object_del(row, "name");
+        json_t *row = json_object();
         copy_field(row, "instance", status, "instance");
+        copy_field(row, "account", account, "name");
+        for (size_t i = 0; i < COUNT_OF(fields); i++) {
+            copy_field(row, fields[i], account, fields[i]);
+        }
+        copy_amount(row, "share_rate", account, "share");
+        for (size_t i = 0; i < COUNT_OF(amounts); i++) {
+            copy_amount(row, amounts[i], account, amounts[i]);
+        }
         json_array_append_new(rows, row);
     }
 }
@@ -411,8 +443,10 @@
 {
     static const ctl_column_t columns[] = {
         {"INSTANCE", "instance"}, {"ACCOUNT", "account"},
-        {"RATE", "rate"},         {"SHARE", "share"},
-        {"ADMITTED", "admitted"}, {"REFUSED", "refused"},
+        {"RATE", "rate"},         {"BURST", "burst"},
+        {"SHARE", "share_rate"},  {"GRANTED", "granted_rate"},
+        {"DEMAND", "demand"},     {"ADMITTED", "admitted"},
+        {"REFUSED", "refused"},   {"LIMITER", "limiter"},
     };
 
     if (!ctl_parse(ctl, command, NULL, &argc, &argv)) {
