Use TLS to the admin listeners when authorities are given

Cause: daemons with a certificate speak TLS on the admin listener, which masticrelayctl could not reach, and the operator credential went in the clear. Ruled out: trusting any certificate of the authorities, since one daemon's certificate could then stand for another's. Conclusion: callers and the platform are not affected.

--- a/completion/masticrelayctl.bash
+++ b/completion/masticrelayctl.bash
@@ -7,14 +7,14 @@
     cur=${COMP_WORDS[COMP_CWORD]}
     prev=${COMP_WORDS[COMP_CWORD - 1]}
     local common="--platform --admin --operator-credential --approver-key
-        --approver-public-key --operator --timeout-ms --json --help"
+        --approver-public-key --admin-authorities --operator --timeout-ms --json --help"
     local commands="check diff propose approve veto accept key target approver
         status groups accounts instances audit"
     local command="" second="" word i skip=""
 
     COMPREPLY=()
     case $prev in
-    --approver-key | --file)
+    --approver-key | --admin-authorities | --file)
         mapfile -t COMPREPLY < <(compgen -f -- "$cur")
         return
         ;;
--- a/programs/masticrelayctl.c
+++ b/programs/masticrelayctl.c
@@ -122,6 +122,7 @@
 static void
 ctl_close(ctl_t *ctl)
 {
+    ctl_tls_close(ctl);
     mr_platform_destroy(ctl->platform);
     mr_counters_destroy(ctl->counters);
     if (ctl->base != NULL) {
--- a/programs/masticrelayctl.h
+++ b/programs/masticrelayctl.h
@@ -6,6 +6,7 @@
  * loop; the helpers below start one call and run the loop until it ends.
  */
 
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <glib.h>
 #include <jansson.h>
@@ -30,6 +31,7 @@
 typedef struct ctl_settings {
     char *platform_address;
     char **admins;
+    char *admin_authorities; /* file; NULL: no TLS to admin listeners */
     char *credential;
     char *approver_key;        /* file with the customer's secret key */
     char *approver_public_key; /* hex */
@@ -45,6 +47,7 @@
     struct event_base *base;
     mr_counters_t *counters;
     mr_platform_t *platform; /* NULL until ctl_platform() */
+    struct ssl_ctx_st *tls;  /* to admin listeners; NULL until it is needed */
 } ctl_t;
 
 /** struct ctl_command - one row of the table of commands */
@@ -183,11 +186,20 @@
 mr_error_kind_t ctl_object(ctl_t *ctl, const char *name, char **data,
                            size_t *len);
 
+/* masticrelayctl_tls.c */
+
+/** ctl_tls_open() - read the file of --admin-authorities, if there is one. */
+ctl_status_t ctl_tls_open(ctl_t *ctl);
+
+/** ctl_tls_connection() - a bufferevent for a connection to @ip. */
+struct bufferevent *ctl_tls_connection(const ctl_t *ctl, const char *ip);
+void ctl_tls_close(ctl_t *ctl);
+
 /**
  * ctl_admin_status() - GET /status of every --admin address, at the same time
  *
- * Return: new array of {"address", and "status" or "error"}.
+ * @answers: receives a new array of {"address", and "status" or "error"}
  */
-json_t *ctl_admin_status(ctl_t *ctl);
+ctl_status_t ctl_admin_status(ctl_t *ctl, json_t **answers);
 
 #endif
--- a/programs/masticrelayctl_fetch.c
+++ b/programs/masticrelayctl_fetch.c
@@ -155,6 +155,7 @@
 /** GET /status at one admin listener. */
 typedef struct admin_call {
     bool done;
+    bool tls;
     struct evhttp_connection *conn;
     json_t *item;
 } admin_call_t;
@@ -173,7 +174,8 @@
 
     call->done = true;
     if (req == NULL || evhttp_request_get_response_code(req) == 0) {
-        set_error(call, "unreachable");
+        set_error(call, call->tls ? "unreachable, or certificate refused"
+                                  : "unreachable");
         return;
     }
     int code = evhttp_request_get_response_code(req);
@@ -209,8 +211,18 @@
         call->done = true;
         return;
     }
-    call->conn =
-        evhttp_connection_base_new(ctl->base, NULL, ip, (unsigned short)port);
+    struct bufferevent *bev = NULL;
+    call->tls = ctl->tls != NULL;
+    if (call->tls) {
+        bev = ctl_tls_connection(ctl, ip);
+        if (bev == NULL) {
+            set_error(call, "TLS cannot be set up");
+            call->done = true;
+            return;
+        }
+    }
+    call->conn = evhttp_connection_base_bufferevent_new(
+        ctl->base, NULL, bev, ip, (unsigned short)port);
     struct timeval timeout = mr_clock_timeval(ctl->set.timeout_ms);
     evhttp_connection_set_timeout_tv(call->conn, &timeout);
     evhttp_connection_set_max_body_size(call->conn, STATUS_MAX_BYTES);
@@ -230,20 +242,25 @@
     }
 }
 
-json_t *
-ctl_admin_status(ctl_t *ctl)
+ctl_status_t
+ctl_admin_status(ctl_t *ctl, json_t **answers)
 {
     char **admins = ctl->set.admins;
     size_t count = admins != NULL ? g_strv_length(admins) : 0;
-    admin_call_t *calls = mr_calloc(count, sizeof(*calls));
-    json_t *list = json_array();
+    ctl_status_t status = ctl_tls_open(ctl);
 
+    *answers = NULL;
+    if (status != CTL_DONE) {
+        return status;
+    }
+    admin_call_t *calls = mr_calloc(count, sizeof(*calls));
+    *answers = json_array();
     for (size_t i = 0; i < count; i++) {
         start_admin_call(ctl, admins[i], &calls[i]);
     }
     for (size_t i = 0; i < count; i++) {
         ctl_run_until(ctl, &calls[i].done);
-        json_array_append_new(list, calls[i].item);
+        json_array_append_new(*answers, calls[i].item);
     }
     for (size_t i = 0; i < count; i++) {
         if (calls[i].conn != NULL) {
@@ -251,5 +268,5 @@
         }
     }
     free(calls);
-    return list;
+    return CTL_DONE;
 }
--- a/programs/masticrelayctl_options.c
+++ b/programs/masticrelayctl_options.c
@@ -27,6 +27,8 @@
 
     ctl->set.platform_address = from_environment("MASTICRELAY_PLATFORM");
     ctl->set.credential = from_environment("MASTICRELAY_OPERATOR_CREDENTIAL");
+    ctl->set.admin_authorities =
+        from_environment("MASTICRELAY_ADMIN_AUTHORITIES");
     ctl->set.approver_key = from_environment("MASTICRELAY_APPROVER_KEY");
     ctl->set.approver_public_key =
         from_environment("MASTICRELAY_APPROVER_PUBLIC_KEY");
@@ -50,6 +52,11 @@
          "Address of the platform", "IP:port"},
         {"admin", 0, 0, G_OPTION_ARG_STRING_ARRAY, &ctl->given.admins,
          "Admin listener of a daemon; may be repeated", "IP:port"},
+        {"admin-authorities", 0, 0, G_OPTION_ARG_FILENAME,
+         &ctl->given.admin_authorities,
+         "Use TLS to the admin listeners, with certificates of these "
+         "authorities",
+         "FILE"},
         {"operator-credential", 0, 0, G_OPTION_ARG_STRING,
          &ctl->given.credential, "Credential for the admin listeners", "TEXT"},
         {"approver-key", 0, 0, G_OPTION_ARG_FILENAME, &ctl->given.approver_key,
@@ -78,6 +85,7 @@
 {
     g_free(settings->platform_address);
     g_strfreev(settings->admins);
+    g_free(settings->admin_authorities);
     g_free(settings->credential);
     g_free(settings->approver_key);
     g_free(settings->approver_public_key);
@@ -102,6 +110,7 @@
     ctl_settings_t *given = &ctl->given;
 
     replace_text(&set->platform_address, &given->platform_address);
+    replace_text(&set->admin_authorities, &given->admin_authorities);
     replace_text(&set->credential, &given->credential);
     replace_text(&set->approver_key, &given->approver_key);
     replace_text(&set->approver_public_key, &given->approver_public_key);
--- a/programs/masticrelayctl_status.c
+++ b/programs/masticrelayctl_status.c
@@ -283,7 +283,11 @@
     if (asks_platform && ctl_platform(ctl) == NULL) {
         return CTL_USAGE;
     }
-    json_t *answers = ctl_admin_status(ctl);
+    json_t *answers = NULL;
+    status = ctl_admin_status(ctl, &answers);
+    if (status != CTL_DONE) {
+        return status;
+    }
     json_t *instances = instance_rows(answers);
     json_t *data_centres = json_array();
     json_t *result = json_object();
@@ -325,7 +329,11 @@
         return ctl_fail(ctl, CTL_USAGE,
                         "--admin or MASTICRELAY_ADMIN is needed");
     }
-    json_t *answers = ctl_admin_status(ctl);
+    json_t *answers = NULL;
+    ctl_status_t status = ctl_admin_status(ctl, &answers);
+    if (status != CTL_DONE) {
+        return status;
+    }
     json_t *rows = json_array();
     json_array_foreach(answers, index, answer)
     {
@@ -339,7 +347,7 @@
     else {
         ctl_print_table(rows, columns, count);
     }
-    ctl_status_t status = report_admin_errors(ctl, answers);
+    status = report_admin_errors(ctl, answers);
     json_decref(rows);
     json_decref(answers);
     return status;
--- /dev/null
+++ b/tests/integration/test_ctl_tls.c
@@ -0,0 +1,202 @@
+/* Guards against an operator credential that is sent in the clear or to a
+ * listener whose certificate is of another authority or another address. */
+
+#include <check.h>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+#include <openssl/x509v3.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "common/mem.h"
+#include "common/tls.h"
+
+enum { VALID_SECONDS = 3600 };
+
+static char folder[] = "/tmp/masticrelay-ctl-tls-XXXXXX";
+
+/* Writes NAME.pem, a self-signed certificate for @address, and NAME.key. */
+static void
+write_identity(const char *name, const char *address)
+{
+    char *paths[] = {mr_asprintf("%s/%s.pem", folder, name),
+                     mr_asprintf("%s/%s.key", folder, name)};
+    char *names = mr_asprintf("IP:%s", address);
+    EVP_PKEY *key = EVP_EC_gen("P-256");
+    X509 *cert = X509_new();
+    X509_NAME *subject = X509_get_subject_name(cert);
+
+    X509_set_version(cert, 2);
+    ASN1_INTEGER_set(X509_get_serialNumber(cert), 1);
+    X509_gmtime_adj(X509_getm_notBefore(cert), -60);
+    X509_gmtime_adj(X509_getm_notAfter(cert), VALID_SECONDS);
+    X509_set_pubkey(cert, key);
+    X509_NAME_add_entry_by_txt(subject, "CN", MBSTRING_ASC,
+                               (const unsigned char *)name, -1, -1, 0);
+    X509_set_issuer_name(cert, subject);
+    X509_EXTENSION *extension =
+        X509V3_EXT_conf_nid(NULL, NULL, NID_subject_alt_name, names);
+    ck_assert_int_eq(X509_add_ext(cert, extension, -1), 1);
+    ck_assert_int_gt(X509_sign(cert, key, EVP_sha256()), 0);
+    FILE *file = fopen(paths[0], "w");
+    ck_assert_int_eq(PEM_write_X509(file, cert), 1);
+    fclose(file);
+    file = fopen(paths[1], "w");
+    ck_assert_int_eq(
+        PEM_write_PrivateKey(file, key, NULL, NULL, 0, NULL, NULL), 1);
+    fclose(file);
+    X509_EXTENSION_free(extension);
+    X509_free(cert);
+    EVP_PKEY_free(key);
+    free(names);
+    free(paths[0]);
+    free(paths[1]);
+}
+
+static struct bufferevent *
+open_tls(struct event_base *base, void *ctx)
+{
+    (void)base;
+    return mr_tls_accept(ctx, -1);
+}
+
+/* Answers with what it received as the name of the instance. */
+static void
+on_status(struct evhttp_request *req, void *ctx)
+{
+    const char *value = evhttp_find_header(
+        evhttp_request_get_input_headers(req), "Authorization");
+    struct evbuffer *body = evbuffer_new();
+
+    (void)ctx;
+    evbuffer_add_printf(
+        body, "{\"instance\":\"%s\",\"groups\":[{\"targets\":[{}]}]}",
+        value != NULL ? value : "none");
+    evhttp_send_reply(req, 200, "OK", body);
+    evbuffer_free(body);
+}
+
+/* Serves in this process for ever; writes the port to @fd. */
+static void
+serve(const char *identity, int fd)
+{
+    struct event_base *base = event_base_new();
+    struct evhttp *http = evhttp_new(base);
+    char problem[256];
+    mr_tls_options_t options = {
+        .base = base,
+        .certificate = mr_asprintf("%s/%s.pem", folder, identity),
+        .key = mr_asprintf("%s/%s.key", folder, identity),
+    };
+    mr_tls_t *tls = mr_tls_create(&options, problem, sizeof(problem));
+
+    evhttp_set_bevcb(http, open_tls, tls);
+    evhttp_set_gencb(http, on_status, NULL);
+    struct evhttp_bound_socket *bound =
+        evhttp_bind_socket_with_handle(http, "127.0.0.1", 0);
+    struct sockaddr_in addr;
+    socklen_t len = sizeof(addr);
+    getsockname(evhttp_bound_socket_get_fd(bound), (struct sockaddr *)&addr,
+                &len);
+    int port = ntohs(addr.sin_port);
+    if (write(fd, &port, sizeof(port)) != sizeof(port)) {
+        _exit(1);
+    }
+    event_base_dispatch(base);
+    _exit(0);
+}
+
+static pid_t
+start_server(const char *identity, int *port)
+{
+    int fds[2];
+
+    ck_assert_int_eq(pipe(fds), 0);
+    pid_t pid = fork();
+    ck_assert_int_ge(pid, 0);
+    if (pid == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        serve(identity, fds[1]);
+    }
+    ck_assert_int_eq(read(fds[0], port, sizeof(*port)), sizeof(*port));
+    close(fds[0]);
+    close(fds[1]);
+    return pid;
+}
+
+/* Runs `groups` at @port, trusting the certificate of @authority. */
+static void
+expect(int port, const char *authority, int status, const char *text)
+{
+    const char *build = getenv("MASTICRELAY_BUILD");
+    char output[4096];
+    char *command = mr_asprintf(
+        "%s/masticrelayctl --admin 127.0.0.1:%d --timeout-ms 3000 "
+        "--operator-credential ticket %s%s%s%s groups 2>&1",
+        build == NULL ? "build" : build, port,
+        authority != NULL ? "--admin-authorities " : "",
+        authority != NULL ? folder : "", authority != NULL ? "/" : "",
+        authority != NULL ? authority : "");
+    FILE *pipe = popen(command, "r");
+
+    ck_assert_ptr_nonnull(pipe);
+    output[fread(output, 1, sizeof(output) - 1, pipe)] = '\0';
+    int result = pclose(pipe);
+    ck_assert_msg(WEXITSTATUS(result) == status
+                      && strstr(output, text) != NULL,
+                  "%s: status %d:\n%s", command, WEXITSTATUS(result), output);
+    ck_assert_msg(status == 0 || strstr(output, "ticket") == NULL,
+                  "the credential was sent: %s", output);
+    free(command);
+}
+
+START_TEST(test_authorities)
+{
+    int good_port;
+    int moved_port;
+
+    ck_assert_ptr_nonnull(mkdtemp(folder));
+    write_identity("good", "127.0.0.1");
+    write_identity("other", "127.0.0.1");
+    write_identity("moved", "127.0.0.9");
+    pid_t good = start_server("good", &good_port);
+    pid_t moved = start_server("moved", &moved_port);
+
+    expect(good_port, "good.pem", 0, "Bearer ticket");
+    expect(good_port, "other.pem", 5, "certificate refused");
+    expect(moved_port, "moved.pem", 5, "certificate refused");
+    expect(good_port, NULL, 5, "unreachable");
+    expect(good_port, "good.key", 1, "no certificate can be read");
+
+    kill(good, SIGKILL);
+    kill(moved, SIGKILL);
+    waitpid(good, NULL, 0);
+    waitpid(moved, NULL, 0);
+    char *command = mr_asprintf("rm -rf '%s'", folder);
+    ck_assert_int_eq(system(command), 0);
+    free(command);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("ctl_tls");
+    TCase *tc = tcase_create("ctl_tls");
+
+    tcase_set_timeout(tc, 60);
+    tcase_add_test(tc, test_authorities);
+    suite_add_tcase(suite, tc);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
