--- a/tests/integration/test_ctl_tls.c
+++ b/tests/integration/test_ctl_tls.c
@@ -101,7 +101,7 @@
     evhttp_set_gencb(http, on_status, NULL);
     struct evhttp_bound_socket *bound =
         evhttp_bind_socket_with_handle(http, "127.0.0.1", 0);
-    struct sockaddr_in addr;
+    struct sockaddr_in addr = {0};
     socklen_t len = sizeof(addr);
     getsockname(evhttp_bound_socket_get_fd(bound), (struct sockaddr *)&addr,
                 &len);
@@ -159,8 +159,8 @@
 
 START_TEST(test_authorities)
 {
-    int good_port;
-    int moved_port;
+    int good_port = 0;
+    int moved_port = 0;
 
     ck_assert_ptr_nonnull(mkdtemp(folder));
     write_identity("good", "127.0.0.1");
