Add single requests, target records and seeds to the test harness

Tests of the data path need to send one request to a chosen instance, send it again elsewhere, and know what each target really executed. A final log does not show a write that ran on a primary and was dropped with its log.

The trace gets 'executed' events from the targets' own records: a write answered 'not run' must not be among them (P9), and one that is not idempotent only once (P10). The callers' choices come from a generator with a seed.

--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -37,6 +37,7 @@
     char log[HARNESS_PATH_BYTES];          /* receives standard error */
     char redirect[HARNESS_REDIRECT_BYTES]; /* see standins/redirect.c */
     pid_t pid;                             /* 0: not running */
+    bool stopping; /* got SIGTERM: the balancer sends it nothing new */
 } harness_process_t;
 
 /** harness_port() - a free loopback port outside the range from which the
@@ -51,7 +52,7 @@
 void harness_process_start(harness_process_t *process);
 
 /** harness_process_signal() - SIGSTOP, SIGCONT, SIGTERM, ... */
-void harness_process_signal(const harness_process_t *process, int number);
+void harness_process_signal(harness_process_t *process, int number);
 
 /** harness_process_kill() - SIGKILL, and wait for the end. */
 void harness_process_kill(harness_process_t *process);
@@ -193,6 +194,7 @@
     int keys;           /* of each caller */
     mr_ms_t pause;      /* between an answer and the next request */
     mr_ms_t deadline;   /* 0: the route's */
+    uint32_t seed;      /* of instances, kinds and keys */
 } harness_load_t;
 
 /** struct harness_counts - what a group of callers saw */
@@ -217,6 +219,70 @@
 
 harness_counts_t harness_callers_counts(const harness_caller_t *group);
 
+/* ------------------------------------------------------- Single requests */
+
+/** A session that a test drives request by request. */
+typedef struct harness_session {
+    harness_t *harness;
+    int index; /* "caller" in the trace */
+    const harness_account_t *account;
+    char *token; /* last one received, or NULL */
+} harness_session_t;
+
+typedef struct harness_request {
+    /* "get", "put", "append", "sleep", "begin", "commit" or "rollback"; the
+     * value of a write is KEY/NUMBER of the request */
+    const char *op;
+    const char *key;
+    const char *shard; /* NULL: the key */
+    bool write;        /* "begin" and "sleep": access is "write" */
+    mr_ms_t sleep;     /* time that the statement takes at the target */
+    const char *freshness;
+    const char *request_id;
+    const char *handle;  /* of a transaction */
+    int64_t transaction; /* its number in the trace */
+    mr_ms_t deadline;
+} harness_request_t;
+
+typedef struct harness_answer {
+    int64_t id; /* of the request in the trace */
+    int status;
+    char outcome[HARNESS_NAME_BYTES];
+    char kind[HARNESS_NAME_BYTES];
+    char served_by[HARNESS_NAME_BYTES];
+    char value[HARNESS_NAME_BYTES]; /* text that a "get" returned */
+    char handle[HARNESS_PATH_BYTES * 2];
+    char request_id[HARNESS_PATH_BYTES * 2];
+} harness_answer_t;
+
+/** A request that may be sent several times, which the trace shows as one. */
+typedef struct harness_call harness_call_t;
+
+harness_session_t *harness_session_open(harness_t *harness, int account);
+void harness_session_close(harness_session_t *session);
+
+/** harness_call() - prepare a request; the texts must outlive it. */
+harness_call_t *harness_call(harness_session_t *session,
+                             const harness_request_t *request);
+
+/** harness_call_send() - send it to an instance and return at once. */
+void harness_call_send(harness_call_t *call, const char *instance);
+
+/** harness_call_wait() - run the loop until every attempt has ended. */
+void harness_call_wait(harness_call_t *call);
+
+/** harness_call_answer() - the answer to one attempt, without id and value. */
+harness_answer_t harness_call_answer(const harness_call_t *call,
+                                     size_t attempt);
+
+/** harness_call_end() - wait, trace what the caller knows from all answers,
+ * return that answer and free the call. */
+harness_answer_t harness_call_end(harness_call_t *call);
+
+/** harness_ask() - send a request once and wait for its answer. */
+harness_answer_t harness_ask(harness_session_t *session, const char *instance,
+                             const harness_request_t *request);
+
 /* --------------------------------------------------------------- Trace */
 
 /** harness_trace() - write one line; adds the time. Takes over @event. */
@@ -229,6 +295,24 @@
  * a target saw a key. */
 void harness_trace_logs(harness_t *harness);
 
+/** harness_trace_executed() - record each write that a target's own record
+ * shows as executed. */
+void harness_trace_executed(harness_t *harness);
+
+/** harness_check_promises() - record versions, logs and executed writes, end
+ * the trace and abort the test when a promise was broken. */
+void harness_check_promises(harness_t *harness);
+
+/** harness_target_fault() - body of POST /faults at a target. */
+void harness_target_fault(harness_t *harness, const char *target,
+                          const char *json);
+
+/** harness_wait_primary() - wait until a target other than @other (may
+ * be NULL) is the group's primary. */
+harness_target_t *harness_wait_primary(harness_t *harness, int group,
+                                       const harness_target_t *other,
+                                       mr_ms_t max);
+
 /** harness_check_trace() - end the trace and return the violated promises,
  * an array of {promise, text}; a new reference. */
 json_t *harness_check_trace(harness_t *harness);
--- /dev/null
+++ b/tests/integration/harness_call.c
@@ -0,0 +1,340 @@
+#include <check.h>
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/mem.h"
+#include "harness.h"
+
+/* Longer than any deadline that a test sets. */
+enum { TIMEOUT_S = 15, ATTEMPTS_MAX = 8 };
+
+typedef struct attempt {
+    harness_call_t *call;
+    struct evhttp_connection *conn;
+    bool open;
+    int status;
+    json_t *body;
+} attempt_t;
+
+struct harness_call {
+    harness_session_t *session;
+    harness_request_t request;
+    int64_t id;
+    char path[HARNESS_NAME_BYTES];
+    json_t *body;
+    attempt_t attempts[ATTEMPTS_MAX];
+    size_t count;
+};
+
+static const char *
+text_of(const json_t *object, const char *key, const char *otherwise)
+{
+    const char *text = json_string_value(json_object_get(object, key));
+
+    return text == NULL ? otherwise : text;
+}
+
+static bool
+is_op(const harness_request_t *request, const char *op)
+{
+    return strcmp(request->op, op) == 0;
+}
+
+static bool
+writes(const harness_request_t *request)
+{
+    return is_op(request, "put") || is_op(request, "append") || request->write;
+}
+
+/* BEGIN, COMMIT and ROLLBACK have no statement. */
+static bool
+is_statement(const harness_request_t *request)
+{
+    return !is_op(request, "begin") && !is_op(request, "commit")
+           && !is_op(request, "rollback");
+}
+
+static void
+set_text(json_t *body, const char *key, const char *text)
+{
+    if (text != NULL) {
+        json_object_set_new(body, key, json_string(text));
+    }
+}
+
+static json_t *
+make_statement(const harness_call_t *call)
+{
+    const harness_request_t *request = &call->request;
+    json_t *statement = json_pack("{s:s}", "op", request->op);
+
+    if (request->sleep > 0) {
+        json_object_set_new(statement, "ms", json_integer(request->sleep));
+    }
+    if (request->key != NULL) {
+        set_text(statement, "key", request->key);
+    }
+    if (is_op(request, "put") || is_op(request, "append")) {
+        json_object_set_new(
+            statement, "value",
+            json_sprintf("%s/%lld", request->key, (long long)call->id));
+    }
+    return statement;
+}
+
+static json_t *
+make_body(const harness_call_t *call)
+{
+    const harness_request_t *request = &call->request;
+    json_t *body = json_object();
+
+    if (is_statement(request) || is_op(request, "begin")) {
+        set_text(body, "access", writes(request) ? "write" : "read");
+    }
+    if (is_statement(request)) {
+        json_object_set_new(body, "statement", make_statement(call));
+        json_object_set_new(body, "idempotent",
+                            json_boolean(is_op(request, "put")));
+    }
+    set_text(body, "transaction", request->handle);
+    if (request->handle == NULL) {
+        set_text(body, "shard",
+                 request->shard != NULL ? request->shard : request->key);
+    }
+    set_text(body, "request_id", request->request_id);
+    set_text(body, "session", call->session->token);
+    if (request->freshness != NULL) {
+        json_object_set_new(body, "freshness",
+                            json_pack("{s:s}", "mode", request->freshness));
+    }
+    if (request->deadline > 0) {
+        json_object_set_new(body, "deadline_ms",
+                            json_integer(request->deadline));
+    }
+    return body;
+}
+
+harness_session_t *
+harness_session_open(harness_t *h, int account)
+{
+    /* Apart from the numbers of harness_callers_start(). */
+    static int opened = 100000;
+    harness_session_t *session = MR_NEW(harness_session_t);
+
+    session->harness = h;
+    session->index = ++opened;
+    session->account = &h->accounts[account];
+    return session;
+}
+
+void
+harness_session_close(harness_session_t *session)
+{
+    free(session->token);
+    free(session);
+}
+
+harness_call_t *
+harness_call(harness_session_t *session, const harness_request_t *request)
+{
+    harness_call_t *call = MR_NEW(harness_call_t);
+
+    call->session = session;
+    call->request = *request;
+    call->id = ++session->harness->next_request;
+    if (is_op(request, "commit") || is_op(request, "rollback")) {
+        snprintf(call->path, sizeof(call->path), "/v1/transactions/%s",
+                 request->op);
+    }
+    else {
+        snprintf(call->path, sizeof(call->path), "/v1/routes/data/%s",
+                 is_op(request, "begin") ? "transactions" : "statements");
+    }
+    call->body = make_body(call);
+    return call;
+}
+
+static void
+trace_request(harness_call_t *call, const char *instance)
+{
+    const harness_session_t *session = call->session;
+    const harness_request_t *request = &call->request;
+    json_t *statement = json_object_get(call->body, "statement");
+    json_t *event = json_pack(
+        "{s:I,s:i,s:s,s:s,s:s,s:s,s:b,s:s}", "id", (json_int_t)call->id,
+        "caller", session->index, "account", session->account->name, "key",
+        session->account->key_id, "instance", instance, "access",
+        writes(request) ? "write" : "read", "idempotent",
+        is_op(request, "put"), "operation",
+        is_statement(request) ? "statement" : request->op);
+
+    if (statement != NULL) {
+        json_object_set(event, "statement", statement);
+    }
+    if (request->transaction != 0) {
+        json_object_set_new(event, "transaction",
+                            json_integer(request->transaction));
+    }
+    set_text(event, "freshness", request->freshness);
+    harness_trace(session->harness, "request", event);
+}
+
+static void
+on_reply(struct evhttp_request *req, void *ctx)
+{
+    attempt_t *attempt = ctx;
+    harness_session_t *session = attempt->call->session;
+
+    attempt->open = false;
+    if (req != NULL) {
+        struct evbuffer *input = evhttp_request_get_input_buffer(req);
+        size_t len = evbuffer_get_length(input);
+        attempt->status = evhttp_request_get_response_code(req);
+        if (len > 0) {
+            attempt->body =
+                json_loadb((char *)evbuffer_pullup(input, -1), len, 0, NULL);
+        }
+    }
+    const char *token = text_of(attempt->body, "session", NULL);
+    if (token != NULL) {
+        free(session->token);
+        session->token = mr_strdup(token);
+    }
+}
+
+void
+harness_call_send(harness_call_t *call, const char *instance)
+{
+    harness_t *h = call->session->harness;
+    const char *address = harness_instance(h, instance)->process.address;
+    attempt_t *attempt = &call->attempts[call->count];
+    char bearer[MR_OP_KEY_BYTES + 16];
+    char ip[MR_ADDRESS_MAX_BYTES];
+    int port;
+
+    ck_assert_uint_lt(call->count, ATTEMPTS_MAX);
+    if (call->count++ == 0) {
+        trace_request(call, instance);
+    }
+    ck_assert(mr_address_split(address, ip, &port));
+    attempt->call = call;
+    attempt->open = true;
+    attempt->conn =
+        evhttp_connection_base_new(h->base, NULL, ip, (uint16_t)port);
+    evhttp_connection_set_timeout(attempt->conn, TIMEOUT_S);
+    struct evhttp_request *req = evhttp_request_new(on_reply, attempt);
+    struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+    char *text = json_dumps(call->body, JSON_COMPACT);
+    snprintf(bearer, sizeof(bearer), "Bearer %s", call->session->account->key);
+    evhttp_add_header(headers, "Host", address);
+    evhttp_add_header(headers, "Authorization", bearer);
+    evbuffer_add(evhttp_request_get_output_buffer(req), text, strlen(text));
+    free(text);
+    if (evhttp_make_request(attempt->conn, req, EVHTTP_REQ_POST, call->path)
+        != 0) {
+        attempt->open = false;
+    }
+}
+
+void
+harness_call_wait(harness_call_t *call)
+{
+    for (size_t i = 0; i < call->count; i++) {
+        while (call->attempts[i].open) {
+            harness_run(call->session->harness->base, 2);
+        }
+    }
+}
+
+static void
+read_answer(const attempt_t *attempt, harness_answer_t *answer)
+{
+    const json_t *error = json_object_get(attempt->body, "error");
+
+    answer->status = attempt->status;
+    snprintf(answer->outcome, sizeof(answer->outcome), "%s",
+             attempt->status == 200 ? "ran"
+                                    : text_of(error, "outcome", "unknown"));
+    snprintf(answer->kind, sizeof(answer->kind), "%s",
+             attempt->status == 200 ? "ok"
+                                    : text_of(error, "kind", "connection"));
+    snprintf(answer->served_by, sizeof(answer->served_by), "%s",
+             text_of(attempt->body, "served_by", ""));
+    snprintf(answer->handle, sizeof(answer->handle), "%s",
+             text_of(attempt->body, "transaction", ""));
+    snprintf(answer->request_id, sizeof(answer->request_id), "%s",
+             text_of(attempt->body, "next_request_id", ""));
+}
+
+harness_answer_t
+harness_call_answer(const harness_call_t *call, size_t attempt)
+{
+    harness_answer_t answer = {0};
+
+    ck_assert_uint_lt(attempt, call->count);
+    read_answer(&call->attempts[attempt], &answer);
+    return answer;
+}
+
+/* What the caller knows after several attempts: it ran if one says so, and it
+ * did not run only if all say so. */
+static size_t
+deciding_attempt(const harness_call_t *call)
+{
+    size_t decides = 0;
+    int best = -1;
+
+    for (size_t i = 0; i < call->count; i++) {
+        harness_answer_t answer = harness_call_answer(call, i);
+        int rank = strcmp(answer.outcome, "ran") == 0       ? 2
+                   : strcmp(answer.outcome, "unknown") == 0 ? 1
+                                                            : 0;
+        if (rank > best) {
+            best = rank;
+            decides = i;
+        }
+    }
+    return decides;
+}
+
+harness_answer_t
+harness_call_end(harness_call_t *call)
+{
+    harness_call_wait(call);
+    size_t decides = deciding_attempt(call);
+    const attempt_t *attempt = &call->attempts[decides];
+    harness_answer_t answer = harness_call_answer(call, decides);
+    json_t *result = json_object_get(attempt->body, "result");
+    json_t *value = json_object_get(result, "value");
+
+    answer.id = call->id;
+    if (json_is_string(value)) {
+        snprintf(answer.value, sizeof(answer.value), "%s",
+                 json_string_value(value));
+    }
+    harness_trace(
+        call->session->harness, "answer",
+        json_pack("{s:I,s:i,s:s,s:s,s:s,s:s,s:O*}", "id", (json_int_t)call->id,
+                  "status", answer.status, "outcome", answer.outcome, "kind",
+                  answer.kind, "served_by", answer.served_by, "role",
+                  text_of(attempt->body, "role", ""), "result", result));
+    for (size_t i = 0; i < call->count; i++) {
+        evhttp_connection_free(call->attempts[i].conn);
+        json_decref(call->attempts[i].body);
+    }
+    json_decref(call->body);
+    free(call);
+    return answer;
+}
+
+harness_answer_t
+harness_ask(harness_session_t *session, const char *instance,
+            const harness_request_t *request)
+{
+    harness_call_t *call = harness_call(session, request);
+
+    harness_call_send(call, instance);
+    return harness_call_end(call);
+}
--- a/tests/integration/harness_caller.c
+++ b/tests/integration/harness_caller.c
@@ -1,7 +1,7 @@
 #include <check.h>
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
-#include <sodium.h>
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -28,6 +28,7 @@
     harness_load_t load;
     harness_counts_t counts;
     session_t *sessions;
+    GRand *random;
     bool stopping;
     int open; /* requests in progress */
 };
@@ -184,16 +185,24 @@
                      0);
 }
 
-/* The platform's balancer leaves out instances that do not run. */
+/* A number below @below. */
+static uint32_t
+draw(GRand *random, uint32_t below)
+{
+    return (uint32_t)g_rand_int_range(random, 0, (gint32)below);
+}
+
+/* The platform's balancer leaves out instances that do not run or stop. */
 static size_t
-choose_instance(const harness_t *h)
+choose_instance(const harness_t *h, GRand *random)
 {
     size_t chosen = 0;
     uint32_t seen = 0;
 
     for (size_t i = 0; i < h->instance_count; i++) {
         if (h->instances[i].process.pid != 0
-            && randombytes_uniform(++seen) == 0) {
+            && !h->instances[i].process.stopping
+            && draw(random, ++seen) == 0) {
             chosen = i;
         }
     }
@@ -206,15 +215,15 @@
     harness_caller_t *group = session->group;
     harness_t *h = group->harness;
     const harness_load_t *load = &group->load;
-    bool write = (int)randombytes_uniform(100) < load->write_percent;
+    bool write = (int)draw(group->random, 100) < load->write_percent;
     bool append =
-        write && (int)randombytes_uniform(100) < load->append_percent;
+        write && (int)draw(group->random, 100) < load->append_percent;
     char key[HARNESS_NAME_BYTES];
 
     /* Appended lists have keys of their own. */
     snprintf(key, sizeof(key), "%c%d-%u", append ? 'a' : 'k', session->index,
-             randombytes_uniform((uint32_t)load->keys));
-    session->instance = choose_instance(h);
+             draw(group->random, (uint32_t)load->keys));
+    session->instance = choose_instance(h, group->random);
     session->request = ++h->next_request;
     group->open++;
     group->counts.sent++;
@@ -240,6 +249,7 @@
 
     group->harness = h;
     group->load = *load;
+    group->random = g_rand_new_with_seed(load->seed);
     group->sessions = mr_calloc((size_t)load->callers, sizeof(session_t));
     for (int i = 0; i < load->callers; i++) {
         session_t *session = &group->sessions[i];
@@ -251,7 +261,7 @@
         session->conns = mr_calloc(h->instance_count, sizeof(void *));
         session->timer = evtimer_new(h->base, on_pause_end, session);
         struct timeval spread =
-            mr_clock_timeval(randombytes_uniform((uint32_t)load->pause + 1));
+            mr_clock_timeval(draw(group->random, (uint32_t)load->pause + 1));
         evtimer_add(session->timer, &spread);
     }
     return group;
@@ -289,6 +299,7 @@
         free(session->token);
     }
     counts = group->counts;
+    g_rand_free(group->random);
     free(group->sessions);
     free(group);
     return counts;
--- a/tests/integration/harness_fleet.c
+++ b/tests/integration/harness_fleet.c
@@ -395,6 +395,32 @@
     return primary;
 }
 
+harness_target_t *
+harness_wait_primary(harness_t *h, int group, const harness_target_t *other,
+                     mr_ms_t max)
+{
+    mr_ms_t end = mr_clock_now(NULL) + max;
+
+    while (mr_clock_now(NULL) < end) {
+        harness_target_t *primary = harness_primary(h, group);
+        if (primary != NULL && primary != other) {
+            return primary;
+        }
+        harness_run(h->base, 25);
+    }
+    ck_abort_msg("group %d got no other primary, see %s", group, h->folder);
+    return NULL;
+}
+
+void
+harness_target_fault(harness_t *h, const char *target, const char *json)
+{
+    ck_assert_int_eq(harness_http(h->base, "POST",
+                                  harness_target(h, target)->process.address,
+                                  "/faults", NULL, json, NULL),
+                     200);
+}
+
 void
 harness_platform_fault(harness_t *h, const char *json)
 {
--- a/tests/integration/harness_process.c
+++ b/tests/integration/harness_process.c
@@ -139,6 +139,7 @@
     int out[2];
 
     ck_assert_int_eq(process->pid, 0);
+    process->stopping = false;
     ck_assert_int_eq(pipe2(out, O_CLOEXEC), 0);
     process->pid = fork();
     ck_assert_int_ge(process->pid, 0);
@@ -156,9 +157,10 @@
 }
 
 void
-harness_process_signal(const harness_process_t *process, int number)
+harness_process_signal(harness_process_t *process, int number)
 {
     if (process->pid > 0) {
+        process->stopping |= number == SIGTERM;
         kill(process->pid, number);
     }
 }
--- a/tests/integration/harness_trace.c
+++ b/tests/integration/harness_trace.c
@@ -83,6 +83,64 @@
     }
 }
 
+/* A line of a record; statements of transactions count as well. */
+static void
+trace_line(harness_t *h, const harness_target_t *target, const char *text)
+{
+    const char *did = NULL;
+    const char *body = NULL;
+    const char *value = NULL;
+    json_t *line = json_loads(text, 0, NULL);
+    json_t *sent = NULL;
+
+    if (json_unpack(line, "{s:s,s:s}", "did", &did, "body", &body) == 0
+        && strcmp(did, "executed") == 0) {
+        sent = json_loads(body, 0, NULL);
+    }
+    if (json_unpack(sent, "{s:{s:s}}", "statement", "value", &value) == 0) {
+        harness_trace(h, "executed",
+                      json_pack("{s:s,s:s}", "target", target->process.name,
+                                "value", value));
+    }
+    json_decref(sent);
+    json_decref(line);
+}
+
+void
+harness_trace_executed(harness_t *h)
+{
+    char *line = NULL;
+    size_t size = 0;
+
+    for (size_t i = 0; i < h->target_count; i++) {
+        char path[2 * HARNESS_PATH_BYTES];
+        snprintf(path, sizeof(path), "%s/%s.record", h->folder,
+                 h->targets[i].process.name);
+        FILE *file = fopen(path, "re");
+        while (file != NULL && getline(&line, &size, file) > 0) {
+            trace_line(h, &h->targets[i], line);
+        }
+        if (file != NULL) {
+            fclose(file);
+        }
+    }
+    free(line);
+}
+
+void
+harness_check_promises(harness_t *h)
+{
+    harness_trace_versions(h);
+    harness_trace_logs(h);
+    harness_trace_executed(h);
+    json_t *violations = harness_check_trace(h);
+    char *text = json_dumps(violations, 0);
+    ck_assert_msg(json_array_size(violations) == 0, "%zu violations: %.2000s",
+                  json_array_size(violations), text);
+    free(text);
+    json_decref(violations);
+}
+
 json_t *
 harness_check_trace(harness_t *h)
 {
--- a/tests/integration/trace.c
+++ b/tests/integration/trace.c
@@ -39,6 +39,7 @@
     GHashTable *requests;
     GPtrArray *order;       /* request_t in order of sending */
     GHashTable *places;     /* value -> place_t */
+    GHashTable *executed;   /* value -> how often, at all targets */
     GHashTable *own_writes; /* "caller key" -> value */
     GHashTable *versions;   /* instance -> version */
     GHashTable *withdrawn;  /* key -> event */
@@ -380,6 +381,13 @@
         g_hash_table_insert(trace->leaving, (char *)text_of(event, "target"),
                             event);
     }
+    else if (strcmp(name, "executed") == 0) {
+        char *value = (char *)text_of(event, "value");
+        int times =
+            GPOINTER_TO_INT(g_hash_table_lookup(trace->executed, value));
+        g_hash_table_insert(trace->executed, value,
+                            GINT_TO_POINTER(times + 1));
+    }
     else if (strcmp(name, "stopping") == 0) {
         g_hash_table_insert(trace->stopping,
                             (char *)text_of(event, "instance"), event);
@@ -448,6 +456,24 @@
     return NULL;
 }
 
+/* P9, P10: what the targets' own records say. A write that was executed and
+ * lost with its primary's log still ran. */
+static void
+check_executed(trace_t *trace, const request_t *request)
+{
+    int times =
+        GPOINTER_TO_INT(g_hash_table_lookup(trace->executed, request->value));
+
+    if (times > 0 && ended(request, "not_run")) {
+        violate(trace, "P9", "write %ld was executed %d times",
+                (long)request->id, times);
+    }
+    if (times > 1 && !is_not_false(request->event, "idempotent")) {
+        violate(trace, "P10", "write %ld was executed %d times",
+                (long)request->id, times);
+    }
+}
+
 static void
 check_writes(trace_t *trace)
 {
@@ -459,6 +485,7 @@
         if (request->value == NULL) {
             continue;
         }
+        check_executed(trace, request);
         check_write(trace, request,
                     plain ? NULL : find_commit(trace, request));
         const place_t *place =
@@ -584,6 +611,7 @@
         .requests = g_hash_table_new(g_int64_hash, g_int64_equal),
         .order = g_ptr_array_new_with_free_func(g_free),
         .places = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free),
+        .executed = g_hash_table_new(g_str_hash, g_str_equal),
         .own_writes =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
         .versions = g_hash_table_new(g_str_hash, g_str_equal),
@@ -605,6 +633,7 @@
     g_hash_table_destroy(trace.withdrawn);
     g_hash_table_destroy(trace.versions);
     g_hash_table_destroy(trace.own_writes);
+    g_hash_table_destroy(trace.executed);
     g_hash_table_destroy(trace.places);
     g_ptr_array_free(trace.order, TRUE);
     g_hash_table_destroy(trace.requests);
--- a/tests/integration/trace.h
+++ b/tests/integration/trace.h
@@ -15,6 +15,7 @@
  * accepted   version              version    instance, version
  * withdrawn  key                  leaving    target
  * stopping   instance             key_seen   target, key
+ * executed   target, value: a write in the target's own record
  *
  * Each written value is KEY/NUMBER and occurs in one request only.
  */
