Count the primary that executed a write once in its acknowledgement

Cause: the acknowledgement rule left out the target that reported itself primary of the write's term. A primary that has granted a higher term reports itself as a replica, with its own write as last entry, so it was counted as the second holder. A write held by nobody else was acknowledged, and lost when the grant's proposer promoted another target.

Ruled out: replicas that granted a higher term may still count, since any later majority of grants contains the executor or that replica, and neither takes entries of the old term after its grant.

Change: mr_view_acknowledged() takes the index of the executing target and never counts it as a replica. The unit test failed before ('Assertion !mr_view_acknowledged failed') and passes now.

--- a/lib/group/observer.c
+++ b/lib/group/observer.c
@@ -105,7 +105,7 @@
 
     switch (c->kind) {
     case MR_WAIT_ACKNOWLEDGED:
-        if (mr_view_acknowledged(view, c->term, c->position)) {
+        if (mr_view_acknowledged(view, c->index, c->term, c->position)) {
             return WAIT_MET;
         }
         if (mr_view_superseded(view, c->term)) {
--- a/lib/group/observer.h
+++ b/lib/group/observer.h
@@ -71,7 +71,7 @@
     mr_observer_wait_kind_t kind;
     int64_t term;
     int64_t position;
-    size_t index;
+    size_t index; /* of the covering target, or of the one that executed */
     mr_ms_t deadline;
 } mr_observer_condition_t;
 
--- a/lib/group/view.c
+++ b/lib/group/view.c
@@ -152,7 +152,8 @@
     size_t claimant = find_claimant(view);
 
     if (claimant == MR_VIEW_NONE
-        || mr_view_acknowledged(view, view->targets[claimant].state.term,
+        || mr_view_acknowledged(view, claimant,
+                                view->targets[claimant].state.term,
                                 view->targets[claimant].state.position)) {
         view->behind_since = -1;
     }
@@ -197,14 +198,14 @@
 }
 
 bool
-mr_view_acknowledged(const mr_view_t *view, int64_t term, int64_t position)
+mr_view_acknowledged(const mr_view_t *view, size_t executor, int64_t term,
+                     int64_t position)
 {
-    size_t holders = 1; /* the primary that executed it */
+    size_t holders = 1; /* the executor */
 
     for (size_t i = 0; i < view->count; i++) {
         const mr_view_target_t *target = &view->targets[i];
-        bool own = target->state.primary && target->state.term == term;
-        if (target->known && !own && target->state.last_term == term
+        if (i != executor && target->known && target->state.last_term == term
             && target->state.position >= position) {
             holders++;
         }
--- a/lib/group/view.h
+++ b/lib/group/view.h
@@ -97,12 +97,14 @@
 
 /**
  * mr_view_acknowledged() - whether the write at (@term, @position) is safe
+ * @executor: index of the target that executed it as primary. It counts once:
+ *            after granting a higher term it reports itself as a replica.
  *
  * Counts only logs whose last entry carries @term: a new primary opens its
  * term with an entry of its own, and a position alone may have been reached
  * by a divergent log.
  */
-bool mr_view_acknowledged(const mr_view_t *view, int64_t term,
+bool mr_view_acknowledged(const mr_view_t *view, size_t executor, int64_t term,
                           int64_t position);
 
 /** mr_view_superseded() - whether no replica can report @term any more. */
--- a/tests/unit/test_view.c
+++ b/tests/unit/test_view.c
@@ -38,10 +38,23 @@
     mr_view_t view;
 
     start_group(&view, 9, 1000);
-    ck_assert(!mr_view_acknowledged(&view, 2, 10));
+    ck_assert(!mr_view_acknowledged(&view, 0, 2, 10));
     report(&view, 2, log_state(false, 2, 2, 10), 1010);
-    ck_assert(mr_view_acknowledged(&view, 2, 10));
-    ck_assert(!mr_view_acknowledged(&view, 2, 11));
+    ck_assert(mr_view_acknowledged(&view, 0, 2, 10));
+    ck_assert(!mr_view_acknowledged(&view, 0, 2, 11));
+}
+END_TEST
+
+/* Guards against a primary whose own log counts twice: once it has granted a
+ * higher term it reports itself as a replica, with its own write as the last
+ * entry. */
+START_TEST(test_replaced_primary_does_not_count_as_replica)
+{
+    mr_view_t view;
+
+    start_group(&view, 9, 1000);
+    report(&view, 0, log_state(false, 3, 2, 10), 1010);
+    ck_assert(!mr_view_acknowledged(&view, 0, 2, 10));
 }
 END_TEST
 
@@ -54,7 +67,7 @@
     report(&view, 0, log_state(true, 3, 3, 10), 1000);
     report(&view, 1, log_state(false, 3, 2, 12), 1000);
     report(&view, 2, log_state(false, 3, 2, 10), 1000);
-    ck_assert(!mr_view_acknowledged(&view, 3, 10));
+    ck_assert(!mr_view_acknowledged(&view, 0, 3, 10));
 }
 END_TEST
 
@@ -65,7 +78,7 @@
 
     mr_view_init(&view, 3);
     report(&view, 0, log_state(true, 2, 2, 10), 1000);
-    ck_assert(!mr_view_acknowledged(&view, 2, 10));
+    ck_assert(!mr_view_acknowledged(&view, 0, 2, 10));
 }
 END_TEST
 
@@ -234,6 +247,7 @@
     TCase *tc = tcase_create("view");
 
     tcase_add_test(tc, test_write_needs_one_replica);
+    tcase_add_test(tc, test_replaced_primary_does_not_count_as_replica);
     tcase_add_test(tc, test_position_of_another_term_does_not_count);
     tcase_add_test(tc, test_primary_counts_once);
     tcase_add_test(tc, test_confirmation_needs_fresh_answers);
