--- a/Makefile
+++ b/Makefile
@@ -23,14 +23,14 @@
 
 # A program is one file in programs/; files named programs/PROGRAM_*.c belong
 # to PROGRAM.
-PROGRAMS := masticrelayd masticrelayctl
+PROGRAMS := $(filter masticrelayd masticrelayctl,$(patsubst programs/%.c,%,$(wildcard programs/*.c)))
 STANDINS := $(patsubst tests/standins/%.c,%,$(wildcard tests/standins/*_standin.c)) \
             $(patsubst tests/standins/%.c,%,$(wildcard tests/standins/fault_proxy.c))
 UNIT := $(patsubst tests/unit/%.c,%,$(wildcard tests/unit/test_*.c))
 INTEGRATION := $(patsubst tests/integration/%.c,%,$(wildcard tests/integration/test_*.c))
 HARNESS_SRC := $(wildcard tests/integration/harness*.c)
 BENCH := $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
-EXAMPLES := $(patsubst examples/%.c,%,$(wildcard examples/*.c))
+EXAMPLES := $(patsubst examples/%.c,%,$(filter-out examples/common_%.c,$(wildcard examples/*.c)))
 
 SOURCES := $(sort $(wildcard lib/*.h lib/*/*.[ch] programs/*.[ch] tests/*/*.[ch] \
            bench/*.[ch] examples/*.[ch] fuzz/*.[ch]))
@@ -86,7 +86,8 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
-$(BUILD)/examples/%: $(BUILD)/examples/%.o $(LIB)
+$(BUILD)/examples/%: $(BUILD)/examples/%.o \
+    $(patsubst %.c,$(BUILD)/%.o,$(wildcard examples/common_*.c)) $(LIB)
 	@mkdir -p $(@D)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
@@ -134,10 +135,10 @@
 	./tools/demo $(BUILD)
 
 format:
-	clang-format -i $(SOURCES)
+	@clang-format -i $(SOURCES)
 
 format-check:
-	clang-format --dry-run --Werror $(SOURCES)
+	@clang-format --dry-run --Werror $(SOURCES)
 
 # Two files a process, so that all cores work.
 lint:
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -3,6 +3,7 @@
 #include <assert.h>
 #include <string.h>
 
+#include "common/clock.h"
 #include "wire/msg_scan.h"
 
 /** Kind of a field in a message's struct. */
@@ -37,6 +38,9 @@
     VALUES_MAX = 16 * LIST_MAX_ITEMS,
 };
 
+/* Fields before a type's own: type, call, time sent. */
+enum { HEADER_FIELDS = 3 };
+
 #define F(kind, type, member)                                                 \
     {                                                                         \
         FIELD_##kind, offsetof(type, member), 0, NULL                         \
@@ -72,6 +76,7 @@
     F(INTEGER, mr_msg_execute_t, token_position),
     F(BOOL, mr_msg_execute_t, token_uncertain),
     F(INTEGER, mr_msg_execute_t, deadline_ms),
+    F(INTEGER, mr_msg_execute_t, min_term),
     F(BOOL, mr_msg_execute_t, idempotent),
     F(STRING, mr_msg_execute_t, request_id),
     F(STRING, mr_msg_execute_t, transaction),
@@ -93,6 +98,8 @@
     F(INTEGER, mr_msg_execute_reply_t, hint_term),
     F(STRING, mr_msg_execute_reply_t, request_id),
     F(STRING, mr_msg_execute_reply_t, transaction),
+    F(STRING, mr_msg_execute_reply_t, instance),
+    F(STRING, mr_msg_execute_reply_t, address),
 };
 static const layout_t execute_reply_layout =
     LAYOUT(mr_msg_execute_reply_t, execute_reply_fields);
@@ -160,6 +167,11 @@
     F(STRING, mr_msg_grant_t, account),
     F(INTEGER, mr_msg_grant_t, demand_milli),
     F(INTEGER, mr_msg_grant_t, wanted),
+    F(INTEGER, mr_msg_grant_t, process),
+    F(INTEGER, mr_msg_grant_t, held_long),
+    F(INTEGER, mr_msg_grant_t, held_rate_milli),
+    F(INTEGER, mr_msg_grant_t, held_burst_milli),
+    F(INTEGER, mr_msg_grant_t, held_short),
 };
 static const layout_t grant_layout = LAYOUT(mr_msg_grant_t, grant_fields);
 
@@ -197,6 +209,7 @@
 static const field_t grant_return_fields[] = {
     F(STRING, mr_msg_grant_return_t, account),
     F(INTEGER, mr_msg_grant_return_t, id),
+    F(INTEGER, mr_msg_grant_return_t, process),
 };
 static const layout_t grant_return_layout =
     LAYOUT(mr_msg_grant_return_t, grant_return_fields);
@@ -320,9 +333,10 @@
 
     assert(layout != NULL);
     msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, layout->count + 2);
+    msgpack_pack_array(&pk, layout->count + HEADER_FIELDS);
     msgpack_pack_int64(&pk, msg->type);
     msgpack_pack_int64(&pk, msg->call);
+    msgpack_pack_int64(&pk, mr_clock_now(NULL));
     encode_fields(&pk, layout, (const char *)&msg->u);
 }
 
@@ -447,12 +461,14 @@
 {
     int64_t type;
 
-    if (array->type != MSGPACK_OBJECT_ARRAY || array->via.array.size < 2) {
+    if (array->type != MSGPACK_OBJECT_ARRAY
+        || array->via.array.size < HEADER_FIELDS) {
         return MR_MSG_MALFORMED;
     }
     const msgpack_object *objs = array->via.array.ptr;
     if (!read_integer(&objs[0], &type)
-        || !read_integer(&objs[1], &holder->msg.call)) {
+        || !read_integer(&objs[1], &holder->msg.call)
+        || !read_integer(&objs[2], &holder->msg.sent_at)) {
         return MR_MSG_MALFORMED;
     }
     const layout_t *layout = find_layout(type);
@@ -460,9 +476,9 @@
         return MR_MSG_UNKNOWN_TYPE;
     }
     holder->msg.type = (mr_msg_type_t)type;
-    if (!decode_fields(objs + 2, array->via.array.size - 2,
-                       holder->unpacked.zone, layout,
-                       message_body(&holder->msg))) {
+    if (!decode_fields(
+            objs + HEADER_FIELDS, array->via.array.size - HEADER_FIELDS,
+            holder->unpacked.zone, layout, message_body(&holder->msg))) {
         return MR_MSG_MALFORMED;
     }
     return MR_MSG_GOOD;
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -3,8 +3,8 @@
 
 /*
  * Typed messages between instances. A message is one msgpack array
- * [type, call, fields...]; a table in msg.c describes the fields of each type,
- * so that a new message needs a struct and a table row.
+ * [type, call, time sent, fields...]; a table in msg.c describes the fields of
+ * each type, so that a new message needs a struct and a table row.
  */
 
 #include <msgpack.h>
@@ -55,7 +55,6 @@
     MR_OPERATION_BEGIN,
     MR_OPERATION_COMMIT,
     MR_OPERATION_ROLLBACK,
-    MR_OPERATION_ISSUE_ID,
 } mr_operation_t;
 
 /** Whether a statement changes data. */
@@ -83,6 +82,7 @@
     int64_t token_position;
     bool token_uncertain;
     int64_t deadline_ms; /* time left when the message was sent */
+    int64_t min_term;    /* writes run only under this term or a higher one */
     bool idempotent;
     const char *request_id;
     const char *transaction;
@@ -102,6 +102,8 @@
     int64_t hint_term;
     const char *request_id; /* a fresh one */
     const char *transaction;
+    const char *instance; /* that holds the transaction */
+    const char *address;  /* of that instance */
 } mr_msg_execute_reply_t;
 
 /** Asks an observer in another place how it sees a group. */
@@ -159,6 +161,11 @@
     const char *account;
     int64_t demand_milli; /* recent demand, thousandths of requests/s */
     int64_t wanted;       /* tokens wanted at once */
+    int64_t process;      /* random number of the sender's process */
+    int64_t held_long;    /* id of the long grant that it holds, 0: none */
+    int64_t held_rate_milli;
+    int64_t held_burst_milli;
+    int64_t held_short; /* id of the short grant that it holds, 0: none */
 } mr_msg_grant_t;
 
 /** One grant: tokens at once and a rate for a lifetime. */
@@ -189,12 +196,15 @@
 typedef struct mr_msg_grant_return {
     const char *account;
     int64_t id;
+    int64_t process;
 } mr_msg_grant_return_t;
 
 /** struct mr_msg - a message of any type */
 typedef struct mr_msg {
     mr_msg_type_t type;
-    int64_t call; /* 0: one-way */
+    int64_t call;    /* 0: one-way */
+    int64_t sent_at; /* sender's clock; set by mr_msg_encode() */
+    int64_t late_ms; /* how much later than usual it arrived; received ones */
     union {
         mr_msg_hello_t hello; /* HELLO and HELLO_REPLY */
         mr_msg_execute_t execute;
