--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
             $(patsubst tests/standins/%.c,%,$(wildcard tests/standins/fault_proxy.c))
 UNIT := $(patsubst tests/unit/%.c,%,$(wildcard tests/unit/test_*.c))
 INTEGRATION := $(patsubst tests/integration/%.c,%,$(wildcard tests/integration/test_*.c))
-HARNESS_SRC := $(wildcard tests/integration/harness*.c)
+HARNESS_SRC := $(wildcard tests/integration/harness*.c tests/integration/trace.c)
 BENCH := $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
 EXAMPLES := $(patsubst examples/%.c,%,$(filter-out examples/common_%.c,$(wildcard examples/*.c)))
 
@@ -73,7 +73,8 @@
 	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(PKG_LIBS) -o $@
 
 # These tests run the platform stand-in.
-$(BUILD)/unit/test_platform $(BUILD)/unit/test_config_store: | $(BUILD)/platform_standin
+$(addprefix $(BUILD)/unit/,test_platform test_config_store test_config_change): | \
+    $(BUILD)/platform_standin
 
 $(BUILD)/integration/%: $(BUILD)/tests/integration/%.o \
     $(HARNESS_SRC:%.c=$(BUILD)/%.o) $(LIB)
--- a/lib/group/owner_internal.h
+++ b/lib/group/owner_internal.h
@@ -38,6 +38,10 @@
     mr_list_t works;
     struct event *timer;
     size_t running;
+    /* Of the members and the configuration that ownership was last worked out
+     * from. */
+    uint64_t generation;
+    int64_t config_version;
 };
 
 /** mr_owner_find() - the owned target of a request, opened on demand; NULL
