Tell a target without room for a connection from a dead one

Cause: a 503 at connect was reported as 'unavailable', like a refused connection. Since waits end when a target refuses all connections, an owner whose extra connections met the target's bound, because another owner holds the rest, ended its waits although its own connections were at work. The observer also counts 'unavailable' towards suspecting a primary.

A 503 on a connection that never answered is now the refusal 'busy' (not run). target.h says so at MR_REFUSAL_BUSY. Ruled out: not ending waits while connections are in use; idle transactions at a dead target would keep them waiting.

The new pool test fails without the change in target.c (the wait ended) and passes with it.

--- a/lib/group/target.c
+++ b/lib/group/target.c
@@ -280,9 +280,11 @@
         return;
     }
     if (status == HTTP_SERVUNAVAIL && !conn->answered) {
-        /* Refused at connect: the target has read nothing. */
+        /* Refused at connect: the target lives, but has read nothing. */
         conn->broken = true;
-        finish(conn, MR_ERR_UNAVAILABLE, "connection refused by the target");
+        conn->reply.refusal = MR_REFUSAL_BUSY;
+        finish(conn, MR_ERR_TARGET_REFUSED,
+               "the target accepts no more connections");
         return;
     }
     struct evbuffer *body = evhttp_request_get_input_buffer(req);
--- a/lib/group/target.h
+++ b/lib/group/target.h
@@ -47,7 +47,7 @@
     MR_REFUSAL_WRONG_TERM,
     MR_REFUSAL_NOT_PRIMARY,
     MR_REFUSAL_LEAVING,
-    MR_REFUSAL_BUSY,
+    MR_REFUSAL_BUSY, /* no free slot, or no more connections accepted */
     MR_REFUSAL_NO_TRANSACTION,
     MR_REFUSAL_OTHER,
 } mr_target_refusal_t;
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -29,6 +29,8 @@
     size_t most_connections;
     int statements;
     int first_statements; /* that came first on a connection */
+    size_t bound;         /* connections that are accepted; 0: any number */
+    int refused;
 } fake;
 
 typedef struct client {
@@ -77,6 +79,14 @@
     struct evbuffer *body;
 
     (void)ctx;
+    if (fake.bound > 0 && !g_hash_table_contains(fake.connections, connection)
+        && g_hash_table_size(fake.connections) >= fake.bound) {
+        fake.refused++;
+        evhttp_add_header(evhttp_request_get_output_headers(req), "Connection",
+                          "close");
+        evhttp_send_reply(req, 503, NULL, NULL);
+        return;
+    }
     if (g_hash_table_add(fake.connections, connection)) {
         evhttp_connection_set_closecb(connection, on_fake_close, NULL);
         fake.first_statements += statement;
@@ -374,6 +384,29 @@
 }
 END_TEST
 
+/* Another owner may hold part of the connections that the target accepts; the
+ * waits must go on with those of this pool. */
+START_TEST(test_refused_connections_do_not_end_waits)
+{
+    fake.bound = SLOTS;
+    for (int i = 0; i < SLOTS; i++) {
+        clients[i].hold = true;
+        acquire(&clients[i], "a", FAR_MS);
+    }
+    turn(100);
+    ck_assert_int_eq(ended_count, SLOTS);
+    acquire(&clients[SLOTS], "a", FAR_MS);
+    turn(300);
+    ck_assert_int_gt(fake.refused, 0);
+    ck_assert_int_eq(clients[SLOTS].ended, 0);
+    give_back(&clients[0], MR_POOL_REUSE);
+    turn(50);
+    ck_assert_int_eq(clients[SLOTS].ended, 1);
+    ck_assert_int_eq(clients[SLOTS].error, MR_OK);
+    give_back(&clients[1], MR_POOL_REUSE);
+}
+END_TEST
+
 /* A target that restarts closes the idle connections. A statement that waits
  * meanwhile must end at once, as another target may serve it; the next one
  * must not come first on a connection. */
@@ -418,6 +451,7 @@
     tcase_add_test(tc, test_destroy_ends_waits_and_cancel_does_not);
     tcase_add_test(tc, test_pool_destroyed_in_a_callback);
     tcase_add_test(tc, test_pinned_connections_do_not_lock_the_pool);
+    tcase_add_test(tc, test_refused_connections_do_not_end_waits);
     tcase_add_test(tc, test_closed_idle_connections_are_replaced);
     suite_add_tcase(suite, tc);
     SRunner *runner = srunner_create(suite);
