Give way earlier when demand moves between data centres

Rows are read more often while in use (150 ms, 75 ms when short), a drop of demand is reported at once, long grants may change every 100 ms, and spare rate is divided three quarters equally.

--- a/lib/limit/grant.c
+++ b/lib/limit/grant.c
@@ -12,7 +12,7 @@
     /* A LONG grant is renewed this often, so that nearly all of its lifetime
      * is left when the limiter dies. */
     LONG_RENEW_MS = 5000,
-    LONG_CHANGE_MS = 250,
+    LONG_CHANGE_MS = 100,
     /* An instance that has not asked for this long has no demand. */
     DEMAND_MS = 2000,
     FORGET_MS = 2 * MR_GRANT_LONG_MS,
@@ -379,7 +379,7 @@
     int64_t base = cap.rate / (8 * most(count, 1));
     int64_t weights = most(demand + base * count, 1);
     target.rate = mr_limit_scale(cap.rate, holder->demand + base, weights);
-    target.rate = least(target.rate, holder->demand * 3 / 2 + base);
+    target.rate = least(target.rate, holder->demand + base);
     target.burst = mr_limit_scale(cap.burst, target.rate, most(cap.rate, 1));
     if (target.burst < MR_TOKEN_MILLI && holder->demand > 0) {
         target.burst = MR_TOKEN_MILLI;
--- a/lib/limit/local.c
+++ b/lib/limit/local.c
@@ -63,7 +63,10 @@
         return 0;
     }
     while (now - local->window >= WINDOW_MS) {
-        local->demand = smoothed(local->demand, sample, local->arrivals);
+        int64_t before = local->demand;
+        local->demand = smoothed(before, sample, local->arrivals);
+        /* The limiter should not learn of a drop only at the next renewal. */
+        local->unconfirmed = local->unconfirmed || local->demand < before / 2;
         local->arrivals = 0;
         local->window += WINDOW_MS;
         sample = 0;
--- a/lib/limit/share.c
+++ b/lib/limit/share.c
@@ -11,8 +11,8 @@
     RENEW_MS = MR_SHARE_LEASE_MS / 5,
     /* Reads of the row: while this data centre is short of rate, while the
      * account is in use, and otherwise. */
-    POLL_SHORT_MS = 100,
-    POLL_USED_MS = 250,
+    POLL_SHORT_MS = 75,
+    POLL_USED_MS = 150,
     POLL_IDLE_MS = 2000,
     RETRY_MS = 200,
     /* Writes other than renewals, for one account and data centre. */
@@ -161,7 +161,7 @@
     }
     int64_t spare = limit.rate - demand;
     if (spare >= 0) {
-        int64_t equal = demand > 0 ? spare / 2 : spare;
+        int64_t equal = demand > 0 ? spare * 3 / 4 : spare;
         target.rate = entry->demand + equal / count;
         target.rate +=
             mr_limit_scale(spare - equal, entry->demand, most(demand, 1));
