--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
             $(patsubst tests/standins/%.c,%,$(wildcard tests/standins/fault_proxy.c))
 UNIT := $(patsubst tests/unit/%.c,%,$(wildcard tests/unit/test_*.c))
 INTEGRATION := $(patsubst tests/integration/%.c,%,$(wildcard tests/integration/test_*.c))
-HARNESS_SRC := $(wildcard tests/integration/harness*.c)
+HARNESS_SRC := $(wildcard tests/integration/harness*.c tests/integration/trace.c)
 BENCH := $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
 EXAMPLES := $(patsubst examples/%.c,%,$(filter-out examples/common_%.c,$(wildcard examples/*.c)))
 
@@ -41,7 +41,7 @@
 all: programs standins tests bench-programs examples
 
 programs: $(PROGRAMS:%=$(BUILD)/%)
-standins: $(STANDINS:%=$(BUILD)/%)
+standins: $(STANDINS:%=$(BUILD)/%) $(BUILD)/redirect.so
 tests: $(UNIT:%=$(BUILD)/unit/%) $(INTEGRATION:%=$(BUILD)/integration/%)
 bench-programs: $(BENCH:%=$(BUILD)/%)
 examples: $(EXAMPLES:%=$(BUILD)/examples/%)
@@ -67,13 +67,20 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
+# Loaded into other programs, so it is built without sanitizers.
+$(BUILD)/redirect.so: tests/standins/redirect.c
+	@mkdir -p $(@D)
+	@echo "LD $@"
+	@$(CC) $(filter-out $(SANITIZE),$(ALL_CFLAGS)) -fPIC -shared $< -o $@
+
 $(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(LIB)
 	@mkdir -p $(@D)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(PKG_LIBS) -o $@
 
 # These tests run the platform stand-in.
-$(BUILD)/unit/test_platform $(BUILD)/unit/test_config_store: | $(BUILD)/platform_standin
+$(addprefix $(BUILD)/unit/,test_platform test_config_store test_config_change): | \
+    $(BUILD)/platform_standin
 
 $(BUILD)/integration/%: $(BUILD)/tests/integration/%.o \
     $(HARNESS_SRC:%.c=$(BUILD)/%.o) $(LIB)
@@ -92,6 +99,31 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
+# Fuzzers with the fuzzing library where clang has it, and programs that
+# replay files given as arguments.
+FUZZ := $(patsubst fuzz/%.c,%,$(wildcard fuzz/fuzz_*.c))
+FUZZ_FLAGS := -fsanitize=fuzzer,address
+FUZZ_PROBE = echo 'int LLVMFuzzerTestOneInput(void) { return 0; }' | \
+             clang $(FUZZ_FLAGS) -x c - -o /dev/null 2>/dev/null
+.PHONY: fuzz
+fuzz: $(FUZZ:%=$(BUILD)/fuzz/%_replay)
+	@if $(FUZZ_PROBE); then \
+	    $(MAKE) $(FUZZ:%=$(BUILD)/fuzz/%); \
+	else \
+	    echo "clang's fuzzing library is missing: built the replay programs only"; \
+	fi
+
+$(FUZZ:%=$(BUILD)/fuzz/%_replay): $(BUILD)/fuzz/%_replay: $(BUILD)/fuzz/%.o \
+    $(BUILD)/fuzz/replay.o $(LIB)
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
+
+$(FUZZ:%=$(BUILD)/fuzz/%): $(BUILD)/fuzz/%: fuzz/%.c \
+    $(wildcard lib/common/*.c) $(wildcard lib/wire/msg*.c)
+	@mkdir -p $(@D)
+	@echo "CC $@"
+	@clang $(ALL_CFLAGS) -Wno-unknown-warning-option $(FUZZ_FLAGS) $^ $(PKG_LIBS) -o $@
+
 packages:
 	@./tools/install-packages
 
@@ -106,8 +138,8 @@
 	./tools/run-tests $(BUILD) integration
 
 demo: packages
-	$(MAKE) programs standins
-	./tools/demo $(BUILD)
+	$(MAKE) programs standins $(BUILD)/integration/demo
+	MASTICRELAY_BUILD=$(BUILD) $(BUILD)/integration/demo
 
 format:
 	@clang-format -i $(SOURCES)
--- a/lib/entry/route.c
+++ b/lib/entry/route.c
@@ -30,11 +30,22 @@
 
 struct mr_route {
     mr_route_options_t options;
-    GHashTable *hints; /* group -> primary_hint_t */
+    GHashTable *hints;  /* group -> primary_hint_t */
+    GHashTable *owners; /* target -> owners_t */
     mr_list_t attempts;
     mr_counter_t *retries;
 };
 
+/**
+ * The first owners of a target. Ranking the members of a data centre takes a
+ * hash of each; at 325 members that is too much for every statement.
+ */
+typedef struct owners {
+    uint64_t generation; /* of the members they were chosen from */
+    size_t count;
+    char names[OWNERS_MAX][MR_CONFIG_NAME_MAX + 1];
+} owners_t;
+
 /** A request on its way. */
 typedef struct attempt {
     mr_list_t link;
@@ -67,11 +78,20 @@
            || a->msg->token_uncertain;
 }
 
+/*
+ * Whether a request with unknown outcome may be sent again. A write is only
+ * repeated under a higher term, where its first attempt can no longer run:
+ * under the same term a delayed first attempt could run after later writes and
+ * undo them, idempotent or not.
+ */
 static bool
-may_repeat(const attempt_t *a)
+may_repeat(const attempt_t *a, const mr_msg_execute_reply_t *reply)
 {
-    return a->msg->operation == MR_OPERATION_STATEMENT
-           && (a->msg->access == MR_ACCESS_READ || a->msg->idempotent);
+    if (a->msg->operation != MR_OPERATION_STATEMENT) {
+        return false;
+    }
+    return a->msg->access == MR_ACCESS_READ
+           || (a->msg->idempotent && reply->term > 0);
 }
 
 static void
@@ -101,7 +121,7 @@
         && mr_error_outcome((mr_error_kind_t)copy->error)
                == MR_OUTCOME_NOT_RUN) {
         copy->error = MR_ERR_OUTCOME_UNKNOWN;
-        copy->term = 0;
+        copy->term = a->msg->min_term - 1;
         copy->position = 0;
     }
     free_attempt(a);
@@ -343,8 +363,11 @@
         return;
     case MR_ERR_OUTCOME_UNKNOWN:
     case MR_ERR_INTERNAL:
-        if (may_repeat(a)) {
+        if (may_repeat(a, reply)) {
             a->maybe_run = true;
+            if (a->msg->access == MR_ACCESS_WRITE) {
+                a->msg->min_term = reply->term + 1;
+            }
             retry_elsewhere(a);
             return;
         }
@@ -385,18 +408,45 @@
     handle_reply(a, &failed);
 }
 
+static void
+rank_owners(const mr_members_t *members, const mr_config_target_t *target,
+            owners_t *owners)
+{
+    const mr_member_t *found[OWNERS_MAX];
+
+    owners->generation = mr_members_generation(members);
+    owners->count = mr_members_usable(members, target->name,
+                                      target->data_centre, found, OWNERS_MAX);
+    if (owners->count == 0) {
+        found[0] =
+            mr_members_owner(members, target->name, target->data_centre);
+        owners->count = found[0] != NULL ? 1 : 0;
+    }
+    for (size_t i = 0; i < owners->count; i++) {
+        snprintf(owners->names[i], sizeof(owners->names[i]), "%s",
+                 found[i]->name);
+    }
+}
+
 static const mr_member_t *
 choose_owner(const attempt_t *a, const mr_config_target_t *target)
 {
-    const mr_member_t *owners[OWNERS_MAX];
-    size_t count = mr_members_usable(a->route->options.members, target->name,
-                                     target->data_centre, owners, OWNERS_MAX);
+    const mr_members_t *members = a->route->options.members;
+    owners_t *owners = g_hash_table_lookup(a->route->owners, target->name);
 
-    if (count == 0) {
-        return mr_members_owner(a->route->options.members, target->name,
-                                target->data_centre);
+    if (owners == NULL) {
+        owners = MR_NEW(owners_t);
+        rank_owners(members, target, owners);
+        g_hash_table_insert(a->route->owners, mr_strdup(target->name), owners);
+    }
+    else if (owners->generation != mr_members_generation(members)) {
+        rank_owners(members, target, owners);
+    }
+    if (owners->count == 0) {
+        return NULL;
     }
-    return owners[a->owner_rank % count];
+    return mr_members_find(members,
+                           owners->names[a->owner_rank % owners->count]);
 }
 
 /* A read is tried elsewhere when its owner does not answer in time. */
@@ -546,6 +596,7 @@
 
     route->options = *options;
     route->hints = g_hash_table_new_full(g_str_hash, g_str_equal, free, free);
+    route->owners = g_hash_table_new_full(g_str_hash, g_str_equal, free, free);
     mr_list_init(&route->attempts);
     route->retries =
         mr_counters_get(options->counters, "masticrelay_route_retries_total",
@@ -564,5 +615,6 @@
         free_attempt(MR_LIST_ENTRY(it, attempt_t, link));
     }
     g_hash_table_destroy(route->hints);
+    g_hash_table_destroy(route->owners);
     free(route);
 }
--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -62,8 +62,9 @@
  * @data_centre: whose members
  * @out: receives up to @max members
  *
- * The own instance counts while it is not leaving. Suspects come behind the
- * live members.
+ * The own instance counts from the time when it has joined, that is, a member
+ * has answered it or the list shows no other, until it leaves. Suspects come
+ * behind the live members.
  *
  * Return: the number written.
  */
@@ -80,6 +81,11 @@
 const mr_member_t *mr_members_owner(const mr_members_t *members,
                                     const char *key, const char *data_centre);
 
+/** mr_members_generation() - grows whenever the answers of
+ * mr_members_usable() and mr_members_owner() may have changed, so that callers
+ * can keep them. */
+uint64_t mr_members_generation(const mr_members_t *members);
+
 /** mr_members_report_failure() - a link to a member failed. One of another
  * data centre is not used for a few seconds; one of the own data centre is
  * pinged at once. */
