--- a/programs/masticrelayctl_options.c
+++ b/programs/masticrelayctl_options.c
@@ -7,6 +7,9 @@
 
 enum { DEFAULT_TIMEOUT_MS = 5000, LONGEST_TIMEOUT_MS = 600000 };
 
+/* Differs from every number that someone would give. */
+#define TIMEOUT_NOT_GIVEN G_MININT64
+
 static char *
 from_environment(const char *name)
 {
@@ -24,6 +27,8 @@
 
     ctl->set.platform_address = from_environment("MASTICRELAY_PLATFORM");
     ctl->set.credential = from_environment("MASTICRELAY_OPERATOR_CREDENTIAL");
+    ctl->set.admin_authorities =
+        from_environment("MASTICRELAY_ADMIN_AUTHORITIES");
     ctl->set.approver_key = from_environment("MASTICRELAY_APPROVER_KEY");
     ctl->set.approver_public_key =
         from_environment("MASTICRELAY_APPROVER_PUBLIC_KEY");
@@ -47,6 +52,11 @@
          "Address of the platform", "IP:port"},
         {"admin", 0, 0, G_OPTION_ARG_STRING_ARRAY, &ctl->given.admins,
          "Admin listener of a daemon; may be repeated", "IP:port"},
+        {"admin-authorities", 0, 0, G_OPTION_ARG_FILENAME,
+         &ctl->given.admin_authorities,
+         "Use TLS to the admin listeners, with certificates of these "
+         "authorities",
+         "FILE"},
         {"operator-credential", 0, 0, G_OPTION_ARG_STRING,
          &ctl->given.credential, "Credential for the admin listeners", "TEXT"},
         {"approver-key", 0, 0, G_OPTION_ARG_FILENAME, &ctl->given.approver_key,
@@ -62,6 +72,7 @@
          NULL},
         G_OPTION_ENTRY_NULL,
     };
+    ctl->given.timeout_ms = TIMEOUT_NOT_GIVEN;
     GOptionGroup *group =
         g_option_group_new("common", "Settings:", "Settings", NULL, NULL);
 
@@ -74,6 +85,7 @@
 {
     g_free(settings->platform_address);
     g_strfreev(settings->admins);
+    g_free(settings->admin_authorities);
     g_free(settings->credential);
     g_free(settings->approver_key);
     g_free(settings->approver_public_key);
@@ -98,6 +110,7 @@
     ctl_settings_t *given = &ctl->given;
 
     replace_text(&set->platform_address, &given->platform_address);
+    replace_text(&set->admin_authorities, &given->admin_authorities);
     replace_text(&set->credential, &given->credential);
     replace_text(&set->approver_key, &given->approver_key);
     replace_text(&set->approver_public_key, &given->approver_public_key);
@@ -107,7 +120,7 @@
         set->admins = given->admins;
         given->admins = NULL;
     }
-    if (given->timeout_ms != 0) {
+    if (given->timeout_ms != TIMEOUT_NOT_GIVEN) {
         set->timeout_ms = given->timeout_ms;
     }
     set->json = set->json || given->json;
