Run the daemon's modules as children of a supervisor

The design names a supervisor tree; the daemon built its modules by hand. The children now start in order, drain in reverse order (entry, requests, owners, limiter) and stop in reverse order.

Stopping in this order needs modules that outlive their callers: requests in progress at a closing entry, router or service are cut loose, and subscriptions end with their subscriber.

--- a/lib/config/store.c
+++ b/lib/config/store.c
@@ -137,6 +137,18 @@
     }
 }
 
+void
+mr_config_store_unsubscribe(mr_config_store_t *store, const void *ctx)
+{
+    for (guint i = store->subscribers->len; i > 0; i--) {
+        if (g_array_index(store->subscribers, mr_config_subscriber_t, i - 1)
+                .ctx
+            == ctx) {
+            g_array_remove_index(store->subscribers, i - 1);
+        }
+    }
+}
+
 /* An approved staged version held here counts as confirmed: whether the
  * confirmation was written can be unknown, and it may have been accepted from
  * that moment on. */
--- a/lib/config/store.h
+++ b/lib/config/store.h
@@ -42,6 +42,9 @@
 void mr_config_store_subscribe(mr_config_store_t *store,
                                mr_config_change_fn_t fn, void *ctx);
 
+/** mr_config_store_unsubscribe() - end all subscriptions with @ctx. */
+void mr_config_store_unsubscribe(mr_config_store_t *store, const void *ctx);
+
 /**
  * mr_config_store_key_revoked() - whether a confirmed staged version withdraws
  * a key and may have been accepted while the store is out of reach
--- a/lib/daemon/daemon.c
+++ b/lib/daemon/daemon.c
@@ -8,6 +8,7 @@
 #include "common/address.h"
 #include "common/mem.h"
 #include "daemon/service.h"
+#include "daemon/supervisor.h"
 #include "entry/admin.h"
 #include "entry/entry.h"
 
@@ -19,16 +20,19 @@
     /* After announcing that it leaves, the instance still accepts callers for
      * this long, so that balancer and peers learn first. */
     DRAIN_NOTICE_MS = 1000,
-    /* It exits when nothing has been in progress for this long. */
+    /* A module is drained when it had nothing in progress for this long. */
     DRAIN_QUIET_MS = 300,
 };
 
-/** Progress of a graceful stop. */
-typedef enum drain_state {
-    DRAIN_NONE,
-    DRAIN_NOTICE,
-    DRAIN_FINISHING,
-} drain_state_t;
+/** Waits until a module has nothing in progress. */
+typedef struct drain {
+    mr_daemon_t *daemon;
+    size_t (*running)(const mr_daemon_t *daemon);
+    mr_ms_t busy_at;
+    struct event *timer;
+    mr_supervisor_done_fn_t done;
+    void *done_ctx;
+} drain_t;
 
 struct mr_daemon {
     mr_settings_t settings;
@@ -49,84 +53,88 @@
     mr_entry_t *entry;
     mr_admin_t *admin;
     struct event *signals[2];
-    struct event *drain_timer;
-    drain_state_t drain;
-    mr_ms_t drain_started;
-    mr_ms_t busy_at; /* when something was last in progress */
+    struct event *notice; /* ends the notice before a stop */
+    mr_supervisor_t *supervisor;
+    drain_t drain_entry;
+    drain_t drain_requests;
+    drain_t drain_owner;
+    bool stopping;
+    mr_ms_t stop_started;
+    int status;
     int64_t incarnation;
 };
 
+/* Draining. */
+
+static size_t
+entry_running(const mr_daemon_t *d)
+{
+    return mr_entry_running(d->entry);
+}
+
 static size_t
-count_running(const mr_daemon_t *d)
+requests_running(const mr_daemon_t *d)
 {
-    return mr_entry_running(d->entry) + mr_owner_running(d->owner)
-           + mr_reqid_running(d->reqid);
+    return mr_reqid_running(d->reqid);
+}
+
+static size_t
+owner_running(const mr_daemon_t *d)
+{
+    return mr_owner_running(d->owner);
 }
 
 static void
-begin_finishing(mr_daemon_t *d)
+end_drain(drain_t *drain)
 {
-    d->drain = DRAIN_FINISHING;
-    mr_entry_drain(d->entry);
-    mr_limit_drain(d->limit);
+    if (drain->timer != NULL) {
+        event_free(drain->timer);
+        drain->timer = NULL;
+    }
 }
 
 static void
 on_drain_tick(evutil_socket_t fd, short what, void *ctx)
 {
-    mr_daemon_t *d = ctx;
+    drain_t *drain = ctx;
     mr_ms_t now = mr_clock_now(NULL);
     struct timeval tv = mr_clock_timeval(DRAIN_TICK_MS);
 
     (void)fd;
     (void)what;
-    if (count_running(d) > 0) {
-        d->busy_at = now;
+    if (drain->running(drain->daemon) > 0) {
+        drain->busy_at = now;
     }
-    switch (d->drain) {
-    case DRAIN_NONE:
+    if (now - drain->busy_at >= DRAIN_QUIET_MS) {
+        end_drain(drain);
+        drain->done(drain->done_ctx);
         return;
-    case DRAIN_NOTICE:
-        if (now - d->drain_started >= DRAIN_NOTICE_MS) {
-            begin_finishing(d);
-            d->busy_at = now;
-        }
-        break;
-    case DRAIN_FINISHING:
-        if (now - d->busy_at >= DRAIN_QUIET_MS
-            || now - d->drain_started >= d->settings.drain_limit) {
-            mr_log(MR_LOG_INFO, "stopped", "running=%zu drain_ms=%lld",
-                   count_running(d), (long long)(now - d->drain_started));
-            event_base_loopbreak(d->base);
-            return;
-        }
-        break;
     }
-    evtimer_add(d->drain_timer, &tv);
+    evtimer_add(drain->timer, &tv);
 }
 
 static void
-on_signal(evutil_socket_t fd, short what, void *ctx)
+start_drain(mr_daemon_t *d, drain_t *drain,
+            size_t (*running)(const mr_daemon_t *daemon),
+            mr_supervisor_done_fn_t done, void *done_ctx)
 {
-    mr_daemon_t *d = ctx;
-
-    (void)what;
-    if (d->drain != DRAIN_NONE) {
-        return;
-    }
-    mr_log(MR_LOG_INFO, "stopping", "signal=%d", (int)fd);
-    d->drain = DRAIN_NOTICE;
-    d->drain_started = mr_clock_now(NULL);
-    mr_members_leave(d->members);
-    mr_admin_set_draining(d->admin);
-    on_drain_tick(-1, 0, d);
+    drain->daemon = d;
+    drain->running = running;
+    drain->done = done;
+    drain->done_ctx = done_ctx;
+    drain->busy_at = mr_clock_now(NULL);
+    drain->timer = evtimer_new(d->base, on_drain_tick, drain);
+    on_drain_tick(-1, 0, drain);
 }
 
-static void
-create_platform_parts(mr_daemon_t *d)
+/* Children of the supervisor, in the order in which they are started. */
+
+static bool
+start_peers(void *ctx)
 {
+    mr_daemon_t *d = ctx;
     const mr_settings_t *s = &d->settings;
-    mr_peer_options_t peer = {
+    mr_peer_options_t options = {
         .base = d->base,
         .counters = d->counters,
         .name = s->name,
@@ -135,38 +143,112 @@
         .secret = s->secret,
         .tls = d->peer_tls,
     };
-    mr_platform_options_t platform = {
+
+    d->peer = mr_peer_create(&options);
+    if (mr_peer_listen(d->peer, s->peer) > 0) {
+        return true;
+    }
+    mr_log(MR_LOG_ERROR, "listen_failed", "setting=--peer address=%s",
+           s->peer);
+    mr_peer_destroy(d->peer);
+    d->peer = NULL;
+    return false;
+}
+
+static void
+stop_peers(void *ctx)
+{
+    mr_daemon_t *d = ctx;
+
+    mr_peer_destroy(d->peer);
+    d->peer = NULL;
+}
+
+static bool
+start_platform(void *ctx)
+{
+    mr_daemon_t *d = ctx;
+    mr_platform_options_t options = {
         .base = d->base,
         .counters = d->counters,
-        .address = s->platform,
+        .address = d->settings.platform,
         .timeout = PLATFORM_TIMEOUT_MS,
     };
 
-    d->peer = mr_peer_create(&peer);
-    d->platform = mr_platform_create(&platform);
-    mr_members_options_t members = {
+    d->platform = mr_platform_create(&options);
+    return true;
+}
+
+static void
+stop_platform(void *ctx)
+{
+    mr_daemon_t *d = ctx;
+
+    mr_platform_destroy(d->platform);
+    d->platform = NULL;
+}
+
+static bool
+start_members(void *ctx)
+{
+    mr_daemon_t *d = ctx;
+    mr_members_options_t options = {
         .base = d->base,
         .counters = d->counters,
         .platform = d->platform,
         .peer = d->peer,
-        .name = s->name,
-        .data_centre = s->data_centre,
-        .address = s->advertise,
+        .name = d->settings.name,
+        .data_centre = d->settings.data_centre,
+        .address = d->settings.advertise,
         .incarnation = d->incarnation,
     };
-    d->members = mr_members_create(&members);
-    mr_config_store_options_t config = {
+
+    d->members = mr_members_create(&options);
+    return true;
+}
+
+static void
+stop_members(void *ctx)
+{
+    mr_daemon_t *d = ctx;
+
+    mr_members_destroy(d->members);
+    d->members = NULL;
+}
+
+static bool
+start_config(void *ctx)
+{
+    mr_daemon_t *d = ctx;
+    mr_config_store_options_t options = {
         .base = d->base,
         .counters = d->counters,
         .platform = d->platform,
         .peer = d->peer,
         .members = d->members,
-        .data_centre = s->data_centre,
-        .name = s->name,
-        .approver_key = s->approver_key,
+        .data_centre = d->settings.data_centre,
+        .name = d->settings.name,
+        .approver_key = d->settings.approver_key,
     };
-    d->config = mr_config_store_create(&config);
-    mr_limit_options_t limit = {
+
+    d->config = mr_config_store_create(&options);
+    return true;
+}
+
+static void
+stop_config(void *ctx)
+{
+    mr_daemon_t *d = ctx;
+
+    mr_config_store_destroy(d->config);
+    d->config = NULL;
+}
+
+static bool
+start_limit(void *ctx)
+{
+    mr_daemon_t *d = ctx;
+    mr_limit_options_t options = {
         .base = d->base,
         .clock = mr_clock_system(),
         .counters = d->counters,
@@ -174,28 +256,74 @@
         .peer = d->peer,
         .members = d->members,
         .config = d->config,
-        .name = s->name,
-        .data_centre = s->data_centre,
+        .name = d->settings.name,
+        .data_centre = d->settings.data_centre,
     };
-    d->limit = mr_limit_create(&limit);
+
+    d->limit = mr_limit_create(&options);
+    return true;
 }
 
 static void
-create_request_parts(mr_daemon_t *d)
+drain_limit(void *ctx, mr_supervisor_done_fn_t done, void *done_ctx)
 {
-    const mr_settings_t *s = &d->settings;
-    mr_owner_options_t owner = {
+    mr_daemon_t *d = ctx;
+
+    mr_limit_drain(d->limit);
+    done(done_ctx);
+}
+
+static void
+stop_limit(void *ctx)
+{
+    mr_daemon_t *d = ctx;
+
+    mr_limit_destroy(d->limit);
+    d->limit = NULL;
+}
+
+static bool
+start_owner(void *ctx)
+{
+    mr_daemon_t *d = ctx;
+    mr_owner_options_t options = {
         .base = d->base,
         .counters = d->counters,
         .platform = d->platform,
         .peer = d->peer,
         .members = d->members,
         .config = d->config,
-        .name = s->name,
-        .address = s->advertise,
+        .name = d->settings.name,
+        .address = d->settings.advertise,
     };
 
-    d->owner = mr_owner_create(&owner);
+    d->owner = mr_owner_create(&options);
+    return true;
+}
+
+static void
+drain_owner(void *ctx, mr_supervisor_done_fn_t done, void *done_ctx)
+{
+    mr_daemon_t *d = ctx;
+
+    start_drain(d, &d->drain_owner, owner_running, done, done_ctx);
+}
+
+static void
+stop_owner(void *ctx)
+{
+    mr_daemon_t *d = ctx;
+
+    end_drain(&d->drain_owner);
+    mr_owner_destroy(d->owner);
+    d->owner = NULL;
+}
+
+static bool
+start_requests(void *ctx)
+{
+    mr_daemon_t *d = ctx;
+    const mr_settings_t *s = &d->settings;
     mr_route_options_t route = {
         .base = d->base,
         .counters = d->counters,
@@ -206,6 +334,7 @@
         .name = s->name,
         .data_centre = s->data_centre,
     };
+
     d->route = mr_route_create(&route);
     mr_service_options_t service = {
         .peer = d->peer,
@@ -229,13 +358,39 @@
     };
     d->reqid = mr_reqid_create(&reqid);
     mr_service_set_reqid(d->service, d->reqid);
+    return true;
 }
 
 static void
-create_listeners(mr_daemon_t *d)
+drain_requests(void *ctx, mr_supervisor_done_fn_t done, void *done_ctx)
+{
+    mr_daemon_t *d = ctx;
+
+    start_drain(d, &d->drain_requests, requests_running, done, done_ctx);
+}
+
+static void
+stop_requests(void *ctx)
+{
+    mr_daemon_t *d = ctx;
+
+    end_drain(&d->drain_requests);
+    mr_service_destroy(d->service);
+    mr_reqid_destroy(d->reqid);
+    mr_route_destroy(d->route);
+    mr_seal_destroy(d->reqid_seal);
+    d->service = NULL;
+    d->reqid = NULL;
+    d->route = NULL;
+    d->reqid_seal = NULL;
+}
+
+static bool
+start_entry(void *ctx)
 {
+    mr_daemon_t *d = ctx;
     const mr_settings_t *s = &d->settings;
-    mr_entry_options_t entry = {
+    mr_entry_options_t options = {
         .base = d->base,
         .counters = d->counters,
         .config = d->config,
@@ -247,7 +402,43 @@
         .tls = d->tls,
         .descriptors_max = (size_t)s->connections_max + RESERVED_DESCRIPTORS,
     };
-    mr_admin_options_t admin = {
+
+    d->entry = mr_entry_create(&options);
+    if (mr_entry_listen(d->entry, s->listen)) {
+        return true;
+    }
+    mr_log(MR_LOG_ERROR, "listen_failed", "setting=--listen address=%s",
+           s->listen);
+    mr_entry_destroy(d->entry);
+    d->entry = NULL;
+    return false;
+}
+
+static void
+drain_entry(void *ctx, mr_supervisor_done_fn_t done, void *done_ctx)
+{
+    mr_daemon_t *d = ctx;
+
+    mr_entry_drain(d->entry);
+    start_drain(d, &d->drain_entry, entry_running, done, done_ctx);
+}
+
+static void
+stop_entry(void *ctx)
+{
+    mr_daemon_t *d = ctx;
+
+    end_drain(&d->drain_entry);
+    mr_entry_destroy(d->entry);
+    d->entry = NULL;
+}
+
+static bool
+start_admin(void *ctx)
+{
+    mr_daemon_t *d = ctx;
+    const mr_settings_t *s = &d->settings;
+    mr_admin_options_t options = {
         .base = d->base,
         .counters = d->counters,
         .config = d->config,
@@ -261,29 +452,110 @@
         .tls = d->tls,
     };
 
-    d->entry = mr_entry_create(&entry);
-    d->admin = mr_admin_create(&admin);
+    d->admin = mr_admin_create(&options);
+    if (mr_admin_listen(d->admin, s->admin)) {
+        printf("ready\n");
+        fflush(stdout);
+        return true;
+    }
+    mr_log(MR_LOG_ERROR, "listen_failed", "setting=--admin address=%s",
+           s->admin);
+    mr_admin_destroy(d->admin);
+    d->admin = NULL;
+    return false;
 }
 
-static bool
-listen_on(bool ok, const char *flag, const char *address)
+static void
+stop_admin(void *ctx)
 {
-    if (!ok) {
-        fprintf(stderr, "masticrelayd: --%s: cannot listen on %s\n", flag,
-                address);
+    mr_daemon_t *d = ctx;
+
+    mr_admin_destroy(d->admin);
+    d->admin = NULL;
+}
+
+static const mr_supervisor_child_t child_table[] = {
+    {"peers", NULL, start_peers, NULL, stop_peers},
+    {"platform", NULL, start_platform, NULL, stop_platform},
+    {"members", NULL, start_members, NULL, stop_members},
+    {"config", NULL, start_config, NULL, stop_config},
+    {"limit", NULL, start_limit, drain_limit, stop_limit},
+    {"owner", NULL, start_owner, drain_owner, stop_owner},
+    {"requests", NULL, start_requests, drain_requests, stop_requests},
+    {"entry", NULL, start_entry, drain_entry, stop_entry},
+    {"admin", NULL, start_admin, NULL, stop_admin},
+};
+
+static void
+on_child_failed(void *ctx, const char *name)
+{
+    mr_daemon_t *d = ctx;
+
+    mr_log(MR_LOG_ERROR, "child_failed", "child=%s", name);
+    d->status = EXIT_FAILURE;
+    event_base_loopbreak(d->base);
+}
+
+static void
+create_supervisor(mr_daemon_t *d)
+{
+    mr_supervisor_options_t options = {
+        .base = d->base,
+        .counters = d->counters,
+        .failed = on_child_failed,
+        .ctx = d,
+    };
+
+    d->supervisor = mr_supervisor_create(&options);
+    for (size_t i = 0; i < sizeof(child_table) / sizeof(child_table[0]); i++) {
+        mr_supervisor_child_t child = child_table[i];
+        child.ctx = d;
+        mr_supervisor_add(d->supervisor, &child);
     }
-    return ok;
 }
 
-static bool
-open_listeners(mr_daemon_t *d)
+/* Stopping. */
+
+static void
+on_stopped(void *ctx)
 {
-    const mr_settings_t *s = &d->settings;
+    mr_daemon_t *d = ctx;
+
+    mr_log(MR_LOG_INFO, "stopped", "drain_ms=%lld",
+           (long long)(mr_clock_now(NULL) - d->stop_started));
+    event_base_loopbreak(d->base);
+}
+
+static void
+on_notice_over(evutil_socket_t fd, short what, void *ctx)
+{
+    mr_daemon_t *d = ctx;
+
+    (void)fd;
+    (void)what;
+    mr_supervisor_stop(d->supervisor, d->settings.drain_limit, on_stopped, d);
+}
+
+static void
+on_signal(evutil_socket_t fd, short what, void *ctx)
+{
+    mr_daemon_t *d = ctx;
+    struct timeval notice = mr_clock_timeval(DRAIN_NOTICE_MS);
 
-    return listen_on(mr_peer_listen(d->peer, s->peer) > 0, "peer", s->peer)
-           && listen_on(mr_admin_listen(d->admin, s->admin), "admin", s->admin)
-           && listen_on(mr_entry_listen(d->entry, s->listen), "listen",
-                        s->listen);
+    (void)what;
+    if (d->stopping) {
+        return;
+    }
+    mr_log(MR_LOG_INFO, "stopping", "signal=%d", (int)fd);
+    d->stopping = true;
+    d->stop_started = mr_clock_now(NULL);
+    if (!mr_supervisor_running(d->supervisor)) {
+        event_base_loopbreak(d->base);
+        return;
+    }
+    mr_members_leave(d->members);
+    mr_admin_set_draining(d->admin);
+    evtimer_add(d->notice, &notice);
 }
 
 static void
@@ -364,23 +636,13 @@
     d->base = event_base_new();
     d->counters = mr_counters_create();
     if (!create_tls(d)) {
-        mr_tls_destroy(d->tls);
-        mr_tls_destroy(d->peer_tls);
-        mr_counters_destroy(d->counters);
-        event_base_free(d->base);
-        free(d);
+        mr_daemon_destroy(d);
         return NULL;
     }
-    create_platform_parts(d);
-    create_request_parts(d);
-    create_listeners(d);
-    d->drain_timer = evtimer_new(d->base, on_drain_tick, d);
+    d->notice = evtimer_new(d->base, on_notice_over, d);
     add_signal(d, 0, SIGTERM);
     add_signal(d, 1, SIGINT);
-    if (!open_listeners(d)) {
-        mr_daemon_destroy(d);
-        return NULL;
-    }
+    create_supervisor(d);
     mr_log(MR_LOG_INFO, "started", "listen=%s peer=%s admin=%s",
            settings->listen, settings->peer, settings->admin);
     return d;
@@ -394,23 +656,14 @@
     if (d == NULL) {
         return;
     }
-    mr_admin_destroy(d->admin);
-    mr_owner_destroy(d->owner);
-    mr_reqid_destroy(d->reqid);
-    mr_route_destroy(d->route);
-    mr_entry_destroy(d->entry);
-    mr_service_destroy(d->service);
-    mr_limit_destroy(d->limit);
-    mr_config_store_destroy(d->config);
-    mr_members_destroy(d->members);
-    mr_platform_destroy(d->platform);
-    mr_peer_destroy(d->peer);
-    mr_seal_destroy(d->reqid_seal);
+    if (d->supervisor != NULL) {
+        mr_supervisor_destroy(d->supervisor);
+        event_free(d->notice);
+        event_free(d->signals[0]);
+        event_free(d->signals[1]);
+    }
     mr_tls_destroy(d->tls);
     mr_tls_destroy(d->peer_tls);
-    event_free(d->drain_timer);
-    event_free(d->signals[0]);
-    event_free(d->signals[1]);
     mr_counters_destroy(d->counters);
     event_base_free(d->base);
     free(d);
@@ -419,7 +672,9 @@
 int
 mr_daemon_run(mr_daemon_t *daemon)
 {
-    printf("ready\n");
-    fflush(stdout);
-    return event_base_dispatch(daemon->base) < 0 ? EXIT_FAILURE : EXIT_SUCCESS;
+    mr_supervisor_start(daemon->supervisor);
+    if (event_base_dispatch(daemon->base) < 0) {
+        return EXIT_FAILURE;
+    }
+    return daemon->status;
 }
--- a/lib/daemon/service.c
+++ b/lib/daemon/service.c
@@ -2,15 +2,19 @@
 
 #include <stdlib.h>
 
+#include "common/list.h"
 #include "common/mem.h"
 
 struct mr_service {
     mr_service_options_t options;
     mr_reqid_t *reqid;
+    mr_list_t admissions;
 };
 
 /** A request with an id that waits for a token of its account. */
 typedef struct admission {
+    mr_list_t link;
+    mr_limit_wait_t *wait;
     mr_service_t *service;
     mr_msg_execute_t *msg;
     mr_execute_fn_t fn;
@@ -57,6 +61,14 @@
     }
 }
 
+static void
+free_admission(admission_t *admission)
+{
+    mr_list_remove(&admission->link);
+    mr_execute_free(admission->msg);
+    free(admission);
+}
+
 static void
 on_admitted(void *ctx, mr_error_kind_t error)
 {
@@ -72,8 +84,7 @@
         mr_route_execute(admission->service->options.route, admission->msg,
                          admission->fn, admission->ctx);
     }
-    mr_execute_free(admission->msg);
-    free(admission);
+    free_admission(admission);
 }
 
 void
@@ -100,8 +111,10 @@
     admission->fn = fn;
     admission->ctx = ctx;
     admission->deadline = mr_clock_now(NULL) + msg->deadline_ms;
-    if (mr_limit_admit(service->options.limit, account, on_admitted, admission)
-        == NULL) {
+    mr_list_append(&service->admissions, &admission->link);
+    admission->wait = mr_limit_admit(service->options.limit, account,
+                                     on_admitted, admission);
+    if (admission->wait == NULL) {
         on_admitted(admission, MR_OK);
     }
 }
@@ -118,6 +131,7 @@
     mr_service_t *service = MR_NEW(mr_service_t);
 
     service->options = *options;
+    mr_list_init(&service->admissions);
     mr_peer_handle(options->peer, MR_MSG_EXECUTE, on_execute, service);
     return service;
 }
@@ -125,5 +139,15 @@
 void
 mr_service_destroy(mr_service_t *service)
 {
+    if (service == NULL) {
+        return;
+    }
+    mr_peer_handle(service->options.peer, MR_MSG_EXECUTE, NULL, NULL);
+    MR_LIST_FOREACH(it, &service->admissions)
+    {
+        admission_t *admission = MR_LIST_ENTRY(it, admission_t, link);
+        mr_limit_cancel(admission->wait);
+        free_admission(admission);
+    }
     free(service);
 }
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/list.h"
 #include "common/mem.h"
 #include "entry/auth.h"
 #include "entry/session.h"
@@ -27,6 +28,7 @@
     mr_seal_t *txn_seal;
     bool draining;
     size_t running;
+    mr_list_t calls;
     mr_counter_t *outcomes[MR_ERROR_COUNT];
     mr_counter_t *replica_reads;
     mr_counter_t *primary_reads;
@@ -34,7 +36,8 @@
 
 /** One request of a caller. */
 typedef struct call {
-    mr_entry_t *entry;
+    mr_list_t link;
+    mr_entry_t *entry; /* NULL: the listener was closed meanwhile */
     struct evhttp_request *req;
     mr_statement_kind_t kind;
     mr_config_t *config;
@@ -62,7 +65,10 @@
         mr_statement_release(&call->body);
     }
     mr_config_unref(call->config);
-    call->entry->running--;
+    if (call->entry != NULL) {
+        call->entry->running--;
+    }
+    mr_list_remove(&call->link);
     free(call);
 }
 
@@ -268,6 +274,10 @@
     call_t *call = ctx;
     mr_error_kind_t error = (mr_error_kind_t)reply->error;
 
+    if (call->entry == NULL) {
+        free_call(call);
+        return;
+    }
     if (error == MR_ERR_UNAVAILABLE) {
         error = unavailable_kind(call);
     }
@@ -646,6 +656,7 @@
 
     call->entry = entry;
     call->req = req;
+    mr_list_append(&entry->calls, &call->link);
     entry->running++;
     if (path == NULL) {
         path = "";
@@ -722,6 +733,7 @@
     };
 
     entry->options = *options;
+    mr_list_init(&entry->calls);
     entry->session_seal = mr_seal_create(options->secret, MR_SEAL_SESSION);
     entry->txn_seal = mr_seal_create(options->secret, MR_SEAL_TRANSACTION);
     entry->listener = mr_listener_create(&listener, on_request, entry);
@@ -735,6 +747,18 @@
     if (entry == NULL) {
         return;
     }
+    /* Requests that still run end without an answer. */
+    MR_LIST_FOREACH(it, &entry->calls)
+    {
+        call_t *call = MR_LIST_ENTRY(it, call_t, link);
+        if (call->limit_wait != NULL) {
+            free_call(call);
+        }
+        else {
+            call->entry = NULL;
+            mr_list_remove(it);
+        }
+    }
     mr_listener_destroy(entry->listener);
     mr_seal_destroy(entry->session_seal);
     mr_seal_destroy(entry->txn_seal);
--- a/lib/entry/route.c
+++ b/lib/entry/route.c
@@ -66,6 +66,7 @@
     mr_msg_execute_reply_t *last;
     struct event *timer;
     mr_peer_call_t *call;
+    bool local; /* this instance's owner service has it */
 } attempt_t;
 
 static void send_attempt(attempt_t *a);
@@ -112,6 +113,10 @@
 static void
 finish(attempt_t *a, const mr_msg_execute_reply_t *reply)
 {
+    if (a->route == NULL) {
+        free_attempt(a);
+        return;
+    }
     mr_execute_fn_t fn = a->fn;
     void *ctx = a->ctx;
     mr_msg_execute_reply_t *copy = mr_execute_reply_copy(reply);
@@ -381,7 +386,14 @@
 static void
 on_local_reply(void *ctx, const mr_msg_execute_reply_t *reply)
 {
-    handle_reply(ctx, reply);
+    attempt_t *a = ctx;
+
+    a->local = false;
+    if (a->route == NULL) {
+        free_attempt(a);
+        return;
+    }
+    handle_reply(a, reply);
 }
 
 static void
@@ -493,6 +505,7 @@
     msg.u.execute.target = target->name;
     if (strcmp(member->name, a->route->options.name) == 0) {
         msg.u.execute.deadline_ms = time;
+        a->local = true;
         mr_owner_execute(a->route->options.owner, &msg.u.execute,
                          on_local_reply, a);
         return;
@@ -579,6 +592,7 @@
     mr_msg_t out = {.type = MR_MSG_EXECUTE};
 
     if (strcmp(instance, route->options.name) == 0) {
+        a->local = true;
         mr_owner_execute(route->options.owner, a->msg, on_local_forward_reply,
                          a);
         return;
@@ -612,7 +626,15 @@
     }
     MR_LIST_FOREACH(it, &route->attempts)
     {
-        free_attempt(MR_LIST_ENTRY(it, attempt_t, link));
+        attempt_t *a = MR_LIST_ENTRY(it, attempt_t, link);
+        /* The owner service still has to end those it works on. */
+        if (a->local) {
+            a->route = NULL;
+            mr_list_remove(it);
+        }
+        else {
+            free_attempt(a);
+        }
     }
     g_hash_table_destroy(route->hints);
     g_hash_table_destroy(route->owners);
--- a/lib/group/owner.c
+++ b/lib/group/owner.c
@@ -40,7 +40,7 @@
 
 /** A promotion on its way to the table service. */
 typedef struct mirror {
-    mr_owner_t *owner;
+    mr_platform_t *platform;
     char *row;
     json_t *value;
 } mirror_t;
@@ -57,7 +57,7 @@
     }
     if ((error == MR_OK || error == MR_ERR_NOT_FOUND)
         && term < json_integer_value(json_object_get(mirror->value, "term"))) {
-        mr_platform_row_put(mirror->owner->options.platform, mirror->row,
+        mr_platform_row_put(mirror->platform, mirror->row,
                             error == MR_OK ? revision : 0, mirror->value,
                             on_mirror_written, NULL);
     }
@@ -74,7 +74,7 @@
     mr_owner_t *owner = ctx;
     mirror_t *mirror = MR_NEW(mirror_t);
 
-    mirror->owner = owner;
+    mirror->platform = owner->options.platform;
     mirror->row = mr_asprintf("primary/%s", group);
     mirror->value =
         json_pack("{s:I, s:s, s:s, s:I}", "term", (json_int_t)term, "target",
@@ -447,6 +447,9 @@
     if (owner == NULL) {
         return;
     }
+    mr_peer_handle(owner->options.peer, MR_MSG_PROBE, NULL, NULL);
+    mr_config_store_unsubscribe(owner->options.config, owner);
+    mr_members_unsubscribe(owner->options.members, owner);
     mr_work_abandon(owner);
     g_hash_table_destroy(owner->transactions);
     GList *open = g_hash_table_get_values(owner->targets);
--- a/lib/limit/limit.c
+++ b/lib/limit/limit.c
@@ -477,6 +477,7 @@
     if (limit == NULL) {
         return;
     }
+    mr_config_store_unsubscribe(limit->options.config, limit);
     event_free(limit->timer);
     while (!mr_list_empty(&limit->accounts)) {
         destroy_account(MR_LIST_ENTRY(limit->accounts.next, account_t, link));
--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -632,6 +632,19 @@
     mr_list_append(&members->subscribers, &subscriber->link);
 }
 
+void
+mr_members_unsubscribe(mr_members_t *members, const void *ctx)
+{
+    MR_LIST_FOREACH(it, &members->subscribers)
+    {
+        subscriber_t *subscriber = MR_LIST_ENTRY(it, subscriber_t, link);
+        if (subscriber->ctx == ctx) {
+            mr_list_remove(it);
+            free(subscriber);
+        }
+    }
+}
+
 const mr_member_t *
 mr_members_find(const mr_members_t *members, const char *name)
 {
--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -52,6 +52,9 @@
 void mr_members_subscribe(mr_members_t *members, mr_members_change_fn_t fn,
                           void *ctx);
 
+/** mr_members_unsubscribe() - end all subscriptions with @ctx. */
+void mr_members_unsubscribe(mr_members_t *members, const void *ctx);
+
 /** mr_members_find() - the member called @name, or NULL. */
 const mr_member_t *mr_members_find(const mr_members_t *members,
                                    const char *name);
