--- a/lib/group/view.c
+++ b/lib/group/view.c
@@ -152,7 +152,8 @@
     size_t claimant = find_claimant(view);
 
     if (claimant == MR_VIEW_NONE
-        || mr_view_acknowledged(view, view->targets[claimant].state.term,
+        || mr_view_acknowledged(view, claimant,
+                                view->targets[claimant].state.term,
                                 view->targets[claimant].state.position)) {
         view->behind_since = -1;
     }
@@ -168,9 +169,6 @@
     mr_view_target_t *target = &view->targets[index];
 
     target->refusals = 0;
-    if (state->primary && state->term > target->led) {
-        target->led = state->term;
-    }
     if (tick > target->tick) {
         target->tick = tick;
     }
@@ -200,14 +198,14 @@
 }
 
 bool
-mr_view_acknowledged(const mr_view_t *view, int64_t term, int64_t position)
+mr_view_acknowledged(const mr_view_t *view, size_t executor, int64_t term,
+                     int64_t position)
 {
-    size_t holders = 1; /* the primary that executed it */
+    size_t holders = 1; /* the executor */
 
     for (size_t i = 0; i < view->count; i++) {
         const mr_view_target_t *target = &view->targets[i];
-        if (target->known && target->led != term
-            && target->state.last_term == term
+        if (i != executor && target->known && target->state.last_term == term
             && target->state.position >= position) {
             holders++;
         }
--- a/lib/group/view.h
+++ b/lib/group/view.h
@@ -36,7 +36,6 @@
 typedef struct mr_view_target {
     bool known;
     mr_log_state_t state;
-    int64_t led;     /* highest term under which it reported to be primary */
     mr_ms_t sent_at; /* when the newest answered request was sent */
     uint64_t tick;   /* of the newest answered probe */
     int refusals;    /* connections refused since the last answer */
@@ -98,13 +97,14 @@
 
 /**
  * mr_view_acknowledged() - whether the write at (@term, @position) is safe
+ * @executor: index of the target that executed it as primary. It counts once:
+ *            after granting a higher term it reports itself as a replica.
  *
  * Counts only logs whose last entry carries @term: a new primary opens its
  * term with an entry of its own, and a position alone may have been reached
- * by a divergent log. The target that led @term counts once, also after it has
- * stepped down: its log then still ends with @term, as a replica's would.
+ * by a divergent log.
  */
-bool mr_view_acknowledged(const mr_view_t *view, int64_t term,
+bool mr_view_acknowledged(const mr_view_t *view, size_t executor, int64_t term,
                           int64_t position);
 
 /** mr_view_superseded() - whether no replica can report @term any more. */
--- a/lib/limit/grant.c
+++ b/lib/limit/grant.c
@@ -12,7 +12,7 @@
     /* A LONG grant is renewed this often, so that nearly all of its lifetime
      * is left when the limiter dies. */
     LONG_RENEW_MS = 5000,
-    LONG_CHANGE_MS = 250,
+    LONG_CHANGE_MS = 100,
     /* An instance that has not asked for this long has no demand. */
     DEMAND_MS = 2000,
     FORGET_MS = 2 * MR_GRANT_LONG_MS,
@@ -239,6 +239,21 @@
     return demand;
 }
 
+int64_t
+mr_grant_book_stuck(const mr_grant_book_t *book, mr_ms_t now)
+{
+    int64_t stuck = long_sum(book, NULL, now).rate;
+
+    MR_LIST_FOREACH(it, &book->holders)
+    {
+        const holder_t *holder = MR_LIST_ENTRY(it, holder_t, link);
+        if (now - holder->asked < DEMAND_MS) {
+            stuck -= holder_sum(holder, MR_GRANT_LONG, now).rate;
+        }
+    }
+    return most(stuck, 0);
+}
+
 static holder_t *
 find_holder(mr_grant_book_t *book, const char *name, int64_t process)
 {
@@ -401,7 +416,10 @@
             || (last != NULL && now - last->given < LONG_RENEW_MS)) {
             return false;
         }
-        return give(book, holder, MR_GRANT_LONG, ask->held, now, item);
+        target = long_cap(book->share);
+        target.rate = least(target.rate, ask->held.rate);
+        target.burst = least(target.burst, ask->held.burst);
+        return give(book, holder, MR_GRANT_LONG, target, now, item);
     }
     target = long_target(book, holder, now);
     if (last == NULL ? target.rate == 0
--- a/programs/masticrelayctl.h
+++ b/programs/masticrelayctl.h
@@ -6,6 +6,7 @@
  * loop; the helpers below start one call and run the loop until it ends.
  */
 
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <glib.h>
 #include <jansson.h>
@@ -30,8 +31,10 @@
 typedef struct ctl_settings {
     char *platform_address;
     char **admins;
+    char *admin_authorities; /* file; NULL: no TLS to admin listeners */
     char *credential;
-    char *approver_key; /* file with the customer's secret key */
+    char *approver_key;        /* file with the customer's secret key */
+    char *approver_public_key; /* hex */
     char *operator_name;
     gint64 timeout_ms;
     gboolean json;
@@ -44,6 +47,7 @@
     struct event_base *base;
     mr_counters_t *counters;
     mr_platform_t *platform; /* NULL until ctl_platform() */
+    struct ssl_ctx_st *tls;  /* to admin listeners; NULL until it is needed */
 } ctl_t;
 
 /** struct ctl_command - one row of the table of commands */
@@ -70,19 +74,27 @@
 ctl_status_t ctl_key_issue(CTL_PARAMETERS);
 ctl_status_t ctl_key_withdraw(CTL_PARAMETERS);
 ctl_status_t ctl_target_leave(CTL_PARAMETERS);
-/* masticrelayctl_change.c */
+/* masticrelayctl_propose.c */
 ctl_status_t ctl_propose(CTL_PARAMETERS);
+/** ctl_next_version() - the lowest version that can be proposed. */
+ctl_status_t ctl_next_version(ctl_t *ctl, int64_t *version);
+/** ctl_stage() - propose the configuration @text; see propose. */
+ctl_status_t ctl_stage(ctl_t *ctl, const char *text);
+/* masticrelayctl_change.c */
 ctl_status_t ctl_approve(CTL_PARAMETERS);
 ctl_status_t ctl_veto(CTL_PARAMETERS);
 ctl_status_t ctl_accept(CTL_PARAMETERS);
-/** ctl_stage() - propose the configuration @text; see propose. */
-ctl_status_t ctl_stage(ctl_t *ctl, const char *text);
 /* masticrelayctl_approver.c */
 ctl_status_t ctl_approver_create(CTL_PARAMETERS);
 /** ctl_read_approver_key() - the secret key of --approver-key. */
 ctl_status_t
 ctl_read_approver_key(const ctl_t *ctl,
                       uint8_t secret_key[MR_APPROVAL_SECRET_KEY_BYTES]);
+/** ctl_read_public_key() - the key of --approver-public-key, or the public
+ * half of --approver-key. */
+ctl_status_t
+ctl_read_public_key(const ctl_t *ctl,
+                    uint8_t public_key[MR_APPROVAL_PUBLIC_KEY_BYTES]);
 /* masticrelayctl_status.c */
 ctl_status_t ctl_show_status(CTL_PARAMETERS);
 ctl_status_t ctl_show_groups(CTL_PARAMETERS);
@@ -174,11 +186,20 @@
 mr_error_kind_t ctl_object(ctl_t *ctl, const char *name, char **data,
                            size_t *len);
 
+/* masticrelayctl_tls.c */
+
+/** ctl_tls_open() - read the file of --admin-authorities, if there is one. */
+ctl_status_t ctl_tls_open(ctl_t *ctl);
+
+/** ctl_tls_connection() - a bufferevent for a connection to @ip. */
+struct bufferevent *ctl_tls_connection(const ctl_t *ctl, const char *ip);
+void ctl_tls_close(ctl_t *ctl);
+
 /**
  * ctl_admin_status() - GET /status of every --admin address, at the same time
  *
- * Return: new array of {"address", and "status" or "error"}.
+ * @answers: receives a new array of {"address", and "status" or "error"}
  */
-json_t *ctl_admin_status(ctl_t *ctl);
+ctl_status_t ctl_admin_status(ctl_t *ctl, json_t **answers);
 
 #endif
--- a/programs/masticrelayctl_options.c
+++ b/programs/masticrelayctl_options.c
@@ -7,6 +7,9 @@
 
 enum { DEFAULT_TIMEOUT_MS = 5000, LONGEST_TIMEOUT_MS = 600000 };
 
+/* Differs from every number that someone would give. */
+#define TIMEOUT_NOT_GIVEN G_MININT64
+
 static char *
 from_environment(const char *name)
 {
@@ -24,7 +27,11 @@
 
     ctl->set.platform_address = from_environment("MASTICRELAY_PLATFORM");
     ctl->set.credential = from_environment("MASTICRELAY_OPERATOR_CREDENTIAL");
+    ctl->set.admin_authorities =
+        from_environment("MASTICRELAY_ADMIN_AUTHORITIES");
     ctl->set.approver_key = from_environment("MASTICRELAY_APPROVER_KEY");
+    ctl->set.approver_public_key =
+        from_environment("MASTICRELAY_APPROVER_PUBLIC_KEY");
     ctl->set.operator_name = from_environment("MASTICRELAY_OPERATOR");
     if (ctl->set.operator_name == NULL) {
         ctl->set.operator_name = g_strdup(g_get_user_name());
@@ -45,10 +52,18 @@
          "Address of the platform", "IP:port"},
         {"admin", 0, 0, G_OPTION_ARG_STRING_ARRAY, &ctl->given.admins,
          "Admin listener of a daemon; may be repeated", "IP:port"},
+        {"admin-authorities", 0, 0, G_OPTION_ARG_FILENAME,
+         &ctl->given.admin_authorities,
+         "Use TLS to the admin listeners, with certificates of these "
+         "authorities",
+         "FILE"},
         {"operator-credential", 0, 0, G_OPTION_ARG_STRING,
          &ctl->given.credential, "Credential for the admin listeners", "TEXT"},
         {"approver-key", 0, 0, G_OPTION_ARG_FILENAME, &ctl->given.approver_key,
-         "The customer's secret key, for approve and veto", "FILE"},
+         "The customer's secret key, for approve", "FILE"},
+        {"approver-public-key", 0, 0, G_OPTION_ARG_STRING,
+         &ctl->given.approver_public_key,
+         "The customer's public key, for accept", "HEX"},
         {"operator", 0, 0, G_OPTION_ARG_STRING, &ctl->given.operator_name,
          "Name for the audit records (the user's name)", "NAME"},
         {"timeout-ms", 0, 0, G_OPTION_ARG_INT64, &ctl->given.timeout_ms,
@@ -57,6 +72,7 @@
          NULL},
         G_OPTION_ENTRY_NULL,
     };
+    ctl->given.timeout_ms = TIMEOUT_NOT_GIVEN;
     GOptionGroup *group =
         g_option_group_new("common", "Settings:", "Settings", NULL, NULL);
 
@@ -69,8 +85,10 @@
 {
     g_free(settings->platform_address);
     g_strfreev(settings->admins);
+    g_free(settings->admin_authorities);
     g_free(settings->credential);
     g_free(settings->approver_key);
+    g_free(settings->approver_public_key);
     g_free(settings->operator_name);
     memset(settings, 0, sizeof(*settings));
 }
@@ -92,15 +110,17 @@
     ctl_settings_t *given = &ctl->given;
 
     replace_text(&set->platform_address, &given->platform_address);
+    replace_text(&set->admin_authorities, &given->admin_authorities);
     replace_text(&set->credential, &given->credential);
     replace_text(&set->approver_key, &given->approver_key);
+    replace_text(&set->approver_public_key, &given->approver_public_key);
     replace_text(&set->operator_name, &given->operator_name);
     if (given->admins != NULL) {
         g_strfreev(set->admins);
         set->admins = given->admins;
         given->admins = NULL;
     }
-    if (given->timeout_ms != 0) {
+    if (given->timeout_ms != TIMEOUT_NOT_GIVEN) {
         set->timeout_ms = given->timeout_ms;
     }
     set->json = set->json || given->json;
