Take back the lease at once after a restart without successors

A lone instance of a data centre waited for its own former lease, 6 s without a limiter. Its name stands for one process at a time already in that case.

--- a/lib/limit/lease.c
+++ b/lib/limit/lease.c
@@ -140,13 +140,15 @@
     }
     if (row->owner[0] != '\0') {
         wait = mr_limit_lapse(row->lease);
-        /* The owner's own name after a restart counts as named only when
-         * nobody else is. */
-        if (!is_successor(row, lease->name)
-            && (row->successor_count > 0
-                || strcmp(row->owner, lease->name) != 0)) {
+        if (!is_successor(row, lease->name)) {
             wait += mr_limit_lapse(MR_LEASE_OUTAGE_MS);
         }
+        /* A process that was alone replaces its predecessor at once: its name
+         * stands for one process at a time, and nobody else can. */
+        if (row->successor_count == 0
+            && strcmp(row->owner, lease->name) == 0) {
+            wait = 0;
+        }
     }
     /* The preferred one goes first, so that two do not race. */
     if (!preferred) {
--- a/lib/limit/lease.h
+++ b/lib/limit/lease.h
@@ -10,8 +10,9 @@
  * lease, on its own clock. An instance that is not named waits a further
  * MR_LEASE_OUTAGE_MS. While the store is out, the owner goes on for at most
  * that time and only while every named successor promises not to take over. An
- * owner that restarts is not named, unless nobody is: then its name must
- * stand for one process at a time.
+ * owner that restarts is not named, as its former process may only be paused;
+ * but when nobody is named, its name stands for one process at a time and it
+ * takes the lease back at once.
  */
 
 #include <jansson.h>
