--- a/tests/unit/test_limit_model.c
+++ b/tests/unit/test_limit_model.c
@@ -22,6 +22,8 @@
      * gave before it learned of it may last for the lifetime of a long grant,
      * and once more each if a successor and then nobody renews it. */
     LIMIT_SETTLES_MS = 200000,
+    STORE_TIMEOUT_MS = 1000,
+    ASK_FAILS_MS = 40,
     CONFIG_MS = 3000,   /* until every instance knows a configuration */
     LIMITER_STEPS = 10, /* steps between two runs of the limiter role */
     WAITS_MAX = 256,
@@ -114,29 +116,44 @@
     return w->now + node->offset;
 }
 
+/* Put an event into the queue, which is sorted by time. */
+static void
+enqueue(world_t *w, event_t *event, mr_ms_t due)
+{
+    event_t **at = &w->events;
+
+    event->due = due;
+    while (*at != NULL && (*at)->due <= due) {
+        at = &(*at)->next;
+    }
+    event->next = *at;
+    *at = event;
+}
+
 static event_t *
-post(world_t *w, kind_t kind, int node, int peer)
+post_after(world_t *w, kind_t kind, int node, int peer, mr_ms_t delay)
 {
     event_t *event = MR_NEW(event_t);
-    mr_ms_t delay = 1 + (mr_ms_t)(uniform(w) * 3);
 
-    if (uniform(w) < w->slow) {
-        delay += (mr_ms_t)(uniform(w) * (uniform(w) < 0.7 ? 900 : 20000));
-    }
     event->kind = kind;
     event->node = node;
     event->peer = peer;
     event->process = w->nodes[node].process;
-    event->due = w->now + delay;
-    event_t **at = &w->events;
-    while (*at != NULL && (*at)->due <= event->due) {
-        at = &(*at)->next;
-    }
-    event->next = *at;
-    *at = event;
+    enqueue(w, event, w->now + delay);
     return event;
 }
 
+static event_t *
+post(world_t *w, kind_t kind, int node, int peer)
+{
+    mr_ms_t delay = 1 + (mr_ms_t)(uniform(w) * 3);
+
+    if (uniform(w) < w->slow) {
+        delay += (mr_ms_t)(uniform(w) * (uniform(w) < 0.7 ? 900 : 20000));
+    }
+    return post_after(w, kind, node, peer, delay);
+}
+
 static void
 start_node(world_t *w, int index)
 {
@@ -351,12 +368,12 @@
     int index = (int)(node - w->nodes);
     bool cut = w->store_down || node->store_cut || lost(w);
     kind_t back = kind == TO_TABLE_LEASE ? LEASE_BACK : SHARE_BACK;
-    event_t *event = post(w, cut ? back : kind, index, index);
+    event_t *event = cut ? post_after(w, back, index, index, STORE_TIMEOUT_MS)
+                         : post(w, kind, index, index);
 
     event->write = write;
     event->failed = cut;
     event->result = MR_SHARE_UNKNOWN;
-    event->due += cut ? 0 : 0;
     if (lease != NULL) {
         event->lease = *lease;
     }
@@ -446,19 +463,19 @@
         end_waits(w, node, false);
     }
     if (mr_limit_local_ask(&node->local, node->wait_count, now, &ask)) {
-        event = post(w, ASK, node->owner, (int)(node - w->nodes));
-        event->ask = ask;
-        event->sent = now;
+        int index = (int)(node - w->nodes);
         if (lost(w) || w->now < w->nodes[node->owner].paused_until) {
-            /* As a call that times out; another member is asked next. */
-            event->kind = ASK_BACK;
-            event->node = (int)(node - w->nodes);
-            event->process = node->process;
+            /* As a call that fails; another member is asked next. */
+            event = post_after(w, ASK_BACK, index, index, ASK_FAILS_MS);
             event->failed = true;
-            event->due = w->now + 40;
             node->owner =
                 node->centre * PER_CENTRE + (int)(uniform(w) * PER_CENTRE);
         }
+        else {
+            event = post(w, ASK, node->owner, index);
+        }
+        event->ask = ask;
+        event->sent = now;
     }
     while ((id = mr_grant_hold_spent(&node->local.hold, now)) != 0) {
         event = post(w, RETURN, node->owner, (int)(node - w->nodes));
@@ -544,14 +561,10 @@
             event->kind == TO_TABLE_LEASE || event->kind == TO_TABLE_SHARE;
         w->events = event->next;
         if (!table && w->now < node->paused_until) {
-            event_t *again = post(w, event->kind, event->node, event->peer);
-            event_t *next = again->next;
-            mr_ms_t due = node->paused_until + (again->due - w->now);
-            *again = *event;
-            again->next = next;
-            again->due = due;
-        }
-        else if (table || event->process == node->process) {
+            enqueue(w, event, node->paused_until + 1);
+            continue;
+        }
+        if (table || event->process == node->process) {
             handle(w, event);
         }
         free(event);
--- a/tests/unit/test_share.c
+++ b/tests/unit/test_share.c
@@ -103,6 +103,8 @@
                      limit.rate / 2);
     ck_assert_int_eq(mr_share_plan(share, &input, 5000, &out), MR_SHARE_WRITE);
     ck_assert_int_eq(out.revision, 2);
+    ck_assert_int_eq(mr_share_usable(share, &input, 5000).rate,
+                     limit.rate / 2);
     mr_share_destroy(share);
 }
 END_TEST
