Refuse reads at a target that does not answer while others do

Cause: an instance that is cut off from other data centres becomes the owner of their targets. Reads waited there for a connection to a replica out of reach until the deadline, and the entry's own primary, last in the order, was never tried: on the isolated side no read was served in 10 s.

Change: the owner answers 'unavailable' (not run) when the observer does not reach the target but reaches another one of the group, so that the entry goes on to that one. If none is reached, reads wait as before. In test_isolated_primary the isolated side now serves after 1.2 s (no read in 10.8 s before).

--- a/lib/group/work.c
+++ b/lib/group/work.c
@@ -410,6 +410,25 @@
     return age >= 0 && age <= work->msg->max_age_ms;
 }
 
+/* Whether the target does not answer while another of its group does. A wait
+ * for a connection to it would use up the caller's deadline. */
+static bool
+is_cut_off(const mr_work_t *work)
+{
+    const mr_view_t *view = mr_observer_view(observer_of(work));
+    mr_ms_t now = mr_clock_now(NULL);
+
+    if (mr_view_reachable(view, work->target->index, now)) {
+        return false;
+    }
+    for (size_t i = 0; i < view->count; i++) {
+        if (mr_view_reachable(view, i, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 start_read(mr_work_t *work)
 {
@@ -426,6 +445,10 @@
         refuse_stale(work, "the target is leaving");
         return;
     }
+    if (is_cut_off(work)) {
+        fail(work, MR_ERR_UNAVAILABLE, "the target does not answer");
+        return;
+    }
     if (target->known && !is_young_enough(work, &target->state)) {
         refuse_stale(work, "the replica's data is too old");
         return;
