--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -8,6 +8,7 @@
  * callers go on meanwhile. Failures of the harness itself abort the test.
  */
 
+#include <check.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <jansson.h>
@@ -27,6 +28,10 @@
     HARNESS_READY_MS = 10000,
 };
 
+/** harness_main() - run tests one after the other, each in a process of its
+ * own; returns the exit status. */
+int harness_main(const char *name, const TTest *const *tests, size_t count);
+
 /* ---------------------------------------------------------- Processes */
 
 typedef struct harness_process {
