--- /dev/null
+++ b/tests/integration/test_acknowledged.c
@@ -0,0 +1,246 @@
+/* P2. Guards against acknowledged writes that are lost and against writes
+ * acknowledged by a replaced primary: callers on the isolated side, a primary
+ * and a pool owner paused over the promotion, rival proposers, the store down,
+ * and a primary that counts itself as a replica after it granted a term. */
+
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "harness.h"
+
+enum {
+    SEED = 1201,
+    LAG_MS = 60,
+    FAILOVER_LIMIT_MS = 5000,
+    RIVAL_ROUNDS = 8,
+    PAUSE_MS = 2500,
+};
+
+static const char *const places[] = {"konya", "aksaray", "karaman", NULL};
+
+static const harness_load_t load = {.callers = 16,
+                                    .account = -1,
+                                    .write_percent = 60,
+                                    .append_percent = 40,
+                                    .keys = 2,
+                                    .pause = 5,
+                                    .seed = SEED};
+
+static harness_t *
+start(int lag_ms)
+{
+    const harness_options_t options = {
+        .data_centres = places,
+        .instances = 2,
+        .groups = 1,
+        .accounts = 1,
+        .rate = 5000,
+        .burst = 5000,
+        .slots = 4,
+        .connections = 60,
+        .lag_ms = lag_ms,
+        .statement_ms = 1,
+        .connect_ms = 5,
+        .list_lag_ms = 500,
+        .offline_limit_s = 3600,
+        .proxied = true,
+        .trace = "/tmp/masticrelay-acknowledged.jsonl",
+    };
+
+    return harness_start(&options);
+}
+
+/* Ends the load and checks that it went on after @ran answers. */
+static void
+finish(harness_t *h, harness_caller_t *callers, int64_t ran)
+{
+    harness_run(h->base, 1500);
+    harness_counts_t counts = harness_callers_stop(callers);
+    printf("sent %lld ran %lld not_run %lld unknown %lld longest gap %lld\n",
+           (long long)counts.sent, (long long)counts.ran,
+           (long long)counts.not_run, (long long)counts.unknown,
+           (long long)counts.longest_gap);
+    ck_assert_int_gt(counts.ran, ran + 50);
+    harness_check_promises(h);
+    harness_end(h);
+}
+
+START_TEST(test_callers_on_the_isolated_side)
+{
+    harness_t *h = start(LAG_MS);
+    harness_caller_t *callers = harness_callers_start(h, &load);
+    harness_target_t *old = harness_primary(h, 0);
+
+    harness_run(h->base, 500);
+    harness_cut(h, "konya", "aksaray", true);
+    harness_cut(h, "konya", "karaman", true);
+    harness_wait_primary(h, 0, old, FAILOVER_LIMIT_MS);
+    harness_run(h->base, 2000);
+    harness_cut(h, "konya", "aksaray", false);
+    harness_cut(h, "konya", "karaman", false);
+    finish(h, callers, harness_callers_counts(callers).ran);
+}
+END_TEST
+
+/* The name of the instance of @place that owns @target; any of them can. */
+static harness_process_t *
+find_owner(harness_t *h, const harness_target_t *target)
+{
+    char path[2 * HARNESS_PATH_BYTES];
+    char owned[2 * HARNESS_NAME_BYTES];
+
+    snprintf(owned, sizeof(owned), "event=target_owned target=%s",
+             target->process.name);
+    for (size_t i = 0; i < h->instance_count; i++) {
+        char *text = NULL;
+        bool found = false;
+        snprintf(path, sizeof(path), "%s", h->instances[i].process.log);
+        if (g_file_get_contents(path, &text, NULL, NULL)) {
+            found = strstr(text, owned) != NULL;
+        }
+        g_free(text);
+        if (found
+            && strcmp(h->instances[i].data_centre, target->data_centre) == 0) {
+            return &h->instances[i].process;
+        }
+    }
+    ck_abort_msg("%s has no owner", target->process.name);
+    return NULL;
+}
+
+/* The pause begins while writes wait for their acknowledgement and ends when
+ * another primary leads. */
+START_TEST(test_paused_primary_and_owner)
+{
+    harness_t *h = start(LAG_MS);
+    harness_caller_t *callers = harness_callers_start(h, &load);
+
+    harness_run(h->base, 500);
+    harness_target_t *old = harness_primary(h, 0);
+    harness_process_signal(&old->process, SIGSTOP);
+    harness_run(h->base, PAUSE_MS);
+    harness_process_signal(&old->process, SIGCONT);
+    harness_target_t *second = harness_wait_primary(h, 0, old, PAUSE_MS);
+    harness_process_t *owner = find_owner(h, second);
+    harness_process_signal(owner, SIGSTOP);
+    harness_process_signal(&second->process, SIGSTOP);
+    harness_run(h->base, PAUSE_MS);
+    harness_process_signal(&second->process, SIGCONT);
+    harness_process_signal(owner, SIGCONT);
+    harness_wait_primary(h, 0, second, FAILOVER_LIMIT_MS);
+    finish(h, callers, harness_callers_counts(callers).ran);
+}
+END_TEST
+
+/* Grants @term at one target, as a proposer does that then dies. */
+static void
+grant(harness_t *h, const harness_target_t *target, json_int_t term)
+{
+    char body[HARNESS_NAME_BYTES];
+
+    snprintf(body, sizeof(body), "{\"term\":%lld}", (long long)term);
+    harness_http(h->base, "POST", target->process.address, "/grant", NULL,
+                 body, NULL);
+}
+
+static json_int_t
+highest_term(harness_t *h)
+{
+    json_int_t highest = 0;
+
+    for (size_t i = 0; i < h->target_count; i++) {
+        json_t *state = NULL;
+        harness_http(h->base, "GET", h->targets[i].process.address, "/status",
+                     NULL, NULL, &state);
+        json_int_t term = json_integer_value(json_object_get(state, "term"));
+        highest = term > highest ? term : highest;
+        json_decref(state);
+    }
+    return highest;
+}
+
+/* A rival proposes at the same time as the observers, at one or two targets,
+ * and dies before it promotes. */
+START_TEST(test_rival_proposers)
+{
+    harness_t *h = start(LAG_MS);
+    GRand *random = g_rand_new_with_seed(SEED);
+    harness_caller_t *callers = harness_callers_start(h, &load);
+
+    for (int i = 0; i < RIVAL_ROUNDS; i++) {
+        json_int_t term = highest_term(h) + 1;
+        size_t first = (size_t)g_rand_int_range(random, 0, 3);
+        grant(h, &h->targets[first], term);
+        if (g_rand_boolean(random)) {
+            grant(h, &h->targets[(first + 1) % 3], term);
+        }
+        /* About when the observers propose. */
+        harness_run(h->base, g_rand_int_range(random, 50, 700));
+    }
+    g_rand_free(random);
+    harness_wait_primary(h, 0, NULL, FAILOVER_LIMIT_MS);
+    finish(h, callers, harness_callers_counts(callers).ran);
+}
+END_TEST
+
+START_TEST(test_failover_without_store)
+{
+    harness_t *h = start(LAG_MS);
+    harness_caller_t *callers = harness_callers_start(h, &load);
+
+    harness_run(h->base, 500);
+    harness_platform_fault(h, "{\"down\":true}");
+    harness_target_t *old = harness_primary(h, 0);
+    harness_process_kill(&old->process);
+    harness_wait_primary(h, 0, old, FAILOVER_LIMIT_MS);
+    harness_run(h->base, 1500);
+    int64_t ran = harness_callers_counts(callers).ran;
+    harness_run(h->base, 1000);
+    ck_assert_int_gt(harness_callers_counts(callers).ran, ran + 50);
+    harness_process_start(&old->process);
+    harness_platform_fault(h, "{\"down\":false}");
+    finish(h, callers, harness_callers_counts(callers).ran);
+}
+END_TEST
+
+/* The write is held by the primary alone, which grants a term and dies. */
+START_TEST(test_primary_is_no_replica_of_itself)
+{
+    harness_t *h = start(LAG_MS);
+    harness_session_t *session = harness_session_open(h, 0);
+    const harness_request_t request = {
+        .op = "append", .key = "alone", .deadline = 1500};
+    harness_target_t *old = harness_primary(h, 0);
+
+    harness_target_fault(h, old->process.name, "{\"hold_replication\":true}");
+    harness_call_t *call = harness_call(session, &request);
+    harness_call_send(call, "aksaray-0");
+    harness_run(h->base, 60);
+    grant(h, old, 2);
+    harness_run(h->base, 60);
+    harness_process_kill(&old->process);
+    harness_answer_t answer = harness_call_end(call);
+    ck_assert_msg(strcmp(answer.outcome, "unknown") == 0, "answer: %s %s",
+                  answer.outcome, answer.kind);
+    harness_wait_primary(h, 0, old, FAILOVER_LIMIT_MS);
+    harness_session_close(session);
+    harness_check_promises(h);
+    harness_end(h);
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {
+        test_callers_on_the_isolated_side,
+        test_paused_primary_and_owner,
+        test_rival_proposers,
+        test_failover_without_store,
+        test_primary_is_no_replica_of_itself,
+    };
+
+    return harness_main("acknowledged", tests,
+                        sizeof(tests) / sizeof(tests[0]));
+}
