--- a/lib/entry/route.c
+++ b/lib/entry/route.c
@@ -73,7 +73,7 @@
     mr_msg_execute_reply_t *last;
     struct event *timer;
     mr_peer_call_t *call;
-    bool local; /* this instance's owner service has it */
+    bool local;            /* this instance's owner service has it */
     mr_peer_call_t *check; /* whether the owner is there */
 } attempt_t;
 
