Ask other owners first after the primary's owner was lost

Cause: with the primary's data centre cut off, an entry kept its hint to the old primary and tried the data centre's instances one after the other as owners of that target, each until its check failed. It learned of the new primary only after the last one. Membership was ruled out: the links were reported failed one by one as designed.

Change: when the owner of the hinted primary is lost, the hint is doubted for 2 s and the owners of the group's other targets are asked first; they name the new primary with wrong_owner. Clears with a higher term.

--- a/lib/entry/route.c
+++ b/lib/entry/route.c
@@ -10,6 +10,9 @@
 #include "group/view.h"
 
 enum {
+    /* How long the owner of a primary that was out of reach is asked last:
+     * longer than a failover takes. */
+    DOUBT_MS = 2000,
     /* Pause before a refused request is sent again: long enough not to flood
      * an owner without a primary, short against a failover. */
     RETRY_PAUSE_MS = 10,
@@ -33,6 +36,7 @@
 typedef struct primary_hint {
     char target[MR_CONFIG_NAME_MAX + 1];
     int64_t term;
+    mr_ms_t doubted_until; /* its owner was lost */
 } primary_hint_t;
 
 struct mr_route {
@@ -177,6 +181,9 @@
         hint = MR_NEW(primary_hint_t);
         g_hash_table_insert(hints, mr_strdup(a->group->name), hint);
     }
+    if (reply->hint_term > hint->term) {
+        hint->doubted_until = 0;
+    }
     if (reply->hint_term >= hint->term) {
         hint->term = reply->hint_term;
         snprintf(hint->target, sizeof(hint->target), "%s", reply->hint);
@@ -195,6 +202,31 @@
     return mr_config_group_target(a->group, hint->target);
 }
 
+/* The owner of the target that was tried last is out of reach. When it is the
+ * primary's, the owners of the group's other targets are asked first for a
+ * while, since they know a new primary. Otherwise each instance of a data
+ * centre that is cut off would be tried in turn. */
+static void
+doubt_primary(const attempt_t *a)
+{
+    primary_hint_t *hint =
+        g_hash_table_lookup(a->route->hints, a->group->name);
+    const char *tried = a->group->targets[a->order[a->next]].name;
+
+    if (hint != NULL && strcmp(hint->target, tried) == 0) {
+        hint->doubted_until = mr_clock_now(NULL) + DOUBT_MS;
+    }
+}
+
+static bool
+primary_doubted(const attempt_t *a)
+{
+    const primary_hint_t *hint =
+        g_hash_table_lookup(a->route->hints, a->group->name);
+
+    return hint != NULL && mr_clock_now(NULL) < hint->doubted_until;
+}
+
 /* Order of targets. */
 
 static void
@@ -243,6 +275,10 @@
     a->order_count = 0;
     a->next = 0;
     if (wants_primary(a)) {
+        if (primary != NULL && primary_doubted(a)) {
+            add_replicas(a, primary, true);
+            add_replicas(a, primary, false);
+        }
         if (primary != NULL) {
             add_target(a, primary->index);
         }
@@ -354,6 +390,7 @@
 handle_owner_lost(attempt_t *a)
 {
     mr_members_report_failure(a->route->options.members, a->member);
+    doubt_primary(a);
     if (++a->owner_rank < OWNERS_MAX) {
         retry(a, 0);
         return;
@@ -435,6 +472,7 @@
         return;
     }
     mr_members_report_failure(a->route->options.members, a->member);
+    doubt_primary(a);
     mr_execute_reply_init(&failed,
                           sent ? MR_ERR_OUTCOME_UNKNOWN : MR_ERR_UNAVAILABLE,
                           "the pool owner is out of reach");
