Keep the inflow of shallow buckets low

Cause: LONG grants gave three quarters of an account's rate to buckets of about one token (burst 50 over 18 instances, half of it in LONG grants), and SHORT grants below 12.5/s have less than one token. Such buckets are full about half of the time and lose what flows in meanwhile, while other instances refuse requests. Ruled out: asks without an answer (0), over-admission elsewhere (0).

Change: a LONG grant's rate is scaled by b^2 / (b^2 + 4) for a bucket of b tokens, and a SHORT grant whose bucket would hold less than one token is not given. What is not granted fills the limiter's reserve, which all instances ask.

--- a/lib/limit/grant.c
+++ b/lib/limit/grant.c
@@ -19,6 +19,9 @@
     /* A request is held for 50 ms; 40 ms leave time for the reply. */
     SOON_MS = 40,
     SHORT_BURST_MS = 40,
+    /* A bucket of this depth gets half of the inflow that demand asks for. */
+    SHALLOW_MILLI = 2 * MR_TOKEN_MILLI,
+    DEEP_MILLI = 64 * MR_TOKEN_MILLI,
     EPOCH_SHIFT = 32,
     KIND_BITS = 2,
     KIND_MASK = (1 << KIND_BITS) - 1,
@@ -354,6 +357,22 @@
     return true;
 }
 
+/* A bucket loses what flows in while it is full, and a shallow one is full
+ * often: requests at random times use only half of an inflow that equals
+ * their rate when it holds one token. So the inflow is kept lower the
+ * shallower the bucket is; the rest stays in the reserve for all. */
+static int64_t
+usable_inflow(int64_t rate, int64_t burst)
+{
+    /* Deep buckets lose next to nothing, and their square may not fit. */
+    if (burst >= DEEP_MILLI) {
+        return rate;
+    }
+    int64_t square = burst * burst;
+    return mr_limit_scale(rate, square,
+                          square + SHALLOW_MILLI * SHALLOW_MILLI);
+}
+
 /* The LONG grant that @holder should have: its part by demand, with a base
  * for instances without demand. */
 static mr_limit_amount_t
@@ -386,6 +405,7 @@
     }
     target.rate = least(target.rate, least(free.rate, left.rate));
     target.burst = least(target.burst, least(free.burst, left.burst));
+    target.rate = usable_inflow(target.rate, target.burst);
     if (target.burst < MR_TOKEN_MILLI) {
         target = (mr_limit_amount_t){0};
     }
@@ -466,13 +486,17 @@
         target.rate = mr_limit_scale(pool.rate, target.rate, all);
     }
     target.rate = least(target.rate, free.rate);
+    int64_t burst = MR_TOKEN_MILLI / 2 + target.rate * SHORT_BURST_MS / 1000;
+    if (burst < MR_TOKEN_MILLI) {
+        /* The bucket would be full most of the time. */
+        target.rate = 0;
+    }
     if (target.rate == 0) {
         /* An empty grant replaces one that is not needed any more. */
         return mine.rate > 0 && last->amount.rate > 0
                && give(book, holder, MR_GRANT_SHORT, target, now, item);
     }
-    target.burst = MR_TOKEN_MILLI / 2 + target.rate * SHORT_BURST_MS / 1000;
-    target.burst = least(target.burst, pool.burst / 4);
+    target.burst = least(burst, pool.burst / 4);
     target.burst = least(target.burst, free.burst);
     return give(book, holder, MR_GRANT_SHORT, target, now, item);
 }
