--- a/lib/limit/grant.c
+++ b/lib/limit/grant.c
@@ -487,8 +487,8 @@
     }
     target.rate = least(target.rate, free.rate);
     int64_t burst = MR_TOKEN_MILLI / 2 + target.rate * SHORT_BURST_MS / 1000;
-    if (burst < MR_TOKEN_MILLI) {
-        /* The bucket would be full most of the time. */
+    if (burst < MR_TOKEN_MILLI && target.rate > holder->demand / 8) {
+        /* The bucket would be full much of the time. */
         target.rate = 0;
     }
     if (target.rate == 0) {
