Forget vetoed versions, record confirmations in the audit trail

Eight copies of test_config_store at once failed in three of eight runs: an instance went on treating keys as withdrawn after the version that withdraws them was vetoed. An instance that had seen the veto kept the staged version for another second, against reports out of order, and passed it on with the time of its newest contact, so that instances kept it alive among themselves. A staged version that the newest report did not show is now kept for the instance's own use only and not passed on. A fourth run failed because the first two pollers gave up waiting for a silent member at the same moment; the wait now counts from each poller's own start.

A poller appends a confirm record after it wrote its data centre's confirmation, also when the reply was lost and the next poll shows the row.

--- a/lib/config/change.h
+++ b/lib/config/change.h
@@ -32,6 +32,8 @@
  * the row then cannot be changed, a "void" record follows, whose "changes" is
  * {"sequence":N, "step":STEP} of the record that did not take effect. A step
  * whose end is unknown is not followed by one; the rows tell.
+ * Pollers add a "confirm" record after they wrote a confirmation, whose "who"
+ * is DATA CENTRE/INSTANCE and "changes" {"data_centre":NAME}.
  * "changes" of the others: propose, what the caller gave; veto,
  * {"reason":TEXT}; accept, {"without":[NAME...], "changes":ANY}.
  */
--- a/lib/config/store.c
+++ b/lib/config/store.c
@@ -106,10 +106,9 @@
     mr_members_on_config_version(store->options.members, NULL, NULL);
     mr_platform_cancel(store->options.platform, store);
     mr_platform_cancel(store->options.platform, &store->body_read);
-    mr_platform_cancel(store->options.platform, &store->confirming);
+    mr_config_store_drop_confirmation(store);
     mr_config_store_drop_peer_calls(store);
     event_free(store->tick);
-    g_hash_table_destroy(store->confirming.holders);
     g_array_free(store->subscribers, TRUE);
     mr_config_held_clear(&store->current);
     mr_config_held_clear(&store->staged);
--- a/lib/config/store_apply.c
+++ b/lib/config/store_apply.c
@@ -27,6 +27,12 @@
            && strcmp(held->head.hash, hash) == 0;
 }
 
+bool
+mr_config_staged_doubtful(const mr_config_store_t *store)
+{
+    return store->absent_as_of > store->staged_as_of;
+}
+
 static void
 clear_staged(mr_config_store_t *store)
 {
@@ -208,8 +214,12 @@
 static void
 take_absence(mr_config_store_t *store, const mr_config_view_t *view)
 {
+    if (view->contact > store->absent_as_of) {
+        store->absent_as_of = view->contact;
+    }
     if (store->current.head.version >= store->staged.head.version
-        || view->contact >= store->staged_as_of + STAGED_DROP_MARGIN_MS) {
+        || store->absent_as_of
+               >= store->staged_as_of + STAGED_DROP_MARGIN_MS) {
         clear_staged(store);
     }
 }
@@ -234,7 +244,9 @@
         }
         return true;
     }
-    if (store->staged.config != NULL && view->contact < store->staged_as_of) {
+    if (view->contact < store->staged_as_of
+        || view->contact < store->absent_as_of) {
+        /* Older than what is known. */
         return true;
     }
     if (!approved(store, staged)) {
--- a/lib/config/store_confirm.c
+++ b/lib/config/store_confirm.c
@@ -21,6 +21,12 @@
     MEMBERS_WAIT_MS = 5000,
 };
 
+static bool
+same_value(const mr_config_confirm_t *a, const mr_config_confirm_t *b)
+{
+    return a->version == b->version && strcmp(a->hash, b->hash) == 0;
+}
+
 static void
 reset(mr_config_confirming_t *confirming)
 {
@@ -80,6 +86,42 @@
     return missing;
 }
 
+static void
+on_recorded(void *ctx, mr_error_kind_t error, int64_t sequence)
+{
+    mr_config_confirming_t *confirming = ctx;
+
+    (void)sequence;
+    confirming->append = NULL;
+    if (error != MR_OK && confirming->unrecorded.version == 0) {
+        /* The next poll tries again. */
+        confirming->unrecorded = confirming->recording;
+    }
+}
+
+static void
+record(mr_config_store_t *store)
+{
+    mr_config_confirming_t *confirming = &store->confirming;
+    char *who = mr_asprintf("%s/%s", store->data_centre, store->name);
+    json_t *changes = json_pack("{s:s}", "data_centre", store->data_centre);
+    const mr_audit_step_t step = {
+        .who = who,
+        .step = "confirm",
+        .from_version = store->current.head.version,
+        .to_version = confirming->unrecorded.version,
+        .hash = confirming->unrecorded.hash,
+        .changes = changes,
+    };
+
+    confirming->recording = confirming->unrecorded;
+    confirming->unrecorded.version = 0;
+    confirming->append = mr_audit_append(store->options.platform, &step,
+                                         on_recorded, confirming);
+    json_decref(changes);
+    free(who);
+}
+
 static void
 on_written(void *ctx, mr_error_kind_t error, int64_t revision, json_t *value)
 {
@@ -88,7 +130,13 @@
     (void)revision;
     (void)value;
     confirming->writing = false;
+    if (error == MR_OK || error == MR_ERR_OUTCOME_UNKNOWN) {
+        confirming->unrecorded = confirming->value;
+    }
     if (error == MR_OK) {
+        if (confirming->append == NULL) {
+            record(confirming->store);
+        }
         mr_counter_add(confirming->store->counters.confirmed, 1);
         mr_log(MR_LOG_INFO, "config_confirmed", "version=%lld hash=%.12s",
                (long long)confirming->value.version, confirming->value.hash);
@@ -122,27 +170,45 @@
     if (confirming->writing) {
         return;
     }
-    if (staged->config == NULL
-        || (row->readable && row->value.version == staged->head.version
-            && strcmp(row->value.hash, staged->head.hash) == 0)) {
+    if (confirming->unrecorded.version > 0 && confirming->append == NULL
+        && row->readable && same_value(&row->value, &confirming->unrecorded)) {
+        record(store);
+    }
+    if (staged->config == NULL || mr_config_staged_doubtful(store)
+        || (row->readable
+            && mr_config_held_is(staged, row->value.version,
+                                 row->value.hash))) {
         reset(confirming);
         return;
     }
-    if (confirming->value.version != staged->head.version
-        || strcmp(confirming->value.hash, staged->head.hash) != 0) {
+    if (!mr_config_held_is(staged, confirming->value.version,
+                           confirming->value.hash)) {
         reset(confirming);
         confirming->value.version = staged->head.version;
         strcpy(confirming->value.hash, staged->head.hash);
         confirming->since = now;
     }
-    if (now < confirming->since + (mr_ms_t)rank * RANK_DELAY_MS) {
+    mr_ms_t begin = confirming->since + (mr_ms_t)rank * RANK_DELAY_MS;
+    if (now < begin) {
         return;
     }
     if (ask_members(store) > 0) {
-        if (now < confirming->since + MEMBERS_WAIT_MS) {
+        if (now < begin + MEMBERS_WAIT_MS) {
             return;
         }
         mr_counter_add(store->counters.confirm_incomplete, 1);
     }
     write_row(store, row);
 }
+
+void
+mr_config_store_drop_confirmation(mr_config_store_t *store)
+{
+    mr_config_confirming_t *confirming = &store->confirming;
+
+    mr_platform_cancel(store->options.platform, confirming);
+    if (confirming->append != NULL) {
+        mr_audit_append_cancel(confirming->append);
+    }
+    g_hash_table_destroy(confirming->holders);
+}
--- a/lib/config/store_internal.h
+++ b/lib/config/store_internal.h
@@ -14,6 +14,7 @@
 #include <glib.h>
 
 #include "common/list.h"
+#include "config/audit.h"
 #include "config/rows.h"
 #include "config/store.h"
 
@@ -88,6 +89,11 @@
     GHashTable *holders; /* names of members that hold the version */
     size_t open;         /* questions without an end yet */
     bool writing;
+    /* A row that this instance wrote, or may have written, whose audit record
+     * is still to come; version 0: none. */
+    mr_config_confirm_t unrecorded;
+    mr_config_confirm_t recording; /* of @append */
+    mr_audit_append_t *append;     /* in progress; NULL: none */
 } mr_config_confirming_t;
 
 typedef struct mr_config_store_counters {
@@ -114,7 +120,9 @@
     mr_config_held_t current;
     mr_config_held_t staged;
     mr_ms_t staged_as_of; /* last moment at which the store had it */
-    mr_ms_t contact;      /* 0: never */
+    mr_ms_t
+        absent_as_of; /* last moment at which the store had none or another */
+    mr_ms_t contact;  /* 0: never */
     char last_refusal[64];
 
     struct event *tick;
@@ -144,6 +152,10 @@
 void mr_config_store_consider(mr_config_store_t *store,
                               const mr_config_view_t *view);
 void mr_config_held_clear(mr_config_held_t *held);
+
+/** mr_config_staged_doubtful() - whether the newest report was of no staged
+ * version; it then counts only until that is beyond doubt. */
+bool mr_config_staged_doubtful(const mr_config_store_t *store);
 bool mr_config_held_is(const mr_config_held_t *held, int64_t version,
                        const char *hash);
 
@@ -183,5 +195,6 @@
 /** mr_config_store_confirm() - go on with the confirmation after a poll. */
 void mr_config_store_confirm(mr_config_store_t *store,
                              const mr_config_confirm_row_t *row, size_t rank);
+void mr_config_store_drop_confirmation(mr_config_store_t *store);
 
 #endif
--- a/lib/config/store_push.c
+++ b/lib/config/store_push.c
@@ -167,7 +167,10 @@
     msg->store_age_ms = mr_config_store_contact_age(store);
     for (size_t i = 0; i < 2; i++) {
         texts[i] = NULL;
-        if (held[i]->config == NULL) {
+        /* A doubtful staged version is not passed on: peers would take it for
+         * as new as the last contact, and nobody would ever forget it. */
+        if (held[i]->config == NULL
+            || (i == 1 && mr_config_staged_doubtful(store))) {
             continue;
         }
         json_t *value = mr_config_head_write(&held[i]->head);
--- a/tests/unit/test_config_store.c
+++ b/tests/unit/test_config_store.c
@@ -402,6 +402,22 @@
     ck_assert_int_eq(confirmed_version(fleet), version);
 }
 
+/* Asserts how many audit records there are, once they had time to come. */
+static void
+assert_records(const fleet_t *fleet, size_t expected)
+{
+    char answer[4096];
+
+    ck_assert_int_eq(platform_process_call(&fleet->process, "GET",
+                                           "/objects?prefix=audit/", "",
+                                           answer, sizeof(answer)),
+                     200);
+    json_t *list = json_loads(answer, 0, NULL);
+    ck_assert_uint_eq(json_array_size(json_object_get(list, "names")),
+                      expected);
+    json_decref(list);
+}
+
 /* Tests. */
 
 START_TEST(test_accepted_version_reaches_all_instances)
@@ -418,6 +434,8 @@
         mr_ms_t took = await_version(fleet, version, 20, 3000);
         printf("version %lld in force at 20 instances after %lld ms\n",
                (long long)version, (long long)took);
+        /* One poll; without pushes, others would ask after 1 s only. */
+        ck_assert_int_lt(took, 1000);
     }
     for (size_t i = 0; i < 20; i++) {
         polls -=
@@ -428,6 +446,8 @@
         const instance_t *instance = &fleet->instances[i];
         polls += counter(instance, "masticrelay_config_polls_total");
         ck_assert_int_eq(instance->changes, 5);
+        ck_assert_int_gt(
+            counter(instance, "masticrelay_config_pushes_received_total"), 5);
         ck_assert_int_lt(mr_config_store_contact_age(instance->store), 1200);
     }
     /* Three pollers, twice a second. */
@@ -562,6 +582,8 @@
             0);
     }
     ck_assert_uint_eq(count_at(fleet, 1), 12);
+    run_loop_for(fleet->base, 1000);
+    assert_records(fleet, 1);
     stop(fleet);
 }
 END_TEST
@@ -603,6 +625,7 @@
     json_decref(
         platform_process_row(&fleet->process, "config/confirm/konya", &after));
     ck_assert_int_eq(before, after);
+    assert_records(fleet, 1);
     ck_assert_int_eq(
         counter(&fleet->instances[0], "masticrelay_config_confirmed_total"),
         0);
@@ -625,12 +648,12 @@
             !mr_config_store_key_revoked(fleet->instances[i].store, "a"));
     }
     platform_process_faults(&fleet->process, "{\"down\":true}");
-    run_loop_for(fleet->base, 900);
+    run_loop_for(fleet->base, 500);
     for (size_t i = 0; i < fleet->count; i++) {
         ck_assert(
             !mr_config_store_key_revoked(fleet->instances[i].store, "a"));
     }
-    run_loop_for(fleet->base, 1300);
+    run_loop_for(fleet->base, 1700);
     for (size_t i = 0; i < fleet->count; i++) {
         const mr_config_store_t *store = fleet->instances[i].store;
         ck_assert_int_ge(mr_config_store_contact_age(store), 2000);
@@ -644,6 +667,10 @@
     /* A vetoed version withdraws nothing. */
     put_staged(fleet, &head, MR_CONFIG_VETOED);
     run_loop_for(fleet->base, 3000);
+    for (size_t i = 0; i < fleet->count; i++) {
+        /* Instances must not keep it alive among themselves. */
+        ck_assert_ptr_null(fleet->instances[i].store->staged.config);
+    }
     platform_process_faults(&fleet->process, "{\"down\":true}");
     run_loop_for(fleet->base, 3000);
     for (size_t i = 0; i < fleet->count; i++) {
@@ -690,6 +717,29 @@
 }
 END_TEST
 
+/* A push is one peer's word: it may come from one that missed versions. */
+START_TEST(test_push_is_not_enough_for_the_first_version)
+{
+    fleet_t *fleet = start(0);
+    mr_msg_t push = {.type = MR_MSG_CONFIG_PUSH};
+
+    script(fleet, add_peer(fleet, "konya"), 3, "a");
+    script(fleet, add_peer(fleet, "konya"), 7, "a");
+    platform_process_faults(&fleet->process, "{\"down\":true}");
+    instance_t *instance = add_instance(fleet, "konya");
+    push.u.config.version = 3;
+    push.u.config.head = (mr_bytes_t){"", 0};
+    mr_peer_send(fleet->instances[0].peer, instance->address, &push);
+    run_loop_for(fleet->base, PLATFORM_TIMEOUT_MS / 2);
+    ck_assert_int_eq(
+        counter(instance, "masticrelay_config_pushes_received_total"), 1);
+    ck_assert_int_eq(version_of(instance), 0);
+    await_version(fleet, 7, 1, 2000);
+    ck_assert_int_eq(instance->changes, 1);
+    stop(fleet);
+}
+END_TEST
+
 START_TEST(test_restart_without_store_and_peers_serves_nothing)
 {
     fleet_t *fleet = start(1);
@@ -811,6 +861,7 @@
     tcase_add_test(tcase, test_outage_presumes_withdrawn_keys);
     tcase_add_test(tcase, test_restart_in_an_outage_takes_the_highest_version);
     tcase_add_test(tcase, test_restart_without_store_and_peers_serves_nothing);
+    tcase_add_test(tcase, test_push_is_not_enough_for_the_first_version);
     tcase_add_test(tcase, test_peers_cannot_forge_or_go_back);
     tcase_add_test(tcase, test_next_poller_takes_over);
     tcase_add_test(tcase,
