--- a/lib/limit/local.c
+++ b/lib/limit/local.c
@@ -10,6 +10,8 @@
     /* Renews the long grant of an account that is not in use. */
     ASK_IDLE_MS = 5000,
     OUTSTANDING_MAX = 4,
+    /* Asks without a reply for this long count as lost. */
+    LOST_MS = 200,
     LOW_MS = 50, /* tokens for less demand than this are low */
 };
 
@@ -61,7 +63,10 @@
         return 0;
     }
     while (now - local->window >= WINDOW_MS) {
-        local->demand = smoothed(local->demand, sample, local->arrivals);
+        int64_t before = local->demand;
+        local->demand = smoothed(before, sample, local->arrivals);
+        /* The limiter should not learn of a drop only at the next renewal. */
+        local->unconfirmed = local->unconfirmed || local->demand < before / 2;
         local->arrivals = 0;
         local->window += WINDOW_MS;
         sample = 0;
@@ -101,6 +106,9 @@
     else if (now - local->used < 3000) {
         interval = ASK_USED_MS;
     }
+    if (now - local->asked >= LOST_MS) {
+        local->outstanding = 0;
+    }
     if (now - local->asked < interval
         || local->outstanding >= OUTSTANDING_MAX) {
         return false;
@@ -123,7 +131,7 @@
 {
     int64_t rate = mr_grant_hold_rate(&local->hold, now);
 
-    local->outstanding--;
+    local->outstanding -= local->outstanding > 0;
     for (size_t i = 0; i < count; i++) {
         mr_grant_hold_accept(&local->hold, &items[i], sent, now);
     }
--- a/programs/masticrelayctl.c
+++ b/programs/masticrelayctl.c
@@ -37,7 +37,7 @@
      ctl_show_accounts},
     {"instances", "", "the platform's list of instances and targets", 0, 0,
      ctl_show_instances},
-    {"audit", "", "audit records of configuration steps", 0, 0,
+    {"audit", "[SEQUENCE]", "audit records of configuration steps", 0, 1,
      ctl_show_audit},
 };
 
@@ -122,6 +122,7 @@
 static void
 ctl_close(ctl_t *ctl)
 {
+    ctl_tls_close(ctl);
     mr_platform_destroy(ctl->platform);
     mr_counters_destroy(ctl->counters);
     if (ctl->base != NULL) {
--- a/tests/integration/harness_process.c
+++ b/tests/integration/harness_process.c
@@ -91,6 +91,14 @@
     dup2(out, STDOUT_FILENO);
     dup2(err, STDERR_FILENO);
     clear_settings();
+    if (process->redirect[0] != '\0') {
+        const char *slash = strrchr(process->args[0], '/');
+        char library[HARNESS_PATH_BYTES];
+        snprintf(library, sizeof(library), "%.*s/redirect.so",
+                 (int)(slash - process->args[0]), process->args[0]);
+        setenv("LD_PRELOAD", library, 1);
+        setenv("HARNESS_REDIRECT", process->redirect, 1);
+    }
     execv(process->args[0], process->args);
     _exit(127);
 }
@@ -131,6 +139,7 @@
     int out[2];
 
     ck_assert_int_eq(process->pid, 0);
+    process->stopping = false;
     ck_assert_int_eq(pipe2(out, O_CLOEXEC), 0);
     process->pid = fork();
     ck_assert_int_ge(process->pid, 0);
@@ -148,9 +157,10 @@
 }
 
 void
-harness_process_signal(const harness_process_t *process, int number)
+harness_process_signal(harness_process_t *process, int number)
 {
     if (process->pid > 0) {
+        process->stopping |= number == SIGTERM;
         kill(process->pid, number);
     }
 }
