Spread the polls and confirm without waiting for further polls

Instances that start together polled at the same moment, so that three pollers were no faster than one: a version was in force at 20 instances 488 to 509 ms after its acceptance.

A confirmation took three polls of the first poller: stage, ask the members, write. It now asks 50 ms after staging and again 50 ms after the last answer.

--- a/lib/config/store.c
+++ b/lib/config/store.c
@@ -63,7 +63,6 @@
 mr_config_store_create(const mr_config_store_options_t *options)
 {
     mr_config_store_t *store = MR_NEW(mr_config_store_t);
-    struct timeval interval = mr_clock_timeval(MR_CONFIG_POLL_INTERVAL_MS);
 
     store->options = *options;
     store->data_centre = mr_strdup(options->data_centre);
@@ -76,9 +75,7 @@
     store->subscribers =
         g_array_new(FALSE, FALSE, sizeof(mr_config_subscriber_t));
     store->body_read.store = store;
-    store->confirming.store = store;
-    store->confirming.holders =
-        g_hash_table_new_full(g_str_hash, g_str_equal, free, NULL);
+    mr_config_store_confirm_open(store);
     mr_list_init(&store->peer_calls);
     open_counters(store);
     mr_peer_handle(options->peer, MR_MSG_CONFIG_FETCH,
@@ -87,11 +84,8 @@
                    store);
     mr_members_on_config_version(options->members, mr_config_store_on_version,
                                  store);
-    store->tick =
-        event_new(options->base, -1, EV_PERSIST, mr_config_store_tick, store);
-    event_add(store->tick, &interval);
-    /* Not as a timeout: that would put the second poll off by an interval. */
-    event_active(store->tick, 0, 0);
+    store->tick = evtimer_new(options->base, mr_config_store_tick, store);
+    event_active(store->tick, EV_TIMEOUT, 0);
     return store;
 }
 
@@ -106,7 +100,7 @@
     mr_members_on_config_version(store->options.members, NULL, NULL);
     mr_platform_cancel(store->options.platform, store);
     mr_platform_cancel(store->options.platform, &store->body_read);
-    mr_config_store_drop_confirmation(store);
+    mr_config_store_confirm_close(store);
     mr_config_store_drop_peer_calls(store);
     event_free(store->tick);
     g_array_free(store->subscribers, TRUE);
--- a/lib/config/store_confirm.c
+++ b/lib/config/store_confirm.c
@@ -19,6 +19,8 @@
     /* A member that is alive but cannot be asked does not block every change
      * for good. */
     MEMBERS_WAIT_MS = 5000,
+    /* Members take a staged version over within a few milliseconds. */
+    ASK_PAUSE_MS = 50,
 };
 
 static bool
@@ -43,7 +45,10 @@
     mr_json_problem_t problem;
 
     (void)sent;
-    confirming->open--;
+    if (--confirming->open == 0) {
+        struct timeval pause = mr_clock_timeval(ASK_PAUSE_MS);
+        evtimer_add(confirming->again, &pause);
+    }
     if (reply == NULL || confirming->value.version == 0) {
         return;
     }
@@ -65,25 +70,19 @@
 {
     const mr_member_t *members[MR_CONFIG_MEMBERS_MAX];
     mr_config_confirming_t *confirming = &store->confirming;
-    bool asking = confirming->open > 0;
-    size_t missing = 0;
     size_t count =
         mr_members_usable(store->options.members, "config", store->data_centre,
                           members, MR_CONFIG_MEMBERS_MAX);
 
     for (size_t i = 0; i < count; i++) {
-        if (strcmp(members[i]->name, store->name) == 0
-            || g_hash_table_contains(confirming->holders, members[i]->name)) {
-            continue;
-        }
-        missing++;
-        if (!asking) {
+        if (strcmp(members[i]->name, store->name) != 0
+            && !g_hash_table_contains(confirming->holders, members[i]->name)) {
             confirming->open++;
             mr_config_store_ask(store, members[i], INT64_MAX,
                                 on_holder_answer);
         }
     }
-    return missing;
+    return confirming->open;
 }
 
 static void
@@ -145,7 +144,7 @@
 }
 
 static void
-write_row(mr_config_store_t *store, const mr_config_confirm_row_t *row)
+write_row(mr_config_store_t *store)
 {
     mr_config_confirming_t *confirming = &store->confirming;
     char *name =
@@ -153,23 +152,79 @@
     json_t *value = mr_config_confirm_write(&confirming->value);
 
     confirming->writing = true;
-    mr_platform_row_put(store->options.platform, name, row->revision, value,
-                        on_written, confirming);
+    mr_platform_row_put(store->options.platform, name, confirming->revision,
+                        value, on_written, confirming);
     json_decref(value);
     free(name);
 }
 
+/* Asks who is missing, or writes the row when nobody is. */
+static void
+advance(mr_config_store_t *store)
+{
+    mr_config_confirming_t *confirming = &store->confirming;
+    mr_ms_t now = mr_clock_now(NULL);
+
+    if (now < confirming->begin || confirming->writing
+        || confirming->open > 0) {
+        return;
+    }
+    if (now < confirming->begin + MEMBERS_WAIT_MS) {
+        if (ask_members(store) == 0) {
+            write_row(store);
+        }
+        return;
+    }
+    mr_counter_add(store->counters.confirm_incomplete, 1);
+    write_row(store);
+}
+
+/* Whether the staged version is the one that is being confirmed. */
+static bool
+still_staged(const mr_config_store_t *store)
+{
+    const mr_config_confirm_t *value = &store->confirming.value;
+
+    return !mr_config_staged_doubtful(store)
+           && mr_config_held_is(&store->staged, value->version, value->hash);
+}
+
+static void
+on_again(evutil_socket_t fd, short what, void *ctx)
+{
+    mr_config_store_t *store = ctx;
+
+    (void)fd;
+    (void)what;
+    if (still_staged(store)) {
+        advance(store);
+    }
+}
+
+static void
+begin(mr_config_store_t *store, size_t rank)
+{
+    mr_config_confirming_t *confirming = &store->confirming;
+    struct timeval pause = mr_clock_timeval(ASK_PAUSE_MS);
+
+    reset(confirming);
+    confirming->value.version = store->staged.head.version;
+    strcpy(confirming->value.hash, store->staged.head.hash);
+    confirming->begin = mr_clock_now(NULL) + (mr_ms_t)rank * RANK_DELAY_MS;
+    evtimer_add(confirming->again, &pause);
+}
+
 void
 mr_config_store_confirm(mr_config_store_t *store,
                         const mr_config_confirm_row_t *row, size_t rank)
 {
     mr_config_confirming_t *confirming = &store->confirming;
     const mr_config_held_t *staged = &store->staged;
-    mr_ms_t now = mr_clock_now(NULL);
 
     if (confirming->writing) {
         return;
     }
+    confirming->revision = row->revision;
     if (confirming->unrecorded.version > 0 && confirming->append == NULL
         && row->readable && same_value(&row->value, &confirming->unrecorded)) {
         record(store);
@@ -179,30 +234,28 @@
             && mr_config_held_is(staged, row->value.version,
                                  row->value.hash))) {
         reset(confirming);
-        return;
     }
-    if (!mr_config_held_is(staged, confirming->value.version,
-                           confirming->value.hash)) {
-        reset(confirming);
-        confirming->value.version = staged->head.version;
-        strcpy(confirming->value.hash, staged->head.hash);
-        confirming->since = now;
+    else if (!still_staged(store)) {
+        begin(store, rank);
     }
-    mr_ms_t begin = confirming->since + (mr_ms_t)rank * RANK_DELAY_MS;
-    if (now < begin) {
-        return;
+    else {
+        advance(store);
     }
-    if (ask_members(store) > 0) {
-        if (now < begin + MEMBERS_WAIT_MS) {
-            return;
-        }
-        mr_counter_add(store->counters.confirm_incomplete, 1);
-    }
-    write_row(store, row);
 }
 
 void
-mr_config_store_drop_confirmation(mr_config_store_t *store)
+mr_config_store_confirm_open(mr_config_store_t *store)
+{
+    mr_config_confirming_t *confirming = &store->confirming;
+
+    confirming->store = store;
+    confirming->holders =
+        g_hash_table_new_full(g_str_hash, g_str_equal, free, NULL);
+    confirming->again = evtimer_new(store->options.base, on_again, store);
+}
+
+void
+mr_config_store_confirm_close(mr_config_store_t *store)
 {
     mr_config_confirming_t *confirming = &store->confirming;
 
@@ -210,5 +263,6 @@
     if (confirming->append != NULL) {
         mr_audit_append_cancel(confirming->append);
     }
+    event_free(confirming->again);
     g_hash_table_destroy(confirming->holders);
 }
--- a/lib/config/store_internal.h
+++ b/lib/config/store_internal.h
@@ -85,9 +85,11 @@
 typedef struct mr_config_confirming {
     mr_config_store_t *store;
     mr_config_confirm_t value; /* version 0: idle */
-    mr_ms_t since;
-    GHashTable *holders; /* names of members that hold the version */
-    size_t open;         /* questions without an end yet */
+    mr_ms_t begin;             /* when it is this poller's turn */
+    int64_t revision;          /* of the row, as the last poll saw it */
+    GHashTable *holders;       /* names of members that hold the version */
+    struct event *again;       /* asks those that did not */
+    size_t open;               /* questions without an end yet */
     bool writing;
     /* A row that this instance wrote, or may have written, whose audit record
      * is still to come; version 0: none. */
@@ -126,6 +128,7 @@
     char last_refusal[64];
 
     struct event *tick;
+    bool ticked;
     bool poller;
     bool polling;
     mr_ms_t poll_sent;
@@ -195,6 +198,7 @@
 /** mr_config_store_confirm() - go on with the confirmation after a poll. */
 void mr_config_store_confirm(mr_config_store_t *store,
                              const mr_config_confirm_row_t *row, size_t rank);
-void mr_config_store_drop_confirmation(mr_config_store_t *store);
+void mr_config_store_confirm_open(mr_config_store_t *store);
+void mr_config_store_confirm_close(mr_config_store_t *store);
 
 #endif
--- a/lib/config/store_poll.c
+++ b/lib/config/store_poll.c
@@ -1,5 +1,6 @@
 #include "config/store_internal.h"
 
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -221,9 +222,18 @@
 mr_config_store_tick(evutil_socket_t fd, short what, void *ctx)
 {
     mr_config_store_t *store = ctx;
+    mr_ms_t next = MR_CONFIG_POLL_INTERVAL_MS;
 
     (void)fd;
     (void)what;
+    if (!store->ticked) {
+        /* Instances that start together must not poll together: the first of
+         * three pollers to see a change sets the time that it takes. */
+        store->ticked = true;
+        next = randombytes_uniform(MR_CONFIG_POLL_INTERVAL_MS);
+    }
+    struct timeval delay = mr_clock_timeval(next);
+    evtimer_add(store->tick, &delay);
     store->poller = poller_rank(store) < MR_CONFIG_POLLERS;
     if (store->poller || store->current.config == NULL) {
         poll_store(store);
