Log the platform as unreachable only after a second without answers

Single calls that fail, as with lost replies, made a pair of log lines each. Lines are for changes of state; single failures are counted already.

test_platform: 10 checks, 0 failures.

--- a/lib/platform/platform.c
+++ b/lib/platform/platform.c
@@ -19,6 +19,9 @@
      * deadline would pass before their turn. */
     QUEUE_MAX = 256,
     BODY_MAX_BYTES = 16 << 20,
+    /* Without an answer for this long the platform is out of reach; single
+     * calls that fail are counted only. */
+    UNREACHABLE_AFTER_MS = 1000,
 };
 
 /** What a call does; index of call_kinds. */
@@ -95,7 +98,8 @@
     size_t queued;
     mr_list_t running;
     struct event *dispatcher;
-    bool reachable; /* whether the last finished call had an answer */
+    bool reachable;
+    mr_ms_t answered_at; /* last answer */
     mr_counter_t *calls[CALL_KINDS];
     mr_counter_t *failures[CALL_KINDS];
     mr_counter_t *refused;
@@ -116,8 +120,17 @@
 }
 
 static void
-note_reachable(mr_platform_t *platform, bool reachable)
+note_end(mr_platform_t *platform, bool answered)
 {
+    mr_ms_t now = mr_clock_now(NULL);
+    bool reachable =
+        answered
+        || (platform->reachable
+            && now < platform->answered_at + UNREACHABLE_AFTER_MS);
+
+    if (answered) {
+        platform->answered_at = now;
+    }
     if (platform->reachable != reachable) {
         platform->reachable = reachable;
         mr_log(reachable ? MR_LOG_INFO : MR_LOG_WARNING,
@@ -137,7 +150,7 @@
     if (call->conn != NULL) {
         call->conn->call = NULL;
         event_active(platform->dispatcher, EV_TIMEOUT, 0);
-        note_reachable(platform, !failed);
+        note_end(platform, !failed);
     }
     else {
         platform->queued--;
@@ -563,6 +576,7 @@
     platform->port = port;
     platform->timeout = options->timeout;
     platform->reachable = true;
+    platform->answered_at = mr_clock_now(NULL);
     mr_list_init(&platform->queue);
     mr_list_init(&platform->running);
     platform->dispatcher = evtimer_new(platform->base, on_dispatch, platform);
