--- /dev/null
+++ b/tests/integration/test_changes.c
@@ -0,0 +1,104 @@
+/* Guards against planned changes that interrupt requests, take effect late or
+ * revert: a withdrawn key, a leaving target, graceful stops of instances. */
+
+#include <check.h>
+#include <signal.h>
+#include <stdlib.h>
+
+#include "harness.h"
+
+enum { STOP_MAX_MS = 10000 };
+
+static const char *const places[] = {"oviedo", "santander", NULL};
+
+static void
+watch(harness_t *h, int seconds)
+{
+    for (int i = 0; i < 4 * seconds; i++) {
+        harness_run(h->base, 250);
+        harness_trace_versions(h);
+    }
+}
+
+/* Stops an instance as a deployment does, and starts it again. */
+static void
+replace_instance(harness_t *h, const char *name)
+{
+    harness_process_t *process = &harness_instance(h, name)->process;
+
+    harness_trace(h, "stopping", json_pack("{s:s}", "instance", name));
+    harness_process_signal(process, SIGTERM);
+    ck_assert_int_eq(harness_process_wait(process, h->base, STOP_MAX_MS), 0);
+    harness_process_start(process);
+    watch(h, 2);
+}
+
+START_TEST(test_planned_changes)
+{
+    static const harness_options_t options = {
+        .data_centres = places,
+        .instances = 3,
+        .groups = 2,
+        .accounts = 3,
+        .rate = 1000,
+        .burst = 300,
+        .slots = 4,
+        .connections = 35,
+        .lag_ms = 10,
+        .statement_ms = 2,
+        .connect_ms = 10,
+        .list_lag_ms = 500,
+        .offline_limit_s = 3600,
+        .trace = "/tmp/masticrelay-changes.jsonl",
+    };
+    const harness_load_t load = {.callers = 12,
+                                 .account = -1,
+                                 .write_percent = 30,
+                                 .append_percent = 50,
+                                 .keys = 4,
+                                 .pause = 20};
+    harness_t *h = harness_start(&options);
+    harness_caller_t *callers = harness_callers_start(h, &load);
+
+    watch(h, 1);
+    harness_target_t *leaving = harness_primary(h, 0);
+    ck_assert_ptr_nonnull(leaving);
+    ck_assert(mr_op_withdraw_key(h->config, h->accounts[2].key_id));
+    ck_assert(mr_op_set_leaving(h->config, leaving->process.name, true));
+    harness_put_config(h);
+    harness_trace(h, "withdrawn",
+                  json_pack("{s:s}", "key", h->accounts[2].key_id));
+    harness_trace(h, "leaving",
+                  json_pack("{s:s}", "target", leaving->process.name));
+    watch(h, 2);
+    for (size_t i = 0; i < h->instance_count; i += 2) {
+        replace_instance(h, h->instances[i].process.name);
+    }
+    watch(h, 2);
+    ck_assert_ptr_ne(harness_primary(h, 0), leaving);
+
+    harness_counts_t counts = harness_callers_stop(callers);
+    printf("sent %ld ran %ld not_run %ld unknown %ld limited %ld gap %ld ms\n",
+           (long)counts.sent, (long)counts.ran, (long)counts.not_run,
+           (long)counts.unknown, (long)counts.limited,
+           (long)counts.longest_gap);
+    harness_check_promises(h);
+    harness_end(h);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("changes");
+    TCase *tc = tcase_create("changes");
+
+    tcase_set_timeout(tc, 120);
+    tcase_add_test(tc, test_planned_changes);
+    suite_add_tcase(suite, tc);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
