--- a/tests/integration/harness_process.c
+++ b/tests/integration/harness_process.c
@@ -191,10 +191,18 @@
 void
 harness_process_kill(harness_process_t *process)
 {
+    int status = 0;
+
     if (process->pid > 0) {
-        kill(process->pid, SIGKILL);
-        waitpid(process->pid, NULL, 0);
+        bool ended = waitpid(process->pid, &status, WNOHANG) == process->pid;
+        if (!ended) {
+            kill(process->pid, SIGKILL);
+            waitpid(process->pid, NULL, 0);
+        }
         process->pid = 0;
+        ck_assert_msg(!ended || process->stopping,
+                      "%s ended by itself (status 0x%x), see %s",
+                      process->name, (unsigned)status, process->log);
     }
 }
 
