Replace reported grants of a predecessor instead of freezing them

A new limiter renewed each reported long grant as it was for 60 s. It now moves the reported grant from the unknown ones into the instance's slots, where it is replaced like any other, so only what nobody reports stays locked.

--- a/lib/limit/grant.c
+++ b/lib/limit/grant.c
@@ -40,6 +40,7 @@
     slot_t slots[3][SLOTS_MAX]; /* by kind */
     int64_t demand;
     mr_ms_t asked;
+    bool reported; /* its grant of the predecessor is in the slots */
 } holder_t;
 
 struct mr_grant_book {
@@ -47,30 +48,13 @@
     int64_t epoch;
     int64_t sequence;
     mr_grant_former_t former;
+    /* LONG grants of the predecessor that no instance has reported. */
+    mr_limit_amount_t unreported;
     mr_limit_amount_t share;
     mr_ms_t expiry;
     mr_bucket_t reserve; /* the part of the share that is not granted */
 };
 
-mr_grant_book_t *
-mr_grant_book_create(int64_t epoch, const mr_grant_former_t *former,
-                     mr_ms_t now)
-{
-    mr_grant_book_t *book = MR_NEW(mr_grant_book_t);
-
-    mr_list_init(&book->holders);
-    book->epoch = epoch;
-    if (former != NULL) {
-        book->former = *former;
-    }
-    else {
-        book->former.short_until = now;
-        book->former.long_until = now;
-    }
-    mr_bucket_init(&book->reserve, (mr_limit_amount_t){0}, now, now);
-    return book;
-}
-
 static void
 forget(holder_t *holder)
 {
@@ -100,6 +84,26 @@
                                .burst = share.burst / 2};
 }
 
+mr_grant_book_t *
+mr_grant_book_create(int64_t epoch, const mr_grant_former_t *former,
+                     mr_ms_t now)
+{
+    mr_grant_book_t *book = MR_NEW(mr_grant_book_t);
+
+    mr_list_init(&book->holders);
+    book->epoch = epoch;
+    if (former != NULL) {
+        book->former = *former;
+        book->unreported = long_cap(former->share);
+    }
+    else {
+        book->former.short_until = now;
+        book->former.long_until = now;
+    }
+    mr_bucket_init(&book->reserve, (mr_limit_amount_t){0}, now, now);
+    return book;
+}
+
 static int64_t
 least(int64_t a, int64_t b)
 {
@@ -154,7 +158,7 @@
     mr_limit_amount_t sum = {0};
 
     if (now < book->former.long_until) {
-        return long_cap(book->former.share);
+        sum = book->unreported;
     }
     MR_LIST_FOREACH(it, &book->holders)
     {
@@ -305,6 +309,29 @@
     }
 }
 
+/* Move the predecessor's LONG grant that the instance reports from the
+ * unreported ones to its slots, so that it can be replaced like any other. A
+ * report sent before the lease was taken does not count: the predecessor may
+ * have given the same part to another instance since. */
+static void
+enter_reported(mr_grant_book_t *book, holder_t *holder,
+               const mr_grant_ask_t *ask, mr_ms_t now)
+{
+    slot_t *slot = &holder->slots[MR_GRANT_LONG][0];
+
+    if (ask->held_long == 0 || ask->held_long >> EPOCH_SHIFT >= book->epoch
+        || holder->reported || slot->id != 0 || now < book->former.adopt_from
+        || now >= book->former.long_until) {
+        return;
+    }
+    holder->reported = true;
+    *slot = (slot_t){.id = ask->held_long,
+                     .amount = ask->held,
+                     .given = now - LONG_RENEW_MS,
+                     .lapse = book->former.long_until};
+    book->unreported = amount_left(book->unreported, ask->held);
+}
+
 /* The newest grant of @kind that may be in force, or NULL. */
 static const slot_t *
 newest(const holder_t *holder, mr_grant_kind_t kind, mr_ms_t now)
@@ -399,8 +426,8 @@
 }
 
 static bool
-give_long(mr_grant_book_t *book, holder_t *holder, const mr_grant_ask_t *ask,
-          mr_ms_t now, mr_msg_grant_item_t *item)
+give_long(mr_grant_book_t *book, holder_t *holder, mr_ms_t now,
+          mr_msg_grant_item_t *item)
 {
     const slot_t *last = newest(holder, MR_GRANT_LONG, now);
     mr_limit_amount_t target;
@@ -408,19 +435,6 @@
     if (last != NULL && now - last->given < LONG_CHANGE_MS) {
         return false;
     }
-    if (now < book->former.long_until) {
-        /* The predecessor's grants are unknown. The one that this instance
-         * reports may be renewed as it is, unless the report is so old that
-         * the predecessor may have given the same part to another since. */
-        if (ask->held_long == 0 || now < book->former.adopt_from
-            || (last != NULL && now - last->given < LONG_RENEW_MS)) {
-            return false;
-        }
-        target = long_cap(book->share);
-        target.rate = least(target.rate, ask->held.rate);
-        target.burst = least(target.burst, ask->held.burst);
-        return give(book, holder, MR_GRANT_LONG, target, now, item);
-    }
     target = long_target(book, holder, now);
     if (last == NULL ? target.rate == 0
                      : now - last->given < LONG_RENEW_MS
@@ -505,11 +519,12 @@
     *refused = false;
     confirm(book, holder, MR_GRANT_LONG, ask->held_long);
     confirm(book, holder, MR_GRANT_SHORT, ask->held_short);
+    enter_reported(book, holder, ask, now);
     update_reserve(book, now);
     if (now >= book->expiry) {
         return 0;
     }
-    if (give_long(book, holder, ask, now, &out[count])) {
+    if (give_long(book, holder, now, &out[count])) {
         count++;
         update_reserve(book, now);
     }
