--- a/lib/group/election.c
+++ b/lib/group/election.c
@@ -15,6 +15,11 @@
     INDIRECT_PROBE_TIMEOUT_MS = 150,
     /* After a failed attempt or a veto by another observer. */
     PAUSE_MS = 150,
+    /* New writes wait meanwhile, so the next look comes soon. */
+    LEAVING_PAUSE_MS = 20,
+    /* A leaving primary is replaced when its writes have ended, or after this
+     * time: below the few seconds of P11 and the goal for the gap. */
+    LEAVING_LIMIT_MS = 2000,
 };
 
 /** What the election is doing. */
@@ -39,6 +44,7 @@
     mr_ms_t due_at;
     mr_ms_t pause_until;
     int64_t suspected_term;
+    mr_ms_t leaving_since; /* 0: the primary is not leaving */
     inquiry_t inquiries[MR_VIEW_TARGETS_MAX];
     size_t open_inquiries;
     bool vetoed;
@@ -180,6 +186,11 @@
     if (--e->open_inquiries > 0) {
         return;
     }
+    if (e->vetoed && e->verdict == MR_VIEW_PRIMARY_LEAVING) {
+        e->pause_until = mr_clock_now(NULL) + LEAVING_PAUSE_MS;
+        e->state = ELECTION_WAITING;
+        return;
+    }
     if (e->vetoed) {
         count(e, "masticrelay_promotions_vetoed_total",
               "proposals dropped because another observer sees the primary");
@@ -197,15 +208,19 @@
     mr_election_t *e = inquiry->election;
 
     inquiry->call = NULL;
-    if (error == MR_OK && reply->u.probe_reply.healthy
-        && reply->u.probe_reply.term >= e->suspected_term) {
+    if (error == MR_OK && e->verdict == MR_VIEW_PRIMARY_LEAVING) {
+        e->vetoed |= reply->u.probe_reply.writing;
+    }
+    else if (error == MR_OK && reply->u.probe_reply.healthy
+             && reply->u.probe_reply.term >= e->suspected_term) {
         e->vetoed = true;
     }
     end_inquiry(e);
 }
 
 /* Another observer may still see the primary with a majority behind it; then
- * only this instance's link has failed. */
+ * only this instance's link has failed. The owner of a leaving primary says
+ * whether its writes have ended. */
 static void
 ask_observers(mr_election_t *e)
 {
@@ -215,7 +230,8 @@
 
     msg.u.probe.group = e->options.group;
     e->state = ELECTION_ASKING;
-    e->vetoed = false;
+    e->vetoed = e->verdict == MR_VIEW_PRIMARY_LEAVING
+                && e->options.is_writing(e->options.ctx);
     e->open_inquiries = 1; /* held until all are sent */
     for (size_t i = 0; i < found; i++) {
         if (strcmp(observers[i]->name, e->options.name) == 0) {
@@ -241,22 +257,37 @@
                 + randombytes_uniform(JITTER_MS);
 }
 
-/* A planned change must not be vetoed by the observers that see the leaving
- * primary in good health. */
+/* Writes at a leaving primary hold its replacement up for a time only. */
 static bool
-must_ask(const mr_election_t *e)
+must_ask(const mr_election_t *e, mr_ms_t now)
 {
     switch (e->verdict) {
     case MR_VIEW_PRIMARY_LOST:
     case MR_VIEW_PRIMARY_STALLED:
         return true;
-    case MR_VIEW_KEEP:
     case MR_VIEW_PRIMARY_LEAVING:
+        return now - e->leaving_since < LEAVING_LIMIT_MS;
+    case MR_VIEW_KEEP:
         break;
     }
     return false;
 }
 
+/* When the primary began to leave; replicas that fall behind for a moment do
+ * not start the time again. */
+static void
+note_leaving(mr_election_t *e, mr_ms_t now)
+{
+    size_t primary = mr_view_primary(e->view, now);
+
+    if (primary == MR_VIEW_NONE || !mr_view_leaving(e->view, primary)) {
+        e->leaving_since = 0;
+    }
+    else if (e->leaving_since == 0) {
+        e->leaving_since = now;
+    }
+}
+
 void
 mr_election_tick(mr_election_t *election, const mr_view_t *view)
 {
@@ -264,6 +295,7 @@
     mr_ms_t now = mr_clock_now(NULL);
 
     e->view = view;
+    note_leaving(e, now);
     if (e->state == ELECTION_PROPOSING || now < e->pause_until) {
         return;
     }
@@ -278,7 +310,7 @@
         start_waiting(e, verdict, now);
     }
     if (e->state == ELECTION_WAITING && now >= e->due_at) {
-        if (must_ask(e)) {
+        if (must_ask(e, now)) {
             ask_observers(e);
         }
         else {
--- a/lib/group/election.h
+++ b/lib/group/election.h
@@ -32,6 +32,8 @@
     size_t count;
     mr_promotion_state_fn_t on_state;
     mr_promotion_fn_t on_won; /* called for successful attempts */
+    /* Whether this instance has writes in progress at the leaving primary. */
+    bool (*is_writing)(void *ctx);
     void *ctx;
 } mr_election_options_t;
 
--- a/lib/group/observer.c
+++ b/lib/group/observer.c
@@ -279,6 +279,15 @@
     }
 }
 
+static bool
+on_election_writing(void *ctx)
+{
+    const mr_observer_t *observer = ctx;
+
+    return observer->options.is_writing(observer->options.ctx,
+                                        observer->group);
+}
+
 static void
 open_probe(mr_observer_t *observer, size_t index,
            const mr_config_target_t *target)
@@ -332,6 +341,7 @@
         .count = group->target_count,
         .on_state = on_election_state,
         .on_won = on_election_won,
+        .is_writing = on_election_writing,
         .ctx = observer,
     };
     observer->election = mr_election_create(&options);
--- a/lib/group/observer.h
+++ b/lib/group/observer.h
@@ -26,6 +26,9 @@
     mr_members_t *members;
     const char *name; /* of this instance */
     mr_observer_promoted_fn_t on_promoted;
+    /* Whether this instance has writes in progress at the group's leaving
+     * primary; a change of the primary would cut them off. */
+    bool (*is_writing)(void *ctx, const char *group);
     void *ctx;
 } mr_observer_options_t;
 
--- a/lib/group/owner.c
+++ b/lib/group/owner.c
@@ -84,6 +84,33 @@
                         mirror);
 }
 
+/*
+ * Whether a change of the primary would cut off writes of this owner. An owner
+ * that does not know yet that the primary is leaving still sends new ones.
+ */
+static bool
+is_writing(void *ctx, const char *group_name)
+{
+    mr_owner_t *owner = ctx;
+    mr_owned_group_t *group = g_hash_table_lookup(owner->groups, group_name);
+
+    if (group == NULL) {
+        return false;
+    }
+    const mr_view_t *view = mr_observer_view(group->observer);
+    size_t primary = mr_view_primary(view, mr_clock_now(NULL));
+    const mr_owned_target_t *target =
+        primary == MR_VIEW_NONE
+            ? NULL
+            : g_hash_table_lookup(
+                owner->targets,
+                mr_observer_target_name(group->observer, primary));
+
+    return target != NULL
+           && (!mr_view_leaving(view, primary) || mr_work_writing(target)
+               || mr_transaction_writing(target));
+}
+
 static mr_owned_group_t *
 open_group(mr_owner_t *owner, const mr_config_group_t *config)
 {
@@ -97,6 +124,7 @@
             .members = owner->options.members,
             .name = owner->options.name,
             .on_promoted = on_promoted,
+            .is_writing = is_writing,
             .ctx = owner,
         };
         group = MR_NEW(mr_owned_group_t);
@@ -361,6 +389,7 @@
         }
         reply.u.probe_reply.term = mr_view_highest_term(view);
         reply.u.probe_reply.healthy = mr_view_healthy(view, now);
+        reply.u.probe_reply.writing = is_writing(owner, group->name);
     }
     if (request != NULL) {
         mr_peer_reply(request, &reply);
--- a/lib/group/owner_internal.h
+++ b/lib/group/owner_internal.h
@@ -58,6 +58,10 @@
 void mr_work_start(mr_owned_target_t *target, const mr_msg_execute_t *msg,
                    mr_execute_fn_t fn, void *ctx);
 
+/** mr_work_writing() - whether a write was sent to @target and is neither
+ * answered nor acknowledged yet. */
+bool mr_work_writing(const mr_owned_target_t *target);
+
 /** mr_work_abandon() - end all requests when the service closes. */
 void mr_work_abandon(mr_owner_t *owner);
 
@@ -75,6 +79,10 @@
 void mr_transaction_execute(mr_owner_t *owner, const mr_msg_execute_t *msg,
                             mr_execute_fn_t fn, void *ctx);
 
+/** mr_transaction_writing() - whether a transaction that may write is open at
+ * @target. */
+bool mr_transaction_writing(const mr_owned_target_t *target);
+
 /** mr_transaction_free() - roll back by closing the connection. */
 void mr_transaction_free(mr_transaction_t *transaction);
 
--- a/lib/group/transaction.c
+++ b/lib/group/transaction.c
@@ -377,6 +377,22 @@
                                 t->deadline, on_slot, t);
 }
 
+bool
+mr_transaction_writing(const mr_owned_target_t *target)
+{
+    GHashTableIter it;
+    gpointer value;
+
+    g_hash_table_iter_init(&it, target->owner->transactions);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const mr_transaction_t *t = value;
+        if (t->target == target && t->access == MR_ACCESS_WRITE) {
+            return true;
+        }
+    }
+    return false;
+}
+
 const char *
 mr_transaction_open(mr_owned_target_t *target, const mr_msg_execute_t *msg,
                     mr_target_conn_t *conn, const char *target_id,
--- a/lib/group/work.c
+++ b/lib/group/work.c
@@ -676,6 +676,20 @@
     restart(work);
 }
 
+bool
+mr_work_writing(const mr_owned_target_t *target)
+{
+    MR_LIST_FOREACH(it, &target->owner->works)
+    {
+        const mr_work_t *work = MR_LIST_ENTRY(it, mr_work_t, link);
+        if (work->target == target && is_write(work)
+            && (work->conn != NULL || work->saved != NULL)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 mr_work_abandon(mr_owner_t *owner)
 {
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -113,6 +113,7 @@
     F(STRING, mr_msg_probe_reply_t, primary),
     F(INTEGER, mr_msg_probe_reply_t, term),
     F(BOOL, mr_msg_probe_reply_t, healthy),
+    F(BOOL, mr_msg_probe_reply_t, writing),
 };
 static const layout_t probe_reply_layout =
     LAYOUT(mr_msg_probe_reply_t, probe_reply_fields);
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -115,6 +115,7 @@
     const char *primary;
     int64_t term;
     bool healthy;
+    bool writing; /* the leaving primary still has writes of this owner */
 } mr_msg_probe_reply_t;
 
 /** State of a member, as membership spreads it. */
--- /dev/null
+++ b/tests/integration/test_answers.c
@@ -0,0 +1,100 @@
+/* P8. Guards against answers that reach another caller, or in part: links hold
+ * bytes and release them late, answers overtake each other between instances,
+ * and connections are reset while answers are on their way. */
+
+#include <glib.h>
+#include <string.h>
+
+#include "harness.h"
+
+enum {
+    SEED = 1501,
+    ROUNDS = 14,
+    DEADLINE_MS = 500,
+    CALLERS = 40,
+};
+
+static const char *const places[] = {"konya", "aksaray", "karaman", NULL};
+
+/* Few slots and connections, so that connections are used in turn by many
+ * callers; every caller has keys of its own, which its answers name. */
+static const harness_options_t options = {
+    .data_centres = places,
+    .instances = 1,
+    .groups = 2,
+    .accounts = 2,
+    .rate = 5000,
+    .burst = 5000,
+    .slots = 2,
+    .connections = 35,
+    .lag_ms = 10,
+    .statement_ms = 1,
+    .connect_ms = 5,
+    .list_lag_ms = 500,
+    .offline_limit_s = 3600,
+    .proxied = true,
+    .trace = "/tmp/masticrelay-answers.jsonl",
+};
+
+static const char *const links[] = {
+    "*--*.g0-*", "*--konya.*", "aksaray--*", "*--*.karaman-0", "konya--*.g1-*",
+};
+
+static const struct {
+    const char *set;
+    const char *clear;
+} faults[] = {
+    {"{\"hold\":true}", "{\"hold\":false}"},
+    {"{\"delay_to_caller_ms\":700}", "{\"delay_to_caller_ms\":0}"},
+    {"{\"delay_to_caller_ms\":150}", "{\"reset\":true,\"delay_ms\":0}"},
+    {"{\"hold\":true}", "{\"reset\":true,\"hold\":false}"},
+    {"{\"cut\":\"to_caller\"}", "{\"cut\":\"none\"}"},
+};
+
+START_TEST(test_late_and_crossed_answers)
+{
+    harness_t *h = harness_start(&options);
+    GRand *random = g_rand_new_with_seed(SEED);
+    const harness_load_t load = {.callers = CALLERS,
+                                 .account = -1,
+                                 .write_percent = 30,
+                                 .append_percent = 30,
+                                 .keys = 2,
+                                 .pause = 2,
+                                 .deadline = DEADLINE_MS,
+                                 .seed = SEED};
+    harness_caller_t *callers = harness_callers_start(h, &load);
+
+    harness_run(h->base, 500);
+    for (int i = 0; i < ROUNDS; i++) {
+        const char *link =
+            links[g_rand_int_range(random, 0, G_N_ELEMENTS(links))];
+        int kind = g_rand_int_range(random, 0, G_N_ELEMENTS(faults));
+        /* Some answers come before and some after the deadline. */
+        harness_fault(h, link, faults[kind].set);
+        harness_run(h->base, g_rand_int_range(random, 100, 1000));
+        harness_fault(h, link, faults[kind].clear);
+        harness_run(h->base, 400);
+    }
+    g_rand_free(random);
+    harness_counts_t counts = harness_callers_stop(callers);
+    printf("sent %lld ran %lld not_run %lld unknown %lld\n",
+           (long long)counts.sent, (long long)counts.ran,
+           (long long)counts.not_run, (long long)counts.unknown);
+    ck_assert_int_gt(counts.unknown, 0);
+    ck_assert_int_gt(counts.ran, counts.sent / 2);
+    harness_run(h->base, 1000);
+    harness_wait_primary(h, 0, NULL, 5000);
+    harness_wait_primary(h, 1, NULL, 5000);
+    harness_check_promises(h);
+    harness_end(h);
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {test_late_and_crossed_answers};
+
+    return harness_main("answers", tests, sizeof(tests) / sizeof(tests[0]));
+}
--- /dev/null
+++ b/tests/integration/test_leaving.c
@@ -0,0 +1,194 @@
+/* P11. Guards against work that goes to a leaving target: by configuration, by
+ * its own status, and by the platform's list only. Running work must end, and
+ * a leaving primary must be replaced without an unknown outcome. */
+
+#include <string.h>
+
+#include "harness.h"
+
+enum {
+    SEED = 1601,
+    /* "A few seconds" of P11. */
+    LEAVING_MS = 3500,
+    QUIET_MS = 1500,
+    LIST_LAG_MS = 500,
+    STATEMENT_MS = 1500,
+};
+
+static const char *const places[] = {"konya", "aksaray", "karaman", NULL};
+
+static const harness_load_t load = {.callers = 12,
+                                    .account = -1,
+                                    .write_percent = 30,
+                                    .append_percent = 30,
+                                    .keys = 2,
+                                    .pause = 5,
+                                    .seed = SEED};
+
+static harness_t *
+start(void)
+{
+    const harness_options_t options = {
+        .data_centres = places,
+        .instances = 1,
+        .groups = 1,
+        .accounts = 1,
+        .rate = 5000,
+        .burst = 5000,
+        .slots = 4,
+        .connections = 60,
+        .lag_ms = 20,
+        .statement_ms = 1,
+        .connect_ms = 5,
+        .list_lag_ms = LIST_LAG_MS,
+        .offline_limit_s = 3600,
+        .proxied = true,
+        .trace = "/tmp/masticrelay-leaving.jsonl",
+    };
+
+    return harness_start(&options);
+}
+
+static void
+leave_by_configuration(harness_t *h, const harness_target_t *target)
+{
+    ck_assert(mr_op_set_leaving(h->config, target->process.name, true));
+    harness_put_config(h);
+}
+
+static void
+leave_by_status(harness_t *h, const harness_target_t *target)
+{
+    harness_target_fault(h, target->process.name, "{\"leaving\":true}");
+}
+
+static void
+leave_by_list(harness_t *h, const harness_target_t *target)
+{
+    char path[2 * HARNESS_NAME_BYTES];
+    char body[HARNESS_PATH_BYTES];
+
+    snprintf(path, sizeof(path), "/instances/%s", target->process.name);
+    snprintf(body, sizeof(body),
+             "{\"data_centre\":\"%s\",\"address\":\"%s\",\"kind\":\"target\","
+             "\"state\":\"leaving\"}",
+             target->data_centre, target->process.address);
+    ck_assert_int_eq(harness_http(h->base, "PUT", h->platform.address, path,
+                                  NULL, body, NULL),
+                     200);
+}
+
+/* Statements and transactions that the target began; probes do not count. */
+static int
+count_work(harness_t *h, const harness_target_t *target)
+{
+    char path[2 * HARNESS_PATH_BYTES];
+    char *line = NULL;
+    size_t size = 0;
+    int count = 0;
+
+    snprintf(path, sizeof(path), "%s/%s.record", h->folder,
+             target->process.name);
+    FILE *file = fopen(path, "re");
+    ck_assert_ptr_nonnull(file);
+    while (getline(&line, &size, file) > 0) {
+        count += strstr(line, "POST /execute") != NULL
+                         || strstr(line, "POST /begin") != NULL
+                     ? 1
+                     : 0;
+    }
+    free(line);
+    fclose(file);
+    return count;
+}
+
+static void
+run_leaving(const char *name,
+            void (*leave)(harness_t *h, const harness_target_t *target))
+{
+    harness_t *h = start();
+    harness_target_t *target = harness_target(h, name);
+    bool primary = harness_primary(h, 0) == target;
+    harness_session_t *session = harness_session_open(h, 0);
+    const harness_request_t slow = {.op = "sleep",
+                                    .shard = "slow",
+                                    .sleep = STATEMENT_MS,
+                                    .write = primary,
+                                    .deadline = 2 * STATEMENT_MS};
+    harness_caller_t *callers = harness_callers_start(h, &load);
+
+    harness_run(h->base, 500);
+    harness_call_t *call = harness_call(session, &slow);
+    /* Reads prefer the replica of their instance's data centre. */
+    char instance[HARNESS_NAME_BYTES];
+    snprintf(instance, sizeof(instance), "%s-0", target->data_centre);
+    harness_call_send(call, instance);
+    harness_run(h->base, 100);
+    harness_trace(h, "leaving",
+                  json_pack("{s:s}", "target", target->process.name));
+    leave(h, target);
+    mr_ms_t begin = mr_clock_now(NULL);
+    harness_answer_t answer = harness_call_end(call);
+    ck_assert_msg(strcmp(answer.outcome, "ran") == 0,
+                  "the running statement: %s", answer.kind);
+    ck_assert_str_eq(answer.served_by, name);
+    harness_run(h->base, LEAVING_MS - (mr_clock_now(NULL) - begin));
+    int before = count_work(h, target);
+    harness_run(h->base, QUIET_MS);
+    ck_assert_int_eq(count_work(h, target), before);
+    if (primary) {
+        ck_assert_ptr_ne(harness_primary(h, 0), target);
+    }
+    harness_counts_t counts = harness_callers_stop(callers);
+    printf("%s: sent %lld ran %lld not_run %lld unknown %lld gap %lld\n", name,
+           (long long)counts.sent, (long long)counts.ran,
+           (long long)counts.not_run, (long long)counts.unknown,
+           (long long)counts.longest_gap);
+    ck_assert_int_eq(counts.unknown, 0);
+    ck_assert_int_gt(counts.ran, counts.sent * 9 / 10);
+    harness_session_close(session);
+    harness_check_promises(h);
+    harness_end(h);
+}
+
+START_TEST(test_replica_by_configuration)
+{
+    run_leaving("g0-b", leave_by_configuration);
+}
+END_TEST
+
+START_TEST(test_replica_by_list)
+{
+    run_leaving("g0-c", leave_by_list);
+}
+END_TEST
+
+START_TEST(test_primary_by_status)
+{
+    run_leaving("g0-a", leave_by_status);
+}
+END_TEST
+
+START_TEST(test_primary_by_configuration)
+{
+    run_leaving("g0-a", leave_by_configuration);
+}
+END_TEST
+
+START_TEST(test_primary_by_list)
+{
+    run_leaving("g0-a", leave_by_list);
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {
+        test_replica_by_configuration, test_replica_by_list,
+        test_primary_by_status,        test_primary_by_configuration,
+        test_primary_by_list,
+    };
+
+    return harness_main("leaving", tests, sizeof(tests) / sizeof(tests[0]));
+}
