Count bytes on peer links, target connections and platform calls

docs/CAPACITY.md needs the bytes that a daemon sends for control work; no counter gave them. Adds the first capacity program, which runs a fleet through the test harness.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,10 @@
 INTEGRATION := $(patsubst tests/integration/%.c,%,$(wildcard tests/integration/test_*.c))
 HARNESS_SRC := $(wildcard tests/integration/harness*.c tests/integration/trace.c)
 BENCH := $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
+# These start processes and are linked with the test harness.
+CAPACITY_FLEET := bench_capacity_fleet bench_capacity_connections
+CAPACITY := bench_capacity_modules bench_capacity_structures $(CAPACITY_FLEET)
+BENCH := $(filter-out $(CAPACITY_FLEET),$(BENCH))
 EXAMPLES := $(patsubst examples/%.c,%,$(filter-out examples/common_%.c,$(wildcard examples/*.c)))
 
 SOURCES := $(sort $(wildcard lib/*.h lib/*/*.[ch] programs/*.[ch] tests/*/*.[ch] \
@@ -43,7 +47,7 @@
 programs: $(PROGRAMS:%=$(BUILD)/%)
 standins: $(STANDINS:%=$(BUILD)/%) $(BUILD)/redirect.so
 tests: $(UNIT:%=$(BUILD)/unit/%) $(INTEGRATION:%=$(BUILD)/integration/%)
-bench-programs: $(BENCH:%=$(BUILD)/%)
+bench-programs: $(BENCH:%=$(BUILD)/%) $(CAPACITY_FLEET:%=$(BUILD)/%)
 examples: $(EXAMPLES:%=$(BUILD)/examples/%)
 
 $(BUILD)/%.o: %.c
@@ -93,6 +97,13 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
+$(CAPACITY_FLEET:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/bench/%.o \
+    $(BUILD)/bench/common_bench.o $(HARNESS_SRC:%.c=$(BUILD)/%.o) $(LIB)
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(PKG_LIBS) -o $@
+
+$(BUILD)/bench/%.o: ALL_CFLAGS += -Itests
+
 $(BUILD)/examples/%: $(BUILD)/examples/%.o \
     $(patsubst %.c,$(BUILD)/%.o,$(wildcard examples/common_*.c)) $(LIB)
 	@mkdir -p $(@D)
@@ -141,6 +152,11 @@
 	$(MAKE) programs standins $(BUILD)/integration/demo
 	MASTICRELAY_BUILD=$(BUILD) $(BUILD)/integration/demo
 
+# Measures the costs that docs/CAPACITY.md computes with.
+capacity: packages
+	$(MAKE) programs standins $(CAPACITY:%=$(BUILD)/%)
+	MASTICRELAY_BUILD=$(BUILD) bench/capacity.sh
+
 format:
 	@clang-format -i $(SOURCES)
 
@@ -150,7 +166,7 @@
 # Two files a process, so that all cores work.
 lint:
 	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P 10 -n 2 \
-	    sh -c 'clang-tidy --quiet --header-filter="$(CURDIR)/.*" "$$@" -- -std=c11 -D_GNU_SOURCE -Ilib $(PKG_CFLAGS) 2>/dev/null' tidy
+	    sh -c 'clang-tidy --quiet --header-filter="$(CURDIR)/.*" "$$@" -- -std=c11 -D_GNU_SOURCE -Ilib -Itests $(PKG_CFLAGS) 2>/dev/null' tidy
 
 clean:
 	rm -rf $(BUILD)
--- /dev/null
+++ b/bench/bench_capacity_fleet.c
@@ -0,0 +1,315 @@
+/*
+ * Costs of one fleet: processor time, memory, bytes and messages of a daemon
+ * when idle and under light load, requests at the store, and the times of a
+ * configuration change and of a primary change.
+ * Usage: bench_capacity_fleet INSTANCES-PER-DATA-CENTRE [GROUPS [ACCOUNTS]]
+ */
+
+#include <check.h>
+#include <event2/buffer.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common_harness.h"
+
+enum {
+    SETTLE_MS = 2500,
+    WINDOW_MS = 6000,
+    CHANGES = 3,
+    CHANGE_LIMIT_MS = 10000,
+    PRIMARY_LIMIT_MS = 10000,
+    STEP_MS = 10,
+    CALLERS = 12,
+    PAUSE_MS = 50,
+    GROUPS_MAX = 100,
+    ACCOUNTS_MAX = 1000,
+    INSTANCES_MAX = 20,
+    RATE = 2000,
+    BURST = 1000,
+};
+
+static const char *const places[] = {"konya", "aksaray", "karaman", NULL};
+
+/** Sums over all daemons at one moment. */
+typedef struct sample {
+    mr_ms_t time;
+    double cpu_ms;
+    double kb;
+    json_t *counters; /* name to sum over labels and daemons */
+    json_t *store;    /* the stand-in's request counts */
+} sample_t;
+
+typedef struct fetch {
+    struct event_base *base;
+    json_t *sums;
+} fetch_t;
+
+static void
+add_to(json_t *sums, const char *name, double value)
+{
+    json_object_set_new(
+        sums, name,
+        json_real(json_number_value(json_object_get(sums, name)) + value));
+}
+
+static void
+on_metrics(struct evhttp_request *req, void *ctx)
+{
+    fetch_t *fetch = ctx;
+    char *line;
+
+    if (req == NULL || evhttp_request_get_response_code(req) != 200) {
+        fprintf(stderr, "a daemon does not give its counters\n");
+        exit(EXIT_FAILURE);
+    }
+    struct evbuffer *in = evhttp_request_get_input_buffer(req);
+    while ((line = evbuffer_readln(in, NULL, EVBUFFER_EOL_LF)) != NULL) {
+        char *end = strrchr(line, ' ');
+        if (line[0] != '#' && end != NULL) {
+            double value = strtod(end, NULL);
+            *end = '\0';
+            line[strcspn(line, "{")] = '\0';
+            add_to(fetch->sums, line, value);
+        }
+        free(line);
+    }
+    event_base_loopbreak(fetch->base);
+}
+
+/* harness_http() reads JSON only. */
+static void
+fetch_metrics(harness_t *h, const char *address, json_t *sums)
+{
+    fetch_t fetch = {h->base, sums};
+    char ip[MR_ADDRESS_MAX_BYTES];
+    int port;
+
+    if (!mr_address_split(address, ip, &port)) {
+        exit(EXIT_FAILURE);
+    }
+    struct evhttp_connection *conn =
+        evhttp_connection_base_new(h->base, NULL, ip, (uint16_t)port);
+    struct evhttp_request *req = evhttp_request_new(on_metrics, &fetch);
+    struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+    evhttp_add_header(headers, "Host", address);
+    evhttp_add_header(headers, "Authorization",
+                      "Bearer operator-credential-of-tests");
+    evhttp_make_request(conn, req, EVHTTP_REQ_GET, "/metrics");
+    event_base_dispatch(h->base);
+    evhttp_connection_free(conn);
+}
+
+static sample_t
+take_sample(harness_t *h)
+{
+    sample_t sample = {.counters = json_object()};
+
+    for (size_t i = 0; i < h->instance_count; i++) {
+        fetch_metrics(h, h->instances[i].admin, sample.counters);
+        sample.cpu_ms += bench_process_cpu_ms(h->instances[i].process.pid);
+        sample.kb += bench_process_kb(h->instances[i].process.pid);
+    }
+    harness_http(h->base, "GET", h->platform.address, "/requests", NULL, NULL,
+                 &sample.store);
+    sample.time = mr_clock_now(NULL);
+    return sample;
+}
+
+static void
+free_sample(sample_t *sample)
+{
+    json_decref(sample->counters);
+    json_decref(sample->store);
+}
+
+static double
+rate(const json_t *before, const json_t *after, const char *name, double s)
+{
+    return (json_number_value(json_object_get(after, name))
+            - json_number_value(json_object_get(before, name)))
+           / s;
+}
+
+static void
+print_sample(const harness_t *h, const char *phase, const sample_t *a,
+             const sample_t *b)
+{
+    static const char *const counters[][2] = {
+        {"masticrelay_peer_sent_bytes_total", "peer_sent_bytes"},
+        {"masticrelay_peer_received_bytes_total", "peer_received_bytes"},
+        {"masticrelay_peer_sent_messages_total", "peer_sent_messages"},
+        {"masticrelay_peer_received_messages_total",
+         "peer_received_messages"},
+        {"masticrelay_probe_sent_bytes_total", "probe_sent_bytes"},
+        {"masticrelay_probe_received_bytes_total", "probe_received_bytes"},
+        {"masticrelay_target_sent_bytes_total", "target_sent_bytes"},
+        {"masticrelay_target_received_bytes_total", "target_received_bytes"},
+        {"masticrelay_platform_sent_bytes_total", "platform_sent_bytes"},
+        {"masticrelay_platform_received_bytes_total",
+         "platform_received_bytes"},
+        {"masticrelay_probes_total", "probes"},
+        {"masticrelay_member_pings_total", "pings"},
+        {"masticrelay_config_polls_total", "config_polls"},
+        {"masticrelay_config_pushes_sent_total", "config_pushes"},
+        {"masticrelay_config_peer_reads_total", "config_peer_reads"},
+        {"mr_limit_asked_total", "limiter_asks"},
+        {"masticrelay_answers_total", "answers"},
+    };
+    long n = (long)h->instance_count;
+    double s = (double)(b->time - a->time) / 1e3;
+    char name[96];
+    const char *call;
+    json_t *value;
+
+    snprintf(name, sizeof(name), "fleet_%s_cpu", phase);
+    bench_print(name, n, (b->cpu_ms - a->cpu_ms) / s / (double)n,
+                "ms/s/daemon");
+    snprintf(name, sizeof(name), "fleet_%s_memory", phase);
+    bench_print(name, n, b->kb / (double)n, "KB/daemon");
+    for (size_t i = 0; i < sizeof(counters) / sizeof(counters[0]); i++) {
+        snprintf(name, sizeof(name), "fleet_%s_%s", phase, counters[i][1]);
+        bench_print(name, n,
+                    rate(a->counters, b->counters, counters[i][0], s)
+                        / (double)n,
+                    "1/s/daemon");
+    }
+    json_object_foreach(b->store, call, value)
+    {
+        snprintf(name, sizeof(name), "fleet_%s_store_%s", phase, call);
+        for (char *it = name; *it != '\0'; it++) {
+            *it = *it == ' ' || *it == '/' ? '_' : *it;
+        }
+        bench_print(name, n, rate(a->store, b->store, call, s), "1/s");
+    }
+}
+
+static void
+measure(harness_t *h, const char *phase)
+{
+    sample_t before;
+    sample_t after;
+
+    harness_run(h->base, SETTLE_MS);
+    before = take_sample(h);
+    harness_run(h->base, WINDOW_MS);
+    after = take_sample(h);
+    print_sample(h, phase, &before, &after);
+    free_sample(&before);
+    free_sample(&after);
+}
+
+/* Time from the accepted version until every daemon reports it. A daemon that
+ * reported it is not asked again. */
+static void
+measure_change(harness_t *h)
+{
+    double sum = 0;
+    double longest = 0;
+
+    for (int change = 0; change < CHANGES; change++) {
+        harness_put_config(h);
+        mr_ms_t start = mr_clock_now(NULL);
+        size_t next = 0;
+        while (next < h->instance_count
+               && mr_clock_now(NULL) < start + CHANGE_LIMIT_MS) {
+            json_t *sums = json_object();
+            fetch_metrics(h, h->instances[next].admin, sums);
+            bool there =
+                json_number_value(
+                    json_object_get(sums, "masticrelay_config_version"))
+                >= (double)h->version;
+            json_decref(sums);
+            if (there) {
+                next++;
+            }
+            else {
+                harness_run(h->base, STEP_MS);
+            }
+        }
+        double took = (double)(mr_clock_now(NULL) - start);
+        sum += took;
+        longest = took > longest ? took : longest;
+        harness_run(h->base, 170);
+    }
+    bench_print("fleet_config_change_mean", (long)h->instance_count,
+                sum / CHANGES, "ms");
+    bench_print("fleet_config_change_max", (long)h->instance_count, longest,
+                "ms");
+}
+
+/* Time from the death of a primary until another one serves a write. */
+static void
+measure_primary_change(harness_t *h)
+{
+    harness_target_t *primary = harness_primary(h, 0);
+    long n = (long)h->instance_count;
+
+    if (primary == NULL) {
+        fprintf(stderr, "group 0 has no primary\n");
+        exit(EXIT_FAILURE);
+    }
+    harness_process_kill(&primary->process);
+    mr_ms_t start = mr_clock_now(NULL);
+    harness_wait_primary(h, 0, primary, PRIMARY_LIMIT_MS);
+    bench_print("fleet_primary_change", n,
+                (double)(mr_clock_now(NULL) - start), "ms");
+}
+
+static int
+number(int argc, char **argv, int index, int fallback, int max)
+{
+    long value = index < argc ? strtol(argv[index], NULL, 10) : fallback;
+
+    if (value < 1 || value > max) {
+        fprintf(stderr, "usage: %s INSTANCES-PER-DATA-CENTRE [GROUPS "
+                        "[ACCOUNTS]]\n",
+                argv[0]);
+        exit(2);
+    }
+    return (int)value;
+}
+
+static harness_options_t options = {
+    .data_centres = places,
+    .rate = RATE,
+    .burst = BURST,
+    .slots = 2,
+    .connections = 35,
+    .lag_ms = 20,
+    .statement_ms = 1,
+    .connect_ms = 10,
+    .list_lag_ms = 500,
+    .offline_limit_s = 3600,
+};
+
+START_TEST(fleet)
+{
+    const harness_load_t load = {
+        .callers = CALLERS,
+        .account = -1,
+        .write_percent = 30,
+        .append_percent = 20,
+        .keys = 4,
+        .pause = PAUSE_MS,
+    };
+    harness_t *h = harness_start(&options);
+
+    measure(h, "idle");
+    harness_caller_t *callers = harness_callers_start(h, &load);
+    measure(h, "load");
+    harness_callers_stop(callers);
+    measure_change(h);
+    measure_primary_change(h);
+    harness_end(h);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    options.instances = number(argc, argv, 1, 2, INSTANCES_MAX);
+    options.groups = number(argc, argv, 2, 3, GROUPS_MAX);
+    options.accounts = number(argc, argv, 3, 8, ACCOUNTS_MAX);
+    return bench_with_harness("fleet", fleet);
+}
--- /dev/null
+++ b/bench/common_harness.h
@@ -0,0 +1,31 @@
+#ifndef MR_BENCH_COMMON_HARNESS_H
+#define MR_BENCH_COMMON_HARNESS_H
+
+#include <check.h>
+
+#include "common_bench.h"
+#include "integration/harness.h"
+
+/** bench_with_harness() - run @test, as the harness reports its failures to
+ * the test library; returns the exit status. */
+static inline int
+bench_with_harness(const char *name, const TTest *test)
+{
+    Suite *suite = suite_create(name);
+    TCase *tcase = tcase_create(name);
+
+    tcase_set_timeout(tcase, 0);
+    tcase_add_test(tcase, test);
+    suite_add_tcase(suite, tcase);
+    SRunner *runner = srunner_create(suite);
+    srunner_set_fork_status(runner, CK_NOFORK);
+    srunner_run_all(runner, CK_SILENT);
+    int failed = srunner_ntests_failed(runner);
+    if (failed > 0) {
+        srunner_print(runner, CK_NORMAL);
+    }
+    srunner_free(runner);
+    return failed == 0 ? 0 : 1;
+}
+
+#endif
--- a/lib/group/observer.c
+++ b/lib/group/observer.c
@@ -41,6 +41,7 @@
     struct event *check; /* examines waits on the next turn of the loop */
     mr_election_t *election;
     mr_counter_t *probe_count;
+    mr_traffic_t traffic;
 };
 
 struct mr_observer_wait {
@@ -218,10 +219,11 @@
     if (probe->conn == NULL) {
         probe->conn =
             mr_target_conn_create(observer->options.base, probe->address);
-    }
-    if (probe->conn == NULL) {
-        schedule_probe(probe, PROBE_INTERVAL_MS);
-        return;
+        if (probe->conn == NULL) {
+            schedule_probe(probe, PROBE_INTERVAL_MS);
+            return;
+        }
+        mr_target_conn_count(probe->conn, &observer->traffic);
     }
     evtimer_del(probe->timer);
     probe->in_flight = true;
@@ -360,6 +362,7 @@
     observer->probe_count =
         mr_counters_get(options->counters, "masticrelay_probes_total", "",
                         "status requests sent to targets");
+    observer->traffic = mr_traffic_create(options->counters, "probe");
     observer->check = event_new(options->base, -1, 0, on_check, observer);
     observer->timer = evtimer_new(options->base, on_tick, observer);
     evtimer_add(observer->timer, &tv);
--- a/lib/group/pool.c
+++ b/lib/group/pool.c
@@ -65,6 +65,7 @@
     mr_counter_t *queue_ms;
     mr_counter_t *opened;
     mr_counter_t *connections_in_use;
+    mr_traffic_t traffic;
 };
 
 static void
@@ -233,6 +234,7 @@
         note_open_result(pool, false);
         return false;
     }
+    mr_target_conn_count(conn, &pool->traffic);
     pool_conn_t *item = MR_NEW(pool_conn_t);
     item->pool = pool;
     item->conn = conn;
@@ -404,6 +406,7 @@
     pool->connections_in_use =
         mr_counters_get(counters, "masticrelay_pool_connections_in_use",
                         labels, "connections given out");
+    pool->traffic = mr_traffic_create(counters, "target");
     set_timer(pool->check, 0);
     free(full);
     free(late);
--- a/lib/group/target.c
+++ b/lib/group/target.c
@@ -352,6 +352,12 @@
     return conn;
 }
 
+void
+mr_target_conn_count(mr_target_conn_t *conn, const mr_traffic_t *traffic)
+{
+    mr_traffic_watch(traffic, evhttp_connection_get_bufferevent(conn->http));
+}
+
 void
 mr_target_conn_destroy(mr_target_conn_t *conn)
 {
--- a/lib/group/target.h
+++ b/lib/group/target.h
@@ -10,6 +10,7 @@
 
 #include "common/clock.h"
 #include "common/error.h"
+#include "common/traffic.h"
 #include "wire/msg.h"
 
 /** Longest answer that is read from a target. */
@@ -94,6 +95,9 @@
  * called. */
 void mr_target_conn_destroy(mr_target_conn_t *conn);
 
+/** mr_target_conn_count() - count the bytes of @conn in @traffic. */
+void mr_target_conn_count(mr_target_conn_t *conn, const mr_traffic_t *traffic);
+
 /** mr_target_conn_send() - send one request; the connection must be idle. */
 void mr_target_conn_send(mr_target_conn_t *conn,
                          const mr_target_request_t *request,
--- a/lib/platform/platform.c
+++ b/lib/platform/platform.c
@@ -12,6 +12,7 @@
 #include "common/list.h"
 #include "common/log.h"
 #include "common/mem.h"
+#include "common/traffic.h"
 
 enum {
     CONNECTIONS = 4,
@@ -99,6 +100,7 @@
     mr_counter_t *calls[CALL_KINDS];
     mr_counter_t *failures[CALL_KINDS];
     mr_counter_t *refused;
+    mr_traffic_t traffic;
 };
 
 static void
@@ -302,6 +304,8 @@
 
     if (http != NULL) {
         evhttp_connection_set_max_body_size(http, BODY_MAX_BYTES);
+        mr_traffic_watch(&platform->traffic,
+                         evhttp_connection_get_bufferevent(http));
         if (mr_address_source() != NULL) {
             evhttp_connection_set_local_address(http, mr_address_source());
         }
@@ -575,6 +579,7 @@
             call_kinds[i].labels,
             "calls to the platform without a usable answer");
     }
+    platform->traffic = mr_traffic_create(options->counters, "platform");
     platform->refused = mr_counters_get(
         options->counters, "masticrelay_platform_queue_full_total", "",
         "calls to the platform refused at a full queue");
--- a/lib/wire/peer_link.c
+++ b/lib/wire/peer_link.c
@@ -9,6 +9,7 @@
 
 #include "common/address.h"
 #include "common/mem.h"
+#include "common/traffic.h"
 #include "wire/lateness.h"
 
 enum {
@@ -31,6 +32,8 @@
     uint8_t peer_nonce[MR_PEER_NONCE_BYTES];
     char name[MR_PEER_NAME_MAX_BYTES];
     mr_lateness_t lateness;
+    mr_counter_t *sent;
+    mr_counter_t *received;
 };
 
 /*
@@ -71,6 +74,7 @@
                        1);
         return;
     }
+    mr_counter_add(link->sent, 1);
     bufferevent_write(link->bev, &header, sizeof(header));
     bufferevent_write(link->bev, msg->data, msg->size);
 }
@@ -167,6 +171,7 @@
     mr_msg_holder_t holder;
     bool ok = true;
 
+    mr_counter_add(link->received, 1);
     switch (mr_msg_decode(data, len, &holder)) {
     case MR_MSG_MALFORMED:
         return false;
@@ -276,6 +281,7 @@
 {
     struct bufferevent *bev = create_bufferevent(options, fd, opener);
     struct timeval timeout = {.tv_sec = HANDSHAKE_TIMEOUT_S};
+    mr_traffic_t traffic = mr_traffic_create(options->counters, "peer");
 
     if (bev == NULL) {
         return NULL;
@@ -287,6 +293,13 @@
     link->bev = bev;
     link->opener = opener;
     randombytes_buf(link->nonce, sizeof(link->nonce));
+    link->sent = mr_counters_get(options->counters,
+                                 "masticrelay_peer_sent_messages_total", "",
+                                 "peer messages sent");
+    link->received = mr_counters_get(
+        options->counters, "masticrelay_peer_received_messages_total", "",
+        "peer messages received");
+    mr_traffic_watch(&traffic, bev);
     bufferevent_setcb(bev, on_read, NULL, on_event, link);
     bufferevent_set_timeouts(bev, &timeout, &timeout);
     bufferevent_enable(bev, EV_READ | EV_WRITE);
