--- a/bench/bench_capacity_fleet.c
+++ b/bench/bench_capacity_fleet.c
@@ -14,7 +14,10 @@
 #include "common_harness.h"
 
 enum {
-    SETTLE_MS = 2500,
+    /* Demand of accounts that were used while the fleet started decays for 20
+       s. */
+    IDLE_SETTLE_MS = 20000,
+    LOAD_SETTLE_MS = 2500,
     WINDOW_MS = 6000,
     CHANGES = 3,
     CHANGE_LIMIT_MS = 10000,
@@ -139,8 +142,7 @@
         {"masticrelay_peer_sent_bytes_total", "peer_sent_bytes"},
         {"masticrelay_peer_received_bytes_total", "peer_received_bytes"},
         {"masticrelay_peer_sent_messages_total", "peer_sent_messages"},
-        {"masticrelay_peer_received_messages_total",
-         "peer_received_messages"},
+        {"masticrelay_peer_received_messages_total", "peer_received_messages"},
         {"masticrelay_probe_sent_bytes_total", "probe_sent_bytes"},
         {"masticrelay_probe_received_bytes_total", "probe_received_bytes"},
         {"masticrelay_target_sent_bytes_total", "target_sent_bytes"},
@@ -185,12 +187,12 @@
 }
 
 static void
-measure(harness_t *h, const char *phase)
+measure(harness_t *h, const char *phase, mr_ms_t settle)
 {
     sample_t before;
     sample_t after;
 
-    harness_run(h->base, SETTLE_MS);
+    harness_run(h->base, settle);
     before = take_sample(h);
     harness_run(h->base, WINDOW_MS);
     after = take_sample(h);
@@ -215,10 +217,9 @@
                && mr_clock_now(NULL) < start + CHANGE_LIMIT_MS) {
             json_t *sums = json_object();
             fetch_metrics(h, h->instances[next].admin, sums);
-            bool there =
-                json_number_value(
-                    json_object_get(sums, "masticrelay_config_version"))
-                >= (double)h->version;
+            bool there = json_number_value(json_object_get(
+                             sums, "masticrelay_config_version"))
+                         >= (double)h->version;
             json_decref(sums);
             if (there) {
                 next++;
@@ -262,8 +263,9 @@
     long value = index < argc ? strtol(argv[index], NULL, 10) : fallback;
 
     if (value < 1 || value > max) {
-        fprintf(stderr, "usage: %s INSTANCES-PER-DATA-CENTRE [GROUPS "
-                        "[ACCOUNTS]]\n",
+        fprintf(stderr,
+                "usage: %s INSTANCES-PER-DATA-CENTRE [GROUPS "
+                "[ACCOUNTS]]\n",
                 argv[0]);
         exit(2);
     }
@@ -295,9 +297,9 @@
     };
     harness_t *h = harness_start(&options);
 
-    measure(h, "idle");
+    measure(h, "idle", IDLE_SETTLE_MS);
     harness_caller_t *callers = harness_callers_start(h, &load);
-    measure(h, "load");
+    measure(h, "load", LOAD_SETTLE_MS);
     harness_callers_stop(callers);
     measure_change(h);
     measure_primary_change(h);
