--- a/bench/bench_capacity_modules.c
+++ b/bench/bench_capacity_modules.c
@@ -116,7 +116,7 @@
 
     run.clock.kind = MR_CLOCK_MANUAL;
     run.clock.u.manual.now = 1000000;
-    run.found = mr_calloc((size_t)count + 1, sizeof(*run.found));
+    run.found = mr_calloc((size_t)count + 1, sizeof(const mr_member_t *));
     run.table = mr_member_table_create(&run.clock, "self", "konya",
                                        "10.0.0.1:7000", INCARNATION);
     mr_member_table_set_joined(run.table);
--- /dev/null
+++ b/bench/capacity.sh
@@ -0,0 +1,48 @@
+#!/usr/bin/env bash
+# Runs the capacity programs and prints their lines "name size value unit",
+# then for each name with several sizes the line through them by least
+# squares: "slope NAME INTERCEPT SLOPE UNIT". `make capacity` calls it.
+set -eu
+build=${MASTICRELAY_BUILD:-build}
+out=$build/capacity.txt
+
+{
+    "$build/bench_capacity_modules"
+    "$build/bench_capacity_structures"
+    "$build/bench_capacity_connections"
+    # Instances in each of three data centres: 6, 12, 24 and 48 daemons.
+    for instances in 2 4 8 16; do
+        "$build/bench_capacity_fleet" "$instances"
+    done
+    # How the store's load grows with the accounts, at 6 daemons with 8 (above)
+    # and 100 accounts.
+    "$build/bench_capacity_fleet" 2 3 100 |
+        sed "s/^fleet_/accounts_/; s/^\([^ ]*\) 6 /\1 100 /"
+} | tee "$out"
+
+awk '
+    $1 ~ /^fleet_/ && $2 == 6 {
+        add("accounts_" substr($1, 7), 8, $3, $4)
+    }
+    {
+        add($1, $2, $3, $4)
+    }
+    function add(name, size, value, u) {
+        n[name]++
+        x[name] += size
+        y[name] += value
+        xx[name] += size * size
+        xy[name] += size * value
+        unit[name] = u
+    }
+    END {
+        for (name in n) {
+            d = n[name] * xx[name] - x[name] * x[name]
+            if (n[name] < 2 || d == 0)
+                continue
+            b = (n[name] * xy[name] - x[name] * y[name]) / d
+            a = (y[name] - b * x[name]) / n[name]
+            printf "slope %s %.6g %.6g %s\n", name, a, b, unit[name]
+        }
+    }
+' "$out" | sort | tee -a "$out"
--- a/bench/common_bench.c
+++ b/bench/common_bench.c
@@ -5,10 +5,10 @@
 #include <time.h>
 #include <unistd.h>
 
-enum { ROUNDS = 3 };
-
-/* Of one round. */
-static const double ROUND_US = 15e3;
+enum {
+    ROUNDS = 3,
+    ROUND_US = 15000,
+};
 
 void
 bench_print(const char *name, long size, double value, const char *unit)
