--- a/Makefile
+++ b/Makefile
@@ -30,9 +30,12 @@
 INTEGRATION := $(patsubst tests/integration/%.c,%,$(wildcard tests/integration/test_*.c))
 HARNESS_SRC := $(wildcard tests/integration/harness*.c tests/integration/trace.c)
 # bench_fleet starts fleets and is linked with the test harness.
-BENCH := $(filter-out bench_fleet,$(patsubst bench/%.c,%,$(wildcard bench/bench_*.c)))
 FLEET_SRC := bench/bench_fleet.c $(wildcard bench/fleet_*.c)
 GSL_LIBS = $(shell pkg-config --libs gsl)
+# These start processes as well and are linked with the test harness.
+CAPACITY_FLEET := bench_capacity_fleet bench_capacity_connections
+CAPACITY := bench_capacity_modules bench_capacity_structures $(CAPACITY_FLEET)
+BENCH := $(filter-out bench_fleet $(CAPACITY_FLEET),$(patsubst bench/%.c,%,$(wildcard bench/bench_*.c)))
 EXAMPLES := $(patsubst examples/%.c,%,$(filter-out examples/common_%.c,$(wildcard examples/*.c)))
 
 SOURCES := $(sort $(wildcard lib/*.h lib/*/*.[ch] programs/*.[ch] tests/*/*.[ch] \
@@ -46,7 +49,8 @@
 programs: $(PROGRAMS:%=$(BUILD)/%)
 standins: $(STANDINS:%=$(BUILD)/%) $(BUILD)/redirect.so
 tests: $(UNIT:%=$(BUILD)/unit/%) $(INTEGRATION:%=$(BUILD)/integration/%)
-bench-programs: $(BENCH:%=$(BUILD)/%) $(BUILD)/bench_fleet
+bench-programs: $(BENCH:%=$(BUILD)/%) $(BUILD)/bench_fleet \
+                $(CAPACITY_FLEET:%=$(BUILD)/%)
 examples: $(EXAMPLES:%=$(BUILD)/examples/%)
 
 $(BUILD)/%.o: %.c
@@ -103,6 +107,11 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(GSL_LIBS) $(PKG_LIBS) -o $@
 
+$(CAPACITY_FLEET:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/bench/%.o \
+    $(BUILD)/bench/common_bench.o $(HARNESS_SRC:%.c=$(BUILD)/%.o) $(LIB)
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(PKG_LIBS) -o $@
+
 $(BUILD)/examples/%: $(BUILD)/examples/%.o \
     $(patsubst %.c,$(BUILD)/%.o,$(wildcard examples/common_*.c)) $(LIB)
 	@mkdir -p $(@D)
@@ -155,6 +164,11 @@
 	@$(MAKE) programs standins $(BUILD)/bench_fleet
 	MASTICRELAY_BUILD=$(BUILD) $(BUILD)/bench_fleet
 
+# Measures the costs that docs/CAPACITY.md computes with.
+capacity: packages
+	$(MAKE) programs standins $(CAPACITY:%=$(BUILD)/%)
+	MASTICRELAY_BUILD=$(BUILD) bench/capacity.sh
+
 format:
 	@clang-format -i $(SOURCES)
 
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -87,7 +87,7 @@
     int64_t offline_limit_s;
     /* All connections between processes pass the fault proxy. */
     bool proxied;
-    const char *trace;      /* path; NULL: no trace */
+    const char *trace; /* name of the file in the folder; NULL: no trace */
     const char *experiment; /* setting of the daemons; NULL: none */
 } harness_options_t;
 
@@ -130,6 +130,7 @@
     char approver_public[MR_OP_APPROVER_PUBLIC_BYTES];
     char approver_secret[MR_OP_APPROVER_SECRET_BYTES];
     FILE *trace;
+    char trace_path[HARNESS_PATH_BYTES];
     int64_t next_request;
     mr_ms_t started;
 } harness_t;
--- a/tests/integration/harness_fleet.c
+++ b/tests/integration/harness_fleet.c
@@ -307,7 +307,10 @@
     write_secret(h);
     ck_assert(mr_op_approver_create(h->approver_public, h->approver_secret));
     if (options->trace != NULL) {
-        h->trace = fopen(options->trace, "we");
+        /* In the run's own folder: two runs at once must not share it. */
+        snprintf(h->trace_path, sizeof(h->trace_path), "%s/%s", h->folder,
+                 options->trace);
+        h->trace = fopen(h->trace_path, "we");
         ck_assert_ptr_nonnull(h->trace);
     }
     set_process(h, &h->platform, "platform_standin", "platform",
--- a/tests/integration/test_at_most_once.c
+++ b/tests/integration/test_at_most_once.c
@@ -42,7 +42,7 @@
         .list_lag_ms = 500,
         .offline_limit_s = 3600,
         .proxied = true,
-        .trace = "/tmp/masticrelay-at-most-once.jsonl",
+        .trace = "at-most-once.jsonl",
     };
 
     return harness_start(&options);
--- a/tests/integration/test_chaos.c
+++ b/tests/integration/test_chaos.c
@@ -16,7 +16,7 @@
 enum { DEFAULT_SEED = 1, DEFAULT_SECONDS = 20, FAILURES_MAX = 3 };
 
 static const char *const places[] = {"konya", "aksaray", "nigde", NULL};
-static const char trace_path[] = "/tmp/masticrelay-chaos.jsonl";
+static const char trace_path[] = "chaos.jsonl";
 
 /** A failure that lasts for a while. */
 typedef struct failure {
--- a/tests/integration/test_leaving.c
+++ b/tests/integration/test_leaving.c
@@ -43,7 +43,7 @@
         .list_lag_ms = LIST_LAG_MS,
         .offline_limit_s = 3600,
         .proxied = true,
-        .trace = "/tmp/masticrelay-leaving.jsonl",
+        .trace = "leaving.jsonl",
     };
 
     return harness_start(&options);
--- a/tests/integration/test_read_your_writes.c
+++ b/tests/integration/test_read_your_writes.c
@@ -36,7 +36,7 @@
         .list_lag_ms = 500,
         .offline_limit_s = 3600,
         .proxied = true,
-        .trace = "/tmp/masticrelay-read-your-writes.jsonl",
+        .trace = "read-your-writes.jsonl",
     };
 
     return harness_start(&options);
