Leave a connection for each slot when transactions hold the others

A transaction keeps its connection between statements, so enough of them could take all connections of a target and stop plain statements. Beginning one more is refused as overloaded.

--- a/lib/group/owner.c
+++ b/lib/group/owner.c
@@ -144,6 +144,16 @@
     free(group);
 }
 
+/* Transactions hold a connection each between their statements; without a
+ * bound they could leave none for anything else. */
+static size_t
+transactions_max(const mr_config_target_t *target)
+{
+    int64_t left = pool_connections(target) - target->slots;
+
+    return left > 1 ? (size_t)left : 1;
+}
+
 static mr_owned_target_t *
 open_target(mr_owner_t *owner, const mr_config_target_t *config)
 {
@@ -167,6 +177,7 @@
     target->address = mr_strdup(config->address);
     target->index = config->index;
     target->used_at = mr_clock_now(NULL);
+    target->transactions_max = transactions_max(config);
     target->group = open_group(owner, config->group);
     target->group->users++;
     target->pool = mr_pool_create(&options);
@@ -254,6 +265,7 @@
 
     if (same) {
         target->index = found->index;
+        target->transactions_max = transactions_max(found);
         mr_pool_resize(target->pool, found->slots, pool_connections(found));
     }
     bool owned = same && owns(target->owner, found);
--- a/lib/group/owner_internal.h
+++ b/lib/group/owner_internal.h
@@ -26,7 +26,9 @@
     mr_owned_group_t *group;
     size_t index; /* within the group */
     mr_pool_t *pool;
-    size_t users; /* requests and transactions */
+    size_t users;            /* requests and transactions */
+    size_t transactions;     /* open ones, and those being opened */
+    size_t transactions_max; /* leaves a connection for each slot */
     mr_ms_t used_at;
 } mr_owned_target_t;
 
--- a/lib/group/transaction.c
+++ b/lib/group/transaction.c
@@ -55,6 +55,7 @@
     else if (t->conn != NULL) {
         mr_pool_unpin(t->target->pool, t->conn, false);
     }
+    t->target->transactions--;
     t->target->users--;
     event_free(t->idle);
     mr_execute_reply_free(t->saved);
@@ -410,6 +411,7 @@
     t->access = msg->access;
     t->term = term;
     t->idle = evtimer_new(target->owner->options.base, on_idle, t);
+    target->transactions++;
     target->users++;
     restart_idle_timer(t);
     g_hash_table_insert(target->owner->transactions, t->id, t);
--- a/lib/group/work.c
+++ b/lib/group/work.c
@@ -89,6 +89,9 @@
         event_free(work->pause);
     }
     mr_list_remove(&work->link);
+    if (work->msg->operation == MR_OPERATION_BEGIN) {
+        work->target->transactions--;
+    }
     work->target->users--;
     work->target->used_at = mr_clock_now(NULL);
     work->target->owner->running--;
@@ -673,6 +676,12 @@
     target->users++;
     target->used_at = mr_clock_now(NULL);
     target->owner->running++;
+    if (msg->operation == MR_OPERATION_BEGIN
+        && target->transactions++ >= target->transactions_max) {
+        fail(work, MR_ERR_OVERLOADED,
+             "the target has no connection left for a transaction");
+        return;
+    }
     restart(work);
 }
 
