--- a/bench/bench_capacity_fleet.c
+++ b/bench/bench_capacity_fleet.c
@@ -155,7 +155,7 @@
         {"masticrelay_config_polls_total", "config_polls"},
         {"masticrelay_config_pushes_sent_total", "config_pushes"},
         {"masticrelay_config_peer_reads_total", "config_peer_reads"},
-        {"mr_limit_asked_total", "limiter_asks"},
+        {"masticrelay_limit_asked_total", "limiter_asks"},
         {"masticrelay_answers_total", "answers"},
     };
     long n = (long)h->instance_count;
--- a/lib/limit/limit.c
+++ b/lib/limit/limit.c
@@ -433,19 +433,21 @@
 {
     mr_counters_t *counters = limit->options.counters;
 
-    limit->admitted = mr_counters_get(counters, "mr_limit_admitted_total", "",
-                                      "requests that got a token");
-    limit->refused = mr_counters_get(counters, "mr_limit_refused_total", "",
-                                     "requests refused by the rate limit");
+    limit->admitted =
+        mr_counters_get(counters, "masticrelay_limit_admitted_total", "",
+                        "requests that got a token");
+    limit->refused =
+        mr_counters_get(counters, "masticrelay_limit_refused_total", "",
+                        "requests refused by the rate limit");
     limit->refused_late = mr_counters_get(
-        counters, "mr_limit_refused_without_word_total", "",
+        counters, "masticrelay_limit_refused_without_word_total", "",
         "requests refused because the limiter gave no answer in time");
-    limit->held = mr_counters_get(counters, "mr_limit_held_total", "",
+    limit->held = mr_counters_get(counters, "masticrelay_limit_held_total", "",
                                   "requests held for a token");
-    limit->asked = mr_counters_get(counters, "mr_limit_asked_total", "",
-                                   "asks to limiters");
+    limit->asked = mr_counters_get(counters, "masticrelay_limit_asked_total",
+                                   "", "asks to limiters");
     limit->ask_failures =
-        mr_counters_get(counters, "mr_limit_ask_failures_total", "",
+        mr_counters_get(counters, "masticrelay_limit_ask_failures_total", "",
                         "asks to limiters without an answer");
 }
 
--- a/lib/limit/limiter.c
+++ b/lib/limit/limiter.c
@@ -545,18 +545,20 @@
 {
     mr_counters_t *counters = limiter->options.counters;
 
-    limiter->held = mr_counters_get(counters, "mr_limiter_leases", "",
+    limiter->held = mr_counters_get(counters, "masticrelay_limiter_leases", "",
                                     "shards whose limiter this instance is");
     limiter->takeovers =
-        mr_counters_get(counters, "mr_limiter_takeovers_total", "",
+        mr_counters_get(counters, "masticrelay_limiter_takeovers_total", "",
                         "leases taken by this instance");
-    limiter->granted = mr_counters_get(counters, "mr_limiter_grants_total", "",
-                                       "grants given to instances");
-    limiter->writes = mr_counters_get(counters, "mr_limiter_writes_total", "",
-                                      "conditional writes of rows");
+    limiter->granted =
+        mr_counters_get(counters, "masticrelay_limiter_grants_total", "",
+                        "grants given to instances");
+    limiter->writes =
+        mr_counters_get(counters, "masticrelay_limiter_writes_total", "",
+                        "conditional writes of rows");
     limiter->unknown_writes =
-        mr_counters_get(counters, "mr_limiter_unknown_writes_total", "",
-                        "conditional writes whose outcome was unknown");
+        mr_counters_get(counters, "masticrelay_limiter_unknown_writes_total",
+                        "", "conditional writes whose outcome was unknown");
 }
 
 mr_limiter_t *
