Widen the random failures; keep each run's trace in its own folder

The test also knew only symmetric cuts.

Change: a trace's relative name lies in the run's folder. test_chaos also cuts one direction, refuses and resets, holds and delays links.

--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -85,7 +85,9 @@
     int64_t offline_limit_s;
     /* All connections between processes pass the fault proxy. */
     bool proxied;
-    const char *trace; /* path; NULL: no trace */
+    /* File name in the run's own folder, since tests may run side by side; or
+     * an absolute path. NULL: no trace. */
+    const char *trace;
 } harness_options_t;
 
 typedef struct harness_instance {
@@ -125,6 +127,7 @@
     char approver_public[MR_OP_APPROVER_PUBLIC_BYTES];
     char approver_secret[MR_OP_APPROVER_SECRET_BYTES];
     FILE *trace;
+    char trace_path[HARNESS_PATH_BYTES];
     int64_t next_request;
     mr_ms_t started;
 } harness_t;
--- a/tests/integration/harness_fleet.c
+++ b/tests/integration/harness_fleet.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <glib.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdlib.h>
@@ -274,7 +275,12 @@
     write_secret(h);
     ck_assert(mr_op_approver_create(h->approver_public, h->approver_secret));
     if (options->trace != NULL) {
-        h->trace = fopen(options->trace, "we");
+        g_autofree char *path =
+            options->trace[0] == '/'
+                ? g_strdup(options->trace)
+                : g_build_filename(h->folder, options->trace, NULL);
+        snprintf(h->trace_path, sizeof(h->trace_path), "%s", path);
+        h->trace = fopen(path, "we");
         ck_assert_ptr_nonnull(h->trace);
     }
     set_process(h, &h->platform, "platform_standin", "platform",
--- a/tests/integration/harness_trace.c
+++ b/tests/integration/harness_trace.c
@@ -147,7 +147,7 @@
     ck_assert_ptr_nonnull(h->trace);
     fclose(h->trace);
     h->trace = NULL;
-    json_t *violations = trace_check(h->options.trace);
+    json_t *violations = trace_check(h->trace_path);
     ck_assert_ptr_nonnull(violations);
     return violations;
 }
--- a/tests/integration/test_changes.c
+++ b/tests/integration/test_changes.c
@@ -49,7 +49,7 @@
         .connect_ms = 10,
         .list_lag_ms = 500,
         .offline_limit_s = 3600,
-        .trace = "/tmp/masticrelay-changes.jsonl",
+        .trace = "trace.jsonl",
     };
     const harness_load_t load = {.callers = 12,
                                  .account = -1,
--- a/tests/integration/test_chaos.c
+++ b/tests/integration/test_chaos.c
@@ -16,14 +16,30 @@
 enum { DEFAULT_SEED = 1, DEFAULT_SECONDS = 20, FAILURES_MAX = 3 };
 
 static const char *const places[] = {"konya", "aksaray", "nigde", NULL};
-static const char trace_path[] = "/tmp/masticrelay-chaos.jsonl";
+
+/** A fault of all links from one data centre to another. */
+typedef struct link_fault {
+    const char *name;
+    const char *begin;
+    const char *end;
+    bool both; /* also of the links the other way */
+} link_fault_t;
+
+static const link_fault_t link_faults[] = {
+    {"cut", "{\"cut\":\"both\"}", "{\"cut\":\"none\"}", true},
+    {"cut_one_way", "{\"cut\":\"to_target\"}", "{\"cut\":\"none\"}", false},
+    {"refuse", "{\"refuse\":true,\"reset\":true}", "{\"refuse\":false}", true},
+    {"hold", "{\"hold\":true}", "{\"hold\":false}", false},
+    {"delay", "{\"delay_ms\":150}", "{\"delay_ms\":0}", true},
+};
 
 /** A failure that lasts for a while. */
 typedef struct failure {
     mr_ms_t until; /* 0: none */
     harness_process_t *process;
-    const char *one; /* data centres that are cut off from each other */
-    const char *other;
+    const char *from; /* data centres whose links fail */
+    const char *to;
+    const link_fault_t *fault;
     bool stopped;  /* process paused, otherwise killed */
     bool platform; /* the platform is down */
 } failure_t;
@@ -106,6 +122,19 @@
     }
 }
 
+static void
+set_links(chaos_t *chaos, const failure_t *failure, const char *json)
+{
+    char link[2 * HARNESS_NAME_BYTES];
+
+    snprintf(link, sizeof(link), "%s--%s.*", failure->from, failure->to);
+    harness_fault(chaos->harness, link, json);
+    if (failure->fault->both) {
+        snprintf(link, sizeof(link), "%s--%s.*", failure->to, failure->from);
+        harness_fault(chaos->harness, link, json);
+    }
+}
+
 static void
 begin(chaos_t *chaos, failure_t *failure)
 {
@@ -114,11 +143,12 @@
     memset(failure, 0, sizeof(*failure));
     switch (below(chaos, 4)) {
     case 0:
-        failure->one = places[first];
-        failure->other = places[(first + 1) % 3];
+        failure->from = places[first];
+        failure->to = places[(first + 1 + (size_t)below(chaos, 2)) % 3];
+        failure->fault = &link_faults[below(chaos, G_N_ELEMENTS(link_faults))];
         failure->until = mr_clock_now(NULL) + 500 + below(chaos, 4000);
-        say(chaos, "cut", failure->one);
-        harness_cut(chaos->harness, failure->one, failure->other, true);
+        say(chaos, failure->fault->name, failure->from);
+        set_links(chaos, failure, failure->fault->begin);
         return;
     case 1:
         failure->platform = true;
@@ -150,7 +180,7 @@
         harness_platform_fault(chaos->harness, "{\"down\":false}");
     }
     else {
-        harness_cut(chaos->harness, failure->one, failure->other, false);
+        set_links(chaos, failure, failure->fault->end);
     }
 }
 
@@ -203,7 +233,7 @@
         .list_lag_ms = 500,
         .offline_limit_s = 3600,
         .proxied = true,
-        .trace = trace_path,
+        .trace = "trace.jsonl",
     };
     const harness_load_t load = {.callers = 24,
                                  .account = -1,
--- a/tests/integration/test_membership.c
+++ b/tests/integration/test_membership.c
@@ -25,7 +25,7 @@
     .list_lag_ms = 500,
     .offline_limit_s = 3600,
     .proxied = true,
-    .trace = "/tmp/masticrelay-membership.jsonl",
+    .trace = "trace.jsonl",
 };
 
 /* How many members of its data centre @instance sees in @state. */
