--- a/lib/group/target.c
+++ b/lib/group/target.c
@@ -280,9 +280,11 @@
         return;
     }
     if (status == HTTP_SERVUNAVAIL && !conn->answered) {
-        /* Refused at connect: the target has read nothing. */
+        /* Refused at connect: the target lives, but has read nothing. */
         conn->broken = true;
-        finish(conn, MR_ERR_UNAVAILABLE, "connection refused by the target");
+        conn->reply.refusal = MR_REFUSAL_BUSY;
+        finish(conn, MR_ERR_TARGET_REFUSED,
+               "the target accepts no more connections");
         return;
     }
     struct evbuffer *body = evhttp_request_get_input_buffer(req);
@@ -350,6 +352,12 @@
     return conn;
 }
 
+void
+mr_target_conn_count(mr_target_conn_t *conn, const mr_traffic_t *traffic)
+{
+    mr_traffic_watch(traffic, evhttp_connection_get_bufferevent(conn->http));
+}
+
 void
 mr_target_conn_destroy(mr_target_conn_t *conn)
 {
--- a/tests/integration/demo.c
+++ b/tests/integration/demo.c
@@ -32,7 +32,7 @@
     .connect_ms = 10,
     .list_lag_ms = 500,
     .offline_limit_s = 3600,
-    .trace = "/tmp/masticrelay-demo.jsonl",
+    .trace = "demo.jsonl",
 };
 
 static const harness_load_t load = {
--- a/tests/integration/test_answers.c
+++ b/tests/integration/test_answers.c
@@ -33,7 +33,7 @@
     .list_lag_ms = 500,
     .offline_limit_s = 3600,
     .proxied = true,
-    .trace = "/tmp/masticrelay-answers.jsonl",
+    .trace = "answers.jsonl",
 };
 
 static const char *const links[] = {
