--- a/Makefile
+++ b/Makefile
@@ -29,11 +29,12 @@
 UNIT := $(patsubst tests/unit/%.c,%,$(wildcard tests/unit/test_*.c))
 INTEGRATION := $(patsubst tests/integration/%.c,%,$(wildcard tests/integration/test_*.c))
 HARNESS_SRC := $(wildcard tests/integration/harness*.c tests/integration/trace.c)
-BENCH := $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
-# These start processes and are linked with the test harness.
+# These start fleets and are linked with the test harness.
 CAPACITY_FLEET := bench_capacity_fleet bench_capacity_connections
 CAPACITY := bench_capacity_modules bench_capacity_structures $(CAPACITY_FLEET)
-BENCH := $(filter-out $(CAPACITY_FLEET),$(BENCH))
+BENCH := $(filter-out bench_fleet $(CAPACITY_FLEET),$(patsubst bench/%.c,%,$(wildcard bench/bench_*.c)))
+FLEET_SRC := bench/bench_fleet.c $(wildcard bench/fleet_*.c)
+GSL_LIBS = $(shell pkg-config --libs gsl)
 EXAMPLES := $(patsubst examples/%.c,%,$(filter-out examples/common_%.c,$(wildcard examples/*.c)))
 
 SOURCES := $(sort $(wildcard lib/*.h lib/*/*.[ch] programs/*.[ch] tests/*/*.[ch] \
@@ -47,7 +48,7 @@
 programs: $(PROGRAMS:%=$(BUILD)/%)
 standins: $(STANDINS:%=$(BUILD)/%) $(BUILD)/redirect.so
 tests: $(UNIT:%=$(BUILD)/unit/%) $(INTEGRATION:%=$(BUILD)/integration/%)
-bench-programs: $(BENCH:%=$(BUILD)/%) $(CAPACITY_FLEET:%=$(BUILD)/%)
+bench-programs: $(BENCH:%=$(BUILD)/%) $(CAPACITY_FLEET:%=$(BUILD)/%) $(BUILD)/bench_fleet
 examples: $(EXAMPLES:%=$(BUILD)/examples/%)
 
 $(BUILD)/%.o: %.c
@@ -97,13 +98,18 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
+$(BUILD)/bench/%.o: ALL_CFLAGS += -Itests
+
+$(BUILD)/bench_fleet: $(FLEET_SRC:%.c=$(BUILD)/%.o) \
+    $(HARNESS_SRC:%.c=$(BUILD)/%.o) $(LIB)
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(GSL_LIBS) $(PKG_LIBS) -o $@
+
 $(CAPACITY_FLEET:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/bench/%.o \
     $(BUILD)/bench/common_bench.o $(HARNESS_SRC:%.c=$(BUILD)/%.o) $(LIB)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(PKG_LIBS) -o $@
 
-$(BUILD)/bench/%.o: ALL_CFLAGS += -Itests
-
 $(BUILD)/examples/%: $(BUILD)/examples/%.o \
     $(patsubst %.c,$(BUILD)/%.o,$(wildcard examples/common_*.c)) $(LIB)
 	@mkdir -p $(@D)
@@ -152,6 +158,10 @@
 	$(MAKE) programs standins $(BUILD)/integration/demo
 	MASTICRELAY_BUILD=$(BUILD) $(BUILD)/integration/demo
 
+bench: packages
+	@$(MAKE) programs standins $(BUILD)/bench_fleet
+	MASTICRELAY_BUILD=$(BUILD) $(BUILD)/bench_fleet
+
 # Measures the costs that docs/CAPACITY.md computes with.
 capacity: packages
 	$(MAKE) programs standins $(CAPACITY:%=$(BUILD)/%)
