--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 INTEGRATION := $(patsubst tests/integration/%.c,%,$(wildcard tests/integration/test_*.c))
 HARNESS_SRC := $(wildcard tests/integration/harness*.c tests/integration/trace.c)
 # These start fleets and are linked with the test harness.
-CAPACITY_FLEET := bench_capacity_fleet bench_capacity_connections
+CAPACITY_FLEET := bench_capacity_fleet bench_capacity_connections bench_capacity_members
 CAPACITY := bench_capacity_modules bench_capacity_structures $(CAPACITY_FLEET)
 BENCH := $(filter-out bench_fleet $(CAPACITY_FLEET),$(patsubst bench/%.c,%,$(wildcard bench/bench_*.c)))
 FLEET_SRC := bench/bench_fleet.c $(wildcard bench/fleet_*.c)
--- a/bench/bench_capacity_modules.c
+++ b/bench/bench_capacity_modules.c
@@ -291,6 +291,7 @@
     long count;
     mr_limit_local_t *locals;
     mr_grant_book_t **books;
+    char (*names)[NAME_BYTES];
     mr_ms_t now;
     long next;
 } limit_run_t;
@@ -335,9 +336,7 @@
     unsigned found = 0;
 
     for (long i = 0; i < run->count; i++) {
-        char name[NAME_BYTES];
-        snprintf(name, sizeof(name), "account-%ld", i);
-        found += mr_limiter_shard(name) == 3;
+        found += mr_limiter_shard(run->names[i]) == 3;
     }
     run->next += found;
 }
@@ -349,8 +348,10 @@
 
     run.locals = mr_calloc((size_t)count, sizeof(*run.locals));
     run.books = mr_calloc((size_t)count, sizeof(mr_grant_book_t *));
+    run.names = mr_calloc((size_t)count, sizeof(*run.names));
     for (long i = 0; i < count; i++) {
         mr_limit_amount_t share = {2000000, 1000000};
+        snprintf(run.names[i], NAME_BYTES, "account-%ld", i);
         mr_limit_local_init(&run.locals[i], run.now);
         mr_limit_local_configure(&run.locals[i], share, run.now);
         run.books[i] = mr_grant_book_create(1, NULL, run.now);
@@ -364,6 +365,7 @@
         mr_grant_book_destroy(run.books[i]);
     }
     free(run.books);
+    free(run.names);
     free(run.locals);
 }
 
--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -18,12 +18,18 @@
     # and 100 accounts.
     "$build/bench_capacity_fleet" 2 3 100 |
         sed "s/^fleet_/accounts_/; s/^\([^ ]*\) 6 /\1 100 /"
+    # The cost of a target, at 12 daemons with 9 (above) and 36 targets.
+    "$build/bench_capacity_fleet" 4 12 |
+        sed "s/^fleet_/groups_/; s/^\([^ ]*\) 12 /\1 36 /"
 } | tee "$out"
 
 awk '
     $1 ~ /^fleet_/ && $2 == 6 {
         add("accounts_" substr($1, 7), 8, $3, $4)
     }
+    $1 ~ /^fleet_/ && $2 == 12 {
+        add("groups_" substr($1, 7), 9, $3, $4)
+    }
     {
         add($1, $2, $3, $4)
     }
@@ -46,3 +52,6 @@
         }
     }
 ' "$out" | sort | tee -a "$out"
+
+# The two-year size, from the measured lines and slopes.
+awk -f bench/capacity_model.awk "$out" | tee -a "$out"
