--- a/lib/group/owner.c
+++ b/lib/group/owner.c
@@ -84,6 +84,33 @@
                         mirror);
 }
 
+/*
+ * Whether a change of the primary would cut off writes of this owner. An owner
+ * that does not know yet that the primary is leaving still sends new ones.
+ */
+static bool
+is_writing(void *ctx, const char *group_name)
+{
+    mr_owner_t *owner = ctx;
+    mr_owned_group_t *group = g_hash_table_lookup(owner->groups, group_name);
+
+    if (group == NULL) {
+        return false;
+    }
+    const mr_view_t *view = mr_observer_view(group->observer);
+    size_t primary = mr_view_primary(view, mr_clock_now(NULL));
+    const mr_owned_target_t *target =
+        primary == MR_VIEW_NONE
+            ? NULL
+            : g_hash_table_lookup(
+                owner->targets,
+                mr_observer_target_name(group->observer, primary));
+
+    return target != NULL
+           && (!mr_view_leaving(view, primary) || mr_work_writing(target)
+               || mr_transaction_writing(target));
+}
+
 static mr_owned_group_t *
 open_group(mr_owner_t *owner, const mr_config_group_t *config)
 {
@@ -97,6 +124,7 @@
             .members = owner->options.members,
             .name = owner->options.name,
             .on_promoted = on_promoted,
+            .is_writing = is_writing,
             .ctx = owner,
         };
         group = MR_NEW(mr_owned_group_t);
@@ -116,6 +144,16 @@
     free(group);
 }
 
+/* Transactions hold a connection each between their statements; without a
+ * bound they could leave none for anything else. */
+static size_t
+transactions_max(const mr_config_target_t *target)
+{
+    int64_t left = pool_connections(target) - target->slots;
+
+    return left > 1 ? (size_t)left : 1;
+}
+
 static mr_owned_target_t *
 open_target(mr_owner_t *owner, const mr_config_target_t *config)
 {
@@ -139,6 +177,7 @@
     target->address = mr_strdup(config->address);
     target->index = config->index;
     target->used_at = mr_clock_now(NULL);
+    target->transactions_max = transactions_max(config);
     target->group = open_group(owner, config->group);
     target->group->users++;
     target->pool = mr_pool_create(&options);
@@ -226,6 +265,7 @@
 
     if (same) {
         target->index = found->index;
+        target->transactions_max = transactions_max(found);
         mr_pool_resize(target->pool, found->slots, pool_connections(found));
     }
     bool owned = same && owns(target->owner, found);
@@ -361,6 +401,7 @@
         }
         reply.u.probe_reply.term = mr_view_highest_term(view);
         reply.u.probe_reply.healthy = mr_view_healthy(view, now);
+        reply.u.probe_reply.writing = is_writing(owner, group->name);
     }
     if (request != NULL) {
         mr_peer_reply(request, &reply);
--- a/lib/group/owner_internal.h
+++ b/lib/group/owner_internal.h
@@ -26,7 +26,9 @@
     mr_owned_group_t *group;
     size_t index; /* within the group */
     mr_pool_t *pool;
-    size_t users; /* requests and transactions */
+    size_t users;            /* requests and transactions */
+    size_t transactions;     /* open ones, and those being opened */
+    size_t transactions_max; /* leaves a connection for each slot */
     mr_ms_t used_at;
 } mr_owned_target_t;
 
@@ -58,6 +60,10 @@
 void mr_work_start(mr_owned_target_t *target, const mr_msg_execute_t *msg,
                    mr_execute_fn_t fn, void *ctx);
 
+/** mr_work_writing() - whether a write was sent to @target and is neither
+ * answered nor acknowledged yet. */
+bool mr_work_writing(const mr_owned_target_t *target);
+
 /** mr_work_abandon() - end all requests when the service closes. */
 void mr_work_abandon(mr_owner_t *owner);
 
@@ -75,6 +81,10 @@
 void mr_transaction_execute(mr_owner_t *owner, const mr_msg_execute_t *msg,
                             mr_execute_fn_t fn, void *ctx);
 
+/** mr_transaction_writing() - whether a transaction that may write is open at
+ * @target. */
+bool mr_transaction_writing(const mr_owned_target_t *target);
+
 /** mr_transaction_free() - roll back by closing the connection. */
 void mr_transaction_free(mr_transaction_t *transaction);
 
--- a/lib/group/transaction.c
+++ b/lib/group/transaction.c
@@ -55,6 +55,7 @@
     else if (t->conn != NULL) {
         mr_pool_unpin(t->target->pool, t->conn, false);
     }
+    t->target->transactions--;
     t->target->users--;
     event_free(t->idle);
     mr_execute_reply_free(t->saved);
@@ -377,6 +378,22 @@
                                 t->deadline, on_slot, t);
 }
 
+bool
+mr_transaction_writing(const mr_owned_target_t *target)
+{
+    GHashTableIter it;
+    gpointer value;
+
+    g_hash_table_iter_init(&it, target->owner->transactions);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const mr_transaction_t *t = value;
+        if (t->target == target && t->access == MR_ACCESS_WRITE) {
+            return true;
+        }
+    }
+    return false;
+}
+
 const char *
 mr_transaction_open(mr_owned_target_t *target, const mr_msg_execute_t *msg,
                     mr_target_conn_t *conn, const char *target_id,
@@ -394,6 +411,7 @@
     t->access = msg->access;
     t->term = term;
     t->idle = evtimer_new(target->owner->options.base, on_idle, t);
+    target->transactions++;
     target->users++;
     restart_idle_timer(t);
     g_hash_table_insert(target->owner->transactions, t->id, t);
--- a/tests/integration/test_acknowledged.c
+++ b/tests/integration/test_acknowledged.c
@@ -45,7 +45,7 @@
         .list_lag_ms = 500,
         .offline_limit_s = 3600,
         .proxied = true,
-        .trace = "/tmp/masticrelay-acknowledged.jsonl",
+        .trace = "acknowledged.jsonl",
     };
 
     return harness_start(&options);
