Remove the experiment option, which the merge had cut in half

The merge of harness.h dropped the member experiment, while harness_fleet.c still used it, so the harness did not compile.

--- a/bench/bench_fleet.c
+++ b/bench/bench_fleet.c
@@ -160,7 +160,7 @@
 }
 
 void
-fleet_up(fleet_bench_t *bench, const char *experiment)
+fleet_up(fleet_bench_t *bench)
 {
     harness_options_t *o = &bench->options;
 
@@ -175,7 +175,6 @@
     o->list_lag_ms = 500;
     o->offline_limit_s = 3600;
     o->proxied = true;
-    o->experiment = experiment;
     bench->h = harness_start(o);
     printf("# logs in %s\n", bench->h->folder);
     delay_links(bench);
--- a/bench/fleet_bench.h
+++ b/bench/fleet_bench.h
@@ -25,8 +25,8 @@
 
 typedef void fleet_part_fn(fleet_bench_t *bench);
 
-/** fleet_up() - start the fleet with its delays; @experiment may be NULL. */
-void fleet_up(fleet_bench_t *bench, const char *experiment);
+/** fleet_up() - start the fleet with its delays. */
+void fleet_up(fleet_bench_t *bench);
 void fleet_down(fleet_bench_t *bench);
 
 /** fleet_print() - one line: DEPLOYMENT.name value unit. */
--- a/bench/fleet_cost.c
+++ b/bench/fleet_cost.c
@@ -123,7 +123,7 @@
 void
 fleet_part_cost(fleet_bench_t *bench)
 {
-    fleet_up(bench, NULL);
+    fleet_up(bench);
     harness_run(bench->h->base, FLEET_WARM_UP_MS);
     used_t before = used_now(bench->h);
     harness_run(bench->h->base, IDLE_MS);
--- a/bench/fleet_failover.c
+++ b/bench/fleet_failover.c
@@ -275,7 +275,7 @@
     char shards[FLEET_ACCOUNTS][HARNESS_NAME_BYTES] = {""};
     run_t run = {.bench = bench};
 
-    fleet_up(bench, NULL);
+    fleet_up(bench);
     harness_t *h = bench->h;
     find_shards(h, shards);
     for (int g = 0; g < h->options.groups; g++) {
--- a/bench/fleet_limits.c
+++ b/bench/fleet_limits.c
@@ -83,7 +83,8 @@
 print_counters(const fleet_bench_t *bench, const char *what)
 {
     fleet_print_counter(bench, what, "masticrelay_limit_refused_total");
-    fleet_print_counter(bench, what, "masticrelay_limit_refused_without_word_total");
+    fleet_print_counter(bench, what,
+                        "masticrelay_limit_refused_without_word_total");
     fleet_print_counter(bench, what, "masticrelay_limit_held_total");
     fleet_print_counter(bench, what, "masticrelay_limit_ask_failures_total");
     fleet_print_counter(bench, what, "masticrelay_limiter_writes_total");
@@ -157,7 +158,7 @@
 void
 fleet_part_refusals(fleet_bench_t *bench)
 {
-    fleet_up(bench, NULL);
+    fleet_up(bench);
     measure_calm(bench, "even", 0, 0);
     measure_calm(bench, "skewed", 1, 0);
     measure_calm(bench, "jumping", 0, JUMP_MS);
@@ -171,7 +172,7 @@
 {
     fleet_stream_options_t streams[FLEET_ACCOUNTS];
 
-    fleet_up(bench, NULL);
+    fleet_up(bench);
     fleet_even_streams(bench, load_fraction, write_share, streams);
     streams[AGGRESSOR].rate =
         (double)bench->h->accounts[AGGRESSOR].rate * AGGRESSOR_TIMES;
--- a/bench/fleet_reads.c
+++ b/bench/fleet_reads.c
@@ -75,7 +75,7 @@
 void
 fleet_part_reads(fleet_bench_t *bench)
 {
-    fleet_up(bench, NULL);
+    fleet_up(bench);
     measure_lag(bench, 20);
     measure_lag(bench, 200);
     fleet_down(bench);
--- a/tests/integration/harness_fleet.c
+++ b/tests/integration/harness_fleet.c
@@ -113,9 +113,6 @@
     harness_process_arg(p, "--secret-file=%s/secret", h->folder);
     harness_process_arg(p, "--approver-public-key=%s", h->approver_public);
     harness_process_arg(p, "--operator-credential=%s", credential);
-    if (h->options.experiment != NULL) {
-        harness_process_arg(p, "--experiment=%s", h->options.experiment);
-    }
 }
 
 static void
