--- a/bench/fleet_limits.c
+++ b/bench/fleet_limits.c
@@ -83,7 +83,8 @@
 print_counters(const fleet_bench_t *bench, const char *what)
 {
     fleet_print_counter(bench, what, "masticrelay_limit_refused_total");
-    fleet_print_counter(bench, what, "masticrelay_limit_refused_without_word_total");
+    fleet_print_counter(bench, what,
+                        "masticrelay_limit_refused_without_word_total");
     fleet_print_counter(bench, what, "masticrelay_limit_held_total");
     fleet_print_counter(bench, what, "masticrelay_limit_ask_failures_total");
     fleet_print_counter(bench, what, "masticrelay_limiter_writes_total");
--- a/tests/integration/harness_process.c
+++ b/tests/integration/harness_process.c
@@ -200,7 +200,7 @@
             waitpid(process->pid, NULL, 0);
         }
         process->pid = 0;
-        ck_assert_msg(!ended || process->stopping,
+        ck_assert_msg(!ended || process->unlisted,
                       "%s ended by itself (status 0x%x), see %s",
                       process->name, (unsigned)status, process->log);
     }
