Make the far-behind replica the first one in the read tests; merge repairs

The far-behind replica is now the first one. The running statement of test_leaving had a deadline whose half, the time of a read's attempt, equalled the statement's own time; it is longer now and the answer must be 'ok'.

--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -42,8 +42,8 @@
     char log[HARNESS_PATH_BYTES];          /* receives standard error */
     char redirect[HARNESS_REDIRECT_BYTES]; /* see standins/redirect.c */
     pid_t pid;                             /* 0: not running */
-    bool
-        unlisted; /* stopping or not healthy yet: the balancer leaves it out */
+    bool stopping; /* got SIGTERM: may end, and callers leave it out */
+    bool unlisted; /* not healthy yet: callers leave it out as well */
 } harness_process_t;
 
 /** harness_port() - a free loopback port outside the range from which the
--- a/tests/integration/harness_caller.c
+++ b/tests/integration/harness_caller.c
@@ -201,6 +201,7 @@
 
     for (size_t i = 0; i < h->instance_count; i++) {
         if (h->instances[i].process.pid != 0
+            && !h->instances[i].process.stopping
             && !h->instances[i].process.unlisted
             && draw(random, ++seen) == 0) {
             chosen = i;
--- a/tests/integration/harness_process.c
+++ b/tests/integration/harness_process.c
@@ -162,7 +162,7 @@
     int out[2];
 
     ck_assert_int_eq(process->pid, 0);
-    process->unlisted = false;
+    process->stopping = false;
     ck_assert_int_eq(pipe2(out, O_CLOEXEC), 0);
     process->pid = fork();
     ck_assert_int_ge(process->pid, 0);
@@ -183,7 +183,7 @@
 harness_process_signal(harness_process_t *process, int number)
 {
     if (process->pid > 0) {
-        process->unlisted |= number == SIGTERM;
+        process->stopping |= number == SIGTERM;
         kill(process->pid, number);
     }
 }
--- a/tests/integration/test_leaving.c
+++ b/tests/integration/test_leaving.c
@@ -114,7 +114,7 @@
                                     .shard = "slow",
                                     .sleep = STATEMENT_MS,
                                     .write = primary,
-                                    .deadline = 2 * STATEMENT_MS};
+                                    .deadline = 4 * STATEMENT_MS};
     harness_caller_t *callers = harness_callers_start(h, &load);
 
     harness_run(h->base, 500);
@@ -129,8 +129,8 @@
     leave(h, target);
     mr_ms_t begin = mr_clock_now(NULL);
     harness_answer_t answer = harness_call_end(call);
-    ck_assert_msg(strcmp(answer.outcome, "ran") == 0,
-                  "the running statement: %s", answer.kind);
+    ck_assert_msg(strcmp(answer.kind, "ok") == 0, "the running statement: %s",
+                  answer.kind);
     ck_assert_str_eq(answer.served_by, name);
     harness_run(h->base, LEAVING_MS - (mr_clock_now(NULL) - begin));
     int before = count_work(h, target);
--- a/tests/integration/test_planned_stop.c
+++ b/tests/integration/test_planned_stop.c
@@ -51,7 +51,7 @@
 /* Every instance is stopped and started in turn, as in a roll-out. */
 START_TEST(test_roll_out_under_load)
 {
-    harness_t *h = start("/tmp/masticrelay-stop-roll-out.jsonl");
+    harness_t *h = start("stop-roll-out.jsonl");
     const harness_load_t load = {.callers = 24,
                                  .account = -1,
                                  .write_percent = 50,
@@ -88,7 +88,7 @@
  * entry, owner or both for some of them. */
 START_TEST(test_long_requests)
 {
-    harness_t *h = start("/tmp/masticrelay-stop-long-requests.jsonl");
+    harness_t *h = start("stop-long-requests.jsonl");
     harness_session_t *sessions[2 * INSTANCES];
     harness_call_t *calls[2 * INSTANCES];
     char shards[2 * INSTANCES][HARNESS_NAME_BYTES];
@@ -145,7 +145,7 @@
 /* A transaction that is open at the stopping owner can be committed. */
 START_TEST(test_open_transaction)
 {
-    harness_t *h = start("/tmp/masticrelay-stop-open-transaction.jsonl");
+    harness_t *h = start("stop-open-transaction.jsonl");
 
     for (size_t i = 0; i < INSTANCES; i++) {
         const harness_request_t open = {
--- a/tests/integration/test_read_your_writes.c
+++ b/tests/integration/test_read_your_writes.c
@@ -86,11 +86,12 @@
     char value[HARNESS_NAME_BYTES];
     int served = 0;
 
-    /* The third replica receives everything this much later. */
+    /* One replica receives everything this much later: the first one in the
+     * configuration, which a choice that ignores coverage would take. */
     char fault[HARNESS_NAME_BYTES];
     snprintf(fault, sizeof(fault), "{\"delay_to_target_ms\":%d}",
              FAR_BEHIND_MS);
-    harness_fault(h, "konya--karaman.g0-c", fault);
+    harness_fault(h, "konya--aksaray.g0-b", fault);
     for (int i = 0; i < ROUNDS; i++) {
         int at = g_rand_int_range(random, 0, 3);
         put(session, instances[at], "moves", value);
