--- a/tests/integration/test_acknowledged.c
+++ b/tests/integration/test_acknowledged.c
@@ -1,7 +1,8 @@
 /* P2. Guards against acknowledged writes that are lost and against writes
  * acknowledged by a replaced primary: callers on the isolated side, a primary
  * and a pool owner paused over the promotion, rival proposers, the store down,
- * and a primary that counts itself as a replica after it granted a term. */
+ * a far-behind replica that grants first, and a primary that counts itself as
+ * a replica after it granted a term. */
 
 #include <glib.h>
 #include <signal.h>
@@ -204,6 +205,23 @@
 }
 END_TEST
 
+/* The replica that grants first by its place is far behind, so that every
+ * write is acknowledged by the other one alone. */
+START_TEST(test_far_behind_replica_does_not_win)
+{
+    harness_t *h = start(LAG_MS);
+    harness_caller_t *callers = harness_callers_start(h, &load);
+    harness_target_t *old = harness_primary(h, 0);
+
+    harness_fault(h, "konya--aksaray.g0-b", "{\"delay_to_target_ms\":2000}");
+    harness_run(h->base, 1000);
+    harness_process_kill(&old->process);
+    harness_wait_primary(h, 0, old, FAILOVER_LIMIT_MS);
+    harness_fault(h, "konya--aksaray.g0-b", "{\"delay_to_target_ms\":0}");
+    finish(h, callers, harness_callers_counts(callers).ran);
+}
+END_TEST
+
 /* The write is held by the primary alone, which grants a term and dies. */
 START_TEST(test_primary_is_no_replica_of_itself)
 {
@@ -239,6 +257,7 @@
         test_rival_proposers,
         test_failover_without_store,
         test_primary_is_no_replica_of_itself,
+        test_far_behind_replica_does_not_win,
     };
 
     return harness_main("acknowledged", tests,
--- a/tests/integration/test_at_most_once.c
+++ b/tests/integration/test_at_most_once.c
@@ -152,6 +152,31 @@
 }
 END_TEST
 
+/* Connections to the primary are reset while it executes: the write may have
+ * run, and must neither be sent again nor be called "not run". */
+START_TEST(test_reset_in_the_middle)
+{
+    harness_t *h = start();
+    harness_session_t *session = harness_session_open(h, 0);
+    const harness_request_t request = {
+        .op = "append", .key = "reset", .deadline = DEADLINE_MS};
+    int unknown = 0;
+
+    for (int i = 0; i < ROUNDS; i++) {
+        harness_call_t *call = harness_call(session, &request);
+        harness_call_send(call, instances[i % INSTANCES]);
+        harness_run(h->base, STATEMENT_MS / 2);
+        harness_fault(h, "*--konya.g0-a", "{\"reset\":true}");
+        unknown += strcmp(harness_call_end(call).outcome, "unknown") == 0;
+        harness_run(h->base, 100);
+    }
+    ck_assert_int_gt(unknown, ROUNDS / 2);
+    harness_session_close(session);
+    harness_check_promises(h);
+    harness_end(h);
+}
+END_TEST
+
 static const char *const faults[][2] = {
     {"{\"hold\":true}", "{\"hold\":false}"},
     {"{\"cut\":\"to_caller\"}", "{\"cut\":\"none\"}"},
@@ -213,6 +238,7 @@
     const TTest *const tests[] = {
         test_retries_over_killed_instances,
         test_lost_answer,
+        test_reset_in_the_middle,
         test_not_run_is_true,
     };
 
