--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -2,19 +2,23 @@
 # Runs the capacity programs and prints their lines "name size value unit",
 # then for each name with several sizes the line through them by least
 # squares: "slope NAME INTERCEPT SLOPE UNIT". `make capacity` calls it.
-set -eu
+set -euo pipefail
 build=${MASTICRELAY_BUILD:-build}
 out=$build/capacity.txt
 
 {
     "$build/bench_capacity_modules"
     "$build/bench_capacity_structures"
+    # One daemon among many takes most of a minute, nearly all of it waiting.
+    "$build/bench_capacity_members" >"$out.members" &
+    members=$!
     "$build/bench_capacity_connections"
-    "$build/bench_capacity_members"
     # Instances in each of three data centres: 6, 12, 24 and 48 daemons.
     for instances in 2 4 8 16; do
         "$build/bench_capacity_fleet" "$instances"
     done
+    wait "$members"
+    cat "$out.members"
     # How the store's load grows with the accounts, at 6 daemons with 8 (above)
     # and 100 accounts.
     "$build/bench_capacity_fleet" 2 3 100 |
--- a/bench/capacity_model.awk
+++ b/bench/capacity_model.awk
@@ -133,8 +133,7 @@
     transfer = degree * body * 8 / 1e9 * 1e3
     change_ms = 500 + levels * (parse + transfer)
     computed("config_spread", change_ms, "ms")
-    computed("config_confirm_asks",
-        pollers * (members - 1), "calls/change/data_centre")
+    computed("config_confirm_asks", members - 1, "calls/change/data_centre")
 
     # Limiter.
     leases = shards * centres
@@ -144,11 +143,27 @@
     computed("share_read_idle_measured", idle_read,
         "1/s/account/data_centre")
     share_idle = accounts * centres * idle_read
+    # The tick of 20 ms makes 160 of POLL_USED_MS.
     share_used = accounts * centres / 0.16
     computed("share_reads_idle", share_idle, "1/s")
     computed("share_reads_used", share_used, "1/s")
+    # Ask and reply. With two instances in a data centre, half of the asks go to
+    # the instance itself.
+    ask_bytes = per("accounts_idle_peer_sent_bytes") \
+        / per("accounts_idle_limiter_asks") / 0.5
+    computed("ask_bytes", ask_bytes, "bytes")
+    other_reads = leases + centres * pollers * poll + daemons / list_interval
+    computed("other_store_reads", other_reads, "1/s")
+    computed("accounts_max_idle", (2000 - other_reads) / centres / idle_read,
+        "accounts")
+    computed("accounts_max_used", (2000 - other_reads) * 0.16 / centres,
+        "accounts")
+    # The leases' reads when idle are those that do not grow with accounts.
+    computed("share_read_load_measured", (at("fleet_load_store_GET__table_", 6) \
+        - intercept["accounts_idle_store_GET__table_"]) / 8 / 3,
+        "1/s/account/data_centre")
+    computed("accounts_max_asks", 30e3 / 5 / ask_bytes, "accounts/daemon")
     computed("share_writes", accounts * centres / 60, "1/s")
-    ask_bytes = at("msg_grant_bytes", 1) * 2 + 8
     computed("asks_used", accounts * 5, "1/s/daemon")
     computed("asks_used_kb", accounts * 5 * ask_bytes / 1e3, "KB/s/daemon")
     computed("asks_at_limiter", accounts * 5 * members / shards, "1/s/limiter")
@@ -192,10 +207,8 @@
         3000, "ms")
     verdict("primary_change_measured_48", at("fleet_primary_change", 48),
         5000, "ms")
-    verdict("store_reads_accounts_idle", share_idle + leases * 2 / 2 \
-        + centres * pollers * poll + daemons / list_interval, 2000, "1/s")
-    verdict("store_reads_accounts_used", share_used + leases * 2 / 2 \
-        + centres * pollers * poll + daemons / list_interval, 2000, "1/s")
+    verdict("store_reads_accounts_idle", share_idle + other_reads, 2000, "1/s")
+    verdict("store_reads_accounts_used", share_used + other_reads, 2000, "1/s")
     verdict("store_writes", leases / 2 + accounts * centres / 60 \
         + daemons / 300 + changes * (3 + centres), 500, "1/s")
     verdict("statement_cores", statements * statement_cpu / 1e3, 1, "cores")
