Give way sooner to data centres that barely cover their demand

After a takeover a data centre kept rate that it had claimed for stuck grants until others were short by a sixteenth of the limit. Half of that counts now where an entry has less than an eighth to spare. Accounts are matched with the configuration at its changes only.

--- a/lib/limit/limiter.c
+++ b/lib/limit/limiter.c
@@ -41,6 +41,8 @@
     char row[KEY_MAX];
     mr_lease_t *lease;
     mr_list_t accounts; /* while the lease is owned */
+    int64_t synced;     /* configuration version of the accounts; 0: none */
+    bool used;          /* has accounts in the configuration */
     bool owned;
     bool held; /* as last logged */
     struct row_call *call;
@@ -69,6 +71,7 @@
     char *name;
     char *data_centre;
     int64_t process;
+    int64_t version;    /* of the configuration that was noted */
     bool draining;      /* no more grants are given */
     mr_ms_t drained_at; /* when the leases are released at the latest */
     shard_t shards[MR_LIMITER_SHARDS];
@@ -150,6 +153,7 @@
     while (!mr_list_empty(&shard->accounts)) {
         drop_account(MR_LIST_ENTRY(shard->accounts.next, account_t, link));
     }
+    shard->synced = 0;
 }
 
 static void
@@ -329,15 +333,21 @@
     }
 }
 
-static bool
-shard_used(const shard_t *shard, const mr_config_t *config)
+/* Which shards have accounts. */
+static void
+note_config(mr_limiter_t *limiter, const mr_config_t *config)
 {
+    if (limiter->version == config->version) {
+        return;
+    }
+    limiter->version = config->version;
+    for (size_t i = 0; i < MR_LIMITER_SHARDS; i++) {
+        limiter->shards[i].used = false;
+    }
     for (size_t i = 0; i < config->account_count; i++) {
-        if (mr_limiter_shard(config->accounts[i].name) == shard->index) {
-            return true;
-        }
+        unsigned shard = mr_limiter_shard(config->accounts[i].name);
+        limiter->shards[shard].used = true;
     }
-    return false;
 }
 
 /* Whether a drain has come so far that the lease can be released. */
@@ -356,7 +366,7 @@
 }
 
 static void
-plan_lease(shard_t *shard, const mr_config_t *config, mr_ms_t now)
+plan_lease(shard_t *shard, mr_ms_t now)
 {
     mr_limiter_t *limiter = shard->limiter;
     const mr_member_t *members[ORDER_MAX];
@@ -374,7 +384,7 @@
     if (!watched && !mr_lease_named(shard->lease)) {
         return;
     }
-    if (!shard->owned && !shard_used(shard, config)) {
+    if (!shard->owned && !shard->used) {
         return;
     }
     mr_share_action_t action = mr_lease_plan(
@@ -435,21 +445,23 @@
     if (config == NULL) {
         return;
     }
+    note_config(limiter, config);
     if (leases) {
         limiter->leases_at = now;
     }
     for (size_t i = 0; i < MR_LIMITER_SHARDS; i++) {
         shard_t *shard = &limiter->shards[i];
         if (leases) {
-            plan_lease(shard, config, now);
+            plan_lease(shard, now);
             ask_promises(shard, now);
         }
         note_state(shard, now);
         if (!shard->held) {
             continue;
         }
-        if (leases) {
+        if (shard->synced != config->version) {
             sync_accounts(shard, config);
+            shard->synced = config->version;
         }
         MR_LIST_FOREACH(it, &shard->accounts)
         {
--- a/lib/limit/share.c
+++ b/lib/limit/share.c
@@ -23,6 +23,7 @@
     DECAY_MS = 500,
     /* Changes below this part of the limit are not worth a write. */
     NOTICEABLE = 16,
+    NOTICEABLE_TIGHT = 32,
     FLOOR_PARTS = 16,
 };
 
@@ -181,12 +182,22 @@
     return target;
 }
 
+/* The least change of @entry's rate that matters: little when it barely
+ * covers the demand, more when it has some to spare. */
+static int64_t
+least_change(const mr_share_entry_t *entry, mr_limit_amount_t limit)
+{
+    bool tight = entry->amount.rate < entry->demand + entry->demand / 8;
+
+    return limit.rate / (tight ? NOTICEABLE_TIGHT : NOTICEABLE);
+}
+
 /* Whether @entry is so far below its target that others should give way. */
 static bool
 is_short_of(const mr_share_entry_t *entry, mr_limit_amount_t target,
             mr_limit_amount_t limit)
 {
-    return target.rate > entry->amount.rate + limit.rate / NOTICEABLE
+    return target.rate > entry->amount.rate + least_change(entry, limit)
            || target.burst > entry->amount.burst + limit.burst / NOTICEABLE;
 }
 
@@ -260,12 +271,11 @@
 }
 
 static bool
-noticeable(int64_t from, int64_t to, int64_t target, int64_t limit)
+noticeable(int64_t from, int64_t to, int64_t target, int64_t least_worth)
 {
     int64_t change = from > to ? from - to : to - from;
 
-    return change > limit / NOTICEABLE
-           || (change > limit / (2 * NOTICEABLE) && to == target)
+    return change > least_worth || (change > least_worth / 2 && to == target)
            || (change > 0 && to == 0);
 }
 
@@ -330,11 +340,14 @@
     int64_t demand_change = own->demand > old->demand
                                 ? own->demand - old->demand
                                 : old->demand - own->demand;
-    bool wanted =
-        noticeable(old->amount.rate, own->amount.rate, target.rate, limit.rate)
-        || noticeable(old->amount.burst, own->amount.burst, target.burst,
-                      limit.burst)
-        || demand_change > limit.rate / NOTICEABLE;
+    mr_share_entry_t before = *own;
+
+    before.amount = old->amount;
+    bool wanted = noticeable(old->amount.rate, own->amount.rate, target.rate,
+                             least_change(&before, limit))
+                  || noticeable(old->amount.burst, own->amount.burst,
+                                target.burst, limit.burst / NOTICEABLE)
+                  || demand_change > limit.rate / NOTICEABLE;
 
     if (!wanted || mr_bucket_level(&share->budget, now) < MR_TOKEN_MILLI) {
         return false;
