--- a/lib/entry/route.c
+++ b/lib/entry/route.c
@@ -10,6 +10,9 @@
 #include "group/view.h"
 
 enum {
+    /* How long the owner of a primary that was out of reach is asked last:
+     * longer than a failover takes. */
+    DOUBT_MS = 2000,
     /* Pause before a refused request is sent again: long enough not to flood
      * an owner without a primary, short against a failover. */
     RETRY_PAUSE_MS = 10,
@@ -20,12 +23,20 @@
     OWNERS_MAX = 2,
     /* The reply of a remote owner travels back within this time. */
     REPLY_MARGIN_MS = 3,
+    /* An owner that has not answered after this time is asked whether it is
+     * there, and is given up when that gets no reply in time either. A link
+     * between data centres that drops everything shows no other sign, and
+     * waiting for the deadline would cost 2 s of the failover gap. Above the
+     * usual time of a write with replicas that lag 200 ms. */
+    CHECK_AFTER_MS = 300,
+    CHECK_TIMEOUT_MS = 300,
 };
 
 /** The primary of a group as the last answer named it. */
 typedef struct primary_hint {
     char target[MR_CONFIG_NAME_MAX + 1];
     int64_t term;
+    mr_ms_t doubted_until; /* its owner was lost */
 } primary_hint_t;
 
 struct mr_route {
@@ -66,9 +77,12 @@
     mr_msg_execute_reply_t *last;
     struct event *timer;
     mr_peer_call_t *call;
+    bool local;            /* this instance's owner service has it */
+    mr_peer_call_t *check; /* whether the owner is there */
 } attempt_t;
 
 static void send_attempt(attempt_t *a);
+static void check_owner(attempt_t *a);
 
 static bool
 wants_primary(const attempt_t *a)
@@ -100,6 +114,9 @@
     if (a->call != NULL) {
         mr_peer_cancel(a->call);
     }
+    if (a->check != NULL) {
+        mr_peer_cancel(a->check);
+    }
     event_free(a->timer);
     mr_list_remove(&a->link);
     mr_config_unref(a->config);
@@ -112,6 +129,10 @@
 static void
 finish(attempt_t *a, const mr_msg_execute_reply_t *reply)
 {
+    if (a->route == NULL) {
+        free_attempt(a);
+        return;
+    }
     mr_execute_fn_t fn = a->fn;
     void *ctx = a->ctx;
     mr_msg_execute_reply_t *copy = mr_execute_reply_copy(reply);
@@ -160,6 +181,9 @@
         hint = MR_NEW(primary_hint_t);
         g_hash_table_insert(hints, mr_strdup(a->group->name), hint);
     }
+    if (reply->hint_term > hint->term) {
+        hint->doubted_until = 0;
+    }
     if (reply->hint_term >= hint->term) {
         hint->term = reply->hint_term;
         snprintf(hint->target, sizeof(hint->target), "%s", reply->hint);
@@ -178,6 +202,31 @@
     return mr_config_group_target(a->group, hint->target);
 }
 
+/* The owner of the target that was tried last is out of reach. When it is the
+ * primary's, the owners of the group's other targets are asked first for a
+ * while, since they know a new primary. Otherwise each instance of a data
+ * centre that is cut off would be tried in turn. */
+static void
+doubt_primary(const attempt_t *a)
+{
+    primary_hint_t *hint =
+        g_hash_table_lookup(a->route->hints, a->group->name);
+    const char *tried = a->group->targets[a->order[a->next]].name;
+
+    if (hint != NULL && strcmp(hint->target, tried) == 0) {
+        hint->doubted_until = mr_clock_now(NULL) + DOUBT_MS;
+    }
+}
+
+static bool
+primary_doubted(const attempt_t *a)
+{
+    const primary_hint_t *hint =
+        g_hash_table_lookup(a->route->hints, a->group->name);
+
+    return hint != NULL && mr_clock_now(NULL) < hint->doubted_until;
+}
+
 /* Order of targets. */
 
 static void
@@ -226,6 +275,10 @@
     a->order_count = 0;
     a->next = 0;
     if (wants_primary(a)) {
+        if (primary != NULL && primary_doubted(a)) {
+            add_replicas(a, primary, true);
+            add_replicas(a, primary, false);
+        }
         if (primary != NULL) {
             add_target(a, primary->index);
         }
@@ -280,9 +333,16 @@
 static void
 on_timer(evutil_socket_t fd, short what, void *ctx)
 {
+    attempt_t *a = ctx;
+
     (void)fd;
     (void)what;
-    send_attempt(ctx);
+    if (a->call != NULL) {
+        check_owner(a);
+    }
+    else {
+        send_attempt(a);
+    }
 }
 
 static void
@@ -330,6 +390,7 @@
 handle_owner_lost(attempt_t *a)
 {
     mr_members_report_failure(a->route->options.members, a->member);
+    doubt_primary(a);
     if (++a->owner_rank < OWNERS_MAX) {
         retry(a, 0);
         return;
@@ -378,10 +439,86 @@
     finish(a, reply);
 }
 
+/* Checks of an owner that takes long to answer. */
+
+static void
+stop_checking(attempt_t *a)
+{
+    evtimer_del(a->timer);
+    if (a->check != NULL) {
+        mr_peer_cancel(a->check);
+        a->check = NULL;
+    }
+}
+
+static void
+schedule_check(attempt_t *a)
+{
+    struct timeval tv = mr_clock_timeval(CHECK_AFTER_MS);
+
+    evtimer_add(a->timer, &tv);
+}
+
+static void
+give_up_owner(attempt_t *a)
+{
+    bool sent = mr_peer_call_sent(a->call);
+    mr_msg_execute_reply_t failed;
+
+    mr_peer_cancel(a->call);
+    a->call = NULL;
+    if (!sent && time_left(a) > RETRY_PAUSE_MS) {
+        handle_owner_lost(a);
+        return;
+    }
+    mr_members_report_failure(a->route->options.members, a->member);
+    doubt_primary(a);
+    mr_execute_reply_init(&failed,
+                          sent ? MR_ERR_OUTCOME_UNKNOWN : MR_ERR_UNAVAILABLE,
+                          "the pool owner is out of reach");
+    handle_reply(a, &failed);
+}
+
+static void
+on_checked(void *ctx, mr_error_kind_t error, const mr_msg_t *reply)
+{
+    attempt_t *a = ctx;
+
+    (void)reply;
+    a->check = NULL;
+    if (error == MR_OK) {
+        schedule_check(a);
+        return;
+    }
+    give_up_owner(a);
+}
+
+static void
+check_owner(attempt_t *a)
+{
+    const mr_member_t *member =
+        mr_members_find(a->route->options.members, a->member);
+    mr_msg_t msg = {.type = MR_MSG_PROBE};
+
+    /* Without the member only the call's own deadline is left. */
+    if (member != NULL) {
+        msg.u.probe.group = a->group->name;
+        a->check = mr_peer_call(a->route->options.peer, member->address, &msg,
+                                CHECK_TIMEOUT_MS, on_checked, a);
+    }
+}
+
 static void
 on_local_reply(void *ctx, const mr_msg_execute_reply_t *reply)
 {
-    handle_reply(ctx, reply);
+    attempt_t *a = ctx;
+
+    a->local = false;
+    if (a->route == NULL) {
+        free_attempt(a);
+        return;
+    }
+    handle_reply(a, reply);
 }
 
 static void
@@ -391,6 +528,7 @@
     mr_msg_execute_reply_t failed;
 
     a->call = NULL;
+    stop_checking(a);
     if (error == MR_OK) {
         mr_msg_execute_reply_t copy = reply->u.execute_reply;
         copy.error = mr_error_from_wire(copy.error);
@@ -493,6 +631,7 @@
     msg.u.execute.target = target->name;
     if (strcmp(member->name, a->route->options.name) == 0) {
         msg.u.execute.deadline_ms = time;
+        a->local = true;
         mr_owner_execute(a->route->options.owner, &msg.u.execute,
                          on_local_reply, a);
         return;
@@ -500,6 +639,7 @@
     msg.u.execute.deadline_ms = time - REPLY_MARGIN_MS;
     a->call = mr_peer_call(a->route->options.peer, member->address, &msg, time,
                            on_remote_reply, a);
+    schedule_check(a);
 }
 
 static attempt_t *
@@ -579,6 +719,7 @@
     mr_msg_t out = {.type = MR_MSG_EXECUTE};
 
     if (strcmp(instance, route->options.name) == 0) {
+        a->local = true;
         mr_owner_execute(route->options.owner, a->msg, on_local_forward_reply,
                          a);
         return;
@@ -612,7 +753,15 @@
     }
     MR_LIST_FOREACH(it, &route->attempts)
     {
-        free_attempt(MR_LIST_ENTRY(it, attempt_t, link));
+        attempt_t *a = MR_LIST_ENTRY(it, attempt_t, link);
+        /* The owner service still has to end those it works on. */
+        if (a->local) {
+            a->route = NULL;
+            mr_list_remove(it);
+        }
+        else {
+            free_attempt(a);
+        }
     }
     g_hash_table_destroy(route->hints);
     g_hash_table_destroy(route->owners);
--- a/lib/group/observer.h
+++ b/lib/group/observer.h
@@ -26,6 +26,9 @@
     mr_members_t *members;
     const char *name; /* of this instance */
     mr_observer_promoted_fn_t on_promoted;
+    /* Whether this instance has writes in progress at the group's leaving
+     * primary; a change of the primary would cut them off. */
+    bool (*is_writing)(void *ctx, const char *group);
     void *ctx;
 } mr_observer_options_t;
 
@@ -71,7 +74,7 @@
     mr_observer_wait_kind_t kind;
     int64_t term;
     int64_t position;
-    size_t index;
+    size_t index; /* of the covering target, or of the one that executed */
     mr_ms_t deadline;
 } mr_observer_condition_t;
 
--- a/lib/group/target.h
+++ b/lib/group/target.h
@@ -10,6 +10,7 @@
 
 #include "common/clock.h"
 #include "common/error.h"
+#include "common/traffic.h"
 #include "wire/msg.h"
 
 /** Longest answer that is read from a target. */
@@ -47,7 +48,7 @@
     MR_REFUSAL_WRONG_TERM,
     MR_REFUSAL_NOT_PRIMARY,
     MR_REFUSAL_LEAVING,
-    MR_REFUSAL_BUSY,
+    MR_REFUSAL_BUSY, /* no free slot, or no more connections accepted */
     MR_REFUSAL_NO_TRANSACTION,
     MR_REFUSAL_OTHER,
 } mr_target_refusal_t;
@@ -94,6 +95,9 @@
  * called. */
 void mr_target_conn_destroy(mr_target_conn_t *conn);
 
+/** mr_target_conn_count() - count the bytes of @conn in @traffic. */
+void mr_target_conn_count(mr_target_conn_t *conn, const mr_traffic_t *traffic);
+
 /** mr_target_conn_send() - send one request; the connection must be idle. */
 void mr_target_conn_send(mr_target_conn_t *conn,
                          const mr_target_request_t *request,
--- a/lib/group/work.c
+++ b/lib/group/work.c
@@ -89,6 +89,9 @@
         event_free(work->pause);
     }
     mr_list_remove(&work->link);
+    if (work->msg->operation == MR_OPERATION_BEGIN) {
+        work->target->transactions--;
+    }
     work->target->users--;
     work->target->used_at = mr_clock_now(NULL);
     work->target->owner->running--;
@@ -410,6 +413,25 @@
     return age >= 0 && age <= work->msg->max_age_ms;
 }
 
+/* Whether the target does not answer while another of its group does. A wait
+ * for a connection to it would use up the caller's deadline. */
+static bool
+is_cut_off(const mr_work_t *work)
+{
+    const mr_view_t *view = mr_observer_view(observer_of(work));
+    mr_ms_t now = mr_clock_now(NULL);
+
+    if (mr_view_reachable(view, work->target->index, now)) {
+        return false;
+    }
+    for (size_t i = 0; i < view->count; i++) {
+        if (mr_view_reachable(view, i, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 start_read(mr_work_t *work)
 {
@@ -426,6 +448,10 @@
         refuse_stale(work, "the target is leaving");
         return;
     }
+    if (is_cut_off(work)) {
+        fail(work, MR_ERR_UNAVAILABLE, "the target does not answer");
+        return;
+    }
     if (target->known && !is_young_enough(work, &target->state)) {
         refuse_stale(work, "the replica's data is too old");
         return;
@@ -650,9 +676,29 @@
     target->users++;
     target->used_at = mr_clock_now(NULL);
     target->owner->running++;
+    if (msg->operation == MR_OPERATION_BEGIN
+        && target->transactions++ >= target->transactions_max) {
+        fail(work, MR_ERR_OVERLOADED,
+             "the target has no connection left for a transaction");
+        return;
+    }
     restart(work);
 }
 
+bool
+mr_work_writing(const mr_owned_target_t *target)
+{
+    MR_LIST_FOREACH(it, &target->owner->works)
+    {
+        const mr_work_t *work = MR_LIST_ENTRY(it, mr_work_t, link);
+        if (work->target == target && is_write(work)
+            && (work->conn != NULL || work->saved != NULL)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 mr_work_abandon(mr_owner_t *owner)
 {
--- a/lib/limit/limit.c
+++ b/lib/limit/limit.c
@@ -433,19 +433,21 @@
 {
     mr_counters_t *counters = limit->options.counters;
 
-    limit->admitted = mr_counters_get(counters, "mr_limit_admitted_total", "",
-                                      "requests that got a token");
-    limit->refused = mr_counters_get(counters, "mr_limit_refused_total", "",
-                                     "requests refused by the rate limit");
+    limit->admitted =
+        mr_counters_get(counters, "masticrelay_limit_admitted_total", "",
+                        "requests that got a token");
+    limit->refused =
+        mr_counters_get(counters, "masticrelay_limit_refused_total", "",
+                        "requests refused by the rate limit");
     limit->refused_late = mr_counters_get(
-        counters, "mr_limit_refused_without_word_total", "",
+        counters, "masticrelay_limit_refused_without_word_total", "",
         "requests refused because the limiter gave no answer in time");
-    limit->held = mr_counters_get(counters, "mr_limit_held_total", "",
+    limit->held = mr_counters_get(counters, "masticrelay_limit_held_total", "",
                                   "requests held for a token");
-    limit->asked = mr_counters_get(counters, "mr_limit_asked_total", "",
-                                   "asks to limiters");
+    limit->asked = mr_counters_get(counters, "masticrelay_limit_asked_total",
+                                   "", "asks to limiters");
     limit->ask_failures =
-        mr_counters_get(counters, "mr_limit_ask_failures_total", "",
+        mr_counters_get(counters, "masticrelay_limit_ask_failures_total", "",
                         "asks to limiters without an answer");
 }
 
@@ -477,6 +479,7 @@
     if (limit == NULL) {
         return;
     }
+    mr_config_store_unsubscribe(limit->options.config, limit);
     event_free(limit->timer);
     while (!mr_list_empty(&limit->accounts)) {
         destroy_account(MR_LIST_ENTRY(limit->accounts.next, account_t, link));
