Keep the list's interval while the platform is down

Cause: every instance read the list again after 500 ms when a reading failed. At 2,600 instances that is 5,200 reads a second when the platform comes back, above the two thousand that it serves.

Change: only an instance that has not joined reads every 500 ms; the others keep the interval that the list's length gives.

--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -22,7 +22,7 @@
     /* The list is read at this interval while it is short, and at most at
      * LIST_BYTES_PER_S when it is long: 8,300 entries take 140 s. */
     LIST_INTERVAL_MS = 2000,
-    /* Until an instance has joined or while the list cannot be read. */
+    /* Until an instance has joined. */
     LIST_RETRY_MS = 500,
     LIST_ENTRY_BYTES = 100,
     LIST_BYTES_PER_S = 6000,
@@ -53,6 +53,7 @@
     mr_list_t relays; /* relay_t */
     mr_ms_t ping_at;
     mr_ms_t list_at;
+    mr_ms_t list_interval;
     bool list_running;
     mr_ms_t register_at; /* not before */
     bool register_running;
@@ -479,18 +480,17 @@
 on_list(void *ctx, mr_error_kind_t error, json_t *value)
 {
     mr_members_t *members = ctx;
-    mr_ms_t interval = LIST_RETRY_MS;
 
     members->list_running = false;
     if (error == MR_OK && json_is_array(value)) {
         read_list(members, value);
-        interval = (mr_ms_t)json_array_size(value) * LIST_ENTRY_BYTES * 1000
-                   / LIST_BYTES_PER_S;
+        mr_ms_t interval = (mr_ms_t)json_array_size(value) * LIST_ENTRY_BYTES
+                           * 1000 / LIST_BYTES_PER_S;
         if (interval < LIST_INTERVAL_MS) {
             interval = LIST_INTERVAL_MS;
         }
+        members->list_interval = interval;
         if (!mr_member_table_joined(members->table)) {
-            interval = LIST_RETRY_MS;
             send_pings(members, JOIN_PINGS);
         }
         note_changes(members);
@@ -498,6 +498,11 @@
     else {
         mr_counter_add(members->list_failures, 1);
     }
+    /* Members that know each other do not need the list at once, so that a
+     * platform that comes back is not met by the whole fleet. */
+    mr_ms_t interval = mr_member_table_joined(members->table)
+                           ? members->list_interval
+                           : LIST_RETRY_MS;
     /* A quarter of jitter keeps the instances from reading all at once. */
     members->list_at = mr_clock_now(NULL) + interval
                        + randombytes_uniform((uint32_t)(interval / 4));
@@ -577,6 +582,7 @@
     members->options.data_centre = self->data_centre;
     members->options.address = self->address;
     members->leaving_targets = json_object();
+    members->list_interval = LIST_INTERVAL_MS;
     mr_list_init(&members->subscribers);
     mr_list_init(&members->probes);
     mr_list_init(&members->relays);
