--- a/lib/group/observer.c
+++ b/lib/group/observer.c
@@ -41,6 +41,7 @@
     struct event *check; /* examines waits on the next turn of the loop */
     mr_election_t *election;
     mr_counter_t *probe_count;
+    mr_traffic_t traffic;
 };
 
 struct mr_observer_wait {
@@ -218,10 +219,11 @@
     if (probe->conn == NULL) {
         probe->conn =
             mr_target_conn_create(observer->options.base, probe->address);
-    }
-    if (probe->conn == NULL) {
-        schedule_probe(probe, PROBE_INTERVAL_MS);
-        return;
+        if (probe->conn == NULL) {
+            schedule_probe(probe, PROBE_INTERVAL_MS);
+            return;
+        }
+        mr_target_conn_count(probe->conn, &observer->traffic);
     }
     evtimer_del(probe->timer);
     probe->in_flight = true;
@@ -279,6 +281,15 @@
     }
 }
 
+static bool
+on_election_writing(void *ctx)
+{
+    const mr_observer_t *observer = ctx;
+
+    return observer->options.is_writing(observer->options.ctx,
+                                        observer->group);
+}
+
 static void
 open_probe(mr_observer_t *observer, size_t index,
            const mr_config_target_t *target)
@@ -332,6 +343,7 @@
         .count = group->target_count,
         .on_state = on_election_state,
         .on_won = on_election_won,
+        .is_writing = on_election_writing,
         .ctx = observer,
     };
     observer->election = mr_election_create(&options);
@@ -360,6 +372,7 @@
     observer->probe_count =
         mr_counters_get(options->counters, "masticrelay_probes_total", "",
                         "status requests sent to targets");
+    observer->traffic = mr_traffic_create(options->counters, "probe");
     observer->check = event_new(options->base, -1, 0, on_check, observer);
     observer->timer = evtimer_new(options->base, on_tick, observer);
     evtimer_add(observer->timer, &tv);
--- a/lib/group/work.c
+++ b/lib/group/work.c
@@ -89,6 +89,9 @@
         event_free(work->pause);
     }
     mr_list_remove(&work->link);
+    if (work->msg->operation == MR_OPERATION_BEGIN) {
+        work->target->transactions--;
+    }
     work->target->users--;
     work->target->used_at = mr_clock_now(NULL);
     work->target->owner->running--;
@@ -673,9 +676,29 @@
     target->users++;
     target->used_at = mr_clock_now(NULL);
     target->owner->running++;
+    if (msg->operation == MR_OPERATION_BEGIN
+        && target->transactions++ >= target->transactions_max) {
+        fail(work, MR_ERR_OVERLOADED,
+             "the target has no connection left for a transaction");
+        return;
+    }
     restart(work);
 }
 
+bool
+mr_work_writing(const mr_owned_target_t *target)
+{
+    MR_LIST_FOREACH(it, &target->owner->works)
+    {
+        const mr_work_t *work = MR_LIST_ENTRY(it, mr_work_t, link);
+        if (work->target == target && is_write(work)
+            && (work->conn != NULL || work->saved != NULL)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 mr_work_abandon(mr_owner_t *owner)
 {
--- a/lib/limit/grant.c
+++ b/lib/limit/grant.c
@@ -30,6 +30,10 @@
     mr_limit_amount_t amount;
     mr_ms_t given;
     mr_ms_t lapse;
+    /* Until then it is covered by @replaces, a grant of the predecessor that
+     * it replaces and that is among the unreported ones. */
+    mr_ms_t covered_until;
+    mr_limit_amount_t replaces;
 } slot_t;
 
 /* What one instance may hold. */
@@ -40,6 +44,7 @@
     slot_t slots[3][SLOTS_MAX]; /* by kind */
     int64_t demand;
     mr_ms_t asked;
+    bool reported; /* its grant of the predecessor has been replaced */
 } holder_t;
 
 struct mr_grant_book {
@@ -47,30 +52,13 @@
     int64_t epoch;
     int64_t sequence;
     mr_grant_former_t former;
+    /* LONG grants of the predecessor that no instance has reported. */
+    mr_limit_amount_t unreported;
     mr_limit_amount_t share;
     mr_ms_t expiry;
     mr_bucket_t reserve; /* the part of the share that is not granted */
 };
 
-mr_grant_book_t *
-mr_grant_book_create(int64_t epoch, const mr_grant_former_t *former,
-                     mr_ms_t now)
-{
-    mr_grant_book_t *book = MR_NEW(mr_grant_book_t);
-
-    mr_list_init(&book->holders);
-    book->epoch = epoch;
-    if (former != NULL) {
-        book->former = *former;
-    }
-    else {
-        book->former.short_until = now;
-        book->former.long_until = now;
-    }
-    mr_bucket_init(&book->reserve, (mr_limit_amount_t){0}, now, now);
-    return book;
-}
-
 static void
 forget(holder_t *holder)
 {
@@ -93,13 +81,33 @@
 
 /* LONG grants may use three quarters of the rate and half of the burst; a
  * successor can then use the rest as soon as the short grants have lapsed. */
-static mr_limit_amount_t
-long_cap(mr_limit_amount_t share)
+mr_limit_amount_t
+mr_grant_long_cap(mr_limit_amount_t share)
 {
     return (mr_limit_amount_t){.rate = share.rate * 3 / 4,
                                .burst = share.burst / 2};
 }
 
+mr_grant_book_t *
+mr_grant_book_create(int64_t epoch, const mr_grant_former_t *former,
+                     mr_ms_t now)
+{
+    mr_grant_book_t *book = MR_NEW(mr_grant_book_t);
+
+    mr_list_init(&book->holders);
+    book->epoch = epoch;
+    if (former != NULL) {
+        book->former = *former;
+        book->unreported = former->longs;
+    }
+    else {
+        book->former.short_until = now;
+        book->former.long_until = now;
+    }
+    mr_bucket_init(&book->reserve, (mr_limit_amount_t){0}, now, now);
+    return book;
+}
+
 static int64_t
 least(int64_t a, int64_t b)
 {
@@ -134,7 +142,7 @@
 
     for (size_t i = 0; i < SLOTS_MAX; i++) {
         const slot_t *slot = &holder->slots[kind][i];
-        if (slot->id == 0 || now >= slot->lapse) {
+        if (slot->id == 0 || now >= slot->lapse || now < slot->covered_until) {
             continue;
         }
         if (kind == MR_GRANT_TOKENS) {
@@ -154,7 +162,7 @@
     mr_limit_amount_t sum = {0};
 
     if (now < book->former.long_until) {
-        return long_cap(book->former.share);
+        sum = book->unreported;
     }
     MR_LIST_FOREACH(it, &book->holders)
     {
@@ -173,7 +181,7 @@
     mr_limit_amount_t sum = {0};
 
     if (now < book->former.short_until) {
-        return amount_left(book->former.share, long_cap(book->former.share));
+        return amount_left(book->former.share, book->former.longs);
     }
     MR_LIST_FOREACH(it, &book->holders)
     {
@@ -217,13 +225,19 @@
     mr_limit_amount_t base = long_sum(book, NULL, now);
     mr_limit_amount_t all = amount_add(base, short_sum(book, now));
 
-    /* The long part must fit into long_cap() of the smaller share too, as a
-     * successor relies on it. */
+    /* The long part must fit into mr_grant_long_cap() of the smaller share
+     * too, as a successor relies on it. */
     all.rate = most(all.rate, (base.rate * 4 + 2) / 3);
     all.burst = most(all.burst, base.burst * 2);
     return all;
 }
 
+mr_limit_amount_t
+mr_grant_book_longs(const mr_grant_book_t *book, mr_ms_t now)
+{
+    return long_sum(book, NULL, now);
+}
+
 int64_t
 mr_grant_book_demand(const mr_grant_book_t *book, mr_ms_t now)
 {
@@ -305,6 +319,28 @@
     }
 }
 
+/* The instance holds a LONG grant that replaced one of the predecessor. It
+ * accepted the reply, so its ask was at most MR_GRANT_REPLY_MS old and sent
+ * after the lease was taken: the replaced grant was in force then and is among
+ * the unreported ones. A report alone shows no such thing, as it may be late.
+ */
+static void
+settle_replaced(mr_grant_book_t *book, holder_t *holder, int64_t held)
+{
+    slot_t *slots = holder->slots[MR_GRANT_LONG];
+
+    for (size_t i = 0; i < SLOTS_MAX; i++) {
+        if (slots[i].id == held && slots[i].covered_until > 0) {
+            book->unreported =
+                amount_left(book->unreported, slots[i].replaces);
+            holder->reported = true;
+        }
+    }
+    for (size_t i = 0; i < SLOTS_MAX && holder->reported; i++) {
+        slots[i].covered_until = 0;
+    }
+}
+
 /* The newest grant of @kind that may be in force, or NULL. */
 static const slot_t *
 newest(const holder_t *holder, mr_grant_kind_t kind, mr_ms_t now)
@@ -346,6 +382,7 @@
     slot->amount = amount;
     slot->given = now;
     slot->lapse = now + mr_limit_lapse(lifetime);
+    slot->covered_until = 0;
     *item = (mr_msg_grant_item_t){.kind = kind,
                                   .id = slot->id,
                                   .rate_milli = amount.rate,
@@ -359,7 +396,7 @@
 static mr_limit_amount_t
 long_target(const mr_grant_book_t *book, const holder_t *holder, mr_ms_t now)
 {
-    mr_limit_amount_t cap = long_cap(book->share);
+    mr_limit_amount_t cap = mr_grant_long_cap(book->share);
     mr_limit_amount_t others = long_sum(book, holder, now);
     mr_limit_amount_t mine = holder_sum(holder, MR_GRANT_LONG, now);
     mr_limit_amount_t left = amount_add(ungranted(book, now), mine);
@@ -398,6 +435,31 @@
     return a > b + b / 4 || a < b - b / 4;
 }
 
+/* Replace the predecessor's grant that the instance reports by one that is no
+ * larger. */
+static bool
+replace_former(mr_grant_book_t *book, holder_t *holder,
+               const mr_grant_ask_t *ask, mr_ms_t now,
+               mr_msg_grant_item_t *item)
+{
+    mr_limit_amount_t cap = mr_grant_long_cap(book->share);
+    mr_limit_amount_t amount = {least(cap.rate, ask->held.rate),
+                                least(cap.burst, ask->held.burst)};
+
+    if (now < book->former.adopt_from
+        || !give(book, holder, MR_GRANT_LONG, amount, now, item)) {
+        return false;
+    }
+    for (size_t i = 0; i < SLOTS_MAX; i++) {
+        slot_t *slot = &holder->slots[MR_GRANT_LONG][i];
+        if (slot->id == item->id) {
+            slot->covered_until = book->former.long_until;
+            slot->replaces = ask->held;
+        }
+    }
+    return true;
+}
+
 static bool
 give_long(mr_grant_book_t *book, holder_t *holder, const mr_grant_ask_t *ask,
           mr_ms_t now, mr_msg_grant_item_t *item)
@@ -408,18 +470,9 @@
     if (last != NULL && now - last->given < LONG_CHANGE_MS) {
         return false;
     }
-    if (now < book->former.long_until) {
-        /* The predecessor's grants are unknown. The one that this instance
-         * reports may be renewed as it is, unless the report is so old that
-         * the predecessor may have given the same part to another since. */
-        if (ask->held_long == 0 || now < book->former.adopt_from
-            || (last != NULL && now - last->given < LONG_RENEW_MS)) {
-            return false;
-        }
-        target = long_cap(book->share);
-        target.rate = least(target.rate, ask->held.rate);
-        target.burst = least(target.burst, ask->held.burst);
-        return give(book, holder, MR_GRANT_LONG, target, now, item);
+    if (ask->held_long != 0 && ask->held_long >> EPOCH_SHIFT < book->epoch
+        && !holder->reported && now < book->former.long_until) {
+        return replace_former(book, holder, ask, now, item);
     }
     target = long_target(book, holder, now);
     if (last == NULL ? target.rate == 0
@@ -503,6 +556,9 @@
     holder->demand = most(ask->demand, 0);
     holder->asked = now;
     *refused = false;
+    if (!holder->reported && ask->held_long != 0) {
+        settle_replaced(book, holder, ask->held_long);
+    }
     confirm(book, holder, MR_GRANT_LONG, ask->held_long);
     confirm(book, holder, MR_GRANT_SHORT, ask->held_short);
     update_reserve(book, now);
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -42,7 +42,8 @@
     char log[HARNESS_PATH_BYTES];          /* receives standard error */
     char redirect[HARNESS_REDIRECT_BYTES]; /* see standins/redirect.c */
     pid_t pid;                             /* 0: not running */
-    bool stopping; /* got SIGTERM: the balancer sends it nothing new */
+    bool
+        unlisted; /* stopping or not healthy yet: the balancer leaves it out */
 } harness_process_t;
 
 /** harness_port() - a free loopback port outside the range from which the
@@ -72,10 +73,12 @@
 typedef struct harness_options {
     const char *const *data_centres; /* ends with NULL */
     int instances;                   /* in each data centre */
+    int instances_total;             /* spread evenly, instead of instances */
     int groups;                      /* of three targets each */
     int accounts;
     int64_t rate; /* of each account */
     int64_t burst;
+    int large_accounts; /* the first ones, with four times rate and burst */
     int slots;
     int connections;
     int lag_ms;
@@ -107,6 +110,8 @@
     char name[HARNESS_NAME_BYTES];
     char key_id[HARNESS_NAME_BYTES];
     char key[MR_OP_KEY_BYTES];
+    int64_t rate;
+    int64_t burst;
 } harness_account_t;
 
 typedef struct harness_caller harness_caller_t;
@@ -152,6 +157,10 @@
  * highest term, asked directly; NULL when there is none. */
 harness_target_t *harness_primary(harness_t *harness, int group);
 
+/** harness_instance_start() - start an instance again; callers use it when it
+ * says that it is healthy. */
+void harness_instance_start(harness_t *harness, harness_instance_t *instance);
+
 /** harness_add_links() - add the links to the proxy's arguments. */
 void harness_add_links(harness_t *harness);
 
@@ -189,6 +198,14 @@
                  const char *address, const char *path, const char *bearer,
                  const char *body, json_t **reply);
 
+/** harness_http_text() - GET of anything but JSON; free @text. */
+int harness_http_text(struct event_base *base, const char *address,
+                      const char *path, const char *bearer, char **text);
+
+/** harness_metrics() - /metrics of an instance; NULL when it does not answer.
+ * Free it. */
+char *harness_metrics(harness_t *harness, const harness_instance_t *instance);
+
 /** harness_status() - /status of an instance; NULL when it does not answer. */
 json_t *harness_status(harness_t *harness, const harness_instance_t *instance);
 
