--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -91,7 +91,6 @@
     /* File name in the run's own folder, since tests may run side by side; or
      * an absolute path. NULL: no trace. */
     const char *trace;
-    const char *experiment; /* setting of the daemons; NULL: none */
 } harness_options_t;
 
 typedef struct harness_instance {
