--- a/bench/bench_fleet.c
+++ b/bench/bench_fleet.c
@@ -37,7 +37,7 @@
 
 static const struct part {
     const char *name;
-    fleet_part_fn *fn;
+    fleet_part_fn_t *fn;
 } parts[] = {
     {"replica_read_share", fleet_part_reads},
     {"failover_gap", fleet_part_failover},
--- a/bench/fleet_bench.h
+++ b/bench/fleet_bench.h
@@ -23,7 +23,7 @@
     harness_t *h; /* between fleet_up() and fleet_down() */
 } fleet_bench_t;
 
-typedef void fleet_part_fn(fleet_bench_t *bench);
+typedef void fleet_part_fn_t(fleet_bench_t *bench);
 
 /** fleet_up() - start the fleet with its delays. */
 void fleet_up(fleet_bench_t *bench);
@@ -60,10 +60,10 @@
                             const fleet_stream_options_t *streams,
                             size_t count, mr_ms_t ms);
 
-fleet_part_fn fleet_part_reads;
-fleet_part_fn fleet_part_failover;
-fleet_part_fn fleet_part_worst_account;
-fleet_part_fn fleet_part_refusals;
-fleet_part_fn fleet_part_cost;
+fleet_part_fn_t fleet_part_reads;
+fleet_part_fn_t fleet_part_failover;
+fleet_part_fn_t fleet_part_worst_account;
+fleet_part_fn_t fleet_part_refusals;
+fleet_part_fn_t fleet_part_cost;
 
 #endif
--- a/bench/fleet_load.c
+++ b/bench/fleet_load.c
@@ -78,7 +78,7 @@
     double started;
     bool stopping;
     int open;
-    fleet_ack_fn *on_ack;
+    fleet_ack_fn_t *on_ack;
     void *on_ack_ctx;
 };
 
@@ -587,7 +587,7 @@
 }
 
 void
-fleet_load_on_ack(fleet_load_t *load, fleet_ack_fn *fn, void *ctx)
+fleet_load_on_ack(fleet_load_t *load, fleet_ack_fn_t *fn, void *ctx)
 {
     load->on_ack = fn;
     load->on_ack_ctx = ctx;
@@ -618,23 +618,23 @@
 }
 
 double
-fleet_load_over_admission(const fleet_load_t *load, size_t index)
+fleet_load_over_admission(const fleet_load_t *load, size_t stream)
 {
-    const stream_t *stream = &load->streams[index];
-    const fleet_span_t *spans = (const fleet_span_t *)stream->spans->data;
-    double rate = (double)stream->account->rate / 1000;
-    double most = -(double)stream->account->burst;
+    const stream_t *own = &load->streams[stream];
+    const fleet_span_t *spans = (const fleet_span_t *)own->spans->data;
+    double rate = (double)own->account->rate / 1000;
+    double most = -(double)own->account->burst;
 
-    qsort(stream->spans->data, stream->spans->len, sizeof(fleet_span_t),
+    qsort(own->spans->data, own->spans->len, sizeof(fleet_span_t),
           compare_replied);
-    for (size_t i = 0; i < stream->spans->len; i++) {
+    for (size_t i = 0; i < own->spans->len; i++) {
         double inside = 0;
-        for (size_t j = 0; j < stream->spans->len; j++) {
+        for (size_t j = 0; j < own->spans->len; j++) {
             if (spans[j].sent >= spans[i].sent) {
                 inside += 1;
                 most = fmax(most,
                             inside - rate * (spans[j].replied - spans[i].sent)
-                                - (double)stream->account->burst);
+                                - (double)own->account->burst);
             }
         }
     }
--- a/bench/fleet_load.h
+++ b/bench/fleet_load.h
@@ -59,10 +59,10 @@
 
 typedef struct fleet_load fleet_load_t;
 
-/** fleet_ack_fn - an acknowledged write
+/** fleet_ack_fn_t - an acknowledged write
  * @target: that served it */
-typedef void fleet_ack_fn(void *ctx, size_t stream, const char *target,
-                          double at);
+typedef void fleet_ack_fn_t(void *ctx, size_t stream, const char *target,
+                            double at);
 
 /** fleet_now() - monotonic time in ms, with fractions. */
 double fleet_now(void);
@@ -72,7 +72,7 @@
                                size_t count, unsigned long seed);
 
 /** fleet_load_on_ack() - receive each acknowledged write. */
-void fleet_load_on_ack(fleet_load_t *load, fleet_ack_fn *fn, void *ctx);
+void fleet_load_on_ack(fleet_load_t *load, fleet_ack_fn_t *fn, void *ctx);
 
 /** fleet_load_mark() - count requests from now on. */
 void fleet_load_mark(fleet_load_t *load);
