--- a/tests/integration/test_read_your_writes.c
+++ b/tests/integration/test_read_your_writes.c
@@ -144,6 +144,34 @@
 }
 END_TEST
 
+/* The owner dies while the write waits for replicas that lag 1.5 s, so that
+ * the caller does not know its outcome and only the primary holds it. */
+START_TEST(test_write_with_unknown_outcome)
+{
+    harness_t *h = start();
+    harness_session_t *session = harness_session_open(h, 0);
+    const harness_request_t request = {.op = "put", .key = "uncertain"};
+    char value[HARNESS_NAME_BYTES];
+
+    harness_target_fault(h, harness_primary(h, 0)->process.name,
+                         "{\"lag_ms\":1500}");
+    harness_call_t *call = harness_call(session, &request);
+    harness_call_send(call, "aksaray-0");
+    harness_run(h->base, 100);
+    harness_process_kill(&harness_instance(h, "konya-0")->process);
+    harness_answer_t answer = harness_call_end(call);
+    ck_assert_str_eq(answer.outcome, "unknown");
+    snprintf(value, sizeof(value), "uncertain/%lld", (long long)answer.id);
+    mr_ms_t end = mr_clock_now(NULL) + FAILOVER_LIMIT_MS;
+    while (!check_read(session, "karaman-0", "uncertain", value)) {
+        ck_assert_int_lt(mr_clock_now(NULL), end);
+    }
+    harness_session_close(session);
+    harness_check_promises(h);
+    harness_end(h);
+}
+END_TEST
+
 static void
 isolate(harness_t *h, bool cut)
 {
@@ -209,6 +237,7 @@
     const TTest *const tests[] = {
         test_moves_between_instances,
         test_failover,
+        test_write_with_unknown_outcome,
         test_isolated_primary,
     };
 
