--- a/Makefile
+++ b/Makefile
@@ -29,13 +29,12 @@
 UNIT := $(patsubst tests/unit/%.c,%,$(wildcard tests/unit/test_*.c))
 INTEGRATION := $(patsubst tests/integration/%.c,%,$(wildcard tests/integration/test_*.c))
 HARNESS_SRC := $(wildcard tests/integration/harness*.c tests/integration/trace.c)
-# bench_fleet starts fleets and is linked with the test harness.
-FLEET_SRC := bench/bench_fleet.c $(wildcard bench/fleet_*.c)
-GSL_LIBS = $(shell pkg-config --libs gsl)
-# These start processes as well and are linked with the test harness.
-CAPACITY_FLEET := bench_capacity_fleet bench_capacity_connections
+# These start fleets and are linked with the test harness.
+CAPACITY_FLEET := bench_capacity_fleet bench_capacity_connections bench_capacity_members
 CAPACITY := bench_capacity_modules bench_capacity_structures $(CAPACITY_FLEET)
 BENCH := $(filter-out bench_fleet $(CAPACITY_FLEET),$(patsubst bench/%.c,%,$(wildcard bench/bench_*.c)))
+FLEET_SRC := bench/bench_fleet.c $(wildcard bench/fleet_*.c)
+GSL_LIBS = $(shell pkg-config --libs gsl)
 EXAMPLES := $(patsubst examples/%.c,%,$(filter-out examples/common_%.c,$(wildcard examples/*.c)))
 
 SOURCES := $(sort $(wildcard lib/*.h lib/*/*.[ch] programs/*.[ch] tests/*/*.[ch] \
@@ -49,8 +48,7 @@
 programs: $(PROGRAMS:%=$(BUILD)/%)
 standins: $(STANDINS:%=$(BUILD)/%) $(BUILD)/redirect.so
 tests: $(UNIT:%=$(BUILD)/unit/%) $(INTEGRATION:%=$(BUILD)/integration/%)
-bench-programs: $(BENCH:%=$(BUILD)/%) $(BUILD)/bench_fleet \
-                $(CAPACITY_FLEET:%=$(BUILD)/%)
+bench-programs: $(BENCH:%=$(BUILD)/%) $(CAPACITY_FLEET:%=$(BUILD)/%) $(BUILD)/bench_fleet
 examples: $(EXAMPLES:%=$(BUILD)/examples/%)
 
 $(BUILD)/%.o: %.c
--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -2,28 +2,39 @@
 # Runs the capacity programs and prints their lines "name size value unit",
 # then for each name with several sizes the line through them by least
 # squares: "slope NAME INTERCEPT SLOPE UNIT". `make capacity` calls it.
-set -eu
+set -euo pipefail
 build=${MASTICRELAY_BUILD:-build}
 out=$build/capacity.txt
 
 {
     "$build/bench_capacity_modules"
     "$build/bench_capacity_structures"
+    # One daemon among many takes most of a minute, nearly all of it waiting.
+    "$build/bench_capacity_members" >"$out.members" &
+    members=$!
     "$build/bench_capacity_connections"
     # Instances in each of three data centres: 6, 12, 24 and 48 daemons.
     for instances in 2 4 8 16; do
         "$build/bench_capacity_fleet" "$instances"
     done
+    wait "$members"
+    cat "$out.members"
     # How the store's load grows with the accounts, at 6 daemons with 8 (above)
     # and 100 accounts.
     "$build/bench_capacity_fleet" 2 3 100 |
         sed "s/^fleet_/accounts_/; s/^\([^ ]*\) 6 /\1 100 /"
+    # The cost of a target, at 12 daemons with 9 (above) and 36 targets.
+    "$build/bench_capacity_fleet" 4 12 |
+        sed "s/^fleet_/groups_/; s/^\([^ ]*\) 12 /\1 36 /"
 } | tee "$out"
 
 awk '
     $1 ~ /^fleet_/ && $2 == 6 {
         add("accounts_" substr($1, 7), 8, $3, $4)
     }
+    $1 ~ /^fleet_/ && $2 == 12 {
+        add("groups_" substr($1, 7), 9, $3, $4)
+    }
     {
         add($1, $2, $3, $4)
     }
@@ -46,3 +57,6 @@
         }
     }
 ' "$out" | sort | tee -a "$out"
+
+# The two-year size, from the measured lines and slopes.
+awk -f bench/capacity_model.awk "$out" | tee -a "$out"
--- a/lib/limit/limiter.c
+++ b/lib/limit/limiter.c
@@ -12,6 +12,8 @@
 #include "limit/limiter_account.h"
 
 enum {
+    /* For notes of the grants in force, before leases are released. */
+    DRAIN_MS = 200,
     TICK_MS = 20,
     LEASE_TICK_MS = 100,
     ORDER_MAX = 64,
@@ -39,9 +41,15 @@
     char row[KEY_MAX];
     mr_lease_t *lease;
     mr_list_t accounts; /* while the lease is owned */
+    int64_t synced;     /* configuration version of the accounts; 0: none */
+    bool used;          /* has accounts in the configuration */
     bool owned;
     bool held; /* as last logged */
     struct row_call *call;
+    /* Usable members in rendezvous order; valid for one generation. */
+    const mr_member_t *ranked[ORDER_MAX];
+    size_t ranked_count;
+    uint64_t generation;
 };
 
 /* A read or write of a row; outlives what asked for it. */
@@ -67,7 +75,9 @@
     char *name;
     char *data_centre;
     int64_t process;
-    bool draining;
+    int64_t version;    /* of the configuration that was noted */
+    bool draining;      /* no more grants are given */
+    mr_ms_t drained_at; /* when the leases are released at the latest */
     shard_t shards[MR_LIMITER_SHARDS];
     mr_list_t row_calls;
     mr_list_t promise_calls;
@@ -147,6 +157,7 @@
     while (!mr_list_empty(&shard->accounts)) {
         drop_account(MR_LIST_ENTRY(shard->accounts.next, account_t, link));
     }
+    shard->synced = 0;
 }
 
 static void
@@ -326,41 +337,77 @@
     }
 }
 
-static bool
-shard_used(const shard_t *shard, const mr_config_t *config)
+/* Which shards have accounts. */
+static void
+note_config(mr_limiter_t *limiter, const mr_config_t *config)
 {
+    if (limiter->version == config->version) {
+        return;
+    }
+    limiter->version = config->version;
+    for (size_t i = 0; i < MR_LIMITER_SHARDS; i++) {
+        limiter->shards[i].used = false;
+    }
     for (size_t i = 0; i < config->account_count; i++) {
-        if (mr_limiter_shard(config->accounts[i].name) == shard->index) {
-            return true;
-        }
+        unsigned shard = mr_limiter_shard(config->accounts[i].name);
+        limiter->shards[shard].used = true;
+    }
+}
+
+/* Whether a drain has come so far that the lease can be released. */
+static bool
+may_release(const shard_t *shard, mr_ms_t now)
+{
+    const mr_limiter_t *limiter = shard->limiter;
+    bool stopped = true;
+
+    MR_LIST_FOREACH(it, &shard->accounts)
+    {
+        const account_t *account = MR_LIST_ENTRY(it, account_t, link);
+        stopped = stopped && mr_limiter_account_stopped(account->state);
+    }
+    return limiter->draining && (stopped || now >= limiter->drained_at);
+}
+
+/* Ranking 325 members takes 61 us; done for 16 shards ten times a second, it
+ * would take 1 % of a core. */
+static void
+rank_members(shard_t *shard)
+{
+    const mr_limiter_t *limiter = shard->limiter;
+    uint64_t generation = mr_members_generation(limiter->options.members);
+
+    if (shard->ranked_count == 0 || shard->generation != generation) {
+        shard->generation = generation;
+        shard->ranked_count =
+            mr_members_usable(limiter->options.members, shard->row,
+                              limiter->data_centre, shard->ranked, ORDER_MAX);
     }
-    return false;
 }
 
 static void
-plan_lease(shard_t *shard, const mr_config_t *config, mr_ms_t now)
+plan_lease(shard_t *shard, mr_ms_t now)
 {
     mr_limiter_t *limiter = shard->limiter;
-    const mr_member_t *members[ORDER_MAX];
     const char *order[ORDER_MAX];
     mr_lease_row_t row;
     bool watched = shard->owned;
-    size_t count = mr_members_usable(limiter->options.members, shard->row,
-                                     limiter->data_centre, members, ORDER_MAX);
 
+    rank_members(shard);
+    size_t count = shard->ranked_count;
     for (size_t i = 0; i < count; i++) {
-        order[i] = members[i]->name;
+        order[i] = shard->ranked[i]->name;
         watched =
             watched || (i < WATCHERS && strcmp(order[i], limiter->name) == 0);
     }
     if (!watched && !mr_lease_named(shard->lease)) {
         return;
     }
-    if (!shard->owned && !shard_used(shard, config)) {
+    if (!shard->owned && !shard->used) {
         return;
     }
-    mr_share_action_t action = mr_lease_plan(shard->lease, order, count,
-                                             limiter->draining, now, &row);
+    mr_share_action_t action = mr_lease_plan(
+        shard->lease, order, count, may_release(shard, now), now, &row);
     if (action == MR_SHARE_NONE) {
         return;
     }
@@ -409,28 +456,31 @@
     const mr_config_t *config =
         mr_config_store_current(limiter->options.config);
     mr_ms_t now = now_of(limiter);
-    bool leases = now - limiter->leases_at >= LEASE_TICK_MS;
+    bool leases =
+        limiter->draining || now - limiter->leases_at >= LEASE_TICK_MS;
 
     (void)fd;
     (void)events;
     if (config == NULL) {
         return;
     }
+    note_config(limiter, config);
     if (leases) {
         limiter->leases_at = now;
     }
     for (size_t i = 0; i < MR_LIMITER_SHARDS; i++) {
         shard_t *shard = &limiter->shards[i];
         if (leases) {
-            plan_lease(shard, config, now);
+            plan_lease(shard, now);
             ask_promises(shard, now);
         }
         note_state(shard, now);
         if (!shard->held) {
             continue;
         }
-        if (leases) {
+        if (shard->synced != config->version) {
             sync_accounts(shard, config);
+            shard->synced = config->version;
         }
         MR_LIST_FOREACH(it, &shard->accounts)
         {
@@ -453,7 +503,7 @@
     reply->grant_count = 0;
     reply->owner = limiter->owner;
     reply->error = MR_OK;
-    if (!mr_lease_held(shard->lease, now)) {
+    if (limiter->draining || !mr_lease_held(shard->lease, now)) {
         const char *owner = mr_lease_owner(shard->lease);
         bool own = strcmp(owner, limiter->name) == 0;
         snprintf(limiter->owner, sizeof(limiter->owner), "%s",
@@ -625,8 +675,17 @@
 void
 mr_limiter_drain(mr_limiter_t *limiter)
 {
+    mr_ms_t now = now_of(limiter);
+
     limiter->draining = true;
-    limiter->leases_at = 0;
+    limiter->drained_at = now + DRAIN_MS;
+    for (size_t i = 0; i < MR_LIMITER_SHARDS; i++) {
+        MR_LIST_FOREACH(it, &limiter->shards[i].accounts)
+        {
+            mr_limiter_account_stop(MR_LIST_ENTRY(it, account_t, link)->state,
+                                    now);
+        }
+    }
     on_tick(-1, 0, limiter);
 }
 
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -88,7 +88,9 @@
     int64_t offline_limit_s;
     /* All connections between processes pass the fault proxy. */
     bool proxied;
-    const char *trace; /* name of the file in the folder; NULL: no trace */
+    /* File name in the run's own folder, since tests may run side by side; or
+     * an absolute path. NULL: no trace. */
+    const char *trace;
     const char *experiment; /* setting of the daemons; NULL: none */
 } harness_options_t;
 
