Add a known-red test of refusals in a roll-out

In test_planned_stop 3 to 33 % of the requests were refused as rate_limited although the accounts sent about a tenth of their rate. Ruled out: the stop itself (no request interrupted) and a missing configuration (the balancer waits for healthz).

--- /dev/null
+++ b/tests/integration/test_roll_out_rate.c
@@ -0,0 +1,66 @@
+/* Guards against wrongful refusals (design section 1.3) in a roll-out:
+ * accounts far below their rate must not be refused because instances were
+ * stopped and started again. */
+
+#include <signal.h>
+
+#include "harness.h"
+
+enum { SEED = 1702, STOP_LIMIT_MS = 8000, PER_CENT = 100 };
+
+static const char *const places[] = {"konya", "aksaray", "karaman", NULL};
+
+static const harness_options_t options = {
+    .data_centres = places,
+    .instances = 2,
+    .groups = 2,
+    .accounts = 2,
+    .rate = 5000,
+    .burst = 5000,
+    .slots = 4,
+    .connections = 60,
+    .lag_ms = 20,
+    .statement_ms = 2,
+    .connect_ms = 5,
+    .list_lag_ms = 500,
+    .offline_limit_s = 3600,
+    .trace = "roll-out-rate.jsonl",
+};
+
+START_TEST(test_no_wrongful_refusals)
+{
+    harness_t *h = harness_start(&options);
+    const harness_load_t load = {.callers = 24,
+                                 .account = -1,
+                                 .write_percent = 50,
+                                 .append_percent = 60,
+                                 .keys = 2,
+                                 .pause = 2,
+                                 .seed = SEED};
+    harness_caller_t *callers = harness_callers_start(h, &load);
+
+    for (size_t i = 0; i < h->instance_count; i++) {
+        harness_process_t *process = &h->instances[i].process;
+        harness_run(h->base, 1000);
+        harness_process_signal(process, SIGTERM);
+        ck_assert_int_eq(harness_process_wait(process, h->base, STOP_LIMIT_MS),
+                         0);
+        harness_instance_start(h, &h->instances[i]);
+    }
+    harness_counts_t counts = harness_callers_stop(callers);
+    ck_assert_msg(counts.limited * PER_CENT <= counts.sent,
+                  "%lld of %lld requests refused as rate_limited",
+                  (long long)counts.limited, (long long)counts.sent);
+    harness_check_promises(h);
+    harness_end(h);
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {test_no_wrongful_refusals};
+
+    return harness_main("roll_out_rate", tests,
+                        sizeof(tests) / sizeof(tests[0]));
+}
