Refuse statements that contain any key, also on open routes

Ruled out: comparing with the configured hashes, which would miss withdrawn keys and cost a hash for each key.

--- a/lib/config/key.c
+++ b/lib/config/key.c
@@ -56,6 +56,23 @@
     return true;
 }
 
+bool
+mr_key_occurs(const char *text)
+{
+    static const char letters[] =
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+
+    while ((text = strstr(text, key_prefix)) != NULL) {
+        text += sizeof(key_prefix) - 1;
+        size_t id_len = strspn(text, letters);
+        if (id_len >= 1 && id_len <= MR_CONFIG_NAME_MAX && text[id_len] == '.'
+            && strspn(text + id_len + 1, letters) >= MR_KEY_SECRET_TEXT) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 mr_key_hash(const mr_key_t *key, uint8_t hash[MR_CONFIG_KEY_HASH_BYTES])
 {
--- a/lib/config/key.h
+++ b/lib/config/key.h
@@ -46,6 +46,9 @@
  */
 void mr_key_hash(const mr_key_t *key, uint8_t hash[MR_CONFIG_KEY_HASH_BYTES]);
 
+/** mr_key_occurs() - whether some key, valid or not, stands in @text. */
+bool mr_key_occurs(const char *text);
+
 /** mr_key_matches() - whether @key has @hash, compared in constant time. */
 bool mr_key_matches(const mr_key_t *key,
                     const uint8_t hash[MR_CONFIG_KEY_HASH_BYTES]);
--- a/lib/entry/auth.h
+++ b/lib/entry/auth.h
@@ -14,7 +14,7 @@
                               MR_ERR_CONFIG_STALE */
     const char *message;
     const mr_config_account_t *account;
-    char secret[MR_KEY_SECRET_TEXT + 1]; /* "" on open routes */
+    char secret[MR_KEY_SECRET_TEXT + 1]; /* "" without a key */
 } mr_auth_t;
 
 /**
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -508,10 +508,14 @@
 static bool
 check_statement(call_t *call)
 {
-    if (call->body.statement != NULL && call->auth.secret[0] != '\0'
-        && strstr(call->body.statement, call->auth.secret) != NULL) {
+    const char *statement = call->body.statement;
+    const char *secret = call->auth.secret;
+
+    if (statement != NULL
+        && ((secret[0] != '\0' && strstr(statement, secret) != NULL)
+            || mr_key_occurs(statement))) {
         answer_error(call, MR_ERR_INVALID_REQUEST,
-                     "the statement contains the request's key");
+                     "the statement contains a key");
         return false;
     }
     return true;
--- a/tests/unit/test_key.c
+++ b/tests/unit/test_key.c
@@ -45,6 +45,22 @@
 }
 END_TEST
 
+START_TEST(test_occurs)
+{
+    char long_id[200];
+
+    ck_assert(mr_key_occurs("mrk.k1." SECRET));
+    ck_assert(mr_key_occurs("{\"a\":\"x mrk.mrk.k-1_." SECRET "A\"}"));
+    ck_assert(!mr_key_occurs(""));
+    ck_assert(!mr_key_occurs("mrk."));
+    ck_assert(!mr_key_occurs("mrk.k1.short"));
+    ck_assert(!mr_key_occurs("mrk.." SECRET));
+    ck_assert(!mr_key_occurs("mrk k1." SECRET));
+    snprintf(long_id, sizeof(long_id), "mrk.%065d." SECRET, 1);
+    ck_assert(!mr_key_occurs(long_id));
+}
+END_TEST
+
 START_TEST(test_hash)
 {
     uint8_t hash[MR_CONFIG_KEY_HASH_BYTES];
@@ -170,6 +186,7 @@
     TCase *approval = tcase_create("approval");
 
     tcase_add_test(keys, test_parse);
+    tcase_add_test(keys, test_occurs);
     tcase_add_test(keys, test_hash);
     tcase_add_test(keys, test_equal_length);
     tcase_add_test(keys, test_generate);
