--- /dev/null
+++ b/tests/integration/test_rate.c
@@ -0,0 +1,70 @@
+/* P7. Guards against an account that gets more than its rate and burst over
+ * all instances together: shares counted twice while demand moves between data
+ * centres, full buckets of restarted daemons, and grants used after a pause.
+ */
+
+#include <signal.h>
+
+#include "harness_rate.h"
+
+enum { LEASE_PASSED_MS = 7500 /* above MR_LEASE_MS */ };
+
+START_TEST(test_demand_moves)
+{
+    harness_t *h = rate_start(60, 30);
+
+    rate_jump(h, 7);
+    rate_finish(h);
+}
+END_TEST
+
+/* The burst is used up first, and is several times what the rate gives in the
+ * time of the test. */
+START_TEST(test_restarted_daemons)
+{
+    harness_t *h = rate_start(20, 300);
+    harness_caller_t *callers = rate_demand(h, NULL);
+
+    harness_run(h->base, 4000);
+    for (size_t i = 0; i < 2 * h->instance_count; i++) {
+        harness_process_t *process =
+            &h->instances[i % h->instance_count].process;
+        harness_process_kill(process);
+        harness_process_start(process);
+        harness_run(h->base, 400);
+    }
+    harness_run(h->base, 500);
+    harness_callers_stop(callers);
+    rate_finish(h);
+}
+END_TEST
+
+/* The limiter is paused until another one has taken over, and resumes with
+ * grants and a bucket of its own. */
+START_TEST(test_paused_limiter)
+{
+    harness_t *h = rate_start(60, 30);
+    harness_caller_t *callers = rate_demand(h, "konya");
+
+    harness_run(h->base, 1000);
+    harness_process_t *limiter = rate_limiter(h, "konya");
+    harness_process_signal(limiter, SIGSTOP);
+    harness_run(h->base, LEASE_PASSED_MS);
+    harness_process_t *successor = rate_limiter(h, "konya");
+    ck_assert_ptr_ne(limiter, successor);
+    harness_process_signal(limiter, SIGCONT);
+    harness_run(h->base, 1000);
+    harness_callers_stop(callers);
+    rate_jump(h, 2);
+    rate_finish(h);
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {test_demand_moves, test_restarted_daemons,
+                                  test_paused_limiter};
+
+    return harness_main("rate", tests, sizeof(tests) / sizeof(tests[0]));
+}
--- /dev/null
+++ b/tests/integration/test_rate_store.c
@@ -0,0 +1,76 @@
+/* P7. Guards against shares that are used twice when it is uncertain who holds
+ * them: lost replies to conditional writes, a data centre that is cut off, and
+ * limiters that die while the store is down. */
+
+#include "harness_rate.h"
+
+START_TEST(test_lost_replies)
+{
+    harness_t *h = rate_start(60, 30);
+
+    harness_platform_fault(h, "{\"lose_replies\":0.4}");
+    rate_jump(h, 6);
+    harness_platform_fault(h, "{\"lose_replies\":0.0}");
+    rate_jump(h, 1);
+    rate_finish(h);
+}
+END_TEST
+
+/* Cuts konya off from the other data centres and from the platform, or ends
+ * that. */
+static void
+isolate_konya(harness_t *h, bool cut)
+{
+    harness_cut(h, "konya", "aksaray", cut);
+    harness_cut(h, "konya", "nigde", cut);
+    harness_fault(h, "konya-*--platform",
+                  cut ? "{\"cut\":\"both\"}" : "{\"cut\":\"none\"}");
+}
+
+START_TEST(test_cut_data_centre)
+{
+    harness_t *h = rate_start(60, 30);
+    harness_caller_t *inside = rate_demand(h, "konya");
+    harness_caller_t *outside = rate_demand(h, "aksaray");
+
+    harness_run(h->base, 1000);
+    isolate_konya(h, true);
+    harness_run(h->base, 5000);
+    isolate_konya(h, false);
+    harness_run(h->base, 3000);
+    harness_callers_stop(inside);
+    harness_callers_stop(outside);
+    rate_finish(h);
+}
+END_TEST
+
+/* The limiters of one data centre die while the store is down. */
+START_TEST(test_store_outage)
+{
+    harness_t *h = rate_start(60, 30);
+    harness_caller_t *callers = rate_demand(h, NULL);
+
+    harness_run(h->base, 1000);
+    harness_process_t *limiter = rate_limiter(h, "aksaray");
+    harness_platform_fault(h, "{\"down\":true}");
+    harness_run(h->base, 1500);
+    harness_process_kill(limiter);
+    harness_run(h->base, 2000);
+    harness_process_start(limiter);
+    harness_run(h->base, 1500);
+    harness_platform_fault(h, "{\"down\":false}");
+    harness_run(h->base, 2000);
+    harness_callers_stop(callers);
+    rate_jump(h, 2);
+    rate_finish(h);
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {test_lost_replies, test_cut_data_centre,
+                                  test_store_outage};
+
+    return harness_main("rate_store", tests, sizeof(tests) / sizeof(tests[0]));
+}
