--- a/tests/integration/harness_caller.c
+++ b/tests/integration/harness_caller.c
@@ -202,6 +202,7 @@
     for (size_t i = 0; i < h->instance_count; i++) {
         const harness_instance_t *instance = &h->instances[i];
         if (instance->process.pid != 0 && !instance->process.stopping
+            && !instance->process.unlisted
             && (data_centre == NULL
                 || strcmp(instance->data_centre, data_centre) == 0)
             && draw(random, ++seen) == 0) {
--- a/tests/integration/harness_fleet.c
+++ b/tests/integration/harness_fleet.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <glib.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdlib.h>
@@ -307,10 +308,12 @@
     write_secret(h);
     ck_assert(mr_op_approver_create(h->approver_public, h->approver_secret));
     if (options->trace != NULL) {
-        /* In the run's own folder: two runs at once must not share it. */
-        snprintf(h->trace_path, sizeof(h->trace_path), "%s/%s", h->folder,
-                 options->trace);
-        h->trace = fopen(h->trace_path, "we");
+        g_autofree char *path =
+            options->trace[0] == '/'
+                ? g_strdup(options->trace)
+                : g_build_filename(h->folder, options->trace, NULL);
+        snprintf(h->trace_path, sizeof(h->trace_path), "%s", path);
+        h->trace = fopen(path, "we");
         ck_assert_ptr_nonnull(h->trace);
     }
     set_process(h, &h->platform, "platform_standin", "platform",
@@ -431,6 +434,23 @@
     return primary;
 }
 
+void
+harness_instance_start(harness_t *h, harness_instance_t *instance)
+{
+    mr_ms_t end = mr_clock_now(NULL) + SETTLE_MS;
+
+    harness_process_start(&instance->process);
+    instance->process.unlisted = true;
+    while (harness_http(h->base, "GET", instance->admin, "/healthz", NULL,
+                        NULL, NULL)
+           != 200) {
+        ck_assert_msg(mr_clock_now(NULL) < end, "%s is not healthy",
+                      instance->process.name);
+        harness_run(h->base, 10);
+    }
+    instance->process.unlisted = false;
+}
+
 harness_target_t *
 harness_wait_primary(harness_t *h, int group, const harness_target_t *other,
                      mr_ms_t max)
