--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -42,7 +42,8 @@
     char log[HARNESS_PATH_BYTES];          /* receives standard error */
     char redirect[HARNESS_REDIRECT_BYTES]; /* see standins/redirect.c */
     pid_t pid;                             /* 0: not running */
-    bool stopping; /* got SIGTERM: the balancer sends it nothing new */
+    bool stopping; /* got SIGTERM: may end, and callers leave it out */
+    bool unlisted; /* not healthy yet: callers leave it out as well */
 } harness_process_t;
 
 /** harness_port() - a free loopback port outside the range from which the
@@ -87,7 +88,9 @@
     int64_t offline_limit_s;
     /* All connections between processes pass the fault proxy. */
     bool proxied;
-    const char *trace;      /* path; NULL: no trace */
+    /* File name in the run's own folder, since tests may run side by side; or
+     * an absolute path. NULL: no trace. */
+    const char *trace;
     const char *experiment; /* setting of the daemons; NULL: none */
 } harness_options_t;
 
@@ -130,6 +133,7 @@
     char approver_public[MR_OP_APPROVER_PUBLIC_BYTES];
     char approver_secret[MR_OP_APPROVER_SECRET_BYTES];
     FILE *trace;
+    char trace_path[HARNESS_PATH_BYTES];
     int64_t next_request;
     mr_ms_t started;
 } harness_t;
@@ -154,6 +158,10 @@
  * highest term, asked directly; NULL when there is none. */
 harness_target_t *harness_primary(harness_t *harness, int group);
 
+/** harness_instance_start() - start an instance again; callers use it when it
+ * says that it is healthy. */
+void harness_instance_start(harness_t *harness, harness_instance_t *instance);
+
 /** harness_add_links() - add the links to the proxy's arguments. */
 void harness_add_links(harness_t *harness);
 
--- a/tests/integration/test_transactions.c
+++ b/tests/integration/test_transactions.c
@@ -45,7 +45,7 @@
         .list_lag_ms = 500,
         .offline_limit_s = 3600,
         .proxied = true,
-        .trace = "/tmp/masticrelay-transactions.jsonl",
+        .trace = "transactions.jsonl",
     };
 
     return harness_start(&options);
