--- a/bench/capacity_model.awk
+++ b/bench/capacity_model.awk
@@ -209,7 +209,10 @@
         5000, "ms")
     verdict("store_reads_accounts_idle", share_idle + other_reads, 2000, "1/s")
     verdict("store_reads_accounts_used", share_used + other_reads, 2000, "1/s")
+    # A row, an audit record and the trail's tail for each step of a change.
+    records = 3 + centres
+    computed("audit_records", changes * records, "1/s")
     verdict("store_writes", leases / 2 + accounts * centres / 60 \
-        + daemons / 300 + changes * (3 + centres), 500, "1/s")
+        + daemons / 300 + changes * records * 3, 500, "1/s")
     verdict("statement_cores", statements * statement_cpu / 1e3, 1, "cores")
 }
