Mark the session when a request id's record is out of reach

An answer request_id_expired has the outcome unknown, but the session was not marked, since the error was renamed after the session had been updated. The router now names what it means that an instance was not reached; a group that was out of reach is again reported as not run.

--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -254,20 +254,6 @@
     }
 }
 
-/* What it means that the instance which holds a transaction or the record of
- * a request id was not reached. */
-static mr_error_kind_t
-unavailable_kind(const call_t *call)
-{
-    if (call->body.transaction != NULL) {
-        return MR_ERR_TRANSACTION_LOST;
-    }
-    if (call->body.request_id != NULL) {
-        return MR_ERR_REQUEST_ID_EXPIRED;
-    }
-    return MR_ERR_UNAVAILABLE;
-}
-
 static void
 on_executed(void *ctx, const mr_msg_execute_reply_t *reply)
 {
@@ -278,9 +264,6 @@
         free_call(call);
         return;
     }
-    if (error == MR_ERR_UNAVAILABLE) {
-        error = unavailable_kind(call);
-    }
     update_session(call, reply);
     if (error != MR_OK) {
         answer_error(call, error, reply->message);
--- a/lib/entry/route.c
+++ b/lib/entry/route.c
@@ -690,6 +690,18 @@
 
 /* Forwarding to one instance. */
 
+/*
+ * What it means that the instance was not reached. A transaction ends with its
+ * instance, and this statement was not sent. A request id may have been used
+ * before, and only that instance knows.
+ */
+static mr_error_kind_t
+unreached_kind(const attempt_t *a)
+{
+    return a->msg->transaction[0] != '\0' ? MR_ERR_TRANSACTION_LOST
+                                          : MR_ERR_REQUEST_ID_EXPIRED;
+}
+
 static void
 on_forward_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *reply)
 {
@@ -702,6 +714,9 @@
         finish(a, &copy);
         return;
     }
+    if (error == MR_ERR_UNAVAILABLE) {
+        error = unreached_kind(a);
+    }
     finish_error(a, error, "the instance did not answer");
 }
 
