Ask limiters of other data centres before refusing

Cause: a limiter refused what exceeded its own data centre's share, although the account had rate left elsewhere, and an instance whose limiter had died or restarted had no tokens at all. Moving a share takes writes to the store, which is too slow for demand that jumps, and a lease takes 6 s to pass on.

Ruled out: moving shares faster (the store's writes are scarce); refusing later (the wait of 50 ms is bounded).

Change: an entry that its own limiter does not serve within 6 ms asks the limiters of the other data centres, one after the other, for tokens of their reserve. A request is refused when all data centres have said no, or after 50 ms as before.

--- a/bench/bench_capacity_structures.c
+++ b/bench/bench_capacity_structures.c
@@ -102,8 +102,14 @@
         measure_message("msg_ping", members[i], &msg);
     }
     mr_msg_t grant = {.type = MR_MSG_GRANT, .call = 7};
-    grant.u.grant = (mr_msg_grant_t){"coop-1", 1000, 1,       INT64_C(1) << 60,
-                                     100,      1000, 1000000, 101};
+    grant.u.grant = (mr_msg_grant_t){.account = "coop-1",
+                                     .demand_milli = 1000,
+                                     .wanted = 1,
+                                     .process = INT64_C(1) << 60,
+                                     .held_long = 100,
+                                     .held_rate_milli = 1000,
+                                     .held_burst_milli = 1000000,
+                                     .held_short = 101};
     measure_message("msg_grant", 1, &grant);
 }
 
--- a/lib/limit/grant.c
+++ b/lib/limit/grant.c
@@ -48,6 +48,7 @@
     int64_t demand;
     mr_ms_t asked;
     bool reported; /* its grant of the predecessor has been replaced */
+    bool foreign;  /* of another data centre; gets tokens only */
 } holder_t;
 
 struct mr_grant_book {
@@ -427,7 +428,7 @@
     MR_LIST_FOREACH(it, &book->holders)
     {
         const holder_t *other = MR_LIST_ENTRY(it, holder_t, link);
-        if (now - other->asked < LONG_RENEW_MS * 2) {
+        if (!other->foreign && now - other->asked < LONG_RENEW_MS * 2) {
             count++;
             demand += other->demand;
         }
@@ -570,13 +571,40 @@
     return true;
 }
 
+/* Tokens of the reserve for an instance whose own data centre has none left.
+ * They are a part of this share while they are in force, like any grant. */
+static size_t
+ask_tokens(mr_grant_book_t *book, const mr_grant_ask_t *ask, mr_ms_t now,
+           mr_msg_grant_item_t *out, bool *refused)
+{
+    holder_t *holder = get_holder(book, ask->instance, ask->process, now);
+
+    holder->foreign = true;
+    holder->demand = 0;
+    holder->asked = now;
+    *refused = true;
+    update_reserve(book, now);
+    if (now >= book->expiry || now < book->former.short_until
+        || ask->wanted <= 0
+        || !give_tokens(book, holder, ask->wanted, now, out)) {
+        return 0;
+    }
+    update_reserve(book, now);
+    *refused = false;
+    return 1;
+}
+
 size_t
 mr_grant_book_ask(mr_grant_book_t *book, const mr_grant_ask_t *ask,
                   mr_ms_t now, mr_msg_grant_item_t *out, bool *refused)
 {
+    if (ask->tokens_only) {
+        return ask_tokens(book, ask, now, out, refused);
+    }
     holder_t *holder = get_holder(book, ask->instance, ask->process, now);
     size_t count = 0;
 
+    holder->foreign = false;
     holder->demand = most(ask->demand, 0);
     holder->asked = now;
     *refused = false;
--- a/lib/limit/grant.h
+++ b/lib/limit/grant.h
@@ -43,6 +43,7 @@
     int64_t held_long;      /* id of the LONG grant it holds, 0: none */
     mr_limit_amount_t held; /* its amount */
     int64_t held_short;     /* id of the SHORT grant it holds, 0: none */
+    bool tokens_only;       /* an instance of another data centre asks */
 } mr_grant_ask_t;
 
 /** What a new limiter knows of its predecessor's grants. */
--- a/lib/limit/limit.c
+++ b/lib/limit/limit.c
@@ -19,6 +19,14 @@
     /* With at most this many accounts, an instance keeps a base of each;
      * otherwise only of those that it has served. */
     BASE_ACCOUNTS_MAX = 32,
+    /* A request that its own data centre could not serve at once is worth a
+     * question to another one, which takes a few milliseconds. */
+    ELSEWHERE_AFTER_MS = 6,
+    ELSEWHERE_TIMEOUT_MS = 20,
+    ELSEWHERE_TOKENS_MAX = 32,
+    /* Tokens for the requests of this time are asked for together, since an
+     * instance can hold few grants of tokens. */
+    ELSEWHERE_AHEAD_MS = 200,
 };
 
 typedef struct account {
@@ -32,6 +40,15 @@
     int64_t admitted;
     int64_t refused;
     bool configured; /* in the configuration in force */
+    /* Tokens from other data centres; see ask_elsewhere(). */
+    mr_grant_hold_t elsewhere;
+    mr_peer_call_t *elsewhere_call;
+    char *elsewhere_key; /* of the limiter that was asked */
+    mr_ms_t elsewhere_sent;
+    size_t elsewhere_next; /* data centre to ask next */
+    size_t dry;            /* data centres in a row that had no token */
+    mr_ms_t dry_since;     /* when the first of them was asked */
+    mr_ms_t own_refused;   /* the own limiter's last refusal was asked then */
 } account_t;
 
 /* An ask that waits for its reply. */
@@ -63,6 +80,7 @@
     int64_t process;
     mr_limiter_t *limiter;
     GHashTable *by_name;
+    GHashTable *elsewhere_owners; /* limiter's key -> instance */
     mr_list_t accounts;
     route_t routes[MR_LIMITER_SHARDS];
     size_t held_now;
@@ -74,6 +92,7 @@
     mr_counter_t *held;
     mr_counter_t *asked;
     mr_counter_t *ask_failures;
+    mr_counter_t *asked_elsewhere;
 };
 
 static mr_ms_t
@@ -139,7 +158,8 @@
         mr_limit_wait_t *wait =
             MR_LIST_ENTRY(account->waits.next, mr_limit_wait_t, link);
         mr_ms_t now = now_of(account->limit);
-        if (mr_grant_hold_admit(&account->local.hold, now)) {
+        if (mr_grant_hold_admit(&account->local.hold, now)
+            || mr_grant_hold_admit(&account->elsewhere, now)) {
             end_wait(wait, MR_OK);
         }
         else if (wait->since <= refuse_to) {
@@ -155,6 +175,178 @@
     }
 }
 
+/* Asks of other data centres. */
+
+static const mr_config_t *
+config_of(const mr_limit_t *limit)
+{
+    return mr_config_store_current(limit->options.config);
+}
+
+static size_t
+other_data_centres(const mr_limit_t *limit)
+{
+    const mr_config_t *config = config_of(limit);
+
+    return config == NULL || config->data_centre_count == 0
+               ? 0
+               : config->data_centre_count - 1;
+}
+
+/* Requests that arrived before this are refused: since then the own limiter
+ * and those of all other data centres have said that they have no token. */
+static mr_ms_t
+refused_until(const account_t *account)
+{
+    if (account->dry < other_data_centres(account->limit)) {
+        return INT64_MIN;
+    }
+    return account->own_refused < account->dry_since ? account->own_refused
+                                                     : account->dry_since;
+}
+
+static void
+note_dry(account_t *account)
+{
+    if (account->dry++ == 0) {
+        account->dry_since = account->elsewhere_sent;
+    }
+    if (account->dry >= other_data_centres(account->limit)) {
+        serve_waits(account, refused_until(account));
+        /* The next round starts with the next ask. */
+        account->dry = 0;
+    }
+}
+
+static void
+on_elsewhere_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *reply)
+{
+    account_t *account = ctx;
+    mr_limit_t *limit = account->limit;
+    mr_ms_t now = now_of(limit);
+
+    account->elsewhere_call = NULL;
+    if (error != MR_OK) {
+        mr_counter_add(limit->ask_failures, 1);
+        g_hash_table_remove(limit->elsewhere_owners, account->elsewhere_key);
+        note_dry(account);
+        return;
+    }
+    const mr_msg_grant_reply_t *grant = &reply->u.grant_reply;
+    if (grant->owner[0] != '\0') {
+        g_hash_table_replace(limit->elsewhere_owners,
+                             mr_strdup(account->elsewhere_key),
+                             mr_strdup(grant->owner));
+    }
+    while (mr_grant_hold_spent(&account->elsewhere, now) != 0) {
+        /* Spent ones make room; they lapse at their limiter by themselves. */
+    }
+    for (size_t i = 0; i < grant->grant_count; i++) {
+        if (grant->grants[i].kind == MR_GRANT_TOKENS) {
+            mr_grant_hold_accept(&account->elsewhere, &grant->grants[i],
+                                 account->elsewhere_sent, now);
+        }
+    }
+    if (grant->grant_count == 0) {
+        /* Only a limiter that holds its lease can say that none is left. */
+        if (grant->error == MR_ERR_RATE_LIMITED) {
+            note_dry(account);
+        }
+        else if (grant->owner[0] == '\0') {
+            g_hash_table_remove(limit->elsewhere_owners,
+                                account->elsewhere_key);
+        }
+        return;
+    }
+    account->dry = 0;
+    serve_waits(account, INT64_MIN);
+}
+
+/* The other data centre whose turn it is; NULL when there is none. */
+static const char *
+next_data_centre(account_t *account)
+{
+    const mr_config_t *config = config_of(account->limit);
+    size_t count = config == NULL ? 0 : config->data_centre_count;
+
+    for (size_t i = 0; i < count; i++) {
+        const char *name =
+            config->data_centres[account->elsewhere_next++ % count].name;
+        if (strcmp(name, account->limit->data_centre) != 0) {
+            return name;
+        }
+    }
+    return NULL;
+}
+
+static const mr_member_t *
+limiter_elsewhere(account_t *account, const char *data_centre)
+{
+    mr_limit_t *limit = account->limit;
+    const mr_member_t *member = NULL;
+    char key[160];
+
+    mr_limiter_key(data_centre, mr_limiter_shard(account->name), key,
+                   sizeof(key));
+    free(account->elsewhere_key);
+    account->elsewhere_key = mr_strdup(key);
+    const char *owner = g_hash_table_lookup(limit->elsewhere_owners, key);
+    if (owner != NULL) {
+        member = mr_members_find(limit->options.members, owner);
+    }
+    if (member == NULL) {
+        mr_members_usable(limit->options.members, key, data_centre, &member,
+                          1);
+    }
+    return member;
+}
+
+/*
+ * Demand that moves from one data centre to another meets a share that is
+ * still elsewhere, and moving a share takes writes to the store. Until then
+ * the limiter of another data centre can spare tokens of its own share.
+ */
+static void
+ask_elsewhere(account_t *account, mr_ms_t now)
+{
+    mr_limit_t *limit = account->limit;
+    mr_msg_t msg = {.type = MR_MSG_GRANT};
+
+    if (mr_list_empty(&account->waits) || account->elsewhere_call != NULL) {
+        return;
+    }
+    mr_limit_wait_t *oldest =
+        MR_LIST_ENTRY(account->waits.next, mr_limit_wait_t, link);
+    if (now - oldest->since < ELSEWHERE_AFTER_MS
+        && account->own_refused < oldest->since) {
+        return;
+    }
+    const char *data_centre = next_data_centre(account);
+    if (data_centre == NULL) {
+        return;
+    }
+    account->elsewhere_sent = now;
+    const mr_member_t *member = limiter_elsewhere(account, data_centre);
+    if (member == NULL) {
+        note_dry(account);
+        return;
+    }
+    int64_t wanted =
+        (int64_t)account->wait_count
+        + account->local.demand * ELSEWHERE_AHEAD_MS / (1000 * MR_TOKEN_MILLI);
+    msg.u.grant = (mr_msg_grant_t){
+        .account = account->name,
+        .wanted =
+            wanted < ELSEWHERE_TOKENS_MAX ? wanted : ELSEWHERE_TOKENS_MAX,
+        .process = limit->process,
+        .tokens_only = true,
+    };
+    mr_counter_add(limit->asked_elsewhere, 1);
+    account->elsewhere_call =
+        mr_peer_call(limit->options.peer, member->address, &msg,
+                     ELSEWHERE_TIMEOUT_MS, on_elsewhere_reply, account);
+}
+
 /* Asks. */
 
 static void
@@ -202,7 +394,10 @@
     mr_limit_local_reply(&account->local, reply ? reply->grants : NULL,
                          reply ? reply->grant_count : 0, sent, now_of(limit));
     if (reply != NULL && reply->error == MR_ERR_RATE_LIMITED) {
-        refuse_to = sent;
+        account->own_refused = sent;
+        /* Without other data centres its word is the last one. */
+        refuse_to = other_data_centres(limit) == 0 ? sent : INT64_MIN;
+        ask_elsewhere(account, now_of(limit));
     }
     serve_waits(account, refuse_to);
 }
@@ -319,6 +514,7 @@
         account_t *account = MR_LIST_ENTRY(it, account_t, link);
         serve_waits(account, INT64_MIN);
         run_account(account);
+        ask_elsewhere(account, now_of(limit));
     }
     set_tick(limit);
 }
@@ -362,6 +558,10 @@
         mr_peer_cancel(ask->call);
         free(ask);
     }
+    if (account->elsewhere_call != NULL) {
+        mr_peer_cancel(account->elsewhere_call);
+    }
+    free(account->elsewhere_key);
     g_hash_table_remove(account->limit->by_name, account->name);
     mr_list_remove(&account->link);
     free(account->name);
@@ -388,6 +588,10 @@
         }
         account = get_account(limit, source);
         account->configured = true;
+        if (account->local.limit.rate > 0 && account->local.limit.burst > 0) {
+            mr_grant_hold_scale(&account->elsewhere, account->local.limit,
+                                amount, now);
+        }
         mr_limit_local_configure(&account->local, amount, now);
     }
     MR_LIST_FOREACH(it, &limit->accounts)
@@ -446,6 +650,9 @@
                                   "requests held for a token");
     limit->asked = mr_counters_get(counters, "masticrelay_limit_asked_total",
                                    "", "asks to limiters");
+    limit->asked_elsewhere =
+        mr_counters_get(counters, "masticrelay_limit_asked_elsewhere_total",
+                        "", "asks to limiters of other data centres");
     limit->ask_failures =
         mr_counters_get(counters, "masticrelay_limit_ask_failures_total", "",
                         "asks to limiters without an answer");
@@ -465,6 +672,8 @@
     }
     mr_list_init(&limit->accounts);
     limit->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    limit->elsewhere_owners =
+        g_hash_table_new_full(g_str_hash, g_str_equal, free, free);
     create_counters(limit);
     limit->limiter = mr_limiter_create(options, limit->process);
     limit->timer = event_new(options->base, -1, EV_PERSIST, on_tick, limit);
@@ -485,6 +694,7 @@
         destroy_account(MR_LIST_ENTRY(limit->accounts.next, account_t, link));
     }
     g_hash_table_destroy(limit->by_name);
+    g_hash_table_destroy(limit->elsewhere_owners);
     mr_limiter_destroy(limit->limiter);
     for (size_t i = 0; i < MR_LIMITER_SHARDS; i++) {
         free(limit->routes[i].owner);
--- a/lib/limit/limiter.c
+++ b/lib/limit/limiter.c
@@ -538,6 +538,7 @@
         .held_long = in->held_long,
         .held = {in->held_rate_milli, in->held_burst_milli},
         .held_short = in->held_short,
+        .tokens_only = in->tokens_only,
     };
 
     if (request == NULL) {
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -173,6 +173,7 @@
     F(INTEGER, mr_msg_grant_t, held_rate_milli),
     F(INTEGER, mr_msg_grant_t, held_burst_milli),
     F(INTEGER, mr_msg_grant_t, held_short),
+    F(BOOL, mr_msg_grant_t, tokens_only),
 };
 static const layout_t grant_layout = LAYOUT(mr_msg_grant_t, grant_fields);
 
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -167,6 +167,7 @@
     int64_t held_rate_milli;
     int64_t held_burst_milli;
     int64_t held_short; /* id of the short grant that it holds, 0: none */
+    bool tokens_only;   /* from another data centre: tokens at once, no rate */
 } mr_msg_grant_t;
 
 /** One grant: tokens at once and a rate for a lifetime. */
