Name remote asks as the field does, show owners, free row calls at exit

Three findings of the read-through. 'Elsewhere' and 'dry' were words of our own; asks, tokens and refusals of other data centres are now called remote. /status lacked the owner of each target, so masticrelayctl groups showed a dash. A limiter with an open platform call leaked it at exit: it expected a callback that a closed client does not give.

--- a/bench/fleet_limits.c
+++ b/bench/fleet_limits.c
@@ -88,8 +88,7 @@
     fleet_print_counter(bench, what, "masticrelay_limit_held_total");
     fleet_print_counter(bench, what, "masticrelay_limit_ask_failures_total");
     fleet_print_counter(bench, what, "masticrelay_limiter_writes_total");
-    fleet_print_counter(bench, what,
-                        "masticrelay_limit_asked_elsewhere_total");
+    fleet_print_counter(bench, what, "masticrelay_limit_remote_asks_total");
 }
 
 static void
--- a/lib/group/observer.c
+++ b/lib/group/observer.c
@@ -521,10 +521,14 @@
     for (size_t i = 0; i < view->count; i++) {
         const mr_view_target_t *target = &view->targets[i];
         mr_ms_t age = mr_view_age(view, &target->state, now);
+        const mr_member_t *owner = mr_members_owner(
+            observer->options.members, observer->probes[i].name,
+            observer->probes[i].data_centre);
         json_array_append_new(
             targets,
-            json_pack("{s:s, s:s, s:I, s:I, s:I, s:I, s:b, s:b}", "name",
-                      observer->probes[i].name, "role",
+            json_pack("{s:s, s:s?, s:s, s:I, s:I, s:I, s:I, s:b, s:b}", "name",
+                      observer->probes[i].name, "owner",
+                      owner == NULL ? NULL : owner->name, "role",
                       target->state.primary ? "primary" : "replica", "term",
                       (json_int_t)target->state.term, "last_term",
                       (json_int_t)target->state.last_term, "position",
--- a/lib/limit/grant.c
+++ b/lib/limit/grant.c
@@ -48,7 +48,7 @@
     int64_t demand;
     mr_ms_t asked;
     bool reported; /* its grant of the predecessor has been replaced */
-    bool foreign;  /* of another data centre; gets tokens only */
+    bool remote;   /* of another data centre; gets tokens only */
 } holder_t;
 
 struct mr_grant_book {
@@ -428,7 +428,7 @@
     MR_LIST_FOREACH(it, &book->holders)
     {
         const holder_t *other = MR_LIST_ENTRY(it, holder_t, link);
-        if (!other->foreign && now - other->asked < LONG_RENEW_MS * 2) {
+        if (!other->remote && now - other->asked < LONG_RENEW_MS * 2) {
             count++;
             demand += other->demand;
         }
@@ -579,7 +579,7 @@
 {
     holder_t *holder = get_holder(book, ask->instance, ask->process, now);
 
-    holder->foreign = true;
+    holder->remote = true;
     holder->demand = 0;
     holder->asked = now;
     *refused = true;
@@ -604,7 +604,7 @@
     holder_t *holder = get_holder(book, ask->instance, ask->process, now);
     size_t count = 0;
 
-    holder->foreign = false;
+    holder->remote = false;
     holder->demand = most(ask->demand, 0);
     holder->asked = now;
     *refused = false;
--- a/lib/limit/limit.c
+++ b/lib/limit/limit.c
@@ -21,12 +21,12 @@
     BASE_ACCOUNTS_MAX = 32,
     /* A request that its own data centre could not serve at once is worth a
      * question to another one, which takes a few milliseconds. */
-    ELSEWHERE_AFTER_MS = 6,
-    ELSEWHERE_TIMEOUT_MS = 20,
-    ELSEWHERE_TOKENS_MAX = 32,
+    REMOTE_AFTER_MS = 6,
+    REMOTE_TIMEOUT_MS = 20,
+    REMOTE_TOKENS_MAX = 32,
     /* Tokens for the requests of this time are asked for together, since an
      * instance can hold few grants of tokens. */
-    ELSEWHERE_AHEAD_MS = 200,
+    REMOTE_AHEAD_MS = 200,
 };
 
 typedef struct account {
@@ -40,15 +40,15 @@
     int64_t admitted;
     int64_t refused;
     bool configured; /* in the configuration in force */
-    /* Tokens from other data centres; see ask_elsewhere(). */
-    mr_grant_hold_t elsewhere;
-    mr_peer_call_t *elsewhere_call;
-    char *elsewhere_key; /* of the limiter that was asked */
-    mr_ms_t elsewhere_sent;
-    size_t elsewhere_next; /* data centre to ask next */
-    size_t dry;            /* data centres in a row that had no token */
-    mr_ms_t dry_since;     /* when the first of them was asked */
-    mr_ms_t own_refused;   /* the own limiter's last refusal was asked then */
+    /* Tokens from other data centres; see ask_remote(). */
+    mr_grant_hold_t remote;
+    mr_peer_call_t *remote_call;
+    char *remote_key; /* of the limiter that was asked */
+    mr_ms_t remote_sent;
+    size_t remote_next;           /* data centre to ask next */
+    size_t remote_refusals;       /* data centres in a row that had no token */
+    mr_ms_t remote_refused_since; /* when the first of them was asked */
+    mr_ms_t own_refused; /* the own limiter's last refusal was asked then */
 } account_t;
 
 /* An ask that waits for its reply. */
@@ -80,7 +80,7 @@
     int64_t process;
     mr_limiter_t *limiter;
     GHashTable *by_name;
-    GHashTable *elsewhere_owners; /* limiter's key -> instance */
+    GHashTable *remote_owners; /* limiter's key -> instance */
     mr_list_t accounts;
     route_t routes[MR_LIMITER_SHARDS];
     size_t held_now;
@@ -92,7 +92,7 @@
     mr_counter_t *held;
     mr_counter_t *asked;
     mr_counter_t *ask_failures;
-    mr_counter_t *asked_elsewhere;
+    mr_counter_t *remote_asks;
 };
 
 static mr_ms_t
@@ -159,7 +159,7 @@
             MR_LIST_ENTRY(account->waits.next, mr_limit_wait_t, link);
         mr_ms_t now = now_of(account->limit);
         if (mr_grant_hold_admit(&account->local.hold, now)
-            || mr_grant_hold_admit(&account->elsewhere, now)) {
+            || mr_grant_hold_admit(&account->remote, now)) {
             end_wait(wait, MR_OK);
         }
         else if (wait->since <= refuse_to) {
@@ -198,67 +198,67 @@
 static mr_ms_t
 refused_until(const account_t *account)
 {
-    if (account->dry < other_data_centres(account->limit)) {
+    if (account->remote_refusals < other_data_centres(account->limit)) {
         return INT64_MIN;
     }
-    return account->own_refused < account->dry_since ? account->own_refused
-                                                     : account->dry_since;
+    return account->own_refused < account->remote_refused_since
+               ? account->own_refused
+               : account->remote_refused_since;
 }
 
 static void
-note_dry(account_t *account)
+note_remote_refusal(account_t *account)
 {
-    if (account->dry++ == 0) {
-        account->dry_since = account->elsewhere_sent;
+    if (account->remote_refusals++ == 0) {
+        account->remote_refused_since = account->remote_sent;
     }
-    if (account->dry >= other_data_centres(account->limit)) {
+    if (account->remote_refusals >= other_data_centres(account->limit)) {
         serve_waits(account, refused_until(account));
         /* The next round starts with the next ask. */
-        account->dry = 0;
+        account->remote_refusals = 0;
     }
 }
 
 static void
-on_elsewhere_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *reply)
+on_remote_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *reply)
 {
     account_t *account = ctx;
     mr_limit_t *limit = account->limit;
     mr_ms_t now = now_of(limit);
 
-    account->elsewhere_call = NULL;
+    account->remote_call = NULL;
     if (error != MR_OK) {
         mr_counter_add(limit->ask_failures, 1);
-        g_hash_table_remove(limit->elsewhere_owners, account->elsewhere_key);
-        note_dry(account);
+        g_hash_table_remove(limit->remote_owners, account->remote_key);
+        note_remote_refusal(account);
         return;
     }
     const mr_msg_grant_reply_t *grant = &reply->u.grant_reply;
     if (grant->owner[0] != '\0') {
-        g_hash_table_replace(limit->elsewhere_owners,
-                             mr_strdup(account->elsewhere_key),
+        g_hash_table_replace(limit->remote_owners,
+                             mr_strdup(account->remote_key),
                              mr_strdup(grant->owner));
     }
-    while (mr_grant_hold_spent(&account->elsewhere, now) != 0) {
+    while (mr_grant_hold_spent(&account->remote, now) != 0) {
         /* Spent ones make room; they lapse at their limiter by themselves. */
     }
     for (size_t i = 0; i < grant->grant_count; i++) {
         if (grant->grants[i].kind == MR_GRANT_TOKENS) {
-            mr_grant_hold_accept(&account->elsewhere, &grant->grants[i],
-                                 account->elsewhere_sent, now);
+            mr_grant_hold_accept(&account->remote, &grant->grants[i],
+                                 account->remote_sent, now);
         }
     }
     if (grant->grant_count == 0) {
         /* Only a limiter that holds its lease can say that none is left. */
         if (grant->error == MR_ERR_RATE_LIMITED) {
-            note_dry(account);
+            note_remote_refusal(account);
         }
         else if (grant->owner[0] == '\0') {
-            g_hash_table_remove(limit->elsewhere_owners,
-                                account->elsewhere_key);
+            g_hash_table_remove(limit->remote_owners, account->remote_key);
         }
         return;
     }
-    account->dry = 0;
+    account->remote_refusals = 0;
     serve_waits(account, INT64_MIN);
 }
 
@@ -271,7 +271,7 @@
 
     for (size_t i = 0; i < count; i++) {
         const char *name =
-            config->data_centres[account->elsewhere_next++ % count].name;
+            config->data_centres[account->remote_next++ % count].name;
         if (strcmp(name, account->limit->data_centre) != 0) {
             return name;
         }
@@ -280,7 +280,7 @@
 }
 
 static const mr_member_t *
-limiter_elsewhere(account_t *account, const char *data_centre)
+remote_limiter(account_t *account, const char *data_centre)
 {
     mr_limit_t *limit = account->limit;
     const mr_member_t *member = NULL;
@@ -288,9 +288,9 @@
 
     mr_limiter_key(data_centre, mr_limiter_shard(account->name), key,
                    sizeof(key));
-    free(account->elsewhere_key);
-    account->elsewhere_key = mr_strdup(key);
-    const char *owner = g_hash_table_lookup(limit->elsewhere_owners, key);
+    free(account->remote_key);
+    account->remote_key = mr_strdup(key);
+    const char *owner = g_hash_table_lookup(limit->remote_owners, key);
     if (owner != NULL) {
         member = mr_members_find(limit->options.members, owner);
     }
@@ -307,17 +307,17 @@
  * the limiter of another data centre can spare tokens of its own share.
  */
 static void
-ask_elsewhere(account_t *account, mr_ms_t now)
+ask_remote(account_t *account, mr_ms_t now)
 {
     mr_limit_t *limit = account->limit;
     mr_msg_t msg = {.type = MR_MSG_GRANT};
 
-    if (mr_list_empty(&account->waits) || account->elsewhere_call != NULL) {
+    if (mr_list_empty(&account->waits) || account->remote_call != NULL) {
         return;
     }
     mr_limit_wait_t *oldest =
         MR_LIST_ENTRY(account->waits.next, mr_limit_wait_t, link);
-    if (now - oldest->since < ELSEWHERE_AFTER_MS
+    if (now - oldest->since < REMOTE_AFTER_MS
         && account->own_refused < oldest->since) {
         return;
     }
@@ -325,26 +325,25 @@
     if (data_centre == NULL) {
         return;
     }
-    account->elsewhere_sent = now;
-    const mr_member_t *member = limiter_elsewhere(account, data_centre);
+    account->remote_sent = now;
+    const mr_member_t *member = remote_limiter(account, data_centre);
     if (member == NULL) {
-        note_dry(account);
+        note_remote_refusal(account);
         return;
     }
     int64_t wanted =
         (int64_t)account->wait_count
-        + account->local.demand * ELSEWHERE_AHEAD_MS / (1000 * MR_TOKEN_MILLI);
+        + account->local.demand * REMOTE_AHEAD_MS / (1000 * MR_TOKEN_MILLI);
     msg.u.grant = (mr_msg_grant_t){
         .account = account->name,
-        .wanted =
-            wanted < ELSEWHERE_TOKENS_MAX ? wanted : ELSEWHERE_TOKENS_MAX,
+        .wanted = wanted < REMOTE_TOKENS_MAX ? wanted : REMOTE_TOKENS_MAX,
         .process = limit->process,
         .tokens_only = true,
     };
-    mr_counter_add(limit->asked_elsewhere, 1);
-    account->elsewhere_call =
+    mr_counter_add(limit->remote_asks, 1);
+    account->remote_call =
         mr_peer_call(limit->options.peer, member->address, &msg,
-                     ELSEWHERE_TIMEOUT_MS, on_elsewhere_reply, account);
+                     REMOTE_TIMEOUT_MS, on_remote_reply, account);
 }
 
 /* Asks. */
@@ -397,7 +396,7 @@
         account->own_refused = sent;
         /* Without other data centres its word is the last one. */
         refuse_to = other_data_centres(limit) == 0 ? sent : INT64_MIN;
-        ask_elsewhere(account, now_of(limit));
+        ask_remote(account, now_of(limit));
     }
     serve_waits(account, refuse_to);
 }
@@ -514,7 +513,7 @@
         account_t *account = MR_LIST_ENTRY(it, account_t, link);
         serve_waits(account, INT64_MIN);
         run_account(account);
-        ask_elsewhere(account, now_of(limit));
+        ask_remote(account, now_of(limit));
     }
     set_tick(limit);
 }
@@ -558,10 +557,10 @@
         mr_peer_cancel(ask->call);
         free(ask);
     }
-    if (account->elsewhere_call != NULL) {
-        mr_peer_cancel(account->elsewhere_call);
+    if (account->remote_call != NULL) {
+        mr_peer_cancel(account->remote_call);
     }
-    free(account->elsewhere_key);
+    free(account->remote_key);
     g_hash_table_remove(account->limit->by_name, account->name);
     mr_list_remove(&account->link);
     free(account->name);
@@ -589,8 +588,8 @@
         account = get_account(limit, source);
         account->configured = true;
         if (account->local.limit.rate > 0 && account->local.limit.burst > 0) {
-            mr_grant_hold_scale(&account->elsewhere, account->local.limit,
-                                amount, now);
+            mr_grant_hold_scale(&account->remote, account->local.limit, amount,
+                                now);
         }
         mr_limit_local_configure(&account->local, amount, now);
     }
@@ -650,9 +649,9 @@
                                   "requests held for a token");
     limit->asked = mr_counters_get(counters, "masticrelay_limit_asked_total",
                                    "", "asks to limiters");
-    limit->asked_elsewhere =
-        mr_counters_get(counters, "masticrelay_limit_asked_elsewhere_total",
-                        "", "asks to limiters of other data centres");
+    limit->remote_asks =
+        mr_counters_get(counters, "masticrelay_limit_remote_asks_total", "",
+                        "asks to limiters of other data centres");
     limit->ask_failures =
         mr_counters_get(counters, "masticrelay_limit_ask_failures_total", "",
                         "asks to limiters without an answer");
@@ -672,7 +671,7 @@
     }
     mr_list_init(&limit->accounts);
     limit->by_name = g_hash_table_new(g_str_hash, g_str_equal);
-    limit->elsewhere_owners =
+    limit->remote_owners =
         g_hash_table_new_full(g_str_hash, g_str_equal, free, free);
     create_counters(limit);
     limit->limiter = mr_limiter_create(options, limit->process);
@@ -694,7 +693,7 @@
         destroy_account(MR_LIST_ENTRY(limit->accounts.next, account_t, link));
     }
     g_hash_table_destroy(limit->by_name);
-    g_hash_table_destroy(limit->elsewhere_owners);
+    g_hash_table_destroy(limit->remote_owners);
     mr_limiter_destroy(limit->limiter);
     for (size_t i = 0; i < MR_LIMITER_SHARDS; i++) {
         free(limit->routes[i].owner);
--- a/lib/limit/limiter.c
+++ b/lib/limit/limiter.c
@@ -52,10 +52,10 @@
     uint64_t generation;
 };
 
-/* A read or write of a row; outlives what asked for it. */
+/* A read or write of a row; outlives the account that asked for it. */
 typedef struct row_call {
     mr_list_t link;
-    shard_t *shard;     /* NULL: the limiter is gone */
+    shard_t *shard;
     account_t *account; /* of a share; NULL: a lease, or gone */
     bool share;
     bool write;
@@ -207,12 +207,12 @@
     row_call_t *call = ctx;
 
     mr_list_remove(&call->link);
-    if (call->shard != NULL && call->share) {
+    if (call->share) {
         if (call->account != NULL) {
             on_share_row(call, error, revision, value);
         }
     }
-    else if (call->shard != NULL) {
+    else {
         on_lease_row(call, error, revision, value);
     }
     free(call);
@@ -666,7 +666,9 @@
         mr_lease_destroy(limiter->shards[i].lease);
     }
     while ((link = mr_list_pop(&limiter->row_calls)) != NULL) {
-        MR_LIST_ENTRY(link, row_call_t, link)->shard = NULL;
+        row_call_t *call = MR_LIST_ENTRY(link, row_call_t, link);
+        mr_platform_cancel(limiter->options.platform, call);
+        free(call);
     }
     free(limiter->name);
     free(limiter->data_centre);
