--- a/lib/wire/execute.c
+++ b/lib/wire/execute.c
@@ -58,7 +58,6 @@
     copy->target = copy_text(reply->target);
     copy->covering = copy_text(reply->covering);
     copy->hint = copy_text(reply->hint);
-    copy->request_id = copy_text(reply->request_id);
     copy->transaction = copy_text(reply->transaction);
     copy->instance = copy_text(reply->instance);
     copy->address = copy_text(reply->address);
@@ -76,7 +75,6 @@
     free((void *)reply->target);
     free((void *)reply->covering);
     free((void *)reply->hint);
-    free((void *)reply->request_id);
     free((void *)reply->transaction);
     free((void *)reply->instance);
     free((void *)reply->address);
@@ -93,14 +91,7 @@
     reply->target = "";
     reply->covering = "";
     reply->hint = "";
-    reply->request_id = "";
     reply->transaction = "";
     reply->instance = "";
     reply->address = "";
 }
-
-bool
-mr_execute_is_write(const mr_msg_execute_t *msg)
-{
-    return msg->access == MR_ACCESS_WRITE;
-}
--- a/lib/wire/execute.h
+++ b/lib/wire/execute.h
@@ -25,7 +25,4 @@
 void mr_execute_reply_init(mr_msg_execute_reply_t *reply,
                            mr_error_kind_t error, const char *message);
 
-/** mr_execute_is_write() - whether the request can change data. */
-bool mr_execute_is_write(const mr_msg_execute_t *msg);
-
 #endif
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -96,7 +96,6 @@
     F(STRING, mr_msg_execute_reply_t, covering),
     F(STRING, mr_msg_execute_reply_t, hint),
     F(INTEGER, mr_msg_execute_reply_t, hint_term),
-    F(STRING, mr_msg_execute_reply_t, request_id),
     F(STRING, mr_msg_execute_reply_t, transaction),
     F(STRING, mr_msg_execute_reply_t, instance),
     F(STRING, mr_msg_execute_reply_t, address),
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -100,7 +100,6 @@
     const char *covering; /* a target known to cover the write */
     const char *hint;     /* the group's primary, as the owner sees it */
     int64_t hint_term;
-    const char *request_id; /* a fresh one */
     const char *transaction;
     const char *instance; /* that holds the transaction */
     const char *address;  /* of that instance */
