Confirm a staged version only once

Cause: after the confirmation row was written for want of an answer from a member, the timer of the last ask still ran, and a read of the row that was sent before the write could arrive after it. Both led to a second write and to a second count of masticrelay_config_confirm_incomplete_total.

Ruled out: load (the machine was idle); a second poller that confirms (the counter is the first poller's own).

Change: a confirmation that was written ends the progress, and rows with a lower revision than the one written are ignored.

--- a/lib/config/store_confirm.c
+++ b/lib/config/store_confirm.c
@@ -126,7 +126,6 @@
 {
     mr_config_confirming_t *confirming = ctx;
 
-    (void)revision;
     (void)value;
     confirming->writing = false;
     if (error == MR_OK || error == MR_ERR_OUTCOME_UNKNOWN) {
@@ -139,6 +138,9 @@
         mr_counter_add(confirming->store->counters.confirmed, 1);
         mr_log(MR_LOG_INFO, "config_confirmed", "version=%lld hash=%.12s",
                (long long)confirming->value.version, confirming->value.hash);
+        /* Neither a timer nor a read sent before the write may write again. */
+        confirming->revision = revision;
+        reset(confirming);
     }
     /* Anything else: the next poll reads the row back. */
 }
@@ -221,7 +223,7 @@
     mr_config_confirming_t *confirming = &store->confirming;
     const mr_config_held_t *staged = &store->staged;
 
-    if (confirming->writing) {
+    if (confirming->writing || row->revision < confirming->revision) {
         return;
     }
     confirming->revision = row->revision;
--- a/tests/unit/test_config_store.c
+++ b/tests/unit/test_config_store.c
@@ -281,6 +281,15 @@
     run_loop_for(fleet->base, 4000);
     ck_assert_int_eq(confirmed_version(fleet), 0);
     await_confirmed(fleet, 2, 4000);
+    /* A timer that was running and a read that was sent before the write must
+     * not confirm once more. */
+    mr_config_store_t *store = fleet->instances[0].store;
+    mr_config_confirm_row_t before = {0};
+    run_loop_for(fleet->base, 20);
+    event_active(store->confirming.again, EV_TIMEOUT, 0);
+    run_loop_for(fleet->base, 20);
+    mr_config_store_confirm(store, &before, 0);
+    run_loop_for(fleet->base, 1000);
     ck_assert_int_eq(counter(&fleet->instances[0],
                              "masticrelay_config_confirm_incomplete_total"),
                      1);
