Send bodies of the configuration as patches of the one in force

Cause: each accepted version went down the tree as a whole body. With 5,700 targets and 2,000 accounts that is 1.27 MB to each daemon every 17 s, 75 KB/s at a leaf and 674 KB/s inside the tree, against 30 KB/s for all control work.

Ruled out: compression (a tenth of 674 KB/s is still over the budget), and patches in the form of changes to the model (every kind of record would need its own; the hash of the text stays the proof of the whole this way).

Change: CONFIG_FETCH names the hash of the body that the sender holds. The answer then has copied and inserted parts. The base is the version in force or the one before; otherwise, and after a patch that did not give the signed hash, the whole body is sent.

The 24 pollers still read the whole body (100 KB/s).

--- a/bench/bench_capacity_modules.c
+++ b/bench/bench_capacity_modules.c
@@ -11,6 +11,7 @@
 #include "common_bench.h"
 #include "config/key.h"
 #include "config/model.h"
+#include "config/patch.h"
 #include "limit/limiter.h"
 #include "limit/local.h"
 #include "masticrelay.h"
@@ -145,6 +146,8 @@
     long accounts;
     long targets;
     long next;
+    char *changed;
+    mr_config_patch_t patch;
 } config_run_t;
 
 static void
@@ -232,6 +235,79 @@
     mr_config_hash(run->text, run->len, hash);
 }
 
+/* The next version: one key was issued again. */
+static char *
+changed_body(const config_run_t *run)
+{
+    char *text = mr_memdup(run->text, run->len);
+    char *version = strstr(text, "\"version\":1");
+    char *hash = strstr(text, "\"hash\":\"");
+
+    if (version == NULL || hash == NULL) {
+        abort();
+    }
+    version[10] = '2';
+    memset(hash + 8, '0', 64);
+    return text;
+}
+
+static void
+make_patch(void *ctx)
+{
+    config_run_t *run = ctx;
+
+    mr_config_patch_clear(&run->patch);
+    if (!mr_config_patch_make((mr_bytes_t){run->text, run->len},
+                              (mr_bytes_t){run->changed, run->len},
+                              &run->patch)) {
+        abort();
+    }
+}
+
+static void
+apply_patch(void *ctx)
+{
+    config_run_t *run = ctx;
+    size_t len;
+    char *text =
+        mr_config_patch_apply((mr_bytes_t){run->text, run->len},
+                              run->patch.parts, run->patch.count, &len);
+
+    if (text == NULL || len != run->len
+        || memcmp(text, run->changed, len) != 0) {
+        abort();
+    }
+    free(text);
+}
+
+/* A patch as it goes to a peer, and the time to make and apply it. */
+static void
+measure_patch(config_run_t *run, long targets)
+{
+    mr_msg_t msg = {.type = MR_MSG_CONFIG_FETCH_REPLY};
+    msgpack_sbuffer packed;
+    char name[NAME_BYTES];
+
+    run->changed = changed_body(run);
+    snprintf(name, sizeof(name), "config_patch_make_%ld_accounts",
+             run->accounts);
+    bench_run(name, targets, make_patch, run);
+    snprintf(name, sizeof(name), "config_patch_apply_%ld_accounts",
+             run->accounts);
+    bench_run(name, targets, apply_patch, run);
+    msg.u.config.base = "";
+    msg.u.config.patch = run->patch.parts;
+    msg.u.config.patch_count = run->patch.count;
+    msgpack_sbuffer_init(&packed);
+    mr_msg_encode(&msg, &packed);
+    snprintf(name, sizeof(name), "config_patch_bytes_%ld_accounts",
+             run->accounts);
+    bench_print(name, targets, (double)packed.size, "bytes");
+    msgpack_sbuffer_destroy(&packed);
+    mr_config_patch_clear(&run->patch);
+    free(run->changed);
+}
+
 /* The work of mr_auth_check() but for the header. */
 static void
 check_key(void *ctx)
@@ -272,6 +348,7 @@
     bench_run(name, targets, parse_config, &run);
     snprintf(name, sizeof(name), "config_hash_%ld_accounts", accounts);
     bench_run(name, targets, hash_config, &run);
+    measure_patch(&run, targets);
     double before = (double)mallinfo2().uordblks;
     run.config = mr_config_parse(run.text, run.len, &problem);
     snprintf(name, sizeof(name), "config_memory_%ld_accounts", accounts);
--- a/bench/capacity_model.awk
+++ b/bench/capacity_model.awk
@@ -118,17 +118,26 @@
     parse = at("config_parse_2000_accounts", 5700) / 1e3
     computed("config_body", body / 1e6, "MB")
     computed("config_stall", parse, "ms/change")
+    patch = at("config_patch_bytes_2000_accounts", 5700)
+    computed("config_patch", patch, "bytes/change")
+    # Daemons inside the tree also make the patch, once for each change.
     config_cpu = changes * (parse \
-        + at("config_hash_2000_accounts", 5700) / 1e3)
+        + at("config_hash_2000_accounts", 5700) / 1e3 \
+        + at("config_patch_apply_2000_accounts", 5700) / 1e3 \
+        + at("config_patch_make_2000_accounts", 5700) / 1e3)
     computed("config_cpu", config_cpu, "ms/s/daemon")
-    config_kb = changes * body / 1e3
+    config_kb = changes * patch / 1e3
     computed("config_leaf_kb", config_kb, "KB/s/daemon")
     computed("config_inner_kb", config_kb * (1 + degree), "KB/s/daemon")
+    # Pollers read the whole body from the object store.
+    poller_kb = changes * body / 1e3
+    computed("config_poller_kb", poller_kb, "KB/s/poller")
     computed("config_memory",
         at("config_memory_2000_accounts", 5700) / 1024, "MB/version")
     computed("config_poll_reads", centres * pollers * poll, "1/s")
     # Each level parses before it passes on; the two polls of 500 ms are at
-    # the pollers; the body takes 8 transfers of a level over 1 Gbit/s.
+    # the pollers. An instance that was behind still gets the whole body,
+    # which takes 8 transfers of a level over 1 Gbit/s.
     levels = 3
     transfer = degree * body * 8 / 1e9 * 1e3
     change_ms = 500 + levels * (parse + transfer)
@@ -188,7 +197,7 @@
 
     memory = at("fleet_idle_memory", 48) / 1024 + connection_mb \
         + 2 * at("config_memory_2000_accounts", 5700) / 1024 \
-        + 2 * body / 1e6
+        + 3 * body / 1e6
     control_cpu = base_cpu + owned * target_cpu + member_cpu + config_cpu \
         + account_tick * at("limit_tick", 2000) / 1e3
     control_kb = probes * probe_bytes / 1e3 + list_kb + other_kb + config_kb
@@ -202,6 +211,7 @@
     verdict("control_kb_idle_without_bodies", control_kb - config_kb, 30,
         "KB/s")
     verdict("control_kb_inner", control_kb + degree * config_kb, 30, "KB/s")
+    verdict("control_kb_poller", control_kb + poller_kb, 30, "KB/s")
     verdict("config_change", change_ms, 3000, "ms")
     verdict("config_change_600_kb_measured_48", at("fleet_large_change_max", 48),
         3000, "ms")
--- a/lib/config/store.c
+++ b/lib/config/store.c
@@ -33,6 +33,9 @@
                         "pushes received");
     c->peer_reads = mr_counters_get(set, "masticrelay_config_peer_reads_total",
                                     "", "configuration reads from peers");
+    c->patches =
+        mr_counters_get(set, "masticrelay_config_patches_total", "",
+                        "bodies received as patches of the one in force");
     c->version = mr_counters_get(set, "masticrelay_config_version", "",
                                  "configuration version in force");
 }
@@ -106,6 +109,7 @@
     g_array_free(store->subscribers, TRUE);
     mr_config_held_clear(&store->current);
     mr_config_held_clear(&store->staged);
+    mr_config_held_clear(&store->previous);
     free(store->round.best);
     free(store->data_centre);
     free(store->name);
--- a/lib/config/store_apply.c
+++ b/lib/config/store_apply.c
@@ -16,6 +16,7 @@
 {
     mr_config_unref(held->config);
     free(held->body);
+    mr_config_patch_clear(&held->patch);
     memset(held, 0, sizeof(*held));
 }
 
@@ -63,7 +64,10 @@
             g_array_index(store->subscribers, mr_config_subscriber_t, i);
         subscriber.fn(subscriber.ctx, store->current.config);
     }
-    mr_config_held_clear(&old);
+    mr_config_held_clear(&store->previous);
+    mr_config_unref(old.config);
+    old.config = NULL;
+    store->previous = old;
 }
 
 /* Checks a body against the row that names it. */
@@ -76,6 +80,7 @@
 
     mr_config_hash(body.data, body.len, hash);
     if (strcmp(hash, head->hash) != 0) {
+        store->whole_body = true;
         mr_config_store_refuse(store, "hash_mismatch", head->version,
                                head->hash);
         return false;
@@ -96,6 +101,7 @@
     held->config = config;
     held->body = mr_memdup(body.data, body.len);
     held->body_len = body.len;
+    store->whole_body = false;
     return true;
 }
 
--- a/lib/config/store_internal.h
+++ b/lib/config/store_internal.h
@@ -15,6 +15,7 @@
 
 #include "common/list.h"
 #include "config/audit.h"
+#include "config/patch.h"
 #include "config/rows.h"
 #include "config/store.h"
 
@@ -41,6 +42,10 @@
     mr_config_t *config; /* NULL: none */
     char *body;
     size_t body_len;
+    /* The last patch made for a peer: peers below one instance mostly have the
+     * same base. */
+    mr_config_patch_t patch;
+    char patch_base[MR_CONFIG_HASH_HEX_BYTES];
 } mr_config_held_t;
 
 /** What the store held at one moment, learnt from it or from a peer. */
@@ -113,6 +118,7 @@
     mr_counter_t *pushes_sent;
     mr_counter_t *pushes_received;
     mr_counter_t *peer_reads;
+    mr_counter_t *patches;
     mr_counter_t *version;
 } mr_config_store_counters_t;
 
@@ -126,11 +132,15 @@
 
     mr_config_held_t current;
     mr_config_held_t staged;
+    /* Body before the present one, for patches; without a configuration. */
+    mr_config_held_t previous;
     mr_ms_t staged_as_of; /* last moment at which the store had it */
     mr_ms_t
         absent_as_of; /* last moment at which the store had none or another */
     mr_ms_t contact;  /* 0: never */
     char last_refusal[64];
+    /* The last patch was no good: the next body is asked for as a whole. */
+    bool whole_body;
 
     struct event *tick;
     mr_ms_t ticked_at;  /* 0: never */
--- a/lib/config/store_push.c
+++ b/lib/config/store_push.c
@@ -59,6 +59,8 @@
     mr_msg_t msg = {.type = MR_MSG_CONFIG_FETCH};
 
     msg.u.config_fetch.after = after;
+    msg.u.config_fetch.base =
+        store->whole_body ? "" : store->current.head.hash;
     call->store = store;
     call->fn = fn;
     call->sent = mr_clock_now(NULL);
@@ -97,10 +99,36 @@
     return good;
 }
 
-/* What a peer holds, as it was when the peer had contact with the store. */
+/* The body that @parts make of the present one, in @text; empty when they are
+ * for another base. */
+static mr_bytes_t
+patched_body(mr_config_store_t *store, const char *base,
+             const mr_msg_patch_part_t *parts, size_t count, char **text)
+{
+    const mr_config_held_t *current = &store->current;
+    mr_bytes_t body = {0};
+
+    if (strcmp(base, current->head.hash) != 0) {
+        return body;
+    }
+    *text =
+        mr_config_patch_apply((mr_bytes_t){current->body, current->body_len},
+                              parts, count, &body.len);
+    body.data = *text;
+    if (*text == NULL) {
+        store->whole_body = true;
+        mr_config_store_refuse(store, "malformed_patch", 0, "");
+    }
+    mr_counter_add(store->counters.patches, 1);
+    return body;
+}
+
+/* What a peer holds, as it was when the peer had contact with the store.
+ * @texts are to be freed when @view is no longer used. */
 static bool
 read_view(mr_config_store_t *store, const char *name,
-          const mr_msg_config_t *msg, mr_ms_t as_of, mr_config_view_t *view)
+          const mr_msg_config_t *msg, mr_ms_t as_of, mr_config_view_t *view,
+          char *texts[2])
 {
     memset(view, 0, sizeof(*view));
     view->source = name;
@@ -112,12 +140,21 @@
         if (!view->has_head) {
             return false;
         }
+        if (msg->patch_count > 0) {
+            view->body = patched_body(store, msg->base, msg->patch,
+                                      msg->patch_count, &texts[0]);
+        }
     }
     if (msg->staged_version > 0) {
         view->has_staged = read_head(store, msg->staged_version,
                                      msg->staged_head, &view->staged);
         view->staged_body = msg->staged_body;
         view->staged_unreadable = !view->has_staged;
+        if (msg->staged_patch_count > 0) {
+            view->staged_body =
+                patched_body(store, msg->base, msg->staged_patch,
+                             msg->staged_patch_count, &texts[1]);
+        }
     }
     return true;
 }
@@ -128,8 +165,9 @@
 {
     const mr_config_round_t *round = &store->round;
     mr_config_view_t view;
+    char *texts[2] = {NULL, NULL};
 
-    if (reply != NULL && read_view(store, name, reply, sent, &view)) {
+    if (reply != NULL && read_view(store, name, reply, sent, &view, texts)) {
         bool taken = mr_config_store_consider(store, &view);
         /* Without the store, the highest version among the answering peers is
          * as good as after a restart. */
@@ -139,6 +177,8 @@
             store->resumed_at = 0;
         }
     }
+    free(texts[0]);
+    free(texts[1]);
 }
 
 void
@@ -161,17 +201,47 @@
     mr_config_store_ask(store, member, after, on_update);
 }
 
+/* A patch of @held for a peer that has the body with hash @base; NULL when
+ * that body is not here or a patch is not worth it. */
+static const mr_config_patch_t *
+patch_from(const mr_config_store_t *store, mr_config_held_t *held,
+           const char *base)
+{
+    const mr_config_held_t *bases[] = {&store->current, &store->previous};
+
+    if (strcmp(held->patch_base, base) == 0) {
+        return held->patch.count > 0 ? &held->patch : NULL;
+    }
+    for (size_t i = 0; i < 2; i++) {
+        if (bases[i] != held && bases[i]->body != NULL
+            && strcmp(bases[i]->head.hash, base) == 0) {
+            mr_config_patch_clear(&held->patch);
+            strcpy(held->patch_base, bases[i]->head.hash);
+            if (mr_config_patch_make(
+                    (mr_bytes_t){bases[i]->body, bases[i]->body_len},
+                    (mr_bytes_t){held->body, held->body_len}, &held->patch)) {
+                return &held->patch;
+            }
+        }
+    }
+    return NULL;
+}
+
 /* Fills @msg; the texts are to be freed after it was sent. Bodies of versions
- * up to @after are left out. */
+ * up to @after are left out, others are sent as patches of @base if possible.
+ */
 static void
-write_message(const mr_config_store_t *store, int64_t after,
+write_message(mr_config_store_t *store, int64_t after, const char *base,
               mr_msg_config_t *msg, char *texts[2])
 {
-    const mr_config_held_t *held[2] = {&store->current, &store->staged};
+    mr_config_held_t *held[2] = {&store->current, &store->staged};
     mr_bytes_t *heads[2] = {&msg->head, &msg->staged_head};
     mr_bytes_t *bodies[2] = {&msg->body, &msg->staged_body};
     int64_t *versions[2] = {&msg->version, &msg->staged_version};
+    mr_msg_patch_part_t **parts[2] = {&msg->patch, &msg->staged_patch};
+    size_t *counts[2] = {&msg->patch_count, &msg->staged_patch_count};
 
+    msg->base = base;
     msg->store_age_ms = mr_config_store_contact_age(store);
     for (size_t i = 0; i < 2; i++) {
         texts[i] = NULL;
@@ -186,7 +256,15 @@
         json_decref(value);
         *versions[i] = held[i]->head.version;
         *heads[i] = (mr_bytes_t){texts[i], strlen(texts[i])};
-        if (held[i]->head.version > after) {
+        if (held[i]->head.version <= after) {
+            continue;
+        }
+        const mr_config_patch_t *patch = patch_from(store, held[i], base);
+        if (patch != NULL) {
+            *parts[i] = patch->parts;
+            *counts[i] = patch->count;
+        }
+        else {
             *bodies[i] = (mr_bytes_t){held[i]->body, held[i]->body_len};
         }
     }
@@ -204,7 +282,8 @@
     if (request == NULL) {
         return;
     }
-    write_message(store, msg->u.config_fetch.after, &reply.u.config, texts);
+    write_message(store, msg->u.config_fetch.after, msg->u.config_fetch.base,
+                  &reply.u.config, texts);
     mr_peer_reply(request, &reply);
     free(texts[0]);
     free(texts[1]);
@@ -268,7 +347,7 @@
     store->announced_version = store->current.head.version;
     strcpy(store->announced_staged, store->staged.head.hash);
     /* Receivers read the bodies that they lack from the sender. */
-    write_message(store, INT64_MAX, &msg.u.config, texts);
+    write_message(store, INT64_MAX, "", &msg.u.config, texts);
     send_down(store, &msg);
     free(texts[0]);
     free(texts[1]);
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -148,10 +148,19 @@
 
 static const field_t config_fetch_fields[] = {
     F(INTEGER, mr_msg_config_fetch_t, after),
+    F(STRING, mr_msg_config_fetch_t, base),
 };
 static const layout_t config_fetch_layout =
     LAYOUT(mr_msg_config_fetch_t, config_fetch_fields);
 
+static const field_t patch_part_fields[] = {
+    F(INTEGER, mr_msg_patch_part_t, offset),
+    F(INTEGER, mr_msg_patch_part_t, length),
+    F(BYTES, mr_msg_patch_part_t, insert),
+};
+static const layout_t patch_part_layout =
+    LAYOUT(mr_msg_patch_part_t, patch_part_fields);
+
 static const field_t config_fields[] = {
     F(INTEGER, mr_msg_config_t, version),
     F(BYTES, mr_msg_config_t, head),
@@ -160,6 +169,9 @@
     F(BYTES, mr_msg_config_t, staged_head),
     F(BYTES, mr_msg_config_t, staged_body),
     F(INTEGER, mr_msg_config_t, store_age_ms),
+    F(STRING, mr_msg_config_t, base),
+    L(mr_msg_config_t, patch, patch_count, patch_part_layout),
+    L(mr_msg_config_t, staged_patch, staged_patch_count, patch_part_layout),
 };
 static const layout_t config_layout = LAYOUT(mr_msg_config_t, config_fields);
 
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -144,9 +144,18 @@
 
 typedef struct mr_msg_config_fetch {
     int64_t after;
+    const char *base; /* hash of the body that the sender has; may be "" */
 } mr_msg_config_fetch_t;
 
-/** A configuration with its staged successor, if any. */
+/** Bytes copied from the base, and then bytes to insert. */
+typedef struct mr_msg_patch_part {
+    int64_t offset;
+    int64_t length;
+    mr_bytes_t insert;
+} mr_msg_patch_part_t;
+
+/** A configuration with its staged successor, if any. A body is sent whole or
+ * as a patch of the base that the receiver named. */
 typedef struct mr_msg_config {
     int64_t version; /* 0: the sender has none */
     mr_bytes_t head; /* canonical JSON of the head row */
@@ -155,6 +164,11 @@
     mr_bytes_t staged_head;
     mr_bytes_t staged_body;
     int64_t store_age_ms; /* since the sender's last contact with the store */
+    const char *base;     /* hash of the body that the patches apply to */
+    mr_msg_patch_part_t *patch;
+    size_t patch_count;
+    mr_msg_patch_part_t *staged_patch;
+    size_t staged_patch_count;
 } mr_msg_config_t;
 
 typedef struct mr_msg_grant {
--- a/tests/unit/config_fleet.h
+++ b/tests/unit/config_fleet.h
@@ -41,6 +41,8 @@
     int64_t answer_version; /* what such a peer says */
     char answer_body[4096];
     char answer_head[1024];
+    bool answer_bad_patch; /* to those that name a base */
+    int whole_asks;        /* without a base */
 } instance_t;
 
 struct fleet {
@@ -130,7 +132,14 @@
     config->version = instance->answer_version;
     config->head =
         (mr_bytes_t){instance->answer_head, strlen(instance->answer_head)};
-    if (instance->answer_version > msg->u.config_fetch.after) {
+    mr_msg_patch_part_t part = {.length = 1};
+    config->base = msg->u.config_fetch.base;
+    instance->whole_asks += config->base[0] == '\0';
+    if (instance->answer_bad_patch && config->base[0] != '\0') {
+        config->patch = &part;
+        config->patch_count = 1;
+    }
+    else if (instance->answer_version > msg->u.config_fetch.after) {
         config->body =
             (mr_bytes_t){instance->answer_body, strlen(instance->answer_body)};
     }
--- a/tests/unit/test_config_store.c
+++ b/tests/unit/test_config_store.c
@@ -479,6 +479,52 @@
 }
 END_TEST
 
+/* A change goes down the tree as a patch, also to those that were behind. */
+START_TEST(test_bodies_are_sent_as_patches)
+{
+    fleet_t *fleet = start(12);
+    int64_t patches = 0;
+
+    accept_version(fleet, 1, "abcdefgh");
+    await_version(fleet, 1, 12, 3000);
+    accept_version(fleet, 2, "abcdefg");
+    await_version(fleet, 2, 12, 3000);
+    for (size_t i = 0; i < fleet->count; i++) {
+        patches +=
+            counter(&fleet->instances[i], "masticrelay_config_patches_total");
+        ck_assert_int_eq(refusals(&fleet->instances[i], "hash_mismatch"), 0);
+    }
+    /* The pollers read the store: one at least, three at most. */
+    ck_assert_int_ge(patches, 9);
+    ck_assert_int_le(patches, 11);
+    stop(fleet);
+}
+END_TEST
+
+/* Guards against an instance that stays behind for ever on a peer's bad
+ * patch, and against one that is taken over. */
+START_TEST(test_bad_patch_leads_to_a_whole_body)
+{
+    fleet_t *fleet = start(1);
+    instance_t *instance = &fleet->instances[0];
+
+    accept_version(fleet, 5, "a");
+    await_version(fleet, 5, 1, 2000);
+    instance_t *peer = add_peer(fleet, "konya");
+    script(fleet, peer, 6, "ab");
+    peer->answer_bad_patch = true;
+    instance->members.fn(instance->members.ctx, &peer->member, 6);
+    run_loop_for(fleet->base, 100);
+    ck_assert_int_eq(refusals(instance, "hash_mismatch"), 1);
+    ck_assert_int_eq(version_of(instance), 5);
+    ck_assert_int_eq(peer->whole_asks, 0);
+    instance->members.fn(instance->members.ctx, &peer->member, 6);
+    await_version(fleet, 6, 1, 300);
+    ck_assert_int_eq(peer->whole_asks, 1);
+    stop(fleet);
+}
+END_TEST
+
 START_TEST(test_next_poller_takes_over)
 {
     fleet_t *fleet = start(6);
@@ -552,6 +598,8 @@
     tcase_add_test(tcase, test_restart_without_store_and_peers_serves_nothing);
     tcase_add_test(tcase, test_push_is_not_enough_for_the_first_version);
     tcase_add_test(tcase, test_peers_cannot_forge_or_go_back);
+    tcase_add_test(tcase, test_bodies_are_sent_as_patches);
+    tcase_add_test(tcase, test_bad_patch_leads_to_a_whole_body);
     tcase_add_test(tcase, test_next_poller_takes_over);
     tcase_add_test(tcase,
                    test_instances_without_the_platform_learn_from_peers);
