--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,8 @@
             $(patsubst tests/standins/%.c,%,$(wildcard tests/standins/fault_proxy.c))
 UNIT := $(patsubst tests/unit/%.c,%,$(wildcard tests/unit/test_*.c))
 INTEGRATION := $(patsubst tests/integration/%.c,%,$(wildcard tests/integration/test_*.c))
-HARNESS_SRC := $(wildcard tests/integration/harness*.c tests/integration/trace.c)
+RUNNER_SRC := tests/common/runner.c
+HARNESS_SRC := $(wildcard tests/integration/harness*.c tests/integration/trace.c) $(RUNNER_SRC)
 # These start fleets and are linked with the test harness.
 CAPACITY_FLEET := bench_capacity_fleet bench_capacity_connections bench_capacity_members
 CAPACITY := bench_capacity_modules bench_capacity_structures $(CAPACITY_FLEET)
@@ -78,7 +79,7 @@
 	@echo "LD $@"
 	@$(CC) $(filter-out $(SANITIZE),$(ALL_CFLAGS)) -fPIC -shared $< -o $@
 
-$(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(LIB)
+$(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(RUNNER_SRC:%.c=$(BUILD)/%.o) $(LIB)
 	@mkdir -p $(@D)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(PKG_LIBS) -o $@
--- a/bench/bench_capacity_connections.c
+++ b/bench/bench_capacity_connections.c
@@ -57,18 +57,12 @@
     static int fds[CONNECTIONS_MAX];
     const harness_options_t options = {
         .data_centres = places,
-        .instances = 1,
-        .groups = 1,
         .accounts = 2,
         .rate = 2000,
         .burst = 1000,
         .slots = 2,
         .connections = 35,
-        .lag_ms = 20,
-        .statement_ms = 1,
         .connect_ms = 10,
-        .list_lag_ms = 500,
-        .offline_limit_s = 3600,
     };
     int open = 0;
 
--- a/bench/bench_capacity_fleet.c
+++ b/bench/bench_capacity_fleet.c
@@ -308,11 +308,7 @@
     .burst = BURST,
     .slots = 2,
     .connections = 35,
-    .lag_ms = 20,
-    .statement_ms = 1,
     .connect_ms = 10,
-    .list_lag_ms = 500,
-    .offline_limit_s = 3600,
 };
 
 START_TEST(fleet)
--- a/bench/bench_capacity_members.c
+++ b/bench/bench_capacity_members.c
@@ -133,18 +133,13 @@
     static const int counts[] = {10, 65, 325, MEMBERS_MAX};
     const harness_options_t options = {
         .data_centres = places,
-        .instances = 1,
-        .groups = 1,
         .accounts = 8,
         .rate = 2000,
         .burst = 1000,
         .slots = 2,
         .connections = 35,
-        .lag_ms = 20,
-        .statement_ms = 1,
         .connect_ms = 10,
-        .list_lag_ms = 0,
-        .offline_limit_s = 3600,
+        .list_lag_ms = HARNESS_ZERO,
     };
     int open = 0;
 
--- a/bench/bench_fleet.c
+++ b/bench/bench_fleet.c
@@ -170,10 +170,6 @@
     o->large_accounts = FLEET_LARGE_ACCOUNTS;
     o->rate = RATE;
     o->burst = BURST;
-    o->lag_ms = 20;
-    o->statement_ms = 1;
-    o->list_lag_ms = 500;
-    o->offline_limit_s = 3600;
     o->proxied = true;
     bench->h = harness_start(o);
     printf("# logs in %s\n", bench->h->folder);
@@ -220,16 +216,8 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("bench");
-    TCase *tc = tcase_create("bench");
-
-    tcase_set_timeout(tc, TIMEOUT_S);
-    tcase_add_test(tc, test_parts);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_set_fork_status(runner, CK_NOFORK);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    const TTest *const tests[] = {test_parts};
+
+    return RUN_TESTS(tests, .suite = "bench", .timeout_s = TIMEOUT_S,
+                     .no_fork = true);
 }
--- a/tests/integration/demo.c
+++ b/tests/integration/demo.c
@@ -27,11 +27,7 @@
     .burst = 1000,
     .slots = 2,
     .connections = 35,
-    .lag_ms = 20,
-    .statement_ms = 1,
     .connect_ms = 10,
-    .list_lag_ms = 500,
-    .offline_limit_s = 3600,
     .trace = "demo.jsonl",
 };
 
@@ -119,16 +115,8 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("demo");
-    TCase *tc = tcase_create("demo");
+    const TTest *const tests[] = {test_demo};
 
-    tcase_set_timeout(tc, TIMEOUT_S);
-    tcase_add_test(tc, test_demo);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_set_fork_status(runner, CK_NOFORK);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return RUN_TESTS(tests, .suite = "demo", .timeout_s = TIMEOUT_S,
+                     .no_fork = true);
 }
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -16,6 +16,7 @@
 #include <stdio.h>
 #include <sys/types.h>
 
+#include "../common/runner.h"
 #include "common/address.h"
 #include "common/clock.h"
 #include "common/error.h"
@@ -27,12 +28,11 @@
     HARNESS_ARGS_MAX = 1024,
     HARNESS_REDIRECT_BYTES = 4096,
     HARNESS_READY_MS = 10000,
+    HARNESS_TIMEOUT_S = 60, /* of a test */
+    /* Where 0 stands for the default. */
+    HARNESS_ZERO = -1,
 };
 
-/** harness_main() - run tests one after the other, each in a process of its
- * own; returns the exit status. */
-int harness_main(const char *name, const TTest *const *tests, size_t count);
-
 /* ---------------------------------------------------------- Processes */
 
 typedef struct harness_process {
@@ -71,6 +71,8 @@
 
 /* --------------------------------------------------------------- Fleet */
 
+/** struct harness_options - numbers that are 0 get their defaults, see
+ * harness_default_options() */
 typedef struct harness_options {
     const char *const *data_centres; /* ends with NULL */
     int instances;                   /* in each data centre */
@@ -82,7 +84,7 @@
     int large_accounts; /* the first ones, with four times rate and burst */
     int slots;
     int connections;
-    int lag_ms;
+    int lag_ms; /* these four: HARNESS_ZERO for none */
     int statement_ms;
     int connect_ms;
     int list_lag_ms;
@@ -138,6 +140,9 @@
     mr_ms_t started;
 } harness_t;
 
+/** harness_default_options() - replace what is 0 by the default. */
+void harness_default_options(harness_options_t *options);
+
 /** harness_start() - start the stand-ins and the daemons, put a first
  * configuration in force and wait until every daemon is healthy. Routes:
  * "data" (keyed, all accounts). Names: DATACENTRE-N, g0-a to g0-c, account-N.
--- a/tests/integration/harness_fleet.c
+++ b/tests/integration/harness_fleet.c
@@ -289,15 +289,46 @@
     ck_assert_int_eq(fclose(file), 0);
 }
 
+static void
+default_int(int *value, int otherwise)
+{
+    if (*value == 0) {
+        *value = otherwise;
+    }
+    else if (*value == HARNESS_ZERO) {
+        *value = 0;
+    }
+}
+
+void
+harness_default_options(harness_options_t *options)
+{
+    default_int(&options->instances, 1);
+    default_int(&options->groups, 1);
+    default_int(&options->accounts, 1);
+    default_int(&options->slots, 4);
+    default_int(&options->connections, 60);
+    default_int(&options->lag_ms, 20);
+    default_int(&options->statement_ms, 1);
+    default_int(&options->connect_ms, 5);
+    default_int(&options->list_lag_ms, 500);
+    options->rate = options->rate == 0 ? 5000 : options->rate;
+    options->burst = options->burst == 0 ? 5000 : options->burst;
+    options->offline_limit_s =
+        options->offline_limit_s == 0 ? 3600 : options->offline_limit_s;
+}
+
 harness_t *
-harness_start(const harness_options_t *options)
+harness_start(const harness_options_t *wanted)
 {
     harness_t *h = MR_NEW(harness_t);
+    const harness_options_t *options = &h->options;
     mr_ms_t end = mr_clock_now(NULL) + SETTLE_MS;
 
     ck_assert_int_ge(sodium_init(), 0);
     signal(SIGPIPE, SIG_IGN);
-    h->options = *options;
+    h->options = *wanted;
+    harness_default_options(&h->options);
     h->base = event_base_new();
     h->started = mr_clock_now(NULL);
     snprintf(h->folder, sizeof(h->folder), "/tmp/masticrelay-test-XXXXXX");
--- a/tests/integration/harness_keys.c
+++ b/tests/integration/harness_keys.c
@@ -16,17 +16,10 @@
     static const harness_options_t options = {
         .data_centres = places,
         .instances = 2,
-        .groups = 1,
         .accounts = 2,
         .rate = 2000,
         .burst = 2000,
-        .slots = 4,
-        .connections = 60,
         .lag_ms = 5,
-        .statement_ms = 1,
-        .connect_ms = 5,
-        .list_lag_ms = 500,
-        .offline_limit_s = 3600,
         .proxied = true,
         .trace = "keys.jsonl",
     };
--- a/tests/integration/harness_process.c
+++ b/tests/integration/harness_process.c
@@ -16,30 +16,7 @@
 
 extern char **environ;
 
-enum {
-    PORT_MIN = 10000,
-    PORT_MAX = 30000,
-    WAIT_STEP_MS = 10,
-    TEST_TIMEOUT_S = 60
-};
-
-int
-harness_main(const char *name, const TTest *const *tests, size_t count)
-{
-    Suite *suite = suite_create(name);
-    TCase *tc = tcase_create(name);
-
-    tcase_set_timeout(tc, TEST_TIMEOUT_S);
-    for (size_t i = 0; i < count; i++) {
-        tcase_add_test(tc, tests[i]);
-    }
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_VERBOSE);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
-}
+enum { PORT_MIN = 10000, PORT_MAX = 30000, WAIT_STEP_MS = 10 };
 
 int
 harness_port(void)
--- a/tests/integration/harness_rate.c
+++ b/tests/integration/harness_rate.c
@@ -20,12 +20,7 @@
         .rate = rate,
         .burst = burst,
         .slots = 8,
-        .connections = 60,
         .lag_ms = 5,
-        .statement_ms = 1,
-        .connect_ms = 5,
-        .list_lag_ms = 500,
-        .offline_limit_s = 3600,
         .proxied = true,
         .trace = "rate.jsonl",
     };
--- a/tests/integration/test_accounts.c
+++ b/tests/integration/test_accounts.c
@@ -28,18 +28,14 @@
 {
     const harness_options_t options = {
         .data_centres = places,
-        .instances = 1,
-        .groups = 1,
         .accounts = 2,
         .rate = rate,
         .burst = rate,
-        .slots = 4,
         .connections = 40,
-        .statement_ms = 1,
         .connect_ms = 2,
         .list_lag_ms = 200,
-        .offline_limit_s = 3600,
         .trace = "accounts.jsonl",
+        .lag_ms = HARNESS_ZERO,
     };
     harness_t *h = harness_start(&options);
     mr_op_route_t route = {.name = "private",
@@ -438,8 +434,8 @@
     const TTest *const tests[] = {
         test_routes_and_handles, test_handles_under_failure,
         test_session_token,      test_keys_on_one_connection,
-        test_pasted_keys,        test_no_key_under_failure,
-    };
+        test_pasted_keys,        test_no_key_under_failure};
 
-    return harness_main("accounts", tests, sizeof(tests) / sizeof(tests[0]));
+    return RUN_TESTS(tests, .suite = "accounts",
+                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
 }
--- a/tests/integration/test_acknowledged.c
+++ b/tests/integration/test_acknowledged.c
@@ -34,17 +34,7 @@
     const harness_options_t options = {
         .data_centres = places,
         .instances = 2,
-        .groups = 1,
-        .accounts = 1,
-        .rate = 5000,
-        .burst = 5000,
-        .slots = 4,
-        .connections = 60,
         .lag_ms = lag_ms,
-        .statement_ms = 1,
-        .connect_ms = 5,
-        .list_lag_ms = 500,
-        .offline_limit_s = 3600,
         .proxied = true,
         .trace = "acknowledged.jsonl",
     };
@@ -251,15 +241,13 @@
 int
 main(void)
 {
-    const TTest *const tests[] = {
-        test_callers_on_the_isolated_side,
-        test_paused_primary_and_owner,
-        test_rival_proposers,
-        test_failover_without_store,
-        test_primary_is_no_replica_of_itself,
-        test_far_behind_replica_does_not_win,
-    };
-
-    return harness_main("acknowledged", tests,
-                        sizeof(tests) / sizeof(tests[0]));
+    const TTest *const tests[] = {test_callers_on_the_isolated_side,
+                                  test_paused_primary_and_owner,
+                                  test_rival_proposers,
+                                  test_failover_without_store,
+                                  test_primary_is_no_replica_of_itself,
+                                  test_far_behind_replica_does_not_win};
+
+    return RUN_TESTS(tests, .suite = "acknowledged",
+                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
 }
--- a/tests/integration/test_answers.c
+++ b/tests/integration/test_answers.c
@@ -20,18 +20,11 @@
  * callers; every caller has keys of its own, which its answers name. */
 static const harness_options_t options = {
     .data_centres = places,
-    .instances = 1,
     .groups = 2,
     .accounts = 2,
-    .rate = 5000,
-    .burst = 5000,
     .slots = 2,
     .connections = 35,
     .lag_ms = 10,
-    .statement_ms = 1,
-    .connect_ms = 5,
-    .list_lag_ms = 500,
-    .offline_limit_s = 3600,
     .proxied = true,
     .trace = "answers.jsonl",
 };
@@ -96,5 +89,6 @@
 {
     const TTest *const tests[] = {test_late_and_crossed_answers};
 
-    return harness_main("answers", tests, sizeof(tests) / sizeof(tests[0]));
+    return RUN_TESTS(tests, .suite = "answers", .timeout_s = HARNESS_TIMEOUT_S,
+                     .verbose = true);
 }
--- a/tests/integration/test_at_most_once.c
+++ b/tests/integration/test_at_most_once.c
@@ -30,17 +30,7 @@
     const harness_options_t options = {
         .data_centres = places,
         .instances = 2,
-        .groups = 1,
-        .accounts = 1,
-        .rate = 5000,
-        .burst = 5000,
-        .slots = 4,
-        .connections = 60,
-        .lag_ms = 20,
         .statement_ms = STATEMENT_MS,
-        .connect_ms = 5,
-        .list_lag_ms = 500,
-        .offline_limit_s = 3600,
         .proxied = true,
         .trace = "at-most-once.jsonl",
     };
@@ -235,13 +225,10 @@
 int
 main(void)
 {
-    const TTest *const tests[] = {
-        test_retries_over_killed_instances,
-        test_lost_answer,
-        test_reset_in_the_middle,
-        test_not_run_is_true,
-    };
+    const TTest *const tests[] = {test_retries_over_killed_instances,
+                                  test_lost_answer, test_reset_in_the_middle,
+                                  test_not_run_is_true};
 
-    return harness_main("at_most_once", tests,
-                        sizeof(tests) / sizeof(tests[0]));
+    return RUN_TESTS(tests, .suite = "at_most_once",
+                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
 }
--- a/tests/integration/test_changes.c
+++ b/tests/integration/test_changes.c
@@ -42,13 +42,10 @@
         .accounts = 3,
         .rate = 1000,
         .burst = 300,
-        .slots = 4,
         .connections = 35,
         .lag_ms = 10,
         .statement_ms = 2,
         .connect_ms = 10,
-        .list_lag_ms = 500,
-        .offline_limit_s = 3600,
         .trace = "trace.jsonl",
     };
     const harness_load_t load = {.callers = 12,
@@ -90,15 +87,7 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("changes");
-    TCase *tc = tcase_create("changes");
+    const TTest *const tests[] = {test_planned_changes};
 
-    tcase_set_timeout(tc, 120);
-    tcase_add_test(tc, test_planned_changes);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return RUN_TESTS(tests, .suite = "changes", .timeout_s = 120);
 }
--- a/tests/integration/test_chaos.c
+++ b/tests/integration/test_chaos.c
@@ -225,13 +225,8 @@
         /* Above what the callers send, so that each refusal is wrongful. */
         .rate = 1500,
         .burst = 300,
-        .slots = 4,
         .connections = 35,
-        .lag_ms = 20,
-        .statement_ms = 1,
         .connect_ms = 10,
-        .list_lag_ms = 500,
-        .offline_limit_s = 3600,
         .proxied = true,
         .trace = "trace.jsonl",
     };
@@ -278,15 +273,7 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("chaos");
-    TCase *tc = tcase_create("chaos");
+    const TTest *const tests[] = {test_promises_hold};
 
-    tcase_set_timeout(tc, 580);
-    tcase_add_test(tc, test_promises_hold);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return RUN_TESTS(tests, .suite = "chaos", .timeout_s = 580);
 }
--- a/tests/integration/test_config.c
+++ b/tests/integration/test_config.c
@@ -28,17 +28,10 @@
     static const harness_options_t options = {
         .data_centres = places,
         .instances = 3,
-        .groups = 1,
-        .accounts = 1,
         .rate = 1000,
         .burst = 1000,
-        .slots = 4,
         .connections = 40,
         .lag_ms = 5,
-        .statement_ms = 1,
-        .connect_ms = 5,
-        .list_lag_ms = 500,
-        .offline_limit_s = 3600,
         .proxied = true,
         .trace = "config.jsonl",
     };
@@ -388,11 +381,10 @@
 int
 main(void)
 {
-    const TTest *const tests[] = {
-        test_racing_operators,       test_lost_replies,
-        test_restarts_without_store, test_delayed_messages,
-        test_forged_changes,
-    };
+    const TTest *const tests[] = {test_racing_operators, test_lost_replies,
+                                  test_restarts_without_store,
+                                  test_delayed_messages, test_forged_changes};
 
-    return harness_main("config", tests, sizeof(tests) / sizeof(tests[0]));
+    return RUN_TESTS(tests, .suite = "config", .timeout_s = HARNESS_TIMEOUT_S,
+                     .verbose = true);
 }
--- a/tests/integration/test_ctl.c
+++ b/tests/integration/test_ctl.c
@@ -18,15 +18,14 @@
 
 static const harness_options_t options = {
     .data_centres = places,
-    .instances = 1,
-    .groups = 1,
     .accounts = 2,
     .rate = 100,
     .burst = 50,
     .slots = 2,
     .connections = 10,
-    .statement_ms = 1,
-    .offline_limit_s = 3600,
+    .lag_ms = HARNESS_ZERO,
+    .connect_ms = HARNESS_ZERO,
+    .list_lag_ms = HARNESS_ZERO,
 };
 
 static char output[OUTPUT_BYTES];
@@ -253,18 +252,8 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("ctl");
-    TCase *tc = tcase_create("ctl");
+    const TTest *const tests[] = {test_usage, test_change,
+                                  test_cut_off_data_centre, test_keys};
 
-    tcase_set_timeout(tc, 60);
-    tcase_add_test(tc, test_usage);
-    tcase_add_test(tc, test_change);
-    tcase_add_test(tc, test_cut_off_data_centre);
-    tcase_add_test(tc, test_keys);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return RUN_TESTS(tests, .suite = "ctl", .timeout_s = 60);
 }
--- a/tests/integration/test_ctl_tls.c
+++ b/tests/integration/test_ctl_tls.c
@@ -15,6 +15,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "../common/runner.h"
 #include "common/mem.h"
 #include "common/tls.h"
 
@@ -188,15 +189,7 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("ctl_tls");
-    TCase *tc = tcase_create("ctl_tls");
-
-    tcase_set_timeout(tc, 60);
-    tcase_add_test(tc, test_authorities);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    const TTest *const tests[] = {test_authorities};
+
+    return RUN_TESTS(tests, .suite = "ctl_tls", .timeout_s = 60);
 }
--- a/tests/integration/test_isolation.c
+++ b/tests/integration/test_isolation.c
@@ -28,12 +28,7 @@
         .accounts = 2,
         .rate = 2000,
         .burst = 2000,
-        .slots = 4,
-        .connections = 60,
         .lag_ms = 10,
-        .statement_ms = 1,
-        .connect_ms = 5,
-        .list_lag_ms = 500,
         .offline_limit_s = OFFLINE_LIMIT_S,
         .proxied = true,
         .trace = "isolation.jsonl",
@@ -197,11 +192,9 @@
 int
 main(void)
 {
-    const TTest *const tests[] = {
-        test_reads_within_the_limit,
-        test_offline_limit,
-        test_restart_inside,
-    };
+    const TTest *const tests[] = {test_reads_within_the_limit,
+                                  test_offline_limit, test_restart_inside};
 
-    return harness_main("isolation", tests, sizeof(tests) / sizeof(tests[0]));
+    return RUN_TESTS(tests, .suite = "isolation",
+                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
 }
--- a/tests/integration/test_keys.c
+++ b/tests/integration/test_keys.c
@@ -93,5 +93,6 @@
     const TTest *const tests[] = {test_calm, test_paused_daemon,
                                   test_paused_daemon_store_down};
 
-    return harness_main("keys", tests, sizeof(tests) / sizeof(tests[0]));
+    return RUN_TESTS(tests, .suite = "keys", .timeout_s = HARNESS_TIMEOUT_S,
+                     .verbose = true);
 }
--- a/tests/integration/test_keys_store.c
+++ b/tests/integration/test_keys_store.c
@@ -72,5 +72,6 @@
                                   test_store_down_after_acceptance,
                                   test_cut_off_after_confirmation};
 
-    return harness_main("keys_store", tests, sizeof(tests) / sizeof(tests[0]));
+    return RUN_TESTS(tests, .suite = "keys_store",
+                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
 }
--- a/tests/integration/test_leaving.c
+++ b/tests/integration/test_leaving.c
@@ -30,18 +30,7 @@
 {
     const harness_options_t options = {
         .data_centres = places,
-        .instances = 1,
-        .groups = 1,
-        .accounts = 1,
-        .rate = 5000,
-        .burst = 5000,
-        .slots = 4,
-        .connections = 60,
-        .lag_ms = 20,
-        .statement_ms = 1,
-        .connect_ms = 5,
         .list_lag_ms = LIST_LAG_MS,
-        .offline_limit_s = 3600,
         .proxied = true,
         .trace = "leaving.jsonl",
     };
@@ -184,11 +173,11 @@
 int
 main(void)
 {
-    const TTest *const tests[] = {
-        test_replica_by_configuration, test_replica_by_list,
-        test_primary_by_status,        test_primary_by_configuration,
-        test_primary_by_list,
-    };
+    const TTest *const tests[] = {test_replica_by_configuration,
+                                  test_replica_by_list, test_primary_by_status,
+                                  test_primary_by_configuration,
+                                  test_primary_by_list};
 
-    return harness_main("leaving", tests, sizeof(tests) / sizeof(tests[0]));
+    return RUN_TESTS(tests, .suite = "leaving", .timeout_s = HARNESS_TIMEOUT_S,
+                     .verbose = true);
 }
--- a/tests/integration/test_membership.c
+++ b/tests/integration/test_membership.c
@@ -17,13 +17,8 @@
     .accounts = 2,
     .rate = 2000,
     .burst = 500,
-    .slots = 4,
     .connections = 35,
-    .lag_ms = 20,
-    .statement_ms = 1,
     .connect_ms = 10,
-    .list_lag_ms = 500,
-    .offline_limit_s = 3600,
     .proxied = true,
     .trace = "trace.jsonl",
 };
@@ -135,15 +130,7 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("membership");
-    TCase *tc = tcase_create("membership");
-
-    tcase_set_timeout(tc, 90);
-    tcase_add_test(tc, test_pause_death_and_restart);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    const TTest *const tests[] = {test_pause_death_and_restart};
+
+    return RUN_TESTS(tests, .suite = "membership", .timeout_s = 90);
 }
--- a/tests/integration/test_planned_stop.c
+++ b/tests/integration/test_planned_stop.c
@@ -25,15 +25,7 @@
         .instances = 2,
         .groups = 2,
         .accounts = 2,
-        .rate = 5000,
-        .burst = 5000,
-        .slots = 4,
-        .connections = 60,
-        .lag_ms = 20,
         .statement_ms = 2,
-        .connect_ms = 5,
-        .list_lag_ms = 500,
-        .offline_limit_s = 3600,
         .trace = trace,
     };
 
@@ -179,12 +171,9 @@
 int
 main(void)
 {
-    const TTest *const tests[] = {
-        test_roll_out_under_load,
-        test_long_requests,
-        test_open_transaction,
-    };
+    const TTest *const tests[] = {test_roll_out_under_load, test_long_requests,
+                                  test_open_transaction};
 
-    return harness_main("planned_stop", tests,
-                        sizeof(tests) / sizeof(tests[0]));
+    return RUN_TESTS(tests, .suite = "planned_stop",
+                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
 }
--- a/tests/integration/test_rate.c
+++ b/tests/integration/test_rate.c
@@ -66,5 +66,6 @@
     const TTest *const tests[] = {test_demand_moves, test_restarted_daemons,
                                   test_paused_limiter};
 
-    return harness_main("rate", tests, sizeof(tests) / sizeof(tests[0]));
+    return RUN_TESTS(tests, .suite = "rate", .timeout_s = HARNESS_TIMEOUT_S,
+                     .verbose = true);
 }
--- a/tests/integration/test_rate_store.c
+++ b/tests/integration/test_rate_store.c
@@ -72,5 +72,6 @@
     const TTest *const tests[] = {test_lost_replies, test_cut_data_centre,
                                   test_store_outage};
 
-    return harness_main("rate_store", tests, sizeof(tests) / sizeof(tests[0]));
+    return RUN_TESTS(tests, .suite = "rate_store",
+                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
 }
--- a/tests/integration/test_read_your_writes.c
+++ b/tests/integration/test_read_your_writes.c
@@ -23,18 +23,7 @@
 {
     const harness_options_t options = {
         .data_centres = places,
-        .instances = 1,
-        .groups = 1,
-        .accounts = 1,
-        .rate = 5000,
-        .burst = 5000,
-        .slots = 4,
-        .connections = 60,
         .lag_ms = LAG_MS,
-        .statement_ms = 1,
-        .connect_ms = 5,
-        .list_lag_ms = 500,
-        .offline_limit_s = 3600,
         .proxied = true,
         .trace = "read-your-writes.jsonl",
     };
@@ -234,13 +223,10 @@
 int
 main(void)
 {
-    const TTest *const tests[] = {
-        test_moves_between_instances,
-        test_failover,
-        test_write_with_unknown_outcome,
-        test_isolated_primary,
-    };
+    const TTest *const tests[] = {test_moves_between_instances, test_failover,
+                                  test_write_with_unknown_outcome,
+                                  test_isolated_primary};
 
-    return harness_main("read_your_writes", tests,
-                        sizeof(tests) / sizeof(tests[0]));
+    return RUN_TESTS(tests, .suite = "read_your_writes",
+                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
 }
--- a/tests/integration/test_replay.c
+++ b/tests/integration/test_replay.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "trace.h"
 
 static const char folder[] = "tests/replay";
@@ -91,15 +92,7 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("replay");
-    TCase *tc = tcase_create("replay");
+    const TTest *const tests[] = {test_traces_have_their_stated_outcome};
 
-    tcase_set_timeout(tc, 60);
-    tcase_add_test(tc, test_traces_have_their_stated_outcome);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return RUN_TESTS(tests, .suite = "replay", .timeout_s = 60);
 }
--- a/tests/integration/test_roll_out_rate.c
+++ b/tests/integration/test_roll_out_rate.c
@@ -15,15 +15,7 @@
     .instances = 2,
     .groups = 2,
     .accounts = 2,
-    .rate = 5000,
-    .burst = 5000,
-    .slots = 4,
-    .connections = 60,
-    .lag_ms = 20,
     .statement_ms = 2,
-    .connect_ms = 5,
-    .list_lag_ms = 500,
-    .offline_limit_s = 3600,
     .trace = "roll-out-rate.jsonl",
 };
 
@@ -61,6 +53,6 @@
 {
     const TTest *const tests[] = {test_no_wrongful_refusals};
 
-    return harness_main("roll_out_rate", tests,
-                        sizeof(tests) / sizeof(tests[0]));
+    return RUN_TESTS(tests, .suite = "roll_out_rate",
+                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
 }
--- a/tests/integration/test_transactions.c
+++ b/tests/integration/test_transactions.c
@@ -33,17 +33,8 @@
     const harness_options_t options = {
         .data_centres = places,
         .instances = 2,
-        .groups = 1,
         .accounts = 2,
-        .rate = 5000,
-        .burst = 5000,
-        .slots = 4,
-        .connections = 60,
-        .lag_ms = 20,
         .statement_ms = STATEMENT_MS,
-        .connect_ms = 5,
-        .list_lag_ms = 500,
-        .offline_limit_s = 3600,
         .proxied = true,
         .trace = "transactions.jsonl",
     };
@@ -218,11 +209,9 @@
 int
 main(void)
 {
-    const TTest *const tests[] = {
-        test_deaths_in_the_middle,
-        test_misused_handles,
-    };
+    const TTest *const tests[] = {test_deaths_in_the_middle,
+                                  test_misused_handles};
 
-    return harness_main("transactions", tests,
-                        sizeof(tests) / sizeof(tests[0]));
+    return RUN_TESTS(tests, .suite = "transactions",
+                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
 }
--- a/tests/unit/test_bucket.c
+++ b/tests/unit/test_bucket.c
@@ -4,6 +4,7 @@
 #include <check.h>
 #include <stdlib.h>
 
+#include "../common/runner.h"
 #include "limit/bucket.h"
 
 START_TEST(test_starts_empty_and_refills_exactly)
@@ -68,17 +69,9 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("bucket");
-    TCase *tcase = tcase_create("bucket");
+    const TTest *const tests[] = {
+        test_starts_empty_and_refills_exactly, test_takes_and_lapses,
+        test_change_keeps_what_fits, test_lapse_allows_for_clock_rates};
 
-    tcase_add_test(tcase, test_starts_empty_and_refills_exactly);
-    tcase_add_test(tcase, test_takes_and_lapses);
-    tcase_add_test(tcase, test_change_keeps_what_fits);
-    tcase_add_test(tcase, test_lapse_allows_for_clock_rates);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    return RUN_TESTS(tests, .suite = "bucket");
 }
--- a/tests/unit/test_config_change.c
+++ b/tests/unit/test_config_change.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "common/json.h"
 #include "common/mem.h"
 #include "config/audit.h"
@@ -623,29 +624,22 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("config_change");
-    TCase *tcase = tcase_create("change");
-
-    tcase_set_timeout(tcase, 20);
-    tcase_add_checked_fixture(tcase, setup, teardown);
-    tcase_add_test(tcase, test_change_goes_through_its_states);
-    tcase_add_test(tcase, test_unapproved_version_cannot_be_accepted);
-    tcase_add_test(tcase, test_unconfirmed_data_centre_holds_acceptance);
-    tcase_add_test(tcase, test_racing_proposals_have_one_winner);
-    tcase_add_test(tcase, test_racing_acceptance_and_veto_have_one_winner);
-    tcase_add_test(tcase, test_vetoed_version_stays_vetoed);
-    tcase_add_test(tcase, test_lost_replies_are_read_back);
-    tcase_add_test(tcase, test_outage_changes_nothing);
-    tcase_add_test(tcase, test_outage_at_the_write_is_unknown);
-    tcase_add_test(tcase, test_write_that_arrives_late);
-    tcase_add_test(tcase, test_invalid_configuration_is_not_proposed);
-    tcase_add_test(tcase, test_destroy_drops_open_steps);
-    tcase_add_test(tcase, test_racing_appends_make_one_chain);
-    tcase_add_test(tcase, test_reader_reports_gaps_and_edits);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {
+        test_change_goes_through_its_states,
+        test_unapproved_version_cannot_be_accepted,
+        test_unconfirmed_data_centre_holds_acceptance,
+        test_racing_proposals_have_one_winner,
+        test_racing_acceptance_and_veto_have_one_winner,
+        test_vetoed_version_stays_vetoed,
+        test_lost_replies_are_read_back,
+        test_outage_changes_nothing,
+        test_outage_at_the_write_is_unknown,
+        test_write_that_arrives_late,
+        test_invalid_configuration_is_not_proposed,
+        test_destroy_drops_open_steps,
+        test_racing_appends_make_one_chain,
+        test_reader_reports_gaps_and_edits};
+
+    return RUN_TESTS(tests, .suite = "config_change", .timeout_s = 20,
+                     .setup = setup, .teardown = teardown);
 }
--- a/tests/unit/test_config_store.c
+++ b/tests/unit/test_config_store.c
@@ -4,6 +4,7 @@
  * and against withdrawn keys that work on during an outage.
  */
 
+#include "../common/runner.h"
 #include "config_fleet.h"
 
 /* Queries. */
@@ -526,30 +527,22 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("config_store");
-    TCase *tcase = tcase_create("store");
-
-    tcase_set_timeout(tcase, 30);
-    tcase_add_test(tcase, test_accepted_version_reaches_all_instances);
-    tcase_add_test(tcase, test_lower_version_is_refused);
-    tcase_add_test(tcase, test_forged_approval_is_refused);
-    tcase_add_test(tcase, test_forged_staged_version_is_not_staged);
-    tcase_add_test(tcase, test_body_that_does_not_match_is_refused);
-    tcase_add_test(tcase, test_staged_version_is_confirmed_when_all_hold_it);
-    tcase_add_test(tcase, test_member_without_the_version_delays_confirmation);
-    tcase_add_test(tcase, test_lost_reply_to_a_confirmation);
-    tcase_add_test(tcase, test_outage_presumes_withdrawn_keys);
-    tcase_add_test(tcase, test_restart_in_an_outage_takes_the_highest_version);
-    tcase_add_test(tcase, test_restart_without_store_and_peers_serves_nothing);
-    tcase_add_test(tcase, test_push_is_not_enough_for_the_first_version);
-    tcase_add_test(tcase, test_peers_cannot_forge_or_go_back);
-    tcase_add_test(tcase, test_next_poller_takes_over);
-    tcase_add_test(tcase,
-                   test_instances_without_the_platform_learn_from_peers);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {
+        test_accepted_version_reaches_all_instances,
+        test_lower_version_is_refused,
+        test_forged_approval_is_refused,
+        test_forged_staged_version_is_not_staged,
+        test_body_that_does_not_match_is_refused,
+        test_staged_version_is_confirmed_when_all_hold_it,
+        test_member_without_the_version_delays_confirmation,
+        test_lost_reply_to_a_confirmation,
+        test_outage_presumes_withdrawn_keys,
+        test_restart_in_an_outage_takes_the_highest_version,
+        test_restart_without_store_and_peers_serves_nothing,
+        test_push_is_not_enough_for_the_first_version,
+        test_peers_cannot_forge_or_go_back,
+        test_next_poller_takes_over,
+        test_instances_without_the_platform_learn_from_peers};
+
+    return RUN_TESTS(tests, .suite = "config_store", .timeout_s = 30);
 }
--- a/tests/unit/test_diff.c
+++ b/tests/unit/test_diff.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "common/json.h"
 #include "common/mem.h"
 #include "masticrelay.h"
@@ -162,18 +163,9 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("diff");
-    TCase *tcase = tcase_create("diff");
-
-    tcase_add_test(tcase, test_each_kind_of_change);
-    tcase_add_test(tcase, test_no_difference);
-    tcase_add_test(tcase, test_first_version);
-    tcase_add_test(tcase, test_faulty_document);
-    tcase_add_test(tcase, test_unknown_field);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    const TTest *const tests[] = {test_each_kind_of_change, test_no_difference,
+                                  test_first_version, test_faulty_document,
+                                  test_unknown_field};
+
+    return RUN_TESTS(tests, .suite = "diff");
 }
--- a/tests/unit/test_fair.c
+++ b/tests/unit/test_fair.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "group/fair.h"
 
 enum { ITEMS = 2000, ACCOUNT_MAX = 1000, NO_DEADLINE = 1 << 30 };
@@ -193,21 +194,14 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("fair");
-    TCase *tc = tcase_create("fair");
-
-    tcase_add_checked_fixture(tc, set_up, tear_down);
-    tcase_add_test(tc, test_turns_follow_the_weights);
-    tcase_add_test(tc, test_a_burst_delays_others_by_one_turn);
-    tcase_add_test(tc, test_shares_hold_after_the_heaviest_left);
-    tcase_add_test(tc, test_a_full_queue_refuses_its_account_only);
-    tcase_add_test(tc, test_deadlines_pass_in_their_order);
-    tcase_add_test(tc, test_urgent_entries_pass_the_others);
-    tcase_add_loop_test(tc, test_no_entry_is_lost_or_given_out_twice, 1, 21);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    const TTest *const tests[] = {test_turns_follow_the_weights,
+                                  test_a_burst_delays_others_by_one_turn,
+                                  test_shares_hold_after_the_heaviest_left,
+                                  test_a_full_queue_refuses_its_account_only,
+                                  test_deadlines_pass_in_their_order,
+                                  test_urgent_entries_pass_the_others};
+
+    return RUN_TESTS(
+        tests, .suite = "fair", .setup = set_up, .teardown = tear_down,
+        .loop = {test_no_entry_is_lost_or_given_out_twice, 1, 21});
 }
--- a/tests/unit/test_grant.c
+++ b/tests/unit/test_grant.c
@@ -4,6 +4,7 @@
 #include <check.h>
 #include <stdlib.h>
 
+#include "../common/runner.h"
 #include "limit/grant.h"
 
 static const mr_limit_amount_t share = {100000, 50000};
@@ -192,20 +193,13 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("grant");
-    TCase *tcase = tcase_create("grant");
-
-    tcase_add_test(tcase, test_sum_stays_within_share);
-    tcase_add_test(tcase, test_lifetime_counts_from_the_request);
-    tcase_add_test(tcase, test_lost_replies_stay_counted);
-    tcase_add_test(tcase, test_successor_waits_and_replaces_what_is_reported);
-    tcase_add_test(tcase,
-                   test_successor_counts_short_grants_that_it_does_not_know);
-    tcase_add_test(tcase, test_lower_limit_applies_to_grants_in_force);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {
+        test_sum_stays_within_share,
+        test_lifetime_counts_from_the_request,
+        test_lost_replies_stay_counted,
+        test_successor_waits_and_replaces_what_is_reported,
+        test_successor_counts_short_grants_that_it_does_not_know,
+        test_lower_limit_applies_to_grants_in_force};
+
+    return RUN_TESTS(tests, .suite = "grant");
 }
--- a/tests/unit/test_key.c
+++ b/tests/unit/test_key.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "config/approval.h"
 #include "config/key.h"
 #include "masticrelay.h"
@@ -181,22 +182,13 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("key");
-    TCase *keys = tcase_create("keys");
-    TCase *approval = tcase_create("approval");
-
-    tcase_add_test(keys, test_parse);
-    tcase_add_test(keys, test_occurs);
-    tcase_add_test(keys, test_hash);
-    tcase_add_test(keys, test_equal_length);
-    tcase_add_test(keys, test_generate);
-    suite_add_tcase(suite, keys);
-    tcase_add_test(approval, test_approval);
-    tcase_add_test(approval, test_approval_arguments);
-    suite_add_tcase(suite, approval);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    const TTest *const tests[] = {test_parse,
+                                  test_occurs,
+                                  test_hash,
+                                  test_equal_length,
+                                  test_generate,
+                                  test_approval,
+                                  test_approval_arguments};
+
+    return RUN_TESTS(tests, .suite = "key");
 }
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "limit/lease.h"
 
 static const char *const order[] = {"a", "b", "c", "d"};
@@ -196,20 +197,13 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("lease");
-    TCase *tcase = tcase_create("lease");
-
-    tcase_add_test(tcase, test_lease_counts_from_when_the_renewal_was_sent);
-    tcase_add_test(tcase,
-                   test_only_named_successors_take_over_after_the_lapse);
-    tcase_add_test(tcase, test_owner_goes_on_while_all_promise);
-    tcase_add_test(tcase, test_promise_binds_the_successor);
-    tcase_add_test(tcase, test_lost_reply_of_a_takeover);
-    tcase_add_test(tcase, test_drain_releases);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {
+        test_lease_counts_from_when_the_renewal_was_sent,
+        test_only_named_successors_take_over_after_the_lapse,
+        test_owner_goes_on_while_all_promise,
+        test_promise_binds_the_successor,
+        test_lost_reply_of_a_takeover,
+        test_drain_releases};
+
+    return RUN_TESTS(tests, .suite = "lease");
 }
--- a/tests/unit/test_limit_model.c
+++ b/tests/unit/test_limit_model.c
@@ -5,6 +5,7 @@
 
 #include <check.h>
 
+#include "../common/runner.h"
 #include "limit_world.h"
 
 START_TEST(test_calm)
@@ -154,19 +155,9 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("limit_model");
-    TCase *tcase = tcase_create("limit_model");
-
-    tcase_set_timeout(tcase, 120);
-    tcase_add_test(tcase, test_calm);
-    tcase_add_test(tcase, test_limiter_dies);
-    tcase_add_test(tcase, test_rolling_restart);
-    tcase_add_test(tcase, test_store_outage);
-    tcase_add_loop_test(tcase, test_chaos, 0, 5);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {test_calm, test_limiter_dies,
+                                  test_rolling_restart, test_store_outage};
+
+    return RUN_TESTS(tests, .suite = "limit_model", .timeout_s = 120,
+                     .loop = {test_chaos, 0, 5});
 }
--- a/tests/unit/test_member_table.c
+++ b/tests/unit/test_member_table.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "member/rendezvous.h"
 #include "member/table.h"
 
@@ -368,29 +369,23 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("member_table");
-    TCase *tc = tcase_create("member_table");
-
-    tcase_add_checked_fixture(tc, setup, teardown);
-    tcase_add_test(tc, test_higher_version_wins);
-    tcase_add_test(tc, test_suspect_dies_after_a_second);
-    tcase_add_test(tc, test_refuted_suspect_lives);
-    tcase_add_test(tc, test_pause_kills_nobody);
-    tcase_add_test(tc, test_own_suspicion_is_refuted);
-    tcase_add_test(tc, test_replaced_process_does_not_fight);
-    tcase_add_test(tc, test_list_gives_candidates_only);
-    tcase_add_test(tc, test_failed_link_is_avoided_for_a_while);
-    tcase_add_test(tc, test_messages_are_bounded);
-    tcase_add_test(tc, test_each_member_is_pinged_once_a_round);
-    tcase_add_test(tc, test_dead_members_are_still_pinged_rarely);
-    tcase_add_test(tc, test_owner_is_stable_and_moves_on);
-    tcase_add_test(tc, test_owner_elsewhere_when_the_data_centre_is_empty);
-    tcase_add_test(tc, test_no_work_before_the_others_are_known);
-    tcase_add_test(tc, test_leaving_member_gets_no_work);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    const TTest *const tests[] = {
+        test_higher_version_wins,
+        test_suspect_dies_after_a_second,
+        test_refuted_suspect_lives,
+        test_pause_kills_nobody,
+        test_own_suspicion_is_refuted,
+        test_replaced_process_does_not_fight,
+        test_list_gives_candidates_only,
+        test_failed_link_is_avoided_for_a_while,
+        test_messages_are_bounded,
+        test_each_member_is_pinged_once_a_round,
+        test_dead_members_are_still_pinged_rarely,
+        test_owner_is_stable_and_moves_on,
+        test_owner_elsewhere_when_the_data_centre_is_empty,
+        test_no_work_before_the_others_are_known,
+        test_leaving_member_gets_no_work};
+
+    return RUN_TESTS(tests, .suite = "member_table", .setup = setup,
+                     .teardown = teardown);
 }
--- a/tests/unit/test_members.c
+++ b/tests/unit/test_members.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "common/list.h"
 #include "common/log.h"
 #include "member/member.h"
@@ -369,23 +370,16 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("members");
-    TCase *tc = tcase_create("members");
-
-    tcase_set_timeout(tc, 30);
-    tcase_add_checked_fixture(tc, setup, teardown);
-    tcase_add_test(tc, test_instances_agree_on_owners);
-    tcase_add_test(tc, test_stopped_instance_is_found_without_the_platform);
-    tcase_add_test(tc, test_reported_failure_is_checked_at_once);
-    tcase_add_test(tc, test_restarted_instance_replaces_the_old_one);
-    tcase_add_test(tc, test_leaving_spreads_at_once);
-    tcase_add_test(tc, test_address_of_another_process_is_no_answer);
-    tcase_add_test(tc, test_lost_registration_is_repaired);
-    tcase_add_test(tc, test_config_versions_and_leaving_targets_arrive);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    const TTest *const tests[] = {
+        test_instances_agree_on_owners,
+        test_stopped_instance_is_found_without_the_platform,
+        test_reported_failure_is_checked_at_once,
+        test_restarted_instance_replaces_the_old_one,
+        test_leaving_spreads_at_once,
+        test_address_of_another_process_is_no_answer,
+        test_lost_registration_is_repaired,
+        test_config_versions_and_leaving_targets_arrive};
+
+    return RUN_TESTS(tests, .suite = "members", .timeout_s = 30,
+                     .setup = setup, .teardown = teardown);
 }
--- a/tests/unit/test_model.c
+++ b/tests/unit/test_model.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "config/model.h"
 
 #define HASH "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
@@ -89,16 +90,9 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("model");
-    TCase *tc = tcase_create("model");
+    const TTest *const tests[] = {test_good_configuration_is_read};
 
-    tcase_add_test(tc, test_good_configuration_is_read);
-    tcase_add_loop_test(tc, test_fault_names_its_field, 0,
-                        sizeof(faults) / sizeof(faults[0]));
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return RUN_TESTS(tests, .suite = "model",
+                     .loop = {test_fault_names_its_field, 0,
+                              sizeof(faults) / sizeof(faults[0])});
 }
--- a/tests/unit/test_operator.c
+++ b/tests/unit/test_operator.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "config/model.h"
 #include "masticrelay.h"
 
@@ -392,21 +393,14 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("operator");
-    TCase *tcase = tcase_create("description");
-
-    tcase_add_test(tcase, test_order);
-    tcase_add_test(tcase, test_unknown_references);
-    tcase_add_test(tcase, test_duplicates);
-    tcase_add_test(tcase, test_values);
-    tcase_add_test(tcase, test_faults_are_collected);
-    tcase_add_test(tcase, test_key_is_not_printed);
-    tcase_add_test(tcase, test_read_and_change);
-    tcase_add_test(tcase, test_finish);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    const TTest *const tests[] = {test_order,
+                                  test_unknown_references,
+                                  test_duplicates,
+                                  test_values,
+                                  test_faults_are_collected,
+                                  test_key_is_not_printed,
+                                  test_read_and_change,
+                                  test_finish};
+
+    return RUN_TESTS(tests, .suite = "operator");
 }
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "platform/platform.h"
 #include "platform_process.h"
 
@@ -316,24 +317,17 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("platform");
-    TCase *tcase = tcase_create("client");
-
-    tcase_add_test(tcase, test_conditional_write_has_one_winner);
-    tcase_add_test(tcase, test_objects_are_immutable);
-    tcase_add_test(tcase, test_instances_are_listed_with_their_state);
-    tcase_add_test(tcase, test_lost_reply_is_unknown);
-    tcase_add_test(tcase, test_outage_ends_calls_at_their_deadline);
-    tcase_add_test(tcase,
-                   test_refused_connection_leaves_writes_without_effect);
-    tcase_add_test(tcase, test_full_queue_refuses_at_once);
-    tcase_add_test(tcase, test_late_answer_is_not_swapped);
-    tcase_add_test(tcase, test_destroy_drops_open_calls);
-    tcase_add_test(tcase, test_cancel_drops_the_calls_of_one_context);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {
+        test_conditional_write_has_one_winner,
+        test_objects_are_immutable,
+        test_instances_are_listed_with_their_state,
+        test_lost_reply_is_unknown,
+        test_outage_ends_calls_at_their_deadline,
+        test_refused_connection_leaves_writes_without_effect,
+        test_full_queue_refuses_at_once,
+        test_late_answer_is_not_swapped,
+        test_destroy_drops_open_calls,
+        test_cancel_drops_the_calls_of_one_context};
+
+    return RUN_TESTS(tests, .suite = "platform");
 }
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "common/address.h"
 #include "common/list.h"
 #include "group/pool.h"
@@ -440,23 +441,17 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("pool");
-    TCase *tc = tcase_create("pool");
-
-    tcase_add_checked_fixture(tc, set_up, tear_down);
-    tcase_add_test(tc, test_statements_stay_within_slots_and_connections);
-    tcase_add_test(tc, test_a_burst_does_not_starve_others);
-    tcase_add_test(tc, test_deadline_passes_in_the_queue);
-    tcase_add_test(tc, test_a_full_queue_sheds_at_once);
-    tcase_add_test(tc, test_destroy_ends_waits_and_cancel_does_not);
-    tcase_add_test(tc, test_pool_destroyed_in_a_callback);
-    tcase_add_test(tc, test_pinned_connections_do_not_lock_the_pool);
-    tcase_add_test(tc, test_refused_connections_do_not_end_waits);
-    tcase_add_test(tc, test_closed_idle_connections_are_replaced);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    const TTest *const tests[] = {
+        test_statements_stay_within_slots_and_connections,
+        test_a_burst_does_not_starve_others,
+        test_deadline_passes_in_the_queue,
+        test_a_full_queue_sheds_at_once,
+        test_destroy_ends_waits_and_cancel_does_not,
+        test_pool_destroyed_in_a_callback,
+        test_pinned_connections_do_not_lock_the_pool,
+        test_refused_connections_do_not_end_waits,
+        test_closed_idle_connections_are_replaced};
+
+    return RUN_TESTS(tests, .suite = "pool", .setup = set_up,
+                     .teardown = tear_down);
 }
--- a/tests/unit/test_reqid.c
+++ b/tests/unit/test_reqid.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "entry/reqid.h"
 
 enum { PENDING_MAX = 4 };
@@ -221,19 +222,12 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("reqid");
-    TCase *tc = tcase_create("reqid");
-
-    tcase_add_test(tc, test_repeat_is_answered_from_the_record);
-    tcase_add_test(tc, test_unknown_outcome_is_not_run_again);
-    tcase_add_test(tc, test_refused_request_may_run_later);
-    tcase_add_test(tc, test_restarted_instance_does_not_run_old_ids);
-    tcase_add_test(tc, test_expired_id_does_not_run);
-    tcase_add_test(tc, test_id_belongs_to_its_account_and_request);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    const TTest *const tests[] = {test_repeat_is_answered_from_the_record,
+                                  test_unknown_outcome_is_not_run_again,
+                                  test_refused_request_may_run_later,
+                                  test_restarted_instance_does_not_run_old_ids,
+                                  test_expired_id_does_not_run,
+                                  test_id_belongs_to_its_account_and_request};
+
+    return RUN_TESTS(tests, .suite = "reqid");
 }
--- a/tests/unit/test_session.c
+++ b/tests/unit/test_session.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "entry/session.h"
 #include "entry/txn.h"
 
@@ -135,20 +136,14 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("session");
-    TCase *tc = tcase_create("session");
-
-    tcase_add_test(tc, test_token_carries_the_session);
-    tcase_add_test(tc, test_altered_token_is_refused);
-    tcase_add_test(tc, test_tokens_of_other_kinds_are_refused);
-    tcase_add_test(tc, test_positions_only_go_up);
-    tcase_add_test(tc, test_uncertain_write_lasts_until_its_term_is_over);
-    tcase_add_test(tc, test_write_of_unknown_term_stays_uncertain);
-    tcase_add_test(tc, test_full_session_has_no_room);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    const TTest *const tests[] = {
+        test_token_carries_the_session,
+        test_altered_token_is_refused,
+        test_tokens_of_other_kinds_are_refused,
+        test_positions_only_go_up,
+        test_uncertain_write_lasts_until_its_term_is_over,
+        test_write_of_unknown_term_stays_uncertain,
+        test_full_session_has_no_room};
+
+    return RUN_TESTS(tests, .suite = "session");
 }
--- a/tests/unit/test_share.c
+++ b/tests/unit/test_share.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "limit/share.h"
 
 static const mr_limit_amount_t limit = {100000, 50000};
@@ -253,21 +254,14 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("share");
-    TCase *tcase = tcase_create("share");
+    const TTest *const tests[] = {test_lapses_from_when_the_renewal_was_sent,
+                                  test_lost_lowering_counts_until_settled,
+                                  test_lost_raise_counts_once_read_back,
+                                  test_lowers_only_what_grants_allow,
+                                  test_lapsed_entry_is_reused_only_then,
+                                  test_lowered_limit,
+                                  test_lowered_limit_while_another_is_cut_off,
+                                  test_row_json};
 
-    tcase_add_test(tcase, test_lapses_from_when_the_renewal_was_sent);
-    tcase_add_test(tcase, test_lost_lowering_counts_until_settled);
-    tcase_add_test(tcase, test_lost_raise_counts_once_read_back);
-    tcase_add_test(tcase, test_lowers_only_what_grants_allow);
-    tcase_add_test(tcase, test_lapsed_entry_is_reused_only_then);
-    tcase_add_test(tcase, test_lowered_limit);
-    tcase_add_test(tcase, test_lowered_limit_while_another_is_cut_off);
-    tcase_add_test(tcase, test_row_json);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    return RUN_TESTS(tests, .suite = "share");
 }
--- a/tests/unit/test_supervisor.c
+++ b/tests/unit/test_supervisor.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "common/log.h"
 #include "daemon/supervisor.h"
 
@@ -240,22 +241,16 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("supervisor");
-    TCase *tc = tcase_create("supervisor");
+    const TTest *const tests[] = {
+        test_order_of_start_and_stop,
+        test_failed_child_restarts_with_those_behind_it,
+        test_failed_start_is_tried_again,
+        test_sixth_failure_in_a_minute_ends_it,
+        test_rare_failures_go_on,
+        test_drain_waits_and_has_a_deadline,
+        test_child_that_fails_in_its_drain_is_not_waited_for,
+        test_stop_during_a_back_off};
 
-    tcase_add_checked_fixture(tc, setup, teardown);
-    tcase_add_test(tc, test_order_of_start_and_stop);
-    tcase_add_test(tc, test_failed_child_restarts_with_those_behind_it);
-    tcase_add_test(tc, test_failed_start_is_tried_again);
-    tcase_add_test(tc, test_sixth_failure_in_a_minute_ends_it);
-    tcase_add_test(tc, test_rare_failures_go_on);
-    tcase_add_test(tc, test_drain_waits_and_has_a_deadline);
-    tcase_add_test(tc, test_child_that_fails_in_its_drain_is_not_waited_for);
-    tcase_add_test(tc, test_stop_during_a_back_off);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failures = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return RUN_TESTS(tests, .suite = "supervisor", .setup = setup,
+                     .teardown = teardown);
 }
--- a/tests/unit/test_target.c
+++ b/tests/unit/test_target.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "common/address.h"
 #include "group/target.h"
 
@@ -384,23 +385,17 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("target");
-    TCase *tc = tcase_create("target");
-
-    tcase_add_checked_fixture(tc, set_up, tear_down);
-    tcase_add_test(tc, test_answers_are_read_whole);
-    tcase_add_test(tc, test_timeout_closes_the_connection);
-    tcase_add_test(tc, test_bad_answers_leave_the_outcome_unknown);
-    tcase_add_test(tc, test_idle_close_makes_the_connection_unusable);
-    tcase_add_test(tc, test_crossed_answers_are_not_taken);
-    tcase_add_test(tc, test_refused_connections_are_not_run);
-    tcase_add_test(tc, test_later_503_leaves_the_outcome_unknown);
-    tcase_add_test(tc, test_destroyed_connection_does_not_call_back);
-    tcase_add_test(tc, test_coverage_follows_the_term);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    const TTest *const tests[] = {
+        test_answers_are_read_whole,
+        test_timeout_closes_the_connection,
+        test_bad_answers_leave_the_outcome_unknown,
+        test_idle_close_makes_the_connection_unusable,
+        test_crossed_answers_are_not_taken,
+        test_refused_connections_are_not_run,
+        test_later_503_leaves_the_outcome_unknown,
+        test_destroyed_connection_does_not_call_back,
+        test_coverage_follows_the_term};
+
+    return RUN_TESTS(tests, .suite = "target", .setup = set_up,
+                     .teardown = tear_down);
 }
--- a/tests/unit/test_view.c
+++ b/tests/unit/test_view.c
@@ -4,6 +4,7 @@
 #include <check.h>
 #include <stdlib.h>
 
+#include "../common/runner.h"
 #include "group/view.h"
 
 static mr_log_state_t
@@ -256,28 +257,22 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("view");
-    TCase *tc = tcase_create("view");
-
-    tcase_add_test(tc, test_write_needs_one_replica);
-    tcase_add_test(tc, test_replaced_primary_does_not_count_as_replica);
-    tcase_add_test(tc, test_position_of_another_term_does_not_count);
-    tcase_add_test(tc, test_primary_counts_once);
-    tcase_add_test(tc, test_deposed_primary_counts_once);
-    tcase_add_test(tc, test_confirmation_needs_fresh_answers);
-    tcase_add_test(tc, test_isolated_primary_is_not_the_primary);
-    tcase_add_test(tc, test_lost_primary_is_replaced_only_with_a_majority);
-    tcase_add_test(tc, test_refused_connections_shorten_suspicion);
-    tcase_add_test(tc, test_stall_needs_replicas_that_stand_still);
-    tcase_add_test(tc, test_leaving_primary_waits_for_a_successor);
-    tcase_add_test(tc, test_age_grows_while_the_primary_is_out_of_sight);
-    tcase_add_test(tc, test_age_needs_a_majority_behind_the_primary);
-    tcase_add_test(tc, test_old_news_do_not_replace_newer);
-    tcase_add_test(tc, test_health_needs_followers);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    const TTest *const tests[] = {
+        test_write_needs_one_replica,
+        test_replaced_primary_does_not_count_as_replica,
+        test_position_of_another_term_does_not_count,
+        test_primary_counts_once,
+        test_deposed_primary_counts_once,
+        test_confirmation_needs_fresh_answers,
+        test_isolated_primary_is_not_the_primary,
+        test_lost_primary_is_replaced_only_with_a_majority,
+        test_refused_connections_shorten_suspicion,
+        test_stall_needs_replicas_that_stand_still,
+        test_leaving_primary_waits_for_a_successor,
+        test_age_grows_while_the_primary_is_out_of_sight,
+        test_age_needs_a_majority_behind_the_primary,
+        test_old_news_do_not_replace_newer,
+        test_health_needs_followers};
+
+    return RUN_TESTS(tests, .suite = "view");
 }
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "common/counters.h"
 #include "wire/lateness.h"
 #include "wire/msg_scan.h"
@@ -278,21 +279,14 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("wire");
-    TCase *tc = tcase_create("wire");
-
-    tcase_add_test(tc, test_call_gets_its_reply);
-    tcase_add_test(tc, test_wrong_secret_is_refused);
-    tcase_add_test(tc, test_late_reply_is_dropped);
-    tcase_add_test(tc, test_closed_port_is_unavailable);
-    tcase_add_test(tc, test_peer_death_makes_calls_unknown);
-    tcase_add_test(tc, test_messages_survive_encoding);
-    tcase_add_test(tc, test_held_message_is_late);
-    tcase_add_test(tc, test_announced_sizes_are_checked);
-    suite_add_tcase(suite, tc);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    const TTest *const tests[] = {test_call_gets_its_reply,
+                                  test_wrong_secret_is_refused,
+                                  test_late_reply_is_dropped,
+                                  test_closed_port_is_unavailable,
+                                  test_peer_death_makes_calls_unknown,
+                                  test_messages_survive_encoding,
+                                  test_held_message_is_late,
+                                  test_announced_sizes_are_checked};
+
+    return RUN_TESTS(tests, .suite = "wire");
 }
