Reserve the harness's ports, so that test programs can run at once

harness_port() checked a port and left it free until the process bound it, and programs only began at different places of the range. Two programs could choose the same port in between.

A process now takes ports from blocks of 100, and keeps the first port of each block bound until it ends. Lock files would do the same but stay behind and belong to a user; ports that the daemons choose themselves would be unknown before the proxy's links and the targets' peers are set up.

--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -48,7 +48,8 @@
 } harness_process_t;
 
 /** harness_port() - a free loopback port outside the range from which the
- * system takes ports of outgoing connections. */
+ * system takes ports of outgoing connections. No other process gets it before
+ * this one ends. */
 int harness_port(void);
 
 /** harness_process_arg() - append an argument. */
--- a/tests/integration/harness_process.c
+++ b/tests/integration/harness_process.c
@@ -16,27 +16,42 @@
 
 extern char **environ;
 
-enum { PORT_MIN = 10000, PORT_MAX = 30000, WAIT_STEP_MS = 10 };
-
-int
-harness_port(void)
+enum {
+    PORT_MIN = 10000,
+    PORT_BLOCK = 100,
+    PORT_BLOCKS = 200,
+    WAIT_STEP_MS = 10
+};
+
+/* A socket bound to a loopback port, or -1 when the port is in use. */
+static int
+bind_port(int port)
 {
-    static int next;
+    struct sockaddr_in addr = {.sin_family = AF_INET};
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-    if (next == 0) {
-        /* Tests that run side by side begin at different places. */
-        next = PORT_MIN + (int)(getpid() * 97L % (PORT_MAX - PORT_MIN));
-    }
-    for (int i = 0; i < PORT_MAX - PORT_MIN; i++) {
-        struct sockaddr_in addr = {.sin_family = AF_INET};
-        int port = next;
-        next = next + 1 < PORT_MAX ? next + 1 : PORT_MIN;
-        addr.sin_port = htons((uint16_t)port);
-        addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        int rc = bind(fd, (struct sockaddr *)&addr, sizeof(addr));
+    ck_assert_int_ge(fd, 0);
+    addr.sin_port = htons((uint16_t)port);
+    addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (bind(fd, (struct sockaddr *)&addr, sizeof(addr)) != 0) {
         close(fd);
-        if (rc == 0) {
+        return -1;
+    }
+    return fd;
+}
+
+/* Returns the first port of a block that no other process has. Its holder
+ * keeps that port bound until it ends, which reserves the others: they are
+ * free again between the choice of a port and the start of its process. */
+static int
+reserve_block(void)
+{
+    /* Tests that run side by side begin at different places. */
+    int first = (int)(getpid() * 97L % PORT_BLOCKS);
+
+    for (int i = 0; i < PORT_BLOCKS; i++) {
+        int port = PORT_MIN + (first + i) % PORT_BLOCKS * PORT_BLOCK;
+        if (bind_port(port) >= 0) {
             return port;
         }
     }
@@ -44,6 +59,31 @@
     return -1;
 }
 
+int
+harness_port(void)
+{
+    static int last;
+    static pid_t holder;
+
+    /* A forked process shares the bound port with its parent, which goes on
+     * to use the block. */
+    if (holder != getpid()) {
+        holder = getpid();
+        last = PORT_MIN - 1;
+    }
+    for (;;) {
+        last++;
+        if ((last - PORT_MIN) % PORT_BLOCK == 0) {
+            last = reserve_block() + 1;
+        }
+        int fd = bind_port(last);
+        if (fd >= 0) {
+            close(fd);
+            return last;
+        }
+    }
+}
+
 void
 harness_process_arg(harness_process_t *process, const char *fmt, ...)
 {
