Notice every change of a certificate file, and count reloads and refusals

The check compared the newest time of change of the three files, so a certificate that was replaced by one with an older time than the key's (a restored file, a move into place) was never read.

Each file's device, inode, size and change time are now compared. A refusal is counted in masticrelay_certificates_refused_total and a reload in masticrelay_certificates_reloaded_total, besides the log lines.

test_certificates changes the files of the listeners and of the links between instances under load: open connections go on, new ones get the new certificate, half-written files and pairs that do not fit leave the former one in use.

--- a/lib/common/tls.c
+++ b/lib/common/tls.c
@@ -11,7 +11,16 @@
 #include "common/log.h"
 #include "common/mem.h"
 
-enum { RELOAD_CHECK_MS = 2000 };
+enum { RELOAD_CHECK_MS = 2000, FILES = 3 };
+
+/** State of a file. Any difference counts as a change: a file that is restored
+ * or moved into place may be older than the one before it. */
+typedef struct file_version {
+    dev_t device;
+    ino_t inode;
+    off_t size;
+    struct timespec changed;
+} file_version_t;
 
 struct mr_tls {
     struct event_base *base;
@@ -19,34 +28,49 @@
     char *key;
     char *authorities;
     SSL_CTX *ctx;
-    struct timespec changed; /* newest change of the files that @ctx has */
+    file_version_t versions[FILES]; /* that were read last */
+    mr_counter_t *reloaded;
+    mr_counter_t *refused;
     struct event *timer;
 };
 
-static void
-take_newer(const char *path, struct timespec *newest)
+static file_version_t
+version_of(const char *path)
 {
+    file_version_t version = {0};
     struct stat info;
 
-    if (path == NULL || stat(path, &info) != 0) {
-        return;
-    }
-    if (info.st_mtim.tv_sec > newest->tv_sec
-        || (info.st_mtim.tv_sec == newest->tv_sec
-            && info.st_mtim.tv_nsec > newest->tv_nsec)) {
-        *newest = info.st_mtim;
+    if (path != NULL && stat(path, &info) == 0) {
+        version.device = info.st_dev;
+        version.inode = info.st_ino;
+        version.size = info.st_size;
+        version.changed = info.st_ctim;
     }
+    return version;
 }
 
-static struct timespec
-last_change(const mr_tls_t *tls)
+static bool
+same_version(const file_version_t *one, const file_version_t *other)
 {
-    struct timespec newest = {0};
+    return one->device == other->device && one->inode == other->inode
+           && one->size == other->size
+           && one->changed.tv_sec == other->changed.tv_sec
+           && one->changed.tv_nsec == other->changed.tv_nsec;
+}
+
+/* Takes note of the files as they are; returns whether any has changed. */
+static bool
+take_versions(mr_tls_t *tls)
+{
+    const char *paths[] = {tls->certificate, tls->key, tls->authorities};
+    bool changed = false;
 
-    take_newer(tls->certificate, &newest);
-    take_newer(tls->key, &newest);
-    take_newer(tls->authorities, &newest);
-    return newest;
+    for (size_t i = 0; i < FILES; i++) {
+        file_version_t version = version_of(paths[i]);
+        changed |= !same_version(&version, &tls->versions[i]);
+        tls->versions[i] = version;
+    }
+    return changed;
 }
 
 static void
@@ -101,25 +125,24 @@
 on_check(evutil_socket_t fd, short what, void *ctx)
 {
     mr_tls_t *tls = ctx;
-    struct timespec changed = last_change(tls);
     char problem[256];
 
     (void)fd;
     (void)what;
-    if (changed.tv_sec == tls->changed.tv_sec
-        && changed.tv_nsec == tls->changed.tv_nsec) {
+    if (!take_versions(tls)) {
         return;
     }
-    tls->changed = changed;
     SSL_CTX *fresh = load(tls, problem, sizeof(problem));
     if (fresh == NULL) {
         /* Files may be half written; the old ones stay in use. */
+        mr_counter_add(tls->refused, 1);
         mr_log(MR_LOG_ERROR, "certificate_refused", "file=%s reason=\"%s\"",
                tls->certificate, problem);
         return;
     }
     SSL_CTX_free(tls->ctx);
     tls->ctx = fresh;
+    mr_counter_add(tls->reloaded, 1);
     mr_log(MR_LOG_INFO, "certificate_reloaded", "file=%s", tls->certificate);
 }
 
@@ -133,7 +156,13 @@
     tls->certificate = mr_strdup(options->certificate);
     tls->key = mr_strdup(options->key);
     tls->authorities = mr_strdup(options->authorities);
-    tls->changed = last_change(tls);
+    tls->reloaded = mr_counters_get(options->counters,
+                                    "masticrelay_certificates_reloaded_total",
+                                    "", "TLS files read again after a change");
+    tls->refused = mr_counters_get(
+        options->counters, "masticrelay_certificates_refused_total", "",
+        "changed TLS files that cannot be used");
+    take_versions(tls);
     tls->ctx = load(tls, problem, size);
     if (tls->ctx == NULL) {
         mr_tls_destroy(tls);
--- a/lib/common/tls.h
+++ b/lib/common/tls.h
@@ -11,11 +11,14 @@
 #include <event2/event.h>
 #include <stdbool.h>
 
+#include "common/counters.h"
+
 typedef struct mr_tls mr_tls_t;
 
 /** Files of one identity, in PEM form. */
 typedef struct mr_tls_options {
     struct event_base *base;
+    mr_counters_t *counters;
     const char *certificate; /* with its chain */
     const char *key;
     /** Authorities that the other side's certificate must come from; NULL:
--- a/lib/daemon/daemon.c
+++ b/lib/daemon/daemon.c
@@ -570,6 +570,7 @@
          const char *key, const char *authorities)
 {
     mr_tls_options_t options = {.base = d->base,
+                                .counters = d->counters,
                                 .certificate = certificate,
                                 .key = key,
                                 .authorities = authorities};
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -92,6 +92,8 @@
     int64_t offline_limit_s;
     /* All connections between processes pass the fault proxy. */
     bool proxied;
+    /* Further arguments of each instance, up to NULL; or NULL. */
+    const char *const *instance_args;
     /* File name in the run's own folder, since tests may run side by side; or
      * an absolute path. NULL: no trace. */
     const char *trace;
@@ -215,6 +217,13 @@
 void harness_accept_staged(harness_operator_t *op, const char *without,
                            mr_ms_t max);
 
+/* ----------------------------------------------------------------- TLS */
+
+/** harness_identity() - write NAME.pem, a self-signed certificate for
+ * @address, and NAME.key. */
+void harness_identity(const char *folder, const char *name,
+                      const char *address, long serial);
+
 /* ---------------------------------------------------------------- HTTP */
 
 /** harness_run() - run the loop. */
--- a/tests/integration/harness_fleet.c
+++ b/tests/integration/harness_fleet.c
@@ -113,6 +113,11 @@
     harness_process_arg(p, "--secret-file=%s/secret", h->folder);
     harness_process_arg(p, "--approver-public-key=%s", h->approver_public);
     harness_process_arg(p, "--operator-credential=%s", credential);
+    for (size_t i = 0; h->options.instance_args != NULL
+                       && h->options.instance_args[i] != NULL;
+         i++) {
+        harness_process_arg(p, "%s", h->options.instance_args[i]);
+    }
 }
 
 static void
--- /dev/null
+++ b/tests/integration/test_certificates.c
@@ -0,0 +1,438 @@
+/* Guards against listeners and links that need a restart to use a new
+ * certificate, that close open connections when it changes, or that lose the
+ * one in use to a broken file. */
+
+#include <openssl/err.h>
+#include <openssl/ssl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include "common/mem.h"
+#include "harness.h"
+
+enum {
+    CHANGE_MS =
+        5000, /* until a change is in use; files are checked each 2 s */
+    ANSWER_BYTES = 65536,
+};
+
+#define RELOADED "masticrelay_certificates_reloaded_total"
+#define REFUSED "masticrelay_certificates_refused_total"
+#define CREDENTIAL "operator-credential-of-tests"
+
+static const char *const places[] = {"konya", NULL};
+
+static char folder[] = "/tmp/masticrelay-certificates-XXXXXX";
+
+/** A connection with TLS that waits for its answers. */
+typedef struct client {
+    SSL_CTX *ctx;
+    SSL *ssl;
+    int fd;
+} client_t;
+
+static char *
+path_of(const char *name, const char *suffix)
+{
+    return mr_asprintf("%s/%s%s", folder, name, suffix);
+}
+
+static void
+open_folder(void)
+{
+    ck_assert_ptr_nonnull(mkdtemp(folder));
+}
+
+static void
+remove_folder(void)
+{
+    char *command = mr_asprintf("rm -rf '%s'", folder);
+
+    ck_assert_int_eq(system(command), 0);
+    free(command);
+}
+
+/* Puts @from in the place of @to, with a time of change in the past, as when
+ * an earlier file is restored. */
+static void
+replace(const char *from, const char *to, const char *suffix)
+{
+    char *command = mr_asprintf(
+        "cp '%s/%s%s' '%s/new' && touch -d '1 day ago' '%s/new' "
+        "&& mv '%s/new' '%s/%s%s'",
+        folder, from, suffix, folder, folder, folder, folder, to, suffix);
+
+    ck_assert_int_eq(system(command), 0);
+    free(command);
+}
+
+/* Leaves the first half of a file, as when it is being written. */
+static void
+halve(const char *name, const char *suffix)
+{
+    char *path = path_of(name, suffix);
+    struct stat info;
+
+    ck_assert_int_eq(stat(path, &info), 0);
+    ck_assert_int_eq(truncate(path, info.st_size / 2), 0);
+    free(path);
+}
+
+/* @identity: of the caller; NULL: none */
+static client_t
+open_client(const char *address, const char *identity)
+{
+    client_t client = {.ctx = SSL_CTX_new(TLS_client_method())};
+    struct timeval limit = {.tv_sec = 1};
+    struct sockaddr_storage addr;
+    int len;
+
+    if (identity != NULL) {
+        char *certificate = path_of(identity, ".pem");
+        char *key = path_of(identity, ".key");
+        ck_assert_int_eq(SSL_CTX_use_certificate_file(client.ctx, certificate,
+                                                      SSL_FILETYPE_PEM),
+                         1);
+        ck_assert_int_eq(
+            SSL_CTX_use_PrivateKey_file(client.ctx, key, SSL_FILETYPE_PEM), 1);
+        free(certificate);
+        free(key);
+    }
+    ck_assert(mr_address_parse(address, &addr, &len));
+    client.fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    setsockopt(client.fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    ck_assert_int_eq(
+        connect(client.fd, (struct sockaddr *)&addr, (socklen_t)len), 0);
+    client.ssl = SSL_new(client.ctx);
+    SSL_set_fd(client.ssl, client.fd);
+    ck_assert_int_eq(SSL_connect(client.ssl), 1);
+    return client;
+}
+
+static void
+close_client(client_t *client)
+{
+    SSL_free(client->ssl);
+    SSL_CTX_free(client->ctx);
+    close(client->fd);
+}
+
+/* Serial number of the certificate that a new connection gets. */
+static long
+serial_at(const char *address, const char *identity)
+{
+    client_t client = open_client(address, identity);
+    X509 *cert = SSL_get1_peer_certificate(client.ssl);
+    long serial = ASN1_INTEGER_get(X509_get0_serialNumber(cert));
+
+    X509_free(cert);
+    close_client(&client);
+    return serial;
+}
+
+/* Whether the other side keeps the connection of @identity. It checks the
+ * certificate after its own part of the handshake. */
+static bool
+is_admitted(const char *address, const char *identity)
+{
+    client_t client = open_client(address, identity);
+    char byte;
+    int rc = SSL_read(client.ssl, &byte, 1);
+    int error = SSL_get_error(client.ssl, rc);
+
+    close_client(&client);
+    ERR_clear_error();
+    return error == SSL_ERROR_WANT_READ;
+}
+
+/* Sends one request and returns the status; @answer receives all. */
+static int
+ask(client_t *client, const char *method, const char *path, const char *bearer,
+    const char *body, char *answer)
+{
+    char *request = mr_asprintf("%s %s HTTP/1.1\r\nHost: test\r\n"
+                                "Authorization: Bearer %s\r\n"
+                                "Content-Length: %zu\r\n\r\n%s",
+                                method, path, bearer, strlen(body), body);
+    size_t len = 0;
+    size_t wanted = ANSWER_BYTES;
+
+    ck_assert_int_gt(SSL_write(client->ssl, request, (int)strlen(request)), 0);
+    free(request);
+    while (len < wanted) {
+        int part =
+            SSL_read(client->ssl, answer + len, (int)(ANSWER_BYTES - 1 - len));
+        ck_assert_msg(part > 0, "%s: the connection ended", path);
+        len += (size_t)part;
+        answer[len] = '\0';
+        const char *end = strstr(answer, "\r\n\r\n");
+        const char *size = strcasestr(answer, "Content-Length:");
+        if (end != NULL && size != NULL) {
+            wanted = (size_t)(end + 4 - answer)
+                     + strtoul(size + strlen("Content-Length:"), NULL, 10);
+        }
+    }
+    return atoi(answer + strlen("HTTP/1.1 "));
+}
+
+static int
+read_statement(client_t *client, const harness_account_t *account)
+{
+    static char answer[ANSWER_BYTES];
+
+    return ask(client, "POST", "/v1/routes/data/statements", account->key,
+               "{\"access\":\"read\",\"statement\":{\"op\":\"get\","
+               "\"key\":\"none\"}}",
+               answer);
+}
+
+static long
+find_counter(const char *metrics, const char *name)
+{
+    char *line = mr_asprintf("\n%s ", name);
+    const char *found = strstr(metrics, line);
+    long value = found == NULL ? 0 : atol(found + strlen(line));
+
+    free(line);
+    return value;
+}
+
+/* Waits over an open connection to the operators' listener. */
+static void
+wait_counter(harness_t *h, client_t *admin, const char *name, long value)
+{
+    static char answer[ANSWER_BYTES];
+    mr_ms_t end = mr_clock_now(NULL) + CHANGE_MS;
+    long seen;
+
+    do {
+        harness_run(h->base, 50);
+        ck_assert_int_eq(ask(admin, "GET", "/metrics", CREDENTIAL, "", answer),
+                         200);
+        seen = find_counter(answer, name);
+    } while (seen != value && mr_clock_now(NULL) < end);
+    ck_assert_msg(seen == value, "%s is %ld instead of %ld", name, seen,
+                  value);
+}
+
+static void
+wait_counters(harness_t *h, const char *name, long value)
+{
+    mr_ms_t end = mr_clock_now(NULL) + CHANGE_MS;
+
+    for (size_t i = 0; i < h->instance_count; i++) {
+        long seen;
+        do {
+            harness_run(h->base, 50);
+            char *metrics = harness_metrics(h, &h->instances[i]);
+            ck_assert_ptr_nonnull(metrics);
+            seen = find_counter(metrics, name);
+            free(metrics);
+        } while (seen != value && mr_clock_now(NULL) < end);
+        ck_assert_msg(seen == value, "%s is %ld instead of %ld", name, seen,
+                      value);
+    }
+}
+
+/* Whether a line of the process's log has all three texts. */
+static bool
+has_line(const harness_process_t *process, const char *event, const char *file,
+         const char *reason)
+{
+    FILE *log = fopen(process->log, "re");
+    char line[1024];
+    bool found = false;
+
+    ck_assert_ptr_nonnull(log);
+    while (!found && fgets(line, sizeof(line), log) != NULL) {
+        found = strstr(line, event) != NULL && strstr(line, file) != NULL
+                && strstr(line, reason) != NULL;
+    }
+    fclose(log);
+    return found;
+}
+
+/* A further daemon of the fleet, whose listeners have TLS. */
+static harness_instance_t
+start_daemon(harness_t *h)
+{
+    harness_instance_t instance = {0};
+    harness_process_t *p = &instance.process;
+    const harness_process_t *model = &h->instances[0].process;
+
+    snprintf(p->name, sizeof(p->name), "konya-tls");
+    snprintf(p->log, sizeof(p->log), "%.200s/konya-tls.log", h->folder);
+    snprintf(p->address, sizeof(p->address), "127.0.0.1:%d", harness_port());
+    snprintf(instance.admin, sizeof(instance.admin), "127.0.0.1:%d",
+             harness_port());
+    p->ready = model->ready;
+    for (size_t i = 0; model->args[i] != NULL; i++) {
+        harness_process_arg(p, "%s", model->args[i]);
+    }
+    harness_process_arg(p, "--name=%s", p->name);
+    harness_process_arg(p, "--listen=%s", p->address);
+    harness_process_arg(p, "--admin=%s", instance.admin);
+    harness_process_arg(p, "--peer=127.0.0.1:%d", harness_port());
+    harness_process_arg(p, "--tls-certificate=%s/listener.pem", folder);
+    harness_process_arg(p, "--tls-key=%s/listener.key", folder);
+    harness_process_start(p);
+    return instance;
+}
+
+START_TEST(test_listeners)
+{
+    const harness_options_t options = {.data_centres = places,
+                                       .connections = 40};
+    static const struct {
+        const char *from; /* replaces this file; NULL: it is cut in half */
+        const char *suffix;
+        const char *counter;
+        long value;
+        long serial; /* of new connections afterwards */
+        const char *reason;
+    } steps[] = {
+        {"second", ".pem", REFUSED, 1, 1, "does not fit"},
+        {NULL, ".pem", REFUSED, 2, 1, "the certificate cannot be read"},
+        {"second", ".pem", REFUSED, 3, 1, "does not fit"},
+        {"second", ".key", RELOADED, 1, 2, NULL},
+        {NULL, ".key", REFUSED, 4, 2, "the key cannot be read"},
+        {"second", ".key", RELOADED, 2, 2, NULL},
+    };
+
+    open_folder();
+    harness_identity(folder, "listener", "127.0.0.1", 1);
+    harness_identity(folder, "second", "127.0.0.1", 2);
+    harness_t *h = harness_start(&options);
+    const harness_account_t *account = &h->accounts[0];
+    harness_instance_t daemon = start_daemon(h);
+    client_t caller = open_client(daemon.process.address, NULL);
+    client_t admin = open_client(daemon.admin, NULL);
+    mr_ms_t end = mr_clock_now(NULL) + HARNESS_READY_MS;
+    while (read_statement(&caller, account) != 200) {
+        ck_assert(mr_clock_now(NULL) < end);
+        harness_run(h->base, 50);
+    }
+    ck_assert_int_eq(serial_at(daemon.process.address, NULL), 1);
+
+    for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
+        if (steps[i].from != NULL) {
+            replace(steps[i].from, "listener", steps[i].suffix);
+        }
+        else {
+            halve("listener", steps[i].suffix);
+        }
+        wait_counter(h, &admin, steps[i].counter, steps[i].value);
+        ck_assert_int_eq(serial_at(daemon.process.address, NULL),
+                         steps[i].serial);
+        ck_assert_int_eq(serial_at(daemon.admin, NULL), steps[i].serial);
+        ck_assert_int_eq(read_statement(&caller, account), 200);
+        ck_assert(steps[i].reason == NULL
+                  || has_line(&daemon.process, "event=certificate_refused",
+                              "/listener.pem", steps[i].reason));
+    }
+    close_client(&caller);
+    close_client(&admin);
+    harness_process_kill(&daemon.process);
+    harness_end(h);
+    remove_folder();
+}
+END_TEST
+
+/* Makes the authorities of the links: certificates of both names. */
+static void
+write_authorities(const char *one, const char *other)
+{
+    char *command =
+        mr_asprintf("cd '%s' && cat %s.pem %s.pem > new && mv new links.all",
+                    folder, one, other);
+
+    ck_assert_int_eq(system(command), 0);
+    free(command);
+}
+
+START_TEST(test_links)
+{
+    char *args[4] = {NULL};
+    const harness_load_t load = {.callers = 10,
+                                 .account = -1,
+                                 .write_percent = 30,
+                                 .keys = 4,
+                                 .pause = 5,
+                                 .seed = 2301};
+    harness_options_t options = {.data_centres = places, .instances = 2};
+
+    open_folder();
+    args[0] = mr_asprintf("--peer-certificate=%s/links.pem", folder);
+    args[1] = mr_asprintf("--peer-key=%s/links.key", folder);
+    args[2] = mr_asprintf("--peer-authorities=%s/links.all", folder);
+    options.instance_args = (const char *const *)args;
+    harness_identity(folder, "first", "127.0.0.1", 1);
+    harness_identity(folder, "second", "127.0.0.1", 2);
+    replace("first", "links", ".pem");
+    replace("first", "links", ".key");
+    write_authorities("first", "second");
+    harness_t *h = harness_start(&options);
+    harness_instance_t *one = &h->instances[0];
+    harness_instance_t *other = &h->instances[1];
+    harness_caller_t *callers = harness_callers_start(h, &load);
+    ck_assert_int_eq(serial_at(one->peer, "first"), 1);
+    ck_assert(is_admitted(one->peer, "first"));
+
+    halve("links", ".pem");
+    wait_counters(h, REFUSED, 1);
+    ck_assert_int_eq(serial_at(one->peer, "first"), 1);
+    ck_assert(has_line(&one->process, "event=certificate_refused",
+                       "/links.pem", "the certificate cannot be read"));
+
+    /* Each instance has its new identity before it is the only one. */
+    replace("second", "links", ".key");
+    replace("second", "links", ".pem");
+    wait_counters(h, RELOADED, 1);
+    ck_assert_int_eq(serial_at(one->peer, "second"), 2);
+    ck_assert_int_eq(serial_at(other->peer, "second"), 2);
+    write_authorities("second", "second");
+    wait_counters(h, RELOADED, 2);
+    ck_assert(!is_admitted(one->peer, "first"));
+    ck_assert(is_admitted(one->peer, "second"));
+    harness_run(h->base, 1000);
+    harness_counts_t counts = harness_callers_stop(callers);
+    printf("links: sent %lld ran %lld\n", (long long)counts.sent,
+           (long long)counts.ran);
+    ck_assert_int_gt(counts.ran, 0);
+    ck_assert_int_eq(counts.ran, counts.sent);
+
+    /* New links between the instances. */
+    harness_process_kill(&other->process);
+    harness_instance_start(h, other);
+    harness_session_t *session = harness_session_open(h, 0);
+    const harness_request_t put = {.op = "put", .key = "k"};
+    mr_ms_t end = mr_clock_now(NULL) + HARNESS_READY_MS;
+    while (strcmp(harness_ask(session, one->process.name, &put).outcome, "ran")
+               != 0
+           || strcmp(harness_ask(session, other->process.name, &put).outcome,
+                     "ran")
+                  != 0) {
+        ck_assert(mr_clock_now(NULL) < end);
+        harness_run(h->base, 50);
+    }
+    harness_session_close(session);
+    harness_end(h);
+    for (int i = 0; args[i] != NULL; i++) {
+        free(args[i]);
+    }
+    remove_folder();
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {test_listeners, test_links};
+
+    return RUN_TESTS(tests, .suite = "certificates",
+                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
+}
--- a/tests/integration/test_ctl_tls.c
+++ b/tests/integration/test_ctl_tls.c
@@ -5,9 +5,6 @@
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
-#include <openssl/evp.h>
-#include <openssl/pem.h>
-#include <openssl/x509v3.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,52 +12,12 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include "../common/runner.h"
 #include "common/mem.h"
 #include "common/tls.h"
-
-enum { VALID_SECONDS = 3600 };
+#include "harness.h"
 
 static char folder[] = "/tmp/masticrelay-ctl-tls-XXXXXX";
 
-/* Writes NAME.pem, a self-signed certificate for @address, and NAME.key. */
-static void
-write_identity(const char *name, const char *address)
-{
-    char *paths[] = {mr_asprintf("%s/%s.pem", folder, name),
-                     mr_asprintf("%s/%s.key", folder, name)};
-    char *names = mr_asprintf("IP:%s", address);
-    EVP_PKEY *key = EVP_EC_gen("P-256");
-    X509 *cert = X509_new();
-    X509_NAME *subject = X509_get_subject_name(cert);
-
-    X509_set_version(cert, 2);
-    ASN1_INTEGER_set(X509_get_serialNumber(cert), 1);
-    X509_gmtime_adj(X509_getm_notBefore(cert), -60);
-    X509_gmtime_adj(X509_getm_notAfter(cert), VALID_SECONDS);
-    X509_set_pubkey(cert, key);
-    X509_NAME_add_entry_by_txt(subject, "CN", MBSTRING_ASC,
-                               (const unsigned char *)name, -1, -1, 0);
-    X509_set_issuer_name(cert, subject);
-    X509_EXTENSION *extension =
-        X509V3_EXT_conf_nid(NULL, NULL, NID_subject_alt_name, names);
-    ck_assert_int_eq(X509_add_ext(cert, extension, -1), 1);
-    ck_assert_int_gt(X509_sign(cert, key, EVP_sha256()), 0);
-    FILE *file = fopen(paths[0], "w");
-    ck_assert_int_eq(PEM_write_X509(file, cert), 1);
-    fclose(file);
-    file = fopen(paths[1], "w");
-    ck_assert_int_eq(
-        PEM_write_PrivateKey(file, key, NULL, NULL, 0, NULL, NULL), 1);
-    fclose(file);
-    X509_EXTENSION_free(extension);
-    X509_free(cert);
-    EVP_PKEY_free(key);
-    free(names);
-    free(paths[0]);
-    free(paths[1]);
-}
-
 static struct bufferevent *
 open_tls(struct event_base *base, void *ctx)
 {
@@ -93,6 +50,7 @@
     char problem[256];
     mr_tls_options_t options = {
         .base = base,
+        .counters = mr_counters_create(),
         .certificate = mr_asprintf("%s/%s.pem", folder, identity),
         .key = mr_asprintf("%s/%s.key", folder, identity),
     };
@@ -164,9 +122,9 @@
     int moved_port = 0;
 
     ck_assert_ptr_nonnull(mkdtemp(folder));
-    write_identity("good", "127.0.0.1");
-    write_identity("other", "127.0.0.1");
-    write_identity("moved", "127.0.0.9");
+    harness_identity(folder, "good", "127.0.0.1", 1);
+    harness_identity(folder, "other", "127.0.0.1", 1);
+    harness_identity(folder, "moved", "127.0.0.9", 1);
     pid_t good = start_server("good", &good_port);
     pid_t moved = start_server("moved", &moved_port);
 
