Share the examples' main() and the daemon's stop functions

Both examples repeated main() and the loop over targets, and six children of the daemon repeated a stop function that destroys one module.

options_run() reads the options, calls the example's describe() and prints; each example still shows every call of the operators' library that describes it. DEFINE_STOP() makes the stop functions of one module; the three listeners share listen_failed(). The drain functions stay written out: a macro for three of them would hide which one stops new work first.

--- a/examples/calor_limpio.c
+++ b/examples/calor_limpio.c
@@ -58,20 +58,6 @@
     {"repuestos", 10, 20, 1},        {"avisos", 5, 10, 1},
 };
 
-static void
-describe_targets(options_t *options, mr_op_t *op)
-{
-    mr_op_service(op, service);
-    mr_op_group(op, service, "servicio-db-0");
-    mr_op_group(op, service, "servicio-db-1");
-    mr_op_group(op, service, "servicio-db-2");
-    for (size_t i = 0; i < COUNT_OF(targets); i++) {
-        mr_op_target_t target = targets[i];
-        target.address = options_address(options, target.name, target.address);
-        mr_op_target(op, &target);
-    }
-}
-
 static void
 describe_routes(mr_op_t *op)
 {
@@ -114,28 +100,30 @@
     mr_op_allow(op, "repairs", "taller-leon");
 }
 
-int
-main(int argc, char **argv)
+static void
+describe(options_t *options, mr_op_t *op)
 {
-    int status = 1;
-    options_t options;
-
-    if (!options_read(&options, argc, argv)) {
-        return 2;
-    }
-    mr_op_t *op = mr_op_create("calor-limpio", options.version);
     for (size_t i = 0; i < COUNT_OF(data_centres); i++) {
         mr_op_data_centre(op, data_centres[i], region);
     }
-    describe_targets(&options, op);
+    mr_op_service(op, service);
+    mr_op_group(op, service, "servicio-db-0");
+    mr_op_group(op, service, "servicio-db-1");
+    mr_op_group(op, service, "servicio-db-2");
+    for (size_t i = 0; i < COUNT_OF(targets); i++) {
+        options_target(options, op, &targets[i]);
+    }
     for (size_t i = 0; i < COUNT_OF(accounts); i++) {
-        options_account(&options, op, &accounts[i]);
+        options_account(options, op, &accounts[i]);
     }
     describe_routes(op);
-    if (options_keys(&options, op, accounts, COUNT_OF(accounts))) {
-        status = options_finish(&options, op);
-    }
-    mr_op_destroy(op);
-    options_release(&options);
-    return status;
+}
+
+int
+main(int argc, char **argv)
+{
+    const example_t example = {"calor-limpio", describe, accounts,
+                               COUNT_OF(accounts)};
+
+    return options_run(&example, argc, argv);
 }
--- a/examples/common_options.c
+++ b/examples/common_options.c
@@ -18,8 +18,18 @@
     return true;
 }
 
-bool
-options_read(options_t *options, int argc, char **argv)
+static void
+release(options_t *options)
+{
+    g_strfreev(options->targets);
+    g_strfreev(options->rates);
+    g_strfreev(options->keys);
+    g_free(options->issue_keys);
+    g_hash_table_destroy(options->used);
+}
+
+static bool
+read_options(options_t *options, int argc, char **argv)
 {
     memset(options, 0, sizeof(*options));
     options->version = 1;
@@ -57,21 +67,11 @@
            && check_pairs(options->rates, "--rate")
            && check_pairs(options->keys, "--key");
     if (!read) {
-        options_release(options);
+        release(options);
     }
     return read;
 }
 
-void
-options_release(options_t *options)
-{
-    g_strfreev(options->targets);
-    g_strfreev(options->rates);
-    g_strfreev(options->keys);
-    g_free(options->issue_keys);
-    g_hash_table_destroy(options->used);
-}
-
 /* Value of the last NAME=VALUE of @pairs for @name; NULL if there is none. */
 static const char *
 find_pair(char **pairs, const char *name)
@@ -87,13 +87,17 @@
     return found;
 }
 
-const char *
-options_address(options_t *options, const char *target, const char *address)
+void
+options_target(options_t *options, mr_op_t *op, const mr_op_target_t *target)
 {
-    const char *replaced = find_pair(options->targets, target);
+    mr_op_target_t own = *target;
+    const char *address = find_pair(options->targets, target->name);
 
-    g_hash_table_add(options->used, (gpointer)target);
-    return replaced != NULL ? replaced : address;
+    g_hash_table_add(options->used, (gpointer)target->name);
+    if (address != NULL) {
+        own.address = address;
+    }
+    mr_op_target(op, &own);
 }
 
 void
@@ -127,9 +131,9 @@
     }
 }
 
-bool
-options_keys(const options_t *options, mr_op_t *op,
-             const mr_op_account_t *accounts, size_t count)
+static bool
+add_keys(const options_t *options, mr_op_t *op,
+         const mr_op_account_t *accounts, size_t count)
 {
     add_given_keys(options, op);
     if (options->issue_keys == NULL) {
@@ -175,8 +179,8 @@
     return known;
 }
 
-int
-options_finish(const options_t *options, mr_op_t *op)
+static int
+finish(const options_t *options, mr_op_t *op)
 {
     if (!check_used(options, options->targets, "--target")
         || !check_used(options, options->rates, "--rate")) {
@@ -184,3 +188,22 @@
     }
     return mr_op_finish(op, stdout, stderr);
 }
+
+int
+options_run(const example_t *example, int argc, char **argv)
+{
+    int status = 1;
+    options_t options;
+
+    if (!read_options(&options, argc, argv)) {
+        return 2;
+    }
+    mr_op_t *op = mr_op_create(example->deployment, options.version);
+    example->describe(&options, op);
+    if (add_keys(&options, op, example->accounts, example->account_count)) {
+        status = finish(&options, op);
+    }
+    mr_op_destroy(op);
+    release(&options);
+    return status;
+}
--- a/lib/daemon/daemon.c
+++ b/lib/daemon/daemon.c
@@ -129,6 +129,30 @@
 
 /* Children of the supervisor, in the order in which they are started. */
 
+/* Stop function of a child that consists of one module. */
+#define DEFINE_STOP(child, destroy)                                           \
+    static void stop_##child(void *ctx)                                       \
+    {                                                                         \
+        mr_daemon_t *d = ctx;                                                 \
+        destroy(d->child);                                                    \
+        d->child = NULL;                                                      \
+    }
+
+DEFINE_STOP(peer, mr_peer_destroy)
+DEFINE_STOP(platform, mr_platform_destroy)
+DEFINE_STOP(members, mr_members_destroy)
+DEFINE_STOP(config, mr_config_store_destroy)
+DEFINE_STOP(limit, mr_limit_destroy)
+DEFINE_STOP(admin, mr_admin_destroy)
+
+static bool
+listen_failed(const char *setting, const char *address)
+{
+    mr_log(MR_LOG_ERROR, "listen_failed", "setting=%s address=%s", setting,
+           address);
+    return false;
+}
+
 static bool
 start_peers(void *ctx)
 {
@@ -148,20 +172,8 @@
     if (mr_peer_listen(d->peer, s->peer) > 0) {
         return true;
     }
-    mr_log(MR_LOG_ERROR, "listen_failed", "setting=--peer address=%s",
-           s->peer);
-    mr_peer_destroy(d->peer);
-    d->peer = NULL;
-    return false;
-}
-
-static void
-stop_peers(void *ctx)
-{
-    mr_daemon_t *d = ctx;
-
-    mr_peer_destroy(d->peer);
-    d->peer = NULL;
+    stop_peer(d);
+    return listen_failed("--peer", s->peer);
 }
 
 static bool
@@ -179,15 +191,6 @@
     return true;
 }
 
-static void
-stop_platform(void *ctx)
-{
-    mr_daemon_t *d = ctx;
-
-    mr_platform_destroy(d->platform);
-    d->platform = NULL;
-}
-
 static bool
 start_members(void *ctx)
 {
@@ -207,15 +210,6 @@
     return true;
 }
 
-static void
-stop_members(void *ctx)
-{
-    mr_daemon_t *d = ctx;
-
-    mr_members_destroy(d->members);
-    d->members = NULL;
-}
-
 static bool
 start_config(void *ctx)
 {
@@ -235,15 +229,6 @@
     return true;
 }
 
-static void
-stop_config(void *ctx)
-{
-    mr_daemon_t *d = ctx;
-
-    mr_config_store_destroy(d->config);
-    d->config = NULL;
-}
-
 static bool
 start_limit(void *ctx)
 {
@@ -273,15 +258,6 @@
     done(done_ctx);
 }
 
-static void
-stop_limit(void *ctx)
-{
-    mr_daemon_t *d = ctx;
-
-    mr_limit_destroy(d->limit);
-    d->limit = NULL;
-}
-
 static bool
 start_owner(void *ctx)
 {
@@ -385,6 +361,16 @@
     d->reqid_seal = NULL;
 }
 
+static void
+stop_entry(void *ctx)
+{
+    mr_daemon_t *d = ctx;
+
+    end_drain(&d->drain_entry);
+    mr_entry_destroy(d->entry);
+    d->entry = NULL;
+}
+
 static bool
 start_entry(void *ctx)
 {
@@ -407,11 +393,8 @@
     if (mr_entry_listen(d->entry, s->listen)) {
         return true;
     }
-    mr_log(MR_LOG_ERROR, "listen_failed", "setting=--listen address=%s",
-           s->listen);
-    mr_entry_destroy(d->entry);
-    d->entry = NULL;
-    return false;
+    stop_entry(d);
+    return listen_failed("--listen", s->listen);
 }
 
 static void
@@ -423,16 +406,6 @@
     start_drain(d, &d->drain_entry, entry_running, done, done_ctx);
 }
 
-static void
-stop_entry(void *ctx)
-{
-    mr_daemon_t *d = ctx;
-
-    end_drain(&d->drain_entry);
-    mr_entry_destroy(d->entry);
-    d->entry = NULL;
-}
-
 static bool
 start_admin(void *ctx)
 {
@@ -458,24 +431,12 @@
         fflush(stdout);
         return true;
     }
-    mr_log(MR_LOG_ERROR, "listen_failed", "setting=--admin address=%s",
-           s->admin);
-    mr_admin_destroy(d->admin);
-    d->admin = NULL;
-    return false;
-}
-
-static void
-stop_admin(void *ctx)
-{
-    mr_daemon_t *d = ctx;
-
-    mr_admin_destroy(d->admin);
-    d->admin = NULL;
+    stop_admin(d);
+    return listen_failed("--admin", s->admin);
 }
 
 static const mr_supervisor_child_t child_table[] = {
-    {"peers", NULL, start_peers, NULL, stop_peers},
+    {"peers", NULL, start_peers, NULL, stop_peer},
     {"platform", NULL, start_platform, NULL, stop_platform},
     {"members", NULL, start_members, NULL, stop_members},
     {"config", NULL, start_config, NULL, stop_config},
