--- a/tests/unit/test_patch.c
+++ b/tests/unit/test_patch.c
@@ -1,10 +1,10 @@
 /* Guards against bodies that a patch does not give back byte for byte, against
  * patches as large as the body, and against parts outside of the base. */
 
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "../common/runner.h"
 #include "common/mem.h"
 #include "config/patch.h"
 
@@ -151,16 +151,11 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("patch");
-    TCase *tcase = tcase_create("patch");
-
-    tcase_add_test(tcase, test_patch_gives_back_the_body);
-    tcase_add_test(tcase, test_no_patch_of_an_unrelated_body);
-    tcase_add_test(tcase, test_parts_outside_of_the_base_are_refused);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {
+        test_patch_gives_back_the_body,
+        test_no_patch_of_an_unrelated_body,
+        test_parts_outside_of_the_base_are_refused,
+    };
+
+    return RUN_TESTS(tests, .suite = "patch");
 }
