Keep most of a share pooled and hand it out as tokens on demand

Cause: an account's burst of 50 was split over data centres and then locked in LONG and SHORT grants of instances, whose shallow buckets lose inflow. An instance without a token asked the other data centres one after the other, and tokens taken there were never returned, so they kept counting as a part of that share for 500 ms.

Change: - LONG grants use at most a quarter of the share and none below two tokens an instance; SHORT grants need a bucket of four tokens. - A held request asks at once instead of at the next tick; its own limiter's "no token", failure or missing lease leads to asks of up to three other data centres in parallel. Each of them has its own hold, as ids of grants are unique only within a data centre, and spent tokens are returned. - A limiter says "none" only when no token comes within 40 ms, whatever the demand. A failed ask is no refusal. - Each write of an entry notes what LONG grants may use until the next one, in the fields that held the note of a planned stop. A predecessor without a note counts as before (3/4 of the rate, half of the burst), and an earlier version that succeeds reads the note as one of a planned stop, so a mixed fleet is safe in both directions.

--- a/lib/limit/grant.c
+++ b/lib/limit/grant.c
@@ -19,6 +19,9 @@
     /* A request is held for 50 ms; 40 ms leave time for the reply. */
     SOON_MS = 40,
     SHORT_BURST_MS = 40,
+    /* Shallower buckets lose too much inflow; tokens on demand lose none. */
+    LONG_BURST_LEAST_MILLI = 2 * MR_TOKEN_MILLI,
+    SHORT_BURST_LEAST_MILLI = 4 * MR_TOKEN_MILLI,
     /* A bucket of this depth gets half of the inflow that demand asks for. */
     SHALLOW_MILLI = 2 * MR_TOKEN_MILLI,
     DEEP_MILLI = 64 * MR_TOKEN_MILLI,
@@ -83,8 +86,8 @@
     free(book);
 }
 
-/* LONG grants may use three quarters of the rate and half of the burst; a
- * successor can then use the rest as soon as the short grants have lapsed. */
+/* Earlier versions gave this much, and a successor that finds no note of a
+ * predecessor counts it as in force. */
 mr_limit_amount_t
 mr_grant_long_cap(mr_limit_amount_t share)
 {
@@ -92,6 +95,16 @@
                                .burst = share.burst / 2};
 }
 
+/* LONG grants serve a data centre that is cut off while its limiter is dead;
+ * otherwise limiters of other data centres can be asked. What LONG grants hold
+ * at one instance is lost to the others, so most of the share stays pooled. */
+mr_limit_amount_t
+mr_grant_long_limit(mr_limit_amount_t share)
+{
+    return (mr_limit_amount_t){.rate = share.rate / 4,
+                               .burst = share.burst / 4};
+}
+
 mr_grant_book_t *
 mr_grant_book_create(int64_t epoch, const mr_grant_former_t *former,
                      mr_ms_t now)
@@ -416,7 +429,7 @@
 static mr_limit_amount_t
 long_target(const mr_grant_book_t *book, const holder_t *holder, mr_ms_t now)
 {
-    mr_limit_amount_t cap = mr_grant_long_cap(book->share);
+    mr_limit_amount_t cap = mr_grant_long_limit(book->share);
     mr_limit_amount_t others = long_sum(book, holder, now);
     mr_limit_amount_t mine = holder_sum(holder, MR_GRANT_LONG, now);
     mr_limit_amount_t left = amount_add(ungranted(book, now), mine);
@@ -438,13 +451,10 @@
     target.rate = mr_limit_scale(cap.rate, holder->demand + base, weights);
     target.rate = least(target.rate, holder->demand + base);
     target.burst = mr_limit_scale(cap.burst, target.rate, most(cap.rate, 1));
-    if (target.burst < MR_TOKEN_MILLI && holder->demand > 0) {
-        target.burst = MR_TOKEN_MILLI;
-    }
     target.rate = least(target.rate, least(free.rate, left.rate));
     target.burst = least(target.burst, least(free.burst, left.burst));
     target.rate = usable_inflow(target.rate, target.burst);
-    if (target.burst < MR_TOKEN_MILLI) {
+    if (target.burst < LONG_BURST_LEAST_MILLI) {
         target = (mr_limit_amount_t){0};
     }
     return target;
@@ -463,7 +473,7 @@
                const mr_grant_ask_t *ask, mr_ms_t now,
                mr_msg_grant_item_t *item)
 {
-    mr_limit_amount_t cap = mr_grant_long_cap(book->share);
+    mr_limit_amount_t cap = mr_grant_long_limit(book->share);
     mr_limit_amount_t amount = {least(cap.rate, ask->held.rate),
                                 least(cap.burst, ask->held.burst)};
 
@@ -541,17 +551,17 @@
     }
     target.rate = least(target.rate, free.rate);
     int64_t burst = MR_TOKEN_MILLI / 2 + target.rate * SHORT_BURST_MS / 1000;
-    if (burst < MR_TOKEN_MILLI && target.rate > holder->demand / 8) {
-        /* The bucket would be full much of the time. */
-        target.rate = 0;
-    }
+    burst = least(least(burst, pool.burst / 4), free.burst);
+    /* The bucket would be full much of the time. */
+    target.rate = burst < SHORT_BURST_LEAST_MILLI
+                      ? 0
+                      : usable_inflow(target.rate, burst);
     if (target.rate == 0) {
         /* An empty grant replaces one that is not needed any more. */
         return mine.rate > 0 && last->amount.rate > 0
                && give(book, holder, MR_GRANT_SHORT, target, now, item);
     }
-    target.burst = least(burst, pool.burst / 4);
-    target.burst = least(target.burst, free.burst);
+    target.burst = burst;
     return give(book, holder, MR_GRANT_SHORT, target, now, item);
 }
 
@@ -571,6 +581,15 @@
     return true;
 }
 
+/* Whether no token will come within the time that a request is held. */
+static bool
+none_soon(mr_grant_book_t *book, mr_ms_t now)
+{
+    return mr_bucket_level(&book->reserve, now)
+               + book->reserve.amount.rate * SOON_MS / 1000
+           < MR_TOKEN_MILLI;
+}
+
 /* Tokens of the reserve for an instance whose own data centre has none left.
  * They are a part of this share while they are in force, like any grant. */
 static size_t
@@ -585,8 +604,11 @@
     *refused = true;
     update_reserve(book, now);
     if (now >= book->expiry || now < book->former.short_until
-        || ask->wanted <= 0
-        || !give_tokens(book, holder, ask->wanted, now, out)) {
+        || ask->wanted <= 0) {
+        return 0;
+    }
+    if (!give_tokens(book, holder, ask->wanted, now, out)) {
+        *refused = none_soon(book, now);
         return 0;
     }
     update_reserve(book, now);
@@ -634,11 +656,7 @@
             update_reserve(book, now);
         }
         else {
-            int64_t soon = mr_bucket_level(&book->reserve, now)
-                           + book->reserve.amount.rate * SOON_MS / 1000;
-            *refused =
-                soon < MR_TOKEN_MILLI
-                && mr_grant_book_demand(book, now) > book->share.rate * 5 / 4;
+            *refused = none_soon(book, now);
         }
     }
     return count;
--- a/lib/limit/grant.h
+++ b/lib/limit/grant.h
@@ -81,9 +81,14 @@
 mr_limit_amount_t mr_grant_book_longs(const mr_grant_book_t *book,
                                       mr_ms_t now);
 
-/** mr_grant_long_cap() - the most that LONG grants may use of @share. */
+/** mr_grant_long_cap() - the most of @share that LONG grants of a limiter of
+ * any version may use. */
 mr_limit_amount_t mr_grant_long_cap(mr_limit_amount_t share);
 
+/** mr_grant_long_limit() - the most of @share that new LONG grants use; less
+ * than mr_grant_long_cap(). */
+mr_limit_amount_t mr_grant_long_limit(mr_limit_amount_t share);
+
 /** mr_grant_book_demand() - recent demand of all instances. */
 int64_t mr_grant_book_demand(const mr_grant_book_t *book, mr_ms_t now);
 
--- a/lib/limit/limit.c
+++ b/lib/limit/limit.c
@@ -24,14 +24,33 @@
     REMOTE_AFTER_MS = 6,
     REMOTE_TIMEOUT_MS = 20,
     REMOTE_TOKENS_MAX = 32,
+    REMOTE_PARALLEL = 3, /* data centres asked at the same time */
+    /* Until the same data centre is asked again for the same account. */
+    REMOTE_AGAIN_MS = 10,
     /* Tokens for the requests of this time are asked for together, since an
      * instance can hold few grants of tokens. */
-    REMOTE_AHEAD_MS = 200,
+    REMOTE_AHEAD_MS = 100,
 };
 
-typedef struct account {
+typedef struct account account_t;
+
+/* Tokens of one other data centre for one account; see ask_remote(). Ids of
+ * grants are unique only within a data centre, so each has its own hold. */
+typedef struct remote {
+    mr_list_t link;
+    account_t *account;
+    char *data_centre;
+    char *key; /* of its limiter */
+    mr_grant_hold_t hold;
+    mr_peer_call_t *call;
+    mr_ms_t sent;
+    mr_ms_t refused; /* its last refusal was asked for then */
+} remote_t;
+
+struct account {
     mr_list_t link;
     mr_limit_t *limit;
+    struct event *kick; /* asks for a request that was just held */
     char *name;
     mr_limit_local_t local;
     mr_list_t waits; /* by arrival */
@@ -39,17 +58,10 @@
     mr_list_t asks;
     int64_t admitted;
     int64_t refused;
-    bool configured; /* in the configuration in force */
-    /* Tokens from other data centres; see ask_remote(). */
-    mr_grant_hold_t remote;
-    mr_peer_call_t *remote_call;
-    char *remote_key; /* of the limiter that was asked */
-    mr_ms_t remote_sent;
-    size_t remote_next;           /* data centre to ask next */
-    size_t remote_refusals;       /* data centres in a row that had no token */
-    mr_ms_t remote_refused_since; /* when the first of them was asked */
+    bool configured;     /* in the configuration in force */
+    mr_list_t remotes;   /* in the order in which they are asked */
     mr_ms_t own_refused; /* the own limiter's last refusal was asked then */
-} account_t;
+};
 
 /* An ask that waits for its reply. */
 typedef struct ask {
@@ -149,6 +161,19 @@
     fn(ctx, error);
 }
 
+static bool
+admit_remote(account_t *account, mr_ms_t now)
+{
+    MR_LIST_FOREACH(it, &account->remotes)
+    {
+        if (mr_grant_hold_admit(&MR_LIST_ENTRY(it, remote_t, link)->hold,
+                                now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Admit held requests in order; refuse those that arrived up to @refuse_to,
  * and those that were held as long as allowed. */
 static void
@@ -159,7 +184,7 @@
             MR_LIST_ENTRY(account->waits.next, mr_limit_wait_t, link);
         mr_ms_t now = now_of(account->limit);
         if (mr_grant_hold_admit(&account->local.hold, now)
-            || mr_grant_hold_admit(&account->remote, now)) {
+            || admit_remote(account, now)) {
             end_wait(wait, MR_OK);
         }
         else if (wait->since <= refuse_to) {
@@ -193,157 +218,266 @@
                : config->data_centre_count - 1;
 }
 
-/* Requests that arrived before this are refused: since then the own limiter
+/* Requests that arrived up to then are refused: since then the own limiter
  * and those of all other data centres have said that they have no token. */
 static mr_ms_t
 refused_until(const account_t *account)
 {
-    if (account->remote_refusals < other_data_centres(account->limit)) {
-        return INT64_MIN;
+    mr_ms_t until = account->own_refused;
+    size_t count = 0;
+
+    MR_LIST_FOREACH(it, &account->remotes)
+    {
+        const remote_t *remote = MR_LIST_ENTRY(it, remote_t, link);
+        until = remote->refused < until ? remote->refused : until;
+        count++;
     }
-    return account->own_refused < account->remote_refused_since
-               ? account->own_refused
-               : account->remote_refused_since;
+    return count < other_data_centres(account->limit) ? INT64_MIN : until;
 }
 
 static void
-note_remote_refusal(account_t *account)
+send_return_to(account_t *account, const char *owner, int64_t id)
 {
-    if (account->remote_refusals++ == 0) {
-        account->remote_refused_since = account->remote_sent;
+    mr_limit_t *limit = account->limit;
+    const mr_member_t *member = mr_members_find(limit->options.members, owner);
+
+    if (member != NULL) {
+        mr_msg_t msg = {.type = MR_MSG_GRANT_RETURN};
+        msg.u.grant_return = (mr_msg_grant_return_t){
+            .account = account->name, .id = id, .process = limit->process};
+        mr_peer_send(limit->options.peer, member->address, &msg);
     }
-    if (account->remote_refusals >= other_data_centres(account->limit)) {
-        serve_waits(account, refused_until(account));
-        /* The next round starts with the next ask. */
-        account->remote_refusals = 0;
+}
+
+/* A limiter counts tokens as a part of its share until they are returned. */
+static void
+return_remote(remote_t *remote, int64_t id)
+{
+    account_t *account = remote->account;
+    const char *owner =
+        g_hash_table_lookup(account->limit->remote_owners, remote->key);
+
+    if (owner != NULL) {
+        send_return_to(account, owner, id);
     }
 }
 
 static void
-on_remote_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *reply)
+return_spent_remote(account_t *account, mr_ms_t now)
 {
-    account_t *account = ctx;
-    mr_limit_t *limit = account->limit;
-    mr_ms_t now = now_of(limit);
+    int64_t id;
 
-    account->remote_call = NULL;
-    if (error != MR_OK) {
-        mr_counter_add(limit->ask_failures, 1);
-        g_hash_table_remove(limit->remote_owners, account->remote_key);
-        note_remote_refusal(account);
-        return;
+    MR_LIST_FOREACH(it, &account->remotes)
+    {
+        remote_t *remote = MR_LIST_ENTRY(it, remote_t, link);
+        while ((id = mr_grant_hold_spent(&remote->hold, now)) != 0) {
+            return_remote(remote, id);
+        }
     }
-    const mr_msg_grant_reply_t *grant = &reply->u.grant_reply;
-    if (grant->owner[0] != '\0') {
-        g_hash_table_replace(limit->remote_owners,
-                             mr_strdup(account->remote_key),
-                             mr_strdup(grant->owner));
+}
+
+static void ask_remote(account_t *account, bool at_once);
+
+static void
+take_remote_reply(remote_t *remote, const mr_msg_grant_reply_t *reply)
+{
+    account_t *account = remote->account;
+    GHashTable *owners = account->limit->remote_owners;
+    mr_ms_t now = now_of(account->limit);
+
+    if (reply->owner[0] != '\0') {
+        g_hash_table_replace(owners, mr_strdup(remote->key),
+                             mr_strdup(reply->owner));
     }
-    while (mr_grant_hold_spent(&account->remote, now) != 0) {
-        /* Spent ones make room; they lapse at their limiter by themselves. */
+    else if (reply->grant_count == 0) {
+        g_hash_table_remove(owners, remote->key);
     }
-    for (size_t i = 0; i < grant->grant_count; i++) {
-        if (grant->grants[i].kind == MR_GRANT_TOKENS) {
-            mr_grant_hold_accept(&account->remote, &grant->grants[i],
-                                 account->remote_sent, now);
+    for (size_t i = 0; i < reply->grant_count; i++) {
+        if (reply->grants[i].kind == MR_GRANT_TOKENS) {
+            mr_grant_hold_accept(&remote->hold, &reply->grants[i],
+                                 remote->sent, now);
         }
     }
-    if (grant->grant_count == 0) {
-        /* Only a limiter that holds its lease can say that none is left. */
-        if (grant->error == MR_ERR_RATE_LIMITED) {
-            note_remote_refusal(account);
-        }
-        else if (grant->owner[0] == '\0') {
-            g_hash_table_remove(limit->remote_owners, account->remote_key);
-        }
-        return;
+    if (reply->grant_count == 0 && reply->error == MR_ERR_RATE_LIMITED) {
+        remote->refused = remote->sent;
+    }
+}
+
+static void
+on_remote_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *reply)
+{
+    remote_t *remote = ctx;
+    account_t *account = remote->account;
+    mr_limit_t *limit = account->limit;
+
+    remote->call = NULL;
+    return_spent_remote(account, now_of(limit));
+    if (error == MR_OK && reply->type == MR_MSG_GRANT_REPLY) {
+        take_remote_reply(remote, &reply->u.grant_reply);
+    }
+    else {
+        mr_counter_add(limit->ask_failures, 1);
+        g_hash_table_remove(limit->remote_owners, remote->key);
     }
-    account->remote_refusals = 0;
-    serve_waits(account, INT64_MIN);
+    serve_waits(account, refused_until(account));
+    ask_remote(account, true);
 }
 
-/* The other data centre whose turn it is; NULL when there is none. */
-static const char *
-next_data_centre(account_t *account)
+static void
+destroy_remote(remote_t *remote)
 {
-    const mr_config_t *config = config_of(account->limit);
+    if (remote->call != NULL) {
+        mr_peer_cancel(remote->call);
+    }
+    mr_list_remove(&remote->link);
+    free(remote->data_centre);
+    free(remote->key);
+    free(remote);
+}
+
+/* Bring the list in line with the data centres of the configuration. */
+static void
+sync_remotes(account_t *account)
+{
+    mr_limit_t *limit = account->limit;
+    const mr_config_t *config = config_of(limit);
     size_t count = config == NULL ? 0 : config->data_centre_count;
+    char key[160];
 
+    MR_LIST_FOREACH(it, &account->remotes)
+    {
+        remote_t *remote = MR_LIST_ENTRY(it, remote_t, link);
+        bool known = false;
+        for (size_t i = 0; i < count; i++) {
+            known =
+                known
+                || strcmp(config->data_centres[i].name, remote->data_centre)
+                       == 0;
+        }
+        if (!known) {
+            destroy_remote(remote);
+        }
+    }
     for (size_t i = 0; i < count; i++) {
-        const char *name =
-            config->data_centres[account->remote_next++ % count].name;
-        if (strcmp(name, account->limit->data_centre) != 0) {
-            return name;
+        const char *name = config->data_centres[i].name;
+        bool found = strcmp(name, limit->data_centre) == 0;
+        MR_LIST_FOREACH(it, &account->remotes)
+        {
+            remote_t *remote = MR_LIST_ENTRY(it, remote_t, link);
+            found = found || strcmp(name, remote->data_centre) == 0;
+        }
+        if (!found) {
+            remote_t *remote = MR_NEW(remote_t);
+            mr_limiter_key(name, mr_limiter_shard(account->name), key,
+                           sizeof(key));
+            remote->account = account;
+            remote->data_centre = mr_strdup(name);
+            remote->key = mr_strdup(key);
+            remote->sent = INT64_MIN / 2;
+            remote->refused = INT64_MIN;
+            mr_list_append(&account->remotes, &remote->link);
         }
     }
-    return NULL;
 }
 
 static const mr_member_t *
-remote_limiter(account_t *account, const char *data_centre)
+remote_limiter(const remote_t *remote)
 {
-    mr_limit_t *limit = account->limit;
+    const mr_limit_t *limit = remote->account->limit;
     const mr_member_t *member = NULL;
-    char key[160];
+    const char *owner = g_hash_table_lookup(limit->remote_owners, remote->key);
 
-    mr_limiter_key(data_centre, mr_limiter_shard(account->name), key,
-                   sizeof(key));
-    free(account->remote_key);
-    account->remote_key = mr_strdup(key);
-    const char *owner = g_hash_table_lookup(limit->remote_owners, key);
     if (owner != NULL) {
         member = mr_members_find(limit->options.members, owner);
     }
     if (member == NULL) {
-        mr_members_usable(limit->options.members, key, data_centre, &member,
-                          1);
+        mr_members_usable(limit->options.members, remote->key,
+                          remote->data_centre, &member, 1);
     }
     return member;
 }
 
+/* The data centre that was asked least recently, if it may be asked now. */
+static remote_t *
+next_remote(const account_t *account, mr_ms_t now)
+{
+    remote_t *found = NULL;
+
+    MR_LIST_FOREACH(it, &account->remotes)
+    {
+        remote_t *remote = MR_LIST_ENTRY(it, remote_t, link);
+        if (remote->call == NULL && now - remote->sent >= REMOTE_AGAIN_MS
+            && (found == NULL || remote->sent < found->sent)) {
+            found = remote;
+        }
+    }
+    return found;
+}
+
+static void
+send_remote_ask(remote_t *remote, int64_t wanted, mr_ms_t now)
+{
+    account_t *account = remote->account;
+    mr_limit_t *limit = account->limit;
+    mr_msg_t msg = {.type = MR_MSG_GRANT};
+    const mr_member_t *member = remote_limiter(remote);
+
+    remote->sent = now;
+    if (member == NULL) {
+        return;
+    }
+    msg.u.grant = (mr_msg_grant_t){
+        .account = account->name,
+        .wanted = wanted < REMOTE_TOKENS_MAX ? wanted : REMOTE_TOKENS_MAX,
+        .process = limit->process,
+        .tokens_only = true,
+    };
+    mr_counter_add(limit->remote_asks, 1);
+    remote->call = mr_peer_call(limit->options.peer, member->address, &msg,
+                                REMOTE_TIMEOUT_MS, on_remote_reply, remote);
+}
+
 /*
  * Demand that moves from one data centre to another meets a share that is
  * still elsewhere, and moving a share takes writes to the store. Until then
- * the limiter of another data centre can spare tokens of its own share.
+ * the limiters of other data centres can spare tokens of their own shares.
+ * @at_once: the own limiter has answered without a token, or failed
  */
 static void
-ask_remote(account_t *account, mr_ms_t now)
+ask_remote(account_t *account, bool at_once)
 {
-    mr_limit_t *limit = account->limit;
-    mr_msg_t msg = {.type = MR_MSG_GRANT};
+    mr_ms_t now = now_of(account->limit);
+    size_t busy = 0;
+    remote_t *remote;
 
-    if (mr_list_empty(&account->waits) || account->remote_call != NULL) {
+    if (mr_list_empty(&account->waits)) {
         return;
     }
     mr_limit_wait_t *oldest =
         MR_LIST_ENTRY(account->waits.next, mr_limit_wait_t, link);
-    if (now - oldest->since < REMOTE_AFTER_MS
+    if (!at_once && now - oldest->since < REMOTE_AFTER_MS
         && account->own_refused < oldest->since) {
         return;
     }
-    const char *data_centre = next_data_centre(account);
-    if (data_centre == NULL) {
-        return;
+    if (mr_list_empty(&account->remotes)) {
+        sync_remotes(account);
     }
-    account->remote_sent = now;
-    const mr_member_t *member = remote_limiter(account, data_centre);
-    if (member == NULL) {
-        note_remote_refusal(account);
-        return;
+    MR_LIST_FOREACH(it, &account->remotes)
+    {
+        busy += MR_LIST_ENTRY(it, remote_t, link)->call != NULL;
     }
     int64_t wanted =
         (int64_t)account->wait_count
         + account->local.demand * REMOTE_AHEAD_MS / (1000 * MR_TOKEN_MILLI);
-    msg.u.grant = (mr_msg_grant_t){
-        .account = account->name,
-        .wanted = wanted < REMOTE_TOKENS_MAX ? wanted : REMOTE_TOKENS_MAX,
-        .process = limit->process,
-        .tokens_only = true,
-    };
-    mr_counter_add(limit->remote_asks, 1);
-    account->remote_call =
-        mr_peer_call(limit->options.peer, member->address, &msg,
-                     REMOTE_TIMEOUT_MS, on_remote_reply, account);
+    /* Each is asked for a part: tokens that lapse unused are lost to all. */
+    int64_t part = (wanted + REMOTE_PARALLEL - 1) / REMOTE_PARALLEL;
+    int64_t asked = (int64_t)busy * part;
+    while (busy < REMOTE_PARALLEL && asked < wanted
+           && (remote = next_remote(account, now)) != NULL) {
+        send_remote_ask(remote, part, now);
+        busy += remote->call != NULL;
+        asked += remote->call != NULL ? part : 0;
+    }
 }
 
 /* Asks. */
@@ -377,6 +511,34 @@
     route->next = (route->next + 1) % count;
 }
 
+static void
+send_return(account_t *account, int64_t id)
+{
+    mr_limit_t *limit = account->limit;
+    const char *owner = limit->routes[mr_limiter_shard(account->name)].owner;
+
+    if (owner == NULL) {
+        return;
+    }
+    if (strcmp(owner, limit->name) == 0) {
+        mr_limiter_return(limit->limiter, account->name, limit->name,
+                          limit->process, id);
+        return;
+    }
+    send_return_to(account, owner, id);
+}
+
+static void
+return_spent(account_t *account, mr_ms_t now)
+{
+    int64_t id;
+
+    while ((id = mr_grant_hold_spent(&account->local.hold, now)) != 0) {
+        send_return(account, id);
+    }
+    return_spent_remote(account, now);
+}
+
 static void
 take_reply(account_t *account, const mr_msg_grant_reply_t *reply, mr_ms_t sent)
 {
@@ -390,15 +552,16 @@
     else {
         set_owner(&limit->routes[shard], reply->owner);
     }
+    return_spent(account, now_of(limit));
     mr_limit_local_reply(&account->local, reply ? reply->grants : NULL,
                          reply ? reply->grant_count : 0, sent, now_of(limit));
     if (reply != NULL && reply->error == MR_ERR_RATE_LIMITED) {
         account->own_refused = sent;
         /* Without other data centres its word is the last one. */
-        refuse_to = other_data_centres(limit) == 0 ? sent : INT64_MIN;
-        ask_remote(account, now_of(limit));
+        refuse_to = refused_until(account);
     }
     serve_waits(account, refuse_to);
+    ask_remote(account, true);
 }
 
 static void
@@ -461,41 +624,14 @@
                               ASK_TIMEOUT_MS, on_reply, call);
 }
 
-static void
-send_return(account_t *account, int64_t id)
-{
-    mr_limit_t *limit = account->limit;
-    const char *owner = limit->routes[mr_limiter_shard(account->name)].owner;
-    const mr_member_t *member;
-
-    if (owner == NULL) {
-        return;
-    }
-    if (strcmp(owner, limit->name) == 0) {
-        mr_limiter_return(limit->limiter, account->name, limit->name,
-                          limit->process, id);
-        return;
-    }
-    member = mr_members_find(limit->options.members, owner);
-    if (member != NULL) {
-        mr_msg_t msg = {.type = MR_MSG_GRANT_RETURN};
-        msg.u.grant_return = (mr_msg_grant_return_t){
-            .account = account->name, .id = id, .process = limit->process};
-        mr_peer_send(limit->options.peer, member->address, &msg);
-    }
-}
-
 static void
 run_account(account_t *account)
 {
     mr_limit_t *limit = account->limit;
     mr_ms_t now = now_of(limit);
     mr_grant_ask_t ask = {.instance = limit->name, .process = limit->process};
-    int64_t id;
 
-    while ((id = mr_grant_hold_spent(&account->local.hold, now)) != 0) {
-        send_return(account, id);
-    }
+    return_spent(account, now);
     if (mr_limit_local_ask(&account->local, account->wait_count, now, &ask)) {
         send_ask(account, &ask, now);
     }
@@ -513,11 +649,22 @@
         account_t *account = MR_LIST_ENTRY(it, account_t, link);
         serve_waits(account, INT64_MIN);
         run_account(account);
-        ask_remote(account, now_of(limit));
+        ask_remote(account, false);
     }
     set_tick(limit);
 }
 
+static void
+on_kick(evutil_socket_t fd, short events, void *arg)
+{
+    account_t *account = arg;
+
+    (void)fd;
+    (void)events;
+    run_account(account);
+    ask_remote(account, false);
+}
+
 /* Accounts. */
 
 static account_t *
@@ -536,6 +683,8 @@
     account->name = mr_strdup(config->name);
     mr_list_init(&account->waits);
     mr_list_init(&account->asks);
+    mr_list_init(&account->remotes);
+    account->kick = event_new(limit->options.base, -1, 0, on_kick, account);
     mr_limit_local_init(&account->local, now);
     mr_limit_local_configure(&account->local, amount, now);
     mr_list_append(&limit->accounts, &account->link);
@@ -557,16 +706,26 @@
         mr_peer_cancel(ask->call);
         free(ask);
     }
-    if (account->remote_call != NULL) {
-        mr_peer_cancel(account->remote_call);
+    while (!mr_list_empty(&account->remotes)) {
+        destroy_remote(MR_LIST_ENTRY(account->remotes.next, remote_t, link));
     }
-    free(account->remote_key);
+    event_free(account->kick);
     g_hash_table_remove(account->limit->by_name, account->name);
     mr_list_remove(&account->link);
     free(account->name);
     free(account);
 }
 
+static void
+scale_remotes(account_t *account, mr_limit_amount_t to, mr_ms_t now)
+{
+    MR_LIST_FOREACH(it, &account->remotes)
+    {
+        mr_grant_hold_scale(&MR_LIST_ENTRY(it, remote_t, link)->hold,
+                            account->local.limit, to, now);
+    }
+}
+
 static void
 on_config(void *ctx, mr_config_t *config)
 {
@@ -588,10 +747,12 @@
         account = get_account(limit, source);
         account->configured = true;
         if (account->local.limit.rate > 0 && account->local.limit.burst > 0) {
-            mr_grant_hold_scale(&account->remote, account->local.limit, amount,
-                                now);
+            scale_remotes(account, amount, now);
         }
         mr_limit_local_configure(&account->local, amount, now);
+        if (!mr_list_empty(&account->remotes)) {
+            sync_remotes(account);
+        }
     }
     MR_LIST_FOREACH(it, &limit->accounts)
     {
@@ -612,7 +773,8 @@
     account_t *own = get_account(limit, account);
     mr_limit_wait_t *wait;
 
-    if (mr_limit_local_arrive(&own->local, now_of(limit))) {
+    if (mr_limit_local_arrive(&own->local, now_of(limit))
+        || (mr_list_empty(&own->waits) && admit_remote(own, now_of(limit)))) {
         own->admitted++;
         mr_counter_add(limit->admitted, 1);
         run_account(own);
@@ -628,6 +790,7 @@
     limit->held_now++;
     mr_counter_add(limit->held, 1);
     set_tick(limit);
+    event_active(own->kick, EV_TIMEOUT, 0);
     return wait;
 }
 
@@ -715,6 +878,13 @@
         while ((id = mr_grant_hold_drop(&account->local.hold, now)) != 0) {
             send_return(account, id);
         }
+        MR_LIST_FOREACH(at, &account->remotes)
+        {
+            remote_t *remote = MR_LIST_ENTRY(at, remote_t, link);
+            while ((id = mr_grant_hold_drop(&remote->hold, now)) != 0) {
+                return_remote(remote, id);
+            }
+        }
     }
     mr_limiter_drain(limit->limiter);
 }
--- a/lib/limit/limiter_account.c
+++ b/lib/limit/limiter_account.c
@@ -86,6 +86,8 @@
          * they lapse; the rest of the fleet may have some to spare. */
         account->input.demand = demand + (stuck < demand ? stuck : demand);
         account->input.least = mr_grant_book_least_share(account->book, now);
+        account->input.longs = mr_grant_book_longs(account->book, now);
+        account->input.epoch = account->epoch;
     }
     mr_share_action_t action =
         mr_share_plan(account->share, &account->input, now, out);
--- a/lib/limit/share.c
+++ b/lib/limit/share.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "common/mem.h"
+#include "limit/grant.h"
 
 enum {
     RENEW_MS = MR_SHARE_LEASE_MS / 5,
@@ -321,8 +322,6 @@
     if (sum.burst <= out->limit.burst) {
         out->prior.burst = out->limit.burst;
     }
-    own->granted = share->stop_granted;
-    own->granted_epoch = share->stop_epoch;
     own->renewal = share->row.revision;
     own->lease = MR_SHARE_LEASE_MS;
     share->force = amount_least(share->force, own->amount);
@@ -331,6 +330,28 @@
     share->busy = true;
 }
 
+/* Note in the own entry how much LONG grants can use until its next write. New
+ * ones stay within mr_grant_long_limit() of the part in force, which is at
+ * most the entry's amount; what is in force already may be more. */
+static void
+note_granted(const mr_share_t *share, const mr_share_input_t *input,
+             mr_share_entry_t *own)
+{
+    mr_limit_amount_t limit = mr_grant_long_limit(own->amount);
+
+    own->granted = (mr_limit_amount_t){0};
+    own->granted_epoch = 0;
+    if (share->stop_epoch != 0) {
+        own->granted = share->stop_granted;
+        own->granted_epoch = share->stop_epoch;
+    }
+    else if (share->ours && input->epoch != 0) {
+        own->granted.rate = most(limit.rate, input->longs.rate);
+        own->granted.burst = most(limit.burst, input->longs.burst);
+        own->granted_epoch = input->epoch;
+    }
+}
+
 /* Whether a raise, a lowering or new demand is worth a write. */
 static bool
 worth_writing(mr_share_t *share, const mr_share_entry_t *old,
@@ -393,6 +414,7 @@
         /* The predecessor's entry is renewed as it is, so that its amount
          * bounds the predecessor's grants. */
         share->sent_first = old;
+        note_granted(share, input, own);
         send_write(share, own, now, out);
         return MR_SHARE_WRITE;
     }
@@ -402,7 +424,12 @@
     own->amount.burst =
         next_part(old.amount.burst, target.burst, input->least.burst,
                   out->limit.burst - (sum.burst - old.amount.burst), lower);
-    if (!share->ours || share->open || stamp
+    note_granted(share, input, own);
+    bool noted = old.granted_epoch == own->granted_epoch
+                 && (share->stop_epoch == 0
+                     || (old.granted.rate == own->granted.rate
+                         && old.granted.burst == own->granted.burst));
+    if (!share->ours || share->open || stamp || !noted
         || now - share->renewed >= RENEW_MS
         || worth_writing(share, &old, own, target, out->limit, now)) {
         share->sent_first = old;
@@ -466,10 +493,11 @@
         share->ours = true;
         share->first = share->sent_first;
     }
-    share->stopped =
-        share->stop_epoch != 0
-        && find_entry(&share->row, share->data_centre)->granted_epoch
-               == share->stop_epoch;
+    const mr_share_entry_t *own = find_entry(&share->row, share->data_centre);
+    share->stopped = share->stop_epoch != 0
+                     && own->granted_epoch == share->stop_epoch
+                     && own->granted.rate == share->stop_granted.rate
+                     && own->granted.burst == share->stop_granted.burst;
     share->renewed = sent;
     share->expiry = sent + MR_SHARE_LEASE_MS;
 }
--- a/lib/limit/share.h
+++ b/lib/limit/share.h
@@ -32,8 +32,8 @@
     int64_t demand;  /* thousandths of a request per second */
     int64_t renewal; /* revision that the last write of the entry expected */
     mr_ms_t lease;
-    /* Set by a limiter that stopped in order: the LONG grants that may still
-     * be in force, and the epoch of its lease. */
+    /* The most that may be in force of LONG grants until the entry is written
+     * again, and the epoch of the limiter's lease; epoch 0: not known. */
     mr_limit_amount_t granted;
     int64_t granted_epoch;
 } mr_share_entry_t;
@@ -62,6 +62,8 @@
     mr_limit_amount_t limit;
     int64_t demand;          /* recent demand in this data centre */
     mr_limit_amount_t least; /* covers all grants that may be in force */
+    int64_t epoch;           /* of the lease; 0: @longs is not known */
+    mr_limit_amount_t longs; /* LONG grants that may be in force */
 } mr_share_input_t;
 
 /** What to do next. */
--- a/tests/unit/test_limit_model.c
+++ b/tests/unit/test_limit_model.c
@@ -24,6 +24,7 @@
 heal(world_t *w)
 {
     w->store_down = false;
+    w->apart = false;
     w->lose = 0.001;
     w->slow = 0.0005;
     for (int i = 0; i < NODES; i++) {
@@ -131,6 +132,9 @@
         w->lose = uniform(w) * 0.3;
         w->slow = uniform(w) * 0.1;
     }
+    else if (pick < 0.79) {
+        w->apart = true;
+    }
     else {
         shift_load(w, 0.5 + uniform(w) * 2.5);
     }
@@ -146,6 +150,9 @@
         disturb(w);
     }
     report(w, "chaos", w->now);
+    /* Tokens of other data centres were in use, so that the check covers
+     * them. */
+    ck_assert_int_gt(w->remote_tokens, 1000);
     ck_assert_int_eq(w->violations, 0);
     destroy_world(w);
 }
--- a/tests/unit/test_share.c
+++ b/tests/unit/test_share.c
@@ -232,6 +232,38 @@
 }
 END_TEST
 
+/* Guards against a successor that counts too little or too much as in force:
+ * the entry tells what LONG grants may use until it is written again. */
+START_TEST(test_entry_notes_what_long_grants_may_use)
+{
+    mr_share_row_t row;
+    mr_share_row_t out;
+    mr_share_t *share = create_full(&row, 1000);
+    mr_share_input_t input = input_of(50000);
+
+    /* The first write says nothing: the predecessor's grants are unknown. */
+    ck_assert_int_eq(row.entries[0].granted_epoch, 0);
+    input.epoch = 7;
+    input.longs = (mr_limit_amount_t){60000, 1000};
+    ck_assert(plan_write(share, &input, &row, 1010, &out));
+    ck_assert_int_eq(out.entries[0].granted_epoch, 7);
+    ck_assert_int_eq(out.entries[0].granted.rate, 60000);
+    ck_assert_int_eq(out.entries[0].granted.burst, limit.burst / 4);
+    mr_share_written(share, MR_SHARE_WRITTEN, 2, 1020);
+    row = out;
+    row.revision = 2;
+    ck_assert(!plan_write(share, &input, &row, 1030, &out));
+    /* A stop writes what is in force, although the epoch is the same. */
+    mr_share_stop(share, 7, (mr_limit_amount_t){500, 200});
+    ck_assert(!mr_share_stopped(share));
+    ck_assert(plan_write(share, &input, &row, 1040, &out));
+    ck_assert_int_eq(out.entries[0].granted.rate, 500);
+    mr_share_written(share, MR_SHARE_WRITTEN, 3, 1050);
+    ck_assert(mr_share_stopped(share));
+    mr_share_destroy(share);
+}
+END_TEST
+
 START_TEST(test_row_json)
 {
     mr_share_row_t row = {.revision = 3, .version = 9, .limit = limit};
@@ -263,6 +295,7 @@
     tcase_add_test(tcase, test_lapsed_entry_is_reused_only_then);
     tcase_add_test(tcase, test_lowered_limit);
     tcase_add_test(tcase, test_lowered_limit_while_another_is_cut_off);
+    tcase_add_test(tcase, test_entry_notes_what_long_grants_may_use);
     tcase_add_test(tcase, test_row_json);
     suite_add_tcase(suite, tcase);
     SRunner *runner = srunner_create(suite);
