--- a/tests/unit/test_limit_model.c
+++ b/tests/unit/test_limit_model.c
@@ -25,6 +25,7 @@
 heal(world_t *w)
 {
     w->store_down = false;
+    w->apart = false;
     w->lose = 0.001;
     w->slow = 0.0005;
     for (int i = 0; i < NODES; i++) {
@@ -32,6 +33,26 @@
     }
 }
 
+/* All demand moves to one other instance every 2 s. */
+START_TEST(test_jumping)
+{
+    world_t *w = create_world(5, 300, 150);
+
+    run(w, 10000, 0.6, 10000);
+    reset(w);
+    for (int turn = 0; turn < 30; turn++) {
+        for (int i = 0; i < NODES; i++) {
+            w->nodes[i].load =
+                i == turn * 7 % NODES ? 0.8 * (double)w->limit.rate / 1e6 : 0;
+        }
+        run(w, 2000, 0, 1);
+    }
+    ck_assert(report(w, "jumping", 60000) < 1);
+    ck_assert_int_eq(w->violations, 0);
+    destroy_world(w);
+}
+END_TEST
+
 START_TEST(test_limiter_dies)
 {
     world_t *w = create_world(2, 300, 150);
@@ -132,6 +153,9 @@
         w->lose = uniform(w) * 0.3;
         w->slow = uniform(w) * 0.1;
     }
+    else if (pick < 0.79) {
+        w->apart = true;
+    }
     else {
         shift_load(w, 0.5 + uniform(w) * 2.5);
     }
@@ -147,6 +171,9 @@
         disturb(w);
     }
     report(w, "chaos", w->now);
+    /* Tokens of other data centres were in use, so that the check covers
+     * them. */
+    ck_assert_int_gt(w->remote_tokens, 1000);
     ck_assert_int_eq(w->violations, 0);
     destroy_world(w);
 }
@@ -155,7 +182,7 @@
 int
 main(void)
 {
-    const TTest *const tests[] = {test_calm, test_limiter_dies,
+    const TTest *const tests[] = {test_calm, test_jumping, test_limiter_dies,
                                   test_rolling_restart, test_store_outage};
 
     return RUN_TESTS(tests, .suite = "limit_model", .timeout_s = 120,
