--- a/bench/fleet_bench.h
+++ b/bench/fleet_bench.h
@@ -8,6 +8,7 @@
 enum {
     FLEET_ACCOUNTS = 8,
     FLEET_LARGE_ACCOUNTS = 2,
+    FLEET_TARGETS_MAX = 16,
     FLEET_SEED = 20240901,
     FLEET_WARM_UP_MS = 2000,
 };
@@ -42,6 +43,13 @@
 void fleet_print_counter(const fleet_bench_t *bench, const char *what,
                          const char *counter);
 
+/** fleet_counter_sum() - sum over the daemons' admin listeners; a daemon that
+ * does not answer counts as 0. */
+int64_t fleet_counter_sum(const fleet_bench_t *bench, const char *counter);
+
+/** fleet_find_shards() - a shard of each group of the fleet. */
+void fleet_find_shards(harness_t *h, char (*shards)[HARNESS_NAME_BYTES]);
+
 /** fleet_share() - percent, 100 when @whole is 0. */
 double fleet_share(int64_t part, int64_t whole);
 
@@ -62,8 +70,10 @@
 
 fleet_part_fn_t fleet_part_reads;
 fleet_part_fn_t fleet_part_failover;
+fleet_part_fn_t fleet_part_observer_link;
 fleet_part_fn_t fleet_part_worst_account;
 fleet_part_fn_t fleet_part_refusals;
 fleet_part_fn_t fleet_part_cost;
+fleet_part_fn_t fleet_part_pool;
 
 #endif
--- /dev/null
+++ b/bench/fleet_links.c
@@ -0,0 +1,141 @@
+/* Failovers that nobody needed: the link from one observer of a group to its
+ * primary is cut or slow, while the primary serves and every other link works.
+ */
+
+#include <check.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "fleet_bench.h"
+
+enum {
+    FAULT_MS = 2000,
+    SETTLE_MS = 1500,
+    STREAM_RATE = 60,
+};
+
+/* Above the time that an observer waits for the answer to a probe. */
+static const char slow_link[] = "{\"delay_to_caller_ms\":400}";
+static const char cut_link[] = "{\"cut\":\"both\"}";
+
+typedef struct watch {
+    size_t stream;
+    double last_at;  /* acknowledged write, or the begin of the fault */
+    double longest;  /* ms without an acknowledged write */
+    bool is_counted; /* false between the faults */
+} watch_t;
+
+typedef struct run {
+    fleet_bench_t *bench;
+    watch_t watch;
+    int faults;
+} run_t;
+
+static void
+on_ack(void *ctx, size_t stream, const char *target, double at)
+{
+    watch_t *watch = ctx;
+
+    (void)target;
+    if (watch->is_counted && stream == watch->stream) {
+        watch->longest = fmax(watch->longest, at - watch->last_at);
+        watch->last_at = at;
+    }
+}
+
+static void
+fault_link(run_t *run, const char *from, const harness_target_t *primary,
+           const char *json)
+{
+    harness_t *h = run->bench->h;
+    char link[4 * HARNESS_NAME_BYTES];
+    char restored[128];
+
+    snprintf(link, sizeof(link), "%s--%s.%s", from, primary->data_centre,
+             primary->process.name);
+    run->watch.stream = (size_t)primary->group;
+    run->watch.last_at = fleet_now();
+    run->watch.is_counted = true;
+    harness_fault(h, link, json);
+    harness_run(h->base, FAULT_MS);
+    run->watch.is_counted = false;
+    run->watch.longest =
+        fmax(run->watch.longest, fleet_now() - run->watch.last_at);
+    snprintf(restored, sizeof(restored),
+             "{\"cut\":\"none\",\"delay_to_target_ms\":%d,"
+             "\"delay_to_caller_ms\":%d}",
+             run->bench->delay_there, run->bench->delay_back);
+    harness_fault(h, link, restored);
+    harness_run(h->base, SETTLE_MS);
+    run->faults++;
+}
+
+/* Each replica's data centre holds one other observer of the group. */
+static void
+fault_links(run_t *run, const char *what, const char *json)
+{
+    harness_t *h = run->bench->h;
+    char name[HARNESS_NAME_BYTES];
+    int64_t before =
+        fleet_counter_sum(run->bench, "masticrelay_promotions_total");
+
+    run->watch.longest = 0;
+    run->faults = 0;
+    for (size_t i = 0; i < h->target_count; i++) {
+        const harness_target_t *target = &h->targets[i];
+        const harness_target_t *primary = harness_primary(h, target->group);
+        if (primary != NULL && primary != target) {
+            fault_link(run, target->data_centre, primary, json);
+        }
+    }
+    snprintf(name, sizeof(name), "unneeded_failovers_%s", what);
+    fleet_print(
+        run->bench, name,
+        (double)(fleet_counter_sum(run->bench, "masticrelay_promotions_total")
+                 - before),
+        "failovers");
+    snprintf(name, sizeof(name), "observer_link_faults_%s", what);
+    fleet_print(run->bench, name, run->faults, "faults");
+    snprintf(name, sizeof(name), "observer_link_gap_max_%s", what);
+    fleet_print(run->bench, name, run->watch.longest, "ms");
+    fleet_print_counter(run->bench, what,
+                        "masticrelay_promotions_vetoed_total");
+}
+
+void
+fleet_part_observer_link(fleet_bench_t *bench)
+{
+    fleet_stream_options_t streams[FLEET_ACCOUNTS];
+    char shards[FLEET_ACCOUNTS][HARNESS_NAME_BYTES] = {""};
+    run_t run = {.bench = bench};
+    int64_t unknown = 0;
+    int64_t refused = 0;
+
+    fleet_up(bench);
+    harness_t *h = bench->h;
+    size_t groups = (size_t)h->options.groups;
+    fleet_find_shards(h, shards);
+    for (size_t g = 0; g < groups; g++) {
+        streams[g] = (fleet_stream_options_t){.account = (int)g,
+                                              .rate = STREAM_RATE,
+                                              .write_share = 1,
+                                              .shard = shards[g]};
+    }
+    fleet_load_t *load = fleet_load_start(h, streams, groups, FLEET_SEED);
+    fleet_load_on_ack(load, on_ack, &run.watch);
+    harness_run(h->base, FLEET_WARM_UP_MS);
+    fleet_load_mark(load);
+    fault_links(&run, "cut", cut_link);
+    fault_links(&run, "slow", slow_link);
+    fleet_load_stop(load);
+    for (size_t g = 0; g < groups; g++) {
+        unknown += fleet_load_stats(load, g)->unknown;
+        refused += fleet_load_stats(load, g)->refused;
+    }
+    fleet_print(bench, "observer_link_unknown", (double)unknown, "writes");
+    fleet_print(bench, "observer_link_refused", (double)refused, "writes");
+    fleet_print_errors("observer_link", load, groups);
+    fleet_load_destroy(load);
+    fleet_down(bench);
+}
