Let probes for waiting writes follow the measured lag

Cause: while a write waited for its acknowledgement, all targets of the group were probed every 2 ms. docs/CAPACITY.md has this as the first miss at the two-year size.

Change: the new module mr_pace_ measures for each replica how long after a write it was seen to hold it. The replicas that are expected to complete the majority first are probed a little before that time, then in steps of an eighth of the lag, which grow to 50 ms while nothing changes. The others follow only when these are late. A confirmation of a present read takes one probe of each target.

The bench's stand-ins, proxy and load read the event library's coarse clock (4 ms); every timer added up to 4 ms. They now use the fine one. Nagle's algorithm and delayed acknowledgement are ruled out: direct statements of 1 ms take 1.4 ms with nothing but the clock changed. The fine clock in the daemons brought no latency and cost processor time, so they keep the coarse one.

Run: test_pace, test_view, test_target, test_pool, test_acknowledged, test_read_your_writes, test_at_most_once, test_leaving: passed.

--- a/bench/bench_fleet.c
+++ b/bench/bench_fleet.c
@@ -77,12 +77,11 @@
     }
 }
 
-void
-fleet_print_counter(const fleet_bench_t *bench, const char *what,
-                    const char *counter)
+int64_t
+fleet_counter(const fleet_bench_t *bench, const char *counter)
 {
     harness_t *h = bench->h;
-    long long sum = 0;
+    int64_t sum = 0;
 
     for (size_t i = 0; i < h->instance_count; i++) {
         char *text = harness_metrics(h, &h->instances[i]);
@@ -96,7 +95,15 @@
         }
         free(text);
     }
-    printf("# %s: %s %lld\n", what, counter, sum);
+    return sum;
+}
+
+void
+fleet_print_counter(const fleet_bench_t *bench, const char *what,
+                    const char *counter)
+{
+    printf("# %s: %s %lld\n", what, counter,
+           (long long)fleet_counter(bench, counter));
 }
 
 void
--- a/bench/capacity_model.awk
+++ b/bench/capacity_model.awk
@@ -83,11 +83,12 @@
     computed("owned_targets_cpu", owned * target_cpu, "ms/s/daemon")
     probe_cpu = target_cpu / (per("groups_idle_probes") * 12)
     computed("probe_cpu", probe_cpu * 1e3, "us")
-    computed("probes_busy", owned * observed * probe_busy_rate, "1/s/daemon")
-    computed("probe_busy_kb",
-        owned * observed * probe_busy_rate * probe_bytes / 1e3, "KB/s/daemon")
-    computed("probe_busy_cpu",
-        owned * observed * probe_busy_rate * probe_cpu, "ms/s/daemon")
+    # Writes wait at the owner of the primary only, one target in three, and
+    # for one replica.
+    probes_busy = probes + owned / observed * (probe_busy_rate - probe_rate)
+    computed("probes_busy", probes_busy, "1/s/daemon")
+    computed("probe_busy_kb", probes_busy * probe_bytes / 1e3, "KB/s/daemon")
+    computed("probe_busy_cpu", probes_busy * probe_cpu, "ms/s/daemon")
     base_cpu = line("groups_idle_cpu", 0)
     computed("base_cpu", base_cpu, "ms/s/daemon")
 
@@ -195,8 +196,7 @@
 
     verdict("control_cpu_idle", control_cpu / 10, 3.4, "%")
     verdict("control_cpu_busy_groups",
-        (control_cpu + owned * observed * (probe_busy_rate - probe_rate) \
-            * probe_cpu) / 10, 3.4, "%")
+        (control_cpu + (probes_busy - probes) * probe_cpu) / 10, 3.4, "%")
     verdict("memory", memory, 256, "MB")
     verdict("control_kb_idle", control_kb, 30, "KB/s")
     verdict("control_kb_idle_without_bodies", control_kb - config_kb, 30,
--- a/bench/fleet_bench.h
+++ b/bench/fleet_bench.h
@@ -37,8 +37,10 @@
 void fleet_print_errors(const char *what, const fleet_load_t *load,
                         size_t count);
 
-/** fleet_print_counter() - sum over the daemons' admin listeners, as a comment
- * line. */
+/** fleet_counter() - sum over the daemons' admin listeners. */
+int64_t fleet_counter(const fleet_bench_t *bench, const char *counter);
+
+/** fleet_print_counter() - the same as a comment line. */
 void fleet_print_counter(const fleet_bench_t *bench, const char *what,
                          const char *counter);
 
--- a/bench/fleet_cost.c
+++ b/bench/fleet_cost.c
@@ -11,6 +11,7 @@
 
 enum { RUN_MS = 8000, IDLE_MS = 4000, STAT_BYTES = 1024, STAT_UTIME = 14 };
 
+static const char *const probe_counter = "masticrelay_probes_total";
 static const double load_fraction = 0.5;
 static const double write_share = 0.1;
 
@@ -24,6 +25,8 @@
     fleet_hist_t *reads;
     fleet_hist_t *writes;
     int64_t ran;
+    int64_t write_count;
+    int64_t probes;
     used_t used;
 } cost_t;
 
@@ -88,11 +91,15 @@
         fleet_load_start(h, streams, FLEET_ACCOUNTS, FLEET_SEED);
     harness_run(h->base, FLEET_WARM_UP_MS);
     fleet_load_mark(load);
+    int64_t probes = fleet_counter(bench, probe_counter);
     used_t before = used_now(h);
     harness_run(h->base, RUN_MS);
     used_t after = used_now(h);
+    cost.probes = fleet_counter(bench, probe_counter) - probes;
     for (size_t i = 0; i < FLEET_ACCOUNTS; i++) {
-        cost.ran += fleet_load_stats(load, i)->ran;
+        const fleet_stats_t *stats = fleet_load_stats(load, i);
+        cost.ran += stats->ran;
+        cost.write_count += stats->ran - stats->reads;
     }
     fleet_load_stop(load);
     for (size_t i = 0; i < FLEET_ACCOUNTS; i++) {
@@ -125,9 +132,11 @@
 {
     fleet_up(bench);
     harness_run(bench->h->base, FLEET_WARM_UP_MS);
+    int64_t idle_probes = fleet_counter(bench, probe_counter);
     used_t before = used_now(bench->h);
     harness_run(bench->h->base, IDLE_MS);
     used_t idle = used_now(bench->h);
+    idle_probes = fleet_counter(bench, probe_counter) - idle_probes;
     cost_t direct = measure(bench, true);
     cost_t relayed = measure(bench, false);
     print_latency(bench, "read", 50, direct.reads, relayed.reads);
@@ -140,6 +149,13 @@
                 "%_of_a_core");
     fleet_print(bench, "cost_daemons_per_statement",
                 relayed.used.daemons / (double)relayed.ran, "ms");
+    fleet_print(bench, "cost_probes_idle",
+                (double)idle_probes * 1000 / IDLE_MS, "1/s");
+    fleet_print(bench, "cost_probes_relayed",
+                (double)relayed.probes * 1000 / RUN_MS, "1/s");
+    fleet_print(bench, "cost_probes_per_write",
+                (double)relayed.probes / (double)relayed.write_count,
+                "probes");
     fleet_print(bench, "cost_targets_per_statement_direct",
                 direct.used.targets / (double)direct.ran, "ms");
     fleet_print(bench, "cost_targets_per_statement_relayed",
--- a/lib/group/observer.c
+++ b/lib/group/observer.c
@@ -7,11 +7,13 @@
 #include "common/list.h"
 #include "common/mem.h"
 #include "group/election.h"
+#include "group/pace.h"
 
 enum {
     PROBE_INTERVAL_MS = 100,
-    /* While a write waits for a replica or a read for a confirmation. */
-    PROBE_INTERVAL_BUSY_MS = 2,
+    /* Beyond twice the time after which the expected replicas should hold a
+     * write, the others are probed too. */
+    WIDEN_MS = 20,
     PROBE_TIMEOUT_MS = 250,
     RETRY_REFUSED_MS = 40,
     TICK_MS = 25,
@@ -26,7 +28,11 @@
     mr_target_conn_t *conn;
     bool in_flight;
     mr_ms_t sent_at;
+    mr_ms_t heard_at; /* when the newest answered statement was sent */
+    mr_ms_t retry_at; /* not before this time */
+    mr_ms_t timer_at; /* when the timer fires */
     uint64_t tick;
+    mr_pace_t pace;
     struct event *timer;
 } probe_t;
 
@@ -47,6 +53,7 @@
 struct mr_observer_wait {
     mr_list_t link;
     mr_observer_condition_t condition;
+    mr_ms_t started;
     uint64_t tick; /* probes must be sent after this one */
     bool met;
     mr_observer_fn_t fn;
@@ -56,37 +63,154 @@
 static void send_probe(probe_t *probe);
 
 static void
-schedule_probe(probe_t *probe, mr_ms_t delay)
+set_timer(probe_t *probe, mr_ms_t at, mr_ms_t now)
 {
-    struct timeval tv = mr_clock_timeval(delay);
+    struct timeval tv = mr_clock_timeval(at - now);
 
+    probe->timer_at = at;
     evtimer_add(probe->timer, &tv);
 }
 
+/** What waits want from one target. */
+typedef struct need {
+    bool exists;
+    mr_ms_t due;     /* when to probe it */
+    mr_ms_t started; /* of the wait that is due first */
+} need_t;
+
+static void
+add_need(need_t *need, const mr_observer_wait_t *wait, mr_ms_t due)
+{
+    if (!need->exists || due < need->due) {
+        need->exists = true;
+        need->due = due;
+        need->started = wait->started;
+    }
+}
+
 static bool
-wait_needs_probe(const mr_observer_wait_t *wait)
+holds_write(const mr_observer_t *observer, size_t index,
+            const mr_observer_condition_t *c)
 {
-    switch (wait->condition.kind) {
+    const mr_view_target_t *target = &observer->view.targets[index];
+
+    return target->known && target->state.last_term == c->term
+           && target->state.position >= c->position;
+}
+
+/* Whether @a is expected to report a write before @b. */
+static bool
+reports_first(const mr_observer_t *observer, size_t a, size_t b, mr_ms_t now)
+{
+    bool a_there = mr_view_reachable(&observer->view, a, now);
+    bool b_there = mr_view_reachable(&observer->view, b, now);
+    double a_cost = mr_pace_cost(&observer->probes[a].pace);
+    double b_cost = mr_pace_cost(&observer->probes[b].pace);
+
+    if (a_there != b_there) {
+        return a_there;
+    }
+    return a_cost < b_cost || (a_cost <= b_cost && a < b);
+}
+
+/*
+ * How long after a write the target is probed for it; -1: not at all. A write
+ * needs the reports of as many replicas as complete the majority. Those that
+ * are expected first are probed, the others only when these are late.
+ */
+static mr_ms_t
+write_delay(const mr_observer_t *observer, const mr_observer_condition_t *c,
+            size_t index, mr_ms_t now)
+{
+    size_t missing = mr_view_majority(&observer->view) - 1;
+    size_t earlier = 0;
+    double late = 0;
+
+    if (index == c->index || holds_write(observer, index, c)) {
+        return -1;
+    }
+    for (size_t i = 0; i < observer->view.count; i++) {
+        if (i == c->index || i == index) {
+            continue;
+        }
+        if (holds_write(observer, i, c)) {
+            if (--missing == 0) {
+                return -1;
+            }
+        }
+        else if (reports_first(observer, i, index, now)) {
+            double cost = mr_pace_cost(&observer->probes[i].pace);
+            earlier++;
+            late = cost > late ? cost : late;
+        }
+    }
+    mr_ms_t first = mr_pace_first(&observer->probes[index].pace);
+    mr_ms_t widened = 2 * (mr_ms_t)late + WIDEN_MS;
+    return earlier >= missing && first < widened ? widened : first;
+}
+
+static void
+add_wait_need(const mr_observer_t *observer, const mr_observer_wait_t *wait,
+              size_t index, mr_ms_t now, need_t *need)
+{
+    const probe_t *probe = &observer->probes[index];
+    const mr_view_target_t *target = &observer->view.targets[index];
+    const mr_observer_condition_t *c = &wait->condition;
+    mr_ms_t next = probe->sent_at + mr_pace_step(&probe->pace);
+    mr_ms_t delay = -1;
+
+    switch (c->kind) {
     case MR_WAIT_ACKNOWLEDGED:
+        delay = write_delay(observer, c, index, now);
+        break;
     case MR_WAIT_CONFIRMED:
+        /* One answer is enough, so there is no interval to keep. */
+        if (target->tick <= wait->tick) {
+            add_need(need, wait, wait->started);
+        }
+        break;
     case MR_WAIT_COVERED:
-        return true;
+        if (c->index == index
+            && !(target->known
+                 && mr_log_state_covers(&target->state, c->term,
+                                        c->position))) {
+            delay = 0;
+        }
+        break;
     case MR_WAIT_PRIMARY:
         break;
     }
-    return false;
+    if (delay >= 0) {
+        mr_ms_t due = wait->started + delay;
+        add_need(need, wait, due > next ? due : next);
+    }
 }
 
-static bool
-is_busy(const mr_observer_t *observer)
+static need_t
+find_need(const mr_observer_t *observer, size_t index, mr_ms_t now)
 {
+    need_t need = {.exists = false};
+
     MR_LIST_FOREACH(it, &observer->waits)
     {
-        if (wait_needs_probe(MR_LIST_ENTRY(it, mr_observer_wait_t, link))) {
-            return true;
-        }
+        add_wait_need(observer, MR_LIST_ENTRY(it, mr_observer_wait_t, link),
+                      index, now, &need);
+    }
+    return need;
+}
+
+/* When the target is to be probed next. */
+static mr_ms_t
+next_probe(const probe_t *probe, const need_t *need)
+{
+    mr_ms_t last =
+        probe->heard_at > probe->sent_at ? probe->heard_at : probe->sent_at;
+    mr_ms_t at = last + PROBE_INTERVAL_MS;
+
+    if (need->exists && need->due < at) {
+        at = need->due;
     }
-    return false;
+    return at > probe->retry_at ? at : probe->retry_at;
 }
 
 /** What became of a wait. */
@@ -175,17 +299,40 @@
     check_waits(ctx);
 }
 
+/* Takes in a probe's answer and how long the replica took to hold a write. */
+static need_t
+take_answer(probe_t *probe, const mr_log_state_t *state, mr_ms_t now)
+{
+    mr_observer_t *observer = probe->observer;
+    const mr_view_target_t *target = &observer->view.targets[probe->index];
+    bool advanced =
+        !target->known || mr_log_state_compare(state, &target->state) > 0;
+
+    mr_view_answer(&observer->view, probe->index, state, probe->sent_at,
+                   probe->tick, now);
+    mr_pace_round_trip(&probe->pace, now - probe->sent_at);
+    mr_pace_report(&probe->pace, state, probe->sent_at);
+    need_t need = find_need(observer, probe->index, now);
+    if (advanced || !need.exists) {
+        mr_pace_advanced(&probe->pace);
+    }
+    else {
+        mr_pace_missed(&probe->pace, probe->sent_at - need.started);
+    }
+    return need;
+}
+
 static void
 on_probe_reply(void *ctx, const mr_target_reply_t *reply)
 {
     probe_t *probe = ctx;
     mr_observer_t *observer = probe->observer;
-    mr_ms_t delay = PROBE_INTERVAL_MS;
+    mr_ms_t now = mr_clock_now(NULL);
+    need_t need = {.exists = false};
 
     probe->in_flight = false;
     if (reply->error == MR_OK && reply->has_state) {
-        mr_view_answer(&observer->view, probe->index, &reply->state,
-                       probe->sent_at, probe->tick, mr_clock_now(NULL));
+        need = take_answer(probe, &reply->state, now);
     }
     else {
         if (reply->error == MR_ERR_UNAVAILABLE) {
@@ -193,12 +340,9 @@
         }
         mr_target_conn_destroy(probe->conn);
         probe->conn = NULL;
-        delay = RETRY_REFUSED_MS;
+        probe->retry_at = now + RETRY_REFUSED_MS;
     }
-    if (probe->conn != NULL && is_busy(observer)) {
-        delay = PROBE_INTERVAL_BUSY_MS;
-    }
-    schedule_probe(probe, delay);
+    set_timer(probe, next_probe(probe, &need), now);
     event_active(observer->check, 0, 0);
 }
 
@@ -208,6 +352,7 @@
     mr_observer_t *observer = probe->observer;
     mr_target_request_t request = {.operation = MR_TARGET_STATUS,
                                    .timeout = PROBE_TIMEOUT_MS};
+    mr_ms_t now = mr_clock_now(NULL);
 
     if (probe->in_flight) {
         return;
@@ -220,14 +365,14 @@
         probe->conn =
             mr_target_conn_create(observer->options.base, probe->address);
         if (probe->conn == NULL) {
-            schedule_probe(probe, PROBE_INTERVAL_MS);
+            set_timer(probe, now + PROBE_INTERVAL_MS, now);
             return;
         }
         mr_target_conn_count(probe->conn, &observer->traffic);
     }
     evtimer_del(probe->timer);
     probe->in_flight = true;
-    probe->sent_at = mr_clock_now(NULL);
+    probe->sent_at = now;
     probe->tick = ++observer->tick;
     mr_counter_add(observer->probe_count, 1);
     mr_target_conn_send(probe->conn, &request, on_probe_reply, probe);
@@ -236,9 +381,20 @@
 static void
 on_probe_timer(evutil_socket_t fd, short what, void *ctx)
 {
+    probe_t *probe = ctx;
+    mr_ms_t now = mr_clock_now(NULL);
+    need_t need = find_need(probe->observer, probe->index, now);
+    mr_ms_t at = next_probe(probe, &need);
+
     (void)fd;
     (void)what;
-    send_probe(ctx);
+    /* Answers to statements may have made the probe needless. */
+    if (at > now) {
+        set_timer(probe, at, now);
+    }
+    else {
+        send_probe(probe);
+    }
 }
 
 static void
@@ -302,7 +458,7 @@
     probe->address = mr_strdup(target->address);
     probe->data_centre = mr_strdup(target->data_centre);
     probe->timer = evtimer_new(observer->options.base, on_probe_timer, probe);
-    schedule_probe(probe, 0);
+    set_timer(probe, 0, 0);
 }
 
 static void
@@ -465,11 +621,13 @@
     if (index >= observer->view.count) {
         return;
     }
+    probe_t *probe = &observer->probes[index];
     mr_view_answer(&observer->view, index, state, sent_at, 0,
                    mr_clock_now(NULL));
+    mr_pace_report(&probe->pace, state, sent_at);
     /* The answer to a statement says all that a probe would. */
-    if (!observer->probes[index].in_flight && !is_busy(observer)) {
-        schedule_probe(&observer->probes[index], PROBE_INTERVAL_MS);
+    if (sent_at > probe->heard_at) {
+        probe->heard_at = sent_at;
     }
     event_active(observer->check, 0, 0);
 }
@@ -482,6 +640,33 @@
     }
 }
 
+/* Brings the next probes forward to when the new wait needs them. */
+static void
+probe_for(mr_observer_t *observer, const mr_observer_wait_t *wait)
+{
+    mr_ms_t now = wait->started;
+
+    for (size_t i = 0; i < observer->view.count; i++) {
+        probe_t *probe = &observer->probes[i];
+        const mr_observer_condition_t *c = &wait->condition;
+        need_t need = {.exists = false};
+        if (c->kind == MR_WAIT_ACKNOWLEDGED && i != c->index) {
+            mr_pace_wrote(&probe->pace, c->term, c->position, now);
+        }
+        add_wait_need(observer, wait, i, now, &need);
+        mr_ms_t at = next_probe(probe, &need);
+        if (!need.exists || probe->in_flight) {
+            continue;
+        }
+        if (at <= now) {
+            send_probe(probe);
+        }
+        else if (at < probe->timer_at) {
+            set_timer(probe, at, now);
+        }
+    }
+}
+
 mr_observer_wait_t *
 mr_observer_wait(mr_observer_t *observer,
                  const mr_observer_condition_t *condition, mr_observer_fn_t fn,
@@ -490,15 +675,12 @@
     mr_observer_wait_t *wait = MR_NEW(mr_observer_wait_t);
 
     wait->condition = *condition;
+    wait->started = mr_clock_now(NULL);
     wait->tick = observer->tick;
     wait->fn = fn;
     wait->ctx = ctx;
     mr_list_append(&observer->waits, &wait->link);
-    if (wait_needs_probe(wait)) {
-        for (size_t i = 0; i < observer->view.count; i++) {
-            send_probe(&observer->probes[i]);
-        }
-    }
+    probe_for(observer, wait);
     event_active(observer->check, 0, 0);
     return wait;
 }
--- a/tests/integration/harness_fleet.c
+++ b/tests/integration/harness_fleet.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "../precise_loop.h"
 #include "common/mem.h"
 #include "config/rows.h"
 #include "harness.h"
@@ -298,7 +299,7 @@
     ck_assert_int_ge(sodium_init(), 0);
     signal(SIGPIPE, SIG_IGN);
     h->options = *options;
-    h->base = event_base_new();
+    h->base = precise_loop_create();
     h->started = mr_clock_now(NULL);
     snprintf(h->folder, sizeof(h->folder), "/tmp/masticrelay-test-XXXXXX");
     ck_assert_ptr_nonnull(mkdtemp(h->folder));
--- a/tests/standins/fault_proxy.c
+++ b/tests/standins/fault_proxy.c
@@ -26,6 +26,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../precise_loop.h"
 #include "common/address.h"
 #include "common/clock.h"
 #include "common/json.h"
@@ -478,7 +479,7 @@
         return EXIT_FAILURE;
     }
     signal(SIGPIPE, SIG_IGN);
-    base = event_base_new();
+    base = precise_loop_create();
     mr_list_init(&links);
     for (gchar **spec = specs; spec != NULL && *spec != NULL; spec++) {
         if (!add_link(*spec)) {
--- a/tests/standins/platform_standin.c
+++ b/tests/standins/platform_standin.c
@@ -17,6 +17,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../precise_loop.h"
 #include "common/address.h"
 #include "common/clock.h"
 #include "common/list.h"
@@ -486,7 +487,7 @@
         .counts = json_object(),
         .faults = {.list_lag_ms = list_lag_ms},
         .random = g_rand_new_with_seed((guint32)seed),
-        .base = event_base_new(),
+        .base = precise_loop_create(),
     };
     mr_list_init(&standin.held);
     standin.http = evhttp_new(standin.base);
--- a/tests/standins/target_standin.c
+++ b/tests/standins/target_standin.c
@@ -9,6 +9,7 @@
 #include <signal.h>
 #include <string.h>
 
+#include "../precise_loop.h"
 #include "common/address.h"
 #include "common/json.h"
 #include "common/mem.h"
@@ -199,7 +200,7 @@
     char ip[MR_ADDRESS_MAX_BYTES];
     int port;
 
-    target_server.base = event_base_new();
+    target_server.base = precise_loop_create();
     http = evhttp_new(target_server.base);
     target_server.connections = g_hash_table_new(NULL, NULL);
     g_queue_init(&target_server.held);
