Use the probes' open connections for promotions

Cause: a promotion opened its own connections to the targets, which is 10 to 30 ms of a failover.

Change: the observer lends the idle connections of its probes to the attempt and takes back those that are still usable. A lent connection that was lost unnoticed is replaced by a new one and the grant asked for again.

--- a/lib/group/election.c
+++ b/lib/group/election.c
@@ -126,6 +126,22 @@
     e->options.on_state(e->options.ctx, index, state, sent_at);
 }
 
+static mr_target_conn_t *
+take_connection(void *ctx, size_t index)
+{
+    mr_election_t *e = ctx;
+
+    return e->options.take(e->options.ctx, index);
+}
+
+static void
+give_connection_back(void *ctx, size_t index, mr_target_conn_t *conn)
+{
+    mr_election_t *e = ctx;
+
+    e->options.give_back(e->options.ctx, index, conn);
+}
+
 static void
 on_attempt_done(void *ctx, const mr_promotion_result_t *result)
 {
@@ -172,6 +188,8 @@
         .term = mr_view_highest_term(e->view) + 1,
         .fn = on_attempt_done,
         .on_state = on_attempt_state,
+        .take = take_connection,
+        .give_back = give_connection_back,
         .ctx = e,
     };
     count(e, "masticrelay_promotion_attempts_total",
--- a/lib/group/observer.c
+++ b/lib/group/observer.c
@@ -424,6 +424,37 @@
     mr_observer_report(ctx, index, state, sent_at);
 }
 
+/* Opening a connection can take tens of milliseconds, which a failover saves
+ * by using the probes' connections. */
+static mr_target_conn_t *
+on_election_take(void *ctx, size_t index)
+{
+    mr_observer_t *observer = ctx;
+    probe_t *probe = &observer->probes[index];
+    mr_target_conn_t *conn = probe->conn;
+
+    if (probe->in_flight || conn == NULL || !mr_target_conn_usable(conn)) {
+        return NULL;
+    }
+    probe->conn = NULL;
+    probe->retry_at = mr_clock_now(NULL) + PROBE_INTERVAL_MS;
+    return conn;
+}
+
+static void
+on_election_give_back(void *ctx, size_t index, mr_target_conn_t *conn)
+{
+    mr_observer_t *observer = ctx;
+    probe_t *probe = &observer->probes[index];
+
+    if (probe->conn != NULL) {
+        mr_target_conn_destroy(conn);
+        return;
+    }
+    probe->conn = conn;
+    probe->retry_at = 0;
+}
+
 static void
 on_election_won(void *ctx, const mr_promotion_result_t *result)
 {
@@ -498,6 +529,8 @@
         .targets = targets,
         .count = group->target_count,
         .on_state = on_election_state,
+        .take = on_election_take,
+        .give_back = on_election_give_back,
         .on_won = on_election_won,
         .is_writing = on_election_writing,
         .ctx = observer,
--- a/lib/group/promotion.c
+++ b/lib/group/promotion.c
@@ -15,7 +15,9 @@
 typedef struct voter {
     mr_promotion_t *promotion;
     size_t index;
+    const char *address;
     mr_target_conn_t *conn;
+    bool lent; /* the connection */
     mr_ms_t sent_at;
     bool answered;
     bool granted;
@@ -128,12 +130,51 @@
     }
 }
 
+static void on_grant(void *ctx, const mr_target_reply_t *reply);
+
+/* Sends the request for a grant; false when the address is malformed. */
+static bool
+ask_grant(voter_t *voter)
+{
+    mr_promotion_t *p = voter->promotion;
+    mr_target_request_t request = {.operation = MR_TARGET_GRANT,
+                                   .term = p->options.term,
+                                   .timeout = GRANT_TIMEOUT_MS};
+
+    if (voter->conn == NULL) {
+        voter->lent = false;
+        voter->conn = mr_target_conn_create(p->options.base, voter->address);
+    }
+    voter->sent_at = mr_clock_now(NULL);
+    if (voter->conn != NULL) {
+        mr_target_conn_send(voter->conn, &request, on_grant, voter);
+    }
+    return voter->conn != NULL;
+}
+
+/* A lent connection may have been lost unnoticed, for example by a restart of
+ * the target. Asking again is harmless: a target grants a term once. */
+static bool
+ask_again(voter_t *voter, const mr_target_reply_t *reply)
+{
+    if (!voter->lent || reply->has_state
+        || mr_clock_now(NULL) - voter->sent_at >= GRANT_TIMEOUT_MS) {
+        return false;
+    }
+    mr_target_conn_destroy(voter->conn);
+    voter->conn = NULL;
+    return ask_grant(voter);
+}
+
 static void
 on_grant(void *ctx, const mr_target_reply_t *reply)
 {
     voter_t *voter = ctx;
     mr_promotion_t *p = voter->promotion;
 
+    if (!p->promoting && ask_again(voter, reply)) {
+        return;
+    }
     voter->answered = true;
     take_state(p, voter, reply);
     voter->granted =
@@ -147,9 +188,6 @@
 mr_promotion_start(const mr_promotion_options_t *options)
 {
     mr_promotion_t *p = MR_NEW(mr_promotion_t);
-    mr_target_request_t request = {.operation = MR_TARGET_GRANT,
-                                   .term = options->term,
-                                   .timeout = GRANT_TIMEOUT_MS};
 
     assert(options->count > 0 && options->count <= MR_VIEW_TARGETS_MAX);
     p->options = *options;
@@ -161,13 +199,10 @@
         voter_t *voter = &p->voters[i];
         voter->promotion = p;
         voter->index = i;
-        voter->conn =
-            mr_target_conn_create(options->base, options->addresses[i]);
-        voter->answered = voter->conn == NULL;
-        voter->sent_at = mr_clock_now(NULL);
-        if (voter->conn != NULL) {
-            mr_target_conn_send(voter->conn, &request, on_grant, voter);
-        }
+        voter->address = options->addresses[i];
+        voter->conn = options->take(options->ctx, i);
+        voter->lent = voter->conn != NULL;
+        voter->answered = !ask_grant(voter);
     }
     p->options.addresses = NULL;
     p->options.leaving = NULL;
@@ -181,8 +216,13 @@
         return;
     }
     for (size_t i = 0; i < promotion->options.count; i++) {
-        if (promotion->voters[i].conn != NULL) {
-            mr_target_conn_destroy(promotion->voters[i].conn);
+        voter_t *voter = &promotion->voters[i];
+        if (voter->conn != NULL && mr_target_conn_usable(voter->conn)) {
+            promotion->options.give_back(promotion->options.ctx, i,
+                                         voter->conn);
+        }
+        else {
+            mr_target_conn_destroy(voter->conn);
         }
     }
     free(promotion);
--- a/lib/group/promotion.h
+++ b/lib/group/promotion.h
@@ -31,14 +31,26 @@
                                         const mr_log_state_t *state,
                                         mr_ms_t sent_at);
 
+/** mr_promotion_take_fn_t - lend an idle connection to a target, so that none
+ * has to be opened; NULL when there is none. */
+typedef mr_target_conn_t *(*mr_promotion_take_fn_t)(void *ctx, size_t index);
+
+/** mr_promotion_return_fn_t - a connection that is no longer needed and still
+ * usable, lent or opened by the attempt; to be kept or destroyed. */
+typedef void (*mr_promotion_return_fn_t)(void *ctx, size_t index,
+                                         mr_target_conn_t *conn);
+
 typedef struct mr_promotion_options {
     struct event_base *base;
-    const char *const *addresses; /* of all targets of the group */
-    const bool *leaving;          /* targets that should not win a tie */
+    /* Of all targets of the group; the strings must outlive the attempt. */
+    const char *const *addresses;
+    const bool *leaving; /* targets that should not win a tie */
     size_t count;
     int64_t term; /* to obtain */
     mr_promotion_fn_t fn;
     mr_promotion_state_fn_t on_state;
+    mr_promotion_take_fn_t take;
+    mr_promotion_return_fn_t give_back;
     void *ctx;
 } mr_promotion_options_t;
 
