--- a/tests/integration/harness_fleet.c
+++ b/tests/integration/harness_fleet.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "../precise_loop.h"
 #include "common/mem.h"
 #include "config/rows.h"
 #include "harness.h"
@@ -334,7 +335,7 @@
     signal(SIGPIPE, SIG_IGN);
     h->options = *wanted;
     harness_default_options(&h->options);
-    h->base = event_base_new();
+    h->base = precise_loop_create();
     h->started = mr_clock_now(NULL);
     snprintf(h->folder, sizeof(h->folder), "/tmp/masticrelay-test-XXXXXX");
     ck_assert_ptr_nonnull(mkdtemp(h->folder));
