Share the tests' HTTP code and drop headers that nothing uses

Callers, single calls, harness_http() and the load tool each opened connections, set the same headers and read answers on their own. harness_connect(), harness_send(), harness_reply() and harness_text() do it once; bench_capacity_fleet reads counters with harness_metrics(). bench_raise_limit() replaces two copies.

Headers whose names a test does not use are gone, most of them left over from the former main() functions.

Sharing the HTTP code of the stand-ins as well was tried on paper and dropped: the three programs answer in different ways, and a common file would be as long as what it replaces.

--- a/bench/bench_capacity_connections.c
+++ b/bench/bench_capacity_connections.c
@@ -1,9 +1,6 @@
 /* Memory of one daemon for each idle client connection. */
 
 #include <arpa/inet.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -17,18 +14,6 @@
 
 static const char *const places[] = {"konya", NULL};
 
-static void
-raise_limit(void)
-{
-    struct rlimit limit;
-
-    ck_assert_int_eq(getrlimit(RLIMIT_NOFILE, &limit), 0);
-    if (limit.rlim_cur < DESCRIPTORS) {
-        limit.rlim_cur = DESCRIPTORS;
-        ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
-    }
-}
-
 /* A connection that has made one request, as those of callers have. */
 static int
 open_connection(const char *address)
@@ -66,7 +51,7 @@
     };
     int open = 0;
 
-    raise_limit();
+    bench_raise_limit(DESCRIPTORS);
     harness_t *h = harness_start(&options);
     const harness_process_t *daemon = &h->instances[0].process;
     bench_print("connection_memory", 0, bench_process_kb(daemon->pid), "KB");
--- a/bench/bench_capacity_fleet.c
+++ b/bench/bench_capacity_fleet.c
@@ -5,9 +5,6 @@
  * Usage: bench_capacity_fleet INSTANCES-PER-DATA-CENTRE [GROUPS [ACCOUNTS]]
  */
 
-#include <check.h>
-#include <event2/buffer.h>
-#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -47,11 +44,6 @@
     json_t *store;    /* the stand-in's request counts */
 } sample_t;
 
-typedef struct fetch {
-    struct event_base *base;
-    json_t *sums;
-} fetch_t;
-
 static void
 add_to(json_t *sums, const char *name, double value)
 {
@@ -61,50 +53,26 @@
 }
 
 static void
-on_metrics(struct evhttp_request *req, void *ctx)
+fetch_metrics(harness_t *h, const harness_instance_t *instance, json_t *sums)
 {
-    fetch_t *fetch = ctx;
+    char *metrics = harness_metrics(h, instance);
+    char *rest = metrics;
     char *line;
 
-    if (req == NULL || evhttp_request_get_response_code(req) != 200) {
+    if (metrics == NULL) {
         fprintf(stderr, "a daemon does not give its counters\n");
         exit(EXIT_FAILURE);
     }
-    struct evbuffer *in = evhttp_request_get_input_buffer(req);
-    while ((line = evbuffer_readln(in, NULL, EVBUFFER_EOL_LF)) != NULL) {
+    while ((line = strsep(&rest, "\n")) != NULL) {
         char *end = strrchr(line, ' ');
         if (line[0] != '#' && end != NULL) {
             double value = strtod(end, NULL);
             *end = '\0';
             line[strcspn(line, "{")] = '\0';
-            add_to(fetch->sums, line, value);
+            add_to(sums, line, value);
         }
-        free(line);
-    }
-    event_base_loopbreak(fetch->base);
-}
-
-/* harness_http() reads JSON only. */
-static void
-fetch_metrics(harness_t *h, const char *address, json_t *sums)
-{
-    fetch_t fetch = {h->base, sums};
-    char ip[MR_ADDRESS_MAX_BYTES];
-    int port;
-
-    if (!mr_address_split(address, ip, &port)) {
-        exit(EXIT_FAILURE);
     }
-    struct evhttp_connection *conn =
-        evhttp_connection_base_new(h->base, NULL, ip, (uint16_t)port);
-    struct evhttp_request *req = evhttp_request_new(on_metrics, &fetch);
-    struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
-    evhttp_add_header(headers, "Host", address);
-    evhttp_add_header(headers, "Authorization",
-                      "Bearer operator-credential-of-tests");
-    evhttp_make_request(conn, req, EVHTTP_REQ_GET, "/metrics");
-    event_base_dispatch(h->base);
-    evhttp_connection_free(conn);
+    free(metrics);
 }
 
 static sample_t
@@ -113,7 +81,7 @@
     sample_t sample = {.counters = json_object()};
 
     for (size_t i = 0; i < h->instance_count; i++) {
-        fetch_metrics(h, h->instances[i].admin, sample.counters);
+        fetch_metrics(h, &h->instances[i], sample.counters);
         sample.cpu_ms += bench_process_cpu_ms(h->instances[i].process.pid);
         sample.kb += bench_process_kb(h->instances[i].process.pid);
     }
@@ -210,7 +178,7 @@
 {
     json_t *sums = json_object();
 
-    fetch_metrics(h, instance->admin, sums);
+    fetch_metrics(h, instance, sums);
     double version =
         json_number_value(json_object_get(sums, "masticrelay_config_version"));
     json_decref(sums);
--- a/bench/bench_capacity_members.c
+++ b/bench/bench_capacity_members.c
@@ -4,9 +4,6 @@
  * own listener, answers pings and leaves all other calls without an answer.
  */
 
-#include <stdlib.h>
-#include <sys/resource.h>
-
 #include "common/mem.h"
 #include "common_harness.h"
 #include "wire/peer.h"
@@ -100,18 +97,6 @@
                      200);
 }
 
-static void
-raise_limit(void)
-{
-    struct rlimit limit;
-
-    ck_assert_int_eq(getrlimit(RLIMIT_NOFILE, &limit), 0);
-    if (limit.rlim_cur < DESCRIPTORS) {
-        limit.rlim_cur = DESCRIPTORS;
-        ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
-    }
-}
-
 static size_t
 count_usable(harness_t *h)
 {
@@ -143,7 +128,7 @@
     };
     int open = 0;
 
-    raise_limit();
+    bench_raise_limit(DESCRIPTORS);
     harness_t *h = harness_start(&options);
     pid_t pid = h->instances[0].process.pid;
     counters = mr_counters_create();
--- a/bench/bench_fleet.c
+++ b/bench/bench_fleet.c
@@ -5,7 +5,6 @@
  * BENCH_DEPLOYMENT=name one deployment.
  */
 
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
--- a/bench/common_harness.h
+++ b/bench/common_harness.h
@@ -2,10 +2,24 @@
 #define MR_BENCH_COMMON_HARNESS_H
 
 #include <check.h>
+#include <sys/resource.h>
 
 #include "common_bench.h"
 #include "integration/harness.h"
 
+/** bench_raise_limit() - allow this many open files. */
+static inline void
+bench_raise_limit(rlim_t descriptors)
+{
+    struct rlimit limit;
+
+    ck_assert_int_eq(getrlimit(RLIMIT_NOFILE, &limit), 0);
+    if (limit.rlim_cur < descriptors) {
+        limit.rlim_cur = descriptors;
+        ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
+    }
+}
+
 /** bench_with_harness() - run @test, as the harness reports its failures to
  * the test library; returns the exit status. */
 static inline int
--- a/bench/fleet_cost.c
+++ b/bench/fleet_cost.c
@@ -1,7 +1,6 @@
 /* What the relay adds to a statement: latency and processor time, against the
  * same load sent straight to the targets of the same fleet. */
 
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/bench/fleet_failover.c
+++ b/bench/fleet_failover.c
@@ -2,7 +2,6 @@
  * its data centre, to the first acknowledged write of its group, with the
  * store up and down. The stages come from the daemon's log. */
 
-#include <check.h>
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
--- a/bench/fleet_limits.c
+++ b/bench/fleet_limits.c
@@ -2,10 +2,8 @@
  * refusals, the worst-served account beside one that sends too much, and
  * admission beyond the limit. */
 
-#include <check.h>
 #include <math.h>
 #include <stdio.h>
-#include <stdlib.h>
 
 #include "fleet_bench.h"
 
--- a/bench/fleet_load.c
+++ b/bench/fleet_load.c
@@ -1,8 +1,5 @@
 #include "fleet_load.h"
 
-#include <check.h>
-#include <event2/buffer.h>
-#include <event2/keyvalq_struct.h>
 #include <gsl/gsl_randist.h>
 #include <gsl/gsl_rng.h>
 #include <math.h>
@@ -97,14 +94,6 @@
 
 /* ------------------------------------------------------------- Answers */
 
-static const char *
-text_of(const json_t *object, const char *key, const char *otherwise)
-{
-    const char *text = json_string_value(json_object_get(object, key));
-
-    return text == NULL ? otherwise : text;
-}
-
 static void
 count_kind(fleet_stats_t *stats, const char *kind)
 {
@@ -151,8 +140,8 @@
 {
     fleet_stats_t *stats = &stream->stats;
     const json_t *error = json_object_get(answer, "error");
-    const char *kind = text_of(error, "kind", "connection");
-    const char *outcome = text_of(error, "outcome", "unknown");
+    const char *kind = harness_text(error, "kind", "connection");
+    const char *outcome = harness_text(error, "outcome", "unknown");
 
     if (request->due < stream->load->marked) {
         return;
@@ -177,7 +166,7 @@
     stream_t *stream = session->stream;
     fleet_load_t *load = stream->load;
     double now = fleet_now();
-    const char *token = text_of(answer, "session", NULL);
+    const char *token = harness_text(answer, "session", NULL);
 
     if (token != NULL) {
         free(session->token);
@@ -188,10 +177,10 @@
         return;
     }
     count_ran(stream, request,
-              strcmp(text_of(answer, "role", ""), "replica") == 0, now);
+              strcmp(harness_text(answer, "role", ""), "replica") == 0, now);
     if (request->write && load->on_ack != NULL) {
         load->on_ack(load->on_ack_ctx, stream->index,
-                     text_of(answer, "served_by", ""), now);
+                     harness_text(answer, "served_by", ""), now);
     }
 }
 
@@ -220,18 +209,9 @@
     request_t *request = ctx;
     session_t *session = request->session;
     stream_t *stream = session->stream;
-    json_t *answer = NULL;
-    int status = 0;
-
-    if (req != NULL) {
-        struct evbuffer *input = evhttp_request_get_input_buffer(req);
-        size_t len = evbuffer_get_length(input);
-        status = evhttp_request_get_response_code(req);
-        if (len > 0) {
-            answer =
-                json_loadb((char *)evbuffer_pullup(input, -1), len, 0, NULL);
-        }
-    }
+    json_t *answer;
+    int status = harness_reply(req, &answer);
+
     take_answer(request, status, answer);
     json_decref(answer);
     release_place(request);
@@ -253,33 +233,18 @@
 {
     place_t *place = request->place;
     stream_t *stream = request->session->stream;
-    const char *address = place->process->address;
-    struct evhttp_request *req = evhttp_request_new(on_reply, request);
-    struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
-    char bearer[MR_OP_KEY_BYTES + 16];
+    bool direct = stream->options.direct;
 
     request->conn = g_queue_pop_head(place->idle);
     if (request->conn == NULL) {
-        char ip[MR_ADDRESS_MAX_BYTES];
-        int port;
-        ck_assert(mr_address_split(address, ip, &port));
-        request->conn = evhttp_connection_base_new(stream->load->harness->base,
-                                                   NULL, ip, (uint16_t)port);
-        evhttp_connection_set_timeout(request->conn, TIMEOUT_S);
-    }
-    evhttp_add_header(headers, "Host", address);
-    if (!stream->options.direct) {
-        snprintf(bearer, sizeof(bearer), "Bearer %s", stream->account->key);
-        evhttp_add_header(headers, "Authorization", bearer);
-    }
-    evbuffer_add(evhttp_request_get_output_buffer(req), request->body,
-                 strlen(request->body));
+        request->conn = harness_connect(stream->load->harness->base,
+                                        place->process->address, TIMEOUT_S);
+    }
     place->open++;
-    ck_assert_int_eq(evhttp_make_request(request->conn, req, EVHTTP_REQ_POST,
-                                         stream->options.direct
-                                             ? "/execute"
-                                             : "/v1/routes/data/statements"),
-                     0);
+    ck_assert(harness_send(
+        request->conn, evhttp_request_new(on_reply, request), EVHTTP_REQ_POST,
+        direct ? "/execute" : "/v1/routes/data/statements",
+        direct ? NULL : stream->account->key, request->body));
 }
 
 static json_t *
--- a/tests/integration/demo.c
+++ b/tests/integration/demo.c
@@ -2,7 +2,6 @@
  * daemon that are killed. Ends with status 0 only if every promise that the
  * trace can show was kept. */
 
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -33,6 +33,9 @@
     HARNESS_ZERO = -1,
 };
 
+/** HARNESS_TESTS - members of runner_options_t for tests with a fleet */
+#define HARNESS_TESTS .timeout_s = HARNESS_TIMEOUT_S, .verbose = true
+
 /* ---------------------------------------------------------- Processes */
 
 typedef struct harness_process {
@@ -206,7 +209,6 @@
 void harness_accept(harness_operator_t *op, int64_t version,
                     const char *without);
 mr_error_kind_t harness_operator_wait(harness_operator_t *op);
-const char *harness_operator_message(const harness_operator_t *op);
 
 /** harness_stage() - propose and approve the harness's configuration as the
  * next version. */
@@ -242,6 +244,26 @@
                  const char *address, const char *path, const char *bearer,
                  const char *body, json_t **reply);
 
+/** harness_connect() - a connection for requests
+ * @timeout_s: without an answer
+ */
+struct evhttp_connection *harness_connect(struct event_base *base,
+                                          const char *address, int timeout_s);
+
+/** harness_send() - start one request over a connection; false when it did
+ * not start. @bearer and @body may be NULL. */
+bool harness_send(struct evhttp_connection *connection,
+                  struct evhttp_request *request, enum evhttp_cmd_type type,
+                  const char *path, const char *bearer, const char *body);
+
+/** harness_reply() - status of an answered request, with its JSON body or
+ * NULL; 0 when @request is NULL, which stands for no answer. */
+int harness_reply(struct evhttp_request *request, json_t **body);
+
+/** harness_text() - text field of a JSON object. */
+const char *harness_text(const json_t *object, const char *key,
+                         const char *otherwise);
+
 /** harness_http_text() - GET of anything but JSON; free @text. */
 int harness_http_text(struct event_base *base, const char *address,
                       const char *path, const char *bearer, char **text);
--- a/tests/integration/harness_call.c
+++ b/tests/integration/harness_call.c
@@ -1,6 +1,3 @@
-#include <check.h>
-#include <event2/buffer.h>
-#include <event2/keyvalq_struct.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -28,14 +25,6 @@
     size_t count;
 };
 
-static const char *
-text_of(const json_t *object, const char *key, const char *otherwise)
-{
-    const char *text = json_string_value(json_object_get(object, key));
-
-    return text == NULL ? otherwise : text;
-}
-
 static bool
 is_op(const harness_request_t *request, const char *op)
 {
@@ -188,16 +177,8 @@
     harness_session_t *session = attempt->call->session;
 
     attempt->open = false;
-    if (req != NULL) {
-        struct evbuffer *input = evhttp_request_get_input_buffer(req);
-        size_t len = evbuffer_get_length(input);
-        attempt->status = evhttp_request_get_response_code(req);
-        if (len > 0) {
-            attempt->body =
-                json_loadb((char *)evbuffer_pullup(input, -1), len, 0, NULL);
-        }
-    }
-    const char *token = text_of(attempt->body, "session", NULL);
+    attempt->status = harness_reply(req, &attempt->body);
+    const char *token = harness_text(attempt->body, "session", NULL);
     if (token != NULL) {
         free(session->token);
         session->token = mr_strdup(token);
@@ -210,32 +191,21 @@
     harness_t *h = call->session->harness;
     const char *address = harness_instance(h, instance)->process.address;
     attempt_t *attempt = &call->attempts[call->count];
-    char bearer[MR_OP_KEY_BYTES + 16];
-    char ip[MR_ADDRESS_MAX_BYTES];
-    int port;
 
     ck_assert_uint_lt(call->count, ATTEMPTS_MAX);
     if (call->count++ == 0) {
         trace_request(call, instance);
     }
-    ck_assert(mr_address_split(address, ip, &port));
     attempt->call = call;
+    attempt->conn = harness_connect(h->base, address, TIMEOUT_S);
     attempt->open = true;
-    attempt->conn =
-        evhttp_connection_base_new(h->base, NULL, ip, (uint16_t)port);
-    evhttp_connection_set_timeout(attempt->conn, TIMEOUT_S);
-    struct evhttp_request *req = evhttp_request_new(on_reply, attempt);
-    struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
     char *text = json_dumps(call->body, JSON_COMPACT);
-    snprintf(bearer, sizeof(bearer), "Bearer %s", call->session->account->key);
-    evhttp_add_header(headers, "Host", address);
-    evhttp_add_header(headers, "Authorization", bearer);
-    evbuffer_add(evhttp_request_get_output_buffer(req), text, strlen(text));
-    free(text);
-    if (evhttp_make_request(attempt->conn, req, EVHTTP_REQ_POST, call->path)
-        != 0) {
+    if (!harness_send(attempt->conn, evhttp_request_new(on_reply, attempt),
+                      EVHTTP_REQ_POST, call->path, call->session->account->key,
+                      text)) {
         attempt->open = false;
     }
+    free(text);
 }
 
 void
@@ -255,17 +225,19 @@
 
     answer->status = attempt->status;
     snprintf(answer->outcome, sizeof(answer->outcome), "%s",
-             attempt->status == 200 ? "ran"
-                                    : text_of(error, "outcome", "unknown"));
+             attempt->status == 200
+                 ? "ran"
+                 : harness_text(error, "outcome", "unknown"));
     snprintf(answer->kind, sizeof(answer->kind), "%s",
-             attempt->status == 200 ? "ok"
-                                    : text_of(error, "kind", "connection"));
+             attempt->status == 200
+                 ? "ok"
+                 : harness_text(error, "kind", "connection"));
     snprintf(answer->served_by, sizeof(answer->served_by), "%s",
-             text_of(attempt->body, "served_by", ""));
+             harness_text(attempt->body, "served_by", ""));
     snprintf(answer->handle, sizeof(answer->handle), "%s",
-             text_of(attempt->body, "transaction", ""));
+             harness_text(attempt->body, "transaction", ""));
     snprintf(answer->request_id, sizeof(answer->request_id), "%s",
-             text_of(attempt->body, "next_request_id", ""));
+             harness_text(attempt->body, "next_request_id", ""));
 }
 
 harness_answer_t
@@ -319,7 +291,7 @@
         json_pack("{s:I,s:i,s:s,s:s,s:s,s:s,s:O*}", "id", (json_int_t)call->id,
                   "status", answer.status, "outcome", answer.outcome, "kind",
                   answer.kind, "served_by", answer.served_by, "role",
-                  text_of(attempt->body, "role", ""), "result", result));
+                  harness_text(attempt->body, "role", ""), "result", result));
     for (size_t i = 0; i < call->count; i++) {
         evhttp_connection_free(call->attempts[i].conn);
         json_decref(call->attempts[i].body);
--- a/tests/integration/harness_caller.c
+++ b/tests/integration/harness_caller.c
@@ -1,6 +1,3 @@
-#include <check.h>
-#include <event2/buffer.h>
-#include <event2/keyvalq_struct.h>
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
@@ -35,14 +32,6 @@
 
 static void send_next(session_t *session);
 
-static const char *
-text_of(const json_t *object, const char *key, const char *otherwise)
-{
-    const char *text = json_string_value(json_object_get(object, key));
-
-    return text == NULL ? otherwise : text;
-}
-
 static void
 count_answer(harness_caller_t *group, const char *outcome, const char *kind,
              const char *role)
@@ -72,15 +61,15 @@
 {
     harness_caller_t *group = session->group;
     const json_t *error = json_object_get(answer, "error");
-    const char *kind = text_of(error, "kind", "connection");
-    const char *outcome = text_of(error, "outcome", "unknown");
-    const char *token = text_of(answer, "session", NULL);
-    const char *role = text_of(answer, "role", "");
+    const char *kind = harness_text(error, "kind", "connection");
+    const char *outcome = harness_text(error, "outcome", "unknown");
+    const char *token = harness_text(answer, "session", NULL);
+    const char *role = harness_text(answer, "role", "");
     json_t *result = json_object_get(answer, "result");
 
     if (status == 200) {
         kind = "ok";
-        outcome = text_of(answer, "outcome", "unknown");
+        outcome = harness_text(answer, "outcome", "unknown");
     }
     if (token != NULL) {
         free(session->token);
@@ -91,8 +80,8 @@
                   json_pack("{s:I,s:i,s:s,s:s,s:s,s:s,s:O*}", "id",
                             (json_int_t)session->request, "status", status,
                             "outcome", outcome, "kind", kind, "served_by",
-                            text_of(answer, "served_by", ""), "role", role,
-                            "result", result));
+                            harness_text(answer, "served_by", ""), "role",
+                            role, "result", result));
 }
 
 static void
@@ -108,19 +97,10 @@
 {
     session_t *session = ctx;
     harness_caller_t *group = session->group;
-    json_t *answer = NULL;
-    int status = 0;
+    json_t *answer;
+    int status = harness_reply(req, &answer);
     struct timeval pause = mr_clock_timeval(group->load.pause);
 
-    if (req != NULL) {
-        struct evbuffer *input = evhttp_request_get_input_buffer(req);
-        size_t len = evbuffer_get_length(input);
-        status = evhttp_request_get_response_code(req);
-        if (len > 0) {
-            answer =
-                json_loadb((char *)evbuffer_pullup(input, -1), len, 0, NULL);
-        }
-    }
     take_answer(session, status, answer);
     json_decref(answer);
     session->request = 0;
@@ -163,26 +143,15 @@
     harness_t *h = session->group->harness;
     const char *address = h->instances[session->instance].process.address;
     struct evhttp_connection **conn = &session->conns[session->instance];
-    struct evhttp_request *req = evhttp_request_new(on_reply, session);
-    struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
-    char bearer[MR_OP_KEY_BYTES + 16];
     char *text = json_dumps(body, JSON_COMPACT);
 
     if (*conn == NULL) {
-        char ip[MR_ADDRESS_MAX_BYTES];
-        int port;
-        ck_assert(mr_address_split(address, ip, &port));
-        *conn = evhttp_connection_base_new(h->base, NULL, ip, (uint16_t)port);
-        evhttp_connection_set_timeout(*conn, TIMEOUT_S);
+        *conn = harness_connect(h->base, address, TIMEOUT_S);
     }
-    snprintf(bearer, sizeof(bearer), "Bearer %s", session->account->key);
-    evhttp_add_header(headers, "Host", address);
-    evhttp_add_header(headers, "Authorization", bearer);
-    evbuffer_add(evhttp_request_get_output_buffer(req), text, strlen(text));
+    ck_assert(harness_send(*conn, evhttp_request_new(on_reply, session),
+                           EVHTTP_REQ_POST, "/v1/routes/data/statements",
+                           session->account->key, text));
     free(text);
-    ck_assert_int_eq(evhttp_make_request(*conn, req, EVHTTP_REQ_POST,
-                                         "/v1/routes/data/statements"),
-                     0);
 }
 
 /* A number below @below. */
--- a/tests/integration/harness_change.c
+++ b/tests/integration/harness_change.c
@@ -73,12 +73,6 @@
     return op->error;
 }
 
-const char *
-harness_operator_message(const harness_operator_t *op)
-{
-    return op->message;
-}
-
 void
 harness_propose(harness_operator_t *op, mr_op_t *config, int64_t version)
 {
--- a/tests/integration/harness_fleet.c
+++ b/tests/integration/harness_fleet.c
@@ -1,10 +1,8 @@
-#include <check.h>
 #include <glib.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
 #include "common/mem.h"
 #include "config/rows.h"
--- a/tests/integration/harness_http.c
+++ b/tests/integration/harness_http.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
 #include <stdlib.h>
@@ -25,21 +24,78 @@
     event_base_dispatch(base);
 }
 
+struct evhttp_connection *
+harness_connect(struct event_base *base, const char *address, int timeout_s)
+{
+    char ip[MR_ADDRESS_MAX_BYTES];
+    int port;
+
+    ck_assert(mr_address_split(address, ip, &port));
+    struct evhttp_connection *conn =
+        evhttp_connection_base_new(base, NULL, ip, (uint16_t)port);
+    evhttp_connection_set_timeout(conn, timeout_s);
+    return conn;
+}
+
+bool
+harness_send(struct evhttp_connection *conn, struct evhttp_request *req,
+             enum evhttp_cmd_type type, const char *path, const char *bearer,
+             const char *body)
+{
+    struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+    char value[MR_OP_KEY_BYTES + 256];
+    char *ip;
+    uint16_t port;
+
+    evhttp_connection_get_peer(conn, &ip, &port);
+    snprintf(value, sizeof(value), "%s:%d", ip, port);
+    evhttp_add_header(headers, "Host", value);
+    if (bearer != NULL) {
+        snprintf(value, sizeof(value), "Bearer %s", bearer);
+        evhttp_add_header(headers, "Authorization", value);
+    }
+    if (body != NULL) {
+        evbuffer_add(evhttp_request_get_output_buffer(req), body,
+                     strlen(body));
+    }
+    return evhttp_make_request(conn, req, type, path) == 0;
+}
+
+int
+harness_reply(struct evhttp_request *req, json_t **body)
+{
+    *body = NULL;
+    if (req == NULL) {
+        return 0;
+    }
+    struct evbuffer *input = evhttp_request_get_input_buffer(req);
+    size_t len = evbuffer_get_length(input);
+    if (len > 0) {
+        *body = json_loadb((char *)evbuffer_pullup(input, -1), len,
+                           JSON_DECODE_ANY, NULL);
+    }
+    return evhttp_request_get_response_code(req);
+}
+
+const char *
+harness_text(const json_t *object, const char *key, const char *otherwise)
+{
+    const char *text = json_string_value(json_object_get(object, key));
+
+    return text == NULL ? otherwise : text;
+}
+
 static void
 on_reply(struct evhttp_request *req, void *ctx)
 {
     exchange_t *exchange = ctx;
 
     exchange->done = true;
+    exchange->status = harness_reply(req, &exchange->reply);
     if (req != NULL) {
         struct evbuffer *input = evhttp_request_get_input_buffer(req);
-        size_t len = evbuffer_get_length(input);
-        exchange->status = evhttp_request_get_response_code(req);
-        exchange->text = strndup((char *)evbuffer_pullup(input, -1), len);
-        exchange->reply = len == 0
-                              ? NULL
-                              : json_loadb((char *)evbuffer_pullup(input, -1),
-                                           len, JSON_DECODE_ANY, NULL);
+        exchange->text = strndup((char *)evbuffer_pullup(input, -1),
+                                 evbuffer_get_length(input));
     }
     event_base_loopbreak(exchange->base);
 }
@@ -52,27 +108,12 @@
     enum evhttp_cmd_type type = strcmp(method, "GET") == 0   ? EVHTTP_REQ_GET
                                 : strcmp(method, "PUT") == 0 ? EVHTTP_REQ_PUT
                                                              : EVHTTP_REQ_POST;
-    char ip[MR_ADDRESS_MAX_BYTES];
-    int port;
-
-    ck_assert(mr_address_split(address, ip, &port));
-    struct evhttp_connection *conn =
-        evhttp_connection_base_new(base, NULL, ip, (uint16_t)port);
+    struct evhttp_connection *conn = harness_connect(base, address, TIMEOUT_S);
     struct evhttp_request *req = evhttp_request_new(on_reply, &exchange);
-    struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
-    evhttp_connection_set_timeout(conn, TIMEOUT_S);
-    evhttp_add_header(headers, "Host", address);
-    evhttp_add_header(headers, "Connection", "close");
-    if (bearer != NULL) {
-        char value[256];
-        snprintf(value, sizeof(value), "Bearer %s", bearer);
-        evhttp_add_header(headers, "Authorization", value);
-    }
-    if (body != NULL) {
-        evbuffer_add(evhttp_request_get_output_buffer(req), body,
-                     strlen(body));
-    }
-    if (evhttp_make_request(conn, req, type, path) == 0) {
+
+    evhttp_add_header(evhttp_request_get_output_headers(req), "Connection",
+                      "close");
+    if (harness_send(conn, req, type, path, bearer, body)) {
         while (!exchange.done) {
             event_base_dispatch(base);
         }
--- a/tests/integration/harness_keys.c
+++ b/tests/integration/harness_keys.c
@@ -1,7 +1,5 @@
 #include "harness_keys.h"
 
-#include <string.h>
-
 enum {
     SEED = 1601,
     REVOKED_AFTER_MS = 5000, /* as in trace.c */
--- a/tests/integration/harness_links.c
+++ b/tests/integration/harness_links.c
@@ -1,5 +1,3 @@
-#include <check.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "harness.h"
--- a/tests/integration/harness_process.c
+++ b/tests/integration/harness_process.c
@@ -1,6 +1,4 @@
 #include <arpa/inet.h>
-#include <check.h>
-#include <errno.h>
 #include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
--- a/tests/integration/harness_tls.c
+++ b/tests/integration/harness_tls.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <openssl/evp.h>
 #include <openssl/pem.h>
 #include <openssl/x509v3.h>
--- a/tests/integration/harness_trace.c
+++ b/tests/integration/harness_trace.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
--- a/tests/integration/test_accounts.c
+++ b/tests/integration/test_accounts.c
@@ -436,6 +436,5 @@
         test_session_token,      test_keys_on_one_connection,
         test_pasted_keys,        test_no_key_under_failure};
 
-    return RUN_TESTS(tests, .suite = "accounts",
-                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
+    return RUN_TESTS(tests, .suite = "accounts", HARNESS_TESTS);
 }
--- a/tests/integration/test_acknowledged.c
+++ b/tests/integration/test_acknowledged.c
@@ -248,6 +248,5 @@
                                   test_primary_is_no_replica_of_itself,
                                   test_far_behind_replica_does_not_win};
 
-    return RUN_TESTS(tests, .suite = "acknowledged",
-                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
+    return RUN_TESTS(tests, .suite = "acknowledged", HARNESS_TESTS);
 }
--- a/tests/integration/test_answers.c
+++ b/tests/integration/test_answers.c
@@ -3,7 +3,6 @@
  * and connections are reset while answers are on their way. */
 
 #include <glib.h>
-#include <string.h>
 
 #include "harness.h"
 
@@ -89,6 +88,5 @@
 {
     const TTest *const tests[] = {test_late_and_crossed_answers};
 
-    return RUN_TESTS(tests, .suite = "answers", .timeout_s = HARNESS_TIMEOUT_S,
-                     .verbose = true);
+    return RUN_TESTS(tests, .suite = "answers", HARNESS_TESTS);
 }
--- a/tests/integration/test_at_most_once.c
+++ b/tests/integration/test_at_most_once.c
@@ -4,7 +4,6 @@
  * bytes arrive late. The targets' own records decide. */
 
 #include <glib.h>
-#include <signal.h>
 #include <string.h>
 
 #include "harness.h"
@@ -229,6 +228,5 @@
                                   test_lost_answer, test_reset_in_the_middle,
                                   test_not_run_is_true};
 
-    return RUN_TESTS(tests, .suite = "at_most_once",
-                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
+    return RUN_TESTS(tests, .suite = "at_most_once", HARNESS_TESTS);
 }
--- a/tests/integration/test_certificates.c
+++ b/tests/integration/test_certificates.c
@@ -4,10 +4,10 @@
 
 #include <openssl/err.h>
 #include <openssl/ssl.h>
+#include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <sys/stat.h>
 #include <sys/time.h>
 #include <unistd.h>
 
@@ -15,8 +15,8 @@
 #include "harness.h"
 
 enum {
-    CHANGE_MS =
-        5000, /* until a change is in use; files are checked each 2 s */
+    /* Until a change is in use; files are checked each 2 s. */
+    CHANGE_MS = 5000,
     ANSWER_BYTES = 65536,
 };
 
@@ -35,25 +35,17 @@
     int fd;
 } client_t;
 
-static char *
-path_of(const char *name, const char *suffix)
+/* Runs a command in the folder. */
+static void __attribute__((format(printf, 1, 2))) run(const char *fmt, ...)
 {
-    return mr_asprintf("%s/%s%s", folder, name, suffix);
-}
-
-static void
-open_folder(void)
-{
-    ck_assert_ptr_nonnull(mkdtemp(folder));
-}
-
-static void
-remove_folder(void)
-{
-    char *command = mr_asprintf("rm -rf '%s'", folder);
-
-    ck_assert_int_eq(system(command), 0);
-    free(command);
+    char command[1024];
+    int len = snprintf(command, sizeof(command), "cd '%s' && ", folder);
+    va_list args;
+
+    va_start(args, fmt);
+    vsnprintf(command + len, sizeof(command) - (size_t)len, fmt, args);
+    va_end(args);
+    ck_assert_msg(system(command) == 0, "%s", command);
 }
 
 /* Puts @from in the place of @to, with a time of change in the past, as when
@@ -61,25 +53,15 @@
 static void
 replace(const char *from, const char *to, const char *suffix)
 {
-    char *command = mr_asprintf(
-        "cp '%s/%s%s' '%s/new' && touch -d '1 day ago' '%s/new' "
-        "&& mv '%s/new' '%s/%s%s'",
-        folder, from, suffix, folder, folder, folder, folder, to, suffix);
-
-    ck_assert_int_eq(system(command), 0);
-    free(command);
+    run("cp %s%s new && touch -d '1 day ago' new && mv new %s%s", from, suffix,
+        to, suffix);
 }
 
-/* Leaves the first half of a file, as when it is being written. */
+/* Leaves the first part of a file, as when it is being written. */
 static void
-halve(const char *name, const char *suffix)
+cut(const char *name, const char *suffix)
 {
-    char *path = path_of(name, suffix);
-    struct stat info;
-
-    ck_assert_int_eq(stat(path, &info), 0);
-    ck_assert_int_eq(truncate(path, info.st_size / 2), 0);
-    free(path);
+    run("truncate -s 100 %s%s", name, suffix);
 }
 
 /* @identity: of the caller; NULL: none */
@@ -92,15 +74,12 @@
     int len;
 
     if (identity != NULL) {
-        char *certificate = path_of(identity, ".pem");
-        char *key = path_of(identity, ".key");
-        ck_assert_int_eq(SSL_CTX_use_certificate_file(client.ctx, certificate,
-                                                      SSL_FILETYPE_PEM),
-                         1);
-        ck_assert_int_eq(
-            SSL_CTX_use_PrivateKey_file(client.ctx, key, SSL_FILETYPE_PEM), 1);
-        free(certificate);
-        free(key);
+        char path[HARNESS_PATH_BYTES];
+        snprintf(path, sizeof(path), "%s/%s.pem", folder, identity);
+        SSL_CTX_use_certificate_file(client.ctx, path, SSL_FILETYPE_PEM);
+        snprintf(path, sizeof(path), "%s/%s.key", folder, identity);
+        SSL_CTX_use_PrivateKey_file(client.ctx, path, SSL_FILETYPE_PEM);
+        ck_assert_int_eq(SSL_CTX_check_private_key(client.ctx), 1);
     }
     ck_assert(mr_address_parse(address, &addr, &len));
     client.fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -201,40 +180,39 @@
     return value;
 }
 
-/* Waits over an open connection to the operators' listener. */
+/* Waits for the counter of an instance, read over @admin, an open connection
+ * to its operators' listener, or with the harness when that is NULL. */
 static void
-wait_counter(harness_t *h, client_t *admin, const char *name, long value)
+wait_counter(harness_t *h, const harness_instance_t *instance, client_t *admin,
+             const char *name, long value)
 {
     static char answer[ANSWER_BYTES];
     mr_ms_t end = mr_clock_now(NULL) + CHANGE_MS;
     long seen;
 
     do {
+        char *metrics = NULL;
         harness_run(h->base, 50);
-        ck_assert_int_eq(ask(admin, "GET", "/metrics", CREDENTIAL, "", answer),
-                         200);
-        seen = find_counter(answer, name);
+        if (admin != NULL) {
+            ck_assert_int_eq(
+                ask(admin, "GET", "/metrics", CREDENTIAL, "", answer), 200);
+        }
+        else {
+            metrics = harness_metrics(h, instance);
+            ck_assert_ptr_nonnull(metrics);
+        }
+        seen = find_counter(admin != NULL ? answer : metrics, name);
+        free(metrics);
     } while (seen != value && mr_clock_now(NULL) < end);
-    ck_assert_msg(seen == value, "%s is %ld instead of %ld", name, seen,
-                  value);
+    ck_assert_msg(seen == value, "%s: %s is %ld instead of %ld",
+                  instance->process.name, name, seen, value);
 }
 
 static void
 wait_counters(harness_t *h, const char *name, long value)
 {
-    mr_ms_t end = mr_clock_now(NULL) + CHANGE_MS;
-
     for (size_t i = 0; i < h->instance_count; i++) {
-        long seen;
-        do {
-            harness_run(h->base, 50);
-            char *metrics = harness_metrics(h, &h->instances[i]);
-            ck_assert_ptr_nonnull(metrics);
-            seen = find_counter(metrics, name);
-            free(metrics);
-        } while (seen != value && mr_clock_now(NULL) < end);
-        ck_assert_msg(seen == value, "%s is %ld instead of %ld", name, seen,
-                      value);
+        wait_counter(h, &h->instances[i], NULL, name, value);
     }
 }
 
@@ -288,7 +266,7 @@
     const harness_options_t options = {.data_centres = places,
                                        .connections = 40};
     static const struct {
-        const char *from; /* replaces this file; NULL: it is cut in half */
+        const char *from; /* replaces this file; NULL: it is cut short */
         const char *suffix;
         const char *counter;
         long value;
@@ -303,7 +281,7 @@
         {"second", ".key", RELOADED, 2, 2, NULL},
     };
 
-    open_folder();
+    ck_assert_ptr_nonnull(mkdtemp(folder));
     harness_identity(folder, "listener", "127.0.0.1", 1);
     harness_identity(folder, "second", "127.0.0.1", 2);
     harness_t *h = harness_start(&options);
@@ -323,9 +301,9 @@
             replace(steps[i].from, "listener", steps[i].suffix);
         }
         else {
-            halve("listener", steps[i].suffix);
+            cut("listener", steps[i].suffix);
         }
-        wait_counter(h, &admin, steps[i].counter, steps[i].value);
+        wait_counter(h, &daemon, &admin, steps[i].counter, steps[i].value);
         ck_assert_int_eq(serial_at(daemon.process.address, NULL),
                          steps[i].serial);
         ck_assert_int_eq(serial_at(daemon.admin, NULL), steps[i].serial);
@@ -338,22 +316,10 @@
     close_client(&admin);
     harness_process_kill(&daemon.process);
     harness_end(h);
-    remove_folder();
+    run("rm -rf '%s'", folder);
 }
 END_TEST
 
-/* Makes the authorities of the links: certificates of both names. */
-static void
-write_authorities(const char *one, const char *other)
-{
-    char *command =
-        mr_asprintf("cd '%s' && cat %s.pem %s.pem > new && mv new links.all",
-                    folder, one, other);
-
-    ck_assert_int_eq(system(command), 0);
-    free(command);
-}
-
 START_TEST(test_links)
 {
     char *args[4] = {NULL};
@@ -365,7 +331,7 @@
                                  .seed = 2301};
     harness_options_t options = {.data_centres = places, .instances = 2};
 
-    open_folder();
+    ck_assert_ptr_nonnull(mkdtemp(folder));
     args[0] = mr_asprintf("--peer-certificate=%s/links.pem", folder);
     args[1] = mr_asprintf("--peer-key=%s/links.key", folder);
     args[2] = mr_asprintf("--peer-authorities=%s/links.all", folder);
@@ -374,7 +340,7 @@
     harness_identity(folder, "second", "127.0.0.1", 2);
     replace("first", "links", ".pem");
     replace("first", "links", ".key");
-    write_authorities("first", "second");
+    run("cat first.pem second.pem >links.all");
     harness_t *h = harness_start(&options);
     harness_instance_t *one = &h->instances[0];
     harness_instance_t *other = &h->instances[1];
@@ -382,7 +348,7 @@
     ck_assert_int_eq(serial_at(one->peer, "first"), 1);
     ck_assert(is_admitted(one->peer, "first"));
 
-    halve("links", ".pem");
+    cut("links", ".pem");
     wait_counters(h, REFUSED, 1);
     ck_assert_int_eq(serial_at(one->peer, "first"), 1);
     ck_assert(has_line(&one->process, "event=certificate_refused",
@@ -394,7 +360,7 @@
     wait_counters(h, RELOADED, 1);
     ck_assert_int_eq(serial_at(one->peer, "second"), 2);
     ck_assert_int_eq(serial_at(other->peer, "second"), 2);
-    write_authorities("second", "second");
+    run("cp second.pem new && mv new links.all");
     wait_counters(h, RELOADED, 2);
     ck_assert(!is_admitted(one->peer, "first"));
     ck_assert(is_admitted(one->peer, "second"));
@@ -424,7 +390,7 @@
     for (int i = 0; args[i] != NULL; i++) {
         free(args[i]);
     }
-    remove_folder();
+    run("rm -rf '%s'", folder);
 }
 END_TEST
 
@@ -433,6 +399,5 @@
 {
     const TTest *const tests[] = {test_listeners, test_links};
 
-    return RUN_TESTS(tests, .suite = "certificates",
-                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
+    return RUN_TESTS(tests, .suite = "certificates", HARNESS_TESTS);
 }
--- a/tests/integration/test_changes.c
+++ b/tests/integration/test_changes.c
@@ -1,9 +1,7 @@
 /* Guards against planned changes that interrupt requests, take effect late or
  * revert: a withdrawn key, a leaving target, graceful stops of instances. */
 
-#include <check.h>
 #include <signal.h>
-#include <stdlib.h>
 
 #include "harness.h"
 
--- a/tests/integration/test_chaos.c
+++ b/tests/integration/test_chaos.c
@@ -5,7 +5,6 @@
  * a seed fixes the failures, but not how they meet the requests.
  */
 
-#include <check.h>
 #include <glib.h>
 #include <signal.h>
 #include <stdlib.h>
--- a/tests/integration/test_config.c
+++ b/tests/integration/test_config.c
@@ -4,7 +4,6 @@
  * unapproved, vetoed and tampered changes. */
 
 #include <glib.h>
-#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -385,6 +384,5 @@
                                   test_restarts_without_store,
                                   test_delayed_messages, test_forged_changes};
 
-    return RUN_TESTS(tests, .suite = "config", .timeout_s = HARNESS_TIMEOUT_S,
-                     .verbose = true);
+    return RUN_TESTS(tests, .suite = "config", HARNESS_TESTS);
 }
--- a/tests/integration/test_ctl.c
+++ b/tests/integration/test_ctl.c
@@ -2,7 +2,6 @@
  * change that is not in force, hides which data centre is missing, or ends
  * with an undocumented status. */
 
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
--- a/tests/integration/test_ctl_tls.c
+++ b/tests/integration/test_ctl_tls.c
@@ -1,7 +1,6 @@
 /* Guards against an operator credential that is sent in the clear or to a
  * listener whose certificate is of another authority or another address. */
 
-#include <check.h>
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
--- a/tests/integration/test_isolation.c
+++ b/tests/integration/test_isolation.c
@@ -3,7 +3,6 @@
  * replicas, keyed requests end at the offline limit, and all of it recovers.
  */
 
-#include <signal.h>
 #include <string.h>
 
 #include "harness_rate.h"
@@ -195,6 +194,5 @@
     const TTest *const tests[] = {test_reads_within_the_limit,
                                   test_offline_limit, test_restart_inside};
 
-    return RUN_TESTS(tests, .suite = "isolation",
-                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
+    return RUN_TESTS(tests, .suite = "isolation", HARNESS_TESTS);
 }
--- a/tests/integration/test_keys.c
+++ b/tests/integration/test_keys.c
@@ -93,6 +93,5 @@
     const TTest *const tests[] = {test_calm, test_paused_daemon,
                                   test_paused_daemon_store_down};
 
-    return RUN_TESTS(tests, .suite = "keys", .timeout_s = HARNESS_TIMEOUT_S,
-                     .verbose = true);
+    return RUN_TESTS(tests, .suite = "keys", HARNESS_TESTS);
 }
--- a/tests/integration/test_keys_store.c
+++ b/tests/integration/test_keys_store.c
@@ -72,6 +72,5 @@
                                   test_store_down_after_acceptance,
                                   test_cut_off_after_confirmation};
 
-    return RUN_TESTS(tests, .suite = "keys_store",
-                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
+    return RUN_TESTS(tests, .suite = "keys_store", HARNESS_TESTS);
 }
--- a/tests/integration/test_leaving.c
+++ b/tests/integration/test_leaving.c
@@ -178,6 +178,5 @@
                                   test_primary_by_configuration,
                                   test_primary_by_list};
 
-    return RUN_TESTS(tests, .suite = "leaving", .timeout_s = HARNESS_TIMEOUT_S,
-                     .verbose = true);
+    return RUN_TESTS(tests, .suite = "leaving", HARNESS_TESTS);
 }
--- a/tests/integration/test_membership.c
+++ b/tests/integration/test_membership.c
@@ -1,7 +1,6 @@
 /* Guards against a paused process that declares everybody dead, instances
  * that do not come back, and promises broken while instances fail. */
 
-#include <check.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
--- a/tests/integration/test_planned_stop.c
+++ b/tests/integration/test_planned_stop.c
@@ -174,6 +174,5 @@
     const TTest *const tests[] = {test_roll_out_under_load, test_long_requests,
                                   test_open_transaction};
 
-    return RUN_TESTS(tests, .suite = "planned_stop",
-                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
+    return RUN_TESTS(tests, .suite = "planned_stop", HARNESS_TESTS);
 }
--- a/tests/integration/test_ports.c
+++ b/tests/integration/test_ports.c
@@ -1,7 +1,6 @@
 /* Guards against test programs that run at the same time and choose the same
  * ports. */
 
-#include <stdlib.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
--- a/tests/integration/test_rate.c
+++ b/tests/integration/test_rate.c
@@ -66,6 +66,5 @@
     const TTest *const tests[] = {test_demand_moves, test_restarted_daemons,
                                   test_paused_limiter};
 
-    return RUN_TESTS(tests, .suite = "rate", .timeout_s = HARNESS_TIMEOUT_S,
-                     .verbose = true);
+    return RUN_TESTS(tests, .suite = "rate", HARNESS_TESTS);
 }
--- a/tests/integration/test_rate_store.c
+++ b/tests/integration/test_rate_store.c
@@ -72,6 +72,5 @@
     const TTest *const tests[] = {test_lost_replies, test_cut_data_centre,
                                   test_store_outage};
 
-    return RUN_TESTS(tests, .suite = "rate_store",
-                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
+    return RUN_TESTS(tests, .suite = "rate_store", HARNESS_TESTS);
 }
--- a/tests/integration/test_read_your_writes.c
+++ b/tests/integration/test_read_your_writes.c
@@ -227,6 +227,5 @@
                                   test_write_with_unknown_outcome,
                                   test_isolated_primary};
 
-    return RUN_TESTS(tests, .suite = "read_your_writes",
-                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
+    return RUN_TESTS(tests, .suite = "read_your_writes", HARNESS_TESTS);
 }
--- a/tests/integration/test_replay.c
+++ b/tests/integration/test_replay.c
@@ -5,7 +5,6 @@
  * it must reject, and against runs that break a promise again.
  */
 
-#include <check.h>
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/integration/test_roll_out_rate.c
+++ b/tests/integration/test_roll_out_rate.c
@@ -53,6 +53,5 @@
 {
     const TTest *const tests[] = {test_no_wrongful_refusals};
 
-    return RUN_TESTS(tests, .suite = "roll_out_rate",
-                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
+    return RUN_TESTS(tests, .suite = "roll_out_rate", HARNESS_TESTS);
 }
--- a/tests/integration/test_transactions.c
+++ b/tests/integration/test_transactions.c
@@ -212,6 +212,5 @@
     const TTest *const tests[] = {test_deaths_in_the_middle,
                                   test_misused_handles};
 
-    return RUN_TESTS(tests, .suite = "transactions",
-                     .timeout_s = HARNESS_TIMEOUT_S, .verbose = true);
+    return RUN_TESTS(tests, .suite = "transactions", HARNESS_TESTS);
 }
--- a/tests/unit/test_bucket.c
+++ b/tests/unit/test_bucket.c
@@ -1,9 +1,6 @@
 /* Guards against tokens that appear too early: at the start, after a pause, by
  * rounding, or after the expiry. */
 
-#include <check.h>
-#include <stdlib.h>
-
 #include "../common/runner.h"
 #include "limit/bucket.h"
 
--- a/tests/unit/test_config_change.c
+++ b/tests/unit/test_config_change.c
@@ -4,7 +4,6 @@
  * the audit trail that nobody sees.
  */
 
-#include <check.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
--- a/tests/unit/test_diff.c
+++ b/tests/unit/test_diff.c
@@ -1,6 +1,5 @@
 /* Guards against changes that the person who approves does not see. */
 
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
--- a/tests/unit/test_fair.c
+++ b/tests/unit/test_fair.c
@@ -1,7 +1,6 @@
 /* Guards against an account that gets more than its share of the turns, and
  * against entries that are lost or given out twice. */
 
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/tests/unit/test_key.c
+++ b/tests/unit/test_key.c
@@ -2,10 +2,8 @@
  * the daemon and the operators' library, and approvals that were forged or
  * moved to another configuration. */
 
-#include <check.h>
 #include <sodium.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "../common/runner.h"
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -1,9 +1,5 @@
 /* Guards against two limiters of one shard at a time. */
 
-#include <check.h>
-#include <stdlib.h>
-#include <string.h>
-
 #include "../common/runner.h"
 #include "limit/lease.h"
 
--- a/tests/unit/test_member_table.c
+++ b/tests/unit/test_member_table.c
@@ -1,7 +1,6 @@
 /* Guards against members that are declared dead too early or never, false
  * deaths that cannot be refuted, and messages that grow with the fleet. */
 
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/tests/unit/test_members.c
+++ b/tests/unit/test_members.c
@@ -1,7 +1,6 @@
 /* Guards against instances that do not find each other, that keep a stopped
  * member in use, or that depend on the platform once they know each other. */
 
-#include <check.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/unit/test_model.c
+++ b/tests/unit/test_model.c
@@ -1,8 +1,6 @@
 /* Guards against faulty configurations that are taken in, and against refusals
  * that do not say which field is wrong. */
 
-#include <check.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "../common/runner.h"
--- a/tests/unit/test_operator.c
+++ b/tests/unit/test_operator.c
@@ -2,7 +2,6 @@
  * descriptions that are printed, faults without the field's name, and keys
  * that reach the printed configuration. */
 
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -1,7 +1,6 @@
 /* Guards against calls to the platform that never end, end twice or end with
  * a wrong statement about whether a change took effect. */
 
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -2,7 +2,6 @@
  * starve others, waits that end twice or never, and transactions that lock
  * each other out. */
 
-#include <check.h>
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <glib.h>
--- a/tests/unit/test_reqid.c
+++ b/tests/unit/test_reqid.c
@@ -1,7 +1,6 @@
 /* Guards against a request that runs twice under one id, and against answers
  * that are given for an id nobody remembers. */
 
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
--- a/tests/unit/test_session.c
+++ b/tests/unit/test_session.c
@@ -1,7 +1,6 @@
 /* Guards against forged or mixed-up tokens, sessions that go back, and
  * uncertain writes that are forgotten too early. */
 
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
--- a/tests/unit/test_share.c
+++ b/tests/unit/test_share.c
@@ -1,10 +1,6 @@
 /* Guards against a data centre that uses a part of an account's rate which
  * another may have too: after a lost reply, a lapse, or a lowered limit. */
 
-#include <check.h>
-#include <stdlib.h>
-#include <string.h>
-
 #include "../common/runner.h"
 #include "limit/share.h"
 
--- a/tests/unit/test_supervisor.c
+++ b/tests/unit/test_supervisor.c
@@ -1,9 +1,7 @@
 /* Guards against modules that start or stop out of order, a failed module
  * that is not restarted or is restarted for ever, and a drain that hangs. */
 
-#include <check.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "../common/runner.h"
--- a/tests/unit/test_target.c
+++ b/tests/unit/test_target.c
@@ -2,12 +2,10 @@
  * request, and outcomes reported as "not run" although the target may have run
  * the statement. */
 
-#include <check.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <signal.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "../common/runner.h"
--- a/tests/unit/test_view.c
+++ b/tests/unit/test_view.c
@@ -1,9 +1,6 @@
 /* Guards against acknowledgements, confirmations and ages that the reports of
  * a group do not prove, and against promotions of groups that work. */
 
-#include <check.h>
-#include <stdlib.h>
-
 #include "../common/runner.h"
 #include "group/view.h"
 
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -1,8 +1,6 @@
 /* Guards against calls that are lost, answered twice or answered to another
  * caller, and against links from processes without the fleet secret. */
 
-#include <check.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "../common/runner.h"
