--- a/bench/bench_fleet.c
+++ b/bench/bench_fleet.c
@@ -6,7 +6,6 @@
  * own, so that one that aborts does not take the lines of the others with it.
  */
 
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
