Test grant expiry and empty buckets after a restart in the limit model

test_rate stays green without the expiry of grants and with full buckets after a restart, since the fleet hands out too little of the rate there. The model has simulated clocks and checks what instances hold against the share of their data centre, so pauses longer than a long grant are cheap.

test_paused_holder pauses an instance with a large long grant until the grant has lapsed and the rest of its data centre spends its burst. test_fleet_restart kills all instances right after a full burst, four times.

--- a/tests/unit/test_limit_model.c
+++ b/tests/unit/test_limit_model.c
@@ -151,6 +151,73 @@
 }
 END_TEST
 
+/* Give every instance, or only those of one data centre, the same part of
+ * @part times the rate. */
+static void
+set_load(world_t *w, int first, int count, double part)
+{
+    for (int i = 0; i < NODES; i++) {
+        bool loaded = i >= first && i < first + count;
+        w->nodes[i].load =
+            loaded ? part * (double)w->limit.rate / 1e6 / count : 0;
+    }
+}
+
+/* Guards against a grant that is used after its expiry: its holder is paused
+ * until the grant has lapsed and its part of the share has filled up again at
+ * the limiter, and resumes while the others spend the whole burst. */
+START_TEST(test_paused_holder)
+{
+    world_t *w = create_world(5, 10, 600);
+    node_t *holder = &w->nodes[0];
+
+    /* Only one instance has demand, so that its LONG grant is large. */
+    set_load(w, 0, 1, 2);
+    run(w, 300000, 0, 1);
+    const mr_bucket_t *held = &holder->local.hold.bucket[MR_GRANT_LONG];
+    ck_assert_int_ge(held->amount.burst, w->limit.burst / 4);
+    ck_assert_int_ge(held->expiry, node_now(w, holder) + 50000);
+    holder->paused_until = w->now + 200000;
+    set_load(w, 1, PER_CENTRE - 1, 0.3);
+    run(w, 199000, 0, 1);
+    reset(w);
+    set_load(w, 0, PER_CENTRE, 10);
+    run(w, 16000, 0, 1);
+    report(w, "paused holder", 16000);
+    /* The others used the part of the burst that the holder had. */
+    ck_assert_int_ge(w->admitted * MR_TOKEN_MILLI, w->limit.burst / 2);
+    ck_assert_int_eq(w->violations, 0);
+    destroy_world(w);
+}
+END_TEST
+
+/* Guards against a bucket that is full after a restart: the whole fleet is
+ * killed and restarted right after it has spent a full burst, and again each
+ * time that new limiters have taken over. */
+START_TEST(test_fleet_restart)
+{
+    enum { ROUNDS = 4, TAKEN_OVER_MS = 9000 /* above MR_LEASE_MS */ };
+    world_t *w = create_world(6, 5, 600);
+
+    set_load(w, 0, NODES, 0.3);
+    run(w, 300000, 0, 1);
+    reset(w);
+    set_load(w, 0, NODES, 100);
+    run(w, 2000, 0, 1);
+    report(w, "full bucket", 2000);
+    ck_assert_int_ge(w->admitted * MR_TOKEN_MILLI, w->limit.burst / 8);
+    for (int round = 0; round < ROUNDS; round++) {
+        for (int i = 0; i < NODES; i++) {
+            start_node(w, i);
+        }
+        run(w, TAKEN_OVER_MS, 0, 1);
+    }
+    report(w, "fleet restart", 2000 + ROUNDS * TAKEN_OVER_MS);
+    ck_assert_int_eq(w->violations, 0);
+    destroy_world(w);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -162,6 +229,8 @@
     tcase_add_test(tcase, test_limiter_dies);
     tcase_add_test(tcase, test_rolling_restart);
     tcase_add_test(tcase, test_store_outage);
+    tcase_add_test(tcase, test_paused_holder);
+    tcase_add_test(tcase, test_fleet_restart);
     tcase_add_loop_test(tcase, test_chaos, 0, 5);
     suite_add_tcase(suite, tcase);
     SRunner *runner = srunner_create(suite);
