Test that a push of the configuration only announces

A push carries the age of the sender's contact with the store at the time when it was sent, so one that a broken link held back must not be taken over as it is. The new unit test sends a push with a higher version from a peer that answers no question, and checks version and contact age.

--- a/tests/unit/test_config_store.c
+++ b/tests/unit/test_config_store.c
@@ -420,6 +420,44 @@
 }
 END_TEST
 
+/* Guards against a push that a broken link held back: its age is of the time
+ * when it was sent, so only what the sender answers now counts. */
+START_TEST(test_push_only_announces)
+{
+    fleet_t *fleet = start(1);
+    instance_t *instance = &fleet->instances[0];
+    mr_msg_t push = {.type = MR_MSG_CONFIG_PUSH};
+
+    accept_version(fleet, 5, "a");
+    await_version(fleet, 5, 1, 2000);
+    instance_t *peer = add_peer(fleet, "konya");
+    platform_process_faults(&fleet->process, "{\"down\":true}");
+    run_loop_for(fleet->base, 1000);
+    mr_ms_t age = mr_config_store_contact_age(instance->store);
+    ck_assert_int_gt(age, 500);
+    script(fleet, peer, 6, "ab");
+    push.u.config.version = 6;
+    push.u.config.head =
+        (mr_bytes_t){peer->answer_head, strlen(peer->answer_head)};
+    push.u.config.body =
+        (mr_bytes_t){peer->answer_body, strlen(peer->answer_body)};
+    mr_peer_handle(peer->peer, MR_MSG_CONFIG_FETCH, NULL, NULL);
+    mr_peer_send(peer->peer, instance->address, &push);
+    /* The question to the sender ends without an answer. */
+    run_loop_for(fleet->base, MR_CONFIG_PEER_TIMEOUT_MS + 100);
+    ck_assert_int_eq(
+        counter(instance, "masticrelay_config_pushes_received_total"), 1);
+    ck_assert_int_eq(version_of(instance), 5);
+    ck_assert_int_ge(mr_config_store_contact_age(instance->store),
+                     age + MR_CONFIG_PEER_TIMEOUT_MS);
+    /* With an answer of the sender it is taken over. */
+    mr_peer_handle(peer->peer, MR_MSG_CONFIG_FETCH, on_scripted_fetch, peer);
+    mr_peer_send(peer->peer, instance->address, &push);
+    await_version(fleet, 6, 1, 300);
+    stop(fleet);
+}
+END_TEST
+
 START_TEST(test_restart_without_store_and_peers_serves_nothing)
 {
     fleet_t *fleet = start(1);
@@ -542,6 +580,7 @@
     tcase_add_test(tcase, test_restart_in_an_outage_takes_the_highest_version);
     tcase_add_test(tcase, test_restart_without_store_and_peers_serves_nothing);
     tcase_add_test(tcase, test_push_is_not_enough_for_the_first_version);
+    tcase_add_test(tcase, test_push_only_announces);
     tcase_add_test(tcase, test_peers_cannot_forge_or_go_back);
     tcase_add_test(tcase, test_next_poller_takes_over);
     tcase_add_test(tcase,
