Test that a late acceptance does not revert the head row

The new test pauses an operator between the mark "accepting" and the write of the head while another accepts that version and the next one.

--- a/tests/unit/test_config_change.c
+++ b/tests/unit/test_config_change.c
@@ -400,6 +400,60 @@
 }
 END_TEST
 
+/* Whether the acceptance of the staged version has begun. */
+static bool
+accepting(void)
+{
+    json_int_t revision;
+    json_t *value = platform_process_row(&process, "config/staged", &revision);
+    bool begun = json_is_true(json_object_get(value, "accepting"));
+
+    json_decref(value);
+    return begun;
+}
+
+/* Takes a version through all steps. */
+static void
+put_in_force(operator_client_t *client, int64_t version)
+{
+    ck_assert_int_eq(propose(client, version, "a"), MR_OK);
+    ck_assert_int_eq(approve(client, version, "a"), MR_OK);
+    confirm_all(version, "a");
+    ck_assert_int_eq(accept_version(client, version), MR_OK);
+}
+
+/* Guards against a head that reverts: an operator is paused in the middle of
+ * an acceptance, and goes on after others have accepted a later version. */
+START_TEST(test_late_acceptance_does_not_revert)
+{
+    operator_client_t late;
+    struct event_base *shared = base;
+
+    /* Runs on a loop of its own, which stands still during the pause. */
+    base = event_base_new();
+    open_client(&late, "late");
+    put_in_force(&late, 1);
+    ck_assert_int_eq(propose(&late, 2, "a"), MR_OK);
+    ck_assert_int_eq(approve(&late, 2, "a"), MR_OK);
+    confirm_all(2, "a");
+    mr_change_accept(late.change, 2, NULL, 0, NULL, on_step, &late);
+    while (!accepting()) {
+        event_base_loop(base, EVLOOP_ONCE);
+    }
+    ck_assert_int_eq(head_version(), 1);
+    struct event_base *own = base;
+    base = shared;
+    ck_assert_int_eq(accept_version(&bob, 2), MR_OK);
+    put_in_force(&bob, 3);
+    base = own;
+    ck_assert_int_eq(end_of(&late), MR_OK);
+    ck_assert_int_eq(head_version(), 3);
+    close_client(&late);
+    event_base_free(own);
+    base = shared;
+}
+END_TEST
+
 START_TEST(test_vetoed_version_stays_vetoed)
 {
     ck_assert_int_eq(propose(&ann, 1, "a"), MR_OK);
@@ -633,6 +687,7 @@
     tcase_add_test(tcase, test_unconfirmed_data_centre_holds_acceptance);
     tcase_add_test(tcase, test_racing_proposals_have_one_winner);
     tcase_add_test(tcase, test_racing_acceptance_and_veto_have_one_winner);
+    tcase_add_test(tcase, test_late_acceptance_does_not_revert);
     tcase_add_test(tcase, test_vetoed_version_stays_vetoed);
     tcase_add_test(tcase, test_lost_replies_are_read_back);
     tcase_add_test(tcase, test_outage_changes_nothing);
