Show admissions beyond the limit after a grant that does not expire

test_paused_holder failed without the expiry of grants only by the check of what instances hold against the share of their data centre: the resumed holder asks the limiter at once and its grant is replaced. The holder now resumes cut off from all limiters, which a partition can do, and the test also compares admissions with rate and burst alone.

--- a/tests/unit/limit_world.h
+++ b/tests/unit/limit_world.h
@@ -71,6 +71,7 @@
     mr_ms_t paused_until;
     mr_ms_t drained; /* when a planned stop began; 0: none */
     bool store_cut;
+    bool cut; /* from all limiters */
     mr_lease_t *lease;
     mr_limiter_account_t *limiter;
     mr_limit_local_t local;
@@ -481,7 +482,8 @@
     }
     if (mr_limit_local_ask(&node->local, node->wait_count, now, &ask)) {
         int index = (int)(node - w->nodes);
-        if (lost(w) || w->now < w->nodes[node->owner].paused_until) {
+        if (lost(w) || node->cut
+            || w->now < w->nodes[node->owner].paused_until) {
             /* As a call that fails; another member is asked next. */
             event = post_after(w, ASK_BACK, index, index, ASK_FAILS_MS);
             event->failed = true;
--- a/tests/unit/test_limit_model.c
+++ b/tests/unit/test_limit_model.c
@@ -164,8 +164,8 @@
 }
 
 /* Guards against a grant that is used after its expiry: its holder is paused
- * until the grant has lapsed and its part of the share has filled up again at
- * the limiter, and resumes while the others spend the whole burst. */
+ * until the grant has lapsed, and resumes cut off from the limiter while the
+ * others spend the burst and use the whole rate. */
 START_TEST(test_paused_holder)
 {
     world_t *w = create_world(5, 10, 600);
@@ -178,14 +178,17 @@
     ck_assert_int_ge(held->amount.burst, w->limit.burst / 4);
     ck_assert_int_ge(held->expiry, node_now(w, holder) + 50000);
     holder->paused_until = w->now + 200000;
+    holder->cut = true;
     set_load(w, 1, PER_CENTRE - 1, 0.3);
     run(w, 199000, 0, 1);
     reset(w);
     set_load(w, 0, PER_CENTRE, 10);
-    run(w, 16000, 0, 1);
-    report(w, "paused holder", 16000);
-    /* The others used the part of the burst that the holder had. */
-    ck_assert_int_ge(w->admitted * MR_TOKEN_MILLI, w->limit.burst / 2);
+    run(w, 201000, 0, 1);
+    report(w, "paused holder", 201000);
+    /* The others use most of what the rate gives in that time. */
+    ck_assert_int_ge(w->admitted * MR_TOKEN_MILLI, w->limit.rate * 150);
+    ck_assert_msg(w->level >= 0, "%lld beyond rate and burst",
+                  (long long)(-w->level / MILLION));
     ck_assert_int_eq(w->violations, 0);
     destroy_world(w);
 }
