--- a/tests/unit/test_limit_model.c
+++ b/tests/unit/test_limit_model.c
@@ -179,11 +179,84 @@
 }
 END_TEST
 
+/* Give every instance, or only those of one data centre, the same part of
+ * @part times the rate. */
+static void
+set_load(world_t *w, int first, int count, double part)
+{
+    for (int i = 0; i < NODES; i++) {
+        bool loaded = i >= first && i < first + count;
+        w->nodes[i].load =
+            loaded ? part * (double)w->limit.rate / 1e6 / count : 0;
+    }
+}
+
+/* Guards against a grant that is used after its expiry: its holder is paused
+ * until the grant has lapsed, and resumes cut off from the limiter while the
+ * others spend the burst and use the whole rate. */
+START_TEST(test_paused_holder)
+{
+    world_t *w = create_world(5, 10, 600);
+    node_t *holder = &w->nodes[0];
+
+    /* Only one instance has demand, so that its LONG grant is large. */
+    set_load(w, 0, 1, 2);
+    run(w, 300000, 0, 1);
+    const mr_bucket_t *held = &holder->local.hold.bucket[MR_GRANT_LONG];
+    /* LONG grants use at most a quarter of the share. */
+    ck_assert_int_ge(held->amount.burst, w->limit.burst / 5);
+    ck_assert_int_ge(held->expiry, node_now(w, holder) + 50000);
+    holder->paused_until = w->now + 200000;
+    holder->cut = true;
+    set_load(w, 1, PER_CENTRE - 1, 0.3);
+    run(w, 199000, 0, 1);
+    reset(w);
+    set_load(w, 0, PER_CENTRE, 10);
+    run(w, 201000, 0, 1);
+    report(w, "paused holder", 201000);
+    /* The others use most of what the rate gives in that time. */
+    ck_assert_int_ge(w->admitted * MR_TOKEN_MILLI, w->limit.rate * 150);
+    ck_assert_msg(w->level >= 0, "%lld beyond rate and burst",
+                  (long long)(-w->level / MILLION));
+    ck_assert_int_eq(w->violations, 0);
+    destroy_world(w);
+}
+END_TEST
+
+/* Guards against a bucket that is full after a restart: the whole fleet is
+ * killed and restarted right after it has spent a full burst, and again each
+ * time that new limiters have taken over. */
+START_TEST(test_fleet_restart)
+{
+    enum { ROUNDS = 4, TAKEN_OVER_MS = 9000 /* above MR_LEASE_MS */ };
+    world_t *w = create_world(6, 5, 600);
+
+    set_load(w, 0, NODES, 0.3);
+    run(w, 300000, 0, 1);
+    reset(w);
+    set_load(w, 0, NODES, 100);
+    run(w, 2000, 0, 1);
+    report(w, "full bucket", 2000);
+    ck_assert_int_ge(w->admitted * MR_TOKEN_MILLI, w->limit.burst / 8);
+    for (int round = 0; round < ROUNDS; round++) {
+        for (int i = 0; i < NODES; i++) {
+            start_node(w, i);
+        }
+        run(w, TAKEN_OVER_MS, 0, 1);
+    }
+    report(w, "fleet restart", 2000 + ROUNDS * TAKEN_OVER_MS);
+    ck_assert_int_eq(w->violations, 0);
+    destroy_world(w);
+}
+END_TEST
+
 int
 main(void)
 {
-    const TTest *const tests[] = {test_calm, test_jumping, test_limiter_dies,
-                                  test_rolling_restart, test_store_outage};
+    const TTest *const tests[] = {
+        test_calm,         test_limiter_dies,  test_rolling_restart,
+        test_store_outage, test_paused_holder, test_fleet_restart,
+        test_jumping};
 
     return RUN_TESTS(tests, .suite = "limit_model", .timeout_s = 120,
                      .loop = {test_chaos, 0, 5});
