Let limiter leases last 3 s

Cause of the refusals after deaths: until the lease of a dead limiter lapses, the share of its data centre serves nobody but through LONG grants. With three data centres two thirds of the rate remain for 80 % of demand. The lease was 6 s, renewed every 2 s, and successors noticed renewals up to 2 s late, as they polled every 2 s.

Change: lease 3 s, renewal and poll every 1 s, promises 2 s, which must not outlast the lease. The row carries its own lease time, so versions can be mixed. An earlier version's promise of 3 s does not outlast a lease of 3 s either, as others wait for the lapse of the lease with its margin. Computed store writes at the target size rise from 341 to 405 a second (limit 500). test_lease's lost reply is now read back before a renewal by the constant.

--- a/bench/capacity_model.awk
+++ b/bench/capacity_model.awk
@@ -137,8 +137,8 @@
 
     # Limiter.
     leases = shards * centres
-    computed("lease_writes", leases / 2, "1/s")
-    computed("lease_reads", leases * 2 / 2, "1/s")
+    computed("lease_writes", leases, "1/s")
+    computed("lease_reads", leases * 2, "1/s")
     idle_read = per("accounts_idle_store_GET__table_") / 3
     computed("share_read_idle_measured", idle_read,
         "1/s/account/data_centre")
@@ -212,7 +212,7 @@
     # A row, an audit record and the trail's tail for each step of a change.
     records = 3 + centres
     computed("audit_records", changes * records, "1/s")
-    verdict("store_writes", leases / 2 + accounts * centres / 60 \
+    verdict("store_writes", leases + accounts * centres / 60 \
         + daemons / 300 + changes * records * 3, 500, "1/s")
     verdict("statement_cores", statements * statement_cpu / 1e3, 1, "cores")
 }
--- a/lib/limit/lease.c
+++ b/lib/limit/lease.c
@@ -8,7 +8,7 @@
 #include "common/mem.h"
 
 enum {
-    POLL_MS = 2000,       /* of an instance that watches the row */
+    POLL_MS = 1000,       /* of an instance that watches the row */
     POLL_LAPSED_MS = 500, /* once the row has not been renewed */
     POLL_GONE_MS = 200,   /* once the owner is no usable member */
     RETRY_MS = 300,
--- a/lib/limit/lease.h
+++ b/lib/limit/lease.h
@@ -24,11 +24,11 @@
 enum {
     MR_LEASE_NAME_MAX = 129,
     MR_LEASE_SUCCESSORS_MAX = 2,
-    MR_LEASE_MS = 6000,
-    MR_LEASE_RENEW_MS = 2000,
+    MR_LEASE_MS = 3000,
+    MR_LEASE_RENEW_MS = 1000,
     /* A successor that restarted has forgotten its promise, but waits for the
      * whole lease; a promise must not outlast that. */
-    MR_LEASE_PROMISE_MS = 3000,
+    MR_LEASE_PROMISE_MS = 2000,
     MR_LEASE_OUTAGE_MS = 300000,
 };
 
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -158,11 +158,13 @@
     while (!wants_write(lease, &row, 1, now, &out)) {
         now += 10;
     }
-    mr_lease_written(lease, MR_SHARE_UNKNOWN, 0, now + 1000);
-    ck_assert(!mr_lease_held(lease, now + 1000));
+    mr_ms_t written = now + MR_LEASE_RENEW_MS / 2;
+    mr_ms_t read = now + MR_LEASE_RENEW_MS - 1;
+    mr_lease_written(lease, MR_SHARE_UNKNOWN, 0, written);
+    ck_assert(!mr_lease_held(lease, written));
     out.revision = 2;
-    ck_assert(!wants_write(lease, &out, 1, now + 1500, &row));
-    ck_assert(mr_lease_held(lease, now + 1500));
+    ck_assert(!wants_write(lease, &out, 1, read, &row));
+    ck_assert(mr_lease_held(lease, read));
     ck_assert_int_eq(mr_lease_since(lease), now);
     ck_assert(!mr_lease_held(lease, now + MR_LEASE_MS));
     /* The former owner, paused until now, finds out by its own clock. */
