Print callers' counts and finish a fleet in one place

Nine tests formatted the same counts, and 23 ended with the same two calls. harness_print_counts() and harness_finish() replace them.

--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -310,6 +310,9 @@
 /** harness_callers_stop() - let requests in progress end, and free. */
 harness_counts_t harness_callers_stop(harness_caller_t *group);
 
+/** harness_print_counts() - one line to standard output. */
+void harness_print_counts(const harness_counts_t *counts);
+
 harness_counts_t harness_callers_counts(const harness_caller_t *group);
 
 /* ------------------------------------------------------- Single requests */
@@ -396,6 +399,9 @@
  * the trace and abort the test when a promise was broken. */
 void harness_check_promises(harness_t *harness);
 
+/** harness_finish() - harness_check_promises(), then harness_end(). */
+void harness_finish(harness_t *harness);
+
 /** harness_target_fault() - body of POST /faults at a target. */
 void harness_target_fault(harness_t *harness, const char *target,
                           const char *json);
--- a/tests/integration/harness_caller.c
+++ b/tests/integration/harness_caller.c
@@ -245,6 +245,15 @@
     return group->counts;
 }
 
+void
+harness_print_counts(const harness_counts_t *c)
+{
+    printf("sent %ld ran %ld not_run %ld (limited %ld) unknown %ld replicas "
+           "%ld gap %ld ms\n",
+           (long)c->sent, (long)c->ran, (long)c->not_run, (long)c->limited,
+           (long)c->unknown, (long)c->from_replicas, (long)c->longest_gap);
+}
+
 harness_counts_t
 harness_callers_stop(harness_caller_t *group)
 {
--- a/tests/integration/harness_trace.c
+++ b/tests/integration/harness_trace.c
@@ -150,3 +150,10 @@
     ck_assert_ptr_nonnull(violations);
     return violations;
 }
+
+void
+harness_finish(harness_t *h)
+{
+    harness_check_promises(h);
+    harness_end(h);
+}
--- a/tests/integration/test_accounts.c
+++ b/tests/integration/test_accounts.c
@@ -121,13 +121,6 @@
     return count;
 }
 
-static void
-finish(harness_t *h)
-{
-    harness_check_promises(h);
-    harness_end(h);
-}
-
 START_TEST(test_routes_and_handles)
 {
     harness_t *h = start(500);
@@ -173,7 +166,7 @@
     ck_assert_int_gt(count_records(h, "kept/4"), 0);
     free(id);
     free(handle);
-    finish(h);
+    harness_finish(h);
 }
 END_TEST
 
@@ -219,7 +212,7 @@
     ck_assert_int_eq(count_records(h, "refused/"), 0);
     free(id);
     free(handle);
-    finish(h);
+    harness_finish(h);
 }
 END_TEST
 
@@ -266,7 +259,7 @@
     ck_assert_int_gt(counts.limited, 50);
     ck_assert_int_le(with_token, 3);
     free(token);
-    finish(h);
+    harness_finish(h);
 }
 END_TEST
 
@@ -325,7 +318,7 @@
     ck_assert_int_gt(count_records(h, "piped/4"), 0);
     free(answers);
     free(forged);
-    finish(h);
+    harness_finish(h);
 }
 END_TEST
 
@@ -395,7 +388,7 @@
     ck_assert_int_eq(count_records(h, "Authorization"), 0);
     free(bearer);
     free(escaped);
-    finish(h);
+    harness_finish(h);
 }
 END_TEST
 
@@ -424,7 +417,7 @@
     harness_counts_t counts = harness_callers_stop(callers);
     ck_assert_int_gt(counts.ran, 100);
     ck_assert_int_eq(count_records(h, "Authorization"), 0);
-    finish(h);
+    harness_finish(h);
 }
 END_TEST
 
--- a/tests/integration/test_acknowledged.c
+++ b/tests/integration/test_acknowledged.c
@@ -48,13 +48,9 @@
 {
     harness_run(h->base, 1500);
     harness_counts_t counts = harness_callers_stop(callers);
-    printf("sent %lld ran %lld not_run %lld unknown %lld longest gap %lld\n",
-           (long long)counts.sent, (long long)counts.ran,
-           (long long)counts.not_run, (long long)counts.unknown,
-           (long long)counts.longest_gap);
+    harness_print_counts(&counts);
     ck_assert_int_gt(counts.ran, ran + 50);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 
 START_TEST(test_callers_on_the_isolated_side)
@@ -233,8 +229,7 @@
                   answer.outcome, answer.kind);
     harness_wait_primary(h, 0, old, FAILOVER_LIMIT_MS);
     harness_session_close(session);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 END_TEST
 
--- a/tests/integration/test_answers.c
+++ b/tests/integration/test_answers.c
@@ -70,16 +70,13 @@
     }
     g_rand_free(random);
     harness_counts_t counts = harness_callers_stop(callers);
-    printf("sent %lld ran %lld not_run %lld unknown %lld\n",
-           (long long)counts.sent, (long long)counts.ran,
-           (long long)counts.not_run, (long long)counts.unknown);
+    harness_print_counts(&counts);
     ck_assert_int_gt(counts.unknown, 0);
     ck_assert_int_gt(counts.ran, counts.sent / 2);
     harness_run(h->base, 1000);
     harness_wait_primary(h, 0, NULL, 5000);
     harness_wait_primary(h, 1, NULL, 5000);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 END_TEST
 
--- a/tests/integration/test_at_most_once.c
+++ b/tests/integration/test_at_most_once.c
@@ -101,8 +101,7 @@
     }
     g_rand_free(random);
     harness_session_close(session);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 END_TEST
 
@@ -136,8 +135,7 @@
     harness_answer_t answer = harness_ask(session, "konya-1", &other);
     ck_assert_str_eq(answer.kind, "invalid_request_id");
     harness_session_close(session);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 END_TEST
 
@@ -161,8 +159,7 @@
     }
     ck_assert_int_gt(unknown, ROUNDS / 2);
     harness_session_close(session);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 END_TEST
 
@@ -210,14 +207,11 @@
     }
     g_rand_free(random);
     harness_counts_t counts = harness_callers_stop(callers);
-    printf("sent %lld ran %lld not_run %lld unknown %lld\n",
-           (long long)counts.sent, (long long)counts.ran,
-           (long long)counts.not_run, (long long)counts.unknown);
+    harness_print_counts(&counts);
     ck_assert_int_gt(counts.not_run, 0);
     harness_run(h->base, 1000);
     harness_wait_primary(h, 0, NULL, 5000);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 END_TEST
 
--- a/tests/integration/test_certificates.c
+++ b/tests/integration/test_certificates.c
@@ -366,8 +366,7 @@
     ck_assert(is_admitted(one->peer, "second"));
     harness_run(h->base, 1000);
     harness_counts_t counts = harness_callers_stop(callers);
-    printf("links: sent %lld ran %lld\n", (long long)counts.sent,
-           (long long)counts.ran);
+    harness_print_counts(&counts);
     ck_assert_int_gt(counts.ran, 0);
     ck_assert_int_eq(counts.ran, counts.sent);
 
--- a/tests/integration/test_changes.c
+++ b/tests/integration/test_changes.c
@@ -73,12 +73,8 @@
     ck_assert_ptr_ne(harness_primary(h, 0), leaving);
 
     harness_counts_t counts = harness_callers_stop(callers);
-    printf("sent %ld ran %ld not_run %ld unknown %ld limited %ld gap %ld ms\n",
-           (long)counts.sent, (long)counts.ran, (long)counts.not_run,
-           (long)counts.unknown, (long)counts.limited,
-           (long)counts.longest_gap);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_print_counts(&counts);
+    harness_finish(h);
 }
 END_TEST
 
--- a/tests/integration/test_chaos.c
+++ b/tests/integration/test_chaos.c
@@ -250,10 +250,7 @@
     harness_run(chaos.harness->base, 2000);
     int64_t after = harness_callers_counts(callers).ran;
     harness_counts_t counts = harness_callers_stop(callers);
-    printf("sent %ld ran %ld not_run %ld unknown %ld limited %ld gap %ld ms\n",
-           (long)counts.sent, (long)counts.ran, (long)counts.not_run,
-           (long)counts.unknown, (long)counts.limited,
-           (long)counts.longest_gap);
+    harness_print_counts(&counts);
     harness_trace_versions(chaos.harness);
     harness_trace_logs(chaos.harness);
     json_t *violations = harness_check_trace(chaos.harness);
--- a/tests/integration/test_config.c
+++ b/tests/integration/test_config.c
@@ -111,8 +111,7 @@
 finish(harness_t *h)
 {
     check_in_force(h);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 
 /* A description of its own, with one more account. */
--- a/tests/integration/test_isolation.c
+++ b/tests/integration/test_isolation.c
@@ -89,8 +89,7 @@
 {
     harness_callers_stop(groups[0]);
     harness_callers_stop(groups[1]);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 
 START_TEST(test_reads_within_the_limit)
@@ -183,8 +182,7 @@
     isolate(h, false);
     harness_run(h->base, RECOVER_MS);
     ck_assert_int_eq(ask(h, "data", h->accounts[0].key, "write"), 200);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 END_TEST
 
--- a/tests/integration/test_leaving.c
+++ b/tests/integration/test_leaving.c
@@ -129,15 +129,12 @@
         ck_assert_ptr_ne(harness_primary(h, 0), target);
     }
     harness_counts_t counts = harness_callers_stop(callers);
-    printf("%s: sent %lld ran %lld not_run %lld unknown %lld gap %lld\n", name,
-           (long long)counts.sent, (long long)counts.ran,
-           (long long)counts.not_run, (long long)counts.unknown,
-           (long long)counts.longest_gap);
+    printf("%s: ", name);
+    harness_print_counts(&counts);
     ck_assert_int_eq(counts.unknown, 0);
     ck_assert_int_gt(counts.ran, counts.sent * 9 / 10);
     harness_session_close(session);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 
 START_TEST(test_replica_by_configuration)
--- a/tests/integration/test_membership.c
+++ b/tests/integration/test_membership.c
@@ -115,11 +115,7 @@
     wait_members(h, "konya-1", "live", 3, 5000);
 
     harness_counts_t counts = harness_callers_stop(callers);
-    printf("sent %ld ran %ld not_run %ld unknown %ld limited %ld replicas %ld "
-           "longest gap %ld ms\n",
-           (long)counts.sent, (long)counts.ran, (long)counts.not_run,
-           (long)counts.unknown, (long)counts.limited,
-           (long)counts.from_replicas, (long)counts.longest_gap);
+    harness_print_counts(&counts);
     ck_assert_int_gt(counts.ran, counts.sent / 2);
     check_promises(h);
     harness_end(h);
--- a/tests/integration/test_planned_stop.c
+++ b/tests/integration/test_planned_stop.c
@@ -63,16 +63,11 @@
         harness_run(h->base, 1000);
     }
     harness_counts_t counts = harness_callers_stop(callers);
-    printf("sent %lld ran %lld not_run %lld (limited %lld) unknown %lld "
-           "longest gap %lld\n",
-           (long long)counts.sent, (long long)counts.ran,
-           (long long)counts.not_run, (long long)counts.limited,
-           (long long)counts.unknown, (long long)counts.longest_gap);
+    harness_print_counts(&counts);
     ck_assert_int_eq(counts.unknown, 0);
     /* A restarted instance may lack rate for the account at first. */
     ck_assert_int_eq(counts.not_run, counts.limited);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 END_TEST
 
@@ -112,8 +107,7 @@
                                               h->base, STOP_LIMIT_MS),
                          0);
     }
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 END_TEST
 
@@ -163,8 +157,7 @@
         harness_process_start(process);
         harness_session_close(session);
     }
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 END_TEST
 
--- a/tests/integration/test_read_your_writes.c
+++ b/tests/integration/test_read_your_writes.c
@@ -92,8 +92,7 @@
     ck_assert_int_eq(served, 2 * ROUNDS);
     g_rand_free(random);
     harness_session_close(session);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 END_TEST
 
@@ -128,8 +127,7 @@
     harness_counts_t counts = harness_callers_stop(callers);
     ck_assert_int_gt(counts.from_replicas, counts.ran / 10);
     harness_session_close(session);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 END_TEST
 
@@ -156,8 +154,7 @@
         ck_assert_int_lt(mr_clock_now(NULL), end);
     }
     harness_session_close(session);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 END_TEST
 
@@ -215,8 +212,7 @@
     harness_session_close(fresh);
     harness_session_close(isolated);
     harness_session_close(session);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 END_TEST
 
--- a/tests/integration/test_roll_out_rate.c
+++ b/tests/integration/test_roll_out_rate.c
@@ -43,8 +43,7 @@
     ck_assert_msg(counts.limited * PER_CENT <= counts.sent,
                   "%lld of %lld requests refused as rate_limited",
                   (long long)counts.limited, (long long)counts.sent);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 END_TEST
 
--- a/tests/integration/test_transactions.c
+++ b/tests/integration/test_transactions.c
@@ -146,8 +146,7 @@
     ck_assert_int_gt(committed, 0);
     ck_assert_int_lt(committed, ROUNDS * PAIRS);
     g_rand_free(random);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 END_TEST
 
@@ -201,8 +200,7 @@
     ck_assert_str_eq(ask(&other, "konya-0", "rollback", NULL).outcome, "ran");
     harness_session_close(txn.session);
     harness_session_close(other.session);
-    harness_check_promises(h);
-    harness_end(h);
+    harness_finish(h);
 }
 END_TEST
 
