Bound the term of a write whose owner was lost

Cause: when the pool owner was lost, the entry did not know the term under which the write was sent and marked the session with "any term", so that its reads stayed at the primary for ever.

Change: EXECUTE carries the highest term that the entry knows. An owner that sees a higher one refuses the write (not run) and names it; the entry repeats it with that bound. A lost write is then uncertain up to the bound, and a present read under a higher term settles it. A transaction's handle carries its term, which bounds a lost commit. "Any term" remains when the instance that issued a request id was lost.

Ruled out: the deadline as a bound. The write's bytes may lie unread at a paused target, which counts max_ms from when it reads them; reads under an unchanged term therefore stay at the primary.

Cost: one more round trip for an entry's first write after a change of the primary. EXECUTE has one field more.

--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -177,6 +177,7 @@
              reply->instance);
     snprintf(call->txn.address, sizeof(call->txn.address), "%s",
              reply->address);
+    call->txn.term = reply->term;
     char *handle = mr_txn_close(call->entry->txn_seal, &call->txn);
     mr_counter_add(call->entry->outcomes[MR_OK], 1);
     evbuffer_add_printf(body, "{\"transaction\":\"%s\"}", handle);
@@ -225,6 +226,19 @@
     return false;
 }
 
+/* The highest term under which a write with unknown outcome may run. A commit
+ * runs under the transaction's own. */
+static int64_t
+unknown_term(const call_t *call, const mr_msg_execute_reply_t *reply)
+{
+    if (reply->term > 0) {
+        return reply->term;
+    }
+    return call->kind == MR_STATEMENT_COMMIT && call->txn.term > 0
+               ? call->txn.term
+               : MR_SESSION_ANY_TERM;
+}
+
 /* Records in the session what the request did or may have done. */
 static void
 update_session(call_t *call, const mr_msg_execute_reply_t *reply)
@@ -241,8 +255,7 @@
         }
         else if (mr_error_outcome(error) == MR_OUTCOME_UNKNOWN) {
             mr_session_wrote_unknown(&call->session, group,
-                                     reply->term > 0 ? reply->term
-                                                     : MR_SESSION_ANY_TERM);
+                                     unknown_term(call, reply));
         }
         return;
     }
--- a/lib/entry/route.c
+++ b/lib/entry/route.c
@@ -21,6 +21,8 @@
     READ_ATTEMPT_MS = 250,
     /* The first two owners in rendezvous order serve a target. */
     OWNERS_MAX = 2,
+    /* Of a group whose primary was never replaced. */
+    FIRST_TERM = 1,
     /* The reply of a remote owner travels back within this time. */
     REPLY_MARGIN_MS = 3,
     /* An owner that has not answered after this time is asked whether it is
@@ -126,6 +128,18 @@
     free(a);
 }
 
+/* A lost owner does not say under which term it sent a write, but it was told
+ * the highest that it may use. */
+static void
+bound_unknown_outcome(const attempt_t *a, mr_msg_execute_reply_t *reply)
+{
+    if (a->msg->access == MR_ACCESS_WRITE && reply->term == 0
+        && mr_error_outcome((mr_error_kind_t)reply->error)
+               == MR_OUTCOME_UNKNOWN) {
+        reply->term = a->msg->max_term;
+    }
+}
+
 static void
 finish(attempt_t *a, const mr_msg_execute_reply_t *reply)
 {
@@ -145,6 +159,7 @@
         copy->term = a->msg->min_term - 1;
         copy->position = 0;
     }
+    bound_unknown_outcome(a, copy);
     free_attempt(a);
     fn(ctx, copy);
     mr_execute_reply_free(copy);
@@ -218,6 +233,19 @@
     }
 }
 
+/* The highest term under which the owner may run the write: the newest that
+ * this instance knows of. Hints only go up, so the bound of the last attempt
+ * holds for those before it. */
+static int64_t
+highest_term(const attempt_t *a)
+{
+    const primary_hint_t *hint =
+        g_hash_table_lookup(a->route->hints, a->group->name);
+    int64_t known = hint == NULL ? FIRST_TERM : hint->term;
+
+    return known > a->msg->min_term ? known : a->msg->min_term;
+}
+
 static bool
 primary_doubted(const attempt_t *a)
 {
@@ -363,7 +391,13 @@
 static void
 handle_wrong_owner(attempt_t *a, const mr_msg_execute_reply_t *reply)
 {
-    if (reply->hint[0] != '\0' && prefer_target(a, reply->hint)) {
+    const char *tried = a->group->targets[a->order[a->next]].name;
+
+    if (reply->hint[0] != '\0'
+        && (prefer_target(a, reply->hint)
+            || (a->msg->access == MR_ACCESS_WRITE
+                && strcmp(tried, reply->hint) == 0
+                && a->msg->max_term < highest_term(a)))) {
         retry(a, 0);
         return;
     }
@@ -627,6 +661,7 @@
         return;
     }
     snprintf(a->member, sizeof(a->member), "%s", member->name);
+    a->msg->max_term = highest_term(a);
     msg.u.execute = *a->msg;
     msg.u.execute.target = target->name;
     if (strcmp(member->name, a->route->options.name) == 0) {
--- a/lib/entry/session.h
+++ b/lib/entry/session.h
@@ -15,7 +15,8 @@
     MR_SESSION_NO_TARGET = 255,
 };
 
-/** Term of a write whose owner was lost: it may have run under any term. */
+/** Term of a write that may have run under any term: the instance that issued
+ * its request id was lost. */
 #define MR_SESSION_ANY_TERM INT64_MAX
 
 /** What a session wrote to one group. */
--- a/lib/entry/txn.c
+++ b/lib/entry/txn.c
@@ -10,9 +10,10 @@
 char *
 mr_txn_close(const mr_seal_t *seal, const mr_txn_t *txn)
 {
-    char *text = mr_asprintf("%s\n%s\n%s\n%s\n%s\n%s\n%d", txn->route,
-                             txn->instance, txn->address, txn->account,
-                             txn->group, txn->id, txn->access);
+    char *text =
+        mr_asprintf("%s\n%s\n%s\n%s\n%s\n%s\n%d\n%lld", txn->route,
+                    txn->instance, txn->address, txn->account, txn->group,
+                    txn->id, txn->access, (long long)txn->term);
     char *handle = mr_seal_close(seal, text, strlen(text));
 
     free(text);
@@ -28,11 +29,13 @@
     if (plain == NULL) {
         return false;
     }
+    long long term = 0;
     int got = sscanf(plain,
                      "%64[^\n]\n%64[^\n]\n%64[^\n]\n%64[^\n]\n%64[^\n]\n"
-                     "%64[^\n]\n%d",
+                     "%64[^\n]\n%d\n%lld",
                      txn->route, txn->instance, txn->address, txn->account,
-                     txn->group, txn->id, &txn->access);
+                     txn->group, txn->id, &txn->access, &term);
     free(plain);
-    return got == 7;
+    txn->term = term;
+    return got == 8;
 }
--- a/lib/entry/txn.h
+++ b/lib/entry/txn.h
@@ -3,6 +3,8 @@
 
 /* Transaction handles, which callers carry. */
 
+#include <stdint.h>
+
 #include "common/seal.h"
 
 enum { MR_TXN_TEXT_MAX = 65 };
@@ -16,6 +18,7 @@
     char group[MR_TXN_TEXT_MAX];
     char id[MR_TXN_TEXT_MAX]; /* at that instance */
     int access;               /* mr_access_t */
+    int64_t term;             /* under which it writes; 0: unknown */
 } mr_txn_t;
 
 /** mr_txn_close() - make a handle; the caller frees it. */
--- a/lib/group/work.c
+++ b/lib/group/work.c
@@ -289,6 +289,12 @@
         fail(work, MR_ERR_WRONG_OWNER, "another target is the primary");
         return;
     }
+    if (term > work->msg->max_term) {
+        /* The entry would not know up to which term an unknown outcome may
+         * still be decided; it learns the term from this answer. */
+        fail(work, MR_ERR_WRONG_OWNER, "the group has a higher term");
+        return;
+    }
     work->term = term;
     watch_for_replacement(work);
     enter_queue(work);
@@ -544,6 +550,9 @@
     const char *id = mr_transaction_open(work->target, work->msg, conn,
                                          reply->transaction, work->term);
     save_reply(work, reply);
+    if (is_write(work)) {
+        work->saved->term = work->term;
+    }
     free((void *)work->saved->transaction);
     work->saved->transaction = mr_strdup(id);
     free((void *)work->saved->instance);
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -77,6 +77,7 @@
     F(BOOL, mr_msg_execute_t, token_uncertain),
     F(INTEGER, mr_msg_execute_t, deadline_ms),
     F(INTEGER, mr_msg_execute_t, min_term),
+    F(INTEGER, mr_msg_execute_t, max_term),
     F(BOOL, mr_msg_execute_t, idempotent),
     F(STRING, mr_msg_execute_t, request_id),
     F(STRING, mr_msg_execute_t, transaction),
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -82,7 +82,8 @@
     int64_t token_position;
     bool token_uncertain;
     int64_t deadline_ms; /* time left when the message was sent */
-    int64_t min_term;    /* writes run only under this term or a higher one */
+    int64_t min_term;    /* writes run only under this term or a higher one, */
+    int64_t max_term;    /* and only under this one or a lower one */
     bool idempotent;
     const char *request_id;
     const char *transaction;
--- a/tests/integration/test_read_your_writes.c
+++ b/tests/integration/test_read_your_writes.c
@@ -172,6 +172,47 @@
 }
 END_TEST
 
+/* Guards against a session that reads from the primary for ever because the
+ * term of its lost write is not known: after the next change of the primary
+ * the outcome is settled, and replicas serve it again. */
+START_TEST(test_replicas_serve_after_an_unknown_outcome)
+{
+    harness_t *h = start();
+    harness_session_t *session = harness_session_open(h, 0);
+    const harness_request_t write = {.op = "put", .key = "settled"};
+    const harness_request_t read = {.op = "get", .key = "settled"};
+    harness_target_t *old = harness_primary(h, 0);
+    harness_answer_t answer;
+
+    harness_target_fault(h, old->process.name, "{\"lag_ms\":1500}");
+    harness_call_t *call = harness_call(session, &write);
+    harness_call_send(call, "aksaray-0");
+    harness_run(h->base, 100);
+    harness_process_kill(&harness_instance(h, "konya-0")->process);
+    ck_assert_str_eq(harness_call_end(call).outcome, "unknown");
+    for (int i = 0; i < ROUNDS; i++) {
+        answer = harness_ask(session, "karaman-0", &read);
+        ck_assert_msg(strcmp(answer.outcome, "ran") != 0
+                          || strcmp(answer.served_by, old->process.name) == 0,
+                      "%s served before the outcome was settled",
+                      answer.served_by);
+    }
+    harness_process_kill(&old->process);
+    harness_wait_primary(h, 0, old, FAILOVER_LIMIT_MS);
+    mr_ms_t end = mr_clock_now(NULL) + FAILOVER_LIMIT_MS;
+    do {
+        ck_assert_msg(mr_clock_now(NULL) < end, "last read: %s %s",
+                      answer.kind, answer.served_by);
+        answer = harness_ask(session, "karaman-0", &read);
+    } while (strcmp(answer.outcome, "ran") != 0
+             || strcmp(answer.served_by, harness_primary(h, 0)->process.name)
+                    == 0);
+    harness_session_close(session);
+    harness_check_promises(h);
+    harness_end(h);
+}
+END_TEST
+
 static void
 isolate(harness_t *h, bool cut)
 {
@@ -238,6 +279,7 @@
         test_moves_between_instances,
         test_failover,
         test_write_with_unknown_outcome,
+        test_replicas_serve_after_an_unknown_outcome,
         test_isolated_primary,
     };
 
--- a/tests/unit/test_session.c
+++ b/tests/unit/test_session.c
@@ -119,6 +119,30 @@
 }
 END_TEST
 
+/* Without the term, a commit whose owner is lost would stay uncertain. */
+START_TEST(test_handle_carries_the_transaction)
+{
+    mr_seal_t *seal = create_seal(1, MR_SEAL_TRANSACTION);
+    const mr_txn_t txn = {.route = "data",
+                          .instance = "konya-0",
+                          .address = "127.0.0.1:1",
+                          .account = "a",
+                          .group = "g0",
+                          .id = "1",
+                          .access = 1,
+                          .term = INT64_MAX - 1};
+    mr_txn_t again;
+
+    char *handle = mr_txn_close(seal, &txn);
+    ck_assert(mr_txn_open(seal, handle, &again));
+    ck_assert_str_eq(again.group, txn.group);
+    ck_assert_int_eq(again.access, txn.access);
+    ck_assert_int_eq(again.term, txn.term);
+    free(handle);
+    mr_seal_destroy(seal);
+}
+END_TEST
+
 START_TEST(test_full_session_has_no_room)
 {
     mr_session_t session = {.count = 0};
@@ -144,6 +168,7 @@
     tcase_add_test(tc, test_positions_only_go_up);
     tcase_add_test(tc, test_uncertain_write_lasts_until_its_term_is_over);
     tcase_add_test(tc, test_write_of_unknown_term_stays_uncertain);
+    tcase_add_test(tc, test_handle_carries_the_transaction);
     tcase_add_test(tc, test_full_session_has_no_room);
     suite_add_tcase(suite, tc);
     SRunner *runner = srunner_create(suite);
