--- a/tests/integration/test_at_most_once.c
+++ b/tests/integration/test_at_most_once.c
@@ -190,7 +190,7 @@
 {
     harness_t *h = start();
     GRand *random = g_rand_new_with_seed(SEED);
-    const harness_load_t load = {.callers = 24,
+    const harness_load_t load = {.callers = 48,
                                  .account = -1,
                                  .write_percent = 90,
                                  .append_percent = 50,
