Back off from a replica in proportion to the time waited

The likely reason, from the arithmetic and not from a trace: one fast report pulled the measured lag far down, and the interval, which grew by half at each probe, then passed the true lag by as much again.

Change: the interval beyond the lag is a quarter of the time waited, and a fall of the lag is followed by three quarters.

Run: test_pace, test_acknowledged: passed.

--- a/lib/group/pace.c
+++ b/lib/group/pace.c
@@ -3,6 +3,9 @@
 enum {
     /* The first probe leaves this part of the lag early. */
     EARLY_PART = 8,
+    /* Beyond the lag, an interval is this part of the time waited, so that a
+     * lag that was taken for too short costs no more than that. */
+    BACK_OFF_PART = 4,
     /* A write that a replica does not get at all says nothing about its lag.
      * Above the lag seen in practice. */
     TIMING_MAX_MS = 10000,
@@ -11,6 +14,7 @@
 /* Weight of a new sample: follows a change within a few writes, and a single
  * late entry does not move it far. */
 static const double weight = 0.25;
+static const double down_weight = 0.75;
 
 void
 mr_pace_wrote(mr_pace_t *pace, int64_t term, int64_t position, mr_ms_t now)
@@ -41,7 +45,7 @@
     }
     else if (pace->lag > high) {
         /* A first probe that comes too late shows only a part of the fall. */
-        pace->lag = high;
+        pace->lag += (high - pace->lag) * down_weight;
     }
 }
 
@@ -108,7 +112,8 @@
     if ((double)waited < pace->lag + (double)step) {
         return;
     }
-    pace->step = limit_step((double)(step + (step + 1) / 2));
+    mr_ms_t next = limit_step((double)waited / BACK_OFF_PART);
+    pace->step = next > step ? next : step;
 }
 
 void
