--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -153,7 +153,7 @@
  * configuration in force and wait until every daemon is healthy. Routes:
  * "data" (keyed, all accounts). Names: DATACENTRE-N, g0-a to g0-c, account-N.
  */
-harness_t *harness_start(const harness_options_t *options);
+harness_t *harness_start(const harness_options_t *wanted);
 
 /** harness_end() - end all processes. The folder is kept after a failure. */
 void harness_end(harness_t *harness);
