Show a write and its read through two instances in the demo

Cause: the demo proved read-your-writes by the trace alone; who watches it could not see it.

Change: after the primary is killed, a session writes through one instance until the group has a primary again, and reads the value back through another one. The demo fails when the value is another one.

--- a/tests/integration/demo.c
+++ b/tests/integration/demo.c
@@ -4,6 +4,7 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "harness.h"
 
@@ -12,7 +13,8 @@
     RECOVERY_LIMIT_MS = 5000,
     INSTANCES = 1,
     GROUPS = 3,
-    TIMEOUT_S = 60
+    TIMEOUT_S = 60,
+    KEYS_TRIED = 50, /* for one of a group among three */
 };
 
 static const char *const places[] = {"konya", "aksaray", "karaman", NULL};
@@ -57,6 +59,52 @@
     return now;
 }
 
+/* Sets @key to one of the group whose primary is @primary. */
+static void
+find_key(harness_session_t *session, const harness_target_t *primary,
+         char key[HARNESS_NAME_BYTES])
+{
+    harness_answer_t answer;
+
+    for (int i = 0; i < KEYS_TRIED; i++) {
+        snprintf(key, HARNESS_NAME_BYTES, "order-%d", i);
+        const harness_request_t write = {.op = "put", .key = key};
+        answer = harness_ask(
+            session, session->harness->instances[0].process.name, &write);
+        if (strcmp(answer.served_by, primary->process.name) == 0) {
+            return;
+        }
+    }
+    ck_abort_msg("no key of the group of %s", primary->process.name);
+}
+
+/* Writes through one instance as soon as the group has a primary again, and
+ * reads the value back through another instance. */
+static void
+show_session(harness_session_t *session, const char *key)
+{
+    const harness_t *h = session->harness;
+    const char *writer = h->instances[1].process.name;
+    const char *reader = h->instances[2].process.name;
+    const harness_request_t write = {.op = "put", .key = key};
+    const harness_request_t read = {.op = "get", .key = key};
+    char expected[2 * HARNESS_NAME_BYTES];
+    mr_ms_t began = mr_clock_now(NULL);
+    harness_answer_t answer;
+
+    do {
+        ck_assert_int_lt(mr_clock_now(NULL) - began, RECOVERY_LIMIT_MS);
+        answer = harness_ask(session, writer, &write);
+    } while (strcmp(answer.outcome, "ran") != 0);
+    snprintf(expected, sizeof(expected), "%s/%lld", key, (long long)answer.id);
+    printf("written through %s after %lld ms, at %s\n", writer,
+           (long long)(mr_clock_now(NULL) - began), answer.served_by);
+    answer = harness_ask(session, reader, &read);
+    printf("read through %s, at %s: %s\n", reader, answer.served_by,
+           answer.value);
+    ck_assert_str_eq(answer.value, expected);
+}
+
 static void
 check_verdict(harness_t *h, const harness_counts_t *counts)
 {
@@ -96,8 +144,13 @@
     run_phase(h, callers, "calm");
     harness_target_t *primary = harness_primary(h, 0);
     ck_assert_ptr_nonnull(primary);
+    harness_session_t *session = harness_session_open(h, 0);
+    char key[HARNESS_NAME_BYTES];
+    find_key(session, primary, key);
     printf("killing primary %s\n", primary->process.name);
     harness_process_kill(&primary->process);
+    show_session(session, key);
+    harness_session_close(session);
     run_phase(h, callers, "after the primary's death");
     printf("killing daemon %s\n", h->instances[0].process.name);
     harness_process_kill(&h->instances[0].process);
