--- a/Makefile
+++ b/Makefile
@@ -17,13 +17,13 @@
 LDFLAGS += $(SANITIZE)
 
 MAKEFLAGS += --no-print-directory
-LIB_SRC := $(sort $(wildcard lib/*/*.c))
+LIB_SRC := $(sort $(wildcard lib/*/*.c platform/*.c))
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB := $(BUILD)/libmasticrelay.a
 
 # A program is one file in programs/; files named programs/PROGRAM_*.c belong
 # to PROGRAM.
-PROGRAMS := $(filter masticrelayd masticrelayctl,$(patsubst programs/%.c,%,$(wildcard programs/*.c)))
+PROGRAMS := $(filter masticrelayd masticrelaysd masticrelayctl,$(patsubst programs/%.c,%,$(wildcard programs/*.c)))
 STANDINS := $(patsubst tests/standins/%.c,%,$(wildcard tests/standins/*_standin.c)) \
             $(patsubst tests/standins/%.c,%,$(wildcard tests/standins/fault_proxy.c))
 UNIT := $(patsubst tests/unit/%.c,%,$(wildcard tests/unit/test_*.c))
@@ -38,7 +38,7 @@
 GSL_LIBS = $(shell pkg-config --libs gsl)
 EXAMPLES := $(patsubst examples/%.c,%,$(filter-out examples/common_%.c,$(wildcard examples/*.c)))
 
-SOURCES := $(sort $(wildcard lib/*.h lib/*/*.[ch] programs/*.[ch] tests/*/*.[ch] \
+SOURCES := $(sort $(wildcard lib/*.h lib/*/*.[ch] platform/*.[ch] programs/*.[ch] tests/*/*.[ch] \
            bench/*.[ch] examples/*.[ch] fuzz/*.[ch]))
 
 .PHONY: all programs standins tests bench-programs examples check unit \
--- a/lib/common/error.h
+++ b/lib/common/error.h
@@ -47,7 +47,10 @@
     X(MR_ERR_WRONG_OWNER, "wrong_owner", 503, MR_OUTCOME_NOT_RUN)             \
     X(MR_ERR_DEADLINE_EXCEEDED, "deadline_exceeded", 504, MR_OUTCOME_NOT_RUN) \
     X(MR_ERR_OUTCOME_UNKNOWN, "outcome_unknown", 504, MR_OUTCOME_UNKNOWN)     \
-    X(MR_ERR_REQUEST_ID_EXPIRED, "request_id_expired", 504, MR_OUTCOME_UNKNOWN)
+    X(MR_ERR_REQUEST_ID_EXPIRED, "request_id_expired", 504,                   \
+      MR_OUTCOME_UNKNOWN)                                                     \
+    X(MR_ERR_UNKNOWN_STATEMENT, "unknown_statement", 404, MR_OUTCOME_NOT_RUN) \
+    X(MR_ERR_STATEMENT_TIMEOUT, "statement_timeout", 504, MR_OUTCOME_UNKNOWN)
 
 #define MR_ERROR_ENUM(kind, name, status, outcome) kind,
 /** Kinds of error; see MR_ERROR_KINDS(). */
--- /dev/null
+++ b/lib/session/catalog.h
@@ -0,0 +1,85 @@
+#ifndef MR_SESSION_CATALOG_H
+#define MR_SESSION_CATALOG_H
+
+/* The desired state that sessions are served under: routes, services, client
+ * accounts and limits of one version. Immutable once built. */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+
+/** What a read on a route must have seen. */
+typedef enum mr_freshness {
+    MR_FRESH_PRIMARY, /* every acknowledged commit */
+    MR_FRESH_BOUNDED, /* commits older than the route's bound */
+    MR_FRESH_SESSION, /* the same, and the session's own commits */
+} mr_freshness_t;
+
+typedef struct mr_catalog_route {
+    char *database; /* that clients name */
+    char *service;
+    mr_freshness_t freshness;
+    mr_ms_t max_age;           /* of data read; for all but MR_FRESH_PRIMARY */
+    mr_ms_t statement_timeout; /* 0: none */
+    mr_ms_t objective;         /* latency objective of an operation */
+    int64_t priority;          /* 0 is the highest */
+    bool anonymous;            /* open to callers without a key */
+} mr_catalog_route_t;
+
+typedef struct mr_catalog_service {
+    char *name;
+    int64_t connections_max; /* to one database, from all instances */
+    int64_t sync_copies;     /* replicas that hold a commit before its ack */
+} mr_catalog_service_t;
+
+typedef struct mr_catalog_account {
+    char *name;
+    int64_t rate; /* operations a second, all instances together */
+    int64_t burst;
+} mr_catalog_account_t;
+
+typedef struct mr_catalog_key {
+    char *key;
+    size_t account;
+} mr_catalog_key_t;
+
+typedef struct mr_catalog {
+    int refs;
+    int64_t version;
+    int64_t row_version;        /* of the store's row that it was read from */
+    mr_catalog_route_t *routes; /* sorted by database */
+    size_t route_count;
+    mr_catalog_service_t *services; /* sorted by name */
+    size_t service_count;
+    mr_catalog_account_t *accounts; /* sorted by name */
+    size_t account_count;
+    mr_catalog_key_t *keys; /* sorted */
+    size_t key_count;
+    mr_ms_t tx_idle;
+} mr_catalog_t;
+
+mr_catalog_t *mr_catalog_create(void);
+mr_catalog_t *mr_catalog_ref(mr_catalog_t *catalog);
+void mr_catalog_unref(mr_catalog_t *catalog);
+
+/** mr_catalog_seal() - sort the tables once all entries are added. */
+void mr_catalog_seal(mr_catalog_t *catalog);
+
+const mr_catalog_route_t *mr_catalog_route(const mr_catalog_t *catalog,
+                                           const char *database);
+const mr_catalog_service_t *mr_catalog_service(const mr_catalog_t *catalog,
+                                               const char *name);
+const mr_catalog_account_t *mr_catalog_account(const mr_catalog_t *catalog,
+                                               const char *name);
+/** mr_catalog_key_owner() - account that holds @key; NULL: none. */
+const mr_catalog_account_t *mr_catalog_key_owner(const mr_catalog_t *catalog,
+                                                 const char *key);
+
+/** mr_catalog_decode() - read the desired state; in platform/desired.c.
+ * NULL with @problem set when it is malformed. */
+mr_catalog_t *mr_catalog_decode(const void *data, size_t len,
+                                const char **problem);
+
+#endif
--- /dev/null
+++ b/lib/session/cluster.c
@@ -0,0 +1,360 @@
+#include "session/cluster.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "common/mem.h"
+#include "session/link.h"
+
+enum {
+    /* First pause after a failed connection or a lost answer, doubled up to
+     * the longest one. */
+    AVOID_FIRST_MS = 100,
+    AVOID_MAX_MS = 1600,
+    /* A database that refused a write as a replica is asked again after this
+     * time even if its registration has not changed. */
+    REFUSED_MEMORY_MS = 300,
+    IDLE_DEFAULT = 1,
+    LATENCY_WEIGHT = 8, /* share of a new sample in the smoothed time: 1/8 */
+};
+
+mr_clusters_t *
+mr_clusters_create(const char *data_centre)
+{
+    mr_clusters_t *clusters = MR_NEW(mr_clusters_t);
+
+    mr_list_init(&clusters->list);
+    clusters->data_centre = mr_strdup(data_centre);
+    return clusters;
+}
+
+static void
+free_db(mr_db_t *db)
+{
+    mr_list_remove(&db->link);
+    free(db->id);
+    free(db->address);
+    free(db->data_centre);
+    free(db);
+}
+
+/* Closes the kept connections; frees @db unless others are in use. */
+static void
+remove_db(mr_db_t *db)
+{
+    db->gone = true;
+    db->links++; /* holds @db while the connections close */
+    mr_link_close_idle(db);
+    mr_db_release(db);
+}
+
+void
+mr_db_release(mr_db_t *db)
+{
+    if (--db->links == 0 && db->gone) {
+        free_db(db);
+    }
+}
+
+void
+mr_clusters_destroy(mr_clusters_t *clusters)
+{
+    mr_list_t *link;
+
+    if (clusters == NULL) {
+        return;
+    }
+    while ((link = mr_list_pop(&clusters->list)) != NULL) {
+        mr_cluster_t *cluster = MR_LIST_ENTRY(link, mr_cluster_t, link);
+        MR_LIST_FOREACH(it, &cluster->dbs)
+        {
+            remove_db(MR_LIST_ENTRY(it, mr_db_t, link));
+        }
+        free(cluster->service);
+        free(cluster->promoted);
+        free(cluster);
+    }
+    free(clusters->data_centre);
+    free(clusters);
+}
+
+mr_cluster_t *
+mr_clusters_find(mr_clusters_t *clusters, const char *service)
+{
+    MR_LIST_FOREACH(it, &clusters->list)
+    {
+        mr_cluster_t *cluster = MR_LIST_ENTRY(it, mr_cluster_t, link);
+        if (strcmp(cluster->service, service) == 0) {
+            return cluster;
+        }
+    }
+    return NULL;
+}
+
+mr_cluster_t *
+mr_clusters_get(mr_clusters_t *clusters, const char *service)
+{
+    mr_cluster_t *cluster = mr_clusters_find(clusters, service);
+
+    if (cluster == NULL) {
+        cluster = MR_NEW(mr_cluster_t);
+        cluster->clusters = clusters;
+        cluster->service = mr_strdup(service);
+        cluster->idle_max = IDLE_DEFAULT;
+        mr_list_init(&cluster->dbs);
+        mr_list_append(&clusters->list, &cluster->link);
+    }
+    return cluster;
+}
+
+static mr_db_t *
+find_db(mr_cluster_t *cluster, const char *id)
+{
+    MR_LIST_FOREACH(it, &cluster->dbs)
+    {
+        mr_db_t *db = MR_LIST_ENTRY(it, mr_db_t, link);
+        if (!db->gone && strcmp(db->id, id) == 0) {
+            return db;
+        }
+    }
+    return NULL;
+}
+
+/* A database that moved or started again shares nothing with the former one.
+ */
+static bool
+is_same(const mr_db_t *db, const mr_db_entry_t *entry)
+{
+    return strcmp(db->address, entry->address) == 0 && db->born == entry->born;
+}
+
+static mr_db_t *
+add_db(mr_cluster_t *cluster, const char *id, const mr_db_entry_t *entry)
+{
+    mr_db_t *db = MR_NEW(mr_db_t);
+
+    db->cluster = cluster;
+    db->id = mr_strdup(id);
+    db->address = mr_strdup(entry->address);
+    db->data_centre = mr_strdup(entry->data_centre);
+    db->born = entry->born;
+    mr_list_init(&db->idle);
+    mr_list_append(&cluster->dbs, &db->link);
+    mr_log(MR_LOG_INFO, "database_found",
+           "service=%s id=%s address=%s role=%s", cluster->service, id,
+           entry->address, entry->primary ? "primary" : "replica");
+    return db;
+}
+
+void
+mr_clusters_begin(mr_clusters_t *clusters, int64_t version)
+{
+    clusters->version = version;
+    MR_LIST_FOREACH(it, &clusters->list)
+    {
+        mr_cluster_t *cluster = MR_LIST_ENTRY(it, mr_cluster_t, link);
+        MR_LIST_FOREACH(jt, &cluster->dbs)
+        {
+            MR_LIST_ENTRY(jt, mr_db_t, link)->slots = 0;
+        }
+    }
+}
+
+void
+mr_clusters_add(mr_clusters_t *clusters, const char *id,
+                const mr_db_entry_t *entry, int64_t version)
+{
+    mr_cluster_t *cluster = mr_clusters_get(clusters, entry->service);
+    mr_db_t *db = find_db(cluster, id);
+
+    if (db != NULL && !is_same(db, entry)) {
+        mr_log(MR_LOG_INFO, "database_restarted", "service=%s id=%s",
+               cluster->service, id);
+        remove_db(db);
+        db = NULL;
+    }
+    if (db == NULL) {
+        db = add_db(cluster, id, entry);
+    }
+    db->slots = entry->slots > 0 ? entry->slots : 1;
+    if (entry->draining != db->draining) {
+        db->draining = entry->draining;
+        mr_log(MR_LOG_INFO, "database_draining",
+               "service=%s id=%s draining=%d", cluster->service, id,
+               db->draining);
+    }
+    if (!entry->primary) {
+        db->primary_version = 0;
+    }
+    else if (db->primary_version == 0) {
+        db->primary_version = version;
+        mr_log(MR_LOG_INFO, "primary_registered",
+               "service=%s id=%s version=%lld", cluster->service, id,
+               (long long)version);
+    }
+}
+
+void
+mr_clusters_end(mr_clusters_t *clusters)
+{
+    MR_LIST_FOREACH(it, &clusters->list)
+    {
+        mr_cluster_t *cluster = MR_LIST_ENTRY(it, mr_cluster_t, link);
+        MR_LIST_FOREACH(jt, &cluster->dbs)
+        {
+            mr_db_t *db = MR_LIST_ENTRY(jt, mr_db_t, link);
+            if (db->slots == 0 && !db->gone) {
+                mr_log(MR_LOG_INFO, "database_gone", "service=%s id=%s",
+                       cluster->service, db->id);
+                remove_db(db);
+            }
+        }
+    }
+}
+
+/* Store version of the newest evidence that @db is the primary. */
+static int64_t
+primary_evidence(const mr_cluster_t *cluster, const mr_db_t *db)
+{
+    bool promoted =
+        cluster->promoted != NULL && strcmp(cluster->promoted, db->id) == 0;
+
+    return promoted && cluster->promoted_version > db->primary_version
+               ? cluster->promoted_version
+               : db->primary_version;
+}
+
+mr_db_t *
+mr_cluster_primary(mr_cluster_t *cluster, mr_ms_t now)
+{
+    mr_db_t *best = NULL;
+    int64_t best_evidence = 0;
+
+    MR_LIST_FOREACH(it, &cluster->dbs)
+    {
+        mr_db_t *db = MR_LIST_ENTRY(it, mr_db_t, link);
+        int64_t evidence = primary_evidence(cluster, db);
+        if (db->gone
+            || (db->refused_at != 0
+                && now < db->refused_at + REFUSED_MEMORY_MS)) {
+            continue;
+        }
+        if (evidence > best_evidence) {
+            best = db;
+            best_evidence = evidence;
+        }
+    }
+    return best;
+}
+
+void
+mr_cluster_promoted(mr_cluster_t *cluster, const char *id, int64_t version)
+{
+    if (version <= cluster->promoted_version) {
+        return;
+    }
+    mr_log(MR_LOG_INFO, "primary_promoted", "service=%s id=%s version=%lld",
+           cluster->service, id, (long long)version);
+    free(cluster->promoted);
+    cluster->promoted = mr_strdup(id);
+    cluster->promoted_version = version;
+    mr_db_t *db = find_db(cluster, id);
+    if (db != NULL) {
+        db->refused_at = 0;
+    }
+}
+
+void
+mr_cluster_sample(mr_cluster_t *cluster, mr_position_t position, mr_ms_t at)
+{
+    /* A later sample under an older term comes from a former primary that was
+     * asked before the new one was. */
+    if (position.term == 0
+        || mr_position_compare(position, cluster->sample) < 0) {
+        return;
+    }
+    if (at > cluster->sampled_at || position.term > cluster->sample.term) {
+        cluster->sample = position;
+        cluster->sampled_at = at;
+    }
+}
+
+/* Lower is better; the weights order load before distance before the rest. */
+static int64_t
+reader_cost(const mr_db_t *db, const mr_db_want_t *want)
+{
+    const mr_cluster_t *cluster = db->cluster;
+    int64_t cost = 0;
+
+    cost += 100 * db->running / db->slots;
+    cost += db->latency;
+    if (db->position.term != 0
+        && mr_position_compare(db->position, want->position) < 0) {
+        cost += 20; /* it may have to be asked again elsewhere */
+    }
+    if (!mr_link_has_idle(db, want->account)) {
+        cost += 30; /* a new connection takes time of a slot */
+    }
+    if (strcmp(db->data_centre, cluster->clusters->data_centre) != 0) {
+        cost += 5;
+    }
+    if (db == want->not_this) {
+        cost += 1000;
+    }
+    return cost;
+}
+
+mr_db_t *
+mr_cluster_reader(mr_cluster_t *cluster, const mr_db_want_t *want)
+{
+    mr_db_t *best = NULL;
+    int64_t best_cost = 0;
+
+    MR_LIST_FOREACH(it, &cluster->dbs)
+    {
+        mr_db_t *db = MR_LIST_ENTRY(it, mr_db_t, link);
+        if (db->gone || db->draining || want->now < db->avoid_until) {
+            continue;
+        }
+        int64_t cost = reader_cost(db, want);
+        if (best == NULL || cost < best_cost) {
+            best = db;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+void
+mr_db_failed(mr_db_t *db, mr_ms_t now)
+{
+    mr_ms_t pause = AVOID_FIRST_MS << (db->failures < 5 ? db->failures : 5);
+
+    if (db->failures++ == 0) {
+        db->failing_since = now;
+        mr_log(MR_LOG_WARNING, "database_failing", "service=%s id=%s",
+               db->cluster->service, db->id);
+    }
+    db->avoid_until = now + (pause < AVOID_MAX_MS ? pause : AVOID_MAX_MS);
+}
+
+void
+mr_db_answered(mr_db_t *db, mr_ms_t now, mr_ms_t took)
+{
+    if (db->failures > 0) {
+        mr_log(MR_LOG_INFO, "database_answers",
+               "service=%s id=%s after_ms=%lld", db->cluster->service, db->id,
+               (long long)(now - db->failing_since));
+    }
+    db->failures = 0;
+    db->avoid_until = 0;
+    db->answered_at = now;
+    db->latency += (took - db->latency) / LATENCY_WEIGHT;
+}
+
+void
+mr_db_refused_as_replica(mr_db_t *db, mr_ms_t now)
+{
+    db->refused_at = now;
+}
--- /dev/null
+++ b/lib/session/cluster.h
@@ -0,0 +1,111 @@
+#ifndef MR_SESSION_CLUSTER_H
+#define MR_SESSION_CLUSTER_H
+
+/*
+ * The databases of each service: which of them exist, which one is the
+ * primary, where the primary's log stood at which time, and which of them
+ * failed lately. Learned from registrations, from answers and from the other
+ * instances.
+ */
+
+#include <stdbool.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/list.h"
+#include "session/entry.h"
+#include "session/position.h"
+
+typedef struct mr_clusters mr_clusters_t;
+typedef struct mr_cluster mr_cluster_t;
+
+/** One database. */
+typedef struct mr_db {
+    mr_list_t link;
+    mr_cluster_t *cluster;
+    char *id;
+    char *address;
+    char *data_centre;
+    int64_t born;
+    int64_t slots;
+    bool draining;
+    bool gone; /* no longer registered; freed with its last connection */
+    int64_t primary_version; /* store version since which it is registered as
+                                the primary; 0: as a replica */
+    mr_ms_t refused_at;      /* it last said that it is not the primary */
+    mr_ms_t avoid_until;     /* after failures */
+    int failures;            /* in a row */
+    mr_ms_t failing_since;
+    mr_ms_t answered_at;
+    mr_position_t position; /* that its log holds at least */
+    mr_list_t idle;         /* connections that are kept */
+    int idle_count;
+    int links;       /* connections, idle ones included */
+    int running;     /* statements and new connections in progress */
+    mr_ms_t latency; /* smoothed time of an answer */
+} mr_db_t;
+
+/** The databases of one service. */
+struct mr_cluster {
+    mr_list_t link;
+    mr_clusters_t *clusters;
+    char *service;
+    mr_list_t dbs;
+    mr_position_t sample;     /* the primary's position ... */
+    mr_ms_t sampled_at;       /* ... at this time or later */
+    char *promoted;           /* database that the last promotion named */
+    int64_t promoted_version; /* fencing token of that promotion */
+    int idle_max;             /* connections kept to one database */
+};
+
+struct mr_clusters {
+    mr_list_t list;
+    char *data_centre; /* of this instance */
+    int64_t version;   /* store version of the registrations */
+};
+
+mr_clusters_t *mr_clusters_create(const char *data_centre);
+void mr_clusters_destroy(mr_clusters_t *clusters);
+
+/** mr_clusters_find() - NULL when no database of @service was ever seen. */
+mr_cluster_t *mr_clusters_find(mr_clusters_t *clusters, const char *service);
+mr_cluster_t *mr_clusters_get(mr_clusters_t *clusters, const char *service);
+
+/** mr_clusters_begin() - start of a new complete set of registrations. */
+void mr_clusters_begin(mr_clusters_t *clusters, int64_t version);
+/** mr_clusters_add() - one registration of the set; @version of its row. */
+void mr_clusters_add(mr_clusters_t *clusters, const char *id,
+                     const mr_db_entry_t *entry, int64_t version);
+/** mr_clusters_end() - databases that are not in the set are gone. */
+void mr_clusters_end(mr_clusters_t *clusters);
+
+/** mr_cluster_primary() - NULL when none is known. */
+mr_db_t *mr_cluster_primary(mr_cluster_t *cluster, mr_ms_t now);
+
+/** mr_cluster_promoted() - a promotion with fencing token @version ended. */
+void mr_cluster_promoted(mr_cluster_t *cluster, const char *id,
+                         int64_t version);
+
+/** mr_cluster_sample() - the primary's log held @position at time @at. */
+void mr_cluster_sample(mr_cluster_t *cluster, mr_position_t position,
+                       mr_ms_t at);
+
+/** What a read needs of a database. */
+typedef struct mr_db_want {
+    const char *account;
+    mr_position_t position;
+    const mr_db_t *not_this; /* tried before; or NULL */
+    mr_ms_t now;
+} mr_db_want_t;
+
+/** mr_cluster_reader() - database for a read at @want->position or later. */
+mr_db_t *mr_cluster_reader(mr_cluster_t *cluster, const mr_db_want_t *want);
+
+void mr_db_failed(mr_db_t *db, mr_ms_t now);
+void mr_db_answered(mr_db_t *db, mr_ms_t now, mr_ms_t took);
+void mr_db_refused_as_replica(mr_db_t *db, mr_ms_t now);
+
+/** mr_db_release() - a connection to @db ended. */
+void mr_db_release(mr_db_t *db);
+
+#endif
--- /dev/null
+++ b/lib/session/duty.h
@@ -0,0 +1,39 @@
+#ifndef MR_SESSION_DUTY_H
+#define MR_SESSION_DUTY_H
+
+/*
+ * Orders to the platform that name the database that becomes primary. The
+ * platform refuses an order whose fencing token is lower than one that it has
+ * seen for the same service. Implemented in platform/duty.c.
+ */
+
+#include <event2/event.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/error.h"
+
+typedef struct mr_duty mr_duty_t;
+
+typedef struct mr_duty_options {
+    struct event_base *base;
+    mr_counters_t *counters;
+    const char *address; /* "IP:port" */
+    const char *holder;  /* name of this instance */
+} mr_duty_options_t;
+
+/**
+ * mr_duty_fn_t - an order ended
+ * @error: MR_OK; MR_ERR_CONFLICT: refused, a higher token was seen or the
+ *         database is not running; MR_ERR_UNAVAILABLE: not carried out;
+ *         MR_ERR_OUTCOME_UNKNOWN: may be carried out later
+ */
+typedef void (*mr_duty_fn_t)(void *ctx, mr_error_kind_t error);
+
+mr_duty_t *mr_duty_create(const mr_duty_options_t *options);
+void mr_duty_destroy(mr_duty_t *duty);
+
+void mr_duty_promote(mr_duty_t *duty, const char *service, const char *target,
+                     int64_t token, mr_duty_fn_t fn, void *ctx);
+
+#endif
--- /dev/null
+++ b/lib/session/line.h
@@ -0,0 +1,140 @@
+#ifndef MR_SESSION_LINE_H
+#define MR_SESSION_LINE_H
+
+/*
+ * Messages of the session protocol, between clients and masticrelay and
+ * between masticrelay and databases. The codec is in platform/line.c.
+ */
+
+#include <event2/buffer.h>
+#include <stdbool.h>
+
+#include "common/error.h"
+#include "session/position.h"
+
+/** Kind of a message. */
+typedef enum mr_line_kind {
+    MR_LINE_OPEN,     /* starts a session */
+    MR_LINE_QUERY,    /* one statement */
+    MR_LINE_CLOSE,    /* ends a session */
+    MR_LINE_READY,    /* ends each answer */
+    MR_LINE_ROW,      /* one row of an answer */
+    MR_LINE_COMPLETE, /* success */
+    MR_LINE_ERROR,    /* failure */
+} mr_line_kind_t;
+
+/** State of a session's transaction, as a READY message reports it. */
+typedef enum mr_tx_state {
+    MR_TX_IDLE,
+    MR_TX_OPEN,
+    MR_TX_FAILED,
+} mr_tx_state_t;
+
+/** One message. Strings are borrowed from @text. */
+typedef struct mr_line {
+    mr_line_kind_t kind;
+    char *text; /* the decoded line */
+    union {
+        struct {
+            const char *database;   /* from clients; a service at databases */
+            const char *credential; /* "" when absent */
+        } open;
+        struct {
+            const char *id;
+            const char *statement;
+        } query;
+        struct {
+            mr_tx_state_t state;
+            mr_position_t position;
+        } ready;
+        struct {
+            const char *digest;
+        } complete;
+        struct {
+            mr_error_kind_t kind;
+            const char *detail;
+        } error;
+    } u;
+} mr_line_t;
+
+/** What mr_line_read() found. */
+typedef enum mr_line_result {
+    MR_LINE_GOOD,
+    MR_LINE_PARTIAL, /* the message is not complete yet */
+    MR_LINE_BAD,     /* malformed; the message was taken off the input */
+    MR_LINE_TOO_LONG,
+} mr_line_result_t;
+
+/**
+ * mr_line_read() - take one message off @in
+ * @line: receives the message; mr_line_release() frees it
+ * @raw: receives the message's bytes as well; NULL: not needed
+ */
+mr_line_result_t mr_line_read(struct evbuffer *in, mr_line_t *line,
+                              struct evbuffer *raw);
+void mr_line_release(mr_line_t *line);
+
+void mr_line_write_open(struct evbuffer *out, const char *service,
+                        const char *account, const char *target);
+/** mr_line_write_query() - @after: position that the log must hold; NULL: any
+ */
+void mr_line_write_query(struct evbuffer *out, const char *id,
+                         const mr_position_t *after, const char *statement);
+void mr_line_write_ready(struct evbuffer *out, mr_tx_state_t state,
+                         const mr_position_t *position);
+void mr_line_write_complete(struct evbuffer *out);
+/** mr_line_write_error() - @retry_after: when a new attempt can succeed, in
+ * milliseconds; negative: not known */
+void mr_line_write_error(struct evbuffer *out, mr_error_kind_t kind,
+                         const char *detail, int64_t retry_after);
+
+/** Kind of a statement. */
+typedef enum mr_statement_kind {
+    MR_STATEMENT_BEGIN,
+    MR_STATEMENT_COMMIT,
+    MR_STATEMENT_ROLLBACK,
+    MR_STATEMENT_READ,
+    MR_STATEMENT_WRITE,
+    MR_STATEMENT_SET,
+    MR_STATEMENT_PREPARE,
+    MR_STATEMENT_EXECUTE,
+    MR_STATEMENT_FORGET,
+    MR_STATEMENT_UNKNOWN,
+} mr_statement_kind_t;
+
+enum { MR_NAME_MAX_BYTES = 128 };
+
+/** What the relay needs to know of a statement. */
+typedef struct mr_statement {
+    mr_statement_kind_t kind;
+    bool read_only;               /* of BEGIN and PREPARE */
+    char name[MR_NAME_MAX_BYTES]; /* of SET, PREPARE, EXECUTE and FORGET */
+} mr_statement_t;
+
+/** mr_statement_parse() - MR_STATEMENT_UNKNOWN for malformed text. */
+void mr_statement_parse(const char *text, mr_statement_t *statement);
+
+/** Statements that the relay issues itself, as their text. */
+typedef enum mr_own_statement {
+    MR_OWN_BEGIN,
+    MR_OWN_BEGIN_READ,
+    MR_OWN_ROLLBACK,
+    MR_OWN_RESET,
+    MR_OWN_STATUS,
+} mr_own_statement_t;
+const char *mr_own_statement_text(mr_own_statement_t statement);
+
+/** The id of statements that the relay issues itself. */
+extern const char mr_own_statement_id[];
+
+/** Answer of a database to MR_OWN_STATUS. */
+typedef struct mr_db_status {
+    bool primary;
+    mr_position_t received; /* newest entry of its log */
+    int64_t held_term;
+} mr_db_status_t;
+
+/** mr_db_status_parse() - read the row's text; false when malformed. */
+bool mr_db_status_parse(const char *row, mr_db_status_t *status);
+
+#endif
--- /dev/null
+++ b/lib/session/quota.h
@@ -0,0 +1,36 @@
+#ifndef MR_SESSION_QUOTA_H
+#define MR_SESSION_QUOTA_H
+
+/*
+ * Limits of client accounts on operations. Each instance holds a share of an
+ * account's rate and burst. The coordinator divides the rate by what the
+ * instances ask for; a share lapses unless it is renewed, and an instance
+ * without one admits no more than an equal part.
+ */
+
+#include <stdbool.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "session/catalog.h"
+
+typedef struct mr_quota mr_quota_t;
+
+mr_quota_t *mr_quota_create(const mr_clock_t *clock, mr_counters_t *counters);
+void mr_quota_destroy(mr_quota_t *quota);
+
+/** mr_quota_set_catalog() - accounts, rates and bursts in force. */
+void mr_quota_set_catalog(mr_quota_t *quota, const mr_catalog_t *catalog);
+
+/** mr_quota_set_instances() - instances that may admit operations. */
+void mr_quota_set_instances(mr_quota_t *quota, size_t instances);
+
+/**
+ * mr_quota_take() - admit one operation of @account
+ *
+ * Return: 0 when it is admitted; otherwise how long until a token is due, in
+ * milliseconds.
+ */
+mr_ms_t mr_quota_take(mr_quota_t *quota, const char *account);
+
+#endif
--- /dev/null
+++ b/lib/session/relay.c
@@ -0,0 +1,148 @@
+#include "session/relay.h"
+
+#include <event2/listener.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "common/address.h"
+#include "common/log.h"
+#include "common/mem.h"
+#include "session/session.h"
+
+enum { LISTEN_BACKLOG = 1024 }; /* reconnecting sessions of one instance */
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *addr, int len, void *ctx)
+{
+    (void)listener;
+    (void)addr;
+    (void)len;
+    mr_session_create(ctx, fd);
+}
+
+static void
+create_counters(mr_relay_t *relay)
+{
+    mr_counters_t *counters = relay->options.counters;
+
+    relay->opened =
+        mr_counters_get(counters, "masticrelay_sessions_opened_total", "",
+                        "sessions that clients opened");
+    relay->operations =
+        mr_counters_get(counters, "masticrelay_operations_total", "",
+                        "statements and transactions of sessions");
+    relay->limited = mr_counters_get(
+        counters, "masticrelay_operations_limited_total", "",
+        "operations refused since the account is beyond its rate");
+    relay->retries =
+        mr_counters_get(counters, "masticrelay_statement_retries_total", "",
+                        "further attempts of statements at databases");
+    for (int i = 0; i < MR_ERROR_COUNT; i++) {
+        char *labels = mr_asprintf("kind=\"%s\"", mr_error_name(i));
+        relay->answers[i] =
+            mr_counters_get(counters, "masticrelay_session_answers_total",
+                            labels, "answers to statements, by kind");
+        free(labels);
+    }
+}
+
+mr_relay_t *
+mr_relay_create(const mr_relay_options_t *options)
+{
+    struct sockaddr_storage addr;
+    int len;
+    mr_relay_t *relay = MR_NEW(mr_relay_t);
+
+    relay->options = *options;
+    mr_list_init(&relay->sessions);
+    create_counters(relay);
+    if (mr_address_parse(options->listen, &addr, &len)) {
+        relay->listener = evconnlistener_new_bind(
+            options->base, on_accept, relay,
+            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+            LISTEN_BACKLOG, (struct sockaddr *)&addr, len);
+    }
+    if (relay->listener == NULL) {
+        mr_log(MR_LOG_ERROR, "listen_failed", "address=%s", options->listen);
+        free(relay);
+        return NULL;
+    }
+    return relay;
+}
+
+void
+mr_relay_destroy(mr_relay_t *relay)
+{
+    if (relay == NULL) {
+        return;
+    }
+    MR_LIST_FOREACH(it, &relay->sessions)
+    {
+        mr_session_destroy(MR_LIST_ENTRY(it, mr_session_t, link));
+    }
+    evconnlistener_free(relay->listener);
+    mr_catalog_unref(relay->catalog);
+    free(relay);
+}
+
+void
+mr_relay_set_catalog(mr_relay_t *relay, mr_catalog_t *catalog)
+{
+    mr_catalog_unref(relay->catalog);
+    relay->catalog = mr_catalog_ref(catalog);
+    MR_LIST_FOREACH(it, &relay->sessions)
+    {
+        mr_session_t *session = MR_LIST_ENTRY(it, mr_session_t, link);
+        /* Sessions that arrived before the first catalog wait for it. */
+        if (session->run.stage == MR_RUN_NONE) {
+            mr_session_next(session);
+        }
+    }
+}
+
+int
+mr_relay_port(const mr_relay_t *relay)
+{
+    struct sockaddr_storage addr;
+    socklen_t len = sizeof(addr);
+
+    if (getsockname(evconnlistener_get_fd(relay->listener),
+                    (struct sockaddr *)&addr, &len)
+        != 0) {
+        return -1;
+    }
+    return mr_address_port(&addr);
+}
+
+size_t
+mr_relay_sessions(const mr_relay_t *relay)
+{
+    return relay->session_count;
+}
+
+void
+mr_relay_drain(mr_relay_t *relay)
+{
+    relay->draining = true;
+    MR_LIST_FOREACH(it, &relay->sessions)
+    {
+        mr_session_t *session = MR_LIST_ENTRY(it, mr_session_t, link);
+        if (session->run.stage == MR_RUN_NONE) {
+            mr_session_next(session);
+        }
+    }
+}
+
+void
+mr_relay_abort_transactions(mr_relay_t *relay)
+{
+    MR_LIST_FOREACH(it, &relay->sessions)
+    {
+        mr_session_t *session = MR_LIST_ENTRY(it, mr_session_t, link);
+        if (session->run.stage == MR_RUN_NONE) {
+            mr_session_abort(session);
+        }
+    }
+}
--- /dev/null
+++ b/lib/session/run.c
@@ -0,0 +1,722 @@
+/* One statement on its way: choice of a database, connection, session values,
+ * transaction, attempts and outcome. */
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "common/mem.h"
+#include "session/session.h"
+
+enum {
+    /* A new connection takes 12 to 27 ms of a slot, longer behind other
+     * work. */
+    OPEN_TIMEOUT_MS = 400,
+    /* Values and BEGIN need no slot: one round trip. */
+    SETUP_TIMEOUT_MS = 250,
+    RETRY_PAUSE_MS = 15, /* about one statement's work at a database */
+    TRIES_MAX = 12,
+    /* A sample of the primary's position loses this much of a route's bound,
+     * for the time until the database runs the read. */
+    FRESH_MARGIN_MS = 50,
+    STATEMENT_TIMEOUT_DEFAULT_MS = 1000, /* routes without a limit */
+    OBJECTIVE_DEFAULT_MS = 200,
+    RETRY_AFTER_FAILOVER_MS = 500, /* about one change of primary */
+    RETRY_AFTER_BUSY_MS = 50,
+};
+
+static void choose(mr_session_t *session);
+static void on_timer(evutil_socket_t fd, short what, void *ctx);
+
+static mr_ms_t
+statement_timeout(const mr_session_t *session)
+{
+    mr_ms_t timeout = session->route->statement_timeout;
+
+    return timeout > 0 ? timeout : STATEMENT_TIMEOUT_DEFAULT_MS;
+}
+
+/* How long a statement may wait without having been offered to a database. */
+static mr_ms_t
+unoffered_limit(const mr_session_t *session)
+{
+    mr_ms_t objective = session->route->objective;
+
+    return (objective > 0 ? objective : OBJECTIVE_DEFAULT_MS) / 5;
+}
+
+static mr_ms_t
+deadline_of(const mr_session_t *session)
+{
+    return session->run.started + statement_timeout(session);
+}
+
+static void
+set_timer(mr_session_t *session, mr_ms_t after)
+{
+    mr_run_t *run = &session->run;
+    struct timeval tv = mr_clock_timeval(after);
+
+    if (run->timer == NULL) {
+        run->timer =
+            evtimer_new(session->relay->options.base, on_timer, session);
+    }
+    evtimer_add(run->timer, &tv);
+}
+
+static void
+set_stage(mr_session_t *session, mr_run_stage_t stage, mr_ms_t timeout)
+{
+    session->run.stage = stage;
+    set_timer(session, timeout);
+}
+
+/* A statement or a new connection takes a slot of the database. */
+static void
+count_running(mr_run_t *run, int change)
+{
+    if (run->link != NULL) {
+        mr_link_db(run->link)->running += change;
+    }
+}
+
+static void
+drop_link(mr_session_t *session)
+{
+    mr_run_t *run = &session->run;
+
+    if (run->link == NULL) {
+        return;
+    }
+    count_running(run, -1);
+    mr_link_close(run->link);
+    if (session->tx_link == run->link) {
+        session->tx_link = NULL;
+    }
+    run->link = NULL;
+}
+
+/* Puts an unused connection away for the next statement. */
+static void
+release_link(mr_session_t *session, bool roll_back)
+{
+    mr_run_t *run = &session->run;
+    mr_link_t *link = run->link;
+
+    count_running(run, -1);
+    run->link = NULL;
+    if (roll_back) {
+        mr_link_query(link, mr_own_statement_id, NULL,
+                      mr_own_statement_text(MR_OWN_ROLLBACK), NULL, NULL);
+    }
+    mr_link_keep(link);
+}
+
+/* Ends the attempt; a connection in a known state is kept. */
+static void
+put_link_away(mr_session_t *session)
+{
+    mr_run_t *run = &session->run;
+
+    if (run->link == NULL) {
+        return;
+    }
+    if (!run->answered) {
+        drop_link(session);
+    }
+    else if (run->link == session->tx_link) {
+        count_running(run, -1);
+        run->link = NULL;
+    }
+    else {
+        release_link(session,
+                     run->mode == MR_RUN_PRESENT || run->mode == MR_RUN_FIRST);
+    }
+}
+
+/* Forgets the statement; the session may go on. */
+static void
+clear(mr_run_t *run)
+{
+    struct event *timer = run->timer;
+
+    if (timer != NULL) {
+        evtimer_del(timer);
+    }
+    mr_line_release(&run->line);
+    *run = (mr_run_t){.timer = timer};
+}
+
+/* The answer was written: next message. */
+static void
+finish(mr_session_t *session)
+{
+    clear(&session->run);
+    mr_session_next(session);
+}
+
+static void
+fail(mr_session_t *session, mr_error_kind_t error, const char *detail,
+     mr_ms_t retry_after)
+{
+    put_link_away(session);
+    if (session->tx == MR_TX_OPEN) {
+        mr_run_end_transaction(session);
+        session->tx = session->run.statement.kind == MR_STATEMENT_COMMIT
+                          ? MR_TX_IDLE
+                          : MR_TX_FAILED;
+    }
+    mr_log(MR_LOG_DEBUG, "statement_failed",
+           "id=%s error=%s tries=%d waited_ms=%lld",
+           session->run.line.u.query.id, mr_error_name(error),
+           session->run.tries,
+           (long long)(mr_clock_now(NULL) - session->run.started));
+    mr_session_answer_error(session, error, detail, retry_after);
+    finish(session);
+}
+
+/* Nothing ran: says so, and when to come back. */
+static void
+refuse(mr_session_t *session)
+{
+    mr_error_kind_t error = session->run.last_error;
+
+    if (error == MR_OK) {
+        error = MR_ERR_UNAVAILABLE;
+    }
+    if (session->tx == MR_TX_OPEN && session->tx_link != NULL) {
+        error = MR_ERR_TRANSACTION_LOST;
+    }
+    fail(session, error, NULL,
+         error == MR_ERR_OVERLOADED ? RETRY_AFTER_BUSY_MS
+                                    : RETRY_AFTER_FAILOVER_MS);
+}
+
+/* Another attempt after a short pause, or the refusal. Nothing ran so far. */
+static void
+try_later(mr_session_t *session, mr_ms_t pause)
+{
+    mr_run_t *run = &session->run;
+    mr_ms_t now = mr_clock_now(NULL);
+    mr_ms_t limit = run->started + unoffered_limit(session);
+
+    if (run->offered) {
+        limit = deadline_of(session);
+    }
+    if (now + pause >= limit || run->tries >= TRIES_MAX) {
+        refuse(session);
+        return;
+    }
+    set_stage(session, MR_RUN_WAITING, pause);
+}
+
+/* The attempt failed before the statement ran. */
+static void
+try_again(mr_session_t *session, mr_error_kind_t error, mr_ms_t pause)
+{
+    mr_run_t *run = &session->run;
+
+    if (run->link != NULL) {
+        run->failed_db = mr_link_db(run->link);
+    }
+    put_link_away(session);
+    run->last_error = error;
+    run->tries++;
+    mr_counter_add(session->relay->retries, 1);
+    if (pause > 0) {
+        try_later(session, pause);
+        return;
+    }
+    if (run->tries >= TRIES_MAX
+        || mr_clock_now(NULL) >= deadline_of(session)) {
+        refuse(session);
+        return;
+    }
+    choose(session);
+}
+
+static void
+request_refresh(mr_relay_t *relay)
+{
+    if (relay->options.refresh != NULL) {
+        relay->options.refresh(relay->options.ctx);
+    }
+}
+
+static void
+note_failure(mr_session_t *session)
+{
+    mr_db_failed(mr_link_db(session->run.link), mr_clock_now(NULL));
+    request_refresh(session->relay);
+}
+
+static void
+note_commit(mr_session_t *session, const mr_reply_t *reply)
+{
+    mr_cluster_t *cluster = mr_link_db(session->run.link)->cluster;
+
+    if (mr_position_compare(reply->position, session->position) > 0) {
+        session->position = reply->position;
+    }
+    mr_cluster_sample(cluster, reply->position, reply->sent_at);
+}
+
+static void
+succeed(mr_session_t *session, const mr_reply_t *reply)
+{
+    mr_run_t *run = &session->run;
+    bool commit = run->statement.kind == MR_STATEMENT_COMMIT;
+
+    switch (run->mode) {
+    case MR_RUN_WRITE:
+        note_commit(session, reply);
+        release_link(session, false);
+        break;
+    case MR_RUN_PRESENT:
+        release_link(session, true);
+        break;
+    case MR_RUN_AGED:
+        release_link(session, false);
+        break;
+    case MR_RUN_FIRST:
+    case MR_RUN_CONTINUE:
+        session->tx_wrote |= run->writes && !commit;
+        if (commit) {
+            if (session->tx_wrote) {
+                note_commit(session, reply);
+            }
+            session->tx = MR_TX_IDLE;
+            session->tx_link = NULL;
+            release_link(session, false);
+        }
+        else {
+            count_running(run, -1);
+            session->tx_link = run->link;
+            run->link = NULL;
+        }
+        break;
+    }
+    mr_session_answer(session, reply->body);
+    finish(session);
+}
+
+/* The connection ended while the database had the statement. */
+static void
+lose(mr_session_t *session, bool timed_out)
+{
+    mr_run_t *run = &session->run;
+    bool commit = run->statement.kind == MR_STATEMENT_COMMIT;
+    mr_error_kind_t unknown =
+        timed_out ? MR_ERR_STATEMENT_TIMEOUT : MR_ERR_OUTCOME_UNKNOWN;
+
+    if (session->tx == MR_TX_OPEN) {
+        /* Without a COMMIT the database rolls back. */
+        bool kept = commit && session->tx_wrote;
+        fail(session, kept ? unknown : MR_ERR_TRANSACTION_LOST,
+             kept ? NULL : "connection to the database lost", kept ? -1 : 0);
+        return;
+    }
+    if (run->writes) {
+        fail(session, unknown, NULL, -1);
+        return;
+    }
+    if (timed_out) {
+        fail(session, unknown, NULL, -1);
+        return;
+    }
+    try_again(session, MR_ERR_UNAVAILABLE, 0);
+}
+
+/* The database refused the statement without running it. */
+static void
+handle_refusal(mr_session_t *session, const mr_reply_t *reply)
+{
+    mr_run_t *run = &session->run;
+    mr_db_t *db = mr_link_db(run->link);
+
+    if (reply->error == MR_ERR_NO_PRIMARY) {
+        mr_db_refused_as_replica(db, mr_clock_now(NULL));
+        request_refresh(session->relay);
+    }
+    if (run->mode == MR_RUN_CONTINUE) {
+        /* Only a statement that found no free slot can be sent again in its
+         * transaction. */
+        if (reply->error == MR_ERR_OVERLOADED && reply->state == MR_TX_OPEN
+            && mr_clock_now(NULL) + RETRY_PAUSE_MS < deadline_of(session)) {
+            run->tries++;
+            set_stage(session, MR_RUN_WAITING, RETRY_PAUSE_MS);
+            return;
+        }
+        fail(session, reply->error, reply->detail, RETRY_AFTER_BUSY_MS);
+        return;
+    }
+    bool at_once = run->mode == MR_RUN_AGED && run->tries < 2;
+    try_again(session, reply->error, at_once ? 0 : RETRY_PAUSE_MS);
+}
+
+static void
+on_answer(void *ctx, mr_link_t *link, const mr_reply_t *reply)
+{
+    mr_session_t *session = ctx;
+    mr_run_t *run = &session->run;
+    mr_ms_t now = mr_clock_now(NULL);
+
+    assert(run->link == link && run->stage == MR_RUN_SENT);
+    if (reply->lost) {
+        note_failure(session);
+        lose(session, false);
+        return;
+    }
+    run->answered = true;
+    mr_db_answered(mr_link_db(link), now, now - run->sent_at);
+    switch (reply->error) {
+    case MR_OK:
+        succeed(session, reply);
+        return;
+    case MR_ERR_OVERLOADED:
+    case MR_ERR_NOT_FRESH:
+    case MR_ERR_NO_PRIMARY:
+    case MR_ERR_UNKNOWN_STATEMENT:
+    case MR_ERR_RATE_LIMITED:
+    case MR_ERR_TARGET_REFUSED:
+        handle_refusal(session, reply);
+        return;
+    default:
+        break;
+    }
+    if (run->mode == MR_RUN_AGED || run->mode == MR_RUN_PRESENT) {
+        if (run->tries == 0) {
+            try_again(session, reply->error, 0);
+            return;
+        }
+    }
+    fail(session, reply->error, reply->detail, -1);
+}
+
+static void
+send_statement(mr_session_t *session)
+{
+    mr_run_t *run = &session->run;
+    const mr_position_t *after = run->mode == MR_RUN_AGED ? &run->after : NULL;
+    mr_ms_t now = mr_clock_now(NULL);
+    mr_ms_t left = deadline_of(session) - now;
+
+    if (left <= 0) {
+        refuse(session);
+        return;
+    }
+    /* A read that gets no answer is sent to another database in time. */
+    if (run->mode == MR_RUN_AGED && run->tries == 0) {
+        left = left / 2;
+    }
+    run->answered = false;
+    run->sent_at = now;
+    run->offered = true;
+    set_stage(session, MR_RUN_SENT, left);
+    mr_link_query(run->link, run->line.u.query.id, after,
+                  run->line.u.query.statement, on_answer, session);
+}
+
+static void
+on_begun(void *ctx, mr_link_t *link, const mr_reply_t *reply)
+{
+    mr_session_t *session = ctx;
+    mr_run_t *run = &session->run;
+    mr_db_t *db = mr_link_db(link);
+    mr_ms_t now = mr_clock_now(NULL);
+
+    if (reply->lost) {
+        note_failure(session);
+        try_again(session, MR_ERR_UNAVAILABLE, 0);
+        return;
+    }
+    if (reply->error != MR_OK || reply->state != MR_TX_OPEN) {
+        run->answered = true;
+        handle_refusal(session, reply);
+        return;
+    }
+    if (!run->begin_aged) {
+        /* Only a primary begins a plain transaction. */
+        mr_db_answered(db, now, db->latency);
+        mr_cluster_sample(db->cluster, reply->position, reply->sent_at);
+    }
+    send_statement(session);
+}
+
+static void
+begin(mr_session_t *session)
+{
+    mr_run_t *run = &session->run;
+    bool aged = run->begin_aged;
+
+    if (run->mode == MR_RUN_WRITE || run->mode == MR_RUN_AGED) {
+        send_statement(session);
+        return;
+    }
+    set_stage(session, MR_RUN_BEGINNING, SETUP_TIMEOUT_MS);
+    mr_link_query(
+        run->link, mr_own_statement_id, aged ? &run->after : NULL,
+        mr_own_statement_text(aged ? MR_OWN_BEGIN_READ : MR_OWN_BEGIN),
+        on_begun, session);
+}
+
+static void
+on_setup(void *ctx, mr_link_t *link, const mr_reply_t *reply)
+{
+    mr_session_t *session = ctx;
+
+    if (reply->lost) {
+        note_failure(session);
+        try_again(session, MR_ERR_UNAVAILABLE, 0);
+        return;
+    }
+    if (reply->error != MR_OK) {
+        mr_log(MR_LOG_WARNING, "session_value_refused", "error=%s detail=%s",
+               mr_error_name(reply->error), reply->detail);
+        try_again(session, reply->error, RETRY_PAUSE_MS);
+        return;
+    }
+    if (--session->run.setup_due > 0) {
+        return;
+    }
+    *mr_link_state(link) =
+        (mr_link_state_t){session->serial, session->version};
+    begin(session);
+}
+
+static void
+send_setup(mr_session_t *session, const char *statement)
+{
+    session->run.setup_due++;
+    mr_link_query(session->run.link, mr_own_statement_id, NULL, statement,
+                  on_setup, session);
+}
+
+/* Gives the connection the session's values and prepared statements. */
+static void
+set_up(mr_session_t *session)
+{
+    mr_run_t *run = &session->run;
+    mr_link_state_t *state = mr_link_state(run->link);
+
+    if (state->session == session->serial
+        && state->version == session->version) {
+        begin(session);
+        return;
+    }
+    run->setup_due = 0;
+    set_stage(session, MR_RUN_PREPARING, SETUP_TIMEOUT_MS);
+    if (state->session != 0) {
+        send_setup(session, mr_own_statement_text(MR_OWN_RESET));
+    }
+    /* Marks the connection as used until all answers are there. */
+    *state = (mr_link_state_t){session->serial, UINT64_MAX};
+    MR_LIST_FOREACH(it, &session->settings)
+    {
+        send_setup(session, MR_LIST_ENTRY(it, mr_setting_t, link)->statement);
+    }
+    if (run->setup_due == 0) {
+        state->version = session->version;
+        begin(session);
+    }
+}
+
+static void
+on_open(void *ctx, mr_link_t *link, const mr_reply_t *reply)
+{
+    mr_session_t *session = ctx;
+    mr_db_t *db = mr_link_db(link);
+
+    if (reply->lost) {
+        note_failure(session);
+        try_again(session, MR_ERR_UNAVAILABLE, 0);
+        return;
+    }
+    if (reply->error != MR_OK) {
+        if (reply->error == MR_ERR_TARGET_REFUSED) {
+            /* Its address belongs to another database by now. */
+            note_failure(session);
+        }
+        else if (reply->error == MR_ERR_RATE_LIMITED) {
+            mr_link_close_idle(db);
+        }
+        try_again(session, MR_ERR_OVERLOADED, RETRY_PAUSE_MS);
+        return;
+    }
+    set_up(session);
+}
+
+static void
+connect_to(mr_session_t *session, mr_db_t *db)
+{
+    mr_run_t *run = &session->run;
+
+    run->link = mr_link_take_idle(db, session->account, session->serial);
+    if (run->link != NULL) {
+        count_running(run, 1);
+        set_up(session);
+        return;
+    }
+    run->link = mr_link_open(session->relay->options.base, db,
+                             session->account, on_open, session);
+    if (run->link == NULL) {
+        mr_db_failed(db, mr_clock_now(NULL));
+        try_again(session, MR_ERR_UNAVAILABLE, RETRY_PAUSE_MS);
+        return;
+    }
+    count_running(run, 1);
+    set_stage(session, MR_RUN_OPENING, OPEN_TIMEOUT_MS);
+}
+
+/* Whether the primary's position is known well enough for the route. */
+static bool
+sample_is_fresh(const mr_session_t *session, const mr_cluster_t *cluster,
+                mr_ms_t now)
+{
+    return cluster->sample.term != 0
+           && now - cluster->sampled_at + FRESH_MARGIN_MS
+                  <= session->route->max_age;
+}
+
+static mr_db_t *
+choose_reader(mr_session_t *session, mr_cluster_t *cluster, mr_ms_t now)
+{
+    mr_run_t *run = &session->run;
+
+    run->after = cluster->sample;
+    /* A primary of a later term has every commit that counts. */
+    if (session->route->freshness == MR_FRESH_SESSION
+        && mr_position_compare(session->position, run->after) > 0) {
+        run->after = session->position;
+    }
+    return mr_cluster_reader(cluster,
+                             &(mr_db_want_t){.account = session->account,
+                                             .position = run->after,
+                                             .not_this = run->failed_db,
+                                             .now = now});
+}
+
+static mr_db_t *
+choose_db(mr_session_t *session, mr_cluster_t *cluster)
+{
+    mr_run_t *run = &session->run;
+    mr_ms_t now = mr_clock_now(NULL);
+    bool in_tx = session->tx == MR_TX_OPEN;
+    bool reads = in_tx ? session->tx_read_only : !run->writes;
+
+    run->begin_aged = false;
+    run->mode = in_tx ? MR_RUN_FIRST : MR_RUN_WRITE;
+    /* After two replicas that lag the primary is asked. */
+    if (reads && session->route->freshness != MR_FRESH_PRIMARY
+        && sample_is_fresh(session, cluster, now)
+        && (run->last_error != MR_ERR_NOT_FRESH || run->tries < 2)) {
+        mr_db_t *db = choose_reader(session, cluster, now);
+        if (db != NULL) {
+            run->mode = in_tx ? MR_RUN_FIRST : MR_RUN_AGED;
+            run->begin_aged = in_tx;
+            return db;
+        }
+    }
+    if (reads && !in_tx) {
+        run->mode = MR_RUN_PRESENT;
+    }
+    mr_db_t *primary = mr_cluster_primary(cluster, now);
+    if (primary != NULL && now < primary->avoid_until) {
+        return NULL;
+    }
+    return primary;
+}
+
+static void
+choose(mr_session_t *session)
+{
+    mr_run_t *run = &session->run;
+    mr_cluster_t *cluster;
+    mr_db_t *db = NULL;
+
+    run->answered = false;
+    if (session->tx == MR_TX_OPEN && session->tx_link != NULL) {
+        run->mode = MR_RUN_CONTINUE;
+        run->link = session->tx_link;
+        count_running(run, 1);
+        send_statement(session);
+        return;
+    }
+    cluster = mr_clusters_find(session->relay->options.clusters,
+                               session->route->service);
+    if (cluster != NULL) {
+        db = choose_db(session, cluster);
+    }
+    if (db == NULL) {
+        run->tries++;
+        request_refresh(session->relay);
+        try_later(session, RETRY_PAUSE_MS);
+        return;
+    }
+    connect_to(session, db);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *ctx)
+{
+    mr_session_t *session = ctx;
+    mr_run_t *run = &session->run;
+
+    (void)fd;
+    (void)what;
+    switch (run->stage) {
+    case MR_RUN_NONE:
+        break;
+    case MR_RUN_WAITING:
+        if (run->mode == MR_RUN_CONTINUE && run->link != NULL) {
+            send_statement(session);
+        }
+        else {
+            choose(session);
+        }
+        break;
+    case MR_RUN_OPENING:
+    case MR_RUN_PREPARING:
+    case MR_RUN_BEGINNING:
+        note_failure(session);
+        try_again(session, MR_ERR_UNAVAILABLE, 0);
+        break;
+    case MR_RUN_SENT:
+        note_failure(session);
+        lose(session, mr_clock_now(NULL) >= deadline_of(session));
+        break;
+    }
+}
+
+void
+mr_run_start(mr_session_t *session)
+{
+    mr_run_t *run = &session->run;
+
+    run->started = mr_clock_now(NULL);
+    run->stage = MR_RUN_WAITING;
+    choose(session);
+}
+
+void
+mr_run_cancel(mr_session_t *session)
+{
+    if (session->run.stage == MR_RUN_NONE) {
+        return;
+    }
+    drop_link(session);
+    clear(&session->run);
+}
+
+void
+mr_run_end_transaction(mr_session_t *session)
+{
+    if (session->tx_link != NULL) {
+        /* Closing rolls back as well, but costs a new connection. */
+        mr_link_query(session->tx_link, mr_own_statement_id, NULL,
+                      mr_own_statement_text(MR_OWN_ROLLBACK), NULL, NULL);
+        mr_link_keep(session->tx_link);
+        session->tx_link = NULL;
+    }
+}
--- /dev/null
+++ b/lib/session/session.c
@@ -0,0 +1,470 @@
+/* Clients' sessions: messages, values, prepared statements, transactions. */
+
+#include "session/session.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "common/log.h"
+#include "common/mem.h"
+
+enum { USER_TIMEOUT_MS = 10000 }; /* clients behind a partition */
+
+/* Account of callers of routes that are open to all. */
+static const char anonymous_account[] = "-";
+
+static void
+on_read(struct bufferevent *client, void *ctx)
+{
+    mr_session_t *session = ctx;
+
+    (void)client;
+    if (session->run.stage == MR_RUN_NONE) {
+        mr_session_next(session);
+    }
+}
+
+static void
+on_event(struct bufferevent *client, short what, void *ctx)
+{
+    (void)client;
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+        mr_session_destroy(ctx);
+    }
+}
+
+void
+mr_session_create(mr_relay_t *relay, evutil_socket_t fd)
+{
+    mr_session_t *session = MR_NEW(mr_session_t);
+    int one = 1;
+    unsigned int user_timeout = USER_TIMEOUT_MS;
+
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
+               sizeof(user_timeout));
+    session->relay = relay;
+    session->serial = ++relay->last_serial;
+    mr_list_init(&session->settings);
+    mr_list_append(&relay->sessions, &session->link);
+    relay->session_count++;
+    session->client =
+        bufferevent_socket_new(relay->options.base, fd, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(session->client, on_read, NULL, on_event, session);
+    bufferevent_enable(session->client, EV_READ | EV_WRITE);
+}
+
+static void
+free_setting(mr_setting_t *setting)
+{
+    mr_list_remove(&setting->link);
+    free(setting->name);
+    free(setting->statement);
+    free(setting);
+}
+
+void
+mr_session_destroy(mr_session_t *session)
+{
+    mr_run_cancel(session);
+    mr_run_end_transaction(session);
+    MR_LIST_FOREACH(it, &session->settings)
+    {
+        free_setting(MR_LIST_ENTRY(it, mr_setting_t, link));
+    }
+    mr_list_remove(&session->link);
+    session->relay->session_count--;
+    mr_catalog_unref(session->catalog);
+    if (session->run.timer != NULL) {
+        event_free(session->run.timer);
+    }
+    bufferevent_free(session->client);
+    free(session->database);
+    free(session->credential);
+    free(session->account);
+    free(session);
+}
+
+mr_setting_t *
+mr_session_setting(mr_session_t *session, const char *name, bool prepared)
+{
+    MR_LIST_FOREACH(it, &session->settings)
+    {
+        mr_setting_t *setting = MR_LIST_ENTRY(it, mr_setting_t, link);
+        if (setting->prepared == prepared
+            && strcmp(setting->name, name) == 0) {
+            return setting;
+        }
+    }
+    return NULL;
+}
+
+static struct evbuffer *
+output_of(mr_session_t *session)
+{
+    return bufferevent_get_output(session->client);
+}
+
+static void
+write_ready(mr_session_t *session)
+{
+    mr_line_write_ready(output_of(session), session->tx, &session->position);
+}
+
+void
+mr_session_answer_error(mr_session_t *session, mr_error_kind_t error,
+                        const char *detail, mr_ms_t retry_after)
+{
+    mr_counter_add(session->relay->answers[error], 1);
+    mr_line_write_error(output_of(session), error, detail, retry_after);
+    write_ready(session);
+}
+
+void
+mr_session_answer(mr_session_t *session, struct evbuffer *body)
+{
+    mr_counter_add(session->relay->answers[MR_OK], 1);
+    if (body != NULL) {
+        evbuffer_add_buffer(output_of(session), body);
+    }
+    else {
+        mr_line_write_complete(output_of(session));
+    }
+    write_ready(session);
+}
+
+/* Ends the session once its output is written. */
+static void
+on_written(struct bufferevent *client, void *ctx)
+{
+    (void)client;
+    mr_session_destroy(ctx);
+}
+
+static void
+close_after_output(mr_session_t *session)
+{
+    session->closing = true;
+    bufferevent_disable(session->client, EV_READ);
+    bufferevent_setcb(session->client, NULL, on_written, on_event, session);
+    if (evbuffer_get_length(output_of(session)) == 0) {
+        mr_session_destroy(session);
+    }
+}
+
+void
+mr_session_abort(mr_session_t *session)
+{
+    if (session->tx != MR_TX_IDLE) {
+        mr_run_end_transaction(session);
+        session->tx = MR_TX_IDLE;
+        mr_line_write_error(output_of(session), MR_ERR_TRANSACTION_LOST,
+                            "this instance stops", 0);
+    }
+    close_after_output(session);
+}
+
+/* Account of the caller under the present desired state; NULL: none. */
+static const char *
+caller_of(const mr_session_t *session, const mr_catalog_route_t *route)
+{
+    const mr_catalog_account_t *account =
+        mr_catalog_key_owner(session->relay->catalog, session->credential);
+
+    if (account != NULL) {
+        return account->name;
+    }
+    return route != NULL && route->anonymous ? anonymous_account : NULL;
+}
+
+/* Refuses an OPEN and ends the session. */
+static void
+refuse_open(mr_session_t *session, mr_error_kind_t error)
+{
+    mr_counter_add(session->relay->answers[error], 1);
+    mr_line_write_error(output_of(session), error, NULL, -1);
+    close_after_output(session);
+}
+
+static bool
+open_session(mr_session_t *session, const mr_line_t *line)
+{
+    const mr_catalog_route_t *route =
+        mr_catalog_route(session->relay->catalog, line->u.open.database);
+
+    session->credential = mr_strdup(line->u.open.credential);
+    if (route == NULL) {
+        refuse_open(session, MR_ERR_UNKNOWN_ROUTE);
+        return false;
+    }
+    if (caller_of(session, route) == NULL) {
+        refuse_open(session, MR_ERR_UNAUTHENTICATED);
+        return false;
+    }
+    session->database = mr_strdup(line->u.open.database);
+    mr_counter_add(session->relay->opened, 1);
+    write_ready(session);
+    return true;
+}
+
+/* Takes the desired state for a new operation; false when it was refused. */
+static bool
+begin_operation(mr_session_t *session)
+{
+    mr_relay_t *relay = session->relay;
+
+    mr_catalog_unref(session->catalog);
+    session->catalog = mr_catalog_ref(relay->catalog);
+    session->route = mr_catalog_route(session->catalog, session->database);
+    if (session->route == NULL) {
+        mr_session_answer_error(session, MR_ERR_UNKNOWN_ROUTE, NULL, -1);
+        return false;
+    }
+    mr_ms_t wait = mr_quota_take(relay->options.quota, session->account);
+    if (wait > 0) {
+        mr_counter_add(relay->limited, 1);
+        mr_session_answer_error(session, MR_ERR_RATE_LIMITED, NULL, wait);
+        return false;
+    }
+    mr_counter_add(relay->operations, 1);
+    return true;
+}
+
+/* Checks the caller for each statement, so that a withdrawn key stops on open
+ * sessions. */
+static bool
+check_caller(mr_session_t *session)
+{
+    mr_catalog_t *catalog = session->relay->catalog;
+    const char *account =
+        caller_of(session, mr_catalog_route(catalog, session->database));
+
+    if (account != NULL && session->account != NULL
+        && strcmp(account, session->account) == 0) {
+        return true;
+    }
+    if (account == NULL || session->tx != MR_TX_IDLE) {
+        mr_run_end_transaction(session);
+        if (session->tx == MR_TX_OPEN) {
+            session->tx = MR_TX_FAILED;
+        }
+        mr_session_answer_error(session, MR_ERR_UNAUTHENTICATED, NULL, -1);
+        return false;
+    }
+    free(session->account);
+    session->account = mr_strdup(account);
+    return true;
+}
+
+static void
+change_setting(mr_session_t *session, const char *text,
+               const mr_statement_t *statement)
+{
+    bool prepared = statement->kind != MR_STATEMENT_SET;
+    mr_setting_t *setting =
+        mr_session_setting(session, statement->name, prepared);
+
+    session->version++;
+    if (setting != NULL) {
+        free_setting(setting);
+    }
+    if (statement->kind == MR_STATEMENT_FORGET) {
+        return;
+    }
+    setting = MR_NEW(mr_setting_t);
+    setting->name = mr_strdup(statement->name);
+    setting->statement = mr_strdup(text);
+    setting->prepared = prepared;
+    setting->read_only = statement->read_only;
+    mr_list_append(&session->settings, &setting->link);
+}
+
+static void
+begin_transaction(mr_session_t *session, const mr_statement_t *statement)
+{
+    if (session->tx == MR_TX_OPEN) {
+        mr_session_answer_error(session, MR_ERR_INVALID_REQUEST,
+                                "a transaction is open", -1);
+        return;
+    }
+    if (!begin_operation(session)) {
+        return;
+    }
+    session->tx = MR_TX_OPEN;
+    session->tx_read_only = statement->read_only;
+    session->tx_wrote = false;
+    mr_session_answer(session, NULL);
+}
+
+static void
+roll_back(mr_session_t *session)
+{
+    mr_run_end_transaction(session);
+    session->tx = MR_TX_IDLE;
+    mr_session_answer(session, NULL);
+}
+
+/* Ends a failed transaction; only ending it is allowed. */
+static void
+handle_in_failed(mr_session_t *session, const mr_statement_t *statement)
+{
+    if (statement->kind == MR_STATEMENT_ROLLBACK) {
+        roll_back(session);
+    }
+    else if (statement->kind == MR_STATEMENT_COMMIT) {
+        mr_run_end_transaction(session);
+        session->tx = MR_TX_IDLE;
+        mr_session_answer_error(session, MR_ERR_TRANSACTION_LOST,
+                                "rolled back", 0);
+    }
+    else {
+        mr_session_answer_error(session, MR_ERR_INVALID_REQUEST,
+                                "the transaction failed", -1);
+    }
+}
+
+/* Starts a statement that a database runs. Takes @line over. */
+static void
+start_run(mr_session_t *session, mr_line_t *line,
+          const mr_statement_t *statement, bool writes)
+{
+    session->run.line = *line;
+    line->text = NULL;
+    session->run.statement = *statement;
+    session->run.writes = writes;
+    mr_run_start(session);
+}
+
+static void
+handle_run(mr_session_t *session, mr_line_t *line,
+           const mr_statement_t *statement)
+{
+    bool writes = statement->kind == MR_STATEMENT_WRITE
+                  || statement->kind == MR_STATEMENT_COMMIT;
+
+    if (statement->kind == MR_STATEMENT_EXECUTE) {
+        mr_setting_t *prepared =
+            mr_session_setting(session, statement->name, true);
+        if (prepared == NULL) {
+            mr_session_answer_error(session, MR_ERR_UNKNOWN_STATEMENT, NULL,
+                                    -1);
+            return;
+        }
+        writes = !prepared->read_only;
+    }
+    if (session->tx == MR_TX_IDLE) {
+        if (statement->kind == MR_STATEMENT_COMMIT) {
+            mr_session_answer_error(session, MR_ERR_INVALID_REQUEST,
+                                    "no transaction is open", -1);
+            return;
+        }
+        if (!begin_operation(session)) {
+            return;
+        }
+    }
+    start_run(session, line, statement, writes);
+}
+
+static void
+handle_query(mr_session_t *session, mr_line_t *line)
+{
+    mr_statement_t statement;
+
+    mr_statement_parse(line->u.query.statement, &statement);
+    if (!check_caller(session)) {
+        return;
+    }
+    if (session->tx == MR_TX_FAILED) {
+        handle_in_failed(session, &statement);
+        return;
+    }
+    switch (statement.kind) {
+    case MR_STATEMENT_BEGIN:
+        begin_transaction(session, &statement);
+        return;
+    case MR_STATEMENT_ROLLBACK:
+        roll_back(session);
+        return;
+    case MR_STATEMENT_SET:
+    case MR_STATEMENT_PREPARE:
+    case MR_STATEMENT_FORGET:
+        change_setting(session, line->u.query.statement, &statement);
+        mr_session_answer(session, NULL);
+        return;
+    case MR_STATEMENT_READ:
+    case MR_STATEMENT_WRITE:
+    case MR_STATEMENT_EXECUTE:
+    case MR_STATEMENT_COMMIT:
+        handle_run(session, line, &statement);
+        return;
+    case MR_STATEMENT_UNKNOWN:
+        break;
+    }
+    mr_session_answer_error(session, MR_ERR_INVALID_REQUEST,
+                            "unknown statement", -1);
+}
+
+/* Handles one message; false when the session ended. */
+static bool
+handle_line(mr_session_t *session, mr_line_t *line)
+{
+    if (session->database == NULL) {
+        if (line->kind != MR_LINE_OPEN) {
+            refuse_open(session, MR_ERR_INVALID_REQUEST);
+            return false;
+        }
+        return open_session(session, line);
+    }
+    if (line->kind == MR_LINE_QUERY) {
+        handle_query(session, line);
+        return true;
+    }
+    if (line->kind != MR_LINE_CLOSE) {
+        mr_session_answer_error(session, MR_ERR_INVALID_REQUEST, NULL, -1);
+    }
+    close_after_output(session);
+    return false;
+}
+
+/* Answers input that is no message; false when the session ended. */
+static bool
+refuse_line(mr_session_t *session, mr_line_result_t result)
+{
+    mr_error_kind_t error = result == MR_LINE_TOO_LONG
+                                ? MR_ERR_PAYLOAD_TOO_LARGE
+                                : MR_ERR_INVALID_REQUEST;
+
+    if (session->database == NULL || result == MR_LINE_TOO_LONG) {
+        refuse_open(session, error);
+        return false;
+    }
+    mr_session_answer_error(session, error, NULL, -1);
+    return true;
+}
+
+void
+mr_session_next(mr_session_t *session)
+{
+    struct evbuffer *in = bufferevent_get_input(session->client);
+    bool alive = true;
+
+    while (alive && !session->closing && session->run.stage == MR_RUN_NONE
+           && session->relay->catalog != NULL) {
+        mr_line_t line;
+        mr_line_result_t result = mr_line_read(in, &line, NULL);
+        if (result == MR_LINE_PARTIAL) {
+            break;
+        }
+        alive = result == MR_LINE_GOOD ? handle_line(session, &line)
+                                       : refuse_line(session, result);
+        mr_line_release(&line);
+    }
+    if (alive && !session->closing && session->relay->draining
+        && session->database != NULL && session->run.stage == MR_RUN_NONE
+        && session->tx == MR_TX_IDLE) {
+        close_after_output(session);
+    }
+}
--- /dev/null
+++ b/lib/session/session.h
@@ -0,0 +1,122 @@
+#ifndef MR_SESSION_SESSION_H
+#define MR_SESSION_SESSION_H
+
+/* Shared by relay.c (listener, clients' messages), session.c (session state)
+ * and run.c (one statement on its way to a database). */
+
+#include <event2/bufferevent.h>
+
+#include "common/list.h"
+#include "session/line.h"
+#include "session/link.h"
+#include "session/relay.h"
+
+typedef struct mr_session mr_session_t;
+
+struct mr_relay {
+    mr_relay_options_t options;
+    mr_catalog_t *catalog; /* NULL until one is known */
+    struct evconnlistener *listener;
+    mr_list_t sessions;
+    size_t session_count;
+    uint64_t last_serial;
+    bool draining;
+    mr_counter_t *opened;
+    mr_counter_t *operations;
+    mr_counter_t *limited;
+    mr_counter_t *retries;
+    mr_counter_t *answers[MR_ERROR_COUNT];
+};
+
+/** Value or prepared statement of a session. */
+typedef struct mr_setting {
+    mr_list_t link;
+    char *name;
+    char *statement; /* that sets it */
+    bool prepared;
+    bool read_only; /* of a prepared statement */
+} mr_setting_t;
+
+typedef enum mr_run_stage {
+    MR_RUN_NONE,
+    MR_RUN_WAITING, /* for a database that can take it */
+    MR_RUN_OPENING,
+    MR_RUN_PREPARING, /* session values are being set */
+    MR_RUN_BEGINNING,
+    MR_RUN_SENT,
+} mr_run_stage_t;
+
+/** What a statement needs of its database. */
+typedef enum mr_run_mode {
+    MR_RUN_WRITE,    /* at the primary */
+    MR_RUN_PRESENT,  /* read that the primary's own transaction proves */
+    MR_RUN_AGED,     /* read at any log that holds a position */
+    MR_RUN_FIRST,    /* first statement of a transaction */
+    MR_RUN_CONTINUE, /* on the transaction's connection */
+} mr_run_mode_t;
+
+/** One statement on its way. */
+typedef struct mr_run {
+    mr_run_stage_t stage;
+    mr_run_mode_t mode;
+    mr_line_t line; /* the client's message */
+    mr_statement_t statement;
+    bool writes;
+    mr_link_t *link;
+    const mr_db_t *failed_db;
+    mr_position_t after;
+    bool begin_aged; /* begins a transaction at a replica */
+    int tries;
+    bool offered;  /* a database had it in its hands */
+    bool answered; /* the connection of this attempt is in a known state */
+    int setup_due;
+    mr_ms_t started;
+    mr_ms_t sent_at;
+    mr_error_kind_t last_error;
+    struct event *timer;
+} mr_run_t;
+
+struct mr_session {
+    mr_list_t link;
+    mr_relay_t *relay;
+    struct bufferevent *client;
+    uint64_t serial;
+    uint64_t version; /* of its values and prepared statements */
+    char *database;   /* NULL until it is open */
+    char *credential;
+    char *account; /* that the databases are told */
+    mr_list_t settings;
+    mr_position_t position; /* newest commit of this session */
+    mr_catalog_t *catalog;  /* of the present operation */
+    const mr_catalog_route_t *route;
+    mr_tx_state_t tx;
+    bool tx_read_only;
+    bool tx_wrote;
+    bool closing;       /* once the output is written */
+    mr_link_t *tx_link; /* NULL until the first statement runs */
+    mr_run_t run;
+};
+
+/* session.c */
+void mr_session_create(mr_relay_t *relay, evutil_socket_t fd);
+void mr_session_destroy(mr_session_t *session);
+/** mr_session_next() - handle the client's next message, if any. */
+void mr_session_next(mr_session_t *session);
+/** mr_session_abort() - end the session's open transaction and the session. */
+void mr_session_abort(mr_session_t *session);
+/** mr_session_answer_error() - @retry_after: negative when not known. */
+void mr_session_answer_error(mr_session_t *session, mr_error_kind_t error,
+                             const char *detail, mr_ms_t retry_after);
+void mr_session_answer(mr_session_t *session, struct evbuffer *body);
+mr_setting_t *mr_session_setting(mr_session_t *session, const char *name,
+                                 bool prepared);
+
+/* run.c */
+/** mr_run_start() - run the statement in session->run.line. */
+void mr_run_start(mr_session_t *session);
+/** mr_run_cancel() - the client left. */
+void mr_run_cancel(mr_session_t *session);
+/** mr_run_end_transaction() - roll the open transaction back. */
+void mr_run_end_transaction(mr_session_t *session);
+
+#endif
--- /dev/null
+++ b/lib/session/sessiond.c
@@ -0,0 +1,215 @@
+#include "session/sessiond.h"
+
+#include <event2/event.h>
+#include <signal.h>
+#include <stdlib.h>
+
+#include "common/counters.h"
+#include "common/mem.h"
+#include "session/duty.h"
+#include "session/feed.h"
+#include "session/quota.h"
+#include "session/ready.h"
+#include "session/relay.h"
+#include "session/store.h"
+
+enum {
+    /* The balancer takes an instance out after two failed probes, one a
+     * second. */
+    ROTATION_MS = 2300,
+    DRAIN_TICK_MS = 100,
+    EXIT_MARGIN_MS = 500, /* before the kill */
+    SIGNALS = 3,
+};
+
+struct mr_sessiond {
+    struct event_base *base;
+    mr_counters_t *counters;
+    mr_clusters_t *clusters;
+    mr_quota_t *quota;
+    mr_store_t *store;
+    mr_duty_t *duty;
+    mr_feed_t *feed;
+    mr_relay_t *relay;
+    mr_ready_t *ready;
+    struct event *signals[SIGNALS];
+    struct event *drain_timer;
+    mr_ms_t grace;
+    mr_ms_t stopping_since; /* 0: not stopping */
+};
+
+static bool
+is_ready(void *ctx)
+{
+    mr_sessiond_t *daemon = ctx;
+
+    return daemon->stopping_since == 0 && mr_feed_complete(daemon->feed);
+}
+
+static void
+on_catalog(void *ctx, mr_catalog_t *catalog)
+{
+    mr_sessiond_t *daemon = ctx;
+
+    mr_quota_set_catalog(daemon->quota, catalog);
+    mr_relay_set_catalog(daemon->relay, catalog);
+}
+
+static void
+on_refresh(void *ctx)
+{
+    mr_sessiond_t *daemon = ctx;
+
+    mr_feed_refresh(daemon->feed);
+}
+
+/* New sessions still arrive until the balancer has noticed; after that, idle
+ * sessions end, then open transactions, then the process. */
+static void
+on_drain(evutil_socket_t fd, short what, void *ctx)
+{
+    mr_sessiond_t *daemon = ctx;
+    mr_ms_t elapsed = mr_clock_now(NULL) - daemon->stopping_since;
+    struct timeval tick = mr_clock_timeval(DRAIN_TICK_MS);
+
+    (void)fd;
+    (void)what;
+    if (elapsed >= ROTATION_MS) {
+        mr_relay_drain(daemon->relay);
+    }
+    if (elapsed >= daemon->grace / 2) {
+        mr_relay_abort_transactions(daemon->relay);
+    }
+    if ((elapsed >= ROTATION_MS && mr_relay_sessions(daemon->relay) == 0)
+        || elapsed >= daemon->grace - EXIT_MARGIN_MS) {
+        event_base_loopbreak(daemon->base);
+        return;
+    }
+    evtimer_add(daemon->drain_timer, &tick);
+}
+
+static void
+on_signal(evutil_socket_t signal, short what, void *ctx)
+{
+    mr_sessiond_t *daemon = ctx;
+
+    (void)what;
+    if (signal == SIGHUP) {
+        /* Settings come with the start; a change takes effect then. */
+        mr_log(MR_LOG_INFO, "reload", "effect=none");
+        return;
+    }
+    if (daemon->stopping_since == 0) {
+        mr_log(MR_LOG_INFO, "stopping", "signal=%d sessions=%zu", (int)signal,
+               mr_relay_sessions(daemon->relay));
+        daemon->stopping_since = mr_clock_now(NULL);
+        on_drain(-1, 0, daemon);
+    }
+}
+
+static void
+add_signals(mr_sessiond_t *daemon)
+{
+    static const int numbers[SIGNALS] = {SIGTERM, SIGINT, SIGHUP};
+
+    signal(SIGPIPE, SIG_IGN);
+    for (int i = 0; i < SIGNALS; i++) {
+        daemon->signals[i] =
+            evsignal_new(daemon->base, numbers[i], on_signal, daemon);
+        evsignal_add(daemon->signals[i], NULL);
+    }
+}
+
+static bool
+create_modules(mr_sessiond_t *daemon, const mr_sessiond_settings_t *settings)
+{
+    daemon->clusters = mr_clusters_create(settings->data_centre);
+    daemon->quota = mr_quota_create(NULL, daemon->counters);
+    daemon->store = mr_store_create(&(mr_store_options_t){
+        .base = daemon->base,
+        .counters = daemon->counters,
+        .address = settings->store,
+    });
+    daemon->duty = mr_duty_create(&(mr_duty_options_t){
+        .base = daemon->base,
+        .counters = daemon->counters,
+        .address = settings->duty,
+        .holder = settings->name,
+    });
+    daemon->relay = mr_relay_create(&(mr_relay_options_t){
+        .base = daemon->base,
+        .counters = daemon->counters,
+        .clusters = daemon->clusters,
+        .quota = daemon->quota,
+        .listen = settings->listen,
+        .refresh = on_refresh,
+        .ctx = daemon,
+    });
+    daemon->ready = mr_ready_create(daemon->base, settings->ready,
+                                    daemon->counters, is_ready, daemon);
+    if (daemon->store == NULL || daemon->duty == NULL || daemon->relay == NULL
+        || daemon->ready == NULL) {
+        return false;
+    }
+    daemon->feed = mr_feed_create(&(mr_feed_options_t){
+        .base = daemon->base,
+        .store = daemon->store,
+        .clusters = daemon->clusters,
+        .counters = daemon->counters,
+        .on_catalog = on_catalog,
+        .ctx = daemon,
+    });
+    return true;
+}
+
+mr_sessiond_t *
+mr_sessiond_create(const mr_sessiond_settings_t *settings)
+{
+    mr_sessiond_t *daemon = MR_NEW(mr_sessiond_t);
+
+    mr_log_setup(settings->name, settings->log_level);
+    daemon->grace = settings->grace;
+    daemon->base = event_base_new();
+    daemon->counters = mr_counters_create();
+    daemon->drain_timer = evtimer_new(daemon->base, on_drain, daemon);
+    add_signals(daemon);
+    if (!create_modules(daemon, settings)) {
+        mr_sessiond_destroy(daemon);
+        return NULL;
+    }
+    mr_log(MR_LOG_INFO, "started", "data_centre=%s listen=%s",
+           settings->data_centre, settings->listen);
+    return daemon;
+}
+
+void
+mr_sessiond_destroy(mr_sessiond_t *daemon)
+{
+    if (daemon == NULL) {
+        return;
+    }
+    mr_ready_destroy(daemon->ready);
+    mr_relay_destroy(daemon->relay);
+    mr_feed_destroy(daemon->feed);
+    mr_duty_destroy(daemon->duty);
+    mr_store_destroy(daemon->store);
+    mr_quota_destroy(daemon->quota);
+    mr_clusters_destroy(daemon->clusters);
+    for (int i = 0; i < SIGNALS; i++) {
+        event_free(daemon->signals[i]);
+    }
+    event_free(daemon->drain_timer);
+    mr_counters_destroy(daemon->counters);
+    event_base_free(daemon->base);
+    free(daemon);
+}
+
+int
+mr_sessiond_run(mr_sessiond_t *daemon)
+{
+    int result = event_base_dispatch(daemon->base);
+
+    mr_log(MR_LOG_INFO, "stopped", "sessions=%zu",
+           mr_relay_sessions(daemon->relay));
+    return result < 0 ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/lib/session/sessiond_settings.c
@@ -0,0 +1,163 @@
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/address.h"
+#include "common/mem.h"
+#include "session/sessiond.h"
+
+enum {
+    GRACE_DEFAULT_S = 6,
+    GRACE_MAX_S = 600,
+};
+
+typedef enum setting_kind {
+    SETTING_TEXT,
+    SETTING_ADDRESS,
+} setting_kind_t;
+
+typedef struct setting {
+    const char *flag;
+    const char *help;
+    setting_kind_t kind;
+    char **out;
+} setting_t;
+
+static bool
+complain(const char *flag, const char *what)
+{
+    fprintf(stderr, "masticrelaysd: --%s: %s\n", flag, what);
+    return false;
+}
+
+/* MASTICRELAY_DATA_CENTRE for data-centre. */
+static const char *
+read_variable(const char *flag)
+{
+    char *name = g_strdup_printf("MASTICRELAY_%s", flag);
+
+    for (char *p = name; *p != '\0'; p++) {
+        *p = *p == '-' ? '_' : g_ascii_toupper(*p);
+    }
+    const char *value = g_getenv(name);
+    g_free(name);
+    return value;
+}
+
+static bool
+check_setting(const setting_t *setting)
+{
+    struct sockaddr_storage addr;
+    int len;
+
+    if (*setting->out == NULL) {
+        *setting->out = g_strdup(read_variable(setting->flag));
+    }
+    if (*setting->out == NULL || **setting->out == '\0') {
+        return complain(setting->flag, "is missing");
+    }
+    if (setting->kind == SETTING_ADDRESS
+        && !mr_address_parse(*setting->out, &addr, &len)) {
+        return complain(setting->flag, "must be an IP number and a port");
+    }
+    return true;
+}
+
+static bool
+read_level(const char *text, mr_log_level_t *level)
+{
+    static const char *const names[] = {"debug", "info", "warning", "error"};
+
+    *level = MR_LOG_INFO;
+    if (text == NULL) {
+        return true;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (strcmp(text, names[i]) == 0) {
+            *level = (mr_log_level_t)i;
+            return true;
+        }
+    }
+    return complain("log-level", "must be debug, info, warning or error");
+}
+
+bool
+mr_sessiond_settings_read(int *argc, char ***argv,
+                          mr_sessiond_settings_t *settings)
+{
+    const setting_t table[] = {
+        {"name", "name of this instance", SETTING_TEXT, &settings->name},
+        {"data-centre", "data centre of this instance", SETTING_TEXT,
+         &settings->data_centre},
+        {"listen", "clients' listener", SETTING_ADDRESS, &settings->listen},
+        {"ready", "listener for probes and counters", SETTING_ADDRESS,
+         &settings->ready},
+        {"peer", "listener for other instances", SETTING_ADDRESS,
+         &settings->peer},
+        {"store", "the platform's store", SETTING_ADDRESS, &settings->store},
+        {"duty", "the platform's promotion calls", SETTING_ADDRESS,
+         &settings->duty},
+    };
+    GOptionEntry entries[G_N_ELEMENTS(table) + 3] = {{0}};
+    int grace_s = GRACE_DEFAULT_S;
+    char *level = NULL;
+    GError *error = NULL;
+    size_t n = 0;
+
+    memset(settings, 0, sizeof(*settings));
+    for (; n < G_N_ELEMENTS(table); n++) {
+        entries[n] = (GOptionEntry){
+            table[n].flag,
+            0,
+            0,
+            G_OPTION_ARG_STRING,
+            table[n].out,
+            table[n].help,
+            table[n].kind == SETTING_ADDRESS ? "IP:PORT" : "TEXT"};
+    }
+    entries[n++] = (GOptionEntry){
+        "grace-s", 0,
+        0,         G_OPTION_ARG_INT,
+        &grace_s,  "seconds from the stop signal to the kill (6)",
+        "S"};
+    entries[n++] =
+        (GOptionEntry){"log-level", 0,
+                       0,           G_OPTION_ARG_STRING,
+                       &level,      "debug, info, warning or error (info)",
+                       "LEVEL"};
+    GOptionContext *context = g_option_context_new("- relay of sessions");
+    g_option_context_add_main_entries(context, entries, NULL);
+    bool good = g_option_context_parse(context, argc, argv, &error);
+    g_option_context_free(context);
+    if (!good) {
+        fprintf(stderr, "masticrelaysd: %s\n", error->message);
+        g_error_free(error);
+    }
+    for (size_t i = 0; good && i < G_N_ELEMENTS(table); i++) {
+        good = check_setting(&table[i]);
+    }
+    if (good && (grace_s < 1 || grace_s > GRACE_MAX_S)) {
+        good = complain("grace-s", "must be from 1 to 600");
+    }
+    good = good && read_level(level, &settings->log_level);
+    settings->grace = (mr_ms_t)grace_s * 1000;
+    g_free(level);
+    if (!good) {
+        mr_sessiond_settings_release(settings);
+    }
+    return good;
+}
+
+void
+mr_sessiond_settings_release(mr_sessiond_settings_t *settings)
+{
+    g_free(settings->name);
+    g_free(settings->data_centre);
+    g_free(settings->listen);
+    g_free(settings->ready);
+    g_free(settings->peer);
+    g_free(settings->store);
+    g_free(settings->duty);
+    memset(settings, 0, sizeof(*settings));
+}
