--- a/lib/session/catalog.h
+++ b/lib/session/catalog.h
@@ -11,16 +11,16 @@
 #include "common/clock.h"
 
 /** What a read on a route must have seen. */
-typedef enum mr_freshness {
+typedef enum mr_fresh_rule {
     MR_FRESH_PRIMARY, /* every acknowledged commit */
     MR_FRESH_BOUNDED, /* commits older than the route's bound */
     MR_FRESH_SESSION, /* the same, and the session's own commits */
-} mr_freshness_t;
+} mr_fresh_rule_t;
 
 typedef struct mr_catalog_route {
     char *database; /* that clients name */
     char *service;
-    mr_freshness_t freshness;
+    mr_fresh_rule_t freshness;
     mr_ms_t max_age;           /* of data read; for all but MR_FRESH_PRIMARY */
     mr_ms_t statement_timeout; /* 0: none */
     mr_ms_t objective;         /* latency objective of an operation */
--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -15,6 +15,7 @@
     /* A database that refused a write as a replica is asked again after this
      * time even if its registration has not changed. */
     REFUSED_MEMORY_MS = 300,
+    MISSING_MAX_MS = 2000, /* the platform's word on lapsed registrations */
     IDLE_DEFAULT = 1,
     LATENCY_WEIGHT = 8, /* share of a new sample in the smoothed time: 1/8 */
 };
@@ -148,15 +149,14 @@
 }
 
 void
-mr_clusters_begin(mr_clusters_t *clusters, int64_t version)
+mr_clusters_begin(mr_clusters_t *clusters)
 {
-    clusters->version = version;
     MR_LIST_FOREACH(it, &clusters->list)
     {
         mr_cluster_t *cluster = MR_LIST_ENTRY(it, mr_cluster_t, link);
         MR_LIST_FOREACH(jt, &cluster->dbs)
         {
-            MR_LIST_ENTRY(jt, mr_db_t, link)->slots = 0;
+            MR_LIST_ENTRY(jt, mr_db_t, link)->listed = false;
         }
     }
 }
@@ -177,6 +177,7 @@
     if (db == NULL) {
         db = add_db(cluster, id, entry);
     }
+    db->listed = true;
     db->slots = entry->slots > 0 ? entry->slots : 1;
     if (entry->draining != db->draining) {
         db->draining = entry->draining;
@@ -195,8 +196,28 @@
     }
 }
 
+/* Registrations that lapsed while the store was away come back a little after
+ * it. */
+static void
+check_missing(mr_db_t *db, mr_ms_t now)
+{
+    if (db->listed) {
+        db->missing_since = 0;
+        return;
+    }
+    if (db->missing_since == 0) {
+        db->missing_since = now;
+    }
+    if (now - db->missing_since >= MISSING_MAX_MS) {
+        mr_log(MR_LOG_INFO, "database_gone",
+               "service=%s id=%s missing_ms=%lld", db->cluster->service,
+               db->id, (long long)(now - db->missing_since));
+        remove_db(db);
+    }
+}
+
 void
-mr_clusters_end(mr_clusters_t *clusters)
+mr_clusters_end(mr_clusters_t *clusters, mr_ms_t now)
 {
     MR_LIST_FOREACH(it, &clusters->list)
     {
@@ -204,12 +225,16 @@
         MR_LIST_FOREACH(jt, &cluster->dbs)
         {
             mr_db_t *db = MR_LIST_ENTRY(jt, mr_db_t, link);
-            if (db->slots == 0 && !db->gone) {
-                mr_log(MR_LOG_INFO, "database_gone", "service=%s id=%s",
-                       cluster->service, db->id);
-                remove_db(db);
+            if (!db->gone) {
+                check_missing(db, now);
             }
         }
+        if (mr_cluster_leader(cluster) != NULL) {
+            cluster->leaderless_since = 0;
+        }
+        else if (cluster->leaderless_since == 0) {
+            cluster->leaderless_since = now;
+        }
     }
 }
 
@@ -225,8 +250,14 @@
                : db->primary_version;
 }
 
-mr_db_t *
-mr_cluster_primary(mr_cluster_t *cluster, mr_ms_t now)
+static bool
+refused_lately(const mr_db_t *db, mr_ms_t now)
+{
+    return db->refused_at != 0 && now < db->refused_at + REFUSED_MEMORY_MS;
+}
+
+static mr_db_t *
+find_leader(mr_cluster_t *cluster, bool even_refusing, mr_ms_t now)
 {
     mr_db_t *best = NULL;
     int64_t best_evidence = 0;
@@ -235,9 +266,7 @@
     {
         mr_db_t *db = MR_LIST_ENTRY(it, mr_db_t, link);
         int64_t evidence = primary_evidence(cluster, db);
-        if (db->gone
-            || (db->refused_at != 0
-                && now < db->refused_at + REFUSED_MEMORY_MS)) {
+        if (db->gone || (!even_refusing && refused_lately(db, now))) {
             continue;
         }
         if (evidence > best_evidence) {
@@ -248,6 +277,18 @@
     return best;
 }
 
+mr_db_t *
+mr_cluster_primary(mr_cluster_t *cluster, mr_ms_t now)
+{
+    return find_leader(cluster, false, now);
+}
+
+mr_db_t *
+mr_cluster_leader(mr_cluster_t *cluster)
+{
+    return find_leader(cluster, true, 0);
+}
+
 void
 mr_cluster_promoted(mr_cluster_t *cluster, const char *id, int64_t version)
 {
@@ -262,7 +303,9 @@
     mr_db_t *db = find_db(cluster, id);
     if (db != NULL) {
         db->refused_at = 0;
+        db->refused_since = 0;
     }
+    cluster->leaderless_since = 0;
 }
 
 void
@@ -357,4 +400,28 @@
 mr_db_refused_as_replica(mr_db_t *db, mr_ms_t now)
 {
     db->refused_at = now;
+    if (db->refused_since == 0) {
+        db->refused_since = now;
+    }
+}
+
+void
+mr_db_is_primary(mr_db_t *db)
+{
+    db->refused_at = 0;
+    db->refused_since = 0;
+}
+
+mr_ms_t
+mr_db_failing(const mr_db_t *db, mr_ms_t now)
+{
+    mr_ms_t since = 0;
+
+    if (db->failures > 0) {
+        since = db->failing_since;
+    }
+    if (db->refused_since != 0 && (since == 0 || db->refused_since < since)) {
+        since = db->refused_since;
+    }
+    return since != 0 ? now - since : 0;
 }
--- a/lib/session/cluster.h
+++ b/lib/session/cluster.h
@@ -29,10 +29,13 @@
     int64_t born;
     int64_t slots;
     bool draining;
+    bool listed;           /* in the newest set of registrations */
+    mr_ms_t missing_since; /* 0: it is listed */
     bool gone; /* no longer registered; freed with its last connection */
     int64_t primary_version; /* store version since which it is registered as
                                 the primary; 0: as a replica */
     mr_ms_t refused_at;      /* it last said that it is not the primary */
+    mr_ms_t refused_since;   /* it has said nothing else since; 0: none */
     mr_ms_t avoid_until;     /* after failures */
     int failures;            /* in a row */
     mr_ms_t failing_since;
@@ -56,12 +59,12 @@
     char *promoted;           /* database that the last promotion named */
     int64_t promoted_version; /* fencing token of that promotion */
     int idle_max;             /* connections kept to one database */
+    mr_ms_t leaderless_since; /* 0: a leader is known */
 };
 
 struct mr_clusters {
     mr_list_t list;
     char *data_centre; /* of this instance */
-    int64_t version;   /* store version of the registrations */
 };
 
 mr_clusters_t *mr_clusters_create(const char *data_centre);
@@ -72,16 +75,21 @@
 mr_cluster_t *mr_clusters_get(mr_clusters_t *clusters, const char *service);
 
 /** mr_clusters_begin() - start of a new complete set of registrations. */
-void mr_clusters_begin(mr_clusters_t *clusters, int64_t version);
+void mr_clusters_begin(mr_clusters_t *clusters);
 /** mr_clusters_add() - one registration of the set; @version of its row. */
 void mr_clusters_add(mr_clusters_t *clusters, const char *id,
                      const mr_db_entry_t *entry, int64_t version);
-/** mr_clusters_end() - databases that are not in the set are gone. */
-void mr_clusters_end(mr_clusters_t *clusters);
+/** mr_clusters_end() - the set of @now is complete. Databases that have been
+ * missing for a while are gone. */
+void mr_clusters_end(mr_clusters_t *clusters, mr_ms_t now);
 
 /** mr_cluster_primary() - NULL when none is known. */
 mr_db_t *mr_cluster_primary(mr_cluster_t *cluster, mr_ms_t now);
 
+/** mr_cluster_leader() - the database that is the primary by the newest
+ * evidence, even when it fails or refuses; NULL: none. */
+mr_db_t *mr_cluster_leader(mr_cluster_t *cluster);
+
 /** mr_cluster_promoted() - a promotion with fencing token @version ended. */
 void mr_cluster_promoted(mr_cluster_t *cluster, const char *id,
                          int64_t version);
@@ -104,6 +112,11 @@
 void mr_db_failed(mr_db_t *db, mr_ms_t now);
 void mr_db_answered(mr_db_t *db, mr_ms_t now, mr_ms_t took);
 void mr_db_refused_as_replica(mr_db_t *db, mr_ms_t now);
+/** mr_db_is_primary() - @db proved to be the primary. */
+void mr_db_is_primary(mr_db_t *db);
+
+/** mr_db_failing() - for how long @db has not worked as a primary. */
+mr_ms_t mr_db_failing(const mr_db_t *db, mr_ms_t now);
 
 /** mr_db_release() - a connection to @db ended. */
 void mr_db_release(mr_db_t *db);
--- a/lib/session/feed.c
+++ b/lib/session/feed.c
@@ -7,12 +7,15 @@
 #include "common/mem.h"
 
 enum {
-    FEED_WAIT_MS = 20000, /* the store allows 30 s */
+    /* A feed that went silent is noticed after this and the call's timeout,
+     * within the time for a new desired state to take effect. */
+    FEED_WAIT_MS = 5000,
     /* Pause after a failed call. */
     RETRY_FIRST_MS = 200,
     RETRY_MAX_MS = 1600,
     /* Databases may receive work for 7 s after they registered as draining. */
-    REGISTRATIONS_PERIOD_MS = 2500,
+    CHIEF_PERIOD_MS = 1000,
+    ALONE_PERIOD_MS = 2000,
     REFRESH_GAP_MS = 400, /* least time between two readings */
 };
 
@@ -22,16 +25,15 @@
 
 struct mr_feed {
     mr_feed_options_t options;
+    mr_feed_duty_t duty;
     struct event *config_timer;
     struct event *registrations_timer;
     mr_ms_t config_retry;
-    mr_ms_t read_at; /* last start of a reading of the registrations */
-    bool reading;
-    bool have_registrations;
-    int64_t after;   /* store version that the feed continues from; 0: read
-                        the row itself */
-    int64_t version; /* of the newest desired state */
-    mr_counter_t *malformed;
+    bool config_waiting; /* for an answer */
+    bool reading;        /* registrations */
+    mr_ms_t read_at;
+    int64_t after; /* store version that the feed continues from; 0: read the
+                      row itself */
 };
 
 static void
@@ -42,35 +44,12 @@
     evtimer_add(timer, &tv);
 }
 
-static void
-apply_config(mr_feed_t *feed, const mr_store_row_t *row)
-{
-    const char *problem;
-    mr_catalog_t *catalog = mr_catalog_decode(row->value, row->len, &problem);
-
-    if (catalog == NULL) {
-        mr_counter_add(feed->malformed, 1);
-        mr_log(MR_LOG_ERROR, "configuration_malformed", "problem=\"%s\"",
-               problem);
-        return;
-    }
-    if (catalog->version > feed->version) {
-        mr_log(MR_LOG_INFO, "configuration_applied",
-               "version=%lld before=%lld row_version=%lld",
-               (long long)catalog->version, (long long)feed->version,
-               (long long)row->version);
-        feed->version = catalog->version;
-        catalog->row_version = row->version;
-        feed->options.on_catalog(feed->options.ctx, catalog);
-    }
-    mr_catalog_unref(catalog);
-}
-
 static void
 on_config(void *ctx, const mr_store_answer_t *answer)
 {
     mr_feed_t *feed = ctx;
 
+    feed->config_waiting = false;
     if (answer->error == MR_ERR_NOT_FOUND) {
         mr_log(MR_LOG_INFO, "feed_history_gone", "after=%lld",
                (long long)feed->after);
@@ -91,11 +70,14 @@
     for (size_t i = 0; i < answer->count; i++) {
         const mr_store_row_t *row = &answer->rows[i];
         if (strcmp(row->key, config_key) == 0 && !row->deleted) {
-            apply_config(feed, row);
+            mr_view_set_config(feed->options.view, row->value, row->len,
+                               "store");
         }
     }
     feed->after = answer->version;
-    set_timer(feed->config_timer, feed->version == 0 ? RETRY_FIRST_MS : 0);
+    set_timer(feed->config_timer,
+              mr_view_config_version(feed->options.view) == 0 ? RETRY_FIRST_MS
+                                                              : 0);
 }
 
 static void
@@ -105,7 +87,15 @@
 
     (void)fd;
     (void)what;
-    if (feed->after == 0 || feed->version == 0) {
+    if (feed->config_waiting) {
+        return;
+    }
+    if (feed->duty == MR_FEED_NONE) {
+        feed->after = 0;
+        return;
+    }
+    feed->config_waiting = true;
+    if (feed->after == 0) {
         mr_store_get(feed->options.store, config_table, config_key, on_config,
                      feed);
         return;
@@ -114,39 +104,33 @@
                   on_config, feed);
 }
 
-static void
-apply_registrations(mr_feed_t *feed, const mr_store_answer_t *answer)
-{
-    mr_clusters_begin(feed->options.clusters, answer->version);
-    for (size_t i = 0; i < answer->count; i++) {
-        const mr_store_row_t *row = &answer->rows[i];
-        mr_db_entry_t entry;
-        mr_db_entry_doc_t *doc =
-            mr_db_entry_decode(row->value, row->len, &entry);
-        if (doc == NULL) {
-            mr_counter_add(feed->malformed, 1);
-            continue;
-        }
-        mr_clusters_add(feed->options.clusters, row->key, &entry,
-                        row->version);
-        mr_db_entry_release(doc);
-    }
-    mr_clusters_end(feed->options.clusters);
-    feed->have_registrations = answer->count > 0;
-}
-
 static void
 on_registrations(void *ctx, const mr_store_answer_t *answer)
 {
     mr_feed_t *feed = ctx;
+    mr_ms_t period = ALONE_PERIOD_MS;
 
     feed->reading = false;
     if (answer->error == MR_OK) {
-        apply_registrations(feed, answer);
+        mr_view_set_registrations(feed->options.view, answer->version,
+                                  answer->rows, answer->count);
+    }
+    if (!mr_view_complete(feed->options.view)) {
+        period = RETRY_FIRST_MS;
     }
-    set_timer(feed->registrations_timer, feed->have_registrations
-                                             ? REGISTRATIONS_PERIOD_MS
-                                             : RETRY_FIRST_MS);
+    else if (feed->duty == MR_FEED_CHIEF) {
+        period = CHIEF_PERIOD_MS;
+    }
+    set_timer(feed->registrations_timer, period);
+}
+
+static void
+read_registrations(mr_feed_t *feed)
+{
+    feed->reading = true;
+    feed->read_at = mr_clock_now(NULL);
+    mr_store_get(feed->options.store, registrations_table, NULL,
+                 on_registrations, feed);
 }
 
 static void
@@ -156,10 +140,11 @@
 
     (void)fd;
     (void)what;
-    feed->reading = true;
-    feed->read_at = mr_clock_now(NULL);
-    mr_store_get(feed->options.store, registrations_table, NULL,
-                 on_registrations, feed);
+    if (feed->reading || feed->duty == MR_FEED_NONE
+        || feed->duty == MR_FEED_CONFIG) {
+        return;
+    }
+    read_registrations(feed);
 }
 
 mr_feed_t *
@@ -168,9 +153,6 @@
     mr_feed_t *feed = MR_NEW(mr_feed_t);
 
     feed->options = *options;
-    feed->malformed =
-        mr_counters_get(options->counters, "masticrelay_rows_ignored_total",
-                        "", "desired states and registrations not understood");
     feed->config_timer = evtimer_new(options->base, on_config_timer, feed);
     feed->registrations_timer =
         evtimer_new(options->base, on_registrations_timer, feed);
@@ -190,6 +172,21 @@
     free(feed);
 }
 
+void
+mr_feed_set_duty(mr_feed_t *feed, mr_feed_duty_t duty)
+{
+    if (duty == feed->duty) {
+        return;
+    }
+    feed->duty = duty;
+    if (!feed->config_waiting && !evtimer_pending(feed->config_timer, NULL)) {
+        set_timer(feed->config_timer, 0);
+    }
+    if (!feed->reading && !evtimer_pending(feed->registrations_timer, NULL)) {
+        set_timer(feed->registrations_timer, 0);
+    }
+}
+
 void
 mr_feed_refresh(mr_feed_t *feed)
 {
@@ -199,9 +196,3 @@
         set_timer(feed->registrations_timer, due > 0 ? due : 0);
     }
 }
-
-bool
-mr_feed_complete(const mr_feed_t *feed)
-{
-    return feed->version > 0 && feed->have_registrations;
-}
--- a/lib/session/feed.h
+++ b/lib/session/feed.h
@@ -2,36 +2,38 @@
 #define MR_SESSION_FEED_H
 
 /*
- * Reads from the store what sessions are served under: the desired state,
- * through the feed of its table, and the databases' registrations, from time
- * to time and when they seem to be out of date.
+ * Reads the store into the instance's view: the desired state through the feed
+ * of its table, the registrations from time to time. Instances that hear from
+ * the coordinator leave the reading to it and a few others.
  */
 
 #include <event2/event.h>
 
-#include "session/catalog.h"
-#include "session/cluster.h"
 #include "session/store.h"
+#include "session/view.h"
 
 typedef struct mr_feed mr_feed_t;
 
 typedef struct mr_feed_options {
     struct event_base *base;
     mr_store_t *store;
-    mr_clusters_t *clusters;
-    mr_counters_t *counters;
-    /* A newer desired state was read; it is borrowed. */
-    void (*on_catalog)(void *ctx, mr_catalog_t *catalog);
-    void *ctx;
+    mr_view_t *view;
 } mr_feed_options_t;
 
+/** How much an instance reads from the store. */
+typedef enum mr_feed_duty {
+    MR_FEED_ALL,    /* no other instance is heard: both, at its own pace */
+    MR_FEED_CHIEF,  /* reads both for the others */
+    MR_FEED_CONFIG, /* follows the desired state only */
+    MR_FEED_NONE,   /* hears everything from the coordinator */
+} mr_feed_duty_t;
+
 mr_feed_t *mr_feed_create(const mr_feed_options_t *options);
 void mr_feed_destroy(mr_feed_t *feed);
 
+void mr_feed_set_duty(mr_feed_t *feed, mr_feed_duty_t duty);
+
 /** mr_feed_refresh() - read the registrations soon. */
 void mr_feed_refresh(mr_feed_t *feed);
 
-/** mr_feed_complete() - whether desired state and registrations were read. */
-bool mr_feed_complete(const mr_feed_t *feed);
-
 #endif
--- a/lib/session/line.h
+++ b/lib/session/line.h
@@ -124,6 +124,9 @@
 } mr_own_statement_t;
 const char *mr_own_statement_text(mr_own_statement_t statement);
 
+/** mr_demote_text() - makes a primary of a term below @term a replica. */
+void mr_demote_text(char *out, size_t size, int64_t term);
+
 /** The id of statements that the relay issues itself. */
 extern const char mr_own_statement_id[];
 
--- /dev/null
+++ b/lib/session/promoter.c
@@ -0,0 +1,705 @@
+#include "session/promoter.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/list.h"
+#include "common/log.h"
+#include "common/mem.h"
+#include "session/link.h"
+
+enum {
+    REPORT_MAX_AGE_MS = 1000,
+    /* A primary that failed for this long on one instance counts as failed
+     * there: above a lost packet's retransmission. */
+    FAILED_MS = 250,
+    /* An answer this recent shows a primary that others do not reach. */
+    ANSWERED_MS = 1500,
+    /* A primary that only a minority reaches is replaced after this time. */
+    MINORITY_MS = 1500,
+    /* Without a registered primary: a new service is still starting, or the
+     * former one registers again. */
+    LEADERLESS_MS = 1000,
+    TOKEN_TIMEOUT_MS = 500, /* a slow store; above this the spare one serves */
+    TOKEN_RETRY_MS = 2000,  /* between attempts to take a spare one */
+    STATUS_TIMEOUT_MS = 350, /* a new connection and one answer */
+    CATCH_UP_MS = 600,       /* of a replica, once the primary stopped */
+    CATCH_UP_TICK_MS = 20,
+    /* Until a promoted database registers; no further order before it. */
+    SETTLE_MS = 2500,
+    RETRY_MS = 300,
+};
+
+static const char token_table[] = "promotions";
+/* Account that status queries are made for. */
+static const char own_account[] = "-";
+
+/** How one instance sees one primary. */
+typedef struct sight {
+    mr_list_t link;
+    char *instance;
+    char *service;
+    char *id;
+    int64_t failing_ms;
+    int64_t answered_ms;
+    mr_ms_t at;
+} sight_t;
+
+typedef enum order_stage {
+    ORDER_STATUS,
+    ORDER_DEMOTE,
+    ORDER_CATCH_UP,
+    ORDER_CALL,
+} order_stage_t;
+
+/** What one database answered to a status query. */
+typedef struct answer {
+    mr_list_t link;
+    struct order *order;
+    char *id;
+    mr_link_t *db_link;
+    bool answered;
+    mr_db_status_t status;
+} answer_t;
+
+/** A change of primary in progress. */
+typedef struct order {
+    mr_list_t link;
+    mr_promoter_t *promoter;
+    char *service;
+    order_stage_t stage;
+    bool planned;  /* the primary still works */
+    int64_t token; /* 0: none yet */
+    mr_list_t answers;
+    char *chosen;
+    char *former; /* the primary that leaves */
+    mr_position_t goal;
+    mr_ms_t stage_since;
+    mr_ms_t started;
+    struct event *timer;
+} order_t;
+
+/** What outlives the orders of a service. */
+typedef struct memory {
+    mr_list_t link;
+    mr_promoter_t *promoter;
+    char *service;
+    mr_ms_t quiet_until;
+    int64_t row_version; /* newest known version of the token's row */
+    int64_t token;       /* not used yet; 0: none */
+    bool token_due;      /* the store was asked for one */
+    mr_ms_t asked_at;
+} memory_t;
+
+struct mr_promoter {
+    mr_promoter_options_t options;
+    mr_list_t sights;
+    mr_list_t orders;
+    mr_list_t memories;
+    mr_counter_t *ordered;
+    mr_counter_t *succeeded;
+};
+
+static void on_order_timer(evutil_socket_t fd, short what, void *ctx);
+
+mr_promoter_t *
+mr_promoter_create(const mr_promoter_options_t *options)
+{
+    mr_promoter_t *promoter = MR_NEW(mr_promoter_t);
+
+    promoter->options = *options;
+    mr_list_init(&promoter->sights);
+    mr_list_init(&promoter->orders);
+    mr_list_init(&promoter->memories);
+    promoter->ordered = mr_counters_get(
+        options->counters, "masticrelay_promotion_orders_total", "",
+        "orders to the platform that name a new primary");
+    promoter->succeeded =
+        mr_counters_get(options->counters, "masticrelay_promotions_total", "",
+                        "orders that the platform carried out");
+    return promoter;
+}
+
+static void
+free_sight(sight_t *sight)
+{
+    mr_list_remove(&sight->link);
+    free(sight->instance);
+    free(sight->service);
+    free(sight->id);
+    free(sight);
+}
+
+static void
+free_answers(order_t *order)
+{
+    MR_LIST_FOREACH(it, &order->answers)
+    {
+        answer_t *answer = MR_LIST_ENTRY(it, answer_t, link);
+        if (answer->db_link != NULL) {
+            mr_link_close(answer->db_link);
+        }
+        mr_list_remove(it);
+        free(answer->id);
+        free(answer);
+    }
+}
+
+static void
+free_order(order_t *order)
+{
+    free_answers(order);
+    mr_list_remove(&order->link);
+    event_free(order->timer);
+    free(order->service);
+    free(order->chosen);
+    free(order->former);
+    free(order);
+}
+
+void
+mr_promoter_destroy(mr_promoter_t *promoter)
+{
+    if (promoter == NULL) {
+        return;
+    }
+    MR_LIST_FOREACH(it, &promoter->sights)
+    {
+        free_sight(MR_LIST_ENTRY(it, sight_t, link));
+    }
+    MR_LIST_FOREACH(it, &promoter->orders)
+    {
+        free_order(MR_LIST_ENTRY(it, order_t, link));
+    }
+    MR_LIST_FOREACH(it, &promoter->memories)
+    {
+        memory_t *memory = MR_LIST_ENTRY(it, memory_t, link);
+        mr_list_remove(it);
+        free(memory->service);
+        free(memory);
+    }
+    free(promoter);
+}
+
+void
+mr_promoter_report(mr_promoter_t *promoter, const char *instance, mr_ms_t now,
+                   const mr_msg_db_health_t *health, size_t count)
+{
+    MR_LIST_FOREACH(it, &promoter->sights)
+    {
+        sight_t *sight = MR_LIST_ENTRY(it, sight_t, link);
+        if (strcmp(sight->instance, instance) == 0
+            || now - sight->at > REPORT_MAX_AGE_MS) {
+            free_sight(sight);
+        }
+    }
+    for (size_t i = 0; i < count; i++) {
+        sight_t *sight = MR_NEW(sight_t);
+        *sight = (sight_t){
+            .instance = mr_strdup(instance),
+            .service = mr_strdup(health[i].service),
+            .id = mr_strdup(health[i].id),
+            .failing_ms = health[i].failing_ms,
+            .answered_ms = health[i].answered_ms,
+            .at = now,
+        };
+        mr_list_append(&promoter->sights, &sight->link);
+    }
+}
+
+static memory_t *
+get_memory(mr_promoter_t *promoter, const char *service)
+{
+    MR_LIST_FOREACH(it, &promoter->memories)
+    {
+        memory_t *memory = MR_LIST_ENTRY(it, memory_t, link);
+        if (strcmp(memory->service, service) == 0) {
+            return memory;
+        }
+    }
+    memory_t *memory = MR_NEW(memory_t);
+    memory->promoter = promoter;
+    memory->service = mr_strdup(service);
+    mr_list_append(&promoter->memories, &memory->link);
+    return memory;
+}
+
+static void on_token(void *ctx, mr_error_kind_t error, int64_t version);
+
+/* Asks the store for a token that no other order has. */
+static void
+request_token(memory_t *memory)
+{
+    const char *instance = memory->promoter->options.instance;
+
+    if (memory->token_due) {
+        return;
+    }
+    memory->token_due = true;
+    memory->asked_at = mr_clock_now(NULL);
+    mr_store_put(memory->promoter->options.store, token_table, memory->service,
+                 memory->row_version, instance, strlen(instance), on_token,
+                 memory);
+}
+
+static void
+on_token(void *ctx, mr_error_kind_t error, int64_t version)
+{
+    memory_t *memory = ctx;
+
+    memory->token_due = false;
+    if (error == MR_OK) {
+        memory->row_version = version;
+        memory->token = version;
+    }
+    else if (error == MR_ERR_CONFLICT) {
+        memory->row_version = version;
+        request_token(memory);
+    }
+    else {
+        mr_log(MR_LOG_WARNING, "token_not_taken", "service=%s error=%s",
+               memory->service, mr_error_name(error));
+    }
+}
+
+static order_t *
+find_order(mr_promoter_t *promoter, const char *service)
+{
+    MR_LIST_FOREACH(it, &promoter->orders)
+    {
+        order_t *order = MR_LIST_ENTRY(it, order_t, link);
+        if (strcmp(order->service, service) == 0) {
+            return order;
+        }
+    }
+    return NULL;
+}
+
+static void
+set_order_timer(order_t *order, mr_ms_t after)
+{
+    struct timeval tv = mr_clock_timeval(after);
+
+    evtimer_add(order->timer, &tv);
+}
+
+static void
+set_stage(order_t *order, order_stage_t stage)
+{
+    order->stage = stage;
+    order->stage_since = mr_clock_now(NULL);
+}
+
+static void
+end_order(order_t *order, mr_ms_t quiet, const char *outcome)
+{
+    mr_ms_t now = mr_clock_now(NULL);
+    memory_t *memory = get_memory(order->promoter, order->service);
+
+    mr_log(MR_LOG_INFO, "promotion_ended",
+           "service=%s id=%s token=%lld outcome=%s planned=%d took_ms=%lld",
+           order->service, order->chosen != NULL ? order->chosen : "-",
+           (long long)order->token, outcome, order->planned,
+           (long long)(now - order->started));
+    memory->quiet_until = now + quiet;
+    free_order(order);
+}
+
+static void
+on_promoted(void *ctx, mr_error_kind_t error)
+{
+    order_t *order = ctx;
+    mr_promoter_t *promoter = order->promoter;
+    mr_cluster_t *cluster =
+        mr_clusters_get(promoter->options.clusters, order->service);
+
+    if (error == MR_OK) {
+        mr_counter_add(promoter->succeeded, 1);
+        mr_cluster_promoted(cluster, order->chosen, order->token);
+        end_order(order, SETTLE_MS, "promoted");
+        promoter->options.promoted(promoter->options.ctx);
+        return;
+    }
+    /* The call may still be carried out: the next order has a higher token.
+     */
+    end_order(order, RETRY_MS, mr_error_name(error));
+}
+
+static void
+call_platform(order_t *order)
+{
+    mr_promoter_t *promoter = order->promoter;
+
+    set_stage(order, ORDER_CALL);
+    evtimer_del(order->timer);
+    mr_counter_add(promoter->ordered, 1);
+    mr_log(MR_LOG_INFO, "promotion_ordered",
+           "service=%s id=%s token=%lld planned=%d", order->service,
+           order->chosen, (long long)order->token, order->planned);
+    mr_duty_promote(promoter->options.duty, order->service, order->chosen,
+                    order->token, on_promoted, order);
+}
+
+static answer_t *
+find_answer(order_t *order, const char *id)
+{
+    MR_LIST_FOREACH(it, &order->answers)
+    {
+        answer_t *answer = MR_LIST_ENTRY(it, answer_t, link);
+        if (strcmp(answer->id, id) == 0) {
+            return answer;
+        }
+    }
+    return NULL;
+}
+
+/* The running replica with the longest log; NULL: none answered. */
+static mr_db_t *
+choose_replica(order_t *order)
+{
+    mr_cluster_t *cluster =
+        mr_clusters_get(order->promoter->options.clusters, order->service);
+    mr_db_t *leader = mr_cluster_leader(cluster);
+    mr_db_t *best = NULL;
+    mr_position_t best_position = {0, 0};
+
+    MR_LIST_FOREACH(it, &cluster->dbs)
+    {
+        mr_db_t *db = MR_LIST_ENTRY(it, mr_db_t, link);
+        answer_t *answer = find_answer(order, db->id);
+        if (db->gone || db->draining || (order->planned && db == leader)
+            || answer == NULL || !answer->answered) {
+            continue;
+        }
+        if (best == NULL
+            || mr_position_compare(answer->status.received, best_position)
+                   > 0) {
+            best = db;
+            best_position = answer->status.received;
+        }
+    }
+    return best;
+}
+
+/* Goes on as soon as no status answer is due. */
+static void
+check_complete(order_t *order)
+{
+    MR_LIST_FOREACH(it, &order->answers)
+    {
+        answer_t *answer = MR_LIST_ENTRY(it, answer_t, link);
+        if (answer->db_link != NULL && !answer->answered) {
+            return;
+        }
+    }
+    set_order_timer(order, 0);
+}
+
+static void
+on_status(void *ctx, mr_link_t *link, const mr_reply_t *reply)
+{
+    answer_t *answer = ctx;
+    order_t *order = answer->order;
+
+    if (reply->lost) {
+        answer->db_link = NULL;
+        check_complete(order);
+        return;
+    }
+    if (reply->error == MR_OK) {
+        char row[256] = "";
+        size_t len = evbuffer_get_length(reply->body);
+        evbuffer_copyout(reply->body, row,
+                         len < sizeof(row) ? len : sizeof(row) - 1);
+        answer->answered = mr_db_status_parse(row, &answer->status);
+    }
+    if (!answer->answered) {
+        mr_log(MR_LOG_INFO, "status_refused", "service=%s id=%s error=%s",
+               order->service, answer->id, mr_error_name(reply->error));
+    }
+    (void)link;
+    check_complete(order);
+}
+
+static void
+on_status_open(void *ctx, mr_link_t *link, const mr_reply_t *reply)
+{
+    answer_t *answer = ctx;
+
+    if (reply->lost || reply->error != MR_OK) {
+        answer->db_link = NULL;
+        if (!reply->lost) {
+            mr_link_close(link);
+        }
+        check_complete(answer->order);
+        return;
+    }
+    mr_link_query(link, mr_own_statement_id, NULL,
+                  mr_own_statement_text(MR_OWN_STATUS), on_status, answer);
+}
+
+/* Asks the running databases for their log positions. */
+static void
+start_status(order_t *order)
+{
+    mr_promoter_t *promoter = order->promoter;
+    mr_cluster_t *cluster =
+        mr_clusters_get(promoter->options.clusters, order->service);
+    mr_db_t *leader = mr_cluster_leader(cluster);
+
+    set_stage(order, ORDER_STATUS);
+    MR_LIST_FOREACH(it, &cluster->dbs)
+    {
+        mr_db_t *db = MR_LIST_ENTRY(it, mr_db_t, link);
+        if (db->gone || (db == leader && !order->planned)) {
+            continue;
+        }
+        answer_t *answer = MR_NEW(answer_t);
+        answer->order = order;
+        answer->id = mr_strdup(db->id);
+        mr_list_append(&order->answers, &answer->link);
+        answer->db_link = mr_link_open(promoter->options.base, db, own_account,
+                                       on_status_open, answer);
+    }
+    set_order_timer(order, STATUS_TIMEOUT_MS);
+}
+
+/* The primary stopped, or does not answer: its replicas get what is on its
+ * way. */
+static void
+on_demoted(void *ctx, mr_link_t *link, const mr_reply_t *reply)
+{
+    answer_t *answer = ctx;
+    order_t *order = answer->order;
+
+    (void)link;
+    if (reply->lost) {
+        answer->db_link = NULL;
+    }
+    if (reply->error == MR_OK) {
+        char row[256] = "";
+        mr_db_status_t status;
+        size_t len = evbuffer_get_length(reply->body);
+        evbuffer_copyout(reply->body, row,
+                         len < sizeof(row) ? len : sizeof(row) - 1);
+        if (mr_db_status_parse(row, &status)) {
+            order->goal = status.received;
+        }
+    }
+    mr_log(MR_LOG_INFO, "primary_demoted", "service=%s id=%s error=%s",
+           order->service, answer->id, mr_error_name(reply->error));
+    set_stage(order, ORDER_CATCH_UP);
+    set_order_timer(order, 0);
+}
+
+static void
+demote_former(order_t *order, answer_t *leader)
+{
+    char text[64];
+    int64_t term = leader->status.held_term;
+
+    if (leader->status.received.term > term) {
+        term = leader->status.received.term;
+    }
+    set_stage(order, ORDER_DEMOTE);
+    order->former = mr_strdup(leader->id);
+    mr_demote_text(text, sizeof(text), term + 1);
+    mr_link_query(leader->db_link, mr_own_statement_id, NULL, text, on_demoted,
+                  leader);
+    set_order_timer(order, STATUS_TIMEOUT_MS);
+}
+
+/* Status answers are there, or the time for them is over. */
+static void
+decide(order_t *order)
+{
+    mr_cluster_t *cluster =
+        mr_clusters_get(order->promoter->options.clusters, order->service);
+    mr_db_t *leader = mr_cluster_leader(cluster);
+    mr_db_t *best = choose_replica(order);
+
+    if (best == NULL) {
+        end_order(order, RETRY_MS, "no_replica");
+        return;
+    }
+    memory_t *memory = get_memory(order->promoter, order->service);
+    if (memory->token_due
+        && mr_clock_now(NULL) - memory->asked_at < TOKEN_TIMEOUT_MS) {
+        set_order_timer(order, CATCH_UP_TICK_MS);
+        return;
+    }
+    /* While the store is out of reach, one that was taken earlier serves. */
+    order->token = memory->token;
+    memory->token = 0;
+    if (order->token == 0) {
+        end_order(order, RETRY_MS, "no_token");
+        return;
+    }
+    free(order->chosen);
+    order->chosen = mr_strdup(best->id);
+    answer_t *former = order->planned && leader != NULL
+                           ? find_answer(order, leader->id)
+                           : NULL;
+    if (former != NULL && former->answered && former->db_link != NULL) {
+        demote_former(order, former);
+        return;
+    }
+    call_platform(order);
+}
+
+static void
+on_caught_up(void *ctx, mr_link_t *link, const mr_reply_t *reply)
+{
+    answer_t *answer = ctx;
+
+    on_status(ctx, link, reply);
+    if (reply->lost) {
+        answer->answered = false;
+    }
+    set_order_timer(answer->order, CATCH_UP_TICK_MS);
+}
+
+/* Waits until the chosen replica has all that the former primary had. */
+static void
+catch_up(order_t *order)
+{
+    answer_t *answer = find_answer(order, order->chosen);
+    mr_ms_t waited = mr_clock_now(NULL) - order->stage_since;
+
+    if (answer == NULL || answer->db_link == NULL || waited >= CATCH_UP_MS
+        || mr_position_compare(answer->status.received, order->goal) >= 0) {
+        call_platform(order);
+        return;
+    }
+    mr_link_query(answer->db_link, mr_own_statement_id, NULL,
+                  mr_own_statement_text(MR_OWN_STATUS), on_caught_up, answer);
+    set_order_timer(order, STATUS_TIMEOUT_MS);
+}
+
+static void
+on_order_timer(evutil_socket_t fd, short what, void *ctx)
+{
+    order_t *order = ctx;
+
+    (void)fd;
+    (void)what;
+    switch (order->stage) {
+    case ORDER_STATUS:
+        decide(order);
+        break;
+    case ORDER_DEMOTE:
+        set_stage(order, ORDER_CATCH_UP);
+        catch_up(order);
+        break;
+    case ORDER_CATCH_UP:
+        catch_up(order);
+        break;
+    case ORDER_CALL:
+        break;
+    }
+}
+
+static void
+start_order(mr_promoter_t *promoter, const char *service, bool planned,
+            const char *reason)
+{
+    order_t *order = MR_NEW(order_t);
+    memory_t *memory = get_memory(promoter, service);
+
+    order->promoter = promoter;
+    order->service = mr_strdup(service);
+    order->planned = planned;
+    order->started = mr_clock_now(NULL);
+    mr_list_init(&order->answers);
+    mr_list_append(&promoter->orders, &order->link);
+    order->timer = evtimer_new(promoter->options.base, on_order_timer, order);
+    mr_log(MR_LOG_WARNING, "promotion_started", "service=%s reason=%s",
+           service, reason);
+    request_token(memory);
+    start_status(order);
+}
+
+/** How the instances see a primary. */
+typedef struct verdict {
+    size_t failed;
+    size_t answered;
+    int64_t failing_ms; /* longest */
+} verdict_t;
+
+static verdict_t
+judge(const mr_promoter_t *promoter, const char *service, const char *id,
+      mr_ms_t now)
+{
+    verdict_t verdict = {0, 0, 0};
+
+    MR_LIST_FOREACH(it, &promoter->sights)
+    {
+        const sight_t *sight = MR_LIST_ENTRY(it, sight_t, link);
+        if (now - sight->at > REPORT_MAX_AGE_MS
+            || strcmp(sight->service, service) != 0
+            || strcmp(sight->id, id) != 0) {
+            continue;
+        }
+        if (sight->failing_ms >= FAILED_MS) {
+            verdict.failed++;
+            if (sight->failing_ms > verdict.failing_ms) {
+                verdict.failing_ms = sight->failing_ms;
+            }
+        }
+        else if (sight->failing_ms == 0 && sight->answered_ms >= 0
+                 && sight->answered_ms <= ANSWERED_MS) {
+            verdict.answered++;
+        }
+    }
+    return verdict;
+}
+
+static void
+check_cluster(mr_promoter_t *promoter, mr_cluster_t *cluster, mr_ms_t now,
+              size_t reporting)
+{
+    memory_t *memory = get_memory(promoter, cluster->service);
+    mr_db_t *leader = mr_cluster_leader(cluster);
+    size_t needed = reporting > 1 ? 2 : 1;
+
+    if (memory->token == 0 && now - memory->asked_at >= TOKEN_RETRY_MS) {
+        request_token(memory);
+    }
+    if (now < memory->quiet_until
+        || find_order(promoter, cluster->service) != NULL) {
+        return;
+    }
+    if (leader == NULL) {
+        if (cluster->leaderless_since != 0
+            && now - cluster->leaderless_since >= LEADERLESS_MS) {
+            start_order(promoter, cluster->service, false, "no_primary");
+        }
+        return;
+    }
+    verdict_t verdict = judge(promoter, cluster->service, leader->id, now);
+    if (verdict.failed >= needed && verdict.answered == 0) {
+        start_order(promoter, cluster->service, false, "primary_failed");
+    }
+    else if (verdict.failed > verdict.answered
+             && verdict.failing_ms >= MINORITY_MS) {
+        start_order(promoter, cluster->service, false, "primary_cut_off");
+    }
+    else if (leader->draining) {
+        start_order(promoter, cluster->service, true, "primary_leaves");
+    }
+}
+
+void
+mr_promoter_check(mr_promoter_t *promoter, mr_ms_t now, size_t reporting,
+                  size_t instances)
+{
+    /* A minority may be the one that is cut off. */
+    if (reporting * 2 <= instances) {
+        return;
+    }
+    MR_LIST_FOREACH(it, &promoter->options.clusters->list)
+    {
+        check_cluster(promoter, MR_LIST_ENTRY(it, mr_cluster_t, link), now,
+                      reporting);
+    }
+}
--- a/lib/session/quota.c
+++ b/lib/session/quota.c
@@ -5,9 +5,14 @@
 
 #include "common/list.h"
 #include "common/mem.h"
-#include "limit/bucket.h"
 
 enum {
+    /* Demand is smoothed over about this time. */
+    DEMAND_WINDOW_MS = 1000,
+    /* Accounts with less demand are not reported, thousandths of
+     * operations/s. */
+    DEMAND_MIN_MILLI = 50,
+    LOW_TOKENS_MILLI = 2 * MR_TOKEN_MILLI, /* asks for a new share */
     /* Hint when an account's rate is 0. */
     RETRY_DEFAULT_MS = 1000,
 };
@@ -19,14 +24,17 @@
     mr_limit_amount_t share;
     mr_ms_t share_expiry;
     mr_bucket_t bucket;
-    int64_t asked; /* operations since the last report, refused ones too */
-    bool seen;     /* in the catalog that is being set */
+    int64_t asked;  /* operations since @asked_since, refused ones too */
+    int64_t demand; /* smoothed, thousandths of operations/s */
+    bool seen;      /* in the catalog that is being set */
 } account_t;
 
 struct mr_quota {
     const mr_clock_t *clock;
     mr_list_t accounts;
     int64_t instances;
+    mr_ms_t asked_since;
+    bool is_short;
     mr_counter_t *admitted;
     mr_counter_t *refused;
     mr_counter_t *without_share;
@@ -167,6 +175,70 @@
     quota->instances = instances > 0 ? (int64_t)instances : 1;
 }
 
+void
+mr_quota_set_share(mr_quota_t *quota, const char *name,
+                   mr_limit_amount_t share, mr_ms_t expiry)
+{
+    account_t *account = find_account(quota, name);
+
+    if (account != NULL) {
+        account->share = share;
+        account->share_expiry = expiry;
+        update_bucket(quota, account, mr_clock_now(quota->clock));
+    }
+}
+
+size_t
+mr_quota_demands(mr_quota_t *quota, mr_msg_demand_t *out, size_t max)
+{
+    mr_ms_t now = mr_clock_now(quota->clock);
+    mr_ms_t span = now - quota->asked_since;
+    size_t count = 0;
+
+    if (span <= 0) {
+        span = 1;
+    }
+    int64_t weight = span < DEMAND_WINDOW_MS ? span : DEMAND_WINDOW_MS;
+    quota->asked_since = now;
+    MR_LIST_FOREACH(it, &quota->accounts)
+    {
+        account_t *account = MR_LIST_ENTRY(it, account_t, link);
+        int64_t recent = account->asked * 1000 * MR_TOKEN_MILLI / span;
+        account->demand +=
+            (recent - account->demand) * weight / DEMAND_WINDOW_MS;
+        account->asked = 0;
+        if (account->demand >= DEMAND_MIN_MILLI && count < max) {
+            out[count++] = (mr_msg_demand_t){account->name, account->demand};
+        }
+    }
+    return count;
+}
+
+bool
+mr_quota_short(mr_quota_t *quota)
+{
+    bool is_short = quota->is_short;
+
+    quota->is_short = false;
+    return is_short;
+}
+
+size_t
+mr_quota_totals(const mr_quota_t *quota, mr_msg_share_t *out, size_t max)
+{
+    size_t count = 0;
+
+    MR_LIST_FOREACH(it, &quota->accounts)
+    {
+        const account_t *account = MR_LIST_ENTRY(it, account_t, link);
+        if (count < max) {
+            out[count++] = (mr_msg_share_t){account->name, account->total.rate,
+                                            account->total.burst};
+        }
+    }
+    return count;
+}
+
 mr_ms_t
 mr_quota_take(mr_quota_t *quota, const char *name)
 {
@@ -182,6 +254,9 @@
         mr_counter_add(quota->without_share, 1);
     }
     int64_t level = mr_bucket_level(&account->bucket, now);
+    if (level < LOW_TOKENS_MILLI) {
+        quota->is_short = true;
+    }
     if (level >= MR_TOKEN_MILLI) {
         mr_bucket_take(&account->bucket, MR_TOKEN_MILLI, now);
         mr_counter_add(quota->admitted, 1);
--- a/lib/session/quota.h
+++ b/lib/session/quota.h
@@ -12,7 +12,9 @@
 
 #include "common/clock.h"
 #include "common/counters.h"
+#include "limit/bucket.h"
 #include "session/catalog.h"
+#include "wire/msg.h"
 
 typedef struct mr_quota mr_quota_t;
 
@@ -25,6 +27,22 @@
 /** mr_quota_set_instances() - instances that may admit operations. */
 void mr_quota_set_instances(mr_quota_t *quota, size_t instances);
 
+/** mr_quota_set_share() - share of @account until @expiry. */
+void mr_quota_set_share(mr_quota_t *quota, const char *account,
+                        mr_limit_amount_t share, mr_ms_t expiry);
+
+/** mr_quota_demands() - recent demand of each account that has any; returns
+ * the number written, up to @max. Names are borrowed. */
+size_t mr_quota_demands(mr_quota_t *quota, mr_msg_demand_t *out, size_t max);
+
+/** mr_quota_short() - whether an account ran low since the last call. */
+bool mr_quota_short(mr_quota_t *quota);
+
+/** mr_quota_totals() - rate and burst of each account over all instances;
+ * returns the number written, up to @max. Names are borrowed. */
+size_t mr_quota_totals(const mr_quota_t *quota, mr_msg_share_t *out,
+                       size_t max);
+
 /**
  * mr_quota_take() - admit one operation of @account
  *
--- a/lib/session/relay.c
+++ b/lib/session/relay.c
@@ -122,6 +122,16 @@
     return relay->session_count;
 }
 
+int64_t
+mr_relay_sync_copies(const mr_relay_t *relay, const char *service)
+{
+    const mr_catalog_service_t *found =
+        relay->catalog != NULL ? mr_catalog_service(relay->catalog, service)
+                               : NULL;
+
+    return found != NULL ? found->sync_copies : 0;
+}
+
 void
 mr_relay_drain(mr_relay_t *relay)
 {
--- a/lib/session/relay.h
+++ b/lib/session/relay.h
@@ -40,6 +40,10 @@
 /** mr_relay_sessions() - open sessions. */
 size_t mr_relay_sessions(const mr_relay_t *relay);
 
+/** mr_relay_sync_copies() - replicas of @service that hold a commit before it
+ * is acknowledged, by the desired state. */
+int64_t mr_relay_sync_copies(const mr_relay_t *relay, const char *service);
+
 /** mr_relay_drain() - end each session that has nothing open, now and as soon
  * as its work ends. New ones are still served once. */
 void mr_relay_drain(mr_relay_t *relay);
--- a/lib/session/run.c
+++ b/lib/session/run.c
@@ -259,6 +259,7 @@
     if (mr_position_compare(reply->position, session->position) > 0) {
         session->position = reply->position;
     }
+    mr_db_is_primary(mr_link_db(session->run.link));
     mr_cluster_sample(cluster, reply->position, reply->sent_at);
 }
 
@@ -439,6 +440,7 @@
     if (!run->begin_aged) {
         /* Only a primary begins a plain transaction. */
         mr_db_answered(db, now, db->latency);
+        mr_db_is_primary(db);
         mr_cluster_sample(db->cluster, reply->position, reply->sent_at);
     }
     send_statement(session);
--- a/lib/session/sessiond.c
+++ b/lib/session/sessiond.c
@@ -8,6 +8,8 @@
 #include "common/mem.h"
 #include "session/duty.h"
 #include "session/feed.h"
+#include "session/fleet.h"
+#include "session/promoter.h"
 #include "session/quota.h"
 #include "session/ready.h"
 #include "session/relay.h"
@@ -29,7 +31,10 @@
     mr_quota_t *quota;
     mr_store_t *store;
     mr_duty_t *duty;
+    mr_view_t *view;
     mr_feed_t *feed;
+    mr_promoter_t *promoter;
+    mr_fleet_t *fleet;
     mr_relay_t *relay;
     mr_ready_t *ready;
     struct event *signals[SIGNALS];
@@ -43,7 +48,8 @@
 {
     mr_sessiond_t *daemon = ctx;
 
-    return daemon->stopping_since == 0 && mr_feed_complete(daemon->feed);
+    return daemon->stopping_since == 0 && mr_view_complete(daemon->view)
+           && mr_fleet_joined(daemon->fleet);
 }
 
 static void
@@ -60,9 +66,25 @@
 {
     mr_sessiond_t *daemon = ctx;
 
+    mr_fleet_refresh(daemon->fleet);
+}
+
+static void
+on_primary_promoted(void *ctx)
+{
+    mr_sessiond_t *daemon = ctx;
+
     mr_feed_refresh(daemon->feed);
 }
 
+static int64_t
+sync_copies(void *ctx, const char *service)
+{
+    mr_sessiond_t *daemon = ctx;
+
+    return mr_relay_sync_copies(daemon->relay, service);
+}
+
 /* New sessions still arrive until the balancer has noticed; after that, idle
  * sessions end, then open transactions, then the process. */
 static void
@@ -103,6 +125,7 @@
         mr_log(MR_LOG_INFO, "stopping", "signal=%d sessions=%zu", (int)signal,
                mr_relay_sessions(daemon->relay));
         daemon->stopping_since = mr_clock_now(NULL);
+        mr_fleet_leave(daemon->fleet);
         on_drain(-1, 0, daemon);
     }
 }
@@ -120,6 +143,46 @@
     }
 }
 
+static void
+create_fleet(mr_sessiond_t *daemon, const mr_sessiond_settings_t *settings)
+{
+    daemon->view = mr_view_create(&(mr_view_options_t){
+        .clusters = daemon->clusters,
+        .counters = daemon->counters,
+        .on_catalog = on_catalog,
+        .ctx = daemon,
+    });
+    daemon->feed = mr_feed_create(&(mr_feed_options_t){
+        .base = daemon->base,
+        .store = daemon->store,
+        .view = daemon->view,
+    });
+    daemon->promoter = mr_promoter_create(&(mr_promoter_options_t){
+        .base = daemon->base,
+        .counters = daemon->counters,
+        .clusters = daemon->clusters,
+        .store = daemon->store,
+        .duty = daemon->duty,
+        .instance = settings->name,
+        .sync_copies = sync_copies,
+        .promoted = on_primary_promoted,
+        .ctx = daemon,
+    });
+    daemon->fleet = mr_fleet_create(&(mr_fleet_options_t){
+        .base = daemon->base,
+        .counters = daemon->counters,
+        .name = settings->name,
+        .data_centre = settings->data_centre,
+        .address = settings->peer,
+        .store = daemon->store,
+        .feed = daemon->feed,
+        .view = daemon->view,
+        .clusters = daemon->clusters,
+        .quota = daemon->quota,
+        .promoter = daemon->promoter,
+    });
+}
+
 static bool
 create_modules(mr_sessiond_t *daemon, const mr_sessiond_settings_t *settings)
 {
@@ -151,14 +214,7 @@
         || daemon->ready == NULL) {
         return false;
     }
-    daemon->feed = mr_feed_create(&(mr_feed_options_t){
-        .base = daemon->base,
-        .store = daemon->store,
-        .clusters = daemon->clusters,
-        .counters = daemon->counters,
-        .on_catalog = on_catalog,
-        .ctx = daemon,
-    });
+    create_fleet(daemon, settings);
     return true;
 }
 
@@ -190,9 +246,13 @@
     }
     mr_ready_destroy(daemon->ready);
     mr_relay_destroy(daemon->relay);
-    mr_feed_destroy(daemon->feed);
+    /* Their open calls would end in the modules below. */
     mr_duty_destroy(daemon->duty);
     mr_store_destroy(daemon->store);
+    mr_fleet_destroy(daemon->fleet);
+    mr_promoter_destroy(daemon->promoter);
+    mr_feed_destroy(daemon->feed);
+    mr_view_destroy(daemon->view);
     mr_quota_destroy(daemon->quota);
     mr_clusters_destroy(daemon->clusters);
     for (int i = 0; i < SIGNALS; i++) {
--- a/lib/session/store.h
+++ b/lib/session/store.h
@@ -66,7 +66,7 @@
                    mr_ms_t wait, mr_store_read_fn_t fn, void *ctx);
 
 /** mr_store_put() - write a row whose version is @expect; 0: must not exist.
- */
+ * @value NULL deletes the row. */
 void mr_store_put(mr_store_t *store, const char *table, const char *key,
                   int64_t expect, const void *value, size_t len,
                   mr_store_write_fn_t fn, void *ctx);
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -228,6 +228,74 @@
 static const layout_t grant_return_layout =
     LAYOUT(mr_msg_grant_return_t, grant_return_fields);
 
+static const field_t registration_fields[] = {
+    F(STRING, mr_msg_registration_t, id),
+    F(BYTES, mr_msg_registration_t, value),
+    F(INTEGER, mr_msg_registration_t, version),
+};
+static const layout_t registration_layout =
+    LAYOUT(mr_msg_registration_t, registration_fields);
+
+static const field_t demand_fields[] = {
+    F(STRING, mr_msg_demand_t, account),
+    F(INTEGER, mr_msg_demand_t, milli),
+};
+static const layout_t demand_layout = LAYOUT(mr_msg_demand_t, demand_fields);
+
+static const field_t db_health_fields[] = {
+    F(STRING, mr_msg_db_health_t, service),
+    F(STRING, mr_msg_db_health_t, id),
+    F(INTEGER, mr_msg_db_health_t, failing_ms),
+    F(INTEGER, mr_msg_db_health_t, answered_ms),
+};
+static const layout_t db_health_layout =
+    LAYOUT(mr_msg_db_health_t, db_health_fields);
+
+#define VIEW_FIELDS(type)                                                     \
+    F(INTEGER, type, view.config_version), F(BYTES, type, view.config),       \
+        F(INTEGER, type, view.registrations_version),                         \
+        F(INTEGER, type, view.registrations_digest),                          \
+        L(type, view.registrations, view.registration_count,                  \
+          registration_layout)
+
+static const field_t report_fields[] = {
+    F(STRING, mr_msg_report_t, address),
+    F(BOOL, mr_msg_report_t, refresh),
+    VIEW_FIELDS(mr_msg_report_t),
+    L(mr_msg_report_t, demands, demand_count, demand_layout),
+    L(mr_msg_report_t, health, health_count, db_health_layout),
+};
+static const layout_t report_layout = LAYOUT(mr_msg_report_t, report_fields);
+
+static const field_t msg_share_fields[] = {
+    F(STRING, mr_msg_share_t, account),
+    F(INTEGER, mr_msg_share_t, rate_milli),
+    F(INTEGER, mr_msg_share_t, burst_milli),
+};
+static const layout_t msg_share_layout =
+    LAYOUT(mr_msg_share_t, msg_share_fields);
+
+static const field_t primary_fields[] = {
+    F(STRING, mr_msg_primary_t, service),
+    F(STRING, mr_msg_primary_t, promoted),
+    F(INTEGER, mr_msg_primary_t, promoted_version),
+    F(INTEGER, mr_msg_primary_t, term),
+    F(INTEGER, mr_msg_primary_t, number),
+    F(INTEGER, mr_msg_primary_t, age_ms),
+};
+static const layout_t primary_layout =
+    LAYOUT(mr_msg_primary_t, primary_fields);
+
+static const field_t report_reply_fields[] = {
+    F(INTEGER, mr_msg_report_reply_t, instances),
+    F(INTEGER, mr_msg_report_reply_t, lifetime_ms),
+    VIEW_FIELDS(mr_msg_report_reply_t),
+    L(mr_msg_report_reply_t, shares, share_count, msg_share_layout),
+    L(mr_msg_report_reply_t, primaries, primary_count, primary_layout),
+};
+static const layout_t report_reply_layout =
+    LAYOUT(mr_msg_report_reply_t, report_reply_fields);
+
 static const layout_t *
 find_layout(int64_t type)
 {
@@ -265,6 +333,10 @@
         return &lease_promise_reply_layout;
     case MR_MSG_GRANT_RETURN:
         return &grant_return_layout;
+    case MR_MSG_REPORT:
+        return &report_layout;
+    case MR_MSG_REPORT_REPLY:
+        return &report_reply_layout;
     }
     return NULL;
 }
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -38,6 +38,8 @@
     MR_MSG_LEASE_PROMISE = 42,
     MR_MSG_LEASE_PROMISE_REPLY = 43,
     MR_MSG_GRANT_RETURN = 44,
+    MR_MSG_REPORT = 50,
+    MR_MSG_REPORT_REPLY = 51,
 } mr_msg_type_t;
 
 /** First message in each direction of a link. */
@@ -215,6 +217,76 @@
     int64_t process;
 } mr_msg_grant_return_t;
 
+/** Registration of a database, as the store holds it. */
+typedef struct mr_msg_registration {
+    const char *id;
+    mr_bytes_t value;
+    int64_t version; /* of the store's row */
+} mr_msg_registration_t;
+
+/** What an instance knows from the store. The bodies are empty unless the
+ * receiver has older ones. */
+typedef struct mr_msg_view {
+    int64_t config_version;
+    mr_bytes_t config;
+    int64_t registrations_version; /* of the store when they were read */
+    int64_t registrations_digest;  /* over what matters of them */
+    mr_msg_registration_t *registrations;
+    size_t registration_count;
+} mr_msg_view_t;
+
+/** An instance's demand on a client account. */
+typedef struct mr_msg_demand {
+    const char *account;
+    int64_t milli; /* thousandths of operations/s */
+} mr_msg_demand_t;
+
+/** How an instance sees the primary of a service. */
+typedef struct mr_msg_db_health {
+    const char *service;
+    const char *id;
+    int64_t failing_ms;  /* since the first failure in a row; 0: none */
+    int64_t answered_ms; /* since the last answer; -1: none */
+} mr_msg_db_health_t;
+
+/** Sent to the coordinator from time to time. */
+typedef struct mr_msg_report {
+    const char *address; /* that the sender listens on for instances */
+    bool refresh;        /* registrations seem to be out of date */
+    mr_msg_view_t view;
+    mr_msg_demand_t *demands;
+    size_t demand_count;
+    mr_msg_db_health_t *health;
+    size_t health_count;
+} mr_msg_report_t;
+
+/** Share of an account's rate and burst. */
+typedef struct mr_msg_share {
+    const char *account;
+    int64_t rate_milli;
+    int64_t burst_milli;
+} mr_msg_share_t;
+
+/** What the coordinator knows of a service's primary. */
+typedef struct mr_msg_primary {
+    const char *service;
+    const char *promoted;     /* "": no promotion is known */
+    int64_t promoted_version; /* its fencing token */
+    int64_t term;             /* log position of the primary ... */
+    int64_t number;
+    int64_t age_ms; /* ... this long ago; -1: not known */
+} mr_msg_primary_t;
+
+typedef struct mr_msg_report_reply {
+    int64_t instances;   /* that may admit operations */
+    int64_t lifetime_ms; /* of the shares, from when the report was sent */
+    mr_msg_view_t view;
+    mr_msg_share_t *shares;
+    size_t share_count;
+    mr_msg_primary_t *primaries;
+    size_t primary_count;
+} mr_msg_report_reply_t;
+
 /** struct mr_msg - a message of any type */
 typedef struct mr_msg {
     mr_msg_type_t type;
@@ -237,6 +309,8 @@
         mr_msg_lease_promise_t lease_promise;
         mr_msg_lease_promise_reply_t lease_promise_reply;
         mr_msg_grant_return_t grant_return;
+        mr_msg_report_t report;
+        mr_msg_report_reply_t report_reply;
     } u;
 } mr_msg_t;
 
--- a/lib/wire/peer_link.c
+++ b/lib/wire/peer_link.c
@@ -15,6 +15,11 @@
 enum {
     HANDSHAKE_TIMEOUT_S = 3,
     FRAME_HEADER_BYTES = 4,
+    /* No reset arrives from behind a partition or on a connection that went
+     * silent. */
+    USER_TIMEOUT_MS = 2000,
+    KEEPALIVE_IDLE_S = 1,
+    KEEPALIVE_PROBES = 2,
     /* A reader that is this far behind is treated as lost. */
     OUTPUT_MAX_BYTES = 64 << 20,
 };
@@ -243,6 +248,24 @@
     close_link(link);
 }
 
+/* Ends connections on which nothing is acknowledged. */
+static void
+set_tcp_options(evutil_socket_t fd)
+{
+    int on = 1;
+    int idle = KEEPALIVE_IDLE_S;
+    int probes = KEEPALIVE_PROBES;
+    unsigned int user_timeout = USER_TIMEOUT_MS;
+
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle, sizeof(idle));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
+               sizeof(user_timeout));
+}
+
 static void
 on_event(struct bufferevent *bev, short events, void *ctx)
 {
@@ -250,9 +273,7 @@
 
     (void)bev;
     if (events & BEV_EVENT_CONNECTED) {
-        int on = 1;
-        setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
-                   sizeof(on));
+        set_tcp_options(bufferevent_getfd(bev));
         /* With TLS the accepting side learns of the connection as well, but
          * waits for the opener's HELLO. */
         if (link->opener) {
@@ -337,9 +358,7 @@
 mr_peer_link_accept(const mr_peer_options_t *options, evutil_socket_t fd,
                     const mr_peer_link_events_t *events, void *ctx)
 {
-    int on = 1;
-
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    set_tcp_options(fd);
     return create_link(options, fd, false, events, ctx);
 }
 
