--- a/lib/session/fleet.c
+++ b/lib/session/fleet.c
@@ -9,16 +9,16 @@
 #include "common/log.h"
 #include "common/mem.h"
 #include "member/rendezvous.h"
-#include "session/shares.h"
+#include "session/budget.h"
 #include "wire/peer.h"
 
 enum {
     REPORT_PERIOD_MS = 250,
-    REPORT_GAP_MS = 50, /* least time between two reports */
+    REPORT_GAP_MS = 5, /* least time between two reports */
     REPORT_TIMEOUT_MS = 350,
-    /* Shares lapse; a coordinator divides only what reports within this time
-     * (see shares.c). */
-    SHARE_LIFETIME_MS = 1200,
+    /* Drawn tokens lapse after it; a coordinator counts an instance for the
+     * same time after its report (see budget.c). */
+    TOKEN_LIFETIME_MS = 1200,
     /* An instance that did not answer twice is passed over. */
     FAILURES_MAX = 2,
     /* Instances that come before the coordinator are tried again. */
@@ -35,7 +35,7 @@
     /* A registered instance that never reports is removed. */
     PURGE_AFTER_MS = 15000,
     HEALTH_MAX = 4096,
-    DEMANDS_MAX = 4096,
+    WANTS_MAX = 1024,
 };
 
 static const char instances_table[] = "instances";
@@ -67,7 +67,7 @@
 struct mr_fleet {
     mr_fleet_options_t options;
     mr_peer_t *peer; /* NULL until the secret is known */
-    mr_shares_t *shares;
+    mr_budgets_t *budgets;
     mr_list_t instances; /* others, highest order first */
     size_t count;
     uint64_t own_order;
@@ -76,6 +76,8 @@
     bool leaving;
     bool coordinating;
     bool refresh;
+    bool notified;             /* a report is wanted at once */
+    bool again;                /* as soon as the present one is answered */
     size_t reported_instances; /* as the coordinator counts them */
     mr_ms_t answered_at;       /* last reply of the coordinator */
     mr_ms_t reported_at;
@@ -321,31 +323,28 @@
 
 /** Memory of a report's lists. */
 typedef struct report_lists {
-    mr_msg_demand_t *demands;
-    size_t demand_count;
+    mr_msg_draw_t *wants;
+    size_t want_count;
     mr_msg_db_health_t *health;
     size_t health_count;
 } report_lists_t;
 
 static void
-make_lists(mr_fleet_t *fleet, bool with_demands, mr_ms_t now,
-           report_lists_t *lists)
+make_lists(mr_fleet_t *fleet, mr_ms_t now, report_lists_t *lists)
 {
     *lists = (report_lists_t){0};
     lists->health =
         mr_calloc(count_clusters(fleet) + 1, sizeof(*lists->health));
     lists->health_count = describe_health(fleet, lists->health, now);
-    if (with_demands) {
-        lists->demands = mr_calloc(DEMANDS_MAX, sizeof(*lists->demands));
-        lists->demand_count = mr_quota_demands(fleet->options.quota,
-                                               lists->demands, DEMANDS_MAX);
-    }
+    lists->wants = mr_calloc(WANTS_MAX, sizeof(*lists->wants));
+    lists->want_count =
+        mr_quota_wants(fleet->options.quota, lists->wants, WANTS_MAX);
 }
 
 static void
 free_lists(report_lists_t *lists)
 {
-    free(lists->demands);
+    free(lists->wants);
     free(lists->health);
 }
 
@@ -375,16 +374,15 @@
 }
 
 static void
-import_shares(mr_fleet_t *fleet, const mr_msg_report_reply_t *reply,
-              mr_ms_t asked_at)
+import_draws(mr_fleet_t *fleet, const mr_msg_report_reply_t *reply,
+             mr_ms_t asked_at)
 {
-    for (size_t i = 0; i < reply->share_count; i++) {
-        const mr_msg_share_t *share = &reply->shares[i];
-        mr_quota_set_share(
-            fleet->options.quota, share->account,
-            (mr_limit_amount_t){share->rate_milli, share->burst_milli},
-            asked_at + reply->lifetime_ms);
+    mr_quota_coordinated(fleet->options.quota, asked_at + reply->lifetime_ms);
+    for (size_t i = 0; i < reply->draw_count; i++) {
+        mr_quota_add(fleet->options.quota, reply->draws[i].account,
+                     reply->draws[i].milli);
     }
+    fleet->options.drawn(fleet->options.ctx, asked_at);
 }
 
 static void
@@ -417,7 +415,7 @@
         fleet->answered_at = now;
         fleet->reported_instances = (size_t)reply->instances;
         update_count(fleet);
-        import_shares(fleet, reply, asked_at);
+        import_draws(fleet, reply, asked_at);
         import_primaries(fleet, reply, asked_at);
         fleet->coordinator_view = (mr_msg_view_t){
             .config_version = reply->view.config_version,
@@ -425,6 +423,10 @@
             .registrations_digest = reply->view.registrations_digest,
         };
         from->heard_at = now;
+        if (fleet->again) {
+            fleet->again = false;
+            mr_fleet_notify(fleet);
+        }
     }
 }
 
@@ -438,8 +440,9 @@
     msg.u.report = (mr_msg_report_t){
         .address = fleet->options.address,
         .refresh = fleet->refresh,
-        .demands = lists->demands,
-        .demand_count = lists->demand_count,
+        .draws = lists->health != NULL,
+        .wants = lists->wants,
+        .want_count = lists->want_count,
         .health = lists->health,
         .health_count = lists->health_count,
     };
@@ -485,29 +488,36 @@
     return false;
 }
 
-/* The coordinator's own shares. */
+/* Tokens of one account for an instance that reported. */
+static int64_t
+draw_for(mr_fleet_t *fleet, const mr_msg_draw_t *want, mr_ms_t now)
+{
+    mr_budget_draw_t draw = {.account = want->account,
+                             .wanted = want->milli,
+                             .instances = mr_fleet_instances(fleet),
+                             .now = now};
+
+    if (!mr_quota_total(fleet->options.quota, want->account, &draw.total)) {
+        return 0;
+    }
+    return mr_budgets_draw(fleet->budgets, &draw);
+}
+
+/* The coordinator draws from its own buckets. */
 static void
-divide_for_self(mr_fleet_t *fleet, const report_lists_t *lists, mr_ms_t now)
+draw_for_self(mr_fleet_t *fleet, const report_lists_t *lists, mr_ms_t now)
 {
     const mr_fleet_options_t *options = &fleet->options;
-    mr_msg_share_t *shares = mr_calloc(DEMANDS_MAX, sizeof(*shares));
 
-    mr_shares_report(fleet->shares, options->name, now, lists->demands,
-                     lists->demand_count);
-    mr_shares_reporting(fleet->shares, now);
+    mr_budgets_report(fleet->budgets, options->name, now);
     mr_promoter_report(options->promoter, options->name, now, lists->health,
                        lists->health_count);
-    size_t count = mr_quota_totals(options->quota, shares, DEMANDS_MAX);
-    for (size_t i = 0; i < count; i++) {
-        mr_limit_amount_t total = {shares[i].rate_milli,
-                                   shares[i].burst_milli};
-        mr_quota_set_share(options->quota, shares[i].account,
-                           mr_shares_divide(fleet->shares, options->name,
-                                            shares[i].account, total,
-                                            mr_fleet_instances(fleet)),
-                           now + SHARE_LIFETIME_MS);
+    mr_quota_coordinated(options->quota, now + TOKEN_LIFETIME_MS);
+    for (size_t i = 0; i < lists->want_count; i++) {
+        mr_quota_add(options->quota, lists->wants[i].account,
+                     draw_for(fleet, &lists->wants[i], now));
     }
-    free(shares);
+    options->drawn(options->ctx, now);
 }
 
 static void
@@ -525,15 +535,17 @@
     retry_better(fleet, now);
     if (fleet->coordinator != NULL
         && is_reporting_to(fleet, fleet->coordinator)) {
+        fleet->again = fleet->notified;
         return;
     }
+    fleet->notified = false;
     fleet->reported_at = now;
-    make_lists(fleet, true, now, &lists);
+    make_lists(fleet, now, &lists);
     if (fleet->coordinating) {
         if (fleet->refresh) {
             mr_feed_refresh(fleet->options.feed);
         }
-        divide_for_self(fleet, &lists, now);
+        draw_for_self(fleet, &lists, now);
     }
     else {
         send_report(fleet, fleet->coordinator, &lists,
@@ -567,32 +579,27 @@
 /* Answers a report with the sender's shares and what it lacks. */
 static void
 answer_report(mr_fleet_t *fleet, mr_peer_request_t *request,
-              const mr_msg_report_t *report, const char *from, mr_ms_t now)
+              const mr_msg_report_t *report, mr_ms_t now)
 {
     mr_msg_t msg = {.type = MR_MSG_REPORT_REPLY};
     mr_msg_report_reply_t *reply = &msg.u.report_reply;
-    mr_msg_share_t *shares = mr_calloc(DEMANDS_MAX, sizeof(*shares));
+    mr_msg_draw_t *draws = mr_calloc(report->want_count + 1, sizeof(*draws));
     mr_msg_primary_t *primaries =
         mr_calloc(count_clusters(fleet) + 1, sizeof(*primaries));
 
     reply->instances = (int64_t)mr_fleet_instances(fleet);
-    reply->lifetime_ms = SHARE_LIFETIME_MS;
+    reply->lifetime_ms = TOKEN_LIFETIME_MS;
     mr_view_export(fleet->options.view, &report->view, &reply->view);
-    size_t count = mr_quota_totals(fleet->options.quota, shares, DEMANDS_MAX);
-    for (size_t i = 0; i < count; i++) {
-        mr_limit_amount_t share = mr_shares_divide(
-            fleet->shares, from, shares[i].account,
-            (mr_limit_amount_t){shares[i].rate_milli, shares[i].burst_milli},
-            (size_t)reply->instances);
-        shares[i].rate_milli = share.rate;
-        shares[i].burst_milli = share.burst;
-    }
-    reply->shares = shares;
-    reply->share_count = count;
+    for (size_t i = 0; i < report->want_count; i++) {
+        draws[i] = (mr_msg_draw_t){report->wants[i].account,
+                                   draw_for(fleet, &report->wants[i], now)};
+    }
+    reply->draws = draws;
+    reply->draw_count = report->want_count;
     reply->primaries = primaries;
     reply->primary_count = describe_primaries(fleet, primaries, now);
     mr_peer_reply(request, &msg);
-    free(shares);
+    free(draws);
     free(primaries);
 }
 
@@ -612,17 +619,15 @@
         instance->heard_at = now;
     }
     mr_view_import(fleet->options.view, &report->view, from);
-    if (report->demand_count > 0 || report->health_count > 0) {
-        mr_shares_report(fleet->shares, from, now, report->demands,
-                         report->demand_count);
+    if (report->draws) {
+        mr_budgets_report(fleet->budgets, from, now);
         mr_promoter_report(fleet->options.promoter, from, now, report->health,
                            report->health_count);
     }
-    mr_shares_reporting(fleet->shares, now);
     if (report->refresh) {
         mr_feed_refresh(fleet->options.feed);
     }
-    answer_report(fleet, request, report, from, now);
+    answer_report(fleet, request, report, now);
 }
 
 static void
@@ -634,12 +639,9 @@
     (void)fd;
     (void)what;
     set_timer(fleet->check_timer, CHECK_PERIOD_MS);
-    if (mr_quota_short(fleet->options.quota)) {
-        mr_fleet_notify(fleet);
-    }
     if (fleet->coordinating && !fleet->leaving) {
         mr_promoter_check(fleet->options.promoter, now,
-                          mr_shares_reporting(fleet->shares, now),
+                          mr_budgets_reporting(fleet->budgets, now),
                           mr_fleet_instances(fleet));
     }
 }
@@ -834,7 +836,7 @@
 
     fleet->options = *options;
     fleet->own_order = mr_rendezvous_score("coordinator", options->name);
-    fleet->shares = mr_shares_create();
+    fleet->budgets = mr_budgets_create();
     mr_list_init(&fleet->instances);
     mr_list_init(&fleet->reports);
     fleet->report_timer = evtimer_new(options->base, on_report_timer, fleet);
@@ -866,7 +868,7 @@
     if (fleet->peer != NULL) {
         mr_peer_destroy(fleet->peer);
     }
-    mr_shares_destroy(fleet->shares);
+    mr_budgets_destroy(fleet->budgets);
     event_free(fleet->report_timer);
     event_free(fleet->check_timer);
     event_free(fleet->members_timer);
@@ -887,6 +889,7 @@
 {
     mr_ms_t due = fleet->reported_at + REPORT_GAP_MS - mr_clock_now(NULL);
 
+    fleet->notified = true;
     if (fleet->joined) {
         set_timer(fleet->report_timer, due > 0 ? due : 0);
     }
--- a/lib/session/fleet.h
+++ b/lib/session/fleet.h
@@ -4,7 +4,7 @@
 /*
  * The instances and their coordinator. Instances register in the store. The
  * first reachable one, in an order that all agree on, coordinates: the others
- * report to it several times a second and learn their shares of the accounts'
+ * report to it several times a second and draw tokens of the accounts'
  * rates, newer desired states and registrations, and the primaries. When it
  * does not answer, the next one takes over.
  */
@@ -32,6 +32,9 @@
     mr_clusters_t *clusters;
     mr_quota_t *quota;
     mr_promoter_t *promoter;
+    /* Tokens were drawn, or refused, for all wants up to @asked_at. */
+    void (*drawn)(void *ctx, mr_ms_t asked_at);
+    void *ctx;
 } mr_fleet_options_t;
 
 mr_fleet_t *mr_fleet_create(const mr_fleet_options_t *options);
--- a/lib/session/quota.c
+++ b/lib/session/quota.c
@@ -9,24 +9,26 @@
 enum {
     /* Demand is smoothed over about this time. */
     DEMAND_WINDOW_MS = 1000,
-    /* Accounts with less demand are not reported, thousandths of
-     * operations/s. */
-    DEMAND_MIN_MILLI = 50,
-    LOW_TOKENS_MILLI = 2 * MR_TOKEN_MILLI, /* asks for a new share */
-    /* Hint when an account's rate is 0. */
-    RETRY_DEFAULT_MS = 1000,
+    /* The stock serves the demand of this time: a period of reports and a
+     * half. */
+    STOCK_MS = 400,
+    /* The stocks of all instances hold at most this part of a second's rate.
+     */
+    STOCK_RATE_PERCENT = 25,
+    RETRY_DEFAULT_MS = 1000, /* hint when an account's rate is 0 */
+    RETRY_MIN_MS = 20,
 };
 
 typedef struct account {
     mr_list_t link;
     char *name;
     mr_limit_amount_t total; /* of all instances */
-    mr_limit_amount_t share;
-    mr_ms_t share_expiry;
-    mr_bucket_t bucket;
-    int64_t asked;  /* operations since @asked_since, refused ones too */
-    int64_t demand; /* smoothed, thousandths of operations/s */
-    bool seen;      /* in the catalog that is being set */
+    int64_t stock;           /* drawn tokens, thousandths */
+    mr_bucket_t part;        /* equal part, while there is no coordinator */
+    int64_t asked;           /* operations since @asked_since */
+    int64_t demand;          /* smoothed, thousandths of operations/s */
+    int waiting;             /* operations that wait for a token */
+    bool seen;               /* in the catalog that is being set */
 } account_t;
 
 struct mr_quota {
@@ -34,10 +36,11 @@
     mr_list_t accounts;
     int64_t instances;
     mr_ms_t asked_since;
-    bool is_short;
+    mr_ms_t coordinated_until;
+    bool coordinated;
     mr_counter_t *admitted;
     mr_counter_t *refused;
-    mr_counter_t *without_share;
+    mr_counter_t *alone;
 };
 
 mr_quota_t *
@@ -51,12 +54,11 @@
     quota->admitted =
         mr_counters_get(counters, "masticrelay_quota_admitted_total", "",
                         "operations within their account's rate");
-    quota->refused =
-        mr_counters_get(counters, "masticrelay_quota_refused_total", "",
-                        "operations beyond this instance's share");
-    quota->without_share = mr_counters_get(
-        counters, "masticrelay_quota_without_share_total", "",
-        "operations judged by an equal part, without a valid share");
+    quota->refused = mr_counters_get(counters, "masticrelay_quota_short_total",
+                                     "", "times that no token was in stock");
+    quota->alone = mr_counters_get(
+        counters, "masticrelay_quota_alone_total", "",
+        "operations judged by an equal part, without a coordinator");
     return quota;
 }
 
@@ -97,43 +99,50 @@
 static mr_limit_amount_t
 equal_part(const mr_quota_t *quota, const account_t *account)
 {
-    return (mr_limit_amount_t){account->total.rate / quota->instances,
-                               account->total.burst / quota->instances};
+    mr_limit_amount_t part = {account->total.rate / quota->instances,
+                              account->total.burst / quota->instances};
+
+    /* An operation needs one whole token. */
+    if (part.burst < MR_TOKEN_MILLI && part.rate > 0) {
+        part.burst = MR_TOKEN_MILLI;
+    }
+    return part;
 }
 
-/* Puts the amount in force into the bucket. */
+/* Drops the stocks when the coordinator was lost; the equal parts start empty.
+ */
 static void
-update_bucket(mr_quota_t *quota, account_t *account, mr_ms_t now)
+check_coordinated(mr_quota_t *quota, mr_ms_t now)
 {
-    mr_limit_amount_t amount = account->share;
+    bool coordinated = now < quota->coordinated_until;
 
-    if (now >= account->share_expiry) {
-        amount = equal_part(quota, account);
-    }
-    /* An operation needs one whole token. */
-    if (amount.burst < MR_TOKEN_MILLI && amount.rate > 0) {
-        amount.burst = MR_TOKEN_MILLI;
+    if (coordinated == quota->coordinated) {
+        return;
     }
-    if (amount.rate != account->bucket.amount.rate
-        || amount.burst != account->bucket.amount.burst) {
-        mr_bucket_change(&account->bucket, amount, now, INT64_MAX);
+    quota->coordinated = coordinated;
+    MR_LIST_FOREACH(it, &quota->accounts)
+    {
+        account_t *account = MR_LIST_ENTRY(it, account_t, link);
+        account->stock = 0;
+        mr_bucket_init(&account->part, equal_part(quota, account), now,
+                       INT64_MAX);
     }
 }
 
-static void
-set_total(account_t *account, mr_limit_amount_t total)
+void
+mr_quota_coordinated(mr_quota_t *quota, mr_ms_t expiry)
 {
-    mr_limit_amount_t *share = &account->share;
-
-    if (account->total.rate > 0 && total.rate < account->total.rate) {
-        share->rate =
-            mr_limit_scale(share->rate, total.rate, account->total.rate);
-    }
-    if (account->total.burst > 0 && total.burst < account->total.burst) {
-        share->burst =
-            mr_limit_scale(share->burst, total.burst, account->total.burst);
+    check_coordinated(quota, mr_clock_now(quota->clock));
+    if (expiry > quota->coordinated_until) {
+        quota->coordinated_until = expiry;
     }
-    account->total = total;
+    check_coordinated(quota, mr_clock_now(quota->clock));
+}
+
+bool
+mr_quota_is_coordinated(const mr_quota_t *quota)
+{
+    return mr_clock_now(quota->clock) < quota->coordinated_until;
 }
 
 void
@@ -152,13 +161,12 @@
             account = MR_NEW(account_t);
             account->name = mr_strdup(entry->name);
             mr_list_append(&quota->accounts, &account->link);
-            mr_bucket_init(&account->bucket, (mr_limit_amount_t){0, 0}, now,
+            mr_bucket_init(&account->part, (mr_limit_amount_t){0, 0}, now,
                            INT64_MAX);
         }
         account->seen = true;
-        set_total(account, (mr_limit_amount_t){entry->rate * MR_TOKEN_MILLI,
-                                               entry->burst * MR_TOKEN_MILLI});
-        update_bucket(quota, account, now);
+        account->total = (mr_limit_amount_t){entry->rate * MR_TOKEN_MILLI,
+                                             entry->burst * MR_TOKEN_MILLI};
     }
     MR_LIST_FOREACH(it, &quota->accounts)
     {
@@ -175,21 +183,22 @@
     quota->instances = instances > 0 ? (int64_t)instances : 1;
 }
 
-void
-mr_quota_set_share(mr_quota_t *quota, const char *name,
-                   mr_limit_amount_t share, mr_ms_t expiry)
+/* Thousandths of tokens that the stock should hold. */
+static int64_t
+stock_goal(const mr_quota_t *quota, const account_t *account)
 {
-    account_t *account = find_account(quota, name);
+    int64_t goal = account->demand * STOCK_MS / 1000;
+    int64_t most =
+        account->total.rate * STOCK_RATE_PERCENT / 100 / quota->instances;
 
-    if (account != NULL) {
-        account->share = share;
-        account->share_expiry = expiry;
-        update_bucket(quota, account, mr_clock_now(quota->clock));
+    if (goal > most) {
+        goal = most;
     }
+    return goal + account->waiting * MR_TOKEN_MILLI;
 }
 
 size_t
-mr_quota_demands(mr_quota_t *quota, mr_msg_demand_t *out, size_t max)
+mr_quota_wants(mr_quota_t *quota, mr_msg_draw_t *out, size_t max)
 {
     mr_ms_t now = mr_clock_now(quota->clock);
     mr_ms_t span = now - quota->asked_since;
@@ -200,6 +209,7 @@
     }
     int64_t weight = span < DEMAND_WINDOW_MS ? span : DEMAND_WINDOW_MS;
     quota->asked_since = now;
+    check_coordinated(quota, now);
     MR_LIST_FOREACH(it, &quota->accounts)
     {
         account_t *account = MR_LIST_ENTRY(it, account_t, link);
@@ -207,40 +217,79 @@
         account->demand +=
             (recent - account->demand) * weight / DEMAND_WINDOW_MS;
         account->asked = 0;
-        if (account->demand >= DEMAND_MIN_MILLI && count < max) {
-            out[count++] = (mr_msg_demand_t){account->name, account->demand};
+        int64_t wanted = stock_goal(quota, account) - account->stock;
+        /* Buckets give whole tokens only. */
+        wanted += MR_TOKEN_MILLI / 2;
+        wanted -= wanted % MR_TOKEN_MILLI;
+        if (wanted > 0 && count < max) {
+            out[count++] = (mr_msg_draw_t){account->name, wanted};
         }
     }
     return count;
 }
 
+void
+mr_quota_add(mr_quota_t *quota, const char *name, int64_t milli)
+{
+    account_t *account = find_account(quota, name);
+
+    if (account != NULL && milli > 0) {
+        account->stock += milli;
+    }
+}
+
 bool
-mr_quota_short(mr_quota_t *quota)
+mr_quota_total(const mr_quota_t *quota, const char *name,
+               mr_limit_amount_t *total)
 {
-    bool is_short = quota->is_short;
+    const account_t *account = find_account(quota, name);
 
-    quota->is_short = false;
-    return is_short;
+    if (account != NULL) {
+        *total = account->total;
+    }
+    return account != NULL;
 }
 
-size_t
-mr_quota_totals(const mr_quota_t *quota, mr_msg_share_t *out, size_t max)
+/* Takes one token from the equal part. */
+static bool
+take_part(mr_quota_t *quota, account_t *account, mr_ms_t now)
 {
-    size_t count = 0;
+    mr_limit_amount_t amount = equal_part(quota, account);
 
-    MR_LIST_FOREACH(it, &quota->accounts)
-    {
-        const account_t *account = MR_LIST_ENTRY(it, account_t, link);
-        if (count < max) {
-            out[count++] = (mr_msg_share_t){account->name, account->total.rate,
-                                            account->total.burst};
-        }
+    mr_counter_add(quota->alone, 1);
+    if (amount.rate != account->part.amount.rate
+        || amount.burst != account->part.amount.burst) {
+        mr_bucket_change(&account->part, amount, now, INT64_MAX);
     }
-    return count;
+    if (mr_bucket_level(&account->part, now) < MR_TOKEN_MILLI) {
+        return false;
+    }
+    mr_bucket_take(&account->part, MR_TOKEN_MILLI, now);
+    return true;
+}
+
+static bool
+take_stock(account_t *account)
+{
+    if (account->stock < MR_TOKEN_MILLI) {
+        return false;
+    }
+    account->stock -= MR_TOKEN_MILLI;
+    return true;
+}
+
+static mr_ms_t
+next_token(const mr_quota_t *quota, const account_t *account)
+{
+    int64_t rate =
+        quota->coordinated ? account->total.rate : account->part.amount.rate;
+    mr_ms_t wait = rate > 0 ? MR_TOKEN_MILLI * 1000 / rate : RETRY_DEFAULT_MS;
+
+    return wait > RETRY_MIN_MS ? wait : RETRY_MIN_MS;
 }
 
 mr_ms_t
-mr_quota_take(mr_quota_t *quota, const char *name)
+mr_quota_take(mr_quota_t *quota, const char *name, bool again)
 {
     account_t *account = find_account(quota, name);
     mr_ms_t now = mr_clock_now(quota->clock);
@@ -248,22 +297,25 @@
     if (account == NULL) {
         return 0; /* callers without a key have no limit */
     }
-    account->asked++;
-    update_bucket(quota, account, now);
-    if (now >= account->share_expiry) {
-        mr_counter_add(quota->without_share, 1);
+    if (!again) {
+        account->asked++;
     }
-    int64_t level = mr_bucket_level(&account->bucket, now);
-    if (level < LOW_TOKENS_MILLI) {
-        quota->is_short = true;
-    }
-    if (level >= MR_TOKEN_MILLI) {
-        mr_bucket_take(&account->bucket, MR_TOKEN_MILLI, now);
+    check_coordinated(quota, now);
+    if (quota->coordinated ? take_stock(account)
+                           : take_part(quota, account, now)) {
         mr_counter_add(quota->admitted, 1);
         return 0;
     }
     mr_counter_add(quota->refused, 1);
-    int64_t rate = account->bucket.amount.rate;
-    return rate > 0 ? (MR_TOKEN_MILLI - level) * 1000 / rate + 1
-                    : RETRY_DEFAULT_MS;
+    return next_token(quota, account);
+}
+
+void
+mr_quota_waiting(mr_quota_t *quota, const char *name, int change)
+{
+    account_t *account = find_account(quota, name);
+
+    if (account != NULL) {
+        account->waiting += change;
+    }
 }
--- a/lib/session/quota.h
+++ b/lib/session/quota.h
@@ -2,10 +2,9 @@
 #define MR_SESSION_QUOTA_H
 
 /*
- * Limits of client accounts on operations. Each instance holds a share of an
- * account's rate and burst. The coordinator divides the rate by what the
- * instances ask for; a share lapses unless it is renewed, and an instance
- * without one admits no more than an equal part.
+ * Limits of client accounts on operations. An instance draws tokens from the
+ * coordinator's buckets and keeps a small stock of them; an instance without a
+ * coordinator admits no more than an equal part of the rate.
  */
 
 #include <stdbool.h>
@@ -27,28 +26,36 @@
 /** mr_quota_set_instances() - instances that may admit operations. */
 void mr_quota_set_instances(mr_quota_t *quota, size_t instances);
 
-/** mr_quota_set_share() - share of @account until @expiry. */
-void mr_quota_set_share(mr_quota_t *quota, const char *account,
-                        mr_limit_amount_t share, mr_ms_t expiry);
+/** mr_quota_wants() - what to draw from the coordinator; returns the number
+ * written, up to @max. Names are borrowed. */
+size_t mr_quota_wants(mr_quota_t *quota, mr_msg_draw_t *out, size_t max);
 
-/** mr_quota_demands() - recent demand of each account that has any; returns
- * the number written, up to @max. Names are borrowed. */
-size_t mr_quota_demands(mr_quota_t *quota, mr_msg_demand_t *out, size_t max);
+/** mr_quota_add() - tokens drawn. */
+void mr_quota_add(mr_quota_t *quota, const char *account, int64_t milli);
 
-/** mr_quota_short() - whether an account ran low since the last call. */
-bool mr_quota_short(mr_quota_t *quota);
+/** mr_quota_coordinated() - until @expiry the coordinator's tokens count; an
+ * earlier stock is kept only while this never lapses. */
+void mr_quota_coordinated(mr_quota_t *quota, mr_ms_t expiry);
 
-/** mr_quota_totals() - rate and burst of each account over all instances;
- * returns the number written, up to @max. Names are borrowed. */
-size_t mr_quota_totals(const mr_quota_t *quota, mr_msg_share_t *out,
-                       size_t max);
+/** mr_quota_total() - rate and burst of @account over all instances; false
+ * when it is not known. */
+bool mr_quota_total(const mr_quota_t *quota, const char *account,
+                    mr_limit_amount_t *total);
+
+/** mr_quota_is_coordinated() - whether the coordinator can still be asked. */
+bool mr_quota_is_coordinated(const mr_quota_t *quota);
 
 /**
  * mr_quota_take() - admit one operation of @account
+ * @again: it was asked for before
  *
  * Return: 0 when it is admitted; otherwise how long until a token is due, in
  * milliseconds.
  */
-mr_ms_t mr_quota_take(mr_quota_t *quota, const char *account);
+mr_ms_t mr_quota_take(mr_quota_t *quota, const char *account, bool again);
+
+/** mr_quota_waiting() - change the number of operations that wait for a token
+ * of @account. */
+void mr_quota_waiting(mr_quota_t *quota, const char *account, int change);
 
 #endif
--- a/lib/session/relay.c
+++ b/lib/session/relay.c
@@ -122,6 +122,15 @@
     return relay->session_count;
 }
 
+void
+mr_relay_admit(mr_relay_t *relay, mr_ms_t asked_at)
+{
+    MR_LIST_FOREACH(it, &relay->sessions)
+    {
+        mr_session_admit(MR_LIST_ENTRY(it, mr_session_t, link), asked_at);
+    }
+}
+
 int64_t
 mr_relay_sync_copies(const mr_relay_t *relay, const char *service)
 {
--- a/lib/session/relay.h
+++ b/lib/session/relay.h
@@ -24,6 +24,8 @@
     const char *listen; /* "IP:port" for clients */
     /* Called when registrations seem to be out of date; may be NULL. */
     void (*refresh)(void *ctx);
+    /* Called when an operation waits for a token. */
+    void (*short_of_tokens)(void *ctx);
     void *ctx;
 } mr_relay_options_t;
 
@@ -40,6 +42,9 @@
 /** mr_relay_sessions() - open sessions. */
 size_t mr_relay_sessions(const mr_relay_t *relay);
 
+/** mr_relay_admit() - tokens were drawn for what was wanted at @asked_at. */
+void mr_relay_admit(mr_relay_t *relay, mr_ms_t asked_at);
+
 /** mr_relay_sync_copies() - replicas of @service that hold a commit before it
  * is acknowledged, by the desired state. */
 int64_t mr_relay_sync_copies(const mr_relay_t *relay, const char *service);
--- a/lib/session/run.c
+++ b/lib/session/run.c
@@ -670,6 +670,9 @@
     switch (run->stage) {
     case MR_RUN_NONE:
         break;
+    case MR_RUN_ADMISSION:
+        mr_session_admit(session, mr_clock_now(NULL));
+        break;
     case MR_RUN_WAITING:
         if (run->mode == MR_RUN_CONTINUE && run->link != NULL) {
             send_statement(session);
@@ -691,6 +694,29 @@
     }
 }
 
+void
+mr_run_park(mr_session_t *session, mr_line_t *line)
+{
+    mr_run_t *run = &session->run;
+
+    run->line = *line;
+    line->text = NULL;
+    run->started = mr_clock_now(NULL);
+    mr_quota_waiting(session->relay->options.quota, session->account, 1);
+    set_stage(session, MR_RUN_ADMISSION, unoffered_limit(session));
+}
+
+void
+mr_run_unpark(mr_session_t *session, mr_line_t *line)
+{
+    mr_run_t *run = &session->run;
+
+    mr_quota_waiting(session->relay->options.quota, session->account, -1);
+    *line = run->line;
+    run->line.text = NULL;
+    clear(run);
+}
+
 void
 mr_run_start(mr_session_t *session)
 {
@@ -707,6 +733,9 @@
     if (session->run.stage == MR_RUN_NONE) {
         return;
     }
+    if (session->run.stage == MR_RUN_ADMISSION) {
+        mr_quota_waiting(session->relay->options.quota, session->account, -1);
+    }
     drop_link(session);
     clear(&session->run);
 }
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -210,9 +210,32 @@
     return true;
 }
 
-/* Takes the desired state for a new operation; false when it was refused. */
+/* Asks for a token for the operation that @line begins; false when it was
+ * refused, or waits and was taken over. */
 static bool
-begin_operation(mr_session_t *session)
+admit(mr_session_t *session, mr_line_t *line)
+{
+    mr_relay_t *relay = session->relay;
+    mr_quota_t *quota = relay->options.quota;
+    mr_ms_t wait = mr_quota_take(quota, session->account, session->admitting);
+
+    if (wait == 0) {
+        return true;
+    }
+    if (!session->admitting && mr_quota_is_coordinated(quota)) {
+        mr_run_park(session, line);
+        relay->options.short_of_tokens(relay->options.ctx);
+        return false;
+    }
+    mr_counter_add(relay->limited, 1);
+    mr_session_answer_error(session, MR_ERR_RATE_LIMITED, NULL, wait);
+    return false;
+}
+
+/* Takes the desired state for a new operation; false when it was refused or
+ * has to wait. */
+static bool
+begin_operation(mr_session_t *session, mr_line_t *line)
 {
     mr_relay_t *relay = session->relay;
 
@@ -223,10 +246,7 @@
         mr_session_answer_error(session, MR_ERR_UNKNOWN_ROUTE, NULL, -1);
         return false;
     }
-    mr_ms_t wait = mr_quota_take(relay->options.quota, session->account);
-    if (wait > 0) {
-        mr_counter_add(relay->limited, 1);
-        mr_session_answer_error(session, MR_ERR_RATE_LIMITED, NULL, wait);
+    if (!admit(session, line)) {
         return false;
     }
     mr_counter_add(relay->operations, 1);
@@ -283,14 +303,15 @@
 }
 
 static void
-begin_transaction(mr_session_t *session, const mr_statement_t *statement)
+begin_transaction(mr_session_t *session, mr_line_t *line,
+                  const mr_statement_t *statement)
 {
     if (session->tx == MR_TX_OPEN) {
         mr_session_answer_error(session, MR_ERR_INVALID_REQUEST,
                                 "a transaction is open", -1);
         return;
     }
-    if (!begin_operation(session)) {
+    if (!begin_operation(session, line)) {
         return;
     }
     session->tx = MR_TX_OPEN;
@@ -361,7 +382,7 @@
                                     "no transaction is open", -1);
             return;
         }
-        if (!begin_operation(session)) {
+        if (!begin_operation(session, line)) {
             return;
         }
     }
@@ -383,7 +404,7 @@
     }
     switch (statement.kind) {
     case MR_STATEMENT_BEGIN:
-        begin_transaction(session, &statement);
+        begin_transaction(session, line, &statement);
         return;
     case MR_STATEMENT_ROLLBACK:
         roll_back(session);
@@ -407,6 +428,25 @@
                             "unknown statement", -1);
 }
 
+void
+mr_session_admit(mr_session_t *session, mr_ms_t asked_at)
+{
+    mr_line_t line;
+
+    if (session->run.stage != MR_RUN_ADMISSION
+        || session->run.started > asked_at) {
+        return;
+    }
+    mr_run_unpark(session, &line);
+    session->admitting = true;
+    handle_query(session, &line);
+    session->admitting = false;
+    mr_line_release(&line);
+    if (session->run.stage == MR_RUN_NONE) {
+        mr_session_next(session);
+    }
+}
+
 /* Handles one message; false when the session ended. */
 static bool
 handle_line(mr_session_t *session, mr_line_t *line)
--- a/lib/session/session.h
+++ b/lib/session/session.h
@@ -39,7 +39,8 @@
 
 typedef enum mr_run_stage {
     MR_RUN_NONE,
-    MR_RUN_WAITING, /* for a database that can take it */
+    MR_RUN_ADMISSION, /* for a token of the client account */
+    MR_RUN_WAITING,   /* for a database that can take it */
     MR_RUN_OPENING,
     MR_RUN_PREPARING, /* session values are being set */
     MR_RUN_BEGINNING,
@@ -92,6 +93,7 @@
     mr_tx_state_t tx;
     bool tx_read_only;
     bool tx_wrote;
+    bool admitting;     /* the message at hand has waited for a token */
     bool closing;       /* once the output is written */
     mr_link_t *tx_link; /* NULL until the first statement runs */
     mr_run_t run;
@@ -111,7 +113,14 @@
 mr_setting_t *mr_session_setting(mr_session_t *session, const char *name,
                                  bool prepared);
 
+/** mr_session_admit() - tokens were drawn for what was wanted at @asked_at. */
+void mr_session_admit(mr_session_t *session, mr_ms_t asked_at);
+
 /* run.c */
+/** mr_run_park() - keep @line, which is taken over, until a token comes. */
+void mr_run_park(mr_session_t *session, mr_line_t *line);
+/** mr_run_unpark() - give the parked message back to @line. */
+void mr_run_unpark(mr_session_t *session, mr_line_t *line);
 /** mr_run_start() - run the statement in session->run.line. */
 void mr_run_start(mr_session_t *session);
 /** mr_run_cancel() - the client left. */
--- a/lib/session/sessiond.c
+++ b/lib/session/sessiond.c
@@ -69,6 +69,22 @@
     mr_fleet_refresh(daemon->fleet);
 }
 
+static void
+on_short_of_tokens(void *ctx)
+{
+    mr_sessiond_t *daemon = ctx;
+
+    mr_fleet_notify(daemon->fleet);
+}
+
+static void
+on_drawn(void *ctx, mr_ms_t asked_at)
+{
+    mr_sessiond_t *daemon = ctx;
+
+    mr_relay_admit(daemon->relay, asked_at);
+}
+
 static void
 on_primary_promoted(void *ctx)
 {
@@ -180,6 +196,8 @@
         .clusters = daemon->clusters,
         .quota = daemon->quota,
         .promoter = daemon->promoter,
+        .drawn = on_drawn,
+        .ctx = daemon,
     });
 }
 
@@ -206,6 +224,7 @@
         .quota = daemon->quota,
         .listen = settings->listen,
         .refresh = on_refresh,
+        .short_of_tokens = on_short_of_tokens,
         .ctx = daemon,
     });
     daemon->ready = mr_ready_create(daemon->base, settings->ready,
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -236,11 +236,11 @@
 static const layout_t registration_layout =
     LAYOUT(mr_msg_registration_t, registration_fields);
 
-static const field_t demand_fields[] = {
-    F(STRING, mr_msg_demand_t, account),
-    F(INTEGER, mr_msg_demand_t, milli),
+static const field_t draw_fields[] = {
+    F(STRING, mr_msg_draw_t, account),
+    F(INTEGER, mr_msg_draw_t, milli),
 };
-static const layout_t demand_layout = LAYOUT(mr_msg_demand_t, demand_fields);
+static const layout_t draw_layout = LAYOUT(mr_msg_draw_t, draw_fields);
 
 static const field_t db_health_fields[] = {
     F(STRING, mr_msg_db_health_t, service),
@@ -262,19 +262,12 @@
     F(STRING, mr_msg_report_t, address),
     F(BOOL, mr_msg_report_t, refresh),
     VIEW_FIELDS(mr_msg_report_t),
-    L(mr_msg_report_t, demands, demand_count, demand_layout),
+    F(BOOL, mr_msg_report_t, draws),
+    L(mr_msg_report_t, wants, want_count, draw_layout),
     L(mr_msg_report_t, health, health_count, db_health_layout),
 };
 static const layout_t report_layout = LAYOUT(mr_msg_report_t, report_fields);
 
-static const field_t msg_share_fields[] = {
-    F(STRING, mr_msg_share_t, account),
-    F(INTEGER, mr_msg_share_t, rate_milli),
-    F(INTEGER, mr_msg_share_t, burst_milli),
-};
-static const layout_t msg_share_layout =
-    LAYOUT(mr_msg_share_t, msg_share_fields);
-
 static const field_t primary_fields[] = {
     F(STRING, mr_msg_primary_t, service),
     F(STRING, mr_msg_primary_t, promoted),
@@ -290,7 +283,7 @@
     F(INTEGER, mr_msg_report_reply_t, instances),
     F(INTEGER, mr_msg_report_reply_t, lifetime_ms),
     VIEW_FIELDS(mr_msg_report_reply_t),
-    L(mr_msg_report_reply_t, shares, share_count, msg_share_layout),
+    L(mr_msg_report_reply_t, draws, draw_count, draw_layout),
     L(mr_msg_report_reply_t, primaries, primary_count, primary_layout),
 };
 static const layout_t report_reply_layout =
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -235,11 +235,11 @@
     size_t registration_count;
 } mr_msg_view_t;
 
-/** An instance's demand on a client account. */
-typedef struct mr_msg_demand {
+/** Tokens of a client account, wanted in a report and given in its reply. */
+typedef struct mr_msg_draw {
     const char *account;
-    int64_t milli; /* thousandths of operations/s */
-} mr_msg_demand_t;
+    int64_t milli; /* thousandths of tokens */
+} mr_msg_draw_t;
 
 /** How an instance sees the primary of a service. */
 typedef struct mr_msg_db_health {
@@ -254,19 +254,13 @@
     const char *address; /* that the sender listens on for instances */
     bool refresh;        /* registrations seem to be out of date */
     mr_msg_view_t view;
-    mr_msg_demand_t *demands;
-    size_t demand_count;
+    bool draws; /* false: the sender does not count as a reporting one */
+    mr_msg_draw_t *wants;
+    size_t want_count;
     mr_msg_db_health_t *health;
     size_t health_count;
 } mr_msg_report_t;
 
-/** Share of an account's rate and burst. */
-typedef struct mr_msg_share {
-    const char *account;
-    int64_t rate_milli;
-    int64_t burst_milli;
-} mr_msg_share_t;
-
 /** What the coordinator knows of a service's primary. */
 typedef struct mr_msg_primary {
     const char *service;
@@ -279,10 +273,10 @@
 
 typedef struct mr_msg_report_reply {
     int64_t instances;   /* that may admit operations */
-    int64_t lifetime_ms; /* of the shares, from when the report was sent */
+    int64_t lifetime_ms; /* of the tokens, from when the report was sent */
     mr_msg_view_t view;
-    mr_msg_share_t *shares;
-    size_t share_count;
+    mr_msg_draw_t *draws; /* for each of the wants */
+    size_t draw_count;
     mr_msg_primary_t *primaries;
     size_t primary_count;
 } mr_msg_report_reply_t;
