--- a/lib/session/client.h
+++ b/lib/session/client.h
@@ -8,7 +8,7 @@
 
 #include "common/list.h"
 #include "session/line.h"
-#include "session/link.h"
+#include "session/linkpool.h"
 #include "session/relay.h"
 
 typedef struct mr_client mr_client_t;
@@ -64,6 +64,8 @@
     mr_command_t statement;
     bool writes;
     mr_link_t *link;
+    mr_link_wait_t *wait; /* for a connection */
+    mr_db_t *waits_at;
     const mr_db_t *failed_db;
     mr_position_t after;
     bool begin_aged; /* begins a transaction at a replica */
--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -5,7 +5,7 @@
 
 #include "common/log.h"
 #include "common/mem.h"
-#include "session/link.h"
+#include "session/linkpool.h"
 
 enum {
     /* First pause after a failed connection or a lost answer, doubled up to
@@ -50,7 +50,7 @@
 {
     db->gone = true;
     db->links++; /* holds @db while the connections close */
-    mr_link_close_idle(db);
+    mr_linkpool_clear(db);
     mr_db_release(db);
 }
 
@@ -116,7 +116,8 @@
 static void
 update_links_max(mr_cluster_t *cluster)
 {
-    int64_t part = cluster->connections / cluster->clusters->instances;
+    int64_t instances = cluster->clusters->instances;
+    int64_t part = (cluster->connections + instances / 2) / instances;
 
     cluster->links_max = part > LINKS_DEFAULT ? (int)part : LINKS_DEFAULT;
 }
@@ -170,6 +171,7 @@
     db->data_centre = mr_strdup(entry->data_centre);
     db->born = entry->born;
     mr_list_init(&db->idle);
+    mr_list_init(&db->waits);
     mr_list_append(&cluster->dbs, &db->link);
     mr_log(MR_LOG_INFO, "database_found",
            "service=%s id=%s address=%s role=%s", cluster->service, id,
@@ -410,7 +412,7 @@
     if (mr_position_compare(db->position, want->position) < 0) {
         cost += 20; /* it may have to be asked again elsewhere */
     }
-    if (!mr_link_has_idle(db, want->account)) {
+    if (!mr_linkpool_has(db, want->account)) {
         cost += 40; /* a new connection takes time of a slot */
     }
     if (strcmp(db->data_centre, cluster->clusters->data_centre) != 0) {
--- a/lib/session/cluster.h
+++ b/lib/session/cluster.h
@@ -43,9 +43,12 @@
     mr_position_t position; /* that its log holds at least */
     mr_list_t idle;         /* connections that are kept */
     int idle_count;
-    int links;       /* connections, idle ones included */
-    int running;     /* statements and new connections in progress */
-    mr_ms_t latency; /* smoothed time of an answer */
+    mr_list_t waits;    /* statements that wait for a connection */
+    int opening;        /* connections being opened */
+    mr_ms_t open_after; /* no new connection before this time */
+    int links;          /* connections, idle ones included */
+    int running;        /* statements and new connections in progress */
+    mr_ms_t latency;    /* smoothed time of an answer */
 } mr_db_t;
 
 enum { MR_SAMPLES = 48 };
--- a/lib/session/link.c
+++ b/lib/session/link.c
@@ -261,10 +261,6 @@
     mr_list_init(&link->queries);
     link->db = db;
     link->account = mr_strdup(account);
-    /* The one that was unused for longest makes room. */
-    if (db->links >= db->cluster->links_max && !mr_list_empty(&db->idle)) {
-        mr_link_close(MR_LIST_ENTRY(db->idle.next, mr_link_t, link));
-    }
     db->links++;
     link->stream = bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(link->stream, on_read, NULL, on_event, link);
@@ -342,15 +338,11 @@
 }
 
 void
-mr_link_keep(mr_link_t *link)
+mr_link_set_idle(mr_link_t *link)
 {
     mr_db_t *db = link->db;
     struct timeval idle_max = mr_clock_timeval(IDLE_MAX_MS);
 
-    if (db->gone || db->draining || db->links > db->cluster->links_max) {
-        mr_link_close(link);
-        return;
-    }
     mr_link_forget(link);
     link->idle = true;
     db->idle_count++;
@@ -358,10 +350,15 @@
     bufferevent_set_timeouts(link->stream, &idle_max, NULL);
 }
 
-void
-mr_link_close_idle(mr_db_t *db)
+mr_link_t *
+mr_link_oldest_idle(mr_db_t *db)
 {
-    while (!mr_list_empty(&db->idle)) {
-        mr_link_close(MR_LIST_ENTRY(db->idle.next, mr_link_t, link));
-    }
+    assert(!mr_list_empty(&db->idle));
+    return MR_LIST_ENTRY(db->idle.next, mr_link_t, link);
+}
+
+const char *
+mr_link_account(const mr_link_t *link)
+{
+    return link->account;
 }
--- a/lib/session/link.h
+++ b/lib/session/link.h
@@ -55,14 +55,16 @@
 } mr_link_state_t;
 mr_link_state_t *mr_link_state(mr_link_t *link);
 
-/** mr_link_take_idle() - a kept connection of @account; NULL: none. */
+const char *mr_link_account(const mr_link_t *link);
+
+/* Kept connections; see linkpool.h. */
+
+/** mr_link_set_idle() - keep an unused connection. */
+void mr_link_set_idle(mr_link_t *link);
 mr_link_t *mr_link_take_idle(mr_db_t *db, const char *account,
                              uint64_t session);
 bool mr_link_has_idle(const mr_db_t *db, const char *account);
-
-/** mr_link_keep() - keep an unused connection, or close it when there are more
- * than this instance's part. */
-void mr_link_keep(mr_link_t *link);
-void mr_link_close_idle(mr_db_t *db);
+/** mr_link_oldest_idle() - the one that was unused for longest. */
+mr_link_t *mr_link_oldest_idle(mr_db_t *db);
 
 #endif
--- /dev/null
+++ b/lib/session/linkpool.c
@@ -0,0 +1,241 @@
+#include "session/linkpool.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "common/mem.h"
+
+enum {
+    /* Opened at the same time by this instance to one database. */
+    OPENING_MAX = 2,
+    /* Unused connections above this instance's part are closed. Transient ones
+     * beyond it carry the statements that would wait otherwise. */
+    TRANSIENT_MAX = 4,
+    OPEN_TIMEOUT_MS = 1000,
+    /* After the database refused a connection, or did not answer. */
+    PAUSE_MS = 100,
+};
+
+struct mr_link_wait {
+    mr_list_t link;
+    mr_db_t *db;
+    struct event_base *base;
+    char *account;
+    bool opening; /* a connection was opened for it */
+    mr_link_wait_fn_t fn;
+    void *ctx;
+};
+
+/** A connection that is being opened. */
+typedef struct opening {
+    mr_db_t *db;
+    mr_link_t *db_link;
+    char *account;
+    struct event *timer;
+} opening_t;
+
+static void
+end_wait(mr_link_wait_t *wait, mr_link_t *link, mr_error_kind_t error)
+{
+    mr_link_wait_fn_t fn = wait->fn;
+    void *ctx = wait->ctx;
+
+    mr_linkpool_cancel(wait);
+    fn(ctx, link, error);
+}
+
+void
+mr_linkpool_cancel(mr_link_wait_t *wait)
+{
+    mr_list_remove(&wait->link);
+    free(wait->account);
+    free(wait);
+}
+
+static mr_link_wait_t *
+first_wait(mr_db_t *db, const char *account)
+{
+    MR_LIST_FOREACH(it, &db->waits)
+    {
+        mr_link_wait_t *wait = MR_LIST_ENTRY(it, mr_link_wait_t, link);
+        if (strcmp(wait->account, account) == 0) {
+            return wait;
+        }
+    }
+    return NULL;
+}
+
+static void
+free_opening(opening_t *opening)
+{
+    opening->db->opening--;
+    opening->db->running--;
+    event_free(opening->timer);
+    free(opening->account);
+    free(opening);
+}
+
+static void
+fail_opening(opening_t *opening, mr_error_kind_t error)
+{
+    mr_db_t *db = opening->db;
+    mr_link_wait_t *wait = first_wait(db, opening->account);
+
+    db->links++; /* holds @db */
+    db->open_after = mr_clock_now(NULL) + PAUSE_MS;
+    free_opening(opening);
+    if (wait != NULL) {
+        end_wait(wait, NULL, error);
+    }
+    mr_db_release(db);
+}
+
+static void
+on_open(void *ctx, mr_link_t *link, const mr_reply_t *reply)
+{
+    opening_t *opening = ctx;
+
+    if (reply->lost || reply->error != MR_OK) {
+        if (!reply->lost) {
+            mr_link_close(link);
+        }
+        fail_opening(opening, reply->error);
+        return;
+    }
+    free_opening(opening);
+    mr_linkpool_give(link);
+}
+
+static void
+on_open_timeout(evutil_socket_t fd, short what, void *ctx)
+{
+    opening_t *opening = ctx;
+    mr_db_t *db = opening->db;
+
+    (void)fd;
+    (void)what;
+    db->links++; /* closing may be what @db was kept for */
+    mr_link_close(opening->db_link);
+    fail_opening(opening, MR_ERR_DEADLINE_EXCEEDED);
+    mr_db_release(db);
+}
+
+static bool
+may_open(const mr_db_t *db)
+{
+    return !db->gone && db->opening < OPENING_MAX
+           && db->links - db->idle_count
+                  < db->cluster->links_max + TRANSIENT_MAX
+           && mr_clock_now(NULL) >= db->open_after;
+}
+
+static void
+open_link(mr_db_t *db, mr_link_wait_t *wait)
+{
+    struct timeval timeout = mr_clock_timeval(OPEN_TIMEOUT_MS);
+
+    /* The one that was unused for longest makes room. */
+    if (db->links >= db->cluster->links_max && db->idle_count > 0) {
+        mr_link_close(mr_link_oldest_idle(db));
+    }
+    wait->opening = true;
+    opening_t *opening = MR_NEW(opening_t);
+    opening->db = db;
+    opening->account = mr_strdup(wait->account);
+    opening->timer = evtimer_new(wait->base, on_open_timeout, opening);
+    db->opening++;
+    db->running++; /* opening takes a slot */
+    opening->db_link =
+        mr_link_open(wait->base, db, wait->account, on_open, opening);
+    if (opening->db_link == NULL) {
+        db->open_after = mr_clock_now(NULL) + PAUSE_MS;
+        free_opening(opening);
+        return;
+    }
+    evtimer_add(opening->timer, &timeout);
+}
+
+/* Opens connections for those that have waited longest. */
+static void
+open_for_waits(mr_db_t *db)
+{
+    MR_LIST_FOREACH(it, &db->waits)
+    {
+        mr_link_wait_t *wait = MR_LIST_ENTRY(it, mr_link_wait_t, link);
+        if (!may_open(db)) {
+            return;
+        }
+        if (!wait->opening) {
+            open_link(db, wait);
+        }
+    }
+}
+
+mr_link_t *
+mr_linkpool_take(mr_db_t *db, const char *account, uint64_t session)
+{
+    return mr_link_take_idle(db, account, session);
+}
+
+mr_link_wait_t *
+mr_linkpool_wait(struct event_base *base, mr_db_t *db, const char *account,
+                 mr_link_wait_fn_t fn, void *ctx)
+{
+    mr_link_wait_t *wait = MR_NEW(mr_link_wait_t);
+
+    *wait = (mr_link_wait_t){.db = db,
+                             .base = base,
+                             .account = mr_strdup(account),
+                             .fn = fn,
+                             .ctx = ctx};
+    mr_list_init(&wait->link);
+    mr_list_append(&db->waits, &wait->link);
+    if (may_open(db)) {
+        open_link(db, wait);
+    }
+    return wait;
+}
+
+void
+mr_linkpool_give(mr_link_t *link)
+{
+    mr_db_t *db = mr_link_db(link);
+    mr_link_wait_t *wait = first_wait(db, mr_link_account(link));
+
+    if (wait != NULL && !db->gone) {
+        mr_link_forget(link);
+        end_wait(wait, link, MR_OK);
+        return;
+    }
+    db->links++; /* holds @db */
+    if (db->gone || db->draining || db->links - 1 > db->cluster->links_max
+        || !mr_list_empty(&db->waits)) {
+        mr_link_close(link);
+    }
+    else {
+        mr_link_set_idle(link);
+    }
+    if (!db->gone) {
+        open_for_waits(db);
+    }
+    mr_db_release(db);
+}
+
+bool
+mr_linkpool_has(const mr_db_t *db, const char *account)
+{
+    return mr_link_has_idle(db, account);
+}
+
+void
+mr_linkpool_clear(mr_db_t *db)
+{
+    while (db->idle_count > 0) {
+        mr_link_close(mr_link_oldest_idle(db));
+    }
+    while (!mr_list_empty(&db->waits)) {
+        end_wait(MR_LIST_ENTRY(db->waits.next, mr_link_wait_t, link), NULL,
+                 MR_ERR_UNAVAILABLE);
+    }
+}
--- a/lib/session/run.c
+++ b/lib/session/run.c
@@ -11,9 +11,9 @@
 #include "session/client.h"
 
 enum {
-    /* A new connection takes 12 to 27 ms of a slot, longer behind other
-     * work. */
-    OPEN_TIMEOUT_MS = 400,
+    /* For a connection: a new one takes 12 to 27 ms of a slot, longer behind
+     * other work. Then another database may be better. */
+    OPEN_TIMEOUT_MS = 300,
     /* Values and BEGIN need no slot: one round trip. */
     SETUP_TIMEOUT_MS = 250,
     /* Before another attempt; doubled each time. About one statement's work at
@@ -106,6 +106,10 @@
 {
     mr_run_t *run = &session->run;
 
+    if (run->wait != NULL) {
+        mr_linkpool_cancel(run->wait);
+        run->wait = NULL;
+    }
     if (run->link == NULL) {
         return;
     }
@@ -130,7 +134,7 @@
         mr_link_query(link, mr_own_statement_id, NULL,
                       mr_own_statement_text(MR_OWN_ROLLBACK), NULL, NULL);
     }
-    mr_link_keep(link);
+    mr_linkpool_give(link);
 }
 
 /* Ends the attempt; a connection in a known state is kept. */
@@ -546,28 +550,26 @@
 }
 
 static void
-on_open(void *ctx, mr_link_t *link, const mr_reply_t *reply)
+on_link(void *ctx, mr_link_t *link, mr_error_kind_t error)
 {
     mr_client_t *session = ctx;
-    mr_db_t *db = mr_link_db(link);
+    mr_run_t *run = &session->run;
 
-    if (reply->lost) {
-        note_failure(session);
-        try_again(session, MR_ERR_UNAVAILABLE, 0);
+    run->wait = NULL;
+    if (link != NULL) {
+        run->link = link;
+        count_running(run, 1);
+        set_up(session);
         return;
     }
-    if (reply->error != MR_OK) {
-        if (reply->error == MR_ERR_TARGET_REFUSED) {
-            /* Its address belongs to another database by now. */
-            note_failure(session);
-        }
-        else if (reply->error == MR_ERR_RATE_LIMITED) {
-            mr_link_close_idle(db);
-        }
-        try_again(session, MR_ERR_OVERLOADED, retry_pause(&session->run));
-        return;
+    run->failed_db = run->waits_at;
+    if (error == MR_ERR_UNAVAILABLE || error == MR_ERR_DEADLINE_EXCEEDED
+        || error == MR_ERR_TARGET_REFUSED) {
+        /* Or its address belongs to another database by now. */
+        mr_db_failed(run->waits_at, mr_clock_now(NULL));
+        request_refresh(session->relay);
     }
-    set_up(session);
+    try_again(session, MR_ERR_OVERLOADED, retry_pause(run));
 }
 
 static void
@@ -575,21 +577,16 @@
 {
     mr_run_t *run = &session->run;
 
-    run->link = mr_link_take_idle(db, session->account, session->serial);
+    run->link = mr_linkpool_take(db, session->account, session->serial);
     if (run->link != NULL) {
         count_running(run, 1);
         set_up(session);
         return;
     }
-    run->link = mr_link_open(session->relay->options.base, db,
-                             session->account, on_open, session);
-    if (run->link == NULL) {
-        mr_db_failed(db, mr_clock_now(NULL));
-        try_again(session, MR_ERR_UNAVAILABLE, retry_pause(run));
-        return;
-    }
-    count_running(run, 1);
+    run->waits_at = db;
     set_stage(session, MR_RUN_OPENING, OPEN_TIMEOUT_MS);
+    run->wait = mr_linkpool_wait(session->relay->options.base, db,
+                                 session->account, on_link, session);
 }
 
 /* A replica for a read of the session's route; NULL: the primary's position is
@@ -699,6 +696,11 @@
         }
         break;
     case MR_RUN_OPENING:
+        mr_linkpool_cancel(run->wait);
+        run->wait = NULL;
+        run->failed_db = run->waits_at;
+        try_again(session, MR_ERR_OVERLOADED, 0);
+        break;
     case MR_RUN_PREPARING:
     case MR_RUN_BEGINNING:
         note_failure(session);
@@ -764,7 +766,7 @@
         /* Closing rolls back as well, but costs a new connection. */
         mr_link_query(session->tx_link, mr_own_statement_id, NULL,
                       mr_own_statement_text(MR_OWN_ROLLBACK), NULL, NULL);
-        mr_link_keep(session->tx_link);
+        mr_linkpool_give(session->tx_link);
         session->tx_link = NULL;
     }
 }
