--- a/lib/session/run.c
+++ b/lib/session/run.c
@@ -29,6 +29,9 @@
     FRESH_MARGIN_MS = 50,
     STATEMENT_TIMEOUT_DEFAULT_MS = 1000, /* routes without a limit */
     OBJECTIVE_DEFAULT_MS = 200,
+    /* Part of the objective after which a silent database is given up. */
+    SILENCE_PERCENT = 75,
+    SILENT_TRIES = 2,
     RETRY_AFTER_FAILOVER_MS = 500, /* about one change of primary */
     RETRY_AFTER_BUSY_MS = 50,
 };
@@ -53,6 +56,16 @@
     return (objective > 0 ? objective : OBJECTIVE_DEFAULT_MS) / 5;
 }
 
+/* How long a read waits for a database that answers nothing at all. */
+static mr_ms_t
+silence_limit(const mr_client_t *session)
+{
+    mr_ms_t objective = session->route->objective;
+
+    return (objective > 0 ? objective : OBJECTIVE_DEFAULT_MS) * SILENCE_PERCENT
+           / 100;
+}
+
 static mr_ms_t
 deadline_of(const mr_client_t *session)
 {
@@ -432,9 +445,11 @@
         refuse(session);
         return;
     }
-    /* A read that gets no answer is sent to another database in time. */
-    if (run->mode == MR_RUN_AGED && run->tries == 0) {
-        left = left / 2;
+    /* While nothing is written, another database or another attempt of the
+     * client may still be in time. */
+    if (run->statement.kind != MR_COMMAND_COMMIT && !run->writes
+        && run->tries < SILENT_TRIES && silence_limit(session) < left) {
+        left = silence_limit(session);
     }
     run->answered = false;
     run->sent_at = now;
@@ -673,6 +688,23 @@
     connect_to(session, db);
 }
 
+/* The database did not answer the statement so far. */
+static void
+on_sent_timeout(mr_client_t *session)
+{
+    mr_run_t *run = &session->run;
+    mr_ms_t now = mr_clock_now(NULL);
+    mr_ms_t left = deadline_of(session) - now;
+
+    if (left > 0 && mr_link_db(run->link)->answered_at >= run->sent_at) {
+        /* It works for others: this statement takes its time. */
+        set_timer(session, left);
+        return;
+    }
+    note_failure(session);
+    lose(session, left <= 0);
+}
+
 static void
 on_timer(evutil_socket_t fd, short what, void *ctx)
 {
@@ -707,8 +739,7 @@
         try_again(session, MR_ERR_UNAVAILABLE, 0);
         break;
     case MR_RUN_SENT:
-        note_failure(session);
-        lose(session, mr_clock_now(NULL) >= deadline_of(session));
+        on_sent_timeout(session);
         break;
     }
 }
