Sample the primaries' positions at the coordinator; log each request's end

The log goes to standard output, never blocks and is bounded by class; latency histograms join the counters.

--- a/lib/common/log.c
+++ b/lib/common/log.c
@@ -1,16 +1,53 @@
 #include "common/log.h"
 
+#include <event2/util.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
-enum { LINE_MAX_BYTES = 1024, NAME_MAX_BYTES = 64 };
+#include "common/clock.h"
+
+enum {
+    LINE_MAX_BYTES = 1024,
+    NAME_MAX_BYTES = 64,
+    BUFFER_BYTES = 64 << 10, /* holds what a slow reader has not taken */
+    /* Lines wait this long for others, so that one write carries many. */
+    FLUSH_MS = 100,
+    FLUSH_BYTES = 4 << 10,
+};
+
+/** Bounds of a class of lines. */
+typedef struct class_bound {
+    const char *label;
+    int per_second;
+    int fill_percent; /* of the buffer; above it lines are left out */
+} class_bound_t;
+
+static const class_bound_t class_bounds[MR_LOG_CLASSES] = {
+    [MR_LOG_STATE] = {"class=\"state\"", 200, 100},
+    [MR_LOG_FAILED] = {"class=\"failed\"", 100, 80},
+    [MR_LOG_SUCCEEDED] = {"class=\"succeeded\"", 25, 50},
+};
 
 static char log_instance[NAME_MAX_BYTES] = "-";
 static mr_log_level_t log_level = MR_LOG_INFO;
 static const char *const level_names[] = {"debug", "info", "warning", "error"};
 
+static struct log_stream {
+    bool open;
+    int fd;
+    char buffer[BUFFER_BYTES];
+    size_t used;
+    struct event *flush_timer;
+    struct event *writable;
+    mr_ms_t second; /* start of the present budget */
+    int written[MR_LOG_CLASSES];
+    mr_counter_t *left_out[MR_LOG_CLASSES];
+    mr_counter_t *lines;
+} stream;
+
 void
 mr_log_setup(const char *instance, mr_log_level_t level)
 {
@@ -18,6 +55,67 @@
     log_level = level;
 }
 
+/* Writes what the descriptor takes; the rest stays. */
+static void
+flush(void)
+{
+    size_t done = 0;
+
+    while (done < stream.used) {
+        ssize_t n = write(stream.fd, stream.buffer + done, stream.used - done);
+        if (n <= 0) {
+            break;
+        }
+        done += (size_t)n;
+    }
+    memmove(stream.buffer, stream.buffer + done, stream.used - done);
+    stream.used -= done;
+    if (stream.used > 0) {
+        event_add(stream.writable, NULL);
+    }
+}
+
+static void
+on_flush(evutil_socket_t fd, short what, void *ctx)
+{
+    (void)fd;
+    (void)what;
+    (void)ctx;
+    flush();
+}
+
+void
+mr_log_open(const mr_log_options_t *options)
+{
+    stream.fd = options->fd;
+    stream.used = 0;
+    evutil_make_socket_nonblocking(options->fd);
+    stream.flush_timer = evtimer_new(options->base, on_flush, NULL);
+    stream.writable =
+        event_new(options->base, options->fd, EV_WRITE, on_flush, NULL);
+    for (int i = 0; i < MR_LOG_CLASSES; i++) {
+        stream.left_out[i] = mr_counters_get(
+            options->counters, "masticrelay_log_lines_left_out_total",
+            class_bounds[i].label, "log lines beyond the bounds of the log");
+    }
+    stream.lines =
+        mr_counters_get(options->counters, "masticrelay_log_lines_total", "",
+                        "log lines written");
+    stream.open = true;
+}
+
+void
+mr_log_close(void)
+{
+    if (!stream.open) {
+        return;
+    }
+    flush();
+    event_free(stream.flush_timer);
+    event_free(stream.writable);
+    stream.open = false;
+}
+
 static void
 replace_control_characters(char *text)
 {
@@ -28,28 +126,101 @@
     }
 }
 
-void
-mr_log(mr_log_level_t level, const char *event, const char *fmt, ...)
+/* Whether the class has room for another line. */
+static bool
+within_bounds(mr_log_class_t class, size_t len)
+{
+    const class_bound_t *bound = &class_bounds[class];
+    mr_ms_t now = mr_clock_now(NULL);
+    size_t room = (size_t)BUFFER_BYTES / 100 * (size_t)bound->fill_percent;
+
+    if (now - stream.second >= 1000) {
+        stream.second = now;
+        memset(stream.written, 0, sizeof(stream.written));
+    }
+    if (stream.written[class] >= bound->per_second
+        || stream.used + len > room) {
+        mr_counter_add(stream.left_out[class], 1);
+        return false;
+    }
+    stream.written[class]++;
+    return true;
+}
+
+static void
+write_to_stream(mr_log_class_t class, const char *line, size_t len)
+{
+    const struct timeval soon = mr_clock_timeval(FLUSH_MS);
+
+    if (!within_bounds(class, len)) {
+        return;
+    }
+    mr_counter_add(stream.lines, 1);
+    memcpy(stream.buffer + stream.used, line, len);
+    stream.used += len;
+    if (stream.used >= FLUSH_BYTES
+        && !event_pending(stream.writable, EV_WRITE, NULL)) {
+        flush();
+    }
+    else if (!evtimer_pending(stream.flush_timer, NULL)) {
+        evtimer_add(stream.flush_timer, &soon);
+    }
+}
+
+static void
+write_line(mr_log_level_t level, mr_log_class_t class, const char *event,
+           const char *fmt, va_list args)
 {
     char pairs[LINE_MAX_BYTES] = "";
+    char line[LINE_MAX_BYTES + 256];
     char when[32];
     struct timespec ts;
     struct tm tm;
 
-    if (level < log_level) {
-        return;
-    }
     if (fmt != NULL) {
-        va_list args;
-        va_start(args, fmt);
         vsnprintf(pairs, sizeof(pairs), fmt, args);
-        va_end(args);
         replace_control_characters(pairs);
     }
     clock_gettime(CLOCK_REALTIME, &ts);
     gmtime_r(&ts.tv_sec, &tm);
     strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &tm);
-    fprintf(stderr, "time=%s.%03ldZ level=%s instance=%s event=%s%s%s\n", when,
-            ts.tv_nsec / 1000000, level_names[level], log_instance, event,
-            pairs[0] != '\0' ? " " : "", pairs);
+    int len =
+        snprintf(line, sizeof(line),
+                 "time=%s.%03ldZ level=%s instance=%s event=%s%s%s\n", when,
+                 ts.tv_nsec / 1000000, level_names[level], log_instance, event,
+                 pairs[0] != '\0' ? " " : "", pairs);
+    if (stream.open) {
+        write_to_stream(class, line, (size_t)len);
+    }
+    else {
+        fputs(line, stderr);
+    }
+}
+
+void
+mr_log(mr_log_level_t level, const char *event, const char *fmt, ...)
+{
+    va_list args;
+
+    if (level < log_level) {
+        return;
+    }
+    va_start(args, fmt);
+    write_line(level, MR_LOG_STATE, event, fmt, args);
+    va_end(args);
+}
+
+void
+mr_log_request(mr_log_class_t class, const char *event, const char *fmt, ...)
+{
+    mr_log_level_t level =
+        class == MR_LOG_FAILED ? MR_LOG_WARNING : MR_LOG_INFO;
+    va_list args;
+
+    if (level < log_level) {
+        return;
+    }
+    va_start(args, fmt);
+    write_line(level, class, event, fmt, args);
+    va_end(args);
 }
--- a/lib/common/log.h
+++ b/lib/common/log.h
@@ -2,10 +2,17 @@
 #define MR_COMMON_LOG_H
 
 /*
- * Structured log: one line for each change of state, as key=value pairs.
- * Anything that happens per request is a counter, not a line.
+ * Structured log: key=value lines. A daemon opens a stream to its standard
+ * output, which never blocks and is bounded: each class of lines has a budget,
+ * and what does not fit is counted and left out. Without a stream, lines go to
+ * standard error, as command line tools need it.
  */
 
+#include <event2/event.h>
+#include <stdbool.h>
+
+#include "common/counters.h"
+
 /** Importance of a line. */
 typedef enum mr_log_level {
     MR_LOG_DEBUG,
@@ -14,6 +21,21 @@
     MR_LOG_ERROR,
 } mr_log_level_t;
 
+/** Class of a line; each has a budget of its own. */
+typedef enum mr_log_class {
+    MR_LOG_STATE,     /* what the process believes has changed */
+    MR_LOG_FAILED,    /* a request failed, or an attempt of it */
+    MR_LOG_SUCCEEDED, /* a request succeeded; left out first */
+    MR_LOG_CLASSES,
+} mr_log_class_t;
+
+/** Stream of a daemon. */
+typedef struct mr_log_options {
+    struct event_base *base;
+    mr_counters_t *counters;
+    int fd;
+} mr_log_options_t;
+
 /**
  * mr_log_setup() - set the process's log
  * @instance: name that each line carries
@@ -21,8 +43,16 @@
  */
 void mr_log_setup(const char *instance, mr_log_level_t level);
 
+/** mr_log_open() - write to a stream from now on. The descriptor is set to
+ * non-blocking and stays the caller's. */
+void mr_log_open(const mr_log_options_t *options);
+
+/** mr_log_close() - write what the descriptor takes, then go back to standard
+ * error. */
+void mr_log_close(void);
+
 /**
- * mr_log() - write one line to standard error
+ * mr_log() - write one line of class MR_LOG_STATE
  * @level: importance
  * @event: stable event name, lower case with underscores
  * @fmt: further key=value pairs; NULL for none
@@ -33,4 +63,8 @@
 void mr_log(mr_log_level_t level, const char *event, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
 
+/** mr_log_request() - write one line about a request. */
+void mr_log_request(mr_log_class_t class, const char *event, const char *fmt,
+                    ...) __attribute__((format(printf, 3, 4)));
+
 #endif
--- a/lib/session/client.c
+++ b/lib/session/client.c
@@ -123,6 +123,22 @@
     write_ready(session);
 }
 
+void
+mr_client_refuse(mr_client_t *session, const char *id, mr_error_kind_t error,
+                 const char *detail, mr_ms_t retry_after)
+{
+    mr_log_request(MR_LOG_FAILED, "request_refused",
+                   "id=%s account=%s database=%s error=%s config=%lld "
+                   "retry_after_ms=%lld coordinated=%d waited=%d",
+                   id, session->account != NULL ? session->account : "-",
+                   session->database, mr_error_name(error),
+                   (long long)session->relay->catalog->version,
+                   (long long)retry_after,
+                   mr_quota_is_coordinated(session->relay->options.quota),
+                   session->admitting);
+    mr_client_answer_error(session, error, detail, retry_after);
+}
+
 void
 mr_client_answer(mr_client_t *session, struct evbuffer *body)
 {
@@ -184,6 +200,8 @@
 static void
 refuse_open(mr_client_t *session, mr_error_kind_t error)
 {
+    mr_log_request(MR_LOG_FAILED, "session_refused", "error=%s",
+                   mr_error_name(error));
     mr_counter_add(session->relay->answers[error], 1);
     mr_line_write_error(output_of(session), error, NULL, -1);
     close_after_output(session);
@@ -223,12 +241,15 @@
         return true;
     }
     if (!session->admitting && mr_quota_is_coordinated(quota)) {
+        mr_log_request(MR_LOG_SUCCEEDED, "token_wait", "id=%s account=%s",
+                       line->u.query.id, session->account);
         mr_run_park(session, line);
         relay->options.short_of_tokens(relay->options.ctx);
         return false;
     }
     mr_counter_add(relay->limited, 1);
-    mr_client_answer_error(session, MR_ERR_RATE_LIMITED, NULL, wait);
+    mr_client_refuse(session, line->u.query.id, MR_ERR_RATE_LIMITED, NULL,
+                     wait);
     return false;
 }
 
@@ -243,7 +264,8 @@
     session->catalog = mr_catalog_ref(relay->catalog);
     session->route = mr_catalog_route(session->catalog, session->database);
     if (session->route == NULL) {
-        mr_client_answer_error(session, MR_ERR_UNKNOWN_ROUTE, NULL, -1);
+        mr_client_refuse(session, line->u.query.id, MR_ERR_UNKNOWN_ROUTE, NULL,
+                         -1);
         return false;
     }
     if (!admit(session, line)) {
@@ -256,7 +278,7 @@
 /* Checks the caller for each statement, so that a withdrawn key stops on open
  * sessions. */
 static bool
-check_caller(mr_client_t *session)
+check_caller(mr_client_t *session, const mr_line_t *line)
 {
     mr_catalog_t *catalog = session->relay->catalog;
     const char *account =
@@ -271,7 +293,8 @@
         if (session->tx == MR_TX_OPEN) {
             session->tx = MR_TX_FAILED;
         }
-        mr_client_answer_error(session, MR_ERR_UNAUTHENTICATED, NULL, -1);
+        mr_client_refuse(session, line->u.query.id, MR_ERR_UNAUTHENTICATED,
+                         NULL, -1);
         return false;
     }
     free(session->account);
@@ -395,7 +418,7 @@
     mr_command_t statement;
 
     mr_command_parse(line->u.query.statement, &statement);
-    if (!check_caller(session)) {
+    if (!check_caller(session, line)) {
         return;
     }
     if (session->tx == MR_TX_FAILED) {
--- a/lib/session/client.h
+++ b/lib/session/client.h
@@ -6,6 +6,7 @@
 
 #include <event2/bufferevent.h>
 
+#include "common/histogram.h"
 #include "common/list.h"
 #include "session/line.h"
 #include "session/linkpool.h"
@@ -26,6 +27,8 @@
     mr_counter_t *limited;
     mr_counter_t *retries;
     mr_counter_t *answers[MR_ERROR_COUNT];
+    mr_histogram_t latency;  /* of statements that succeeded */
+    mr_histogram_t failures; /* of statements that failed */
 };
 
 /** Value or prepared statement of a session. */
@@ -74,6 +77,7 @@
     bool answered; /* the connection of this attempt is in a known state */
     int setup_due;
     mr_ms_t started;
+    char target[MR_NAME_MAX_BYTES]; /* that was chosen last */
     mr_ms_t sent_at;
     mr_error_kind_t last_error;
     struct event *timer;
@@ -111,6 +115,11 @@
 /** mr_client_answer_error() - @retry_after: negative when not known. */
 void mr_client_answer_error(mr_client_t *session, mr_error_kind_t error,
                             const char *detail, mr_ms_t retry_after);
+/** mr_client_refuse() - the same for request @id that no database had, with a
+ * line in the log. */
+void mr_client_refuse(mr_client_t *session, const char *id,
+                      mr_error_kind_t error, const char *detail,
+                      mr_ms_t retry_after);
 void mr_client_answer(mr_client_t *session, struct evbuffer *body);
 mr_setting_t *mr_client_setting(mr_client_t *session, const char *name,
                                 bool prepared);
--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -418,6 +418,9 @@
     if (strcmp(db->data_centre, cluster->clusters->data_centre) != 0) {
         cost += 5;
     }
+    if (db == mr_cluster_leader(db->cluster)) {
+        cost += 15; /* some statements can only run there */
+    }
     if (db == want->not_this) {
         cost += 1000;
     }
--- a/lib/session/fleet.c
+++ b/lib/session/fleet.c
@@ -284,6 +284,9 @@
     if (coordinating && !fleet->coordinating) {
         fleet->coordinating_since = now;
     }
+    if (!coordinating && fleet->coordinating) {
+        mr_sampler_stop(fleet->options.sampler);
+    }
     fleet->coordinator = coordinator;
     fleet->coordinating = coordinating;
     mr_counter_set(fleet->is_coordinator, coordinating);
@@ -649,6 +652,7 @@
     (void)what;
     set_timer(fleet->check_timer, CHECK_PERIOD_MS);
     if (fleet->coordinating && !fleet->leaving) {
+        mr_sampler_run(fleet->options.sampler, now);
         mr_promoter_check(fleet->options.promoter, now,
                           mr_budgets_reporting(fleet->budgets, now),
                           mr_fleet_instances(fleet));
--- a/lib/session/fleet.h
+++ b/lib/session/fleet.h
@@ -15,6 +15,7 @@
 #include "session/feed.h"
 #include "session/promoter.h"
 #include "session/quota.h"
+#include "session/sampler.h"
 #include "session/store.h"
 #include "session/view.h"
 
@@ -32,6 +33,7 @@
     mr_clusters_t *clusters;
     mr_quota_t *quota;
     mr_promoter_t *promoter;
+    mr_sampler_t *sampler;
     /* Tokens were drawn, or refused, for all wants up to @asked_at. */
     void (*drawn)(void *ctx, mr_ms_t asked_at);
     void *ctx;
--- a/lib/session/relay.c
+++ b/lib/session/relay.c
@@ -39,6 +39,12 @@
     relay->retries =
         mr_counters_get(counters, "masticrelay_statement_retries_total", "",
                         "further attempts of statements at databases");
+    relay->latency = mr_histogram_create(
+        counters, "masticrelay_statement_ms", "outcome=\"ok\"",
+        "time of statements, from their arrival to the answer");
+    relay->failures = mr_histogram_create(
+        counters, "masticrelay_statement_ms", "outcome=\"error\"",
+        "time of statements, from their arrival to the answer");
     for (int i = 0; i < MR_ERROR_COUNT; i++) {
         char *labels = mr_asprintf("kind=\"%s\"", mr_error_name(i));
         relay->answers[i] =
--- a/lib/session/run.c
+++ b/lib/session/run.c
@@ -3,6 +3,7 @@
 
 #include <assert.h>
 #include <sodium.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -193,6 +194,47 @@
     mr_client_next(session);
 }
 
+static const char *const mode_names[] = {
+    [MR_RUN_WRITE] = "write",          [MR_RUN_PRESENT] = "present_read",
+    [MR_RUN_AGED] = "aged_read",       [MR_RUN_FIRST] = "transaction_begin",
+    [MR_RUN_CONTINUE] = "transaction",
+};
+
+/* Age of the newest position of the primary that is known; -1: none is. */
+static mr_ms_t
+sample_age(const mr_client_t *session, mr_ms_t now)
+{
+    const mr_cluster_t *cluster = mr_clusters_find(
+        session->relay->options.clusters, session->route->service);
+    const mr_sample_t *sample =
+        cluster != NULL ? mr_cluster_newest(cluster) : NULL;
+
+    return sample != NULL ? now - sample->at : -1;
+}
+
+/* One line with what decided about the statement. */
+static void
+log_end(mr_client_t *session, mr_error_kind_t error, mr_ms_t retry_after)
+{
+    const mr_run_t *run = &session->run;
+    mr_ms_t now = mr_clock_now(NULL);
+    mr_ms_t took = now - run->started;
+
+    mr_histogram_add(error == MR_OK ? &session->relay->latency
+                                    : &session->relay->failures,
+                     took);
+    mr_log_request(
+        error == MR_OK ? MR_LOG_SUCCEEDED : MR_LOG_FAILED, "request_ended",
+        "id=%s account=%s database=%s mode=%s target=%s after=%lld.%lld "
+        "sample_age_ms=%lld config=%lld tries=%d offered=%d error=%s "
+        "retry_after_ms=%lld took_ms=%lld",
+        run->line.u.query.id, session->account, session->database,
+        mode_names[run->mode], run->target, (long long)run->after.term,
+        (long long)run->after.number, (long long)sample_age(session, now),
+        (long long)session->catalog->version, run->tries, run->offered,
+        mr_error_name(error), (long long)retry_after, (long long)took);
+}
+
 static void
 fail(mr_client_t *session, mr_error_kind_t error, const char *detail,
      mr_ms_t retry_after)
@@ -204,11 +246,7 @@
                           ? MR_TX_IDLE
                           : MR_TX_FAILED;
     }
-    mr_log(MR_LOG_DEBUG, "statement_failed",
-           "id=%s error=%s tries=%d waited_ms=%lld",
-           session->run.line.u.query.id, mr_error_name(error),
-           session->run.tries,
-           (long long)(mr_clock_now(NULL) - session->run.started));
+    log_end(session, error, retry_after);
     mr_client_answer_error(session, error, detail, retry_after);
     finish(session);
 }
@@ -259,6 +297,11 @@
         run->failed_db = mr_link_db(run->link);
     }
     put_link_away(session);
+    mr_log_request(MR_LOG_FAILED, "attempt_failed",
+                   "id=%s target=%s stage=%d error=%s tries=%d waited_ms=%lld",
+                   run->line.u.query.id, run->target, run->stage,
+                   mr_error_name(error), run->tries,
+                   (long long)(mr_clock_now(NULL) - run->started));
     run->last_error = error;
     run->tries++;
     mr_counter_add(session->relay->retries, 1);
@@ -336,6 +379,7 @@
         }
         break;
     }
+    log_end(session, MR_OK, -1);
     mr_client_answer(session, reply->body);
     finish(session);
 }
@@ -587,11 +631,26 @@
     try_again(session, MR_ERR_OVERLOADED, retry_pause(run));
 }
 
+/* How long a statement waits for a connection: a read may be better off at
+ * another database, everything else has only the primary. */
+static mr_ms_t
+open_limit(const mr_client_t *session)
+{
+    const mr_run_t *run = &session->run;
+    mr_ms_t left = run->started
+                   + statement_timeout(session) * RETRY_PERCENT / 100
+                   - mr_clock_now(NULL);
+    bool elsewhere = run->mode == MR_RUN_AGED || run->begin_aged;
+
+    return elsewhere && left > OPEN_TIMEOUT_MS ? OPEN_TIMEOUT_MS : left;
+}
+
 static void
 connect_to(mr_client_t *session, mr_db_t *db)
 {
     mr_run_t *run = &session->run;
 
+    snprintf(run->target, sizeof(run->target), "%s", db->id);
     run->link = mr_linkpool_take(db, session->account, session->serial);
     if (run->link != NULL) {
         count_running(run, 1);
@@ -599,7 +658,7 @@
         return;
     }
     run->waits_at = db;
-    set_stage(session, MR_RUN_OPENING, OPEN_TIMEOUT_MS);
+    set_stage(session, MR_RUN_OPENING, open_limit(session));
     run->wait = mr_linkpool_wait(session->relay->options.base, db,
                                  session->account, on_link, session);
 }
@@ -731,7 +790,8 @@
         mr_linkpool_cancel(run->wait);
         run->wait = NULL;
         run->failed_db = run->waits_at;
-        try_again(session, MR_ERR_OVERLOADED, 0);
+        /* Past the time for attempts, the pause ends them. */
+        try_again(session, MR_ERR_OVERLOADED, RETRY_FIRST_MS);
         break;
     case MR_RUN_PREPARING:
     case MR_RUN_BEGINNING:
@@ -786,6 +846,14 @@
     if (session->run.stage == MR_RUN_ADMISSION) {
         mr_quota_waiting(session->relay->options.quota, session->account, -1);
     }
+    mr_log_request(MR_LOG_FAILED, "request_abandoned",
+                   "id=%s account=%s mode=%s target=%s stage=%d tries=%d "
+                   "offered=%d waited_ms=%lld",
+                   session->run.line.u.query.id, session->account,
+                   mode_names[session->run.mode], session->run.target,
+                   session->run.stage, session->run.tries,
+                   session->run.offered,
+                   (long long)(mr_clock_now(NULL) - session->run.started));
     drop_link(session);
     clear(&session->run);
 }
--- /dev/null
+++ b/lib/session/sampler.c
@@ -0,0 +1,205 @@
+#include "session/sampler.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/mem.h"
+#include "session/link.h"
+
+enum {
+    /* With a period of reports, well within the ages that reads accept. */
+    DUE_MS = 250,
+    ANSWER_TIMEOUT_MS = 600,
+    RETRY_MS = 300, /* after a failure */
+};
+
+/* Account that the connections are opened for. */
+static const char own_account[] = "-";
+
+/** Connection to the primary of one service. */
+typedef struct probe {
+    mr_list_t link;
+    mr_sampler_t *sampler;
+    char *service;
+    char *id; /* of the primary that it is connected to */
+    mr_link_t *db_link;
+    bool ready;
+    bool waiting; /* for an answer */
+    mr_ms_t asked_at;
+    mr_ms_t retry_at;
+} probe_t;
+
+struct mr_sampler {
+    struct event_base *base;
+    mr_clusters_t *clusters;
+    mr_list_t probes;
+};
+
+mr_sampler_t *
+mr_sampler_create(struct event_base *base, mr_clusters_t *clusters)
+{
+    mr_sampler_t *sampler = MR_NEW(mr_sampler_t);
+
+    sampler->base = base;
+    sampler->clusters = clusters;
+    mr_list_init(&sampler->probes);
+    return sampler;
+}
+
+static void
+disconnect(probe_t *probe)
+{
+    if (probe->db_link != NULL) {
+        mr_link_close(probe->db_link);
+    }
+    probe->db_link = NULL;
+    probe->ready = false;
+    probe->waiting = false;
+    free(probe->id);
+    probe->id = NULL;
+}
+
+void
+mr_sampler_stop(mr_sampler_t *sampler)
+{
+    MR_LIST_FOREACH(it, &sampler->probes)
+    {
+        disconnect(MR_LIST_ENTRY(it, probe_t, link));
+    }
+}
+
+void
+mr_sampler_destroy(mr_sampler_t *sampler)
+{
+    if (sampler == NULL) {
+        return;
+    }
+    mr_sampler_stop(sampler);
+    MR_LIST_FOREACH(it, &sampler->probes)
+    {
+        probe_t *probe = MR_LIST_ENTRY(it, probe_t, link);
+        mr_list_remove(it);
+        free(probe->service);
+        free(probe);
+    }
+    free(sampler);
+}
+
+static probe_t *
+get_probe(mr_sampler_t *sampler, const char *service)
+{
+    MR_LIST_FOREACH(it, &sampler->probes)
+    {
+        probe_t *probe = MR_LIST_ENTRY(it, probe_t, link);
+        if (strcmp(probe->service, service) == 0) {
+            return probe;
+        }
+    }
+    probe_t *probe = MR_NEW(probe_t);
+    probe->sampler = sampler;
+    probe->service = mr_strdup(service);
+    mr_list_append(&sampler->probes, &probe->link);
+    return probe;
+}
+
+static void
+give_up(probe_t *probe, mr_ms_t now)
+{
+    disconnect(probe);
+    probe->retry_at = now + RETRY_MS;
+}
+
+static void
+on_begun(void *ctx, mr_link_t *link, const mr_reply_t *reply)
+{
+    probe_t *probe = ctx;
+    mr_db_t *db = mr_link_db(link);
+    mr_ms_t now = mr_clock_now(NULL);
+
+    probe->waiting = false;
+    if (reply->lost) {
+        probe->db_link = NULL;
+        mr_db_failed(db, now);
+        give_up(probe, now);
+        return;
+    }
+    if (reply->error != MR_OK) {
+        if (reply->error == MR_ERR_NO_PRIMARY) {
+            mr_db_refused_as_replica(db, now);
+        }
+        give_up(probe, now);
+        return;
+    }
+    mr_db_answered(db, now, db->latency);
+    mr_db_is_primary(db);
+    mr_cluster_sample(db->cluster, reply->position, reply->sent_at);
+    mr_link_query(link, mr_own_statement_id, NULL,
+                  mr_own_statement_text(MR_OWN_ROLLBACK), NULL, NULL);
+}
+
+static void
+on_open(void *ctx, mr_link_t *link, const mr_reply_t *reply)
+{
+    probe_t *probe = ctx;
+    mr_ms_t now = mr_clock_now(NULL);
+
+    (void)link;
+    probe->waiting = false;
+    if (reply->lost) {
+        probe->db_link = NULL;
+    }
+    if (reply->lost || reply->error != MR_OK) {
+        give_up(probe, now);
+        return;
+    }
+    probe->ready = true;
+}
+
+static void
+run_probe(probe_t *probe, mr_cluster_t *cluster, mr_ms_t now)
+{
+    const mr_sample_t *sample = mr_cluster_newest(cluster);
+    mr_db_t *primary = mr_cluster_primary(cluster, now);
+
+    if (probe->waiting) {
+        if (now - probe->asked_at >= ANSWER_TIMEOUT_MS) {
+            mr_db_failed(mr_link_db(probe->db_link), now);
+            give_up(probe, now);
+        }
+        return;
+    }
+    if (primary == NULL || now < probe->retry_at) {
+        return;
+    }
+    if (probe->id != NULL && strcmp(probe->id, primary->id) != 0) {
+        disconnect(probe);
+    }
+    if (probe->db_link == NULL) {
+        probe->db_link = mr_link_open(probe->sampler->base, primary,
+                                      own_account, on_open, probe);
+        if (probe->db_link == NULL) {
+            probe->retry_at = now + RETRY_MS;
+            return;
+        }
+        probe->id = mr_strdup(primary->id);
+    }
+    else if (probe->ready && (sample == NULL || now - sample->at >= DUE_MS)) {
+        mr_link_query(probe->db_link, mr_own_statement_id, NULL,
+                      mr_own_statement_text(MR_OWN_BEGIN), on_begun, probe);
+    }
+    else {
+        return;
+    }
+    probe->waiting = true;
+    probe->asked_at = now;
+}
+
+void
+mr_sampler_run(mr_sampler_t *sampler, mr_ms_t now)
+{
+    MR_LIST_FOREACH(it, &sampler->clusters->list)
+    {
+        mr_cluster_t *cluster = MR_LIST_ENTRY(it, mr_cluster_t, link);
+        run_probe(get_probe(sampler, cluster->service), cluster, now);
+    }
+}
--- a/lib/session/sessiond.c
+++ b/lib/session/sessiond.c
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #include "common/counters.h"
 #include "common/mem.h"
@@ -34,6 +35,7 @@
     mr_view_t *view;
     mr_feed_t *feed;
     mr_promoter_t *promoter;
+    mr_sampler_t *sampler;
     mr_fleet_t *fleet;
     mr_relay_t *relay;
     mr_ready_t *ready;
@@ -190,6 +192,7 @@
         .promoted = on_primary_promoted,
         .ctx = daemon,
     });
+    daemon->sampler = mr_sampler_create(daemon->base, daemon->clusters);
     daemon->fleet = mr_fleet_create(&(mr_fleet_options_t){
         .base = daemon->base,
         .counters = daemon->counters,
@@ -202,6 +205,7 @@
         .clusters = daemon->clusters,
         .quota = daemon->quota,
         .promoter = daemon->promoter,
+        .sampler = daemon->sampler,
         .drawn = on_drawn,
         .ctx = daemon,
     });
@@ -252,6 +256,9 @@
     daemon->grace = settings->grace;
     daemon->base = event_base_new();
     daemon->counters = mr_counters_create();
+    mr_log_open(&(mr_log_options_t){.base = daemon->base,
+                                    .counters = daemon->counters,
+                                    .fd = STDOUT_FILENO});
     daemon->drain_timer = evtimer_new(daemon->base, on_drain, daemon);
     add_signals(daemon);
     if (!create_modules(daemon, settings)) {
@@ -276,6 +283,7 @@
     mr_store_destroy(daemon->store);
     mr_fleet_destroy(daemon->fleet);
     mr_promoter_destroy(daemon->promoter);
+    mr_sampler_destroy(daemon->sampler);
     mr_feed_destroy(daemon->feed);
     mr_view_destroy(daemon->view);
     mr_quota_destroy(daemon->quota);
@@ -284,6 +292,7 @@
         event_free(daemon->signals[i]);
     }
     event_free(daemon->drain_timer);
+    mr_log_close();
     mr_counters_destroy(daemon->counters);
     event_base_free(daemon->base);
     free(daemon);
