--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 INTEGRATION := $(patsubst tests/integration/%.c,%,$(wildcard tests/integration/test_*.c))
 RUNNER_SRC := tests/common/runner.c
 HARNESS_SRC := $(wildcard tests/integration/harness*.c tests/integration/trace.c) $(RUNNER_SRC)
+WORLD_SRC := $(wildcard tests/integration/world*.c tests/integration/session_*.c)
 # These start fleets and are linked with the test harness.
 CAPACITY_FLEET := bench_capacity_fleet bench_capacity_connections bench_capacity_members
 CAPACITY := bench_capacity_modules bench_capacity_structures $(CAPACITY_FLEET)
@@ -95,6 +96,10 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(PKG_LIBS) -o $@
 
+# These tests surround the session daemon with a stand-in of their own.
+$(addprefix $(BUILD)/integration/,test_sessions test_session_soak): \
+    $(WORLD_SRC:%.c=$(BUILD)/%.o)
+
 $(BENCH:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/bench/%.o \
     $$(addprefix $(BUILD)/,$$(subst .c,.o,$$(wildcard bench/common_*.c))) $(LIB)
 	@echo "LD $@"
--- a/lib/common/log.c
+++ b/lib/common/log.c
@@ -1,5 +1,6 @@
 #include "common/log.h"
 
+#include <errno.h>
 #include <event2/util.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -46,6 +47,7 @@
     int written[MR_LOG_CLASSES];
     mr_counter_t *left_out[MR_LOG_CLASSES];
     mr_counter_t *lines;
+    mr_counter_t *unwritten;
 } stream;
 
 void
@@ -63,6 +65,12 @@
 
     while (done < stream.used) {
         ssize_t n = write(stream.fd, stream.buffer + done, stream.used - done);
+        if (n < 0 && errno != EAGAIN && errno != EINTR) {
+            /* Nobody will read what is buffered. */
+            mr_counter_add(stream.unwritten, (int64_t)(stream.used - done));
+            done = stream.used;
+            break;
+        }
         if (n <= 0) {
             break;
         }
@@ -101,6 +109,9 @@
     stream.lines =
         mr_counters_get(options->counters, "masticrelay_log_lines_total", "",
                         "log lines written");
+    stream.unwritten = mr_counters_get(
+        options->counters, "masticrelay_log_unwritten_bytes_total", "",
+        "bytes of the log that could not be written");
     stream.open = true;
 }
 
--- a/lib/session/client.c
+++ b/lib/session/client.c
@@ -340,6 +340,7 @@
     session->tx = MR_TX_OPEN;
     session->tx_read_only = statement->read_only;
     session->tx_wrote = false;
+    session->tx_lost = false;
     mr_client_answer(session, NULL);
 }
 
@@ -348,6 +349,7 @@
 {
     mr_run_end_transaction(session);
     session->tx = MR_TX_IDLE;
+    session->tx_lost = false;
     mr_client_answer(session, NULL);
 }
 
--- a/lib/session/client.h
+++ b/lib/session/client.h
@@ -102,6 +102,7 @@
     bool admitting;     /* the message at hand has waited for a token */
     bool closing;       /* once the output is written */
     mr_link_t *tx_link; /* NULL until the first statement runs */
+    bool tx_lost;       /* its connection ended; nothing of it is kept */
     mr_run_t run;
 };
 
--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -16,6 +16,8 @@
      * time even if its registration has not changed. */
     REFUSED_MEMORY_MS = 300,
     MISSING_MAX_MS = 2000, /* the platform's word on lapsed registrations */
+    /* A replica that lacked a position is asked for a later one again. */
+    LACKED_MEMORY_MS = 150,
     LINKS_DEFAULT = 1,
     /* Samples of the primary's position are at least this far apart; a full
      * ring spans the longest age that reads accept. */
@@ -409,8 +411,9 @@
 
     cost += 100 * db->running / db->slots;
     cost += db->latency;
-    if (mr_position_compare(db->position, want->position) < 0) {
-        cost += 20; /* it may have to be asked again elsewhere */
+    if (want->now - db->lacked_at < LACKED_MEMORY_MS
+        && mr_position_compare(want->position, db->lacked) >= 0) {
+        cost += 80; /* it is still behind */
     }
     if (!mr_linkpool_has(db, want->account)) {
         cost += 40; /* a new connection takes time of a slot */
@@ -475,6 +478,13 @@
     db->latency += (took - db->latency) / LATENCY_WEIGHT;
 }
 
+void
+mr_db_lacks(mr_db_t *db, mr_position_t position, mr_ms_t now)
+{
+    db->lacked = position;
+    db->lacked_at = now;
+}
+
 void
 mr_db_refused_as_replica(mr_db_t *db, mr_ms_t now)
 {
--- a/lib/session/cluster.h
+++ b/lib/session/cluster.h
@@ -40,8 +40,9 @@
     int failures;            /* in a row */
     mr_ms_t failing_since;
     mr_ms_t answered_at;
-    mr_position_t position; /* that its log holds at least */
-    mr_list_t idle;         /* connections that are kept */
+    mr_position_t lacked; /* position that it last said to lack ... */
+    mr_ms_t lacked_at;    /* ... at this time */
+    mr_list_t idle;       /* connections that are kept */
     int idle_count;
     mr_list_t waits;    /* statements that wait for a connection */
     int opening;        /* connections being opened */
@@ -148,6 +149,8 @@
 
 void mr_db_failed(mr_db_t *db, mr_ms_t now);
 void mr_db_answered(mr_db_t *db, mr_ms_t now, mr_ms_t took);
+/** mr_db_lacks() - @db said that its log does not hold @position. */
+void mr_db_lacks(mr_db_t *db, mr_position_t position, mr_ms_t now);
 void mr_db_refused_as_replica(mr_db_t *db, mr_ms_t now);
 /** mr_db_is_primary() - @db proved to be the primary. */
 void mr_db_is_primary(mr_db_t *db);
--- a/lib/session/link.c
+++ b/lib/session/link.c
@@ -39,6 +39,8 @@
     struct bufferevent *stream;
     mr_list_t queries;
     mr_link_state_t state;
+    void (*lost_fn)(void *ctx);
+    void *lost_ctx;
     bool idle;
     bool closing; /* set while callbacks run that may close the link */
     bool in_callback;
@@ -125,6 +127,9 @@
                                       .lost = true,
                                       .detail = "connection lost"});
     }
+    if (link->lost_fn != NULL && !link->closing) {
+        link->lost_fn(link->lost_ctx);
+    }
     link->in_callback = false;
     free_link(link);
 }
@@ -165,10 +170,6 @@
         if (!query->ended) {
             return false;
         }
-        if (mr_position_compare(line->u.ready.position, link->db->position)
-            > 0) {
-            link->db->position = line->u.ready.position;
-        }
         end_query(link, &(mr_reply_t){.state = line->u.ready.state,
                                       .position = line->u.ready.position});
         return true;
@@ -288,6 +289,13 @@
                         statement);
 }
 
+void
+mr_link_on_lost(mr_link_t *link, void (*fn)(void *ctx), void *ctx)
+{
+    link->lost_fn = fn;
+    link->lost_ctx = ctx;
+}
+
 mr_db_t *
 mr_link_db(const mr_link_t *link)
 {
--- a/lib/session/link.h
+++ b/lib/session/link.h
@@ -46,6 +46,10 @@
 /** mr_link_forget() - answers still due are read and dropped. */
 void mr_link_forget(mr_link_t *link);
 
+/** mr_link_on_lost() - call @fn when the connection ends by itself; NULL: no
+ * longer. Statements that are due end first. */
+void mr_link_on_lost(mr_link_t *link, void (*fn)(void *ctx), void *ctx);
+
 mr_db_t *mr_link_db(const mr_link_t *link);
 
 /** Whose session values a connection carries; session 0: none. */
--- a/lib/session/linkpool.c
+++ b/lib/session/linkpool.c
@@ -116,8 +116,11 @@
     (void)fd;
     (void)what;
     db->links++; /* closing may be what @db was kept for */
-    mr_link_close(opening->db_link);
-    fail_opening(opening, MR_ERR_DEADLINE_EXCEEDED);
+    if (opening->db_link != NULL) {
+        mr_link_close(opening->db_link);
+    }
+    fail_opening(opening, opening->db_link != NULL ? MR_ERR_DEADLINE_EXCEEDED
+                                                   : MR_ERR_UNAVAILABLE);
     mr_db_release(db);
 }
 
@@ -149,9 +152,7 @@
     opening->db_link =
         mr_link_open(wait->base, db, wait->account, on_open, opening);
     if (opening->db_link == NULL) {
-        db->open_after = mr_clock_now(NULL) + PAUSE_MS;
-        free_opening(opening);
-        return;
+        timeout = (struct timeval){0, 0};
     }
     evtimer_add(opening->timer, &timeout);
 }
@@ -203,6 +204,7 @@
     mr_db_t *db = mr_link_db(link);
     mr_link_wait_t *wait = first_wait(db, mr_link_account(link));
 
+    mr_link_on_lost(link, NULL, NULL);
     if (wait != NULL && !db->gone) {
         mr_link_forget(link);
         end_wait(wait, link, MR_OK);
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -421,6 +421,15 @@
     check_complete(order);
 }
 
+/* The connection ended while no answer was due. */
+static void
+on_status_lost(void *ctx)
+{
+    answer_t *answer = ctx;
+
+    answer->db_link = NULL;
+}
+
 static void
 on_status_open(void *ctx, mr_link_t *link, const mr_reply_t *reply)
 {
@@ -434,6 +443,7 @@
         check_complete(answer->order);
         return;
     }
+    mr_link_on_lost(link, on_status_lost, answer);
     mr_link_query(link, mr_own_statement_id, NULL,
                   mr_own_statement_text(MR_OWN_STATUS), on_status, answer);
 }
--- a/lib/session/run.c
+++ b/lib/session/run.c
@@ -242,6 +242,7 @@
     put_link_away(session);
     if (session->tx == MR_TX_OPEN) {
         mr_run_end_transaction(session);
+        session->tx_lost = false;
         session->tx = session->run.statement.kind == MR_COMMAND_COMMIT
                           ? MR_TX_IDLE
                           : MR_TX_FAILED;
@@ -332,6 +333,19 @@
     request_refresh(session->relay);
 }
 
+/* The transaction's connection ended between two statements: the database
+ * rolls back. */
+static void
+on_tx_link_lost(void *ctx)
+{
+    mr_client_t *session = ctx;
+
+    if (session->tx_link != NULL && session->run.link != session->tx_link) {
+        session->tx_link = NULL;
+        session->tx_lost = true;
+    }
+}
+
 static void
 note_commit(mr_client_t *session, const mr_reply_t *reply)
 {
@@ -375,6 +389,7 @@
         else {
             count_running(run, -1);
             session->tx_link = run->link;
+            mr_link_on_lost(run->link, on_tx_link_lost, session);
             run->link = NULL;
         }
         break;
@@ -422,6 +437,9 @@
         mr_db_refused_as_replica(db, mr_clock_now(NULL));
         request_refresh(session->relay);
     }
+    if (reply->error == MR_ERR_NOT_FRESH) {
+        mr_db_lacks(db, run->after, mr_clock_now(NULL));
+    }
     if (run->mode == MR_RUN_CONTINUE) {
         /* Only a statement that found no free slot can be sent again in its
          * transaction. */
@@ -726,6 +744,11 @@
     mr_db_t *db = NULL;
 
     run->answered = false;
+    if (session->tx_lost) {
+        fail(session, MR_ERR_TRANSACTION_LOST,
+             "connection to the database lost", 0);
+        return;
+    }
     if (session->tx == MR_TX_OPEN && session->tx_link != NULL) {
         run->mode = MR_RUN_CONTINUE;
         run->link = session->tx_link;
--- a/lib/session/sampler.c
+++ b/lib/session/sampler.c
@@ -109,6 +109,15 @@
     probe->retry_at = now + RETRY_MS;
 }
 
+static void
+on_lost(void *ctx)
+{
+    probe_t *probe = ctx;
+
+    probe->db_link = NULL;
+    give_up(probe, mr_clock_now(NULL));
+}
+
 static void
 on_begun(void *ctx, mr_link_t *link, const mr_reply_t *reply)
 {
@@ -118,10 +127,8 @@
 
     probe->waiting = false;
     if (reply->lost) {
-        probe->db_link = NULL;
         mr_db_failed(db, now);
-        give_up(probe, now);
-        return;
+        return; /* on_lost() follows */
     }
     if (reply->error != MR_OK) {
         if (reply->error == MR_ERR_NO_PRIMARY) {
@@ -143,16 +150,17 @@
     probe_t *probe = ctx;
     mr_ms_t now = mr_clock_now(NULL);
 
-    (void)link;
     probe->waiting = false;
     if (reply->lost) {
         probe->db_link = NULL;
+        mr_db_failed(mr_link_db(link), now);
     }
     if (reply->lost || reply->error != MR_OK) {
         give_up(probe, now);
         return;
     }
     probe->ready = true;
+    mr_link_on_lost(link, on_lost, probe);
 }
 
 static void
--- /dev/null
+++ b/tests/integration/world_db.c
@@ -0,0 +1,488 @@
+/* Databases of the stand-in: sessions, transactions, a log that replicas
+ * apply late. */
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/mem.h"
+#include "harness.h"
+#include "world_internal.h"
+
+enum { PENDING_MAX = 16, NAMES_MAX = 16 };
+
+typedef struct conn {
+    mr_list_t link;
+    world_db_t *db;
+    struct bufferevent *stream;
+    bool open;
+    char account[WORLD_TEXT_BYTES];
+    char state; /* I, T or E */
+    bool plain; /* the open transaction may write */
+    char values[WORLD_TEXT_BYTES];
+    char names[NAMES_MAX][WORLD_TEXT_BYTES]; /* prepared: "name READ|WRITE" */
+    int name_count;
+    size_t pending[PENDING_MAX]; /* runs of the open transaction's writes */
+    int pending_count;
+} conn_t;
+
+void
+world_complain(world_t *world, const char *fmt, ...)
+{
+    va_list args;
+
+    if (world->problem[0] == '\0') {
+        va_start(args, fmt);
+        vsnprintf(world->problem, sizeof(world->problem), fmt, args);
+        va_end(args);
+    }
+}
+
+static void
+free_conn(conn_t *conn)
+{
+    mr_list_remove(&conn->link);
+    bufferevent_free(conn->stream);
+    free(conn);
+}
+
+static bool
+leads(const world_db_t *db)
+{
+    return db->world->primary == db->index;
+}
+
+/* Entries that @db has received. */
+static int64_t
+received(const world_db_t *db)
+{
+    int64_t count = db->world->log_count;
+
+    if (mr_clock_now(NULL) < db->empty_until) {
+        return 0;
+    }
+    return db->deaf_at >= 0 && db->deaf_at < count ? db->deaf_at : count;
+}
+
+/* Entries that @db has applied. */
+static int64_t
+applied(const world_db_t *db)
+{
+    mr_ms_t now = mr_clock_now(NULL);
+    int64_t count = received(db);
+
+    while (!leads(db) && count > 0
+           && db->world->log[count - 1].at + db->lag > now) {
+        count--;
+    }
+    return count;
+}
+
+static int64_t
+term_at(const world_t *world, int64_t number)
+{
+    return number > 0 ? world->log[number - 1].term : 1;
+}
+
+static void
+say(conn_t *conn, const char *fmt, ...)
+{
+    va_list args;
+
+    va_start(args, fmt);
+    evbuffer_add_vprintf(bufferevent_get_output(conn->stream), fmt, args);
+    va_end(args);
+}
+
+static void
+say_ready(conn_t *conn)
+{
+    const world_db_t *db = conn->db;
+    int64_t count = applied(db);
+
+    say(conn, "READY %c %lld.%lld\r\n", conn->state,
+        (long long)term_at(db->world, count), (long long)count);
+}
+
+static void
+refuse(conn_t *conn, const char *code)
+{
+    if (conn->state == 'T') {
+        conn->state = 'E';
+    }
+    say(conn, "ERROR %s %s\r\n", code, conn->db->id);
+    say_ready(conn);
+}
+
+static void
+append(world_t *world, world_run_t *run)
+{
+    ck_assert_int_lt(world->log_count, LOG_MAX);
+    world_entry_t *entry = &world->log[world->log_count++];
+
+    entry->term = world->term;
+    entry->at = mr_clock_now(NULL);
+    snprintf(entry->id, sizeof(entry->id), "%s", run->id);
+    run->committed = true;
+    run->number = world->log_count;
+    run->term = world->term;
+}
+
+static size_t
+record(conn_t *conn, const char *id, const char *text)
+{
+    world_t *world = conn->db->world;
+    size_t index =
+        world->run_count < RUNS_MAX ? world->run_count++ : RUNS_MAX - 1;
+    world_run_t *run = &world->runs[index];
+    int64_t count = applied(conn->db);
+
+    memset(run, 0, sizeof(*run));
+    snprintf(run->id, sizeof(run->id), "%s", id);
+    snprintf(run->text, sizeof(run->text), "%s", text);
+    snprintf(run->account, sizeof(run->account), "%s", conn->account);
+    snprintf(run->values, sizeof(run->values), "%s", conn->values);
+    run->db = conn->db->index;
+    run->term = term_at(world, count);
+    run->number = count;
+    run->at = mr_clock_now(NULL);
+    return index;
+}
+
+/* Whether the answer of this statement gets lost. */
+static bool
+loses_answer(world_t *world)
+{
+    world->statements++;
+    return world->lose_nth > 0 && world->statements % world->lose_nth == 0;
+}
+
+/* Returns false when the connection ended. */
+static bool
+answer_run(conn_t *conn, const world_run_t *run)
+{
+    if (loses_answer(conn->db->world)) {
+        free_conn(conn);
+        return false;
+    }
+    if (strncmp(run->text, "COMMIT", 6) != 0) {
+        say(conn, "ROW row-of-%s\r\n", run->id);
+    }
+    say(conn, "COMPLETE digest-of-%s\r\n", run->id);
+    say_ready(conn);
+    return true;
+}
+
+static bool
+do_write(conn_t *conn, const char *id, const char *text)
+{
+    world_t *world = conn->db->world;
+
+    if (!leads(conn->db) || (conn->state == 'T' && !conn->plain)) {
+        refuse(conn, "READONLY");
+        return true;
+    }
+    size_t index = record(conn, id, text);
+    if (conn->state == 'T') {
+        conn->pending[conn->pending_count++ % PENDING_MAX] = index;
+    }
+    else {
+        append(world, &world->runs[index]);
+    }
+    return answer_run(conn, &world->runs[index]);
+}
+
+static bool
+do_read(conn_t *conn, const char *id, const char *text)
+{
+    if (conn->state == 'T' && conn->plain && !leads(conn->db)) {
+        refuse(conn, "READONLY");
+        return true;
+    }
+    size_t index = record(conn, id, text);
+    return answer_run(conn, &conn->db->world->runs[index]);
+}
+
+static bool
+do_commit(conn_t *conn, const char *id)
+{
+    world_t *world = conn->db->world;
+
+    if (conn->state != 'T') {
+        world_complain(world, "COMMIT %s in state %c", id, conn->state);
+        refuse(conn, "MALFORMED");
+        return true;
+    }
+    if (conn->pending_count > 0 && !leads(conn->db)) {
+        refuse(conn, "READONLY");
+        return true;
+    }
+    for (int i = 0; i < conn->pending_count; i++) {
+        append(world, &world->runs[conn->pending[i]]);
+    }
+    conn->pending_count = 0;
+    conn->state = 'I';
+    size_t index = record(conn, id, "COMMIT");
+    return answer_run(conn, &world->runs[index]);
+}
+
+static void
+do_begin(conn_t *conn, bool read_only)
+{
+    if (conn->state != 'I') {
+        world_complain(conn->db->world, "BEGIN in state %c", conn->state);
+        refuse(conn, "MALFORMED");
+        return;
+    }
+    if (!read_only && !leads(conn->db)) {
+        refuse(conn, "READONLY");
+        return;
+    }
+    conn->state = 'T';
+    conn->plain = !read_only;
+    conn->pending_count = 0;
+    say(conn, "COMPLETE -\r\n");
+    say_ready(conn);
+}
+
+static void
+do_own(conn_t *conn, const char *text)
+{
+    world_db_t *db = conn->db;
+
+    if (strcmp(text, "STATUS") == 0) {
+        say(conn, "ROW %s %lld %lld.%lld 0 0 0 1\r\n",
+            leads(db) ? "primary" : "replica", (long long)db->world->term,
+            (long long)db->world->term, (long long)received(db));
+    }
+    else if (strncmp(text, "DEMOTE ", 7) == 0) {
+        if (leads(db)) {
+            db->world->primary = -1;
+        }
+        say(conn, "ROW replica %lld %lld.%lld 0 0 0 1\r\n",
+            (long long)db->world->term, (long long)db->world->term,
+            (long long)received(db));
+    }
+    else if (strcmp(text, "RESET") == 0) {
+        conn->values[0] = '\0';
+        conn->name_count = 0;
+    }
+    else if (strcmp(text, "ROLLBACK") == 0) {
+        conn->state = 'I';
+        conn->pending_count = 0;
+    }
+    else if (strncmp(text, "SET ", 4) == 0) {
+        size_t len = strlen(conn->values);
+        snprintf(conn->values + len, sizeof(conn->values) - len, "%s;",
+                 text + 4);
+    }
+    else if (strncmp(text, "PREPARE ", 8) == 0) {
+        snprintf(conn->names[conn->name_count++ % NAMES_MAX], WORLD_TEXT_BYTES,
+                 "%s", text + 8);
+    }
+    else {
+        world_complain(db->world, "unknown statement of the relay: %s", text);
+    }
+    say(conn, "COMPLETE -\r\n");
+    say_ready(conn);
+}
+
+/* "name READ shape" of a prepared statement; NULL: none. */
+static const char *
+find_prepared(const conn_t *conn, const char *text)
+{
+    size_t len = strcspn(text, " ");
+
+    for (int i = conn->name_count - 1; i >= 0; i--) {
+        const char *name = conn->names[i % NAMES_MAX];
+        if (strncmp(name, text, len) == 0 && name[len] == ' ') {
+            return name + len + 1;
+        }
+    }
+    return NULL;
+}
+
+static bool
+do_execute(conn_t *conn, const char *id, const char *text)
+{
+    const char *shape = find_prepared(conn, text + 8);
+
+    if (shape == NULL) {
+        refuse(conn, "NOSTMT");
+        return true;
+    }
+    return strncmp(shape, "WRITE", 5) == 0 ? do_write(conn, id, text)
+                                           : do_read(conn, id, text);
+}
+
+static bool
+lacks(const world_db_t *db, const char *position)
+{
+    long long term = 0;
+    long long number = 0;
+    int64_t count = applied(db);
+
+    sscanf(position, "%lld.%lld", &term, &number);
+    return number > count
+           || (number > 0 && db->world->log[number - 1].term > term);
+}
+
+/* Returns false when the connection ended. */
+static bool
+handle_query(conn_t *conn, const char *id, const char *text)
+{
+    if (strncmp(text, "AFTER ", 6) == 0) {
+        if (lacks(conn->db, text + 6)) {
+            refuse(conn, "LAGGING");
+            return true;
+        }
+        text += 6;
+        text += strcspn(text, " ") + 1;
+    }
+    if (strcmp(text, "BEGIN") == 0 || strcmp(text, "BEGIN READ") == 0) {
+        do_begin(conn, text[5] != '\0');
+        return true;
+    }
+    if (strcmp(id, "-") == 0) {
+        do_own(conn, text);
+        return true;
+    }
+    if (strncmp(text, "READ ", 5) == 0) {
+        return do_read(conn, id, text);
+    }
+    if (strncmp(text, "WRITE ", 6) == 0) {
+        return do_write(conn, id, text);
+    }
+    if (strncmp(text, "EXECUTE ", 8) == 0) {
+        return do_execute(conn, id, text);
+    }
+    if (strcmp(text, "COMMIT") == 0) {
+        return do_commit(conn, id);
+    }
+    world_complain(conn->db->world, "unknown statement of a client: %s", text);
+    refuse(conn, "MALFORMED");
+    return true;
+}
+
+static void
+handle_open(conn_t *conn, const char *fields)
+{
+    char service[WORLD_TEXT_BYTES] = "";
+    char id[WORLD_TEXT_BYTES] = "";
+
+    sscanf(fields, "%63s %63s %63s", service, conn->account, id);
+    if (strcmp(service, "rez") != 0 || strcmp(id, conn->db->id) != 0) {
+        say(conn, "ERROR MISROUTED %s\r\n", conn->db->id);
+        return;
+    }
+    conn->open = true;
+    conn->state = 'I';
+    say_ready(conn);
+}
+
+static void
+on_read(struct bufferevent *stream, void *ctx)
+{
+    conn_t *conn = ctx;
+    struct evbuffer *in = bufferevent_get_input(stream);
+    char *line;
+    bool alive = true;
+
+    if (conn->db->silent) {
+        evbuffer_drain(in, evbuffer_get_length(in));
+        return;
+    }
+    while (alive
+           && (line = evbuffer_readln(in, NULL, EVBUFFER_EOL_CRLF_STRICT))
+                  != NULL) {
+        char *id = line + 6;
+        char *text = strchr(id, ' ');
+        if (!conn->open) {
+            handle_open(conn, line + 5);
+        }
+        else if (strncmp(line, "QUERY ", 6) == 0 && text != NULL) {
+            *text++ = '\0';
+            alive = handle_query(conn, id, text);
+        }
+        else {
+            world_complain(conn->db->world, "bad message: %s", line);
+        }
+        free(line);
+    }
+}
+
+static void
+on_event(struct bufferevent *stream, short what, void *ctx)
+{
+    (void)stream;
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+        free_conn(ctx);
+    }
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *addr, int len, void *ctx)
+{
+    world_db_t *db = ctx;
+    conn_t *conn = MR_NEW(conn_t);
+
+    (void)listener;
+    (void)addr;
+    (void)len;
+    conn->db = db;
+    conn->stream =
+        bufferevent_socket_new(db->world->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(conn->stream, on_read, NULL, on_event, conn);
+    bufferevent_enable(conn->stream, EV_READ | EV_WRITE);
+    mr_list_append(&db->conns, &conn->link);
+}
+
+void
+world_db_open(world_db_t *db)
+{
+    struct sockaddr_in addr = {.sin_family = AF_INET,
+                               .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+                               .sin_port = htons((uint16_t)db->port)};
+
+    db->listener =
+        evconnlistener_new_bind(db->world->base, on_accept, db,
+                                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 128,
+                                (struct sockaddr *)&addr, sizeof(addr));
+    ck_assert_ptr_nonnull(db->listener);
+    db->running = true;
+}
+
+void
+world_db_close(world_db_t *db)
+{
+    if (!db->running) {
+        return;
+    }
+    evconnlistener_free(db->listener);
+    while (!mr_list_empty(&db->conns)) {
+        free_conn(MR_LIST_ENTRY(db->conns.next, conn_t, link));
+    }
+    db->running = false;
+}
+
+void
+world_promote(world_t *world, int index)
+{
+    world_db_t *leader = &world->dbs[index];
+
+    if (!leader->running || world->primary == index) {
+        return;
+    }
+    world->primary = index;
+    world->term++;
+    world->promotions++;
+    /* The others drop what it has not received. */
+    world->log_count = received(leader);
+    for (int i = 0; i < WORLD_DBS; i++) {
+        world->dbs[i].deaf_at = -1;
+    }
+}
--- /dev/null
+++ b/tests/integration/world_store.c
@@ -0,0 +1,424 @@
+/* Store and promotion calls of the stand-in. */
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/mem.h"
+#include "harness.h"
+#include "world_internal.h"
+
+enum { BEAT_MS = 300 };
+
+/** A feed call that waits for a change. */
+typedef struct feed {
+    mr_list_t link;
+    world_t *world;
+    struct evhttp_request *req;
+    struct event *timer;
+    char table[WORLD_TEXT_BYTES];
+    int64_t after;
+} feed_t;
+
+static char *
+encode(const char *value)
+{
+    size_t len = strlen(value);
+    size_t size =
+        sodium_base64_encoded_len(len, sodium_base64_VARIANT_ORIGINAL);
+    char *text = mr_calloc(1, size);
+
+    return sodium_bin2base64(text, size, (const uint8_t *)value, len,
+                             sodium_base64_VARIANT_ORIGINAL);
+}
+
+static json_t *
+describe(const world_row_t *row)
+{
+    json_t *doc =
+        json_pack("{s:s,s:s,s:s,s:I}", "table", row->table, "part", "", "key",
+                  row->key, "ver", (json_int_t)row->version);
+
+    if (row->deleted) {
+        json_object_set_new(doc, "tombstone", json_true());
+    }
+    else {
+        /* Stored as text that is base64 already. */
+        json_object_set_new(doc, "value", json_string(row->value));
+    }
+    return doc;
+}
+
+static void
+send_json(struct evhttp_request *req, int status, json_t *doc)
+{
+    char *text = json_dumps(doc, JSON_COMPACT);
+    struct evbuffer *body = evbuffer_new();
+
+    evbuffer_add(body, text, strlen(text));
+    evhttp_send_reply(req, status, NULL, body);
+    evbuffer_free(body);
+    free(text);
+    json_decref(doc);
+}
+
+/* Rows of @table that changed after @after; returns their number. */
+static size_t
+collect(world_t *world, const char *table, const char *key, int64_t after,
+        bool deleted, json_t **doc)
+{
+    json_t *rows = json_array();
+
+    for (size_t i = 0; i < world->row_count; i++) {
+        const world_row_t *row = &world->rows[i];
+        if (strcmp(row->table, table) == 0 && row->version > after
+            && (deleted || !row->deleted)
+            && (key == NULL || strcmp(row->key, key) == 0)) {
+            json_array_append_new(rows, describe(row));
+        }
+    }
+    size_t count = json_array_size(rows);
+    *doc = json_pack("{s:o,s:b,s:I}", "rows", rows, "has_more", 0, "ver",
+                     (json_int_t)world->version);
+    return count;
+}
+
+static void
+end_feed(feed_t *feed)
+{
+    json_t *doc;
+
+    collect(feed->world, feed->table, NULL, feed->after, true, &doc);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(feed->req),
+                                  NULL, NULL);
+    send_json(feed->req, 200, doc);
+    mr_list_remove(&feed->link);
+    event_free(feed->timer);
+    free(feed);
+}
+
+/* The caller is gone, and with it the request. */
+static void
+on_feed_closed(struct evhttp_connection *connection, void *ctx)
+{
+    feed_t *feed = ctx;
+
+    (void)connection;
+    mr_list_remove(&feed->link);
+    event_free(feed->timer);
+    free(feed);
+}
+
+static void
+on_feed_timeout(evutil_socket_t fd, short what, void *ctx)
+{
+    (void)fd;
+    (void)what;
+    end_feed(ctx);
+}
+
+static world_row_t *
+find_row(world_t *world, const char *table, const char *key)
+{
+    for (size_t i = 0; i < world->row_count; i++) {
+        world_row_t *row = &world->rows[i];
+        if (strcmp(row->table, table) == 0 && strcmp(row->key, key) == 0) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
+/* Puts a row whose value is base64 text; NULL removes it. */
+static void
+put_encoded(world_t *world, const char *table, const char *key,
+            const char *value)
+{
+    world_row_t *row = find_row(world, table, key);
+
+    if (row == NULL) {
+        ck_assert_uint_lt(world->row_count, ROWS_MAX);
+        row = &world->rows[world->row_count++];
+        snprintf(row->table, sizeof(row->table), "%s", table);
+        snprintf(row->key, sizeof(row->key), "%s", key);
+    }
+    row->version = ++world->version;
+    row->deleted = value == NULL;
+    if (value != NULL) {
+        ck_assert_uint_lt(strlen(value), sizeof(row->value));
+        snprintf(row->value, sizeof(row->value), "%s", value);
+    }
+    MR_LIST_FOREACH(it, &world->waiting)
+    {
+        feed_t *feed = MR_LIST_ENTRY(it, feed_t, link);
+        if (strcmp(feed->table, table) == 0) {
+            end_feed(feed);
+        }
+    }
+}
+
+void
+world_put(world_t *world, const char *table, const char *key,
+          const char *value)
+{
+    char *text = encode(value);
+
+    put_encoded(world, table, key, text);
+    free(text);
+}
+
+void
+world_remove(world_t *world, const char *table, const char *key)
+{
+    put_encoded(world, table, key, NULL);
+}
+
+static void
+on_get(struct evhttp_request *req, void *ctx)
+{
+    world_t *world = ctx;
+    struct evkeyvalq query;
+    json_t *doc;
+
+    evhttp_parse_query_str(
+        evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), &query);
+    collect(world, evhttp_find_header(&query, "table"),
+            evhttp_find_header(&query, "from"), 0, false, &doc);
+    evhttp_clear_headers(&query);
+    send_json(req, 200, doc);
+}
+
+static void
+on_feed(struct evhttp_request *req, void *ctx)
+{
+    world_t *world = ctx;
+    struct evkeyvalq query;
+    json_t *doc;
+
+    evhttp_parse_query_str(
+        evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), &query);
+    const char *table = evhttp_find_header(&query, "table");
+    int64_t after = atoll(evhttp_find_header(&query, "after"));
+    mr_ms_t wait = atoll(evhttp_find_header(&query, "wait_ms"));
+    if (collect(world, table, NULL, after, true, &doc) > 0) {
+        send_json(req, 200, doc);
+    }
+    else {
+        struct timeval tv = mr_clock_timeval(wait);
+        feed_t *feed = MR_NEW(feed_t);
+        json_decref(doc);
+        feed->world = world;
+        feed->req = req;
+        feed->after = after;
+        snprintf(feed->table, sizeof(feed->table), "%s", table);
+        feed->timer = evtimer_new(world->base, on_feed_timeout, feed);
+        evtimer_add(feed->timer, &tv);
+        mr_list_append(&world->waiting, &feed->link);
+        evhttp_connection_set_closecb(evhttp_request_get_connection(req),
+                                      on_feed_closed, feed);
+    }
+    evhttp_clear_headers(&query);
+}
+
+static json_t *
+read_body(struct evhttp_request *req)
+{
+    struct evbuffer *in = evhttp_request_get_input_buffer(req);
+
+    return json_loadb((const char *)evbuffer_pullup(in, -1),
+                      evbuffer_get_length(in), 0, NULL);
+}
+
+static void
+on_tx(struct evhttp_request *req, void *ctx)
+{
+    world_t *world = ctx;
+    json_t *body = read_body(req);
+    json_t *condition =
+        json_array_get(json_object_get(body, "precondition"), 0);
+    json_t *set = json_array_get(json_object_get(body, "set_keys"), 0);
+    const char *table = json_string_value(json_object_get(condition, "table"));
+    const char *key = json_string_value(json_object_get(condition, "key"));
+    world_row_t *row = find_row(world, table, key);
+    int64_t present = row != NULL && !row->deleted ? row->version : 0;
+
+    if (json_integer_value(json_object_get(condition, "ver")) != present) {
+        json_t *rows = json_array();
+        if (present != 0) {
+            json_array_append_new(rows, describe(row));
+        }
+        send_json(req, 412,
+                  json_pack("{s:o,s:I}", "rows", rows, "ver",
+                            (json_int_t)world->version));
+    }
+    else {
+        put_encoded(world, table, key,
+                    json_string_value(json_object_get(set, "value")));
+        send_json(req, 200,
+                  json_pack("{s:I}", "ver", (json_int_t)world->version));
+    }
+    json_decref(body);
+}
+
+/** A promotion call that is carried out late. */
+typedef struct late_call {
+    world_t *world;
+    int db;
+    int64_t token;
+} late_call_t;
+
+static bool
+carry_out(world_t *world, int db, int64_t token)
+{
+    if (db < 0 || token <= world->highest_token) {
+        return false;
+    }
+    world->highest_token = token;
+    world_promote(world, db);
+    return world->primary == db;
+}
+
+static void
+on_late_call(evutil_socket_t fd, short what, void *ctx)
+{
+    late_call_t *call = ctx;
+
+    (void)fd;
+    (void)what;
+    carry_out(call->world, call->db, call->token);
+    free(call);
+}
+
+static void
+on_promote(struct evhttp_request *req, void *ctx)
+{
+    world_t *world = ctx;
+    json_t *body = read_body(req);
+    struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
+    const char *token = evhttp_find_header(headers, "Fence-Token");
+    const char *id = json_string_value(json_object_get(body, "id"));
+    int db = -1;
+
+    for (int i = 0; i < WORLD_DBS && id != NULL; i++) {
+        if (strcmp(world->dbs[i].id, id) == 0 && world->dbs[i].running) {
+            db = i;
+        }
+    }
+    if (token == NULL || evhttp_find_header(headers, "Duty-Holder") == NULL) {
+        world_complain(world, "promotion without holder or token");
+        evhttp_send_reply(req, 400, NULL, NULL);
+    }
+    else if (world->promotion_delay > 0) {
+        struct timeval tv = mr_clock_timeval(world->promotion_delay);
+        late_call_t *call = MR_NEW(late_call_t);
+        *call = (late_call_t){world, db, atoll(token)};
+        event_base_once(world->base, -1, EV_TIMEOUT, on_late_call, call, &tv);
+        evhttp_connection_free(evhttp_request_get_connection(req));
+    }
+    else {
+        evhttp_send_reply(req, carry_out(world, db, atoll(token)) ? 200 : 409,
+                          NULL, NULL);
+    }
+    json_decref(body);
+}
+
+static void
+on_beat(evutil_socket_t fd, short what, void *ctx)
+{
+    world_t *world = ctx;
+    struct timeval tv = mr_clock_timeval(BEAT_MS);
+
+    (void)fd;
+    (void)what;
+    for (int i = 0; i < WORLD_DBS; i++) {
+        const world_db_t *db = &world->dbs[i];
+        char text[512];
+        if (!db->running || db->silent) {
+            continue;
+        }
+        snprintf(text, sizeof(text),
+                 "{\"service\":\"rez\",\"address\":\"127.0.0.1:%d\","
+                 "\"zone\":\"konya\",\"version\":\"v1\",\"slots\":2,"
+                 "\"state\":\"%s\",\"cold_left_ms\":0,\"db_role\":\"%s\","
+                 "\"seq_no\":%lld,\"born\":%lld}",
+                 db->port, db->draining ? "draining" : "ready",
+                 world->primary == i ? "primary" : "replica",
+                 (long long)world->version, (long long)db->born);
+        world_put(world, "servers", db->id, text);
+    }
+    /* Another writer's entry names no database. */
+    world_put(world, "servers", "stray", "{\"service\":7}");
+    evtimer_add(world->beat, &tv);
+}
+
+/* The store's addresses differ in the port only, so that one can fail. */
+typedef struct gate {
+    world_t *world;
+    int index;
+    void (*handle)(struct evhttp_request *req, void *ctx);
+} gate_t;
+
+static void
+on_gate(struct evhttp_request *req, void *ctx)
+{
+    const gate_t *gate = ctx;
+
+    if (gate->world->store_fails[gate->index]) {
+        evhttp_send_reply(req, 503, NULL, NULL);
+        return;
+    }
+    gate->handle(req, gate->world);
+}
+
+static gate_t gates[WORLD_STORES][3];
+
+void
+world_store_open(world_t *world)
+{
+    static const char *const paths[] = {"/masticrelay/rows-get",
+                                        "/masticrelay/rows-feed",
+                                        "/masticrelay/rows-tx"};
+    void (*const handlers[])(struct evhttp_request *,
+                             void *) = {on_get, on_feed, on_tx};
+
+    mr_list_init(&world->waiting);
+    for (int i = 0; i < WORLD_STORES; i++) {
+        int port = harness_port();
+        world->stores[i] = evhttp_new(world->base);
+        for (int j = 0; j < 3; j++) {
+            gates[i][j] = (gate_t){world, i, handlers[j]};
+            evhttp_set_cb(world->stores[i], paths[j], on_gate, &gates[i][j]);
+        }
+        ck_assert_int_eq(evhttp_bind_socket(world->stores[i], "127.0.0.1",
+                                            (ev_uint16_t)port),
+                         0);
+        snprintf(world->store_address[i], WORLD_TEXT_BYTES, "127.0.0.1:%d",
+                 port);
+    }
+    int port = harness_port();
+    world->duty = evhttp_new(world->base);
+    evhttp_set_cb(world->duty, "/promote", on_promote, world);
+    ck_assert_int_eq(
+        evhttp_bind_socket(world->duty, "127.0.0.1", (ev_uint16_t)port), 0);
+    snprintf(world->duty_address, WORLD_TEXT_BYTES, "127.0.0.1:%d", port);
+    world->beat = evtimer_new(world->base, on_beat, world);
+    on_beat(-1, 0, world);
+}
+
+void
+world_store_close(world_t *world)
+{
+    while (!mr_list_empty(&world->waiting)) {
+        end_feed(MR_LIST_ENTRY(world->waiting.next, feed_t, link));
+    }
+    event_free(world->beat);
+    for (int i = 0; i < WORLD_STORES; i++) {
+        evhttp_free(world->stores[i]);
+    }
+    evhttp_free(world->duty);
+}
--- a/tests/unit/test_clusters.c
+++ b/tests/unit/test_clusters.c
@@ -110,7 +110,7 @@
     mr_db_entry_t a = entry_of("127.0.0.1:1", false);
 
     register_two(5, NOW);
-    mr_cluster_primary(rez(), NOW)->position = (mr_position_t){3, 10};
+    mr_db_lacks(mr_cluster_primary(rez(), NOW), (mr_position_t){3, 10}, NOW);
     a.born = 2;
     mr_clusters_begin(clusters);
     mr_clusters_add(clusters, "a", &a, 8);
@@ -118,7 +118,7 @@
     int count = 0;
     MR_LIST_FOREACH(it, &rez()->dbs)
     {
-        ck_assert_int_eq(MR_LIST_ENTRY(it, mr_db_t, link)->position.term, 0);
+        ck_assert_int_eq(MR_LIST_ENTRY(it, mr_db_t, link)->lacked.term, 0);
         count++;
     }
     ck_assert_int_eq(count, 2); /* "b" may only have lapsed */
