--- a/completion/masticrelayctl.bash
+++ b/completion/masticrelayctl.bash
@@ -9,7 +9,7 @@
     local common="--platform --admin --operator-credential --approver-key
         --approver-public-key --admin-authorities --operator --timeout-ms --json --help"
     local commands="check diff propose approve veto accept key target approver
-        status groups accounts instances audit"
+        status groups accounts instances audit explain"
     local command="" second="" word i skip=""
 
     COMPREPLY=()
@@ -85,7 +85,7 @@
     diff)
         mapfile -t COMPREPLY < <(compgen -f -W "head staged empty" -- "$cur")
         ;;
-    approver)
+    approver | explain)
         mapfile -t COMPREPLY < <(compgen -f -- "$cur")
         ;;
     esac
--- a/programs/masticrelayctl.c
+++ b/programs/masticrelayctl.c
@@ -39,6 +39,8 @@
      ctl_show_instances},
     {"audit", "[SEQUENCE]", "audit records of configuration steps", 0, 1,
      ctl_show_audit},
+    {"explain", "ID [FILE...]",
+     "path of a session's request in the daemons' logs", 1, 4096, ctl_explain},
 };
 
 enum { COMMAND_COUNT = sizeof(commands) / sizeof(commands[0]) };
--- a/programs/masticrelayctl.h
+++ b/programs/masticrelayctl.h
@@ -102,6 +102,8 @@
 ctl_status_t ctl_show_instances(CTL_PARAMETERS);
 /* masticrelayctl_audit.c */
 ctl_status_t ctl_show_audit(CTL_PARAMETERS);
+/* masticrelayctl_explain.c */
+ctl_status_t ctl_explain(CTL_PARAMETERS);
 
 /* --------------------------------------- masticrelayctl_options.c: settings
  */
