Split fleet and run, end resting transactions, keep acknowledged commits with sync copies

A transaction that rests longer than the desired state allows gives its connection back (test first: COMMIT succeeded after 3.3 s). With synchronous copies a promotion needs answers from enough suspended replicas.

--- /dev/null
+++ b/lib/session/fleet_members.c
@@ -0,0 +1,286 @@
+/* Registration of the instances in the store, and the secret that their links
+ * are opened with. */
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/address.h"
+#include "common/log.h"
+#include "common/mem.h"
+#include "member/rendezvous.h"
+#include "session/fleet_internal.h"
+
+enum {
+    MEMBERS_RETRY_MS = 300,
+    MEMBERS_SOON_MS = 1500, /* all instances start at about the same time */
+    MEMBERS_PERIOD_MS = 20000,
+    /* A registered instance that never reports is removed. */
+    PURGE_AFTER_MS = 15000,
+};
+
+static const char instances_table[] = "instances";
+static const char secret_table[] = "fleet";
+static const char secret_key[] = "secret";
+
+static mr_fleet_instance_t *
+find_instance(mr_fleet_t *fleet, const char *name)
+{
+    MR_LIST_FOREACH(it, &fleet->instances)
+    {
+        mr_fleet_instance_t *instance =
+            MR_LIST_ENTRY(it, mr_fleet_instance_t, link);
+        if (strcmp(instance->name, name) == 0) {
+            return instance;
+        }
+    }
+    return NULL;
+}
+
+void
+mr_fleet_forget_instance(mr_fleet_t *fleet, mr_fleet_instance_t *instance)
+{
+    MR_LIST_FOREACH(it, &fleet->reports)
+    {
+        mr_fleet_report_t *report = MR_LIST_ENTRY(it, mr_fleet_report_t, link);
+        if (report->to == instance) {
+            mr_peer_cancel(report->call);
+            mr_list_remove(it);
+            free(report);
+        }
+    }
+    if (fleet->coordinator == instance) {
+        fleet->coordinator = NULL;
+    }
+    mr_list_remove(&instance->link);
+    fleet->count--;
+    free(instance->name);
+    free(instance->address);
+    free(instance);
+}
+
+static mr_fleet_instance_t *
+add_instance(mr_fleet_t *fleet, const char *name, const char *address)
+{
+    mr_fleet_instance_t *instance = MR_NEW(mr_fleet_instance_t);
+    mr_list_t *before = &fleet->instances;
+
+    instance->name = mr_strdup(name);
+    instance->address = mr_strdup(address);
+    instance->order = mr_rendezvous_score("coordinator", name);
+    MR_LIST_FOREACH(it, &fleet->instances)
+    {
+        if (MR_LIST_ENTRY(it, mr_fleet_instance_t, link)->order
+            < instance->order) {
+            before = it;
+            break;
+        }
+    }
+    mr_list_append(before, &instance->link);
+    fleet->count++;
+    mr_fleet_update_count(fleet);
+    return instance;
+}
+
+/* Adds an instance, or notes its new address. */
+mr_fleet_instance_t *
+mr_fleet_note_instance(mr_fleet_t *fleet, const char *name,
+                       const char *address)
+{
+    mr_fleet_instance_t *instance = find_instance(fleet, name);
+    struct sockaddr_storage addr;
+    int len;
+
+    if (!mr_address_parse(address, &addr, &len)) {
+        mr_log(MR_LOG_WARNING, "instance_address_malformed",
+               "name=%s address=%s", name, address);
+        return instance;
+    }
+    if (instance == NULL) {
+        return add_instance(fleet, name, address);
+    }
+    if (strcmp(instance->address, address) != 0) {
+        free(instance->address);
+        instance->address = mr_strdup(address);
+        instance->failures = 0;
+    }
+    return instance;
+}
+
+static void
+on_purged(void *ctx, mr_error_kind_t error, int64_t version)
+{
+    (void)ctx;
+    (void)version;
+    if (error != MR_OK) {
+        mr_log(MR_LOG_INFO, "instance_not_removed", "error=%s",
+               mr_error_name(error));
+    }
+}
+
+/* Removes instances that are registered but have not been heard for long. */
+static void
+purge_instances(mr_fleet_t *fleet, mr_ms_t now)
+{
+    if (!fleet->coordinating
+        || now - fleet->coordinating_since < PURGE_AFTER_MS) {
+        return;
+    }
+    MR_LIST_FOREACH(it, &fleet->instances)
+    {
+        mr_fleet_instance_t *instance =
+            MR_LIST_ENTRY(it, mr_fleet_instance_t, link);
+        if (now - instance->heard_at < PURGE_AFTER_MS) {
+            continue;
+        }
+        mr_log(MR_LOG_INFO, "instance_removed", "name=%s silent_ms=%lld",
+               instance->name, (long long)(now - instance->heard_at));
+        if (instance->row_version > 0) {
+            mr_store_put(fleet->options.store, instances_table, instance->name,
+                         instance->row_version, NULL, 0, on_purged, fleet);
+        }
+        mr_fleet_forget_instance(fleet, instance);
+    }
+    mr_fleet_update_count(fleet);
+}
+
+static void
+on_registered(void *ctx, mr_error_kind_t error, int64_t version)
+{
+    mr_fleet_t *fleet = ctx;
+
+    if (error == MR_OK || error == MR_ERR_CONFLICT) {
+        fleet->own_version = version;
+    }
+    mr_fleet_set_timer(fleet->members_timer,
+                       error == MR_OK ? MEMBERS_SOON_MS : MEMBERS_RETRY_MS);
+}
+
+static void
+read_members(mr_fleet_t *fleet, const mr_store_answer_t *answer)
+{
+    fleet->own_version = 0;
+    bool current = false;
+
+    MR_LIST_FOREACH(it, &fleet->instances)
+    {
+        MR_LIST_ENTRY(it, mr_fleet_instance_t, link)->listed = false;
+    }
+    for (size_t i = 0; i < answer->count; i++) {
+        const mr_store_row_t *row = &answer->rows[i];
+        if (strcmp(row->key, fleet->options.name) == 0) {
+            fleet->own_version = row->version;
+            current = strcmp(row->value, fleet->options.address) == 0;
+            continue;
+        }
+        mr_fleet_instance_t *instance =
+            mr_fleet_note_instance(fleet, row->key, row->value);
+        if (instance != NULL) {
+            instance->listed = true;
+            instance->row_version = row->version;
+        }
+    }
+    MR_LIST_FOREACH(it, &fleet->instances)
+    {
+        mr_fleet_instance_t *instance =
+            MR_LIST_ENTRY(it, mr_fleet_instance_t, link);
+        if (!instance->listed && instance->row_version > 0) {
+            mr_fleet_forget_instance(fleet, instance);
+        }
+    }
+    mr_fleet_update_count(fleet);
+    if (!current && !fleet->leaving) {
+        mr_store_put(fleet->options.store, instances_table,
+                     fleet->options.name, fleet->own_version,
+                     fleet->options.address, strlen(fleet->options.address),
+                     on_registered, fleet);
+        return;
+    }
+    if (!fleet->joined) {
+        fleet->joined = true;
+        mr_log(MR_LOG_INFO, "fleet_joined", "instances=%zu",
+               mr_fleet_instances(fleet));
+        mr_fleet_start_reports(fleet);
+    }
+    mr_fleet_set_timer(fleet->members_timer, MEMBERS_PERIOD_MS);
+}
+
+static void
+on_members(void *ctx, const mr_store_answer_t *answer)
+{
+    mr_fleet_t *fleet = ctx;
+
+    if (answer->error != MR_OK) {
+        mr_fleet_set_timer(fleet->members_timer, MEMBERS_RETRY_MS);
+        return;
+    }
+    read_members(fleet, answer);
+    purge_instances(fleet, mr_clock_now(NULL));
+}
+
+static void
+start_peer(mr_fleet_t *fleet)
+{
+    fleet->peer = mr_peer_create(&(mr_peer_options_t){
+        .base = fleet->options.base,
+        .counters = fleet->options.counters,
+        .name = fleet->options.name,
+        .data_centre = fleet->options.data_centre,
+        .incarnation = mr_clock_wall(),
+        .secret = fleet->secret,
+    });
+    mr_peer_handle(fleet->peer, MR_MSG_REPORT, mr_fleet_on_report, fleet);
+    if (mr_peer_listen(fleet->peer, fleet->options.address) < 0) {
+        mr_log(MR_LOG_ERROR, "listen_failed", "address=%s",
+               fleet->options.address);
+    }
+}
+
+static void
+on_secret_written(void *ctx, mr_error_kind_t error, int64_t version)
+{
+    mr_fleet_t *fleet = ctx;
+
+    (void)version;
+    /* Whoever wrote it: it is read next. */
+    mr_fleet_set_timer(
+        fleet->members_timer,
+        error == MR_OK || error == MR_ERR_CONFLICT ? 0 : MEMBERS_RETRY_MS);
+}
+
+static void
+on_secret(void *ctx, const mr_store_answer_t *answer)
+{
+    mr_fleet_t *fleet = ctx;
+    uint8_t fresh[MR_PEER_SECRET_BYTES];
+
+    if (answer->error != MR_OK) {
+        mr_fleet_set_timer(fleet->members_timer, MEMBERS_RETRY_MS);
+        return;
+    }
+    if (answer->count == 1 && answer->rows[0].len == sizeof(fleet->secret)) {
+        memcpy(fleet->secret, answer->rows[0].value, sizeof(fleet->secret));
+        start_peer(fleet);
+        mr_fleet_set_timer(fleet->members_timer, 0);
+        return;
+    }
+    randombytes_buf(fresh, sizeof(fresh));
+    mr_store_put(fleet->options.store, secret_table, secret_key, 0, fresh,
+                 sizeof(fresh), on_secret_written, fleet);
+}
+
+void
+mr_fleet_on_members_timer(evutil_socket_t fd, short what, void *ctx)
+{
+    mr_fleet_t *fleet = ctx;
+
+    (void)fd;
+    (void)what;
+    if (fleet->peer == NULL) {
+        mr_store_get(fleet->options.store, secret_table, secret_key, on_secret,
+                     fleet);
+        return;
+    }
+    mr_store_get(fleet->options.store, instances_table, NULL, on_members,
+                 fleet);
+}
--- /dev/null
+++ b/lib/session/fleet_report.c
@@ -0,0 +1,371 @@
+/* Reports to the coordinator and its answers. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "common/mem.h"
+#include "session/fleet_internal.h"
+
+enum {
+    REPORT_PERIOD_MS = 250,
+    REPORT_TIMEOUT_MS = 350,
+    /* Drawn tokens lapse after it; a coordinator counts an instance for the
+     * same time after its report (see budget.c). */
+    TOKEN_LIFETIME_MS = 1200,
+    /* Instances that come before the coordinator are tried again. */
+    RETRY_BETTER_MS = 1500,
+    HEALTH_MAX = 4096,
+    WANTS_MAX = 1024,
+};
+
+/* How this instance sees the primaries; returns the number of entries. */
+static size_t
+describe_health(mr_fleet_t *fleet, mr_msg_db_health_t *out, mr_ms_t now)
+{
+    size_t count = 0;
+
+    MR_LIST_FOREACH(it, &fleet->options.clusters->list)
+    {
+        mr_cluster_t *cluster = MR_LIST_ENTRY(it, mr_cluster_t, link);
+        mr_db_t *leader = mr_cluster_leader(cluster);
+        if (leader != NULL && count < HEALTH_MAX) {
+            out[count++] = (mr_msg_db_health_t){
+                .service = cluster->service,
+                .id = leader->id,
+                .failing_ms = mr_db_failing(leader, now),
+                .answered_ms =
+                    leader->answered_at != 0 ? now - leader->answered_at : -1,
+            };
+        }
+    }
+    return count;
+}
+
+static size_t
+count_clusters(const mr_fleet_t *fleet)
+{
+    size_t count = 0;
+
+    MR_LIST_FOREACH(it, &fleet->options.clusters->list)
+    {
+        count++;
+    }
+    return count;
+}
+
+/** Memory of a report's lists. */
+typedef struct report_lists {
+    mr_msg_draw_t *wants;
+    size_t want_count;
+    mr_msg_db_health_t *health;
+    size_t health_count;
+} report_lists_t;
+
+static void
+make_lists(mr_fleet_t *fleet, mr_ms_t now, report_lists_t *lists)
+{
+    *lists = (report_lists_t){0};
+    lists->health =
+        mr_calloc(count_clusters(fleet) + 1, sizeof(*lists->health));
+    lists->health_count = describe_health(fleet, lists->health, now);
+    lists->wants = mr_calloc(WANTS_MAX, sizeof(*lists->wants));
+    lists->want_count =
+        mr_quota_wants(fleet->options.quota, lists->wants, WANTS_MAX);
+}
+
+static void
+free_lists(report_lists_t *lists)
+{
+    free(lists->wants);
+    free(lists->health);
+}
+
+/* Takes over what the coordinator knows of the primaries. @asked_at is when
+ * the report was sent: ages count from there at the latest. */
+static void
+import_primaries(mr_fleet_t *fleet, const mr_msg_report_reply_t *reply,
+                 mr_ms_t asked_at)
+{
+    for (size_t i = 0; i < reply->primary_count; i++) {
+        const mr_msg_primary_t *primary = &reply->primaries[i];
+        mr_cluster_t *cluster =
+            mr_clusters_find(fleet->options.clusters, primary->service);
+        if (cluster == NULL) {
+            continue;
+        }
+        if (primary->promoted[0] != '\0') {
+            mr_cluster_promoted(cluster, primary->promoted,
+                                primary->promoted_version);
+        }
+        if (primary->age_ms >= 0) {
+            mr_cluster_sample(cluster,
+                              (mr_position_t){primary->term, primary->number},
+                              asked_at - primary->age_ms);
+        }
+    }
+}
+
+static void
+import_draws(mr_fleet_t *fleet, const mr_msg_report_reply_t *reply,
+             mr_ms_t asked_at)
+{
+    mr_quota_coordinated(fleet->options.quota, asked_at + reply->lifetime_ms);
+    for (size_t i = 0; i < reply->draw_count; i++) {
+        mr_quota_add(fleet->options.quota, reply->draws[i].account,
+                     reply->draws[i].milli);
+    }
+    fleet->options.drawn(fleet->options.ctx, asked_at);
+}
+
+static void
+on_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *msg)
+{
+    mr_fleet_report_t *report = ctx;
+    mr_fleet_t *fleet = report->fleet;
+    mr_fleet_instance_t *from = report->to;
+    mr_ms_t asked_at = report->sent_at;
+    mr_ms_t now = mr_clock_now(NULL);
+
+    mr_list_remove(&report->link);
+    free(report);
+    if (error != MR_OK) {
+        from->failures++;
+        mr_counter_add(fleet->reports_failed, 1);
+        if (from->failures == MR_FLEET_FAILURES_MAX) {
+            mr_log(MR_LOG_WARNING, "instance_lost", "name=%s", from->name);
+        }
+        mr_fleet_set_timer(fleet->report_timer, 0);
+        return;
+    }
+    const mr_msg_report_reply_t *reply = &msg->u.report_reply;
+    if (from->failures >= MR_FLEET_FAILURES_MAX) {
+        mr_log(MR_LOG_INFO, "instance_regained", "name=%s", from->name);
+    }
+    from->failures = 0;
+    mr_view_import(fleet->options.view, &reply->view, from->name);
+    if (from == fleet->coordinator) {
+        fleet->answered_at = now;
+        fleet->store_failing = reply->store_failing;
+        fleet->reported_instances = (size_t)reply->instances;
+        mr_fleet_update_count(fleet);
+        import_draws(fleet, reply, asked_at);
+        import_primaries(fleet, reply, asked_at);
+        fleet->coordinator_view = (mr_msg_view_t){
+            .config_version = reply->view.config_version,
+            .registrations_version = reply->view.registrations_version,
+            .registrations_digest = reply->view.registrations_digest,
+        };
+        from->heard_at = now;
+        if (fleet->again) {
+            fleet->again = false;
+            mr_fleet_notify(fleet);
+        }
+    }
+}
+
+static void
+send_report(mr_fleet_t *fleet, mr_fleet_instance_t *to,
+            const report_lists_t *lists, const mr_msg_view_t *known)
+{
+    mr_fleet_report_t *report = MR_NEW(mr_fleet_report_t);
+    mr_msg_t msg = {.type = MR_MSG_REPORT};
+
+    msg.u.report = (mr_msg_report_t){
+        .address = fleet->options.address,
+        .refresh = fleet->refresh,
+        .draws = lists->health != NULL,
+        .wants = lists->wants,
+        .want_count = lists->want_count,
+        .health = lists->health,
+        .health_count = lists->health_count,
+    };
+    mr_view_export(fleet->options.view, known, &msg.u.report.view);
+    *report = (mr_fleet_report_t){
+        .fleet = fleet, .to = to, .sent_at = mr_clock_now(NULL)};
+    to->tried_at = report->sent_at;
+    mr_list_append(&fleet->reports, &report->link);
+    report->call = mr_peer_call(fleet->peer, to->address, &msg,
+                                REPORT_TIMEOUT_MS, on_reply, report);
+}
+
+/* Tries instances that come before the coordinator and did not answer. */
+static void
+retry_better(mr_fleet_t *fleet, mr_ms_t now)
+{
+    report_lists_t none = {0};
+
+    MR_LIST_FOREACH(it, &fleet->instances)
+    {
+        mr_fleet_instance_t *instance =
+            MR_LIST_ENTRY(it, mr_fleet_instance_t, link);
+        if (instance == fleet->coordinator
+            || (fleet->coordinating && !fleet->leaving
+                && instance->order < fleet->own_order)) {
+            return;
+        }
+        if (instance->failures >= MR_FLEET_FAILURES_MAX
+            && now - instance->tried_at >= RETRY_BETTER_MS) {
+            send_report(fleet, instance, &none, NULL);
+        }
+    }
+}
+
+static bool
+is_reporting_to(const mr_fleet_t *fleet, const mr_fleet_instance_t *to)
+{
+    MR_LIST_FOREACH(it, &fleet->reports)
+    {
+        if (MR_LIST_ENTRY(it, mr_fleet_report_t, link)->to == to) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tokens of one account for an instance that reported. */
+static int64_t
+draw_for(mr_fleet_t *fleet, const mr_msg_draw_t *want, mr_ms_t now)
+{
+    mr_budget_draw_t draw = {.account = want->account,
+                             .wanted = want->milli,
+                             .instances = mr_fleet_instances(fleet),
+                             .now = now};
+
+    if (!mr_quota_total(fleet->options.quota, want->account, &draw.total)) {
+        return 0;
+    }
+    return mr_budgets_draw(fleet->budgets, &draw);
+}
+
+/* The coordinator draws from its own buckets. */
+static void
+draw_for_self(mr_fleet_t *fleet, const report_lists_t *lists, mr_ms_t now)
+{
+    const mr_fleet_options_t *options = &fleet->options;
+
+    mr_budgets_report(fleet->budgets, options->name, now);
+    mr_promoter_report(options->promoter, options->name, now, lists->health,
+                       lists->health_count);
+    mr_quota_coordinated(options->quota, now + TOKEN_LIFETIME_MS);
+    for (size_t i = 0; i < lists->want_count; i++) {
+        mr_quota_add(options->quota, lists->wants[i].account,
+                     draw_for(fleet, &lists->wants[i], now));
+    }
+    options->drawn(options->ctx, now);
+}
+
+void
+mr_fleet_on_report_timer(evutil_socket_t fd, short what, void *ctx)
+{
+    mr_fleet_t *fleet = ctx;
+    mr_ms_t now = mr_clock_now(NULL);
+    report_lists_t lists;
+
+    (void)fd;
+    (void)what;
+    mr_fleet_set_timer(fleet->report_timer, REPORT_PERIOD_MS);
+    mr_fleet_choose(fleet, now);
+    retry_better(fleet, now);
+    if (fleet->coordinator != NULL
+        && is_reporting_to(fleet, fleet->coordinator)) {
+        fleet->again = fleet->notified;
+        return;
+    }
+    fleet->notified = false;
+    fleet->reported_at = now;
+    make_lists(fleet, now, &lists);
+    if (fleet->coordinator == NULL) {
+        if (fleet->refresh) {
+            mr_feed_refresh(fleet->options.feed);
+        }
+        draw_for_self(fleet, &lists, now);
+    }
+    else {
+        send_report(fleet, fleet->coordinator, &lists,
+                    &fleet->coordinator_view);
+    }
+    fleet->refresh = false;
+    free_lists(&lists);
+}
+
+static size_t
+describe_primaries(mr_fleet_t *fleet, mr_msg_primary_t *out, mr_ms_t now)
+{
+    size_t count = 0;
+
+    MR_LIST_FOREACH(it, &fleet->options.clusters->list)
+    {
+        mr_cluster_t *cluster = MR_LIST_ENTRY(it, mr_cluster_t, link);
+        const mr_sample_t *sample = mr_cluster_newest(cluster);
+        mr_msg_primary_t *primary = &out[count++];
+        *primary = (mr_msg_primary_t){
+            .service = cluster->service,
+            .promoted = cluster->promoted != NULL ? cluster->promoted : "",
+            .promoted_version = cluster->promoted_version,
+            .age_ms = -1,
+        };
+        if (sample != NULL) {
+            primary->term = sample->position.term;
+            primary->number = sample->position.number;
+            primary->age_ms = now - sample->at;
+        }
+    }
+    return count;
+}
+
+/* Answers a report with the sender's shares and what it lacks. */
+static void
+answer_report(mr_fleet_t *fleet, mr_peer_request_t *request,
+              const mr_msg_report_t *report, mr_ms_t now)
+{
+    mr_msg_t msg = {.type = MR_MSG_REPORT_REPLY};
+    mr_msg_report_reply_t *reply = &msg.u.report_reply;
+    mr_msg_draw_t *draws = mr_calloc(report->want_count + 1, sizeof(*draws));
+    mr_msg_primary_t *primaries =
+        mr_calloc(count_clusters(fleet) + 1, sizeof(*primaries));
+
+    reply->instances = (int64_t)mr_fleet_instances(fleet);
+    reply->lifetime_ms = TOKEN_LIFETIME_MS;
+    reply->store_failing = mr_feed_failing(fleet->options.feed);
+    mr_view_export(fleet->options.view, &report->view, &reply->view);
+    for (size_t i = 0; i < report->want_count; i++) {
+        draws[i] = (mr_msg_draw_t){report->wants[i].account,
+                                   draw_for(fleet, &report->wants[i], now)};
+    }
+    reply->draws = draws;
+    reply->draw_count = report->want_count;
+    reply->primaries = primaries;
+    reply->primary_count = describe_primaries(fleet, primaries, now);
+    mr_peer_reply(request, &msg);
+    free(draws);
+    free(primaries);
+}
+
+void
+mr_fleet_on_report(void *ctx, mr_peer_request_t *request, const mr_msg_t *msg,
+                   const char *from)
+{
+    mr_fleet_t *fleet = ctx;
+    const mr_msg_report_t *report = &msg->u.report;
+    mr_ms_t now = mr_clock_now(NULL);
+
+    if (request == NULL) {
+        return;
+    }
+    mr_fleet_instance_t *instance =
+        mr_fleet_note_instance(fleet, from, report->address);
+    if (instance != NULL) {
+        instance->heard_at = now;
+    }
+    mr_view_import(fleet->options.view, &report->view, from);
+    if (report->draws) {
+        mr_budgets_report(fleet->budgets, from, now);
+        mr_promoter_report(fleet->options.promoter, from, now, report->health,
+                           report->health_count);
+    }
+    if (report->refresh) {
+        mr_feed_refresh(fleet->options.feed);
+    }
+    answer_report(fleet, request, report, now);
+}
--- a/lib/session/line.h
+++ b/lib/session/line.h
@@ -120,6 +120,7 @@
     MR_OWN_BEGIN_READ,
     MR_OWN_ROLLBACK,
     MR_OWN_RESET,
+    MR_OWN_RESUME, /* a suspended replica receives again */
     MR_OWN_STATUS,
 } mr_own_statement_t;
 const char *mr_own_statement_text(mr_own_statement_t statement);
@@ -127,6 +128,10 @@
 /** mr_demote_text() - makes a primary of a term below @term a replica. */
 void mr_demote_text(char *out, size_t size, int64_t term);
 
+/** mr_suspend_text() - stops a replica from receiving; @term must be above the
+ * newest one. The answer is that to MR_OWN_STATUS. */
+void mr_suspend_text(char *out, size_t size, int64_t term);
+
 /** The id of statements that the relay issues itself. */
 extern const char mr_own_statement_id[];
 
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -69,6 +69,8 @@
     char *service;
     order_stage_t stage;
     bool planned;  /* the primary still works */
+    bool suspends; /* replicas stop receiving while their logs are compared */
+    int64_t term;  /* newest known one */
     int64_t token; /* 0: none yet */
     mr_list_t answers;
     char *chosen;
@@ -381,6 +383,27 @@
     return best;
 }
 
+/* Whether the replicas that answered include one with every acknowledged
+ * commit: each commit is held by as many of them as the service asks for. */
+static bool
+enough_answered(order_t *order)
+{
+    const mr_promoter_options_t *options = &order->promoter->options;
+    int64_t copies = options->sync_copies(options->ctx, order->service);
+    int64_t asked = 0;
+    int64_t answered = 0;
+
+    if (copies == 0 || order->planned) {
+        return true;
+    }
+    MR_LIST_FOREACH(it, &order->answers)
+    {
+        asked++;
+        answered += MR_LIST_ENTRY(it, answer_t, link)->answered;
+    }
+    return answered > asked - copies;
+}
+
 /* Goes on as soon as no status answer is due. */
 static void
 check_complete(order_t *order)
@@ -443,7 +466,16 @@
         check_complete(answer->order);
         return;
     }
+    char text[64];
+
     mr_link_on_lost(link, on_status_lost, answer);
+    if (answer->order->suspends) {
+        /* From here on the primary gathers no further acknowledgement. */
+        mr_suspend_text(text, sizeof(text), answer->order->term + 1);
+        mr_link_query(link, mr_own_statement_id, NULL, text, on_status,
+                      answer);
+        return;
+    }
     mr_link_query(link, mr_own_statement_id, NULL,
                   mr_own_statement_text(MR_OWN_STATUS), on_status, answer);
 }
@@ -456,7 +488,13 @@
     mr_cluster_t *cluster =
         mr_clusters_get(promoter->options.clusters, order->service);
     mr_db_t *leader = mr_cluster_leader(cluster);
+    const mr_sample_t *sample = mr_cluster_newest(cluster);
 
+    order->term = sample != NULL ? sample->position.term : 0;
+    order->suspends =
+        !order->planned
+        && promoter->options.sync_copies(promoter->options.ctx, order->service)
+               > 0;
     set_stage(order, ORDER_STATUS);
     MR_LIST_FOREACH(it, &cluster->dbs)
     {
@@ -519,6 +557,20 @@
     set_order_timer(order, STATUS_TIMEOUT_MS);
 }
 
+/* Replicas that were suspended receive again. */
+static void
+resume_replicas(order_t *order)
+{
+    MR_LIST_FOREACH(it, &order->answers)
+    {
+        answer_t *answer = MR_LIST_ENTRY(it, answer_t, link);
+        if (order->suspends && answer->answered && answer->db_link != NULL) {
+            mr_link_query(answer->db_link, mr_own_statement_id, NULL,
+                          mr_own_statement_text(MR_OWN_RESUME), NULL, NULL);
+        }
+    }
+}
+
 /* Status answers are there, or the time for them is over. */
 static void
 decide(order_t *order)
@@ -528,7 +580,8 @@
     mr_db_t *leader = mr_cluster_leader(cluster);
     mr_db_t *best = choose_replica(order);
 
-    if (best == NULL) {
+    if (best == NULL || !enough_answered(order)) {
+        resume_replicas(order);
         end_order(order, RETRY_MS, "no_replica");
         return;
     }
@@ -542,6 +595,7 @@
     order->token = memory->token;
     memory->token = 0;
     if (order->token == 0) {
+        resume_replicas(order);
         end_order(order, RETRY_MS, "no_token");
         return;
     }
--- a/lib/session/quota.h
+++ b/lib/session/quota.h
@@ -30,32 +30,32 @@
  * written, up to @max. Names are borrowed. */
 size_t mr_quota_wants(mr_quota_t *quota, mr_msg_draw_t *out, size_t max);
 
-/** mr_quota_add() - tokens drawn. */
-void mr_quota_add(mr_quota_t *quota, const char *account, int64_t milli);
+/** mr_quota_add() - tokens drawn of account @name. */
+void mr_quota_add(mr_quota_t *quota, const char *name, int64_t milli);
 
 /** mr_quota_coordinated() - until @expiry the coordinator's tokens count; an
  * earlier stock is kept only while this never lapses. */
 void mr_quota_coordinated(mr_quota_t *quota, mr_ms_t expiry);
 
-/** mr_quota_total() - rate and burst of @account over all instances; false
- * when it is not known. */
-bool mr_quota_total(const mr_quota_t *quota, const char *account,
+/** mr_quota_total() - rate and burst of account @name over all instances;
+ * false when it is not known. */
+bool mr_quota_total(const mr_quota_t *quota, const char *name,
                     mr_limit_amount_t *total);
 
 /** mr_quota_is_coordinated() - whether the coordinator can still be asked. */
 bool mr_quota_is_coordinated(const mr_quota_t *quota);
 
 /**
- * mr_quota_take() - admit one operation of @account
+ * mr_quota_take() - admit one operation of account @name
  * @again: it was asked for before
  *
  * Return: 0 when it is admitted; otherwise how long until a token is due, in
  * milliseconds.
  */
-mr_ms_t mr_quota_take(mr_quota_t *quota, const char *account, bool again);
+mr_ms_t mr_quota_take(mr_quota_t *quota, const char *name, bool again);
 
 /** mr_quota_waiting() - change the number of operations that wait for a token
- * of @account. */
-void mr_quota_waiting(mr_quota_t *quota, const char *account, int change);
+ * of account @name. */
+void mr_quota_waiting(mr_quota_t *quota, const char *name, int change);
 
 #endif
--- a/lib/session/run.c
+++ b/lib/session/run.c
@@ -2,37 +2,22 @@
  * transaction, attempts and outcome. */
 
 #include <assert.h>
-#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "common/log.h"
 #include "common/mem.h"
-#include "session/client.h"
+#include "session/run.h"
 
 enum {
-    /* For a connection: a new one takes 12 to 27 ms of a slot, longer behind
-     * other work. Then another database may be better. */
-    OPEN_TIMEOUT_MS = 300,
     /* Values and BEGIN need no slot: one round trip. */
     SETUP_TIMEOUT_MS = 250,
-    /* Before another attempt; doubled each time. About one statement's work at
-     * a database. */
-    RETRY_FIRST_MS = 15,
-    RETRY_MAX_MS = 120,
     TRIES_MAX = 10,
-    /* Part of a statement's time after which it is refused instead of tried
-     * again, so that the client can still come back. */
-    RETRY_PERCENT = 70,
+    SILENT_TRIES = 2, /* of reads that silent databases get */
     /* A sample of the primary's position loses this much of a route's bound,
      * for the time until the database runs the read. */
     FRESH_MARGIN_MS = 50,
-    STATEMENT_TIMEOUT_DEFAULT_MS = 1000, /* routes without a limit */
-    OBJECTIVE_DEFAULT_MS = 200,
-    /* Part of the objective after which a silent database is given up. */
-    SILENCE_PERCENT = 75,
-    SILENT_TRIES = 2,
     RETRY_AFTER_FAILOVER_MS = 500, /* about one change of primary */
     RETRY_AFTER_BUSY_MS = 50,
 };
@@ -40,52 +25,6 @@
 static void choose(mr_client_t *session);
 static void on_timer(evutil_socket_t fd, short what, void *ctx);
 
-static mr_ms_t
-statement_timeout(const mr_client_t *session)
-{
-    mr_ms_t timeout = session->route->statement_timeout;
-
-    return timeout > 0 ? timeout : STATEMENT_TIMEOUT_DEFAULT_MS;
-}
-
-/* How long a statement may wait without having been offered to a database. */
-static mr_ms_t
-unoffered_limit(const mr_client_t *session)
-{
-    mr_ms_t objective = session->route->objective;
-
-    return (objective > 0 ? objective : OBJECTIVE_DEFAULT_MS) / 5;
-}
-
-/* How long a read waits for a database that answers nothing at all. */
-static mr_ms_t
-silence_limit(const mr_client_t *session)
-{
-    mr_ms_t objective = session->route->objective;
-
-    return (objective > 0 ? objective : OBJECTIVE_DEFAULT_MS) * SILENCE_PERCENT
-           / 100;
-}
-
-static mr_ms_t
-deadline_of(const mr_client_t *session)
-{
-    return session->run.started + statement_timeout(session);
-}
-
-/* Pause before the next attempt, with jitter against attempts in step. */
-static mr_ms_t
-retry_pause(const mr_run_t *run)
-{
-    mr_ms_t pause = (mr_ms_t)RETRY_FIRST_MS
-                    << (run->tries < 4 ? run->tries : 4);
-
-    if (pause > RETRY_MAX_MS) {
-        pause = RETRY_MAX_MS;
-    }
-    return pause / 2 + (mr_ms_t)randombytes_uniform((uint32_t)pause);
-}
-
 static void
 set_timer(mr_client_t *session, mr_ms_t after)
 {
@@ -191,50 +130,13 @@
 finish(mr_client_t *session)
 {
     clear(&session->run);
+    /* A transaction that rests holds a connection that others wait for. */
+    if (session->tx_link != NULL && session->catalog->tx_idle > 0) {
+        set_timer(session, session->catalog->tx_idle);
+    }
     mr_client_next(session);
 }
 
-static const char *const mode_names[] = {
-    [MR_RUN_WRITE] = "write",          [MR_RUN_PRESENT] = "present_read",
-    [MR_RUN_AGED] = "aged_read",       [MR_RUN_FIRST] = "transaction_begin",
-    [MR_RUN_CONTINUE] = "transaction",
-};
-
-/* Age of the newest position of the primary that is known; -1: none is. */
-static mr_ms_t
-sample_age(const mr_client_t *session, mr_ms_t now)
-{
-    const mr_cluster_t *cluster = mr_clusters_find(
-        session->relay->options.clusters, session->route->service);
-    const mr_sample_t *sample =
-        cluster != NULL ? mr_cluster_newest(cluster) : NULL;
-
-    return sample != NULL ? now - sample->at : -1;
-}
-
-/* One line with what decided about the statement. */
-static void
-log_end(mr_client_t *session, mr_error_kind_t error, mr_ms_t retry_after)
-{
-    const mr_run_t *run = &session->run;
-    mr_ms_t now = mr_clock_now(NULL);
-    mr_ms_t took = now - run->started;
-
-    mr_histogram_add(error == MR_OK ? &session->relay->latency
-                                    : &session->relay->failures,
-                     took);
-    mr_log_request(
-        error == MR_OK ? MR_LOG_SUCCEEDED : MR_LOG_FAILED, "request_ended",
-        "id=%s account=%s database=%s mode=%s target=%s after=%lld.%lld "
-        "sample_age_ms=%lld config=%lld tries=%d offered=%d error=%s "
-        "retry_after_ms=%lld took_ms=%lld",
-        run->line.u.query.id, session->account, session->database,
-        mode_names[run->mode], run->target, (long long)run->after.term,
-        (long long)run->after.number, (long long)sample_age(session, now),
-        (long long)session->catalog->version, run->tries, run->offered,
-        mr_error_name(error), (long long)retry_after, (long long)took);
-}
-
 static void
 fail(mr_client_t *session, mr_error_kind_t error, const char *detail,
      mr_ms_t retry_after)
@@ -247,7 +149,7 @@
                           ? MR_TX_IDLE
                           : MR_TX_FAILED;
     }
-    log_end(session, error, retry_after);
+    mr_run_log_end(session, error, retry_after);
     mr_client_answer_error(session, error, detail, retry_after);
     finish(session);
 }
@@ -275,11 +177,12 @@
 {
     mr_run_t *run = &session->run;
     mr_ms_t now = mr_clock_now(NULL);
-    mr_ms_t limit = run->started + unoffered_limit(session);
+    mr_ms_t limit = run->started + mr_run_unoffered_limit(session);
 
     if (run->offered) {
         limit =
-            run->started + statement_timeout(session) * RETRY_PERCENT / 100;
+            run->started
+            + mr_run_statement_timeout(session) * MR_RUN_RETRY_PERCENT / 100;
     }
     if (now + pause >= limit || run->tries >= TRIES_MAX) {
         refuse(session);
@@ -311,7 +214,7 @@
         return;
     }
     if (run->tries >= TRIES_MAX
-        || mr_clock_now(NULL) >= deadline_of(session)) {
+        || mr_clock_now(NULL) >= mr_run_deadline_of(session)) {
         refuse(session);
         return;
     }
@@ -394,7 +297,7 @@
         }
         break;
     }
-    log_end(session, MR_OK, -1);
+    mr_run_log_end(session, MR_OK, -1);
     mr_client_answer(session, reply->body);
     finish(session);
 }
@@ -444,16 +347,17 @@
         /* Only a statement that found no free slot can be sent again in its
          * transaction. */
         if (reply->error == MR_ERR_OVERLOADED && reply->state == MR_TX_OPEN
-            && mr_clock_now(NULL) + RETRY_FIRST_MS < deadline_of(session)) {
+            && mr_clock_now(NULL) + MR_RUN_RETRY_FIRST_MS
+                   < mr_run_deadline_of(session)) {
             run->tries++;
-            set_stage(session, MR_RUN_WAITING, retry_pause(run));
+            set_stage(session, MR_RUN_WAITING, mr_run_retry_pause(run));
             return;
         }
         fail(session, reply->error, reply->detail, RETRY_AFTER_BUSY_MS);
         return;
     }
     bool at_once = run->mode == MR_RUN_AGED && run->tries < 2;
-    try_again(session, reply->error, at_once ? 0 : retry_pause(run));
+    try_again(session, reply->error, at_once ? 0 : mr_run_retry_pause(run));
 }
 
 static void
@@ -501,7 +405,7 @@
     mr_run_t *run = &session->run;
     const mr_position_t *after = run->mode == MR_RUN_AGED ? &run->after : NULL;
     mr_ms_t now = mr_clock_now(NULL);
-    mr_ms_t left = deadline_of(session) - now;
+    mr_ms_t left = mr_run_deadline_of(session) - now;
 
     if (left <= 0) {
         refuse(session);
@@ -510,8 +414,8 @@
     /* While nothing is written, another database or another attempt of the
      * client may still be in time. */
     if (run->statement.kind != MR_COMMAND_COMMIT && !run->writes
-        && run->tries < SILENT_TRIES && silence_limit(session) < left) {
-        left = silence_limit(session);
+        && run->tries < SILENT_TRIES && mr_run_silence_limit(session) < left) {
+        left = mr_run_silence_limit(session);
     }
     run->answered = false;
     run->sent_at = now;
@@ -578,7 +482,7 @@
     if (reply->error != MR_OK) {
         mr_log(MR_LOG_WARNING, "session_value_refused", "error=%s detail=%s",
                mr_error_name(reply->error), reply->detail);
-        try_again(session, reply->error, retry_pause(&session->run));
+        try_again(session, reply->error, mr_run_retry_pause(&session->run));
         return;
     }
     if (--session->run.setup_due > 0) {
@@ -646,21 +550,7 @@
         mr_db_failed(run->waits_at, mr_clock_now(NULL));
         request_refresh(session->relay);
     }
-    try_again(session, MR_ERR_OVERLOADED, retry_pause(run));
-}
-
-/* How long a statement waits for a connection: a read may be better off at
- * another database, everything else has only the primary. */
-static mr_ms_t
-open_limit(const mr_client_t *session)
-{
-    const mr_run_t *run = &session->run;
-    mr_ms_t left = run->started
-                   + statement_timeout(session) * RETRY_PERCENT / 100
-                   - mr_clock_now(NULL);
-    bool elsewhere = run->mode == MR_RUN_AGED || run->begin_aged;
-
-    return elsewhere && left > OPEN_TIMEOUT_MS ? OPEN_TIMEOUT_MS : left;
+    try_again(session, MR_ERR_OVERLOADED, mr_run_retry_pause(run));
 }
 
 static void
@@ -676,7 +566,7 @@
         return;
     }
     run->waits_at = db;
-    set_stage(session, MR_RUN_OPENING, open_limit(session));
+    set_stage(session, MR_RUN_OPENING, mr_run_open_limit(session));
     run->wait = mr_linkpool_wait(session->relay->options.base, db,
                                  session->account, on_link, session);
 }
@@ -746,7 +636,7 @@
     run->answered = false;
     if (session->tx_lost) {
         fail(session, MR_ERR_TRANSACTION_LOST,
-             "connection to the database lost", 0);
+             "the transaction ended between statements", 0);
         return;
     }
     if (session->tx == MR_TX_OPEN && session->tx_link != NULL) {
@@ -764,7 +654,7 @@
     if (db == NULL) {
         run->tries++;
         request_refresh(session->relay);
-        try_later(session, RETRY_FIRST_MS);
+        try_later(session, MR_RUN_RETRY_FIRST_MS);
         return;
     }
     connect_to(session, db);
@@ -776,7 +666,7 @@
 {
     mr_run_t *run = &session->run;
     mr_ms_t now = mr_clock_now(NULL);
-    mr_ms_t left = deadline_of(session) - now;
+    mr_ms_t left = mr_run_deadline_of(session) - now;
 
     if (left > 0 && mr_link_db(run->link)->answered_at >= run->sent_at) {
         /* It works for others: this statement takes its time. */
@@ -797,6 +687,12 @@
     (void)what;
     switch (run->stage) {
     case MR_RUN_NONE:
+        mr_log_request(MR_LOG_FAILED, "transaction_idle",
+                       "account=%s database=%s limit_ms=%lld",
+                       session->account, session->database,
+                       (long long)session->catalog->tx_idle);
+        mr_run_end_transaction(session);
+        session->tx_lost = true;
         break;
     case MR_RUN_ADMISSION:
         mr_client_admit(session, mr_clock_now(NULL));
@@ -814,7 +710,7 @@
         run->wait = NULL;
         run->failed_db = run->waits_at;
         /* Past the time for attempts, the pause ends them. */
-        try_again(session, MR_ERR_OVERLOADED, RETRY_FIRST_MS);
+        try_again(session, MR_ERR_OVERLOADED, MR_RUN_RETRY_FIRST_MS);
         break;
     case MR_RUN_PREPARING:
     case MR_RUN_BEGINNING:
@@ -836,7 +732,7 @@
     line->text = NULL;
     run->started = mr_clock_now(NULL);
     mr_quota_waiting(session->relay->options.quota, session->account, 1);
-    set_stage(session, MR_RUN_ADMISSION, unoffered_limit(session));
+    set_stage(session, MR_RUN_ADMISSION, mr_run_unoffered_limit(session));
 }
 
 void
@@ -869,14 +765,7 @@
     if (session->run.stage == MR_RUN_ADMISSION) {
         mr_quota_waiting(session->relay->options.quota, session->account, -1);
     }
-    mr_log_request(MR_LOG_FAILED, "request_abandoned",
-                   "id=%s account=%s mode=%s target=%s stage=%d tries=%d "
-                   "offered=%d waited_ms=%lld",
-                   session->run.line.u.query.id, session->account,
-                   mode_names[session->run.mode], session->run.target,
-                   session->run.stage, session->run.tries,
-                   session->run.offered,
-                   (long long)(mr_clock_now(NULL) - session->run.started));
+    mr_run_log_abandoned(session);
     drop_link(session);
     clear(&session->run);
 }
@@ -884,6 +773,9 @@
 void
 mr_run_end_transaction(mr_client_t *session)
 {
+    if (session->run.stage == MR_RUN_NONE && session->run.timer != NULL) {
+        evtimer_del(session->run.timer);
+    }
     if (session->tx_link != NULL) {
         /* Closing rolls back as well, but costs a new connection. */
         mr_link_query(session->tx_link, mr_own_statement_id, NULL,
--- /dev/null
+++ b/lib/session/run.h
@@ -0,0 +1,35 @@
+#ifndef MR_SESSION_RUN_H
+#define MR_SESSION_RUN_H
+
+/* Shared by run.c and run_limits.c. */
+
+#include "session/client.h"
+
+enum {
+    /* First pause before another attempt, about one statement's work. */
+    MR_RUN_RETRY_FIRST_MS = 15,
+    /* Part of a statement's time after which it is refused instead of tried
+     * again, so that the client can still come back. */
+    MR_RUN_RETRY_PERCENT = 70,
+};
+
+mr_ms_t mr_run_statement_timeout(const mr_client_t *session);
+/** mr_run_unoffered_limit() - how long a statement may wait without having
+ * been offered to a database. */
+mr_ms_t mr_run_unoffered_limit(const mr_client_t *session);
+/** mr_run_silence_limit() - how long a read waits for a database that answers
+ * nothing at all. */
+mr_ms_t mr_run_silence_limit(const mr_client_t *session);
+mr_ms_t mr_run_deadline_of(const mr_client_t *session);
+/** mr_run_open_limit() - how long a statement waits for a connection. */
+mr_ms_t mr_run_open_limit(const mr_client_t *session);
+/** mr_run_retry_pause() - before the next attempt, with jitter. */
+mr_ms_t mr_run_retry_pause(const mr_run_t *run);
+
+/** mr_run_log_end() - one line with what decided about the statement. */
+void mr_run_log_end(mr_client_t *session, mr_error_kind_t error,
+                    mr_ms_t retry_after);
+/** mr_run_log_abandoned() - the client left before the answer. */
+void mr_run_log_abandoned(const mr_client_t *session);
+
+#endif
--- /dev/null
+++ b/lib/session/run_limits.c
@@ -0,0 +1,136 @@
+/* How long a statement may take at each stage, and its lines in the log. */
+
+#include <sodium.h>
+
+#include "common/log.h"
+#include "session/run.h"
+
+enum {
+    /* For a connection: a new one takes 12 to 27 ms of a slot, longer behind
+     * other work. Then another database may be better. */
+    OPEN_TIMEOUT_MS = 300,
+    /* Before another attempt; doubled each time. About one statement's work at
+     * a database. */
+    RETRY_MAX_MS = 120,
+    STATEMENT_TIMEOUT_DEFAULT_MS = 1000, /* routes without a limit */
+    OBJECTIVE_DEFAULT_MS = 200,
+    /* Part of the objective after which a silent database is given up. */
+    SILENCE_PERCENT = 75,
+};
+
+mr_ms_t
+mr_run_statement_timeout(const mr_client_t *session)
+{
+    mr_ms_t timeout = session->route->statement_timeout;
+
+    return timeout > 0 ? timeout : STATEMENT_TIMEOUT_DEFAULT_MS;
+}
+
+/* How long a statement may wait without having been offered to a database. */
+mr_ms_t
+mr_run_unoffered_limit(const mr_client_t *session)
+{
+    mr_ms_t objective = session->route->objective;
+
+    return (objective > 0 ? objective : OBJECTIVE_DEFAULT_MS) / 5;
+}
+
+/* How long a read waits for a database that answers nothing at all. */
+mr_ms_t
+mr_run_silence_limit(const mr_client_t *session)
+{
+    mr_ms_t objective = session->route->objective;
+
+    return (objective > 0 ? objective : OBJECTIVE_DEFAULT_MS) * SILENCE_PERCENT
+           / 100;
+}
+
+mr_ms_t
+mr_run_deadline_of(const mr_client_t *session)
+{
+    return session->run.started + mr_run_statement_timeout(session);
+}
+
+/* Pause before the next attempt, with jitter against attempts in step. */
+mr_ms_t
+mr_run_retry_pause(const mr_run_t *run)
+{
+    mr_ms_t pause = (mr_ms_t)MR_RUN_RETRY_FIRST_MS
+                    << (run->tries < 4 ? run->tries : 4);
+
+    if (pause > RETRY_MAX_MS) {
+        pause = RETRY_MAX_MS;
+    }
+    return pause / 2 + (mr_ms_t)randombytes_uniform((uint32_t)pause);
+}
+
+/* How long a statement waits for a connection: a read may be better off at
+ * another database, everything else has only the primary. */
+mr_ms_t
+mr_run_open_limit(const mr_client_t *session)
+{
+    const mr_run_t *run = &session->run;
+    mr_ms_t left =
+        run->started
+        + mr_run_statement_timeout(session) * MR_RUN_RETRY_PERCENT / 100
+        - mr_clock_now(NULL);
+    bool elsewhere = run->mode == MR_RUN_AGED || run->begin_aged;
+
+    return elsewhere && left > OPEN_TIMEOUT_MS ? OPEN_TIMEOUT_MS : left;
+}
+
+static const char *const mode_names[] = {
+    [MR_RUN_WRITE] = "write",          [MR_RUN_PRESENT] = "present_read",
+    [MR_RUN_AGED] = "aged_read",       [MR_RUN_FIRST] = "transaction_begin",
+    [MR_RUN_CONTINUE] = "transaction",
+};
+
+/* Age of the newest position of the primary that is known; -1: none is. */
+static mr_ms_t
+mr_run_sample_age(const mr_client_t *session, mr_ms_t now)
+{
+    const mr_cluster_t *cluster = mr_clusters_find(
+        session->relay->options.clusters, session->route->service);
+    const mr_sample_t *sample =
+        cluster != NULL ? mr_cluster_newest(cluster) : NULL;
+
+    return sample != NULL ? now - sample->at : -1;
+}
+
+/* One line with what decided about the statement. */
+void
+mr_run_log_end(mr_client_t *session, mr_error_kind_t error,
+               mr_ms_t retry_after)
+{
+    const mr_run_t *run = &session->run;
+    mr_ms_t now = mr_clock_now(NULL);
+    mr_ms_t took = now - run->started;
+
+    mr_histogram_add(error == MR_OK ? &session->relay->latency
+                                    : &session->relay->failures,
+                     took);
+    mr_log_request(
+        error == MR_OK ? MR_LOG_SUCCEEDED : MR_LOG_FAILED, "request_ended",
+        "id=%s account=%s database=%s mode=%s target=%s after=%lld.%lld "
+        "sample_age_ms=%lld config=%lld tries=%d offered=%d error=%s "
+        "retry_after_ms=%lld took_ms=%lld",
+        run->line.u.query.id, session->account, session->database,
+        mode_names[run->mode], run->target, (long long)run->after.term,
+        (long long)run->after.number,
+        (long long)mr_run_sample_age(session, now),
+        (long long)session->catalog->version, run->tries, run->offered,
+        mr_error_name(error), (long long)retry_after, (long long)took);
+}
+
+void
+mr_run_log_abandoned(const mr_client_t *session)
+{
+    mr_log_request(MR_LOG_FAILED, "request_abandoned",
+                   "id=%s account=%s mode=%s target=%s stage=%d tries=%d "
+                   "offered=%d waited_ms=%lld",
+                   session->run.line.u.query.id, session->account,
+                   mode_names[session->run.mode], session->run.target,
+                   session->run.stage, session->run.tries,
+                   session->run.offered,
+                   (long long)(mr_clock_now(NULL) - session->run.started));
+}
--- a/tests/integration/test_sessions.c
+++ b/tests/integration/test_sessions.c
@@ -401,6 +401,26 @@
 }
 END_TEST
 
+START_TEST(test_a_resting_transaction_gives_its_connection_back)
+{
+    client_t *client = must_open(0, "own", "key-1");
+    char id[WORLD_TEXT_BYTES];
+
+    must_run(client, "BEGIN", NULL);
+    must_run(client, "WRITE a b", id);
+    harness_run(base, 3300); /* the limit is 3,000 ms */
+    client_answer_t answer = client_run(client, "COMMIT", NULL);
+    ck_assert_msg(answer_is(&answer, "ABORTED"), "%s", answer.text);
+    ck_assert_int_eq(answer.state, 'I');
+    ck_assert_int_eq(world_holds(world, id), 0);
+    must_run(client, "BEGIN", NULL);
+    must_run(client, "WRITE a b", id);
+    must_run(client, "COMMIT", NULL);
+    ck_assert_int_eq(world_holds(world, id), 1);
+    client_close(client);
+}
+END_TEST
+
 START_TEST(test_a_late_promotion_does_not_undo_a_later_one)
 {
     client_t *clients[RELAYS];
@@ -524,6 +544,7 @@
         test_a_leaving_primary_loses_nothing,
         test_a_write_without_an_answer_is_in_doubt,
         test_a_transaction_without_its_connection_is_aborted,
+        test_a_resting_transaction_gives_its_connection_back,
         test_a_late_promotion_does_not_undo_a_later_one,
         test_a_planned_stop_cuts_nothing,
         test_a_restart_without_the_store_serves_later,
--- a/tests/integration/world_internal.h
+++ b/tests/integration/world_internal.h
@@ -86,6 +86,6 @@
 void world_db_close(world_db_t *db);
 void world_complain(world_t *world, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
-void world_promote(world_t *world, int db);
+void world_promote(world_t *world, int index);
 
 #endif
