--- a/lib/common/log.c
+++ b/lib/common/log.c
@@ -178,7 +178,7 @@
     }
 }
 
-static void
+__attribute__((format(printf, 4, 0))) static void
 write_line(mr_log_level_t level, mr_log_class_t class, const char *event,
            const char *fmt, va_list args)
 {
