Count the replicas of a service by the most that were registered

Cause: with synchronous copies the promoter needed answers from all but one of the replicas that are registered now; once the complete one had lapsed, the other one was promoted without acknowledged commits. The new test failed first (1 promotion in place of 0). The stand-in's listeners are no longer inherited by the daemons.

--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -255,13 +255,18 @@
     MR_LIST_FOREACH(it, &clusters->list)
     {
         mr_cluster_t *cluster = MR_LIST_ENTRY(it, mr_cluster_t, link);
+        int listed = 0;
         MR_LIST_FOREACH(jt, &cluster->dbs)
         {
             mr_db_t *db = MR_LIST_ENTRY(jt, mr_db_t, link);
+            listed += db->listed;
             if (!db->gone) {
                 check_missing(db, now);
             }
         }
+        if (listed > cluster->copies) {
+            cluster->copies = listed;
+        }
         if (mr_cluster_leader(cluster) != NULL) {
             cluster->leaderless_since = 0;
         }
--- a/lib/session/cluster.h
+++ b/lib/session/cluster.h
@@ -74,6 +74,7 @@
     int64_t promoted_version; /* fencing token of that promotion */
     int64_t connections;      /* to one database, from all instances */
     int links_max; /* connections to one database from this instance */
+    int copies;    /* most databases that were registered at one time */
     mr_ms_t leaderless_since; /* 0: a leader is known */
 };
 
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -384,24 +384,26 @@
 }
 
 /* Whether the replicas that answered include one with every acknowledged
- * commit: each commit is held by as many of them as the service asks for. */
+ * commit: each commit is held by as many of them as the service asks for. A
+ * replica that is no longer registered may be the one. */
 static bool
 enough_answered(order_t *order)
 {
     const mr_promoter_options_t *options = &order->promoter->options;
-    int64_t copies = options->sync_copies(options->ctx, order->service);
-    int64_t asked = 0;
+    const mr_cluster_t *cluster =
+        mr_clusters_get(options->clusters, order->service);
+    int64_t needed = options->sync_copies(options->ctx, order->service);
+    int64_t replicas = cluster->copies - 1;
     int64_t answered = 0;
 
-    if (copies == 0 || order->planned) {
+    if (needed == 0 || order->planned) {
         return true;
     }
     MR_LIST_FOREACH(it, &order->answers)
     {
-        asked++;
         answered += MR_LIST_ENTRY(it, answer_t, link)->answered;
     }
-    return answered > asked - copies;
+    return answered > replicas - needed;
 }
 
 /* Goes on as soon as no status answer is due. */
--- a/tests/integration/test_sessions.c
+++ b/tests/integration/test_sessions.c
@@ -305,6 +305,43 @@
 }
 END_TEST
 
+START_TEST(test_with_synchronous_copies_the_complete_replica_is_promoted)
+{
+    client_t *clients[RELAYS];
+    char ids[20][WORLD_TEXT_BYTES];
+
+    world_sync(world, 1);
+    world_config(world, 9, keys, RATE);
+    harness_run(base, 1000);
+    for (int i = 0; i < RELAYS; i++) {
+        clients[i] = must_open(i, "own", "key-1");
+    }
+    /* Only the other replica has what follows. */
+    world_db_deaf(world, 1);
+    for (int i = 0; i < 20; i++) {
+        must_run(clients[i % RELAYS], "WRITE a b", ids[i]);
+    }
+    world_db_kill(world, 2);
+    world_db_kill(world, 0);
+    for (int i = 0; i < RELAYS; i++) {
+        client_start(clients[i], "WRITE a b");
+    }
+    harness_run(base, 6000);
+    /* The replica that answers may lack an acknowledged commit. */
+    ck_assert_int_eq(world_promotions(world), 0);
+    world_db_start(world, 2, false);
+    ck_assert_int_lt(write_until_served(clients[0], 10000), 5000);
+    ck_assert_int_eq(world_primary(world), 2);
+    ck_assert_int_eq(world_suspended(world), 0);
+    for (int i = 0; i < 20; i++) {
+        ck_assert_int_eq(world_holds(world, ids[i]), 1);
+    }
+    for (int i = 0; i < RELAYS; i++) {
+        client_close(clients[i]);
+    }
+}
+END_TEST
+
 START_TEST(test_a_silent_primary_is_replaced_while_the_store_is_out)
 {
     client_t *clients[RELAYS];
@@ -540,6 +577,7 @@
         test_withdrawn_keys_and_routes_stop,
         test_limits_hold_over_all_instances,
         test_a_dead_primary_is_replaced,
+        test_with_synchronous_copies_the_complete_replica_is_promoted,
         test_a_silent_primary_is_replaced_while_the_store_is_out,
         test_a_leaving_primary_loses_nothing,
         test_a_write_without_an_answer_is_in_doubt,
--- a/tests/integration/world.c
+++ b/tests/integration/world.c
@@ -48,6 +48,23 @@
     free(world);
 }
 
+void
+world_sync(world_t *world, int copies)
+{
+    world->sync = copies;
+}
+
+int
+world_suspended(const world_t *world)
+{
+    int count = 0;
+
+    for (int i = 0; i < WORLD_DBS; i++) {
+        count += world->dbs[i].suspended;
+    }
+    return count;
+}
+
 void
 world_drop_route(world_t *world, const char *database)
 {
@@ -91,9 +108,11 @@
     add_route(world, text, "primary", "primary", 0);
     add_route(world, text, "bounded", "bounded_staleness", 1500);
     add_route(world, text, "own", "read_your_writes", 2500);
-    add_text(text, "],\"services\":[{\"name\":\"rez\",\"max_conns\":36,"
-                   "\"sync_replicas\":0}],\"limits\":{\"tx_idle_ms\":3000},"
-                   "\"tenants\":[");
+    add_text(text,
+             "],\"services\":[{\"name\":\"rez\",\"max_conns\":36,"
+             "\"sync_replicas\":%d}],\"limits\":{\"tx_idle_ms\":3000},"
+             "\"tenants\":[",
+             world->sync);
     for (int i = 0; keys[i] != NULL; i++) {
         const char *colon = strchr(keys[i], ':');
         add_text(text,
--- a/tests/integration/world.h
+++ b/tests/integration/world.h
@@ -41,6 +41,10 @@
 /** world_config() - put the desired state; keys: "account:key" pairs. */
 void world_config(world_t *world, int64_t version, const char *const *keys,
                   int64_t rate);
+/** world_sync() - copies that a commit needs, in the next desired states. */
+void world_sync(world_t *world, int copies);
+/** world_suspended() - replicas that were told not to receive. */
+int world_suspended(const world_t *world);
 /** world_drop_route() - leave the route out of the next desired states. */
 void world_drop_route(world_t *world, const char *database);
 
--- a/tests/integration/world_db.c
+++ b/tests/integration/world_db.c
@@ -253,7 +253,13 @@
 {
     world_db_t *db = conn->db;
 
-    if (strcmp(text, "STATUS") == 0) {
+    bool status = strcmp(text, "STATUS") == 0;
+
+    if (strncmp(text, "SUSPEND ", 8) == 0) {
+        db->suspended = true;
+        status = true;
+    }
+    if (status) {
         say(conn, "ROW %s %lld %lld.%lld 0 0 0 1\r\n",
             leads(db) ? "primary" : "replica", (long long)db->world->term,
             (long long)db->world->term, (long long)received(db));
@@ -266,6 +272,9 @@
             (long long)db->world->term, (long long)db->world->term,
             (long long)received(db));
     }
+    else if (strcmp(text, "RESUME") == 0) {
+        db->suspended = false;
+    }
     else if (strcmp(text, "RESET") == 0) {
         conn->values[0] = '\0';
         conn->name_count = 0;
@@ -448,10 +457,10 @@
                                .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
                                .sin_port = htons((uint16_t)db->port)};
 
-    db->listener =
-        evconnlistener_new_bind(db->world->base, on_accept, db,
-                                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 128,
-                                (struct sockaddr *)&addr, sizeof(addr));
+    db->listener = evconnlistener_new_bind(
+        db->world->base, on_accept, db,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, 128,
+        (struct sockaddr *)&addr, sizeof(addr));
     ck_assert_ptr_nonnull(db->listener);
     db->running = true;
 }
@@ -484,5 +493,6 @@
     world->log_count = received(leader);
     for (int i = 0; i < WORLD_DBS; i++) {
         world->dbs[i].deaf_at = -1;
+        world->dbs[i].suspended = false;
     }
 }
--- a/tests/integration/world_internal.h
+++ b/tests/integration/world_internal.h
@@ -32,6 +32,7 @@
     bool silent;
     bool draining;
     mr_ms_t lag;
+    bool suspended;
     int64_t deaf_at;     /* it receives nothing above this number; -1: all */
     mr_ms_t empty_until; /* after a start without its log */
     struct evconnlistener *listener;
@@ -54,6 +55,7 @@
     int primary; /* index of the database that leads; it may be down */
     int64_t term;
     int promotions;
+    int sync;
     int64_t highest_token;
     mr_ms_t promotion_delay;
     int lose_nth;
