--- a/lib/session/catalog.h
+++ b/lib/session/catalog.h
@@ -24,7 +24,6 @@
     mr_ms_t max_age;           /* of data read; for all but MR_FRESH_PRIMARY */
     mr_ms_t statement_timeout; /* 0: none */
     mr_ms_t objective;         /* latency objective of an operation */
-    int64_t priority;          /* 0 is the highest */
     bool anonymous;            /* open to callers without a key */
 } mr_catalog_route_t;
 
--- a/lib/session/fleet.c
+++ b/lib/session/fleet.c
@@ -149,7 +149,6 @@
 void
 mr_fleet_start_reports(mr_fleet_t *fleet)
 {
-    fleet->started_at = mr_clock_now(NULL);
     mr_fleet_set_timer(fleet->report_timer, 0);
     mr_fleet_set_timer(fleet->check_timer, CHECK_PERIOD_MS);
 }
--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -54,7 +54,6 @@
     size_t reported_instances; /* as the coordinator counts them */
     mr_ms_t answered_at;       /* last reply of the coordinator */
     mr_ms_t reported_at;
-    mr_ms_t started_at;
     mr_ms_t coordinating_since;
     mr_fleet_instance_t *coordinator; /* NULL: this one */
     /* What the coordinator last said that it has; the versions only. */
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -74,7 +74,6 @@
     int64_t token; /* 0: none yet */
     mr_list_t answers;
     char *chosen;
-    char *former; /* the primary that leaves */
     mr_position_t goal;
     mr_ms_t stage_since;
     mr_ms_t started;
@@ -155,7 +154,6 @@
     event_free(order->timer);
     free(order->service);
     free(order->chosen);
-    free(order->former);
     free(order);
 }
 
@@ -552,7 +550,6 @@
         term = leader->status.received.term;
     }
     set_stage(order, ORDER_DEMOTE);
-    order->former = mr_strdup(leader->id);
     mr_demote_text(text, sizeof(text), term + 1);
     mr_link_query(leader->db_link, mr_own_statement_id, NULL, text, on_demoted,
                   leader);
