--- a/lib/session/relay.c
+++ b/lib/session/relay.c
@@ -3,7 +3,6 @@
 #include <event2/listener.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include "common/address.h"
 #include "common/log.h"
@@ -108,20 +107,6 @@
     }
 }
 
-int
-mr_relay_port(const mr_relay_t *relay)
-{
-    struct sockaddr_storage addr;
-    socklen_t len = sizeof(addr);
-
-    if (getsockname(evconnlistener_get_fd(relay->listener),
-                    (struct sockaddr *)&addr, &len)
-        != 0) {
-        return -1;
-    }
-    return mr_address_port(&addr);
-}
-
 size_t
 mr_relay_sessions(const mr_relay_t *relay)
 {
--- a/lib/session/relay.h
+++ b/lib/session/relay.h
@@ -36,9 +36,6 @@
 /** mr_relay_set_catalog() - the desired state for statements from now on. */
 void mr_relay_set_catalog(mr_relay_t *relay, mr_catalog_t *catalog);
 
-/** mr_relay_port() - port that clients are accepted on. */
-int mr_relay_port(const mr_relay_t *relay);
-
 /** mr_relay_sessions() - open sessions. */
 size_t mr_relay_sessions(const mr_relay_t *relay);
 
--- a/lib/session/view.c
+++ b/lib/session/view.c
@@ -198,15 +198,6 @@
     }
 }
 
-bool
-mr_view_is_behind(const mr_view_t *view, const mr_msg_view_t *other)
-{
-    return other->config_version > view->config_version
-           || registrations_newer(other->registrations_version,
-                                  other->registrations_digest,
-                                  view->registrations_version, view->digest);
-}
-
 static void
 import_registrations(mr_view_t *view, const mr_msg_view_t *in)
 {
--- a/lib/session/view.h
+++ b/lib/session/view.h
@@ -49,7 +49,4 @@
 void mr_view_import(mr_view_t *view, const mr_msg_view_t *in,
                     const char *source);
 
-/** mr_view_is_behind() - whether @other has something newer. */
-bool mr_view_is_behind(const mr_view_t *view, const mr_msg_view_t *other);
-
 #endif
