Divide a database's connections among the instances, also when there are fewer than instances

Cause: an instance kept at least one connection to each database.

Now nine tenths of the limit are divided; what does not divide evenly goes to some instances, others for each database.

--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -5,6 +5,7 @@
 
 #include "common/log.h"
 #include "common/mem.h"
+#include "member/rendezvous.h"
 #include "session/linkpool.h"
 
 enum {
@@ -18,7 +19,10 @@
     MISSING_MAX_MS = 2000, /* the platform's word on lapsed registrations */
     /* A replica that lacked a position is asked for a later one again. */
     LACKED_MEMORY_MS = 150,
-    LINKS_DEFAULT = 1,
+    LINKS_DEFAULT = 1, /* while the limit of a service is not known */
+    /* Part of a database's connections that are kept open; the others are for
+     * statements that find none, and for instances that were just started. */
+    KEPT_PERCENT = 90,
     /* Samples of the primary's position are at least this far apart; a full
      * ring spans the longest age that reads accept. */
     SAMPLE_GAP_MS = 60,
@@ -26,11 +30,12 @@
 };
 
 mr_clusters_t *
-mr_clusters_create(const char *data_centre)
+mr_clusters_create(const char *instance, const char *data_centre)
 {
     mr_clusters_t *clusters = MR_NEW(mr_clusters_t);
 
     mr_list_init(&clusters->list);
+    clusters->instance = mr_strdup(instance);
     clusters->data_centre = mr_strdup(data_centre);
     clusters->instances = 1;
     return clusters;
@@ -82,6 +87,7 @@
         free(cluster->promoted);
         free(cluster);
     }
+    free(clusters->instance);
     free(clusters->data_centre);
     free(clusters);
 }
@@ -108,36 +114,54 @@
         cluster = MR_NEW(mr_cluster_t);
         cluster->clusters = clusters;
         cluster->service = mr_strdup(service);
-        cluster->links_max = LINKS_DEFAULT;
         mr_list_init(&cluster->dbs);
         mr_list_append(&clusters->list, &cluster->link);
     }
     return cluster;
 }
 
+/* This instance's part of the connections that are kept to @db. What does not
+ * divide evenly goes to some instances, others for each database. */
 static void
-update_links_max(mr_cluster_t *cluster)
+update_links_max(mr_db_t *db)
 {
-    int64_t instances = cluster->clusters->instances;
-    int64_t part = (cluster->connections + instances / 2) / instances;
+    const mr_clusters_t *clusters = db->cluster->clusters;
+    int64_t kept = db->cluster->connections * KEPT_PERCENT / 100;
+    uint64_t place = mr_rendezvous_score(db->id, clusters->instance)
+                     % (uint64_t)clusters->instances;
 
-    cluster->links_max = part > LINKS_DEFAULT ? (int)part : LINKS_DEFAULT;
+    db->links_max = (int)(kept / clusters->instances);
+    if ((int64_t)place < kept % clusters->instances) {
+        db->links_max++;
+    }
+    if (db->cluster->connections == 0) {
+        db->links_max = LINKS_DEFAULT;
+    }
+}
+
+static void
+update_links_max_of_all(mr_cluster_t *cluster)
+{
+    MR_LIST_FOREACH(it, &cluster->dbs)
+    {
+        update_links_max(MR_LIST_ENTRY(it, mr_db_t, link));
+    }
 }
 
 void
 mr_cluster_set_connections(mr_cluster_t *cluster, int64_t connections)
 {
     cluster->connections = connections;
-    update_links_max(cluster);
+    update_links_max_of_all(cluster);
 }
 
 void
 mr_clusters_set_instances(mr_clusters_t *clusters, int64_t instances)
 {
-    clusters->instances = instances;
+    clusters->instances = instances > 0 ? instances : 1;
     MR_LIST_FOREACH(it, &clusters->list)
     {
-        update_links_max(MR_LIST_ENTRY(it, mr_cluster_t, link));
+        update_links_max_of_all(MR_LIST_ENTRY(it, mr_cluster_t, link));
     }
 }
 
@@ -175,6 +199,7 @@
     mr_list_init(&db->idle);
     mr_list_init(&db->waits);
     mr_list_append(&cluster->dbs, &db->link);
+    update_links_max(db);
     mr_log(MR_LOG_INFO, "database_found",
            "service=%s id=%s address=%s role=%s", cluster->service, id,
            entry->address, entry->primary ? "primary" : "replica");
--- a/lib/session/cluster.h
+++ b/lib/session/cluster.h
@@ -48,6 +48,7 @@
     int opening;        /* connections being opened */
     mr_ms_t open_after; /* no new connection before this time */
     int links;          /* connections, idle ones included */
+    int links_max;      /* above which none is kept */
     int running;        /* statements and new connections in progress */
     mr_ms_t latency;    /* smoothed time of an answer */
 } mr_db_t;
@@ -73,18 +74,19 @@
     char *promoted;           /* database that the last promotion named */
     int64_t promoted_version; /* fencing token of that promotion */
     int64_t connections;      /* to one database, from all instances */
-    int links_max; /* connections to one database from this instance */
-    int copies;    /* most databases that were registered at one time */
+    int copies; /* most databases that were registered at one time */
     mr_ms_t leaderless_since; /* 0: a leader is known */
 };
 
 struct mr_clusters {
     mr_list_t list;
+    char *instance;    /* this one's name */
     char *data_centre; /* of this instance */
     int64_t instances; /* that share the connections */
 };
 
-mr_clusters_t *mr_clusters_create(const char *data_centre);
+mr_clusters_t *mr_clusters_create(const char *instance,
+                                  const char *data_centre);
 void mr_clusters_destroy(mr_clusters_t *clusters);
 
 /** mr_clusters_find() - NULL when no database of @service was ever seen. */
--- a/lib/session/linkpool.c
+++ b/lib/session/linkpool.c
@@ -128,8 +128,7 @@
 may_open(const mr_db_t *db)
 {
     return !db->gone && db->opening < OPENING_MAX
-           && db->links - db->idle_count
-                  < db->cluster->links_max + TRANSIENT_MAX
+           && db->links - db->idle_count < db->links_max + TRANSIENT_MAX
            && mr_clock_now(NULL) >= db->open_after;
 }
 
@@ -139,7 +138,7 @@
     struct timeval timeout = mr_clock_timeval(OPEN_TIMEOUT_MS);
 
     /* The one that was unused for longest makes room. */
-    if (db->links >= db->cluster->links_max && db->idle_count > 0) {
+    if (db->links >= db->links_max && db->idle_count > 0) {
         mr_link_close(mr_link_oldest_idle(db));
     }
     wait->opening = true;
@@ -211,7 +210,7 @@
         return;
     }
     db->links++; /* holds @db */
-    if (db->gone || db->draining || db->links - 1 > db->cluster->links_max
+    if (db->gone || db->draining || db->links - 1 > db->links_max
         || !mr_list_empty(&db->waits)) {
         mr_link_close(link);
     }
--- a/lib/session/sessiond.c
+++ b/lib/session/sessiond.c
@@ -214,7 +214,8 @@
 static bool
 create_modules(mr_sessiond_t *daemon, const mr_sessiond_settings_t *settings)
 {
-    daemon->clusters = mr_clusters_create(settings->data_centre);
+    daemon->clusters =
+        mr_clusters_create(settings->name, settings->data_centre);
     daemon->quota = mr_quota_create(NULL, daemon->counters);
     daemon->store = mr_store_create(&(mr_store_options_t){
         .base = daemon->base,
--- a/tests/unit/test_clusters.c
+++ b/tests/unit/test_clusters.c
@@ -1,9 +1,10 @@
 /* Guards against wrong views of the databases: a replica that lags chosen by
  * the wrong position, a restarted database that keeps its former place, a
- * registration that is dropped while it only lapsed, and a primary that a
- * later promotion replaced. */
+ * registration that is dropped while it only lapsed, a primary that a later
+ * promotion replaced, and more connections kept than a database takes. */
 
 #include <event2/event.h>
+#include <stdio.h>
 
 #include "../common/runner.h"
 #include "session/cluster.h"
@@ -16,7 +17,7 @@
 static void
 set_up(void)
 {
-    clusters = mr_clusters_create("konya");
+    clusters = mr_clusters_create("front-1", "konya");
 }
 
 static void
@@ -188,6 +189,39 @@
 }
 END_TEST
 
+/* Connections to the database "a" that @instances instances keep together. */
+static int
+kept_by_all(int64_t instances, int64_t connections)
+{
+    int kept = 0;
+
+    for (int i = 0; i < instances; i++) {
+        char name[32];
+        snprintf(name, sizeof(name), "front-%d", i);
+        mr_clusters_destroy(clusters);
+        clusters = mr_clusters_create(name, "konya");
+        register_two(5, NOW);
+        mr_cluster_set_connections(rez(), connections);
+        mr_clusters_set_instances(clusters, instances);
+        kept += mr_cluster_leader(rez())->links_max;
+    }
+    return kept;
+}
+
+START_TEST(test_instances_together_keep_less_than_a_database_takes)
+{
+    static const struct {
+        int64_t instances, connections;
+    } sizes[] = {{3, 36}, {18, 36}, {20, 87}, {95, 52}, {300, 52}};
+
+    for (size_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+        int kept = kept_by_all(sizes[i].instances, sizes[i].connections);
+        ck_assert_int_lt(kept, sizes[i].connections);
+        ck_assert_int_gt(kept, sizes[i].connections / 2);
+    }
+}
+END_TEST
+
 int
 main(void)
 {
@@ -201,6 +235,7 @@
         test_reads_accept_the_oldest_position_that_covers,
         test_a_sample_of_a_former_primary_is_ignored,
         test_readers_leave_out_what_cannot_serve,
+        test_instances_together_keep_less_than_a_database_takes,
     };
 
     return RUN_TESTS(tests, .suite = "clusters", .setup = set_up,
