--- a/lib/session/feed.c
+++ b/lib/session/feed.c
@@ -73,14 +73,15 @@
     for (size_t i = 0; i < answer->count; i++) {
         const mr_store_row_t *row = &answer->rows[i];
         if (strcmp(row->key, config_key) == 0 && !row->deleted) {
-            mr_view_set_config(feed->options.view, row->value, row->len,
-                               "store");
+            mr_directory_set_config(feed->options.directory, row->value,
+                                    row->len, "store");
         }
     }
     feed->after = answer->version;
     set_timer(feed->config_timer,
-              mr_view_config_version(feed->options.view) == 0 ? RETRY_FIRST_MS
-                                                              : 0);
+              mr_directory_config_version(feed->options.directory) == 0
+                  ? RETRY_FIRST_MS
+                  : 0);
 }
 
 static void
@@ -116,10 +117,11 @@
     feed->reading = false;
     feed->registrations_failed = answer->error != MR_OK;
     if (!feed->registrations_failed) {
-        mr_view_set_registrations(feed->options.view, answer->version,
-                                  answer->rows, answer->count);
+        mr_directory_set_registrations(feed->options.directory,
+                                       answer->version, answer->rows,
+                                       answer->count);
     }
-    if (!mr_view_complete(feed->options.view)) {
+    if (!mr_directory_complete(feed->options.directory)) {
         period = RETRY_FIRST_MS;
     }
     else if (feed->duty == MR_FEED_CHIEF) {
--- a/lib/session/feed.h
+++ b/lib/session/feed.h
@@ -2,22 +2,22 @@
 #define MR_SESSION_FEED_H
 
 /*
- * Reads the store into the instance's view: the desired state through the feed
- * of its table, the registrations from time to time. Instances that hear from
- * the coordinator leave the reading to it and a few others.
+ * Reads the store into the instance's directory: the desired state through the
+ * feed of its table, the registrations from time to time. Instances that hear
+ * from the coordinator leave the reading to it and a few others.
  */
 
 #include <event2/event.h>
 
+#include "session/directory.h"
 #include "session/store.h"
-#include "session/view.h"
 
 typedef struct mr_feed mr_feed_t;
 
 typedef struct mr_feed_options {
     struct event_base *base;
     mr_store_t *store;
-    mr_view_t *view;
+    mr_directory_t *directory;
 } mr_feed_options_t;
 
 /** How much an instance reads from the store. */
--- a/lib/session/fleet.c
+++ b/lib/session/fleet.c
@@ -108,7 +108,7 @@
     }
     if (fleet->coordinator != coordinator) {
         /* Until its first reply nothing is sent that it may have. */
-        fleet->coordinator_view = (mr_msg_view_t){
+        fleet->coordinator_directory = (mr_msg_directory_t){
             .config_version = INT64_MAX, .registrations_version = INT64_MAX};
     }
     if (coordinating && !fleet->coordinating) {
--- a/lib/session/fleet.h
+++ b/lib/session/fleet.h
@@ -12,12 +12,12 @@
 #include <event2/event.h>
 
 #include "session/cluster.h"
+#include "session/directory.h"
 #include "session/feed.h"
 #include "session/promoter.h"
 #include "session/quota.h"
 #include "session/sampler.h"
 #include "session/store.h"
-#include "session/view.h"
 
 typedef struct mr_fleet mr_fleet_t;
 
@@ -29,7 +29,7 @@
     const char *address; /* that other instances reach this one at */
     mr_store_t *store;
     mr_feed_t *feed;
-    mr_view_t *view;
+    mr_directory_t *directory;
     mr_clusters_t *clusters;
     mr_quota_t *quota;
     mr_promoter_t *promoter;
--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -57,7 +57,7 @@
     mr_ms_t coordinating_since;
     mr_fleet_instance_t *coordinator; /* NULL: this one */
     /* What the coordinator last said that it has; the versions only. */
-    mr_msg_view_t coordinator_view;
+    mr_msg_directory_t coordinator_directory;
     mr_list_t reports;
     struct event *report_timer;
     struct event *check_timer;
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -143,7 +143,8 @@
         mr_log(MR_LOG_INFO, "instance_regained", "name=%s", from->name);
     }
     from->failures = 0;
-    mr_view_import(fleet->options.view, &reply->view, from->name);
+    mr_directory_import(fleet->options.directory, &reply->directory,
+                        from->name);
     if (from == fleet->coordinator) {
         fleet->answered_at = now;
         fleet->store_failing = reply->store_failing;
@@ -151,10 +152,10 @@
         mr_fleet_update_count(fleet);
         import_draws(fleet, reply, asked_at);
         import_primaries(fleet, reply, asked_at);
-        fleet->coordinator_view = (mr_msg_view_t){
-            .config_version = reply->view.config_version,
-            .registrations_version = reply->view.registrations_version,
-            .registrations_digest = reply->view.registrations_digest,
+        fleet->coordinator_directory = (mr_msg_directory_t){
+            .config_version = reply->directory.config_version,
+            .registrations_version = reply->directory.registrations_version,
+            .registrations_digest = reply->directory.registrations_digest,
         };
         from->heard_at = now;
         if (fleet->again) {
@@ -166,7 +167,7 @@
 
 static void
 send_report(mr_fleet_t *fleet, mr_fleet_instance_t *to,
-            const report_lists_t *lists, const mr_msg_view_t *known)
+            const report_lists_t *lists, const mr_msg_directory_t *known)
 {
     mr_fleet_report_t *report = MR_NEW(mr_fleet_report_t);
     mr_msg_t msg = {.type = MR_MSG_REPORT};
@@ -180,7 +181,8 @@
         .health = lists->health,
         .health_count = lists->health_count,
     };
-    mr_view_export(fleet->options.view, known, &msg.u.report.view);
+    mr_directory_export(fleet->options.directory, known,
+                        &msg.u.report.directory);
     *report = (mr_fleet_report_t){
         .fleet = fleet, .to = to, .sent_at = mr_clock_now(NULL)};
     to->tried_at = report->sent_at;
@@ -283,7 +285,7 @@
     }
     else {
         send_report(fleet, fleet->coordinator, &lists,
-                    &fleet->coordinator_view);
+                    &fleet->coordinator_directory);
     }
     fleet->refresh = false;
     free_lists(&lists);
@@ -328,7 +330,8 @@
     reply->instances = (int64_t)mr_fleet_instances(fleet);
     reply->lifetime_ms = TOKEN_LIFETIME_MS;
     reply->store_failing = mr_feed_failing(fleet->options.feed);
-    mr_view_export(fleet->options.view, &report->view, &reply->view);
+    mr_directory_export(fleet->options.directory, &report->directory,
+                        &reply->directory);
     for (size_t i = 0; i < report->want_count; i++) {
         draws[i] = (mr_msg_draw_t){report->wants[i].account,
                                    draw_for(fleet, &report->wants[i], now)};
@@ -358,7 +361,7 @@
     if (instance != NULL) {
         instance->heard_at = now;
     }
-    mr_view_import(fleet->options.view, &report->view, from);
+    mr_directory_import(fleet->options.directory, &report->directory, from);
     if (report->draws) {
         mr_budgets_report(fleet->budgets, from, now);
         mr_promoter_report(fleet->options.promoter, from, now, report->health,
--- a/lib/session/sessiond.c
+++ b/lib/session/sessiond.c
@@ -32,7 +32,7 @@
     mr_quota_t *quota;
     mr_store_t *store;
     mr_duty_t *duty;
-    mr_view_t *view;
+    mr_directory_t *directory;
     mr_feed_t *feed;
     mr_promoter_t *promoter;
     mr_sampler_t *sampler;
@@ -50,7 +50,8 @@
 {
     mr_sessiond_t *daemon = ctx;
 
-    return daemon->stopping_since == 0 && mr_view_complete(daemon->view)
+    return daemon->stopping_since == 0
+           && mr_directory_complete(daemon->directory)
            && mr_fleet_joined(daemon->fleet);
 }
 
@@ -170,7 +171,7 @@
 static void
 create_fleet(mr_sessiond_t *daemon, const mr_sessiond_settings_t *settings)
 {
-    daemon->view = mr_view_create(&(mr_view_options_t){
+    daemon->directory = mr_directory_create(&(mr_directory_options_t){
         .clusters = daemon->clusters,
         .counters = daemon->counters,
         .on_catalog = on_catalog,
@@ -179,7 +180,7 @@
     daemon->feed = mr_feed_create(&(mr_feed_options_t){
         .base = daemon->base,
         .store = daemon->store,
-        .view = daemon->view,
+        .directory = daemon->directory,
     });
     daemon->promoter = mr_promoter_create(&(mr_promoter_options_t){
         .base = daemon->base,
@@ -201,7 +202,7 @@
         .address = settings->peer,
         .store = daemon->store,
         .feed = daemon->feed,
-        .view = daemon->view,
+        .directory = daemon->directory,
         .clusters = daemon->clusters,
         .quota = daemon->quota,
         .promoter = daemon->promoter,
@@ -286,7 +287,7 @@
     mr_promoter_destroy(daemon->promoter);
     mr_sampler_destroy(daemon->sampler);
     mr_feed_destroy(daemon->feed);
-    mr_view_destroy(daemon->view);
+    mr_directory_destroy(daemon->directory);
     mr_quota_destroy(daemon->quota);
     mr_clusters_destroy(daemon->clusters);
     for (int i = 0; i < SIGNALS; i++) {
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -251,17 +251,18 @@
 static const layout_t db_health_layout =
     LAYOUT(mr_msg_db_health_t, db_health_fields);
 
-#define VIEW_FIELDS(type)                                                     \
-    F(INTEGER, type, view.config_version), F(BYTES, type, view.config),       \
-        F(INTEGER, type, view.registrations_version),                         \
-        F(INTEGER, type, view.registrations_digest),                          \
-        L(type, view.registrations, view.registration_count,                  \
+#define DIRECTORY_FIELDS(type)                                                \
+    F(INTEGER, type, directory.config_version),                               \
+        F(BYTES, type, directory.config),                                     \
+        F(INTEGER, type, directory.registrations_version),                    \
+        F(INTEGER, type, directory.registrations_digest),                     \
+        L(type, directory.registrations, directory.registration_count,        \
           registration_layout)
 
 static const field_t report_fields[] = {
     F(STRING, mr_msg_report_t, address),
     F(BOOL, mr_msg_report_t, refresh),
-    VIEW_FIELDS(mr_msg_report_t),
+    DIRECTORY_FIELDS(mr_msg_report_t),
     F(BOOL, mr_msg_report_t, draws),
     L(mr_msg_report_t, wants, want_count, draw_layout),
     L(mr_msg_report_t, health, health_count, db_health_layout),
@@ -283,7 +284,7 @@
     F(INTEGER, mr_msg_report_reply_t, instances),
     F(INTEGER, mr_msg_report_reply_t, lifetime_ms),
     F(BOOL, mr_msg_report_reply_t, store_failing),
-    VIEW_FIELDS(mr_msg_report_reply_t),
+    DIRECTORY_FIELDS(mr_msg_report_reply_t),
     L(mr_msg_report_reply_t, draws, draw_count, draw_layout),
     L(mr_msg_report_reply_t, primaries, primary_count, primary_layout),
 };
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -233,7 +233,7 @@
     int64_t registrations_digest;  /* over what matters of them */
     mr_msg_registration_t *registrations;
     size_t registration_count;
-} mr_msg_view_t;
+} mr_msg_directory_t;
 
 /** Tokens of a client account, wanted in a report and given in its reply. */
 typedef struct mr_msg_draw {
@@ -253,7 +253,7 @@
 typedef struct mr_msg_report {
     const char *address; /* that the sender listens on for instances */
     bool refresh;        /* registrations seem to be out of date */
-    mr_msg_view_t view;
+    mr_msg_directory_t directory;
     bool draws; /* false: the sender does not count as a reporting one */
     mr_msg_draw_t *wants;
     size_t want_count;
@@ -275,7 +275,7 @@
     int64_t instances;   /* that may admit operations */
     int64_t lifetime_ms; /* of the tokens, from when the report was sent */
     bool store_failing;  /* for the sender: the receiver reads it itself */
-    mr_msg_view_t view;
+    mr_msg_directory_t directory;
     mr_msg_draw_t *draws; /* for each of the wants */
     size_t draw_count;
     mr_msg_primary_t *primaries;
