Pass desired states on as patches, and only the registrations that changed

Cause: at each change the coordinator sent the whole desired state to every instance within 250 ms.

Ruled out: processor time (mean 0.02 of a core), the store (its feed came in time).

Patches are made by the module that the HTTP path has. Registrations that differ from what the sender expects are asked for as a whole.

--- a/lib/session/directory.c
+++ b/lib/session/directory.c
@@ -6,15 +6,37 @@
 
 #include "common/log.h"
 #include "common/mem.h"
+#include "config/patch.h"
+
+enum {
+    /* Former desired states that patches can start from. */
+    HISTORY = 8,
+};
+
+/** A former desired state. */
+typedef struct former {
+    int64_t version;
+    mr_bytes_t body;
+    bool compared;           /* @patch is up to date */
+    mr_config_patch_t patch; /* makes the present one of it; empty: too long */
+} former_t;
+
+/** What is known of a row beside its contents. */
+typedef struct row_mark {
+    uint64_t digest;
+    int64_t changed; /* store version since which @digest holds */
+} row_mark_t;
 
 struct mr_directory {
     mr_directory_options_t options;
     int64_t config_version;
-    void *config;
-    size_t config_len;
+    mr_bytes_t config;
+    former_t history[HISTORY]; /* newest first; version 0: none */
     int64_t registrations_version;
     int64_t digest;
     mr_msg_registration_t *rows;
+    mr_msg_registration_t *changes; /* as last exported */
+    row_mark_t *marks;
     size_t row_count;
     mr_counter_t *malformed;
 };
@@ -32,15 +54,21 @@
 }
 
 static void
-free_rows(mr_directory_t *directory)
+free_rows(mr_msg_registration_t *rows, size_t count)
 {
-    for (size_t i = 0; i < directory->row_count; i++) {
-        free((void *)directory->rows[i].id);
-        free((void *)directory->rows[i].value.data);
+    for (size_t i = 0; i < count; i++) {
+        free((void *)rows[i].id);
+        free((void *)rows[i].value.data);
     }
-    free(directory->rows);
-    directory->rows = NULL;
-    directory->row_count = 0;
+    free(rows);
+}
+
+static void
+clear_former(former_t *former)
+{
+    mr_config_patch_clear(&former->patch);
+    free((void *)former->body.data);
+    *former = (former_t){0};
 }
 
 void
@@ -49,11 +77,34 @@
     if (directory == NULL) {
         return;
     }
-    free_rows(directory);
-    free(directory->config);
+    for (size_t i = 0; i < HISTORY; i++) {
+        clear_former(&directory->history[i]);
+    }
+    free_rows(directory->rows, directory->row_count);
+    free(directory->changes);
+    free(directory->marks);
+    free((void *)directory->config.data);
     free(directory);
 }
 
+/* Keeps the present desired state for patches to its successors. */
+static void
+push_history(mr_directory_t *directory)
+{
+    if (directory->config_version == 0) {
+        return;
+    }
+    clear_former(&directory->history[HISTORY - 1]);
+    for (size_t i = HISTORY - 1; i > 0; i--) {
+        directory->history[i] = directory->history[i - 1];
+        mr_config_patch_clear(&directory->history[i].patch);
+        directory->history[i].compared = false;
+    }
+    directory->history[0] = (former_t){.version = directory->config_version,
+                                       .body = directory->config};
+    directory->config = (mr_bytes_t){0};
+}
+
 void
 mr_directory_set_config(mr_directory_t *directory, const void *data,
                         size_t len, const char *source)
@@ -72,58 +123,81 @@
                "version=%lld before=%lld source=%s",
                (long long)catalog->version,
                (long long)directory->config_version, source);
+        push_history(directory);
         directory->config_version = catalog->version;
-        free(directory->config);
-        directory->config = mr_memdup(data, len);
-        directory->config_len = len;
+        directory->config = (mr_bytes_t){mr_memdup(data, len), len};
         directory->options.on_catalog(directory->options.ctx, catalog);
     }
     mr_catalog_unref(catalog);
 }
 
-/* Adds one registration to @state; false when it is malformed. */
+/* Hash of what matters of a registration; false when it is malformed. */
 static bool
-add_to_digest(XXH3_state_t *state, const char *id, const void *value,
-              size_t len)
+digest_row(const mr_store_row_t *row, uint64_t *digest)
 {
     mr_db_entry_t entry;
-    mr_db_entry_doc_t *doc = mr_db_entry_decode(value, len, &entry);
+    mr_db_entry_doc_t *doc = mr_db_entry_decode(row->value, row->len, &entry);
 
     if (doc == NULL) {
         return false;
     }
     char *text =
-        mr_asprintf("%s %s %s %s %lld %lld %d %d\n", id, entry.service,
+        mr_asprintf("%s %s %s %s %lld %lld %d %d\n", row->key, entry.service,
                     entry.address, entry.data_centre, (long long)entry.born,
                     (long long)entry.slots, entry.draining, entry.primary);
-    XXH3_64bits_update(state, text, strlen(text));
+    *digest = XXH3_64bits(text, strlen(text));
     free(text);
     mr_db_entry_release(doc);
     return true;
 }
 
+/* Index of the row of @id, or the number of rows. */
+static size_t
+find_row(const mr_directory_t *directory, const char *id)
+{
+    size_t i = 0;
+
+    while (i < directory->row_count
+           && strcmp(directory->rows[i].id, id) != 0) {
+        i++;
+    }
+    return i;
+}
+
 /* Takes over the rows that are well-formed. */
 static void
 copy_rows(mr_directory_t *directory, const mr_store_row_t *rows, size_t count)
 {
-    XXH3_state_t *state = XXH3_createState();
+    mr_msg_registration_t *copies = mr_calloc(count + 1, sizeof(*copies));
+    row_mark_t *marks = mr_calloc(count + 1, sizeof(*marks));
+    size_t copied = 0;
+    uint64_t digest = 0;
 
-    XXH3_64bits_reset(state);
-    free_rows(directory);
-    directory->rows = mr_calloc(count + 1, sizeof(*directory->rows));
     for (size_t i = 0; i < count; i++) {
-        if (!add_to_digest(state, rows[i].key, rows[i].value, rows[i].len)) {
+        row_mark_t *mark = &marks[copied];
+        if (!digest_row(&rows[i], &mark->digest)) {
             mr_counter_add(directory->malformed, 1);
             continue;
         }
-        directory->rows[directory->row_count++] = (mr_msg_registration_t){
+        size_t old = find_row(directory, rows[i].key);
+        bool same = old < directory->row_count
+                    && directory->marks[old].digest == mark->digest;
+        mark->changed = same ? directory->marks[old].changed
+                             : directory->registrations_version;
+        digest =
+            XXH3_64bits_withSeed(&mark->digest, sizeof(mark->digest), digest);
+        copies[copied++] = (mr_msg_registration_t){
             .id = mr_strdup(rows[i].key),
             .value = {mr_memdup(rows[i].value, rows[i].len), rows[i].len},
             .version = rows[i].version,
         };
     }
-    directory->digest = (int64_t)XXH3_64bits_digest(state);
-    XXH3_freeState(state);
+    free_rows(directory->rows, directory->row_count);
+    free(directory->marks);
+    directory->rows = copies;
+    directory->marks = marks;
+    directory->row_count = copied;
+    directory->digest = (int64_t)digest;
 }
 
 static void
@@ -175,9 +249,51 @@
     return version > than_version && digest != than_digest;
 }
 
+/* The desired state for a receiver that has @known: a patch if possible. */
+static void
+export_config(mr_directory_t *directory, int64_t known,
+              mr_msg_directory_t *out)
+{
+    for (size_t i = 0; known > 0 && i < HISTORY; i++) {
+        former_t *former = &directory->history[i];
+        if (former->version != known) {
+            continue;
+        }
+        if (!former->compared) {
+            former->compared = true;
+            mr_config_patch_make(former->body, directory->config,
+                                 &former->patch);
+        }
+        if (former->patch.count > 0) {
+            out->config_base = known;
+            out->config_patch = former->patch.parts;
+            out->config_patch_count = former->patch.count;
+            return;
+        }
+    }
+    out->config = directory->config;
+}
+
+/* All rows; those that have not changed since @known come without a value. */
+static void
+export_rows(mr_directory_t *directory, int64_t known, mr_msg_directory_t *out)
+{
+    size_t bytes = (directory->row_count + 1) * sizeof(*directory->changes);
+
+    directory->changes = mr_realloc(directory->changes, bytes);
+    for (size_t i = 0; i < directory->row_count; i++) {
+        directory->changes[i] = directory->rows[i];
+        if (directory->marks[i].changed <= known) {
+            directory->changes[i].value = (mr_bytes_t){0};
+        }
+    }
+    out->registrations = directory->changes;
+    out->registration_count = directory->row_count;
+}
+
 void
-mr_directory_export(const mr_directory_t *directory,
-                    const mr_msg_directory_t *known, mr_msg_directory_t *out)
+mr_directory_export(mr_directory_t *directory, const mr_msg_directory_t *known,
+                    mr_msg_directory_t *out)
 {
     *out = (mr_msg_directory_t){
         .config_version = directory->config_version,
@@ -188,24 +304,28 @@
         return;
     }
     if (directory->config_version > known->config_version) {
-        out->config = (mr_bytes_t){directory->config, directory->config_len};
+        export_config(directory, known->config_version, out);
     }
     if (registrations_newer(directory->registrations_version,
                             directory->digest, known->registrations_version,
                             known->registrations_digest)) {
-        out->registrations = directory->rows;
-        out->registration_count = directory->row_count;
+        export_rows(directory, known->registrations_version, out);
     }
 }
 
 static void
-import_registrations(mr_directory_t *directory, const mr_msg_directory_t *in)
+import_registrations(mr_directory_t *directory, const mr_msg_directory_t *in,
+                     const char *source)
 {
     mr_store_row_t *rows =
         mr_calloc(in->registration_count + 1, sizeof(*rows));
 
     for (size_t i = 0; i < in->registration_count; i++) {
         const mr_msg_registration_t *row = &in->registrations[i];
+        size_t own = find_row(directory, row->id);
+        if (row->value.len == 0 && own < directory->row_count) {
+            row = &directory->rows[own];
+        }
         rows[i] = (mr_store_row_t){.key = row->id,
                                    .value = row->value.data,
                                    .len = row->value.len,
@@ -214,15 +334,50 @@
     mr_directory_set_registrations(directory, in->registrations_version, rows,
                                    in->registration_count);
     free(rows);
+    if (directory->digest != in->registrations_digest) {
+        /* The sender missed what this instance read in between: the next
+         * answer brings all rows. */
+        mr_log(MR_LOG_INFO, "registrations_differ", "source=%s version=%lld",
+               source, (long long)in->registrations_version);
+        directory->registrations_version = 0;
+        directory->digest = 0;
+    }
+}
+
+static void
+import_config(mr_directory_t *directory, const mr_msg_directory_t *in,
+              const char *source)
+{
+    size_t len;
+    char *body;
+
+    if (in->config.len > 0) {
+        mr_directory_set_config(directory, in->config.data, in->config.len,
+                                source);
+        return;
+    }
+    if (in->config_patch_count == 0
+        || in->config_base != directory->config_version) {
+        return; /* another instance was faster */
+    }
+    body = mr_config_patch_apply(directory->config, in->config_patch,
+                                 in->config_patch_count, &len);
+    if (body == NULL) {
+        mr_counter_add(directory->malformed, 1);
+        mr_log(MR_LOG_ERROR, "configuration_malformed",
+               "source=%s problem=\"patch does not apply\"", source);
+        return;
+    }
+    mr_directory_set_config(directory, body, len, source);
+    free(body);
 }
 
 void
 mr_directory_import(mr_directory_t *directory, const mr_msg_directory_t *in,
                     const char *source)
 {
-    if (in->config.len > 0 && in->config_version > directory->config_version) {
-        mr_directory_set_config(directory, in->config.data, in->config.len,
-                                source);
+    if (in->config_version > directory->config_version) {
+        import_config(directory, in, source);
     }
     if (in->registrations_version <= directory->registrations_version) {
         return;
@@ -232,6 +387,6 @@
         mr_clusters_end(directory->options.clusters, mr_clock_now(NULL));
     }
     else if (in->registration_count > 0) {
-        import_registrations(directory, in);
+        import_registrations(directory, in, source);
     }
 }
--- a/lib/session/directory.h
+++ b/lib/session/directory.h
@@ -3,9 +3,10 @@
 
 /*
  * What an instance knows from the store: the newest desired state and the
- * registrations of the databases. Instances compare and exchange their views,
- * so that one that the store does not serve stays up to date. A directory
- * never goes back to an older version.
+ * registrations of the databases. Instances compare and exchange what they
+ * know, so that one that the store does not serve stays up to date: the
+ * desired state as a patch where possible, of the registrations those that
+ * changed. A directory never goes back to an older version.
  */
 
 #include "common/counters.h"
@@ -43,8 +44,8 @@
 int64_t mr_directory_config_version(const mr_directory_t *directory);
 
 /** mr_directory_export() - versions, and what is newer than in @known; NULL:
- * the versions only. Bodies are borrowed until the directory changes. */
-void mr_directory_export(const mr_directory_t *directory,
+ * the versions only. Bodies are borrowed until the next call. */
+void mr_directory_export(mr_directory_t *directory,
                          const mr_msg_directory_t *known,
                          mr_msg_directory_t *out);
 
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -254,6 +254,9 @@
 #define DIRECTORY_FIELDS(type)                                                \
     F(INTEGER, type, directory.config_version),                               \
         F(BYTES, type, directory.config),                                     \
+        F(INTEGER, type, directory.config_base),                              \
+        L(type, directory.config_patch, directory.config_patch_count,         \
+          patch_part_layout),                                                 \
         F(INTEGER, type, directory.registrations_version),                    \
         F(INTEGER, type, directory.registrations_digest),                     \
         L(type, directory.registrations, directory.registration_count,        \
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -220,15 +220,18 @@
 /** Registration of a database, as the store holds it. */
 typedef struct mr_msg_registration {
     const char *id;
-    mr_bytes_t value;
-    int64_t version; /* of the store's row */
+    mr_bytes_t value; /* empty: as the receiver has it */
+    int64_t version;  /* of the store's row */
 } mr_msg_registration_t;
 
 /** What an instance knows from the store. The bodies are empty unless the
  * receiver has older ones. */
-typedef struct mr_msg_view {
+typedef struct mr_msg_directory {
     int64_t config_version;
-    mr_bytes_t config;
+    mr_bytes_t config;   /* whole, or empty ... */
+    int64_t config_base; /* ... and a patch of this version */
+    mr_msg_patch_part_t *config_patch;
+    size_t config_patch_count;
     int64_t registrations_version; /* of the store when they were read */
     int64_t registrations_digest;  /* over what matters of them */
     mr_msg_registration_t *registrations;
--- /dev/null
+++ b/tests/unit/test_directory.c
@@ -0,0 +1,251 @@
+/* Guards against whole desired states and whole sets of registrations sent to
+ * every instance at each change, which fill the coordinator's link, and
+ * against receivers that end with something else than the sender has. */
+
+#include <stdio.h>
+#include <string.h>
+
+#include "../common/runner.h"
+#include "common/mem.h"
+#include "session/directory.h"
+
+enum { ROUTES = 100, ROWS = 12 };
+
+typedef struct side {
+    mr_clusters_t *clusters;
+    mr_counters_t *counters;
+    mr_directory_t *directory;
+} side_t;
+
+static side_t sender;
+static side_t receiver;
+
+static void
+on_catalog(void *ctx, mr_catalog_t *catalog)
+{
+    (void)ctx;
+    (void)catalog;
+}
+
+static void
+start(side_t *side)
+{
+    side->clusters = mr_clusters_create("front-1", "konya");
+    side->counters = mr_counters_create();
+    side->directory = mr_directory_create(
+        &(mr_directory_options_t){.clusters = side->clusters,
+                                  .counters = side->counters,
+                                  .on_catalog = on_catalog});
+}
+
+static void
+stop(side_t *side)
+{
+    mr_directory_destroy(side->directory);
+    mr_clusters_destroy(side->clusters);
+    mr_counters_destroy(side->counters);
+}
+
+static void
+set_up(void)
+{
+    start(&sender);
+    start(&receiver);
+}
+
+static void
+tear_down(void)
+{
+    stop(&sender);
+    stop(&receiver);
+}
+
+/* Desired state @version; the time limit of one route differs in each. */
+static void
+set_config(side_t *side, int version)
+{
+    char *text = mr_asprintf("{\"version\": %d, \"routes\": [", version);
+
+    for (int i = 0; i < ROUTES; i++) {
+        char *longer = mr_asprintf(
+            "%s%s{\"host\": \"base-%d\", \"service\": \"rez\", \"type\": "
+            "\"primary\", \"timeout_ms\": %d}",
+            text, i > 0 ? ", " : "", i, i == version ? 700 : 500);
+        free(text);
+        text = longer;
+    }
+    char *body = mr_asprintf("%s], \"services\": [], \"tenants\": []}", text);
+    mr_directory_set_config(side->directory, body, strlen(body), "store");
+    free(body);
+    free(text);
+}
+
+/* Registrations at store version @version; those in @primaries (a bit each)
+ * are primaries. */
+static void
+set_rows(side_t *side, int version, unsigned int primaries)
+{
+    static char keys[ROWS][16];
+    static char values[ROWS][256];
+    mr_store_row_t rows[ROWS];
+
+    for (int i = 0; i < ROWS; i++) {
+        snprintf(keys[i], sizeof(keys[i]), "i-%d", i);
+        snprintf(values[i], sizeof(values[i]),
+                 "{\"service\": \"rez\", \"address\": \"127.0.0.1:%d\", "
+                 "\"zone\": \"konya\", \"version\": 1, \"slots\": 2, "
+                 "\"state\": \"ready\", \"cold_left_ms\": 0, \"seq_no\": %d, "
+                 "\"born\": 5, \"db_role\": \"%s\"}",
+                 1000 + i, version,
+                 (primaries >> i & 1) != 0 ? "primary" : "replica");
+        rows[i] = (mr_store_row_t){.key = keys[i],
+                                   .value = values[i],
+                                   .len = strlen(values[i]),
+                                   .version = version};
+    }
+    mr_directory_set_registrations(side->directory, version, rows, ROWS);
+}
+
+/* What @from sends to @to, which says what it has. */
+static mr_msg_directory_t
+ask(side_t *from, side_t *to)
+{
+    mr_msg_directory_t known;
+    mr_msg_directory_t sent;
+
+    mr_directory_export(to->directory, NULL, &known);
+    mr_directory_export(from->directory, &known, &sent);
+    return sent;
+}
+
+/* Whether a third instance gets the same desired state from both. */
+static void
+assert_same_config(void)
+{
+    side_t third;
+    mr_msg_directory_t a;
+    mr_msg_directory_t b;
+
+    start(&third);
+    a = ask(&sender, &third);
+    b = ask(&receiver, &third);
+    ck_assert_uint_gt(a.config.len, 0);
+    ck_assert_uint_eq(a.config.len, b.config.len);
+    ck_assert_mem_eq(a.config.data, b.config.data, a.config.len);
+    stop(&third);
+}
+
+static size_t
+values_in(const mr_msg_directory_t *sent)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; i < sent->registration_count; i++) {
+        count += sent->registrations[i].value.len > 0;
+    }
+    return count;
+}
+
+static bool
+is_primary(const side_t *side, const char *id)
+{
+    mr_db_t *leader =
+        mr_cluster_leader(mr_clusters_find(side->clusters, "rez"));
+
+    return leader != NULL && strcmp(leader->id, id) == 0;
+}
+
+START_TEST(test_a_change_travels_as_a_patch)
+{
+    set_config(&sender, 1);
+    set_config(&receiver, 1);
+    set_config(&sender, 2);
+    set_config(&sender, 3);
+    mr_msg_directory_t sent = ask(&sender, &receiver);
+    size_t bytes = sent.config.len;
+    for (size_t i = 0; i < sent.config_patch_count; i++) {
+        bytes += sent.config_patch[i].insert.len;
+    }
+    ck_assert_uint_gt(sent.config_patch_count, 0);
+    ck_assert_uint_lt(bytes, 500);
+    mr_directory_import(receiver.directory, &sent, "front-1");
+    ck_assert_int_eq(mr_directory_config_version(receiver.directory), 3);
+    assert_same_config();
+}
+END_TEST
+
+START_TEST(test_a_receiver_far_behind_gets_all)
+{
+    set_config(&receiver, 1);
+    for (int version = 1; version < 20; version++) {
+        set_config(&sender, version);
+    }
+    mr_msg_directory_t sent = ask(&sender, &receiver);
+    ck_assert_uint_eq(sent.config_patch_count, 0);
+    mr_directory_import(receiver.directory, &sent, "front-1");
+    ck_assert_int_eq(mr_directory_config_version(receiver.directory), 19);
+    assert_same_config();
+}
+END_TEST
+
+/* Another instance may have been faster. */
+START_TEST(test_a_patch_of_another_version_is_left_out)
+{
+    set_config(&sender, 1);
+    set_config(&receiver, 1);
+    set_config(&sender, 4);
+    mr_msg_directory_t sent = ask(&sender, &receiver);
+    set_config(&receiver, 3);
+    mr_directory_import(receiver.directory, &sent, "front-1");
+    ck_assert_int_eq(mr_directory_config_version(receiver.directory), 3);
+    sent = ask(&sender, &receiver);
+    mr_directory_import(receiver.directory, &sent, "front-1");
+    ck_assert_int_eq(mr_directory_config_version(receiver.directory), 4);
+    assert_same_config();
+}
+END_TEST
+
+START_TEST(test_only_changed_registrations_travel)
+{
+    set_rows(&sender, 10, 1);
+    set_rows(&receiver, 10, 1);
+    set_rows(&sender, 20, 2); /* the primary moves from i-0 to i-1 */
+    mr_msg_directory_t sent = ask(&sender, &receiver);
+    ck_assert_uint_eq(sent.registration_count, ROWS);
+    ck_assert_uint_eq(values_in(&sent), 2);
+    mr_directory_import(receiver.directory, &sent, "front-1");
+    ck_assert(is_primary(&receiver, "i-1"));
+    sent = ask(&sender, &receiver);
+    ck_assert_uint_eq(sent.registration_count, 0);
+}
+END_TEST
+
+/* The receiver read what the sender missed: i-2 led for a while. */
+START_TEST(test_registrations_that_differ_are_sent_whole)
+{
+    set_rows(&sender, 10, 1);
+    set_rows(&receiver, 15, 4);
+    set_rows(&sender, 20, 1);
+    mr_msg_directory_t sent = ask(&sender, &receiver);
+    mr_directory_import(receiver.directory, &sent, "front-1");
+    sent = ask(&sender, &receiver);
+    ck_assert_uint_eq(values_in(&sent), ROWS);
+    mr_directory_import(receiver.directory, &sent, "front-1");
+    ck_assert(is_primary(&receiver, "i-0"));
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {
+        test_a_change_travels_as_a_patch,
+        test_a_receiver_far_behind_gets_all,
+        test_a_patch_of_another_version_is_left_out,
+        test_only_changed_registrations_travel,
+        test_registrations_that_differ_are_sent_whole,
+    };
+
+    return RUN_TESTS(tests, .suite = "directory", .setup = set_up,
+                     .teardown = tear_down);
+}
