Let a coordinator keep the burst of accounts that draw nothing

A bucket now counts from when most instances began to report to this coordinator.

Found by the new test: a coordinator that instances came back to still had its former buckets and gave their burst a second time. They now start empty.

--- a/lib/session/budget.c
+++ b/lib/session/budget.c
@@ -30,6 +30,8 @@
 struct mr_budgets {
     mr_list_t members;
     mr_list_t budgets;
+    bool majority;          /* more than half of the instances report here */
+    mr_ms_t majority_since; /* while @majority */
 };
 
 mr_budgets_t *
@@ -105,10 +107,29 @@
     return count;
 }
 
+/* While most instances report here, nobody else gives away the burst. What
+ * another coordinator gave before is not known: buckets start empty then. */
+static void
+check_majority(mr_budgets_t *budgets, bool majority, mr_ms_t now)
+{
+    if (majority && !budgets->majority) {
+        budgets->majority_since = now;
+        MR_LIST_FOREACH(it, &budgets->budgets)
+        {
+            budget_t *budget = MR_LIST_ENTRY(it, budget_t, link);
+            mr_bucket_init(&budget->bucket, budget->bucket.amount, now,
+                           INT64_MAX);
+        }
+    }
+    budgets->majority = majority;
+}
+
 static budget_t *
 get_budget(mr_budgets_t *budgets, const char *account,
            mr_limit_amount_t amount, mr_ms_t now)
 {
+    mr_ms_t since = budgets->majority ? budgets->majority_since : now;
+
     MR_LIST_FOREACH(it, &budgets->budgets)
     {
         budget_t *budget = MR_LIST_ENTRY(it, budget_t, link);
@@ -118,7 +139,7 @@
     }
     budget_t *budget = MR_NEW(budget_t);
     budget->account = mr_strdup(account);
-    mr_bucket_init(&budget->bucket, amount, now - START_MS, INT64_MAX);
+    mr_bucket_init(&budget->bucket, amount, since - START_MS, INT64_MAX);
     mr_list_append(&budgets->budgets, &budget->link);
     return budget;
 }
@@ -134,6 +155,7 @@
     if (members == 0) {
         return 0;
     }
+    check_majority(budgets, 2 * members > all, draw->now);
     mr_limit_amount_t amount = {
         mr_limit_scale(draw->total.rate, members, all),
         mr_limit_scale(draw->total.burst, members, all)};
--- a/tests/unit/test_quota.c
+++ b/tests/unit/test_quota.c
@@ -134,6 +134,46 @@
 }
 END_TEST
 
+/* A draw while @reporting of 9 instances report. */
+static int64_t
+draw_once(mr_budgets_t *budgets, const char *name, int reporting, mr_ms_t now)
+{
+    for (int i = 0; i < reporting; i++) {
+        char instance[8] = {'i', (char)('0' + i), '\0'};
+        mr_budgets_report(budgets, instance, now);
+    }
+    return mr_budgets_draw(budgets,
+                           &(mr_budget_draw_t){.account = name,
+                                               .total = {20000, 20000},
+                                               .wanted = 50000,
+                                               .instances = 9,
+                                               .now = now});
+}
+
+START_TEST(test_the_burst_is_there_after_a_quiet_time)
+{
+    mr_budgets_t *budgets = mr_budgets_create();
+
+    draw_once(budgets, "busy", 9, 100000);
+    ck_assert_int_eq(draw_once(budgets, "coop", 9, 105000), 20000);
+    mr_budgets_destroy(budgets);
+}
+END_TEST
+
+START_TEST(test_a_coordinator_that_most_come_back_to_starts_empty)
+{
+    mr_budgets_t *budgets = mr_budgets_create();
+
+    ck_assert_int_gt(draw_once(budgets, "coop", 9, 100000), 0);
+    /* The others report elsewhere for a while and draw there. */
+    draw_once(budgets, "busy", 1, 105000);
+    ck_assert_int_eq(draw_once(budgets, "coop", 9, 105100), 0);
+    /* An account that was not seen before may have drawn elsewhere. */
+    ck_assert_int_le(draw_once(budgets, "other", 9, 105100), 10000);
+    mr_budgets_destroy(budgets);
+}
+END_TEST
+
 START_TEST(test_silent_instances_count_no_longer)
 {
     mr_budgets_t *budgets = mr_budgets_create();
@@ -157,6 +197,8 @@
         test_a_removed_account_has_no_limit_left_over,
         test_half_of_the_instances_draw_half_of_the_rate,
         test_a_new_coordinator_starts_without_the_burst,
+        test_the_burst_is_there_after_a_quiet_time,
+        test_a_coordinator_that_most_come_back_to_starts_empty,
         test_silent_instances_count_no_longer,
     };
 
