--- a/lib/session/directory.c
+++ b/lib/session/directory.c
@@ -230,10 +230,17 @@
     apply_rows(directory);
 }
 
+bool
+mr_directory_has_registrations(const mr_directory_t *directory)
+{
+    return directory->row_count > 0;
+}
+
 bool
 mr_directory_complete(const mr_directory_t *directory)
 {
-    return directory->config_version > 0 && directory->row_count > 0;
+    return directory->config_version > 0
+           && mr_directory_has_registrations(directory);
 }
 
 int64_t
--- a/lib/session/directory.h
+++ b/lib/session/directory.h
@@ -41,6 +41,7 @@
 /** mr_directory_complete() - whether desired state and registrations are
  * known. */
 bool mr_directory_complete(const mr_directory_t *directory);
+bool mr_directory_has_registrations(const mr_directory_t *directory);
 int64_t mr_directory_config_version(const mr_directory_t *directory);
 
 /** mr_directory_export() - versions, and what is newer than in @known; NULL:
--- a/lib/session/feed.c
+++ b/lib/session/feed.c
@@ -30,7 +30,7 @@
     struct event *registrations_timer;
     mr_ms_t config_retry;
     bool config_waiting; /* for an answer */
-    bool reading;        /* registrations */
+    bool reading;        /* registrations, or waits for the first one */
     bool config_failed;
     bool registrations_failed;
     mr_ms_t read_at;
@@ -78,10 +78,8 @@
         }
     }
     feed->after = answer->version;
-    set_timer(feed->config_timer,
-              mr_directory_config_version(feed->options.directory) == 0
-                  ? RETRY_FIRST_MS
-                  : 0);
+    /* A store without any row has no version to continue from. */
+    set_timer(feed->config_timer, feed->after == 0 ? RETRY_FIRST_MS : 0);
 }
 
 static void
@@ -108,26 +106,42 @@
                   on_config, feed);
 }
 
+/* Something was registered, or the time to wait for it is over. */
+static void
+on_first_registration(void *ctx, const mr_store_answer_t *answer)
+{
+    mr_feed_t *feed = ctx;
+
+    feed->reading = false;
+    set_timer(feed->registrations_timer,
+              answer->error == MR_OK ? 0 : RETRY_FIRST_MS);
+}
+
 static void
 on_registrations(void *ctx, const mr_store_answer_t *answer)
 {
     mr_feed_t *feed = ctx;
-    mr_ms_t period = ALONE_PERIOD_MS;
 
     feed->reading = false;
     feed->registrations_failed = answer->error != MR_OK;
-    if (!feed->registrations_failed) {
-        mr_directory_set_registrations(feed->options.directory,
-                                       answer->version, answer->rows,
-                                       answer->count);
-    }
-    if (!mr_directory_complete(feed->options.directory)) {
-        period = RETRY_FIRST_MS;
+    if (feed->registrations_failed) {
+        set_timer(feed->registrations_timer,
+                  mr_directory_has_registrations(feed->options.directory)
+                      ? ALONE_PERIOD_MS
+                      : RETRY_FIRST_MS);
+        return;
     }
-    else if (feed->duty == MR_FEED_CHIEF) {
-        period = CHIEF_PERIOD_MS;
+    mr_directory_set_registrations(feed->options.directory, answer->version,
+                                   answer->rows, answer->count);
+    if (!mr_directory_has_registrations(feed->options.directory)) {
+        feed->reading = true;
+        mr_store_feed(feed->options.store, registrations_table,
+                      answer->version, FEED_WAIT_MS, on_first_registration,
+                      feed);
+        return;
     }
-    set_timer(feed->registrations_timer, period);
+    set_timer(feed->registrations_timer,
+              feed->duty == MR_FEED_CHIEF ? CHIEF_PERIOD_MS : ALONE_PERIOD_MS);
 }
 
 static void
