Keep fewer connections where there is less than one for each instance

Cause: with 52 connections for 95 instances nine tenths were kept, and statements of instances that have none found no room. Three fifths are kept then.

Sites with more connections than instances are not affected.

--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -23,6 +23,8 @@
     /* Part of a database's connections that are kept open; the others are for
      * statements that find none, and for instances that were just started. */
     KEPT_PERCENT = 90,
+    /* With less than one for each instance most statements find none. */
+    KEPT_SCARCE_PERCENT = 60,
     /* Samples of the primary's position are at least this far apart; a full
      * ring spans the longest age that reads accept. */
     SAMPLE_GAP_MS = 60,
@@ -126,7 +128,10 @@
 update_links_max(mr_db_t *db)
 {
     const mr_clusters_t *clusters = db->cluster->clusters;
-    int64_t kept = db->cluster->connections * KEPT_PERCENT / 100;
+    int64_t connections = db->cluster->connections;
+    bool scarce = connections < clusters->instances;
+    int64_t kept =
+        connections * (scarce ? KEPT_SCARCE_PERCENT : KEPT_PERCENT) / 100;
     uint64_t place = mr_rendezvous_score(db->id, clusters->instance)
                      % (uint64_t)clusters->instances;
 
@@ -134,7 +139,7 @@
     if ((int64_t)place < kept % clusters->instances) {
         db->links_max++;
     }
-    if (db->cluster->connections == 0) {
+    if (connections == 0) {
         db->links_max = LINKS_DEFAULT;
     }
 }
