--- a/lib/session/cluster.h
+++ b/lib/session/cluster.h
@@ -44,13 +44,15 @@
     mr_ms_t lacked_at;    /* ... at this time */
     mr_list_t idle;       /* connections that are kept */
     int idle_count;
-    mr_list_t waits;    /* statements that wait for a connection */
-    int opening;        /* connections being opened */
-    mr_ms_t open_after; /* no new connection before this time */
-    int links;          /* connections, idle ones included */
-    int links_max;      /* above which none is kept */
-    int running;        /* statements and new connections in progress */
-    mr_ms_t latency;    /* smoothed time of an answer */
+    mr_list_t waits;           /* statements that wait for a connection */
+    int opening;               /* connections being opened */
+    int refused_links;         /* or not answered, in a row */
+    mr_ms_t open_after;        /* no new connection before this time */
+    struct event *pause_timer; /* until then; NULL: none was refused so far */
+    int links;                 /* connections, idle ones included */
+    int links_max;             /* above which none is kept */
+    int running;               /* statements and new connections in progress */
+    mr_ms_t latency;           /* smoothed time of an answer */
 } mr_db_t;
 
 enum { MR_SAMPLES = 48 };
--- a/lib/session/linkpool.c
+++ b/lib/session/linkpool.c
@@ -1,5 +1,6 @@
 #include "session/linkpool.h"
 
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -13,8 +14,10 @@
      * beyond it carry the statements that would wait otherwise. */
     TRANSIENT_MAX = 4,
     OPEN_TIMEOUT_MS = 1000,
-    /* After the database refused a connection, or did not answer. */
-    PAUSE_MS = 100,
+    /* After the database refused a connection, or did not answer; doubled
+     * each time, as every instance tries again. */
+    PAUSE_FIRST_MS = 100,
+    PAUSE_MAX_MS = 800,
 };
 
 struct mr_link_wait {
@@ -76,6 +79,37 @@
     free(opening);
 }
 
+static void open_for_waits(mr_db_t *db);
+
+static void
+on_pause_over(evutil_socket_t fd, short what, void *ctx)
+{
+    (void)fd;
+    (void)what;
+    open_for_waits(ctx);
+}
+
+/* Nothing is opened for a while; what waits then is served. */
+static void
+pause_opening(mr_db_t *db, struct event_base *base)
+{
+    mr_ms_t pause = (mr_ms_t)PAUSE_FIRST_MS
+                    << (db->refused_links < 3 ? db->refused_links : 3);
+    struct timeval tv;
+
+    db->refused_links++;
+    if (pause > PAUSE_MAX_MS) {
+        pause = PAUSE_MAX_MS;
+    }
+    pause = pause / 2 + (mr_ms_t)randombytes_uniform((uint32_t)pause);
+    tv = mr_clock_timeval(pause);
+    db->open_after = mr_clock_now(NULL) + pause;
+    if (db->pause_timer == NULL) {
+        db->pause_timer = evtimer_new(base, on_pause_over, db);
+    }
+    evtimer_add(db->pause_timer, &tv);
+}
+
 static void
 fail_opening(opening_t *opening, mr_error_kind_t error)
 {
@@ -83,7 +117,9 @@
     mr_link_wait_t *wait = first_wait(db, opening->account);
 
     db->links++; /* holds @db */
-    db->open_after = mr_clock_now(NULL) + PAUSE_MS;
+    if (!db->gone) {
+        pause_opening(db, event_get_base(opening->timer));
+    }
     free_opening(opening);
     if (wait != NULL) {
         end_wait(wait, NULL, error);
@@ -103,6 +139,7 @@
         fail_opening(opening, reply->error);
         return;
     }
+    opening->db->refused_links = 0;
     free_opening(opening);
     mr_linkpool_give(link);
 }
@@ -191,9 +228,7 @@
                              .ctx = ctx};
     mr_list_init(&wait->link);
     mr_list_append(&db->waits, &wait->link);
-    if (may_open(db)) {
-        open_link(db, wait);
-    }
+    open_for_waits(db);
     return wait;
 }
 
@@ -239,4 +274,8 @@
         end_wait(MR_LIST_ENTRY(db->waits.next, mr_link_wait_t, link), NULL,
                  MR_ERR_UNAVAILABLE);
     }
+    if (db->pause_timer != NULL) {
+        event_free(db->pause_timer);
+        db->pause_timer = NULL;
+    }
 }
