Ask a busy database again on the same connection

Cause: a statement that found no free slot gave its connection up, and the next attempt opened a new one, which takes 12 ms of a slot. Ruled out: the roll of restarts (constant rate before and after), the limit of connections (6,226 of the refusals came from statements).

--- a/lib/session/run.c
+++ b/lib/session/run.c
@@ -236,14 +236,24 @@
     request_refresh(session->relay);
 }
 
-/* The transaction's connection ended between two statements: the database
- * rolls back. */
+/* A connection ended that no statement was sent on: that of a transaction,
+ * which the database rolls back, or of a statement that waits to be sent
+ * again. */
 static void
-on_tx_link_lost(void *ctx)
+on_resting_link_lost(void *ctx)
 {
     mr_client_t *session = ctx;
+    mr_run_t *run = &session->run;
 
-    if (session->tx_link != NULL && session->run.link != session->tx_link) {
+    if (run->link != NULL && run->link != session->tx_link) {
+        count_running(run, -1);
+        run->link = NULL;
+    }
+    else if (session->tx_link != NULL) {
+        if (run->link != NULL) {
+            count_running(run, -1);
+            run->link = NULL;
+        }
         session->tx_link = NULL;
         session->tx_lost = true;
     }
@@ -292,7 +302,7 @@
         else {
             count_running(run, -1);
             session->tx_link = run->link;
-            mr_link_on_lost(run->link, on_tx_link_lost, session);
+            mr_link_on_lost(run->link, on_resting_link_lost, session);
             run->link = NULL;
         }
         break;
@@ -329,6 +339,35 @@
     try_again(session, MR_ERR_UNAVAILABLE, 0);
 }
 
+/* Whether the statement may be sent again on its connection. */
+static bool
+may_resend(mr_client_t *session)
+{
+    const mr_run_t *run = &session->run;
+    mr_ms_t limit = mr_run_deadline_of(session);
+
+    if (run->mode != MR_RUN_CONTINUE) {
+        limit =
+            run->started
+            + mr_run_statement_timeout(session) * MR_RUN_RETRY_PERCENT / 100;
+    }
+    return run->tries < TRIES_MAX
+           && mr_clock_now(NULL) + MR_RUN_RETRY_FIRST_MS < limit;
+}
+
+/* Keeps the connection for another attempt after a pause. */
+static void
+resend_later(mr_client_t *session)
+{
+    mr_run_t *run = &session->run;
+
+    run->tries++;
+    run->last_error = MR_ERR_OVERLOADED;
+    mr_counter_add(session->relay->retries, 1);
+    mr_link_on_lost(run->link, on_resting_link_lost, session);
+    set_stage(session, MR_RUN_WAITING, mr_run_retry_pause(run));
+}
+
 /* The database refused the statement without running it. */
 static void
 handle_refusal(mr_client_t *session, const mr_reply_t *reply)
@@ -343,16 +382,16 @@
     if (reply->error == MR_ERR_NOT_FRESH) {
         mr_db_lacks(db, run->after, mr_clock_now(NULL));
     }
+    /* Without a free slot: a new connection would take one as well. */
+    if (reply->error == MR_ERR_OVERLOADED
+        && reply->state
+               == (run->mode == MR_RUN_WRITE ? MR_TX_IDLE : MR_TX_OPEN)
+        && run->mode != MR_RUN_AGED && !run->begin_aged
+        && may_resend(session)) {
+        resend_later(session);
+        return;
+    }
     if (run->mode == MR_RUN_CONTINUE) {
-        /* Only a statement that found no free slot can be sent again in its
-         * transaction. */
-        if (reply->error == MR_ERR_OVERLOADED && reply->state == MR_TX_OPEN
-            && mr_clock_now(NULL) + MR_RUN_RETRY_FIRST_MS
-                   < mr_run_deadline_of(session)) {
-            run->tries++;
-            set_stage(session, MR_RUN_WAITING, mr_run_retry_pause(run));
-            return;
-        }
         fail(session, reply->error, reply->detail, RETRY_AFTER_BUSY_MS);
         return;
     }
@@ -698,7 +737,7 @@
         mr_client_admit(session, mr_clock_now(NULL));
         break;
     case MR_RUN_WAITING:
-        if (run->mode == MR_RUN_CONTINUE && run->link != NULL) {
+        if (run->link != NULL) {
             send_statement(session);
         }
         else {
--- a/tests/integration/test_sessions.c
+++ b/tests/integration/test_sessions.c
@@ -389,6 +389,58 @@
 }
 END_TEST
 
+/* Guards against a statement that waits for a connection that nobody opens:
+ * the pause after a refused one ended, and nothing tried again. */
+START_TEST(test_a_refused_connection_is_tried_again)
+{
+    client_t *client = must_open(0, "own", "key-1");
+    mr_ms_t before = mr_clock_now(NULL);
+
+    world_db_full(world, 0, 1);
+    must_run(client, "WRITE a b", NULL);
+    /* The pause, twice, and the way. */
+    ck_assert_int_lt(mr_clock_now(NULL) - before, 300);
+    client_close(client);
+}
+END_TEST
+
+/* Guards against an overload that keeps itself up: with few connections, each
+ * further attempt at a busy database opened a new one, which takes a slot. */
+START_TEST(test_a_busy_database_is_not_asked_on_new_connections)
+{
+    world_connections(world, 1);
+    world_config(world, 6, keys, RATE);
+    harness_run(base, 1000);
+    client_t *client = must_open(0, "own", "key-1");
+    int before = world_opened(world, 0);
+
+    world_db_busy(world, 0, 4);
+    must_run(client, "WRITE a b", NULL);
+    ck_assert_int_le(world_opened(world, 0) - before, 1);
+    client_close(client);
+}
+END_TEST
+
+/* Guards against a statement that is sent on a freed connection. */
+START_TEST(test_a_busy_transaction_whose_connection_ends_is_aborted)
+{
+    client_t *client = must_open(0, "own", "key-1");
+    client_answer_t answer;
+
+    must_run(client, "BEGIN", NULL);
+    must_run(client, "WRITE a b", NULL);
+    world_db_busy(world, 0, 1000);
+    client_start(client, "WRITE a c");
+    harness_run(base, 60);
+    world_db_kill(world, 0);
+    harness_run(base, 300);
+    ck_assert(client_poll(client, &answer));
+    ck_assert_msg(answer_is(&answer, "ABORTED"), "%s", answer.text);
+    ck_assert(relay_is_ready(&relays[0], base));
+    client_close(client);
+}
+END_TEST
+
 START_TEST(test_a_write_without_an_answer_is_in_doubt)
 {
     client_t *client = must_open(0, "own", "key-1");
@@ -529,6 +581,30 @@
 }
 END_TEST
 
+/* Guards against polling by every instance while the system starts. */
+START_TEST(test_the_first_rows_are_waited_for_in_few_calls)
+{
+    relay_process_t relay;
+    world_t *empty = world_create(base);
+
+    for (int i = 0; i < WORLD_DBS; i++) {
+        world_db_silent(empty, i, true);
+    }
+    relay_start(&relay, empty, RELAYS);
+    harness_run(base, 3000);
+    /* Secret and instances twice; desired state twice, as an empty store has
+     * no version; registrations; then one call for each of these waits. */
+    ck_assert_int_le(world_store_reads(empty), 9);
+    for (int i = 0; i < WORLD_DBS; i++) {
+        world_db_silent(empty, i, false);
+    }
+    world_config(empty, 5, keys, RATE);
+    ck_assert(relay_wait_ready(&relay, base, 2000));
+    relay_kill(&relay);
+    world_destroy(empty);
+}
+END_TEST
+
 START_TEST(test_bad_input_gets_an_error_and_changes_nothing)
 {
     client_t *client = must_open(0, "own", "key-1");
@@ -580,12 +656,16 @@
         test_with_synchronous_copies_the_complete_replica_is_promoted,
         test_a_silent_primary_is_replaced_while_the_store_is_out,
         test_a_leaving_primary_loses_nothing,
+        test_a_refused_connection_is_tried_again,
+        test_a_busy_database_is_not_asked_on_new_connections,
+        test_a_busy_transaction_whose_connection_ends_is_aborted,
         test_a_write_without_an_answer_is_in_doubt,
         test_a_transaction_without_its_connection_is_aborted,
         test_a_resting_transaction_gives_its_connection_back,
         test_a_late_promotion_does_not_undo_a_later_one,
         test_a_planned_stop_cuts_nothing,
         test_a_restart_without_the_store_serves_later,
+        test_the_first_rows_are_waited_for_in_few_calls,
         test_bad_input_gets_an_error_and_changes_nothing,
         test_a_failed_request_can_be_found_in_the_log,
     };
--- a/tests/integration/world.c
+++ b/tests/integration/world.c
@@ -16,6 +16,7 @@
 
     world->base = base;
     world->term = 1;
+    world->connections = 36;
     world->log = mr_calloc(LOG_MAX, sizeof(*world->log));
     world->runs = mr_calloc(RUNS_MAX, sizeof(*world->runs));
     world->rows = mr_calloc(ROWS_MAX, sizeof(*world->rows));
@@ -109,10 +110,10 @@
     add_route(world, text, "bounded", "bounded_staleness", 1500);
     add_route(world, text, "own", "read_your_writes", 2500);
     add_text(text,
-             "],\"services\":[{\"name\":\"rez\",\"max_conns\":36,"
+             "],\"services\":[{\"name\":\"rez\",\"max_conns\":%d,"
              "\"sync_replicas\":%d}],\"limits\":{\"tx_idle_ms\":3000},"
              "\"tenants\":[",
-             world->sync);
+             world->connections, world->sync);
     for (int i = 0; keys[i] != NULL; i++) {
         const char *colon = strchr(keys[i], ':');
         add_text(text,
@@ -178,6 +179,30 @@
     world->dbs[db].deaf_at = world->log_count;
 }
 
+void
+world_db_full(world_t *world, int db, int count)
+{
+    world->dbs[db].full = count;
+}
+
+void
+world_db_busy(world_t *world, int db, int count)
+{
+    world->dbs[db].busy = count;
+}
+
+int
+world_opened(const world_t *world, int db)
+{
+    return world->dbs[db].opened;
+}
+
+void
+world_connections(world_t *world, int connections)
+{
+    world->connections = connections;
+}
+
 void
 world_lag(world_t *world, int db, mr_ms_t lag)
 {
@@ -202,6 +227,12 @@
     return world->primary;
 }
 
+int
+world_store_reads(const world_t *world)
+{
+    return world->store_reads;
+}
+
 int
 world_promotions(const world_t *world)
 {
--- a/tests/integration/world.h
+++ b/tests/integration/world.h
@@ -43,6 +43,8 @@
                   int64_t rate);
 /** world_sync() - copies that a commit needs, in the next desired states. */
 void world_sync(world_t *world, int copies);
+/** world_connections() - to one database, in the next desired states. */
+void world_connections(world_t *world, int connections);
 /** world_suspended() - replicas that were told not to receive. */
 int world_suspended(const world_t *world);
 /** world_drop_route() - leave the route out of the next desired states. */
@@ -58,6 +60,10 @@
 void world_db_start(world_t *world, int db, bool empty);
 void world_db_silent(world_t *world, int db, bool silent);
 void world_db_drains(world_t *world, int db);
+/** world_db_full() - it refuses the next @count connections. */
+void world_db_full(world_t *world, int db, int count);
+/** world_db_busy() - it has no slot for the next @count statements. */
+void world_db_busy(world_t *world, int db, int count);
 void world_lag(world_t *world, int db, mr_ms_t lag);
 /** world_db_deaf() - it receives nothing more, until a promotion. */
 void world_db_deaf(world_t *world, int db);
@@ -70,7 +76,11 @@
 /* Observations. */
 int world_primary(const world_t *world);
 int world_promotions(const world_t *world);
+/** world_opened() - connections to @db so far. */
+int world_opened(const world_t *world, int db);
 int64_t world_log_end(const world_t *world);
+/** world_store_reads() - reading calls to the store so far. */
+int world_store_reads(const world_t *world);
 /** world_find() - the last run of @id; NULL: it did not run. */
 const world_run_t *world_find(const world_t *world, const char *id);
 int world_count(const world_t *world, const char *id);
--- a/tests/integration/world_db.c
+++ b/tests/integration/world_db.c
@@ -176,6 +176,19 @@
     return true;
 }
 
+/* Whether no slot is free for the statement; the transaction goes on. */
+static bool
+is_busy(conn_t *conn)
+{
+    if (conn->db->busy <= 0) {
+        return false;
+    }
+    conn->db->busy--;
+    say(conn, "ERROR BUSY %s\r\n", conn->db->id);
+    say_ready(conn);
+    return true;
+}
+
 static bool
 do_write(conn_t *conn, const char *id, const char *text)
 {
@@ -359,6 +372,9 @@
         do_own(conn, text);
         return true;
     }
+    if (is_busy(conn)) {
+        return true;
+    }
     if (strncmp(text, "READ ", 5) == 0) {
         return do_read(conn, id, text);
     }
@@ -387,8 +403,14 @@
         say(conn, "ERROR MISROUTED %s\r\n", conn->db->id);
         return;
     }
+    if (conn->db->full > 0) {
+        conn->db->full--;
+        say(conn, "ERROR OVERLOAD too many connections\r\n");
+        return;
+    }
     conn->open = true;
     conn->state = 'I';
+    conn->db->opened++;
     say_ready(conn);
 }
 
--- a/tests/integration/world_internal.h
+++ b/tests/integration/world_internal.h
@@ -31,6 +31,9 @@
     bool running;
     bool silent;
     bool draining;
+    int full;   /* connections that it still refuses */
+    int busy;   /* statements that it still refuses */
+    int opened; /* connections so far */
     mr_ms_t lag;
     bool suspended;
     int64_t deaf_at;     /* it receives nothing above this number; -1: all */
@@ -47,6 +50,8 @@
     bool deleted;
 } world_row_t;
 
+typedef struct world_gate world_gate_t;
+
 struct world {
     struct event_base *base;
     world_db_t dbs[WORLD_DBS];
@@ -56,11 +61,13 @@
     int64_t term;
     int promotions;
     int sync;
+    int connections; /* to each database, in desired states */
     int64_t highest_token;
     mr_ms_t promotion_delay;
     int lose_nth;
     int statements;
     struct evhttp *stores[WORLD_STORES];
+    world_gate_t *gates; /* to the calls of each store */
     char store_address[WORLD_STORES][WORLD_TEXT_BYTES];
     bool store_fails[WORLD_STORES];
     struct evhttp *duty;
@@ -68,6 +75,7 @@
     world_row_t *rows;
     size_t row_count;
     int64_t version;
+    int store_reads;
     mr_list_t waiting; /* feeds */
     struct event *beat;
     char dropped[WORLD_TEXT_BYTES];
--- a/tests/integration/world_store.c
+++ b/tests/integration/world_store.c
@@ -185,6 +185,7 @@
     struct evkeyvalq query;
     json_t *doc;
 
+    world->store_reads++;
     evhttp_parse_query_str(
         evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), &query);
     collect(world, evhttp_find_header(&query, "table"),
@@ -200,6 +201,7 @@
     struct evkeyvalq query;
     json_t *doc;
 
+    world->store_reads++;
     evhttp_parse_query_str(
         evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), &query);
     const char *table = evhttp_find_header(&query, "table");
@@ -332,6 +334,7 @@
 {
     world_t *world = ctx;
     struct timeval tv = mr_clock_timeval(BEAT_MS);
+    bool registered = false;
 
     (void)fd;
     (void)what;
@@ -350,23 +353,26 @@
                  world->primary == i ? "primary" : "replica",
                  (long long)world->version, (long long)db->born);
         world_put(world, "servers", db->id, text);
+        registered = true;
     }
     /* Another writer's entry names no database. */
-    world_put(world, "servers", "stray", "{\"service\":7}");
+    if (registered) {
+        world_put(world, "servers", "stray", "{\"service\":7}");
+    }
     evtimer_add(world->beat, &tv);
 }
 
 /* The store's addresses differ in the port only, so that one can fail. */
-typedef struct gate {
+struct world_gate {
     world_t *world;
     int index;
     void (*handle)(struct evhttp_request *req, void *ctx);
-} gate_t;
+};
 
 static void
 on_gate(struct evhttp_request *req, void *ctx)
 {
-    const gate_t *gate = ctx;
+    const world_gate_t *gate = ctx;
 
     if (gate->world->store_fails[gate->index]) {
         evhttp_send_reply(req, 503, NULL, NULL);
@@ -375,8 +381,6 @@
     gate->handle(req, gate->world);
 }
 
-static gate_t gates[WORLD_STORES][3];
-
 void
 world_store_open(world_t *world)
 {
@@ -386,13 +390,15 @@
     void (*const handlers[])(struct evhttp_request *,
                              void *) = {on_get, on_feed, on_tx};
 
+    world->gates = mr_calloc((size_t)WORLD_STORES * 3, sizeof(*world->gates));
     mr_list_init(&world->waiting);
     for (int i = 0; i < WORLD_STORES; i++) {
         int port = harness_port();
         world->stores[i] = evhttp_new(world->base);
         for (int j = 0; j < 3; j++) {
-            gates[i][j] = (gate_t){world, i, handlers[j]};
-            evhttp_set_cb(world->stores[i], paths[j], on_gate, &gates[i][j]);
+            world_gate_t *gate = &world->gates[i * 3 + j];
+            *gate = (world_gate_t){world, i, handlers[j]};
+            evhttp_set_cb(world->stores[i], paths[j], on_gate, gate);
         }
         ck_assert_int_eq(evhttp_bind_socket(world->stores[i], "127.0.0.1",
                                             (ev_uint16_t)port),
@@ -406,8 +412,9 @@
     ck_assert_int_eq(
         evhttp_bind_socket(world->duty, "127.0.0.1", (ev_uint16_t)port), 0);
     snprintf(world->duty_address, WORLD_TEXT_BYTES, "127.0.0.1:%d", port);
+    struct timeval first = mr_clock_timeval(BEAT_MS);
     world->beat = evtimer_new(world->base, on_beat, world);
-    on_beat(-1, 0, world);
+    evtimer_add(world->beat, &first);
 }
 
 void
@@ -421,4 +428,5 @@
         evhttp_free(world->stores[i]);
     }
     evhttp_free(world->duty);
+    free(world->gates);
 }
