--- a/lib/common/counters.c
+++ b/lib/common/counters.c
@@ -92,28 +92,61 @@
     return counter->value;
 }
 
+static bool
+ends_with(const char *name, const char *end)
+{
+    size_t len = strlen(name);
+    size_t end_len = strlen(end);
+
+    return len > end_len && strcmp(name + len - end_len, end) == 0;
+}
+
+/* Length of the name that HELP and TYPE have; the series of a histogram share
+ * one. */
+static size_t
+family_length(const char *name)
+{
+    static const char *const series[] = {"_bucket", "_count", "_sum"};
+
+    for (size_t i = 0; i < sizeof(series) / sizeof(series[0]); i++) {
+        if (ends_with(name, series[i])) {
+            return strlen(name) - strlen(series[i]);
+        }
+    }
+    return strlen(name);
+}
+
+static const char *
+type_of(const char *name)
+{
+    if (family_length(name) < strlen(name)) {
+        return "histogram";
+    }
+    return ends_with(name, "_total") ? "counter" : "gauge";
+}
+
 void
 mr_counters_write(const mr_counters_t *counters, struct evbuffer *out)
 {
-    const char *family = "";
+    const char *former = "";
 
     MR_LIST_FOREACH(it, &counters->list)
     {
         const mr_counter_t *counter = MR_LIST_ENTRY(it, mr_counter_t, link);
-        size_t len = strlen(counter->name);
-        bool total = len > 6 && strcmp(counter->name + len - 6, "_total") == 0;
-        if (strcmp(family, counter->name) != 0) {
-            family = counter->name;
-            evbuffer_add_printf(out, "# HELP %s %s\n# TYPE %s %s\n", family,
-                                counter->help, family,
-                                total ? "counter" : "gauge");
+        const char *name = counter->name;
+        size_t len = family_length(name);
+        if (len != family_length(former) || strncmp(former, name, len) != 0) {
+            evbuffer_add_printf(out, "# HELP %.*s %s\n# TYPE %.*s %s\n",
+                                (int)len, name, counter->help, (int)len, name,
+                                type_of(name));
         }
+        former = name;
         if (counter->labels[0] != '\0') {
-            evbuffer_add_printf(out, "%s{%s} %lld\n", family, counter->labels,
+            evbuffer_add_printf(out, "%s{%s} %lld\n", name, counter->labels,
                                 (long long)counter->value);
         }
         else {
-            evbuffer_add_printf(out, "%s %lld\n", family,
+            evbuffer_add_printf(out, "%s %lld\n", name,
                                 (long long)counter->value);
         }
     }
--- a/lib/session/sessiond.h
+++ b/lib/session/sessiond.h
@@ -3,6 +3,7 @@
 
 /* The daemon that relays sessions: settings, modules and their life. */
 
+#include <glib.h>
 #include <stdbool.h>
 
 #include "common/clock.h"
@@ -19,6 +20,7 @@
     char *duty;    /* promotion orders */
     mr_ms_t grace; /* from the stop signal to the kill */
     mr_log_level_t log_level;
+    gboolean check; /* only check the settings */
 } mr_sessiond_settings_t;
 
 /** mr_sessiond_settings_read() - false when a setting is missing or bad; a
--- a/lib/session/sessiond_settings.c
+++ b/lib/session/sessiond_settings.c
@@ -99,7 +99,7 @@
         {"duty", "the platform's promotion calls", SETTING_ADDRESS,
          &settings->duty},
     };
-    GOptionEntry entries[G_N_ELEMENTS(table) + 3] = {{0}};
+    GOptionEntry entries[G_N_ELEMENTS(table) + 4] = {{0}};
     int grace_s = GRACE_DEFAULT_S;
     char *level = NULL;
     GError *error = NULL;
@@ -126,6 +126,13 @@
                        0,           G_OPTION_ARG_STRING,
                        &level,      "debug, info, warning or error (info)",
                        "LEVEL"};
+    entries[n++] = (GOptionEntry){"check",
+                                  0,
+                                  0,
+                                  G_OPTION_ARG_NONE,
+                                  &settings->check,
+                                  "check the settings and exit",
+                                  NULL};
     GOptionContext *context = g_option_context_new("- relay of sessions");
     g_option_context_add_main_entries(context, entries, NULL);
     bool good = g_option_context_parse(context, argc, argv, &error);
--- a/programs/masticrelaysd.c
+++ b/programs/masticrelaysd.c
@@ -21,6 +21,11 @@
     if (!mr_sessiond_settings_read(&argc, &argv, &settings)) {
         return EXIT_USAGE;
     }
+    if (settings.check) {
+        puts("masticrelaysd: the settings are good");
+        mr_sessiond_settings_release(&settings);
+        return EXIT_SUCCESS;
+    }
     mr_sessiond_t *daemon = mr_sessiond_create(&settings);
     int status = EXIT_FAILURE;
     if (daemon != NULL) {
