Open nothing for a while to a database that has no free slot

A refusal for lack of slots now pauses openings like a refused connection, longer each time until a statement runs.

The test fails on the former code.

--- a/lib/session/cluster.h
+++ b/lib/session/cluster.h
@@ -47,7 +47,7 @@
     int idle_count;
     mr_list_t waits;           /* statements that wait for a connection */
     int opening;               /* connections being opened */
-    int refused_links;         /* or not answered, in a row */
+    int refused_links;         /* or statements, for lack of room, in a row */
     mr_ms_t open_after;        /* no new connection before this time */
     struct event *pause_timer; /* until then; NULL: none was refused so far */
     int links;                 /* connections, idle ones included */
--- a/lib/session/linkpool.c
+++ b/lib/session/linkpool.c
@@ -14,8 +14,8 @@
      * beyond it carry the statements that would wait otherwise. */
     TRANSIENT_MAX = 4,
     OPEN_TIMEOUT_MS = 1000,
-    /* After the database refused a connection, or did not answer; doubled
-     * each time, as every instance tries again. */
+    /* After the database refused a connection or a statement for lack of room,
+     * or did not answer; doubled each time, as every instance tries again. */
     PAUSE_FIRST_MS = 100,
     PAUSE_MAX_MS = 800,
 };
@@ -89,14 +89,16 @@
     open_for_waits(ctx);
 }
 
-/* Nothing is opened for a while; what waits then is served. */
-static void
-pause_opening(mr_db_t *db, struct event_base *base)
+void
+mr_linkpool_pause(mr_db_t *db, struct event_base *base)
 {
     mr_ms_t pause = (mr_ms_t)PAUSE_FIRST_MS
                     << (db->refused_links < 3 ? db->refused_links : 3);
     struct timeval tv;
 
+    if (db->gone) {
+        return;
+    }
     db->refused_links++;
     if (pause > PAUSE_MAX_MS) {
         pause = PAUSE_MAX_MS;
@@ -110,6 +112,12 @@
     evtimer_add(db->pause_timer, &tv);
 }
 
+void
+mr_linkpool_served(mr_db_t *db)
+{
+    db->refused_links = 0;
+}
+
 static void
 fail_opening(opening_t *opening, mr_error_kind_t error)
 {
@@ -117,9 +125,7 @@
     mr_link_wait_t *wait = first_wait(db, opening->account);
 
     db->links++; /* holds @db */
-    if (!db->gone) {
-        pause_opening(db, event_get_base(opening->timer));
-    }
+    mr_linkpool_pause(db, event_get_base(opening->timer));
     free_opening(opening);
     if (wait != NULL) {
         end_wait(wait, NULL, error);
@@ -139,7 +145,6 @@
         fail_opening(opening, reply->error);
         return;
     }
-    opening->db->refused_links = 0;
     free_opening(opening);
     mr_linkpool_give(link);
 }
--- a/lib/session/linkpool.h
+++ b/lib/session/linkpool.h
@@ -35,6 +35,12 @@
 /** mr_linkpool_give() - an unused connection, for whoever waits or to keep. */
 void mr_linkpool_give(mr_link_t *link);
 
+/** mr_linkpool_pause() - @db has no room: open nothing for a while, longer
+ * each time until mr_linkpool_served(); what waits then is served. */
+void mr_linkpool_pause(mr_db_t *db, struct event_base *base);
+/** mr_linkpool_served() - @db ran a statement. */
+void mr_linkpool_served(mr_db_t *db);
+
 /** mr_linkpool_has() - whether a connection of @account is kept. */
 bool mr_linkpool_has(const mr_db_t *db, const char *account);
 
--- a/lib/session/run.c
+++ b/lib/session/run.c
@@ -396,6 +396,7 @@
     }
     if (reply->error == MR_ERR_OVERLOADED) {
         mr_db_busy(db, mr_clock_now(NULL));
+        mr_linkpool_pause(db, session->relay->options.base);
         if (may_resend(session, reply->state)) {
             resend_later(session);
             return;
@@ -429,6 +430,7 @@
                                          : mr_link_db(link)->latency);
     switch (reply->error) {
     case MR_OK:
+        mr_linkpool_served(mr_link_db(link));
         succeed(session, reply);
         return;
     case MR_ERR_OVERLOADED:
--- a/tests/integration/test_sessions.c
+++ b/tests/integration/test_sessions.c
@@ -421,6 +421,33 @@
 }
 END_TEST
 
+/* Guards against connections that are opened to a database without free slots:
+ * each takes one. */
+START_TEST(test_nothing_is_opened_to_a_busy_database_for_a_while)
+{
+    world_connections(world, 1);
+    world_config(world, 6, keys, RATE);
+    harness_run(base, 1000);
+    client_t *first = must_open(0, "own", "key-1");
+    client_t *second = must_open(0, "own", "key-1");
+    int before = world_opened(world, 0);
+    client_answer_t answer;
+
+    world_db_busy(world, 0, 1000);
+    client_start(first, "WRITE a b");
+    harness_run(base, 20);
+    client_start(second, "WRITE a c");
+    harness_run(base, 15);
+    ck_assert_int_eq(world_opened(world, 0) - before, 1);
+    world_db_busy(world, 0, 0);
+    harness_run(base, 600);
+    ck_assert(client_poll(first, &answer) && answer.complete);
+    ck_assert(client_poll(second, &answer) && answer.complete);
+    client_close(first);
+    client_close(second);
+}
+END_TEST
+
 /* Guards against a statement that is sent on a freed connection. */
 START_TEST(test_a_busy_transaction_whose_connection_ends_is_aborted)
 {
@@ -658,6 +685,7 @@
         test_a_leaving_primary_loses_nothing,
         test_a_refused_connection_is_tried_again,
         test_a_busy_database_is_not_asked_on_new_connections,
+        test_nothing_is_opened_to_a_busy_database_for_a_while,
         test_a_busy_transaction_whose_connection_ends_is_aborted,
         test_a_write_without_an_answer_is_in_doubt,
         test_a_transaction_without_its_connection_is_aborted,
