--- a/lib/session/run.c
+++ b/lib/session/run.c
@@ -1,5 +1,5 @@
-/* One statement on its way: choice of a database, connection, session values,
- * transaction, attempts and outcome. */
+/* One statement on its way: connection, session values, transaction, attempts
+ * and outcome. */
 
 #include <assert.h>
 #include <stdio.h>
@@ -13,11 +13,7 @@
 enum {
     /* Values and BEGIN need no slot: one round trip. */
     SETUP_TIMEOUT_MS = 250,
-    TRIES_MAX = 10,
-    SILENT_TRIES = 2, /* of reads that silent databases get */
-    /* A sample of the primary's position loses this much of a route's bound,
-     * for the time until the database runs the read. */
-    FRESH_MARGIN_MS = 50,
+    SILENT_TRIES = 2,              /* of reads that silent databases get */
     RETRY_AFTER_FAILOVER_MS = 500, /* about one change of primary */
     RETRY_AFTER_BUSY_MS = 50,
 };
@@ -184,7 +180,7 @@
             run->started
             + mr_run_statement_timeout(session) * MR_RUN_RETRY_PERCENT / 100;
     }
-    if (now + pause >= limit || run->tries >= TRIES_MAX) {
+    if (now + pause >= limit || run->tries >= MR_RUN_TRIES_MAX) {
         refuse(session);
         return;
     }
@@ -213,7 +209,7 @@
         try_later(session, pause);
         return;
     }
-    if (run->tries >= TRIES_MAX
+    if (run->tries >= MR_RUN_TRIES_MAX
         || mr_clock_now(NULL) >= mr_run_deadline_of(session)) {
         refuse(session);
         return;
@@ -339,34 +335,6 @@
     try_again(session, MR_ERR_UNAVAILABLE, 0);
 }
 
-/* Whether the statement is sent again on its connection: a new one would take
- * a slot as well. Reads go elsewhere if another database is better. */
-static bool
-may_resend(mr_client_t *session, mr_tx_state_t state)
-{
-    const mr_run_t *run = &session->run;
-    mr_db_t *db = mr_link_db(run->link);
-    mr_ms_t now = mr_clock_now(NULL);
-    mr_ms_t limit = mr_run_deadline_of(session);
-    bool alone = run->mode == MR_RUN_WRITE || run->mode == MR_RUN_AGED;
-
-    if (run->mode != MR_RUN_CONTINUE) {
-        limit =
-            run->started
-            + mr_run_statement_timeout(session) * MR_RUN_RETRY_PERCENT / 100;
-    }
-    if (state != (alone ? MR_TX_IDLE : MR_TX_OPEN) || run->tries >= TRIES_MAX
-        || now + MR_RUN_RETRY_FIRST_MS >= limit) {
-        return false;
-    }
-    return (run->mode != MR_RUN_AGED && !run->begin_aged)
-           || mr_cluster_reader(db->cluster,
-                                &(mr_db_want_t){.account = session->account,
-                                                .position = run->after,
-                                                .now = now})
-                  == db;
-}
-
 /* Keeps the connection for another attempt after a pause. */
 static void
 resend_later(mr_client_t *session)
@@ -397,7 +365,7 @@
     if (reply->error == MR_ERR_OVERLOADED) {
         mr_db_busy(db, mr_clock_now(NULL));
         mr_linkpool_pause(db, session->relay->options.base);
-        if (may_resend(session, reply->state)) {
+        if (mr_run_may_resend(session, reply->state)) {
             resend_later(session);
             return;
         }
@@ -628,61 +596,6 @@
                                  session->account, on_link, session);
 }
 
-/* A replica for a read of the session's route; NULL: the primary's position is
- * not known well enough, or no database can be asked. */
-static mr_db_t *
-choose_reader(mr_client_t *session, mr_cluster_t *cluster, mr_ms_t now)
-{
-    mr_run_t *run = &session->run;
-    const mr_sample_t *sample = mr_cluster_covering(
-        cluster, now + FRESH_MARGIN_MS - session->route->max_age);
-
-    if (sample == NULL) {
-        return NULL;
-    }
-    run->after = sample->position;
-    /* A primary of a later term has every commit that counts. */
-    if (session->route->freshness == MR_FRESH_SESSION
-        && mr_position_compare(session->position, run->after) > 0) {
-        run->after = session->position;
-    }
-    return mr_cluster_reader(cluster,
-                             &(mr_db_want_t){.account = session->account,
-                                             .position = run->after,
-                                             .not_this = run->failed_db,
-                                             .now = now});
-}
-
-static mr_db_t *
-choose_db(mr_client_t *session, mr_cluster_t *cluster)
-{
-    mr_run_t *run = &session->run;
-    mr_ms_t now = mr_clock_now(NULL);
-    bool in_tx = session->tx == MR_TX_OPEN;
-    bool reads = in_tx ? session->tx_read_only : !run->writes;
-
-    run->begin_aged = false;
-    run->mode = in_tx ? MR_RUN_FIRST : MR_RUN_WRITE;
-    /* After two replicas that lag the primary is asked. */
-    if (reads && session->route->freshness != MR_FRESH_PRIMARY
-        && (run->last_error != MR_ERR_NOT_FRESH || run->tries < 2)) {
-        mr_db_t *db = choose_reader(session, cluster, now);
-        if (db != NULL) {
-            run->mode = in_tx ? MR_RUN_FIRST : MR_RUN_AGED;
-            run->begin_aged = in_tx;
-            return db;
-        }
-    }
-    if (reads && !in_tx) {
-        run->mode = MR_RUN_PRESENT;
-    }
-    mr_db_t *primary = mr_cluster_primary(cluster, now);
-    if (primary != NULL && now < primary->avoid_until) {
-        return NULL;
-    }
-    return primary;
-}
-
 static void
 choose(mr_client_t *session)
 {
@@ -706,7 +619,7 @@
     cluster = mr_clusters_find(session->relay->options.clusters,
                                session->route->service);
     if (cluster != NULL) {
-        db = choose_db(session, cluster);
+        db = mr_run_choose_db(session, cluster);
     }
     if (db == NULL) {
         run->tries++;
--- a/lib/session/run.h
+++ b/lib/session/run.h
@@ -1,7 +1,7 @@
 #ifndef MR_SESSION_RUN_H
 #define MR_SESSION_RUN_H
 
-/* Shared by run.c and run_limits.c. */
+/* Shared by run.c, run_choice.c and run_limits.c. */
 
 #include "session/client.h"
 
@@ -11,8 +11,17 @@
     /* Part of a statement's time after which it is refused instead of tried
      * again, so that the client can still come back. */
     MR_RUN_RETRY_PERCENT = 70,
+    MR_RUN_TRIES_MAX = 10,
 };
 
+/** mr_run_choose_db() - the database to ask next, with the way to ask it in
+ * the session's run; NULL: none can be asked now. */
+mr_db_t *mr_run_choose_db(mr_client_t *session, mr_cluster_t *cluster);
+/** mr_run_may_resend() - whether a statement that found no free slot is sent
+ * again on its connection, which is in @state: a new one would take a slot as
+ * well. Reads go elsewhere if another database is better. */
+bool mr_run_may_resend(mr_client_t *session, mr_tx_state_t state);
+
 mr_ms_t mr_run_statement_timeout(const mr_client_t *session);
 /** mr_run_unoffered_limit() - how long a statement may wait without having
  * been offered to a database. */
--- /dev/null
+++ b/lib/session/run_choice.c
@@ -0,0 +1,91 @@
+/* Which database a statement goes to, and whether it stays there. */
+
+#include "session/run.h"
+
+enum {
+    /* A sample of the primary's position loses this much of a route's bound,
+     * for the time until the database runs the read. */
+    FRESH_MARGIN_MS = 50,
+};
+
+/* A replica for a read of the session's route; NULL: the primary's position is
+ * not known well enough, or no database can be asked. */
+static mr_db_t *
+choose_reader(mr_client_t *session, mr_cluster_t *cluster, mr_ms_t now)
+{
+    mr_run_t *run = &session->run;
+    const mr_sample_t *sample = mr_cluster_covering(
+        cluster, now + FRESH_MARGIN_MS - session->route->max_age);
+
+    if (sample == NULL) {
+        return NULL;
+    }
+    run->after = sample->position;
+    /* A primary of a later term has every commit that counts. */
+    if (session->route->freshness == MR_FRESH_SESSION
+        && mr_position_compare(session->position, run->after) > 0) {
+        run->after = session->position;
+    }
+    return mr_cluster_reader(cluster,
+                             &(mr_db_want_t){.account = session->account,
+                                             .position = run->after,
+                                             .not_this = run->failed_db,
+                                             .now = now});
+}
+
+mr_db_t *
+mr_run_choose_db(mr_client_t *session, mr_cluster_t *cluster)
+{
+    mr_run_t *run = &session->run;
+    mr_ms_t now = mr_clock_now(NULL);
+    bool in_tx = session->tx == MR_TX_OPEN;
+    bool reads = in_tx ? session->tx_read_only : !run->writes;
+
+    run->begin_aged = false;
+    run->mode = in_tx ? MR_RUN_FIRST : MR_RUN_WRITE;
+    /* After two replicas that lag the primary is asked. */
+    if (reads && session->route->freshness != MR_FRESH_PRIMARY
+        && (run->last_error != MR_ERR_NOT_FRESH || run->tries < 2)) {
+        mr_db_t *db = choose_reader(session, cluster, now);
+        if (db != NULL) {
+            run->mode = in_tx ? MR_RUN_FIRST : MR_RUN_AGED;
+            run->begin_aged = in_tx;
+            return db;
+        }
+    }
+    if (reads && !in_tx) {
+        run->mode = MR_RUN_PRESENT;
+    }
+    mr_db_t *primary = mr_cluster_primary(cluster, now);
+    if (primary != NULL && now < primary->avoid_until) {
+        return NULL;
+    }
+    return primary;
+}
+
+bool
+mr_run_may_resend(mr_client_t *session, mr_tx_state_t state)
+{
+    const mr_run_t *run = &session->run;
+    mr_db_t *db = mr_link_db(run->link);
+    mr_ms_t now = mr_clock_now(NULL);
+    mr_ms_t limit = mr_run_deadline_of(session);
+    bool alone = run->mode == MR_RUN_WRITE || run->mode == MR_RUN_AGED;
+
+    if (run->mode != MR_RUN_CONTINUE) {
+        limit =
+            run->started
+            + mr_run_statement_timeout(session) * MR_RUN_RETRY_PERCENT / 100;
+    }
+    if (state != (alone ? MR_TX_IDLE : MR_TX_OPEN)
+        || run->tries >= MR_RUN_TRIES_MAX
+        || now + MR_RUN_RETRY_FIRST_MS >= limit) {
+        return false;
+    }
+    return (run->mode != MR_RUN_AGED && !run->begin_aged)
+           || mr_cluster_reader(db->cluster,
+                                &(mr_db_want_t){.account = session->account,
+                                                .position = run->after,
+                                                .now = now})
+                  == db;
+}
