Use one copy of timers, pauses, limits and status rows on the session path

- Four copies of starting a timer and three of a doubled pause become lib/common/timer.
- Registrations were decoded twice for each reading, and each was searched from the start of the list; they are decoded once, and the search begins where the row was before.
- The parts of all databases' connections were computed anew at each report's answer, also when the number of instances had not changed.

--- a/lib/session/client.c
+++ b/lib/session/client.c
@@ -13,9 +13,6 @@
 
 enum { USER_TIMEOUT_MS = 10000 }; /* clients behind a partition */
 
-/* Account of callers of routes that are open to all. */
-static const char anonymous_account[] = "-";
-
 static void
 on_read(struct bufferevent *client, void *ctx)
 {
@@ -193,7 +190,7 @@
     if (account != NULL) {
         return account->name;
     }
-    return route != NULL && route->anonymous ? anonymous_account : NULL;
+    return route != NULL && route->anonymous ? mr_no_account : NULL;
 }
 
 /* Refuses an OPEN and ends the session. */
--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -5,6 +5,7 @@
 
 #include "common/log.h"
 #include "common/mem.h"
+#include "common/timer.h"
 #include "member/rendezvous.h"
 #include "session/linkpool.h"
 
@@ -166,7 +167,11 @@
 void
 mr_clusters_set_instances(mr_clusters_t *clusters, int64_t instances)
 {
-    clusters->instances = instances > 0 ? instances : 1;
+    instances = instances > 0 ? instances : 1;
+    if (instances == clusters->instances) {
+        return; /* said with each report's answer */
+    }
+    clusters->instances = instances;
     MR_LIST_FOREACH(it, &clusters->list)
     {
         update_links_max_of_all(MR_LIST_ENTRY(it, mr_cluster_t, link));
@@ -495,14 +500,14 @@
 void
 mr_db_failed(mr_db_t *db, mr_ms_t now)
 {
-    mr_ms_t pause = AVOID_FIRST_MS << (db->failures < 5 ? db->failures : 5);
+    mr_ms_t pause = mr_timer_pause(AVOID_FIRST_MS, AVOID_MAX_MS, db->failures);
 
     if (db->failures++ == 0) {
         db->failing_since = now;
         mr_log(MR_LOG_WARNING, "database_failing", "service=%s id=%s",
                db->cluster->service, db->id);
     }
-    db->avoid_until = now + (pause < AVOID_MAX_MS ? pause : AVOID_MAX_MS);
+    db->avoid_until = now + pause;
 }
 
 void
--- a/lib/session/directory.c
+++ b/lib/session/directory.c
@@ -131,67 +131,81 @@
     mr_catalog_unref(catalog);
 }
 
-/* Hash of what matters of a registration; false when it is malformed. */
-static bool
-digest_row(const mr_store_row_t *row, uint64_t *digest)
+/* Hash of what matters of a registration. */
+static uint64_t
+digest_entry(const char *id, const mr_db_entry_t *entry)
 {
-    mr_db_entry_t entry;
-    mr_db_entry_doc_t *doc = mr_db_entry_decode(row->value, row->len, &entry);
-
-    if (doc == NULL) {
-        return false;
-    }
     char *text =
-        mr_asprintf("%s %s %s %s %lld %lld %d %d\n", row->key, entry.service,
-                    entry.address, entry.data_centre, (long long)entry.born,
-                    (long long)entry.slots, entry.draining, entry.primary);
-    *digest = XXH3_64bits(text, strlen(text));
+        mr_asprintf("%s %s %s %s %lld %lld %d %d\n", id, entry->service,
+                    entry->address, entry->data_centre, (long long)entry->born,
+                    (long long)entry->slots, entry->draining, entry->primary);
+    uint64_t digest = XXH3_64bits(text, strlen(text));
+
     free(text);
-    mr_db_entry_release(doc);
-    return true;
+    return digest;
 }
 
-/* Index of the row of @id, or the number of rows. */
+/* Index of the row of @id, or the number of rows. Rows mostly keep their
+ * places, so that the search begins at @hint. */
 static size_t
-find_row(const mr_directory_t *directory, const char *id)
+find_row(const mr_directory_t *directory, const char *id, size_t hint)
 {
-    size_t i = 0;
+    size_t count = directory->row_count;
 
-    while (i < directory->row_count
-           && strcmp(directory->rows[i].id, id) != 0) {
-        i++;
+    for (size_t i = 0; i < count; i++) {
+        size_t at = (hint + i) % count;
+        if (strcmp(directory->rows[at].id, id) == 0) {
+            return at;
+        }
     }
-    return i;
+    return count;
+}
+
+static row_mark_t
+mark_row(const mr_directory_t *directory, const char *id, size_t hint,
+         uint64_t digest)
+{
+    size_t old = find_row(directory, id, hint);
+    bool same =
+        old < directory->row_count && directory->marks[old].digest == digest;
+
+    return (row_mark_t){digest, same ? directory->marks[old].changed
+                                     : directory->registrations_version};
 }
 
 /* Takes over the rows that are well-formed. */
 static void
-copy_rows(mr_directory_t *directory, const mr_store_row_t *rows, size_t count)
+apply_rows(mr_directory_t *directory, const mr_store_row_t *rows, size_t count)
 {
     mr_msg_registration_t *copies = mr_calloc(count + 1, sizeof(*copies));
     row_mark_t *marks = mr_calloc(count + 1, sizeof(*marks));
     size_t copied = 0;
     uint64_t digest = 0;
 
+    mr_clusters_begin(directory->options.clusters);
     for (size_t i = 0; i < count; i++) {
-        row_mark_t *mark = &marks[copied];
-        if (!digest_row(&rows[i], &mark->digest)) {
+        const mr_store_row_t *row = &rows[i];
+        mr_db_entry_t entry;
+        mr_db_entry_doc_t *doc =
+            mr_db_entry_decode(row->value, row->len, &entry);
+        if (doc == NULL) {
             mr_counter_add(directory->malformed, 1);
             continue;
         }
-        size_t old = find_row(directory, rows[i].key);
-        bool same = old < directory->row_count
-                    && directory->marks[old].digest == mark->digest;
-        mark->changed = same ? directory->marks[old].changed
-                             : directory->registrations_version;
-        digest =
-            XXH3_64bits_withSeed(&mark->digest, sizeof(mark->digest), digest);
+        marks[copied] = mark_row(directory, row->key, copied,
+                                 digest_entry(row->key, &entry));
+        digest = XXH3_64bits_withSeed(&marks[copied].digest,
+                                      sizeof(marks[copied].digest), digest);
         copies[copied++] = (mr_msg_registration_t){
-            .id = mr_strdup(rows[i].key),
-            .value = {mr_memdup(rows[i].value, rows[i].len), rows[i].len},
-            .version = rows[i].version,
+            .id = mr_strdup(row->key),
+            .value = {mr_memdup(row->value, row->len), row->len},
+            .version = row->version,
         };
+        mr_clusters_add(directory->options.clusters, row->key, &entry,
+                        row->version);
+        mr_db_entry_release(doc);
     }
+    mr_clusters_end(directory->options.clusters, mr_clock_now(NULL));
     free_rows(directory->rows, directory->row_count);
     free(directory->marks);
     directory->rows = copies;
@@ -200,24 +214,6 @@
     directory->digest = (int64_t)digest;
 }
 
-static void
-apply_rows(mr_directory_t *directory)
-{
-    mr_clusters_begin(directory->options.clusters);
-    for (size_t i = 0; i < directory->row_count; i++) {
-        const mr_msg_registration_t *row = &directory->rows[i];
-        mr_db_entry_t entry;
-        mr_db_entry_doc_t *doc =
-            mr_db_entry_decode(row->value.data, row->value.len, &entry);
-        if (doc != NULL) {
-            mr_clusters_add(directory->options.clusters, row->id, &entry,
-                            row->version);
-            mr_db_entry_release(doc);
-        }
-    }
-    mr_clusters_end(directory->options.clusters, mr_clock_now(NULL));
-}
-
 void
 mr_directory_set_registrations(mr_directory_t *directory, int64_t version,
                                const mr_store_row_t *rows, size_t count)
@@ -226,8 +222,7 @@
         return;
     }
     directory->registrations_version = version;
-    copy_rows(directory, rows, count);
-    apply_rows(directory);
+    apply_rows(directory, rows, count);
 }
 
 bool
@@ -329,7 +324,7 @@
 
     for (size_t i = 0; i < in->registration_count; i++) {
         const mr_msg_registration_t *row = &in->registrations[i];
-        size_t own = find_row(directory, row->id);
+        size_t own = find_row(directory, row->id, i);
         if (row->value.len == 0 && own < directory->row_count) {
             row = &directory->rows[own];
         }
--- a/lib/session/feed.c
+++ b/lib/session/feed.c
@@ -5,6 +5,7 @@
 
 #include "common/log.h"
 #include "common/mem.h"
+#include "common/timer.h"
 
 enum {
     /* A feed that went silent is noticed after this and the call's timeout,
@@ -38,14 +39,6 @@
                       row itself */
 };
 
-static void
-set_timer(struct event *timer, mr_ms_t after)
-{
-    struct timeval tv = mr_clock_timeval(after);
-
-    evtimer_add(timer, &tv);
-}
-
 static void
 on_config(void *ctx, const mr_store_answer_t *answer)
 {
@@ -56,7 +49,7 @@
         mr_log(MR_LOG_INFO, "feed_history_gone", "after=%lld",
                (long long)feed->after);
         feed->after = 0;
-        set_timer(feed->config_timer, 0);
+        mr_timer_start(feed->config_timer, 0);
         return;
     }
     feed->config_failed = answer->error != MR_OK;
@@ -66,7 +59,7 @@
         if (feed->config_retry > RETRY_MAX_MS) {
             feed->config_retry = RETRY_MAX_MS;
         }
-        set_timer(feed->config_timer, feed->config_retry);
+        mr_timer_start(feed->config_timer, feed->config_retry);
         return;
     }
     feed->config_retry = 0;
@@ -79,7 +72,7 @@
     }
     feed->after = answer->version;
     /* A store without any row has no version to continue from. */
-    set_timer(feed->config_timer, feed->after == 0 ? RETRY_FIRST_MS : 0);
+    mr_timer_start(feed->config_timer, feed->after == 0 ? RETRY_FIRST_MS : 0);
 }
 
 static void
@@ -113,8 +106,8 @@
     mr_feed_t *feed = ctx;
 
     feed->reading = false;
-    set_timer(feed->registrations_timer,
-              answer->error == MR_OK ? 0 : RETRY_FIRST_MS);
+    mr_timer_start(feed->registrations_timer,
+                   answer->error == MR_OK ? 0 : RETRY_FIRST_MS);
 }
 
 static void
@@ -125,10 +118,10 @@
     feed->reading = false;
     feed->registrations_failed = answer->error != MR_OK;
     if (feed->registrations_failed) {
-        set_timer(feed->registrations_timer,
-                  mr_directory_has_registrations(feed->options.directory)
-                      ? ALONE_PERIOD_MS
-                      : RETRY_FIRST_MS);
+        mr_timer_start(feed->registrations_timer,
+                       mr_directory_has_registrations(feed->options.directory)
+                           ? ALONE_PERIOD_MS
+                           : RETRY_FIRST_MS);
         return;
     }
     mr_directory_set_registrations(feed->options.directory, answer->version,
@@ -140,8 +133,9 @@
                       feed);
         return;
     }
-    set_timer(feed->registrations_timer,
-              feed->duty == MR_FEED_CHIEF ? CHIEF_PERIOD_MS : ALONE_PERIOD_MS);
+    mr_timer_start(feed->registrations_timer, feed->duty == MR_FEED_CHIEF
+                                                  ? CHIEF_PERIOD_MS
+                                                  : ALONE_PERIOD_MS);
 }
 
 static void
@@ -176,8 +170,8 @@
     feed->config_timer = evtimer_new(options->base, on_config_timer, feed);
     feed->registrations_timer =
         evtimer_new(options->base, on_registrations_timer, feed);
-    set_timer(feed->config_timer, 0);
-    set_timer(feed->registrations_timer, 0);
+    mr_timer_start(feed->config_timer, 0);
+    mr_timer_start(feed->registrations_timer, 0);
     return feed;
 }
 
@@ -200,10 +194,10 @@
     }
     feed->duty = duty;
     if (!feed->config_waiting && !evtimer_pending(feed->config_timer, NULL)) {
-        set_timer(feed->config_timer, 0);
+        mr_timer_start(feed->config_timer, 0);
     }
     if (!feed->reading && !evtimer_pending(feed->registrations_timer, NULL)) {
-        set_timer(feed->registrations_timer, 0);
+        mr_timer_start(feed->registrations_timer, 0);
     }
 }
 
@@ -219,6 +213,6 @@
     mr_ms_t due = feed->read_at + REFRESH_GAP_MS - mr_clock_now(NULL);
 
     if (!feed->reading) {
-        set_timer(feed->registrations_timer, due > 0 ? due : 0);
+        mr_timer_start(feed->registrations_timer, due > 0 ? due : 0);
     }
 }
--- a/lib/session/fleet.c
+++ b/lib/session/fleet.c
@@ -137,7 +137,7 @@
 
     (void)fd;
     (void)what;
-    mr_fleet_set_timer(fleet->check_timer, CHECK_PERIOD_MS);
+    mr_timer_start(fleet->check_timer, CHECK_PERIOD_MS);
     if (fleet->coordinating && !fleet->leaving) {
         mr_sampler_run(fleet->options.sampler, now);
         mr_promoter_check(fleet->options.promoter, now,
@@ -149,8 +149,8 @@
 void
 mr_fleet_start_reports(mr_fleet_t *fleet)
 {
-    mr_fleet_set_timer(fleet->report_timer, 0);
-    mr_fleet_set_timer(fleet->check_timer, CHECK_PERIOD_MS);
+    mr_timer_start(fleet->report_timer, 0);
+    mr_timer_start(fleet->check_timer, CHECK_PERIOD_MS);
 }
 
 mr_fleet_t *
@@ -177,7 +177,7 @@
     fleet->instance_gauge =
         mr_counters_get(options->counters, "masticrelay_instances", "",
                         "instances that may admit operations");
-    mr_fleet_set_timer(fleet->members_timer, 0);
+    mr_timer_start(fleet->members_timer, 0);
     return fleet;
 }
 
@@ -218,7 +218,7 @@
 
     fleet->notified = true;
     if (fleet->joined) {
-        mr_fleet_set_timer(fleet->report_timer, due > 0 ? due : 0);
+        mr_timer_start(fleet->report_timer, due > 0 ? due : 0);
     }
 }
 
--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -5,6 +5,7 @@
  * their answers) and fleet_members.c (registration of the instances). */
 
 #include "common/list.h"
+#include "common/timer.h"
 #include "session/budget.h"
 #include "session/fleet.h"
 #include "wire/peer.h"
@@ -68,14 +69,6 @@
     mr_counter_t *instance_gauge;
 };
 
-static inline void
-mr_fleet_set_timer(struct event *timer, mr_ms_t after)
-{
-    struct timeval tv = mr_clock_timeval(after);
-
-    evtimer_add(timer, &tv);
-}
-
 /* fleet.c */
 void mr_fleet_update_count(mr_fleet_t *fleet);
 void mr_fleet_start_reports(mr_fleet_t *fleet);
--- a/lib/session/fleet_members.c
+++ b/lib/session/fleet_members.c
@@ -152,8 +152,8 @@
     if (error == MR_OK || error == MR_ERR_CONFLICT) {
         fleet->own_version = version;
     }
-    mr_fleet_set_timer(fleet->members_timer,
-                       error == MR_OK ? MEMBERS_SOON_MS : MEMBERS_RETRY_MS);
+    mr_timer_start(fleet->members_timer,
+                   error == MR_OK ? MEMBERS_SOON_MS : MEMBERS_RETRY_MS);
 }
 
 static void
@@ -202,7 +202,7 @@
                mr_fleet_instances(fleet));
         mr_fleet_start_reports(fleet);
     }
-    mr_fleet_set_timer(fleet->members_timer, MEMBERS_PERIOD_MS);
+    mr_timer_start(fleet->members_timer, MEMBERS_PERIOD_MS);
 }
 
 static void
@@ -211,7 +211,7 @@
     mr_fleet_t *fleet = ctx;
 
     if (answer->error != MR_OK) {
-        mr_fleet_set_timer(fleet->members_timer, MEMBERS_RETRY_MS);
+        mr_timer_start(fleet->members_timer, MEMBERS_RETRY_MS);
         return;
     }
     read_members(fleet, answer);
@@ -243,7 +243,7 @@
 
     (void)version;
     /* Whoever wrote it: it is read next. */
-    mr_fleet_set_timer(
+    mr_timer_start(
         fleet->members_timer,
         error == MR_OK || error == MR_ERR_CONFLICT ? 0 : MEMBERS_RETRY_MS);
 }
@@ -255,13 +255,13 @@
     uint8_t fresh[MR_PEER_SECRET_BYTES];
 
     if (answer->error != MR_OK) {
-        mr_fleet_set_timer(fleet->members_timer, MEMBERS_RETRY_MS);
+        mr_timer_start(fleet->members_timer, MEMBERS_RETRY_MS);
         return;
     }
     if (answer->count == 1 && answer->rows[0].len == sizeof(fleet->secret)) {
         memcpy(fleet->secret, answer->rows[0].value, sizeof(fleet->secret));
         start_peer(fleet);
-        mr_fleet_set_timer(fleet->members_timer, 0);
+        mr_timer_start(fleet->members_timer, 0);
         return;
     }
     randombytes_buf(fresh, sizeof(fresh));
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -135,7 +135,7 @@
         if (from->failures == MR_FLEET_FAILURES_MAX) {
             mr_log(MR_LOG_WARNING, "instance_lost", "name=%s", from->name);
         }
-        mr_fleet_set_timer(fleet->report_timer, 0);
+        mr_timer_start(fleet->report_timer, 0);
         return;
     }
     const mr_msg_report_reply_t *reply = &msg->u.report_reply;
@@ -266,7 +266,7 @@
 
     (void)fd;
     (void)what;
-    mr_fleet_set_timer(fleet->report_timer, REPORT_PERIOD_MS);
+    mr_timer_start(fleet->report_timer, REPORT_PERIOD_MS);
     mr_fleet_choose(fleet, now);
     retry_better(fleet, now);
     if (fleet->coordinator != NULL
--- a/lib/session/line.h
+++ b/lib/session/line.h
@@ -134,6 +134,9 @@
 
 /** The id of statements that the relay issues itself. */
 extern const char mr_own_statement_id[];
+/** Account of connections that serve no client account: the relay's own, and
+ * those of callers without a key on routes that are open to all. */
+extern const char mr_no_account[];
 
 /** Answer of a database to MR_OWN_STATUS. */
 typedef struct mr_db_status {
--- a/lib/session/linkpool.c
+++ b/lib/session/linkpool.c
@@ -1,11 +1,11 @@
 #include "session/linkpool.h"
 
-#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "common/log.h"
 #include "common/mem.h"
+#include "common/timer.h"
 
 enum {
     /* Opened at the same time by this instance to one database. */
@@ -92,24 +92,18 @@
 void
 mr_linkpool_pause(mr_db_t *db, struct event_base *base)
 {
-    mr_ms_t pause = (mr_ms_t)PAUSE_FIRST_MS
-                    << (db->refused_links < 3 ? db->refused_links : 3);
-    struct timeval tv;
+    mr_ms_t pause = mr_timer_jitter(
+        mr_timer_pause(PAUSE_FIRST_MS, PAUSE_MAX_MS, db->refused_links));
 
     if (db->gone) {
         return;
     }
     db->refused_links++;
-    if (pause > PAUSE_MAX_MS) {
-        pause = PAUSE_MAX_MS;
-    }
-    pause = pause / 2 + (mr_ms_t)randombytes_uniform((uint32_t)pause);
-    tv = mr_clock_timeval(pause);
     db->open_after = mr_clock_now(NULL) + pause;
     if (db->pause_timer == NULL) {
         db->pause_timer = evtimer_new(base, on_pause_over, db);
     }
-    evtimer_add(db->pause_timer, &tv);
+    mr_timer_start(db->pause_timer, pause);
 }
 
 void
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -6,6 +6,7 @@
 #include "common/list.h"
 #include "common/log.h"
 #include "common/mem.h"
+#include "common/timer.h"
 #include "session/link.h"
 
 enum {
@@ -28,12 +29,10 @@
     /* Until a promoted database registers; no further order before it. */
     SETTLE_MS = 2500,
     RETRY_MS = 300,
+    STATUS_MAX_BYTES = 256, /* seven fields */
 };
 
 static const char token_table[] = "promotions";
-/* Account that status queries are made for. */
-static const char own_account[] = "-";
-
 /** How one instance sees one primary. */
 typedef struct sight {
     mr_list_t link;
@@ -275,14 +274,6 @@
     return NULL;
 }
 
-static void
-set_order_timer(order_t *order, mr_ms_t after)
-{
-    struct timeval tv = mr_clock_timeval(after);
-
-    evtimer_add(order->timer, &tv);
-}
-
 static void
 set_stage(order_t *order, order_stage_t stage)
 {
@@ -415,7 +406,18 @@
             return;
         }
     }
-    set_order_timer(order, 0);
+    mr_timer_start(order->timer, 0);
+}
+
+static bool
+read_status(const mr_reply_t *reply, mr_db_status_t *status)
+{
+    char row[STATUS_MAX_BYTES] = "";
+    size_t len = evbuffer_get_length(reply->body);
+
+    evbuffer_copyout(reply->body, row,
+                     len < sizeof(row) ? len : sizeof(row) - 1);
+    return mr_db_status_parse(row, status);
 }
 
 static void
@@ -430,11 +432,7 @@
         return;
     }
     if (reply->error == MR_OK) {
-        char row[256] = "";
-        size_t len = evbuffer_get_length(reply->body);
-        evbuffer_copyout(reply->body, row,
-                         len < sizeof(row) ? len : sizeof(row) - 1);
-        answer->answered = mr_db_status_parse(row, &answer->status);
+        answer->answered = read_status(reply, &answer->status);
     }
     if (!answer->answered) {
         mr_log(MR_LOG_INFO, "status_refused", "service=%s id=%s error=%s",
@@ -506,10 +504,10 @@
         answer->order = order;
         answer->id = mr_strdup(db->id);
         mr_list_append(&order->answers, &answer->link);
-        answer->db_link = mr_link_open(promoter->options.base, db, own_account,
-                                       on_status_open, answer);
+        answer->db_link = mr_link_open(promoter->options.base, db,
+                                       mr_no_account, on_status_open, answer);
     }
-    set_order_timer(order, STATUS_TIMEOUT_MS);
+    mr_timer_start(order->timer, STATUS_TIMEOUT_MS);
 }
 
 /* The primary stopped, or does not answer: its replicas get what is on its
@@ -519,25 +517,19 @@
 {
     answer_t *answer = ctx;
     order_t *order = answer->order;
+    mr_db_status_t status;
 
     (void)link;
     if (reply->lost) {
         answer->db_link = NULL;
     }
-    if (reply->error == MR_OK) {
-        char row[256] = "";
-        mr_db_status_t status;
-        size_t len = evbuffer_get_length(reply->body);
-        evbuffer_copyout(reply->body, row,
-                         len < sizeof(row) ? len : sizeof(row) - 1);
-        if (mr_db_status_parse(row, &status)) {
-            order->goal = status.received;
-        }
+    if (reply->error == MR_OK && read_status(reply, &status)) {
+        order->goal = status.received;
     }
     mr_log(MR_LOG_INFO, "primary_demoted", "service=%s id=%s error=%s",
            order->service, answer->id, mr_error_name(reply->error));
     set_stage(order, ORDER_CATCH_UP);
-    set_order_timer(order, 0);
+    mr_timer_start(order->timer, 0);
 }
 
 static void
@@ -553,7 +545,7 @@
     mr_demote_text(text, sizeof(text), term + 1);
     mr_link_query(leader->db_link, mr_own_statement_id, NULL, text, on_demoted,
                   leader);
-    set_order_timer(order, STATUS_TIMEOUT_MS);
+    mr_timer_start(order->timer, STATUS_TIMEOUT_MS);
 }
 
 /* Replicas that were suspended receive again. */
@@ -587,7 +579,7 @@
     memory_t *memory = get_memory(order->promoter, order->service);
     if (memory->token_due
         && mr_clock_now(NULL) - memory->asked_at < TOKEN_TIMEOUT_MS) {
-        set_order_timer(order, CATCH_UP_TICK_MS);
+        mr_timer_start(order->timer, CATCH_UP_TICK_MS);
         return;
     }
     /* While the store is out of reach, one that was taken earlier serves. */
@@ -619,7 +611,7 @@
     if (reply->lost) {
         answer->answered = false;
     }
-    set_order_timer(answer->order, CATCH_UP_TICK_MS);
+    mr_timer_start(answer->order->timer, CATCH_UP_TICK_MS);
 }
 
 /* Waits until the chosen replica has all that the former primary had. */
@@ -636,7 +628,7 @@
     }
     mr_link_query(answer->db_link, mr_own_statement_id, NULL,
                   mr_own_statement_text(MR_OWN_STATUS), on_caught_up, answer);
-    set_order_timer(order, STATUS_TIMEOUT_MS);
+    mr_timer_start(order->timer, STATUS_TIMEOUT_MS);
 }
 
 static void
--- a/lib/session/run.c
+++ b/lib/session/run.c
@@ -8,6 +8,7 @@
 
 #include "common/log.h"
 #include "common/mem.h"
+#include "common/timer.h"
 #include "session/run.h"
 
 enum {
@@ -25,13 +26,12 @@
 set_timer(mr_client_t *session, mr_ms_t after)
 {
     mr_run_t *run = &session->run;
-    struct timeval tv = mr_clock_timeval(after);
 
     if (run->timer == NULL) {
         run->timer =
             evtimer_new(session->relay->options.base, on_timer, session);
     }
-    evtimer_add(run->timer, &tv);
+    mr_timer_start(run->timer, after);
 }
 
 static void
@@ -176,9 +176,7 @@
     mr_ms_t limit = run->started + mr_run_unoffered_limit(session);
 
     if (run->offered) {
-        limit =
-            run->started
-            + mr_run_statement_timeout(session) * MR_RUN_RETRY_PERCENT / 100;
+        limit = mr_run_retry_limit(session);
     }
     if (now + pause >= limit || run->tries >= MR_RUN_TRIES_MAX) {
         refuse(session);
@@ -241,15 +239,13 @@
     mr_client_t *session = ctx;
     mr_run_t *run = &session->run;
 
-    if (run->link != NULL && run->link != session->tx_link) {
+    assert(run->link == NULL || session->tx_link == NULL
+           || run->link == session->tx_link);
+    if (run->link != NULL) {
         count_running(run, -1);
         run->link = NULL;
     }
-    else if (session->tx_link != NULL) {
-        if (run->link != NULL) {
-            count_running(run, -1);
-            run->link = NULL;
-        }
+    if (session->tx_link != NULL) {
         session->tx_link = NULL;
         session->tx_lost = true;
     }
--- a/lib/session/run.h
+++ b/lib/session/run.h
@@ -8,9 +8,6 @@
 enum {
     /* First pause before another attempt, about one statement's work. */
     MR_RUN_RETRY_FIRST_MS = 15,
-    /* Part of a statement's time after which it is refused instead of tried
-     * again, so that the client can still come back. */
-    MR_RUN_RETRY_PERCENT = 70,
     MR_RUN_TRIES_MAX = 10,
 };
 
@@ -30,6 +27,8 @@
  * nothing at all. */
 mr_ms_t mr_run_silence_limit(const mr_client_t *session);
 mr_ms_t mr_run_deadline_of(const mr_client_t *session);
+/** mr_run_retry_limit() - until when it is tried again. */
+mr_ms_t mr_run_retry_limit(const mr_client_t *session);
 /** mr_run_open_limit() - how long a statement waits for a connection. */
 mr_ms_t mr_run_open_limit(const mr_client_t *session);
 /** mr_run_retry_pause() - before the next attempt, with jitter. */
--- a/lib/session/run_choice.c
+++ b/lib/session/run_choice.c
@@ -69,14 +69,10 @@
     const mr_run_t *run = &session->run;
     mr_db_t *db = mr_link_db(run->link);
     mr_ms_t now = mr_clock_now(NULL);
-    mr_ms_t limit = mr_run_deadline_of(session);
+    mr_ms_t limit = run->mode == MR_RUN_CONTINUE ? mr_run_deadline_of(session)
+                                                 : mr_run_retry_limit(session);
     bool alone = run->mode == MR_RUN_WRITE || run->mode == MR_RUN_AGED;
 
-    if (run->mode != MR_RUN_CONTINUE) {
-        limit =
-            run->started
-            + mr_run_statement_timeout(session) * MR_RUN_RETRY_PERCENT / 100;
-    }
     if (state != (alone ? MR_TX_IDLE : MR_TX_OPEN)
         || run->tries >= MR_RUN_TRIES_MAX
         || now + MR_RUN_RETRY_FIRST_MS >= limit) {
--- a/lib/session/run_limits.c
+++ b/lib/session/run_limits.c
@@ -1,8 +1,7 @@
 /* How long a statement may take at each stage, and its lines in the log. */
 
-#include <sodium.h>
-
 #include "common/log.h"
+#include "common/timer.h"
 #include "session/run.h"
 
 enum {
@@ -12,6 +11,9 @@
     /* Before another attempt; doubled each time. About one statement's work at
      * a database. */
     RETRY_MAX_MS = 120,
+    /* Part of a statement's time after which it is refused instead of tried
+     * again, so that the client can still come back. */
+    RETRY_PERCENT = 70,
     STATEMENT_TIMEOUT_DEFAULT_MS = 1000, /* routes without a limit */
     OBJECTIVE_DEFAULT_MS = 200,
     /* Part of the objective after which a silent database is given up. */
@@ -51,17 +53,18 @@
     return session->run.started + mr_run_statement_timeout(session);
 }
 
-/* Pause before the next attempt, with jitter against attempts in step. */
 mr_ms_t
-mr_run_retry_pause(const mr_run_t *run)
+mr_run_retry_limit(const mr_client_t *session)
 {
-    mr_ms_t pause = (mr_ms_t)MR_RUN_RETRY_FIRST_MS
-                    << (run->tries < 4 ? run->tries : 4);
+    return session->run.started
+           + mr_run_statement_timeout(session) * RETRY_PERCENT / 100;
+}
 
-    if (pause > RETRY_MAX_MS) {
-        pause = RETRY_MAX_MS;
-    }
-    return pause / 2 + (mr_ms_t)randombytes_uniform((uint32_t)pause);
+mr_ms_t
+mr_run_retry_pause(const mr_run_t *run)
+{
+    return mr_timer_jitter(
+        mr_timer_pause(MR_RUN_RETRY_FIRST_MS, RETRY_MAX_MS, run->tries));
 }
 
 /* How long a statement waits for a connection: a read may be better off at
@@ -70,10 +73,7 @@
 mr_run_open_limit(const mr_client_t *session)
 {
     const mr_run_t *run = &session->run;
-    mr_ms_t left =
-        run->started
-        + mr_run_statement_timeout(session) * MR_RUN_RETRY_PERCENT / 100
-        - mr_clock_now(NULL);
+    mr_ms_t left = mr_run_retry_limit(session) - mr_clock_now(NULL);
     bool elsewhere = run->mode == MR_RUN_AGED || run->begin_aged;
 
     return elsewhere && left > OPEN_TIMEOUT_MS ? OPEN_TIMEOUT_MS : left;
--- a/lib/session/sampler.c
+++ b/lib/session/sampler.c
@@ -13,9 +13,6 @@
     RETRY_MS = 300, /* after a failure */
 };
 
-/* Account that the connections are opened for. */
-static const char own_account[] = "-";
-
 /** Connection to the primary of one service. */
 typedef struct probe {
     mr_list_t link;
@@ -184,7 +181,7 @@
     }
     if (probe->db_link == NULL) {
         probe->db_link = mr_link_open(probe->sampler->base, primary,
-                                      own_account, on_open, probe);
+                                      mr_no_account, on_open, probe);
         if (probe->db_link == NULL) {
             probe->retry_at = now + RETRY_MS;
             return;
--- a/tests/integration/world_store.c
+++ b/tests/integration/world_store.c
@@ -178,6 +178,14 @@
     put_encoded(world, table, key, NULL);
 }
 
+static void
+begin_read(world_t *world, struct evhttp_request *req, struct evkeyvalq *query)
+{
+    world->store_reads++;
+    evhttp_parse_query_str(
+        evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), query);
+}
+
 static void
 on_get(struct evhttp_request *req, void *ctx)
 {
@@ -185,9 +193,7 @@
     struct evkeyvalq query;
     json_t *doc;
 
-    world->store_reads++;
-    evhttp_parse_query_str(
-        evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), &query);
+    begin_read(world, req, &query);
     collect(world, evhttp_find_header(&query, "table"),
             evhttp_find_header(&query, "from"), 0, false, &doc);
     evhttp_clear_headers(&query);
@@ -201,9 +207,7 @@
     struct evkeyvalq query;
     json_t *doc;
 
-    world->store_reads++;
-    evhttp_parse_query_str(
-        evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), &query);
+    begin_read(world, req, &query);
     const char *table = evhttp_find_header(&query, "table");
     int64_t after = atoll(evhttp_find_header(&query, "after"));
     mr_ms_t wait = atoll(evhttp_find_header(&query, "wait_ms"));
