Let test_a_refused_connection_is_tried_again ask about a statement that waits

Trace: the statement that meets the refused connection pauses 15 to 45 ms before its next attempt, and is refused, with the promise that nothing ran, when that ends beyond the 40 ms that a statement may wait without having been offered.

--- a/tests/integration/test_sessions.c
+++ b/tests/integration/test_sessions.c
@@ -390,17 +390,26 @@
 END_TEST
 
 /* Guards against a statement that waits for a connection that nobody opens:
- * the pause after a refused one ended, and nothing tried again. */
+ * the pause after a refused one ended, and nothing tried again. The statement
+ * that met the refusal may be refused as well; one that comes in the pause
+ * waits for its end. */
 START_TEST(test_a_refused_connection_is_tried_again)
 {
+    client_t *refused = must_open(0, "own", "key-1");
     client_t *client = must_open(0, "own", "key-1");
-    mr_ms_t before = mr_clock_now(NULL);
 
     world_db_full(world, 0, 1);
+    client_start(refused, "WRITE a a");
+    while (world_db_refuses(world, 0)) {
+        harness_run(base, 1);
+    }
+    harness_run(base, 5); /* the refusal arrives */
+    mr_ms_t before = mr_clock_now(NULL);
     must_run(client, "WRITE a b", NULL);
     /* The pause, twice, and the way. */
     ck_assert_int_lt(mr_clock_now(NULL) - before, 300);
     client_close(client);
+    client_close(refused);
 }
 END_TEST
 
--- a/tests/integration/world.c
+++ b/tests/integration/world.c
@@ -185,6 +185,12 @@
     world->dbs[db].full = count;
 }
 
+bool
+world_db_refuses(const world_t *world, int db)
+{
+    return world->dbs[db].full > 0;
+}
+
 void
 world_db_busy(world_t *world, int db, int count)
 {
--- a/tests/integration/world.h
+++ b/tests/integration/world.h
@@ -62,6 +62,8 @@
 void world_db_drains(world_t *world, int db);
 /** world_db_full() - it refuses the next @count connections. */
 void world_db_full(world_t *world, int db, int count);
+/** world_db_refuses() - whether it will refuse another one. */
+bool world_db_refuses(const world_t *world, int db);
 /** world_db_busy() - it has no slot for the next @count statements. */
 void world_db_busy(world_t *world, int db, int count);
 void world_lag(world_t *world, int db, mr_ms_t lag);
