--- a/lib/config/store_internal.h
+++ b/lib/config/store_internal.h
@@ -196,9 +196,13 @@
 void mr_config_store_ask(mr_config_store_t *store, const mr_member_t *member,
                          int64_t after, mr_config_answer_fn_t fn);
 
-/** mr_config_store_update_from() - read what @member holds and consider it. */
+/**
+ * mr_config_store_update_from() - read what @member holds and consider it.
+ * @announced: version that @member said to hold, 0 when it announced nothing;
+ *             it is asked again while a question from before is open.
+ */
 void mr_config_store_update_from(mr_config_store_t *store,
-                                 const mr_member_t *member);
+                                 const mr_member_t *member, int64_t announced);
 
 /** mr_config_store_announce() - tell the members below what is held. */
 void mr_config_store_announce(mr_config_store_t *store);
--- a/lib/config/store_poll.c
+++ b/lib/config/store_poll.c
@@ -160,7 +160,7 @@
         mr_members_find(store->options.members, round->best);
     if (member != NULL
         && (store->current.config == NULL || store->resumed_at != 0)) {
-        mr_config_store_update_from(store, member);
+        mr_config_store_update_from(store, member, round->best_version);
     }
 }
 
@@ -222,8 +222,8 @@
         }
     }
     if (count > 0) {
-        mr_config_store_update_from(store,
-                                    candidates[store->refresh_next++ % count]);
+        mr_config_store_update_from(
+            store, candidates[store->refresh_next++ % count], 0);
     }
 }
 
--- a/lib/config/store_push.c
+++ b/lib/config/store_push.c
@@ -23,6 +23,7 @@
     mr_peer_call_t *call;
     mr_config_answer_fn_t fn;
     mr_ms_t sent;
+    int64_t announced; /* version that the member announced before, or 0 */
     char *name;
     char *data_centre;
 } config_call_t;
@@ -51,9 +52,9 @@
     free_call(call);
 }
 
-void
-mr_config_store_ask(mr_config_store_t *store, const mr_member_t *member,
-                    int64_t after, mr_config_answer_fn_t fn)
+static config_call_t *
+ask(mr_config_store_t *store, const mr_member_t *member, int64_t after,
+    mr_config_answer_fn_t fn)
 {
     config_call_t *call = MR_NEW(config_call_t);
     mr_msg_t msg = {.type = MR_MSG_CONFIG_FETCH};
@@ -70,6 +71,14 @@
     mr_counter_add(store->counters.peer_reads, 1);
     call->call = mr_peer_call(store->options.peer, member->address, &msg,
                               MR_CONFIG_PEER_TIMEOUT_MS, on_reply, call);
+    return call;
+}
+
+void
+mr_config_store_ask(mr_config_store_t *store, const mr_member_t *member,
+                    int64_t after, mr_config_answer_fn_t fn)
+{
+    ask(store, member, after, fn);
 }
 
 void
@@ -183,7 +192,7 @@
 
 void
 mr_config_store_update_from(mr_config_store_t *store,
-                            const mr_member_t *member)
+                            const mr_member_t *member, int64_t announced)
 {
     size_t open = 0;
     int64_t after = store->current.head.version;
@@ -194,11 +203,14 @@
         if (call->fn != on_update) {
             continue;
         }
-        if (++open == UPDATES_MAX || strcmp(call->name, member->name) == 0) {
+        /* An answer that was asked for before the announcement may lack it. */
+        bool covered = strcmp(call->name, member->name) == 0
+                       && call->announced >= announced;
+        if (++open == UPDATES_MAX || covered) {
             return;
         }
     }
-    mr_config_store_ask(store, member, after, on_update);
+    ask(store, member, after, on_update)->announced = announced;
 }
 
 /* A patch of @held for a peer that has the body with hash @base; NULL when
@@ -382,8 +394,14 @@
                 || (push->staged_version > store->current.head.version
                     && push->staged_version != store->staged.head.version);
     bool fresher = age >= PUSH_REFRESH_AGE_MS && push->store_age_ms < age;
-    if (news || fresher) {
-        mr_config_store_update_from(store, sender);
+    if (news) {
+        mr_config_store_update_from(store, sender,
+                                    push->version > push->staged_version
+                                        ? push->version
+                                        : push->staged_version);
+    }
+    else if (fresher) {
+        mr_config_store_update_from(store, sender, 0);
     }
 }
 
@@ -395,6 +413,6 @@
 
     if (store->current.config != NULL
         && version > store->current.head.version) {
-        mr_config_store_update_from(store, member);
+        mr_config_store_update_from(store, member, version);
     }
 }
--- a/tests/unit/test_config_store.c
+++ b/tests/unit/test_config_store.c
@@ -468,6 +468,36 @@
 }
 END_TEST
 
+/* Guards against news that is dropped because a question to its sender from
+ * before has no answer yet. */
+START_TEST(test_news_is_read_while_an_older_question_is_open)
+{
+    const char *const reads = "masticrelay_config_peer_reads_total";
+    fleet_t *fleet = start(1);
+    instance_t *instance = &fleet->instances[0];
+
+    accept_version(fleet, 5, "a");
+    await_version(fleet, 5, 1, 2000);
+    instance_t *peer = add_peer(fleet, "konya");
+    script(fleet, peer, 6, "ab");
+    mr_peer_handle(peer->peer, MR_MSG_CONFIG_FETCH, NULL, NULL);
+    platform_process_faults(&fleet->process, "{\"down\":true}");
+    for (int i = 0; i < 300 && counter(instance, reads) == 0; i++) {
+        run_loop_for(fleet->base, 10);
+    }
+    ck_assert_int_eq(counter(instance, reads), 1);
+    run_loop_for(fleet->base, 50);
+    mr_peer_handle(peer->peer, MR_MSG_CONFIG_FETCH, on_scripted_fetch, peer);
+    mr_msg_t push = {.type = MR_MSG_CONFIG_PUSH};
+    push.u.config.version = 6;
+    push.u.config.head =
+        (mr_bytes_t){peer->answer_head, strlen(peer->answer_head)};
+    mr_peer_send(peer->peer, instance->address, &push);
+    await_version(fleet, 6, 1, 300);
+    stop(fleet);
+}
+END_TEST
+
 START_TEST(test_restart_without_store_and_peers_serves_nothing)
 {
     fleet_t *fleet = start(1);
@@ -634,6 +664,7 @@
         test_restart_without_store_and_peers_serves_nothing,
         test_push_is_not_enough_for_the_first_version,
         test_push_only_announces,
+        test_news_is_read_while_an_older_question_is_open,
         test_peers_cannot_forge_or_go_back,
         test_next_poller_takes_over,
         test_instances_without_the_platform_learn_from_peers,
