Write the log of masticrelayd to standard output, bounded and without blocking

Cause: only the session daemon wrote to the bounded stream; the HTTP daemon wrote to standard error and could block on it. Ready is an event of the log now.

--- a/lib/common/log.c
+++ b/lib/common/log.c
@@ -58,11 +58,14 @@
 }
 
 /* Writes what the descriptor takes; the rest stays. */
-static void
-flush(void)
+void
+mr_log_flush(void)
 {
     size_t done = 0;
 
+    if (!stream.open) {
+        return;
+    }
     while (done < stream.used) {
         ssize_t n = write(stream.fd, stream.buffer + done, stream.used - done);
         if (n < 0 && errno != EAGAIN && errno != EINTR) {
@@ -89,7 +92,7 @@
     (void)fd;
     (void)what;
     (void)ctx;
-    flush();
+    mr_log_flush();
 }
 
 void
@@ -121,7 +124,7 @@
     if (!stream.open) {
         return;
     }
-    flush();
+    mr_log_flush();
     event_free(stream.flush_timer);
     event_free(stream.writable);
     stream.open = false;
@@ -171,7 +174,7 @@
     stream.used += len;
     if (stream.used >= FLUSH_BYTES
         && !event_pending(stream.writable, EV_WRITE, NULL)) {
-        flush();
+        mr_log_flush();
     }
     else if (!evtimer_pending(stream.flush_timer, NULL)) {
         evtimer_add(stream.flush_timer, &soon);
--- a/lib/common/log.h
+++ b/lib/common/log.h
@@ -47,6 +47,10 @@
  * non-blocking and stays the caller's. */
 void mr_log_open(const mr_log_options_t *options);
 
+/** mr_log_flush() - write what the descriptor takes now instead of a little
+ * later, for a line that somebody waits for. */
+void mr_log_flush(void);
+
 /** mr_log_close() - write what the descriptor takes, then go back to standard
  * error. */
 void mr_log_close(void);
--- a/lib/daemon/daemon.c
+++ b/lib/daemon/daemon.c
@@ -427,8 +427,8 @@
 
     d->admin = mr_admin_create(&options);
     if (mr_admin_listen(d->admin, s->admin)) {
-        printf("ready\n");
-        fflush(stdout);
+        mr_log(MR_LOG_INFO, "ready", "admin=%s", s->admin);
+        mr_log_flush();
         return true;
     }
     stop_admin(d);
@@ -597,6 +597,8 @@
     mr_log_setup(settings->name, settings->log_level);
     d->base = event_base_new();
     d->counters = mr_counters_create();
+    mr_log_open(&(mr_log_options_t){
+        .base = d->base, .counters = d->counters, .fd = STDOUT_FILENO});
     if (!create_tls(d)) {
         mr_daemon_destroy(d);
         return NULL;
@@ -626,6 +628,7 @@
     }
     mr_tls_destroy(d->tls);
     mr_tls_destroy(d->peer_tls);
+    mr_log_close();
     mr_counters_destroy(d->counters);
     event_base_free(d->base);
     free(d);
