Let reads without a known position ask the primary one at a time

Cause: after a stop of all instances no position of the primaries is known, and every read of routes that accept an age went to the primary, where each opened a connection, which takes a slot; the answers that would have brought a position waited behind them. Ruled out: a slow start (configuration and registrations 20 ms after it), the store, promotions. Now one read at a time seeks a position for each service, the others look for one every 10 ms and go to a replica; a read that waits for a connection to the primary leaves it for a replica; the coordinator samples as soon as it joined and its connection is open. Test: test_reads_after_a_restart_do_not_crowd_the_primary, 0 of 20 reads at replicas before.

--- a/lib/session/client.h
+++ b/lib/session/client.h
@@ -67,11 +67,13 @@
     mr_command_t statement;
     bool writes;
     mr_link_t *link;
-    mr_link_wait_t *wait; /* for a connection */
+    mr_link_wait_t *wait; /* for a connection ... */
+    mr_ms_t wait_until;   /* ... up to this time */
     mr_db_t *waits_at;
     const mr_db_t *failed_db;
     mr_position_t after;
     bool begin_aged; /* begins a transaction at a replica */
+    bool seeks;      /* at the primary only since no position is known */
     int tries;
     bool offered;  /* a database had it in its hands */
     bool answered; /* the connection of this attempt is in a known state */
--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -32,6 +32,8 @@
     /* Samples of the primary's position are at least this far apart; a full
      * ring spans the longest age that reads accept. */
     SAMPLE_GAP_MS = 60,
+    /* For a new connection and BEGIN; then another read asks. */
+    SEEK_MS = 100,
     LATENCY_WEIGHT = 8, /* share of a new sample in the smoothed time: 1/8 */
 };
 
@@ -445,6 +447,16 @@
     return NULL;
 }
 
+bool
+mr_cluster_seek(mr_cluster_t *cluster, mr_ms_t now)
+{
+    if (cluster->sought_at != 0 && now < cluster->sought_at + SEEK_MS) {
+        return false;
+    }
+    cluster->sought_at = now;
+    return true;
+}
+
 /* Lower is better; the weights order load before distance before the rest. */
 static int64_t
 reader_cost(const mr_db_t *db, const mr_db_want_t *want)
--- a/lib/session/cluster.h
+++ b/lib/session/cluster.h
@@ -79,6 +79,7 @@
     int64_t connections;      /* to one database, from all instances */
     int copies; /* most databases that were registered at one time */
     mr_ms_t leaderless_since; /* 0: a leader is known */
+    mr_ms_t sought_at; /* a read last asked the primary for its position */
 };
 
 struct mr_clusters {
@@ -142,6 +143,10 @@
 const mr_sample_t *mr_cluster_covering(const mr_cluster_t *cluster,
                                        mr_ms_t since);
 
+/** mr_cluster_seek() - whether a read may ask the primary because no position
+ * is known: one at a time, as the others can use what it finds. */
+bool mr_cluster_seek(mr_cluster_t *cluster, mr_ms_t now);
+
 /** What a read needs of a database. */
 typedef struct mr_db_want {
     const char *account;
--- a/lib/session/fleet.c
+++ b/lib/session/fleet.c
@@ -150,7 +150,7 @@
 mr_fleet_start_reports(mr_fleet_t *fleet)
 {
     mr_timer_start(fleet->report_timer, 0);
-    mr_timer_start(fleet->check_timer, CHECK_PERIOD_MS);
+    mr_timer_start(fleet->check_timer, 0);
 }
 
 mr_fleet_t *
--- a/lib/session/run.c
+++ b/lib/session/run.c
@@ -17,6 +17,8 @@
     SILENT_TRIES = 2,              /* of reads that silent databases get */
     RETRY_AFTER_FAILOVER_MS = 500, /* about one change of primary */
     RETRY_AFTER_BUSY_MS = 50,
+    /* Reads that seek a position look for it this often. */
+    SEEK_PERIOD_MS = 10,
 };
 
 static void choose(mr_client_t *session);
@@ -574,6 +576,17 @@
     try_again(session, MR_ERR_OVERLOADED, mr_run_retry_pause(run));
 }
 
+/* A read that seeks a position goes to a replica as soon as one is known. */
+static void
+await_link(mr_client_t *session)
+{
+    mr_run_t *run = &session->run;
+    mr_ms_t left = run->wait_until - mr_clock_now(NULL);
+
+    set_stage(session, MR_RUN_OPENING,
+              run->seeks && left > SEEK_PERIOD_MS ? SEEK_PERIOD_MS : left);
+}
+
 static void
 connect_to(mr_client_t *session, mr_db_t *db)
 {
@@ -587,7 +600,8 @@
         return;
     }
     run->waits_at = db;
-    set_stage(session, MR_RUN_OPENING, mr_run_open_limit(session));
+    run->wait_until = mr_clock_now(NULL) + mr_run_open_limit(session);
+    await_link(session);
     run->wait = mr_linkpool_wait(session->relay->options.base, db,
                                  session->account, on_link, session);
 }
@@ -596,6 +610,7 @@
 choose(mr_client_t *session)
 {
     mr_run_t *run = &session->run;
+    mr_ms_t now = mr_clock_now(NULL);
     mr_cluster_t *cluster;
     mr_db_t *db = NULL;
 
@@ -623,9 +638,36 @@
         try_later(session, MR_RUN_RETRY_FIRST_MS);
         return;
     }
+    if (run->seeks && !mr_cluster_seek(cluster, now)
+        && now < run->started + mr_run_unoffered_limit(session)) {
+        set_stage(session, MR_RUN_WAITING, SEEK_PERIOD_MS);
+        return;
+    }
     connect_to(session, db);
 }
 
+/* Waiting for a connection took too long, or a replica can be asked now. */
+static void
+on_opening_timer(mr_client_t *session)
+{
+    mr_run_t *run = &session->run;
+    bool over = mr_clock_now(NULL) >= run->wait_until;
+
+    if (!over && !mr_run_found_position(session)) {
+        await_link(session);
+        return;
+    }
+    mr_linkpool_cancel(run->wait);
+    run->wait = NULL;
+    if (!over) {
+        choose(session);
+        return;
+    }
+    run->failed_db = run->waits_at;
+    /* Past the time for attempts, the pause ends them. */
+    try_again(session, MR_ERR_OVERLOADED, MR_RUN_RETRY_FIRST_MS);
+}
+
 /* The database did not answer the statement so far. */
 static void
 on_sent_timeout(mr_client_t *session)
@@ -672,11 +714,7 @@
         }
         break;
     case MR_RUN_OPENING:
-        mr_linkpool_cancel(run->wait);
-        run->wait = NULL;
-        run->failed_db = run->waits_at;
-        /* Past the time for attempts, the pause ends them. */
-        try_again(session, MR_ERR_OVERLOADED, MR_RUN_RETRY_FIRST_MS);
+        on_opening_timer(session);
         break;
     case MR_RUN_PREPARING:
     case MR_RUN_BEGINNING:
--- a/lib/session/run.h
+++ b/lib/session/run.h
@@ -14,6 +14,9 @@
 /** mr_run_choose_db() - the database to ask next, with the way to ask it in
  * the session's run; NULL: none can be asked now. */
 mr_db_t *mr_run_choose_db(mr_client_t *session, mr_cluster_t *cluster);
+/** mr_run_found_position() - whether a read that seeks a position can go to a
+ * replica by now. */
+bool mr_run_found_position(mr_client_t *session);
 /** mr_run_may_resend() - whether a statement that found no free slot is sent
  * again on its connection, which is in @state: a new one would take a slot as
  * well. Reads go elsewhere if another database is better. */
--- a/lib/session/run_choice.c
+++ b/lib/session/run_choice.c
@@ -8,16 +8,36 @@
     FRESH_MARGIN_MS = 50,
 };
 
+/* A position that a read of the session's route may run at; NULL: none is
+ * known. */
+static const mr_sample_t *
+covering_sample(const mr_client_t *session, const mr_cluster_t *cluster,
+                mr_ms_t now)
+{
+    return mr_cluster_covering(cluster, now + FRESH_MARGIN_MS
+                                            - session->route->max_age);
+}
+
+bool
+mr_run_found_position(mr_client_t *session)
+{
+    const mr_cluster_t *cluster = mr_clusters_find(
+        session->relay->options.clusters, session->route->service);
+
+    return cluster != NULL
+           && covering_sample(session, cluster, mr_clock_now(NULL)) != NULL;
+}
+
 /* A replica for a read of the session's route; NULL: the primary's position is
  * not known well enough, or no database can be asked. */
 static mr_db_t *
 choose_reader(mr_client_t *session, mr_cluster_t *cluster, mr_ms_t now)
 {
     mr_run_t *run = &session->run;
-    const mr_sample_t *sample = mr_cluster_covering(
-        cluster, now + FRESH_MARGIN_MS - session->route->max_age);
+    const mr_sample_t *sample = covering_sample(session, cluster, now);
 
-    if (sample == NULL) {
+    run->seeks = sample == NULL;
+    if (run->seeks) {
         return NULL;
     }
     run->after = sample->position;
@@ -42,6 +62,7 @@
     bool reads = in_tx ? session->tx_read_only : !run->writes;
 
     run->begin_aged = false;
+    run->seeks = false;
     run->mode = in_tx ? MR_RUN_FIRST : MR_RUN_WRITE;
     /* After two replicas that lag the primary is asked. */
     if (reads && session->route->freshness != MR_FRESH_PRIMARY
--- a/lib/session/sampler.c
+++ b/lib/session/sampler.c
@@ -141,6 +141,15 @@
                   mr_own_statement_text(MR_OWN_ROLLBACK), NULL, NULL);
 }
 
+static void
+ask(probe_t *probe, mr_ms_t now)
+{
+    probe->waiting = true;
+    probe->asked_at = now;
+    mr_link_query(probe->db_link, mr_own_statement_id, NULL,
+                  mr_own_statement_text(MR_OWN_BEGIN), on_begun, probe);
+}
+
 static void
 on_open(void *ctx, mr_link_t *link, const mr_reply_t *reply)
 {
@@ -158,6 +167,7 @@
     }
     probe->ready = true;
     mr_link_on_lost(link, on_lost, probe);
+    ask(probe, now);
 }
 
 static void
@@ -187,16 +197,12 @@
             return;
         }
         probe->id = mr_strdup(primary->id);
+        probe->waiting = true;
+        probe->asked_at = now;
     }
     else if (probe->ready && (sample == NULL || now - sample->at >= DUE_MS)) {
-        mr_link_query(probe->db_link, mr_own_statement_id, NULL,
-                      mr_own_statement_text(MR_OWN_BEGIN), on_begun, probe);
-    }
-    else {
-        return;
+        ask(probe, now);
     }
-    probe->waiting = true;
-    probe->asked_at = now;
 }
 
 void
--- a/tests/integration/test_sessions.c
+++ b/tests/integration/test_sessions.c
@@ -617,6 +617,45 @@
 }
 END_TEST
 
+/* Guards against reads that all wait for the primary after a restart, while
+ * replicas could serve them as soon as one position is known. */
+START_TEST(test_reads_after_a_restart_do_not_crowd_the_primary)
+{
+    enum { READERS = 20 };
+    client_t *readers[READERS];
+    char ids[READERS][WORLD_TEXT_BYTES];
+    int at_replicas = 0;
+
+    for (int i = 0; i < RELAYS; i++) {
+        relay_kill(&relays[i]);
+    }
+    for (int i = 0; i < RELAYS; i++) {
+        relay_restart(&relays[i], world);
+    }
+    ck_assert(relay_wait_ready(&relays[0], base, READY_MAX_MS));
+    world_db_slow_open(world, world_primary(world), 60);
+    for (int i = 0; i < READERS; i++) {
+        readers[i] = must_open(0, "own", "key-1");
+    }
+    for (int i = 0; i < READERS; i++) {
+        snprintf(ids[i], sizeof(ids[i]), "%s",
+                 client_start(readers[i], "READ a"));
+    }
+    mr_ms_t end = mr_clock_now(NULL) + 2000;
+    for (int i = 0; i < READERS; i++) {
+        client_answer_t answer;
+        while (!client_poll(readers[i], &answer)) {
+            ck_assert(mr_clock_now(NULL) < end);
+            harness_run(base, 2);
+        }
+        ck_assert_msg(answer.complete, "%s", answer.text);
+        at_replicas += world_find(world, ids[i])->db != world_primary(world);
+        client_close(readers[i]);
+    }
+    ck_assert_int_ge(at_replicas, READERS * 3 / 4);
+}
+END_TEST
+
 /* Guards against polling by every instance while the system starts. */
 START_TEST(test_the_first_rows_are_waited_for_in_few_calls)
 {
@@ -702,6 +741,7 @@
         test_a_late_promotion_does_not_undo_a_later_one,
         test_a_planned_stop_cuts_nothing,
         test_a_restart_without_the_store_serves_later,
+        test_reads_after_a_restart_do_not_crowd_the_primary,
         test_the_first_rows_are_waited_for_in_few_calls,
         test_bad_input_gets_an_error_and_changes_nothing,
         test_a_failed_request_can_be_found_in_the_log,
--- a/tests/integration/world.c
+++ b/tests/integration/world.c
@@ -185,6 +185,12 @@
     world->dbs[db].full = count;
 }
 
+void
+world_db_slow_open(world_t *world, int db, mr_ms_t ms)
+{
+    world->dbs[db].open_takes = ms;
+}
+
 bool
 world_db_refuses(const world_t *world, int db)
 {
--- a/tests/integration/world.h
+++ b/tests/integration/world.h
@@ -62,6 +62,9 @@
 void world_db_drains(world_t *world, int db);
 /** world_db_full() - it refuses the next @count connections. */
 void world_db_full(world_t *world, int db, int count);
+/** world_db_slow_open() - each new connection is answered after @ms, one
+ * after the other. */
+void world_db_slow_open(world_t *world, int db, mr_ms_t ms);
 /** world_db_refuses() - whether it will refuse another one. */
 bool world_db_refuses(const world_t *world, int db);
 /** world_db_busy() - it has no slot for the next @count statements. */
--- a/tests/integration/world_db.c
+++ b/tests/integration/world_db.c
@@ -27,6 +27,7 @@
     int name_count;
     size_t pending[PENDING_MAX]; /* runs of the open transaction's writes */
     int pending_count;
+    struct event *opened; /* ends a slow opening */
 } conn_t;
 
 void
@@ -45,6 +46,7 @@
 free_conn(conn_t *conn)
 {
     mr_list_remove(&conn->link);
+    event_free(conn->opened);
     bufferevent_free(conn->stream);
     free(conn);
 }
@@ -392,6 +394,14 @@
     return true;
 }
 
+static void
+on_opened(evutil_socket_t fd, short what, void *ctx)
+{
+    (void)fd;
+    (void)what;
+    say_ready(ctx);
+}
+
 static void
 handle_open(conn_t *conn, const char *fields)
 {
@@ -411,7 +421,17 @@
     conn->open = true;
     conn->state = 'I';
     conn->db->opened++;
-    say_ready(conn);
+    if (conn->db->open_takes == 0) {
+        say_ready(conn);
+        return;
+    }
+    mr_ms_t now = mr_clock_now(NULL);
+    if (conn->db->open_free < now) {
+        conn->db->open_free = now;
+    }
+    conn->db->open_free += conn->db->open_takes;
+    struct timeval tv = mr_clock_timeval(conn->db->open_free - now);
+    evtimer_add(conn->opened, &tv);
 }
 
 static void
@@ -465,6 +485,7 @@
     (void)addr;
     (void)len;
     conn->db = db;
+    conn->opened = evtimer_new(db->world->base, on_opened, conn);
     conn->stream =
         bufferevent_socket_new(db->world->base, fd, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(conn->stream, on_read, NULL, on_event, conn);
--- a/tests/integration/world_internal.h
+++ b/tests/integration/world_internal.h
@@ -31,9 +31,11 @@
     bool running;
     bool silent;
     bool draining;
-    int full;   /* connections that it still refuses */
-    int busy;   /* statements that it still refuses */
-    int opened; /* connections so far */
+    int full;           /* connections that it still refuses */
+    int busy;           /* statements that it still refuses */
+    int opened;         /* connections so far */
+    mr_ms_t open_takes; /* for a new connection */
+    mr_ms_t open_free;  /* when the next one can be opened */
     mr_ms_t lag;
     bool suspended;
     int64_t deaf_at;     /* it receives nothing above this number; -1: all */
