End the pause of openings when its timer fires

Cause: the loop's clock is coarse and cached, so the timer can fire up to 5 ms before the time that openings are held back to. Nothing was opened then and no other timer followed: statements waited until they were refused, 0.7 s later. Seen once as BUSY in test_a_refused_connection_is_tried_again (its log has the refusal of q1 and no attempt of q2 after it). Ruled out: a second refusal by the stand-in (it counts them), the sampler (it does not use the pool).

--- a/lib/session/linkpool.c
+++ b/lib/session/linkpool.c
@@ -84,9 +84,13 @@
 static void
 on_pause_over(evutil_socket_t fd, short what, void *ctx)
 {
+    mr_db_t *db = ctx;
+
     (void)fd;
     (void)what;
-    open_for_waits(ctx);
+    /* The loop's clock may be behind: the timer then fires a little early. */
+    db->open_after = 0;
+    open_for_waits(db);
 }
 
 void
--- /dev/null
+++ b/tests/unit/test_linkpool.c
@@ -0,0 +1,120 @@
+/* Guards against statements that wait for a connection nobody opens. */
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <stdio.h>
+#include <time.h>
+
+#include "../common/runner.h"
+#include "session/cluster.h"
+#include "session/linkpool.h"
+
+enum {
+    /* How far the loop's own clock is behind when the pause begins. */
+    BEHIND_MS = 5,
+    /* The longest first pause and some more. */
+    OPEN_MAX_MS = 400,
+};
+
+static struct event_base *base;
+static mr_clusters_t *clusters;
+static mr_db_t *db;
+static int accepted;
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *addr, int len, void *ctx)
+{
+    (void)listener;
+    (void)addr;
+    (void)len;
+    (void)ctx;
+    accepted++;
+    evutil_closesocket(fd);
+    event_base_loopbreak(base);
+}
+
+static void
+on_link(void *ctx, mr_link_t *link, mr_error_kind_t error)
+{
+    (void)ctx;
+    (void)link;
+    (void)error;
+}
+
+static void
+on_work(evutil_socket_t fd, short what, void *ctx)
+{
+    (void)fd;
+    (void)what;
+    (void)ctx;
+}
+
+/* The database refuses a connection late in a turn of the loop. */
+static void
+on_refused(evutil_socket_t fd, short what, void *ctx)
+{
+    const struct timespec behind = {.tv_nsec = BEHIND_MS * 1000000L};
+
+    (void)fd;
+    (void)what;
+    (void)ctx;
+    nanosleep(&behind, NULL);
+    mr_linkpool_pause(db, base);
+    mr_linkpool_wait(base, db, "coop", on_link, NULL);
+}
+
+START_TEST(test_a_pause_ends_although_its_timer_is_early)
+{
+    struct sockaddr_in addr = {.sin_family = AF_INET,
+                               .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t len = sizeof(addr);
+    const struct timeval now = {0, 0};
+    const struct timeval often = {.tv_usec = 1000};
+    const struct timeval max = {.tv_usec = OPEN_MAX_MS * 1000};
+    char address[32];
+
+    base = event_base_new();
+    struct evconnlistener *listener =
+        evconnlistener_new_bind(base, on_accept, NULL, LEV_OPT_CLOSE_ON_FREE,
+                                8, (struct sockaddr *)&addr, sizeof(addr));
+    ck_assert_ptr_nonnull(listener);
+    getsockname(evconnlistener_get_fd(listener), (struct sockaddr *)&addr,
+                &len);
+    snprintf(address, sizeof(address), "127.0.0.1:%d", ntohs(addr.sin_port));
+    clusters = mr_clusters_create("front-1", "konya");
+    mr_clusters_begin(clusters);
+    mr_clusters_add(clusters, "a",
+                    &(mr_db_entry_t){.service = "rez",
+                                     .address = address,
+                                     .data_centre = "konya",
+                                     .born = 1,
+                                     .slots = 2,
+                                     .primary = true},
+                    1);
+    mr_clusters_end(clusters, 1);
+    db = mr_cluster_leader(mr_clusters_find(clusters, "rez"));
+    /* Other work wakes the loop just before the pause is over. */
+    struct event *work = event_new(base, -1, EV_PERSIST, on_work, NULL);
+    evtimer_add(work, &often);
+    event_base_once(base, -1, EV_TIMEOUT, on_refused, NULL, &now);
+    event_base_loopexit(base, &max);
+    event_base_dispatch(base);
+    ck_assert_int_eq(accepted, 1);
+    event_free(work);
+    mr_clusters_destroy(clusters);
+    evconnlistener_free(listener);
+    event_base_free(base);
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {
+        test_a_pause_ends_although_its_timer_is_early,
+    };
+
+    return RUN_TESTS(tests, .suite = "linkpool");
+}
