Ask the next candidates at once when the coordinator does not answer

Cause: an instance that lost its coordinator asked the others one after the other, 0.7 s each. Now the first report without an answer leads to questions to the next 16 at once; one that does not answer is passed over, the coordinator after two. The test runner takes TEST_ONLY=name.

--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -15,6 +15,9 @@
     TOKEN_LIFETIME_MS = 1200,
     /* Instances that come before the coordinator are tried again. */
     RETRY_BETTER_MS = 1500,
+    /* Asked at once when the coordinator does not answer: enough to find one
+     * in a data centre of four that is cut off from the others. */
+    SEARCH_WIDTH = 16,
     HEALTH_MAX = 4096,
     WANTS_MAX = 1024,
 };
@@ -118,6 +121,25 @@
     fleet->options.drawn(fleet->options.ctx, asked_at);
 }
 
+static void search(mr_fleet_t *fleet);
+
+/* The coordinator may have lost one report; another candidate that does not
+ * answer is passed over. */
+static void
+note_no_answer(mr_fleet_t *fleet, mr_fleet_instance_t *from)
+{
+    bool lost = from->failures >= MR_FLEET_FAILURES_MAX;
+
+    from->failures += from == fleet->coordinator ? 1 : MR_FLEET_FAILURES_MAX;
+    mr_counter_add(fleet->reports_failed, 1);
+    if (!lost && from->failures >= MR_FLEET_FAILURES_MAX) {
+        mr_log(MR_LOG_WARNING, "instance_lost", "name=%s", from->name);
+    }
+    if (from == fleet->coordinator && from->failures == 1) {
+        search(fleet);
+    }
+}
+
 static void
 on_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *msg)
 {
@@ -130,11 +152,7 @@
     mr_list_remove(&report->link);
     free(report);
     if (error != MR_OK) {
-        from->failures++;
-        mr_counter_add(fleet->reports_failed, 1);
-        if (from->failures == MR_FLEET_FAILURES_MAX) {
-            mr_log(MR_LOG_WARNING, "instance_lost", "name=%s", from->name);
-        }
+        note_no_answer(fleet, from);
         mr_timer_start(fleet->report_timer, 0);
         return;
     }
@@ -225,6 +243,31 @@
     return false;
 }
 
+/* Asks those that come next in the order, all at once: one after the other,
+ * an instance that is cut off with a few others takes seconds to find them. */
+static void
+search(mr_fleet_t *fleet)
+{
+    report_lists_t none = {0};
+    int asked = 0;
+
+    MR_LIST_FOREACH(it, &fleet->instances)
+    {
+        mr_fleet_instance_t *instance =
+            MR_LIST_ENTRY(it, mr_fleet_instance_t, link);
+        bool after_own = !fleet->leaving && instance->order < fleet->own_order;
+        if (after_own || asked == SEARCH_WIDTH) {
+            return;
+        }
+        if (instance != fleet->coordinator
+            && instance->failures < MR_FLEET_FAILURES_MAX
+            && !is_reporting_to(fleet, instance)) {
+            send_report(fleet, instance, &none, NULL);
+            asked++;
+        }
+    }
+}
+
 /* Tokens of one account for an instance that reported. */
 static int64_t
 draw_for(mr_fleet_t *fleet, const mr_msg_draw_t *want, mr_ms_t now)
--- a/tests/common/runner.c
+++ b/tests/common/runner.c
@@ -1,11 +1,13 @@
 #include "runner.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 int
 runner_run(const runner_options_t *options, const TTest *const *tests,
            size_t count)
 {
+    const char *only = getenv("TEST_ONLY");
     Suite *suite = suite_create(options->suite);
     TCase *tcase = tcase_create(options->suite);
 
@@ -16,9 +18,11 @@
         tcase_add_checked_fixture(tcase, options->setup, options->teardown);
     }
     for (size_t i = 0; i < count; i++) {
-        tcase_add_test(tcase, tests[i]);
+        if (only == NULL || strcmp(only, tests[i]->name) == 0) {
+            tcase_add_test(tcase, tests[i]);
+        }
     }
-    if (options->loop.test != NULL) {
+    if (options->loop.test != NULL && only == NULL) {
         tcase_add_loop_test(tcase, options->loop.test, options->loop.first,
                             options->loop.end);
     }
@@ -29,6 +33,7 @@
     }
     srunner_run_all(runner, options->verbose ? CK_VERBOSE : CK_NORMAL);
     int failed = srunner_ntests_failed(runner);
+    int run = srunner_ntests_run(runner);
     srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return failed == 0 && run > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/tests/common/runner.h
+++ b/tests/common/runner.h
@@ -23,8 +23,9 @@
     bool no_fork; /* no process for each test */
 } runner_options_t;
 
-/** runner_run() - run the tests one after the other; returns the exit status.
- */
+/** runner_run() - run the tests one after the other, or the one that the
+ * environment's TEST_ONLY names; returns the exit status. No test run is a
+ * failure. */
 int runner_run(const runner_options_t *options, const TTest *const *tests,
                size_t count);
 
--- a/tests/integration/test_sessions.c
+++ b/tests/integration/test_sessions.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "harness.h"
+#include "member/rendezvous.h"
 #include "session_client.h"
 #include "world.h"
 
@@ -617,6 +618,37 @@
 }
 END_TEST
 
+/* Guards against an instance that asks the others one after the other when
+ * several do not answer, and admits its equal part only meanwhile. */
+START_TEST(test_a_coordinator_is_found_although_several_are_silent)
+{
+    char chosen[WORLD_TEXT_BYTES];
+    int last = 0;
+
+    for (int i = 1; i < RELAYS; i++) {
+        if (mr_rendezvous_score("coordinator", relays[i].name)
+            < mr_rendezvous_score("coordinator", relays[last].name)) {
+            last = i;
+        }
+    }
+    snprintf(chosen, sizeof(chosen), "name=%s ", relays[last].name);
+    for (int i = 0; i < RELAYS; i++) {
+        if (i != last) {
+            relay_signal(&relays[i], SIGSTOP);
+        }
+    }
+    /* Two reports without an answer, 350 ms each, and the log's 100 ms. */
+    mr_ms_t end = mr_clock_now(NULL) + 1200;
+    while (!relay_logged(&relays[last], "event=coordinator_chosen", chosen)) {
+        ck_assert(mr_clock_now(NULL) < end);
+        harness_run(base, 20);
+    }
+    for (int i = 0; i < RELAYS; i++) {
+        relay_signal(&relays[i], SIGCONT);
+    }
+}
+END_TEST
+
 /* Guards against reads that all wait for the primary after a restart, while
  * replicas could serve them as soon as one position is known. */
 START_TEST(test_reads_after_a_restart_do_not_crowd_the_primary)
@@ -741,6 +773,7 @@
         test_a_late_promotion_does_not_undo_a_later_one,
         test_a_planned_stop_cuts_nothing,
         test_a_restart_without_the_store_serves_later,
+        test_a_coordinator_is_found_although_several_are_silent,
         test_reads_after_a_restart_do_not_crowd_the_primary,
         test_the_first_rows_are_waited_for_in_few_calls,
         test_bad_input_gets_an_error_and_changes_nothing,
