Add a soak of the session daemons: random clients, faults from outside, checks of the promises

Four daemons as separate processes, each with links of its own through the fault proxy; signals, store and database faults, time of day, planned stops.

--- a/tests/integration/session_client.c
+++ b/tests/integration/session_client.c
@@ -52,6 +52,15 @@
     dup2(out, STDOUT_FILENO);
     dup2(out, STDERR_FILENO);
     unsetenv("MASTICRELAY_BUILD");
+    if (relay->redirect[0] != '\0') {
+        char text[256];
+        snprintf(text, sizeof(text), "%s/redirect.so",
+                 build != NULL ? build : "build");
+        setenv("LD_PRELOAD", text, 1);
+        setenv("HARNESS_REDIRECT", relay->redirect, 1);
+        snprintf(text, sizeof(text), "%lld", (long long)relay->wall_shift);
+        setenv("HARNESS_WALL_MS", text, 1);
+    }
     execv(argv[0], argv);
     _exit(127);
 }
@@ -68,7 +77,7 @@
 }
 
 void
-relay_start(relay_process_t *relay, const world_t *world, int index)
+relay_prepare(relay_process_t *relay, int index)
 {
     const char *build = getenv("MASTICRELAY_BUILD");
 
@@ -82,6 +91,13 @@
     snprintf(relay->peer, sizeof(relay->peer), "127.0.0.1:%d", harness_port());
     snprintf(relay->log, sizeof(relay->log), "%s/logs/relay-%d-%d.log",
              build != NULL ? build : "build", (int)getpid(), index);
+    snprintf(relay->front, sizeof(relay->front), "%s", relay->listen);
+}
+
+void
+relay_start(relay_process_t *relay, const world_t *world, int index)
+{
+    relay_prepare(relay, index);
     relay_restart(relay, world);
 }
 
@@ -259,14 +275,14 @@
 }
 
 client_t *
-client_open(struct event_base *base, const relay_process_t *relay,
-            const char *database, const char *key, char *code)
+client_connect(struct event_base *base, const relay_process_t *relay,
+               const char *database, const char *key)
 {
     struct sockaddr_storage addr;
     int len;
     client_t *client = MR_NEW(client_t);
 
-    ck_assert(mr_address_parse(relay->listen, &addr, &len));
+    ck_assert(mr_address_parse(relay->front, &addr, &len));
     client->base = base;
     client->stream = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(client->stream, NULL, NULL, on_event, client);
@@ -274,6 +290,14 @@
     bufferevent_socket_connect(client->stream, (struct sockaddr *)&addr, len);
     evbuffer_add_printf(bufferevent_get_output(client->stream),
                         "OPEN %s %s\r\n", database, key);
+    return client;
+}
+
+client_t *
+client_open(struct event_base *base, const relay_process_t *relay,
+            const char *database, const char *key, char *code)
+{
+    client_t *client = client_connect(base, relay, database, key);
     client_answer_t answer = wait_answer(client);
     if (answer.closed) {
         if (code != NULL) {
--- a/tests/integration/session_client.h
+++ b/tests/integration/session_client.h
@@ -20,9 +20,14 @@
     char ready[WORLD_TEXT_BYTES];
     char peer[WORLD_TEXT_BYTES];
     char log[256];
+    char front[WORLD_TEXT_BYTES]; /* that clients connect to */
+    char redirect[512];           /* see standins/redirect.c; empty: none */
+    mr_ms_t wall_shift;           /* of its time of day; with a redirect */
     int store; /* index of the store's address that it uses */
 } relay_process_t;
 
+/** relay_prepare() - choose addresses; relay_start() starts it as well. */
+void relay_prepare(relay_process_t *relay, int index);
 void relay_start(relay_process_t *relay, const world_t *world, int index);
 /** relay_restart() - with the same addresses. */
 void relay_restart(relay_process_t *relay, const world_t *world);
@@ -53,6 +58,10 @@
  * error, or "closed". */
 client_t *client_open(struct event_base *base, const relay_process_t *relay,
                       const char *database, const char *key, char *code);
+/** client_connect() - begin to open a session; client_poll() says when it is
+ * answered. */
+client_t *client_connect(struct event_base *base, const relay_process_t *relay,
+                         const char *database, const char *key);
 void client_close(client_t *client);
 
 /** client_start() - send a statement with a fresh id. */
--- /dev/null
+++ b/tests/integration/session_soak_check.c
@@ -0,0 +1,232 @@
+/* Checks of the soak, on the records of clients and databases. */
+
+#include <stdio.h>
+#include <string.h>
+
+#include "session_soak.h"
+#include "world_internal.h"
+
+enum {
+    QUOTA_WINDOW_MS = 5000,
+    QUOTA_EXCESS_PERCENT = 10,
+    QUOTA_SLACK = 20,
+};
+
+/** Where an acknowledged write stands in the log. */
+typedef struct commit {
+    const soak_op_t *op;
+    int64_t term;
+    int64_t number;
+} commit_t;
+
+typedef struct checker {
+    soak_t *soak;
+    GHashTable *runs;       /* statement id -> its last world_run_t */
+    GHashTable *statements; /* statement id -> soak_op_t */
+    GHashTable *entries;    /* statement id -> world_entry_t */
+    GArray *commits;        /* commit_t, acknowledged and still in the log */
+} checker_t;
+
+static bool
+is_write(const soak_op_t *op, const soak_statement_t *statement)
+{
+    return strncmp(statement->text, "WRITE", 5) == 0
+           || (op->session % 2 == 0
+               && strncmp(statement->text, "EXECUTE", 7) == 0);
+}
+
+static void
+fill(checker_t *checker)
+{
+    const world_t *world = checker->soak->world;
+
+    for (size_t i = 0; i < world->run_count; i++) {
+        world_run_t *run = &world->runs[i];
+        const world_run_t *before =
+            g_hash_table_lookup(checker->runs, run->id);
+        ck_assert_msg(before == NULL || !before->committed || !run->committed,
+                      "TWICE: %s took effect twice", run->id);
+        if (before == NULL || !before->committed) {
+            g_hash_table_insert(checker->runs, run->id, run);
+        }
+    }
+    for (int64_t i = 0; i < world->log_count; i++) {
+        world_entry_t *entry = &world->log[i];
+        ck_assert_msg(!g_hash_table_contains(checker->entries, entry->id),
+                      "TWICE: %s is in the log twice", entry->id);
+        g_hash_table_insert(checker->entries, entry->id, entry);
+    }
+    for (guint i = 0; i < checker->soak->ops->len; i++) {
+        soak_op_t *op = g_ptr_array_index(checker->soak->ops, i);
+        for (int j = 0; j < op->sent; j++) {
+            g_hash_table_insert(checker->statements, op->statements[j].id, op);
+        }
+    }
+}
+
+/* Every statement that a database ran came from a client, unchanged, with the
+ * account and the session's values. */
+static void
+check_runs(checker_t *checker)
+{
+    const world_t *world = checker->soak->world;
+
+    for (size_t i = 0; i < world->run_count; i++) {
+        const world_run_t *run = &world->runs[i];
+        const soak_op_t *op =
+            g_hash_table_lookup(checker->statements, run->id);
+        ck_assert_msg(op != NULL, "UNASKED: %s %s", run->id, run->text);
+        ck_assert_msg(strcmp(run->account, soak_accounts[op->account]) == 0,
+                      "UNASKED: %s for %s", run->id, run->account);
+        ck_assert_msg(strcmp(run->values, op->values) == 0,
+                      "PINNED: %s with values \"%s\", not \"%s\"", run->id,
+                      run->values, op->values);
+        for (int j = 0; j < op->sent; j++) {
+            if (strcmp(op->statements[j].id, run->id) == 0) {
+                ck_assert_msg(strcmp(op->statements[j].text, run->text) == 0,
+                              "UNASKED: %s changed to %s", run->id, run->text);
+            }
+        }
+    }
+}
+
+/* Writes are kept exactly as the client was told. */
+static void
+check_writes(checker_t *checker, soak_op_t *op)
+{
+    bool none_kept = op->outcome == SOAK_REFUSED || op->outcome == SOAK_ENDED
+                     || (op->transaction && !op->commit_sent);
+
+    for (int i = 0; i < op->sent; i++) {
+        const soak_statement_t *statement = &op->statements[i];
+        const world_run_t *run =
+            g_hash_table_lookup(checker->runs, statement->id);
+        bool committed = run != NULL && run->committed;
+        if (!is_write(op, statement)) {
+            continue;
+        }
+        ck_assert_msg(!none_kept || !committed,
+                      "REFUSED: %s is kept, outcome %d, commit sent %d",
+                      statement->id, op->outcome, op->commit_sent);
+        if (op->outcome != SOAK_SUCCEEDED) {
+            continue;
+        }
+        ck_assert_msg(committed, "LOST: %s was acknowledged", statement->id);
+        const world_entry_t *entry =
+            g_hash_table_lookup(checker->entries, statement->id);
+        if (entry != NULL) {
+            commit_t commit = {op, run->term, run->number};
+            g_array_append_val(checker->commits, commit);
+        }
+    }
+}
+
+/* Reads hold every commit that their route promises. Commits that a promotion
+ * rolled back are not in the log any more. */
+static void
+check_reads(checker_t *checker, const soak_op_t *op)
+{
+    mr_ms_t age = soak_ages[op->route];
+
+    for (int i = 0; i < op->sent; i++) {
+        const soak_statement_t *statement = &op->statements[i];
+        const world_run_t *run =
+            g_hash_table_lookup(checker->runs, statement->id);
+        if (run == NULL || !statement->complete || is_write(op, statement)
+            || strcmp(statement->text, "COMMIT") == 0) {
+            continue;
+        }
+        for (guint j = 0; j < checker->commits->len; j++) {
+            const commit_t *commit =
+                &g_array_index(checker->commits, commit_t, j);
+            bool own = op->route == 2 && commit->op->session == op->session;
+            if (commit->op->ended_at >= op->sent_at - (own ? 0 : age)) {
+                continue;
+            }
+            ck_assert_msg(run->term > commit->term
+                              || (run->term == commit->term
+                                  && run->number >= commit->number),
+                          "STALE: %s on route %s ran at %lld.%lld, lacks "
+                          "%lld.%lld, acknowledged %lld ms before",
+                          statement->id, soak_databases[op->route],
+                          (long long)run->term, (long long)run->number,
+                          (long long)commit->term, (long long)commit->number,
+                          (long long)(op->sent_at - commit->op->ended_at));
+        }
+    }
+}
+
+static gint
+compare_times(gconstpointer a, gconstpointer b)
+{
+    mr_ms_t left = *(const mr_ms_t *)a;
+    mr_ms_t right = *(const mr_ms_t *)b;
+
+    return left < right ? -1 : left > right;
+}
+
+/* No account runs more in any window than its rate, burst and the allowance.
+ */
+static void
+check_quota(checker_t *checker, int account)
+{
+    GArray *times = g_array_new(FALSE, FALSE, sizeof(mr_ms_t));
+    const guint most = (SOAK_RATE * QUOTA_WINDOW_MS / 1000 + SOAK_RATE)
+                           * (100 + QUOTA_EXCESS_PERCENT) / 100
+                       + QUOTA_SLACK;
+
+    for (guint i = 0; i < checker->soak->ops->len; i++) {
+        const soak_op_t *op = g_ptr_array_index(checker->soak->ops, i);
+        for (int j = 0; j < op->sent && op->account == account; j++) {
+            const world_run_t *run =
+                g_hash_table_lookup(checker->runs, op->statements[j].id);
+            if (run != NULL) {
+                g_array_append_val(times, run->at);
+                break;
+            }
+        }
+    }
+    g_array_sort(times, compare_times);
+    for (guint i = most; i < times->len; i++) {
+        mr_ms_t span = g_array_index(times, mr_ms_t, i)
+                       - g_array_index(times, mr_ms_t, i - most);
+        ck_assert_msg(span > QUOTA_WINDOW_MS,
+                      "QUOTA: %u operations of %s in %lld ms", most + 1,
+                      soak_accounts[account], (long long)span);
+    }
+    printf("%u operations of %s ran\n", times->len, soak_accounts[account]);
+    g_array_free(times, TRUE);
+}
+
+void
+soak_check(soak_t *soak)
+{
+    checker_t checker = {
+        .soak = soak,
+        .runs = g_hash_table_new(g_str_hash, g_str_equal),
+        .statements = g_hash_table_new(g_str_hash, g_str_equal),
+        .entries = g_hash_table_new(g_str_hash, g_str_equal),
+        .commits = g_array_new(FALSE, FALSE, sizeof(commit_t)),
+    };
+
+    ck_assert_msg(world_problem(soak->world) == NULL, "%s",
+                  world_problem(soak->world));
+    fill(&checker);
+    check_runs(&checker);
+    for (guint i = 0; i < soak->ops->len; i++) {
+        soak_op_t *op = g_ptr_array_index(soak->ops, i);
+        check_writes(&checker, op);
+        ck_assert_msg(!op->cut_by_stop, "LOST: %s was cut by planned work",
+                      op->statements[op->sent - 1].id);
+    }
+    for (guint i = 0; i < soak->ops->len; i++) {
+        check_reads(&checker, g_ptr_array_index(soak->ops, i));
+    }
+    for (int i = 0; i < 3; i++) {
+        check_quota(&checker, i);
+    }
+    g_hash_table_destroy(checker.runs);
+    g_hash_table_destroy(checker.statements);
+    g_hash_table_destroy(checker.entries);
+    g_array_free(checker.commits, TRUE);
+}
--- a/tests/integration/world.c
+++ b/tests/integration/world.c
@@ -126,6 +126,12 @@
     world_put(world, "op", "config", text);
 }
 
+int
+world_db_port(const world_t *world, int db)
+{
+    return world->dbs[db].port;
+}
+
 const char *
 world_store(const world_t *world, int index)
 {
--- a/tests/integration/world.h
+++ b/tests/integration/world.h
@@ -50,6 +50,7 @@
 /** world_drop_route() - leave the route out of the next desired states. */
 void world_drop_route(world_t *world, const char *database);
 
+int world_db_port(const world_t *world, int db);
 const char *world_store(const world_t *world, int index);
 const char *world_duty(const world_t *world);
 
--- a/tests/integration/world_internal.h
+++ b/tests/integration/world_internal.h
@@ -65,6 +65,8 @@
     int sync;
     int connections; /* to each database, in desired states */
     int64_t highest_token;
+    int64_t last_token;
+    char last_holder[WORLD_TEXT_BYTES];
     mr_ms_t promotion_delay;
     int lose_nth;
     int statements;
--- a/tests/integration/world_store.c
+++ b/tests/integration/world_store.c
@@ -300,6 +300,19 @@
     free(call);
 }
 
+/* No two holders may use the same token. */
+static void
+note_token(world_t *world, int64_t token, const char *holder)
+{
+    if (token == world->last_token
+        && strcmp(holder, world->last_holder) != 0) {
+        world_complain(world, "ONE: token %lld of %s and %s", (long long)token,
+                       world->last_holder, holder);
+    }
+    world->last_token = token;
+    snprintf(world->last_holder, sizeof(world->last_holder), "%s", holder);
+}
+
 static void
 on_promote(struct evhttp_request *req, void *ctx)
 {
@@ -315,7 +328,12 @@
             db = i;
         }
     }
-    if (token == NULL || evhttp_find_header(headers, "Duty-Holder") == NULL) {
+    const char *holder = evhttp_find_header(headers, "Duty-Holder");
+
+    if (token != NULL && holder != NULL) {
+        note_token(world, atoll(token), holder);
+    }
+    if (token == NULL || holder == NULL) {
         world_complain(world, "promotion without holder or token");
         evhttp_send_reply(req, 400, NULL, NULL);
     }
--- a/tests/standins/redirect.c
+++ b/tests/standins/redirect.c
@@ -5,6 +5,7 @@
  * the proxy and a link can depend on who connects.
  *
  * HARNESS_REDIRECT=PORT:LINK_PORT,... says which ports to replace.
+ * HARNESS_WALL_MS=N sets the process's time of day forward by N ms.
  */
 
 #include <dlfcn.h>
@@ -12,6 +13,9 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
 
 static in_port_t
 replace_port(in_port_t port)
@@ -47,3 +51,15 @@
     }
     return next(fd, addr, len);
 }
+
+int
+clock_gettime(clockid_t id, struct timespec *now)
+{
+    const char *shift = getenv("HARNESS_WALL_MS");
+    long result = syscall(SYS_clock_gettime, id, now);
+
+    if (result == 0 && id == CLOCK_REALTIME && shift != NULL) {
+        now->tv_sec += strtol(shift, NULL, 10) / 1000;
+    }
+    return (int)result;
+}
