Use one HTTP client for both platform interfaces

Cause: lib/platform and platform/http.c each had connections, deadlines and timers of their own. The latter handed calls to a connection from within the call, so that an address without a route ended them before they returned and their memory was used afterwards. Now lib/common/http.c serves both: it hands calls on from the event loop, limits connections where asked to, cancels single calls, and counts as unsent what ends while it is being handed over. platform_reachable and platform_unreachable became dependency_regained and dependency_lost. Tests: test_http.

--- a/lib/platform/platform.c
+++ b/lib/platform/platform.c
@@ -3,23 +3,16 @@
 #include <assert.h>
 #include <event2/buffer.h>
 #include <event2/http.h>
-#include <event2/keyvalq_struct.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/address.h"
+#include "common/http.h"
 #include "common/json.h"
 #include "common/list.h"
-#include "common/log.h"
 #include "common/mem.h"
-#include "common/traffic.h"
 
 enum {
     CONNECTIONS = 4,
-    /* Calls that wait for a connection; further ones fail at once, as the
-     * deadline would pass before their turn. */
-    QUEUE_MAX = 256,
-    BODY_MAX_BYTES = 16 << 20,
     /* Without an answer for this long the platform is out of reach; single
      * calls that fail are counted only. */
     UNREACHABLE_AFTER_MS = 1000,
@@ -57,21 +50,11 @@
     [CALL_REGISTER] = {"call=\"register\"", "/instances/", NULL, true},
 };
 
-typedef struct conn {
-    mr_platform_t *platform;
-    struct evhttp_connection *http; /* NULL until it is needed */
-    struct call *call;              /* in progress; NULL: idle */
-} conn_t;
-
 typedef struct call {
-    mr_list_t link; /* in the queue, or in the list of calls in progress */
+    mr_list_t link;
     mr_platform_t *platform;
     call_kind_t kind;
-    conn_t *conn; /* NULL while it waits */
-    bool sent;
-    char *uri;
-    struct evbuffer *body;
-    struct event *timer;
+    mr_http_pending_t *pending;
     union {
         mr_platform_row_fn_t row;
         mr_platform_json_fn_t json;
@@ -90,77 +73,24 @@
 } answer_t;
 
 struct mr_platform {
-    struct event_base *base;
-    char *ip;
-    int port;
+    mr_http_t *http;
     mr_ms_t timeout;
-    conn_t conns[CONNECTIONS];
-    mr_list_t queue;
-    size_t queued;
-    mr_list_t running;
-    struct event *dispatcher;
-    bool reachable;
-    mr_ms_t answered_at; /* last answer */
+    mr_list_t calls_open;
     mr_counter_t *calls[CALL_KINDS];
     mr_counter_t *failures[CALL_KINDS];
-    mr_counter_t *refused;
-    mr_traffic_t traffic;
 };
 
-static void
-free_call(call_t *call)
-{
-    mr_list_remove(&call->link);
-    if (call->timer != NULL) {
-        event_free(call->timer);
-    }
-    if (call->body != NULL) {
-        evbuffer_free(call->body);
-    }
-    free(call->uri);
-    free(call);
-}
-
-static void
-note_end(mr_platform_t *platform, bool answered)
-{
-    mr_ms_t now = mr_clock_now(NULL);
-    bool reachable =
-        answered
-        || (platform->reachable
-            && now < platform->answered_at + UNREACHABLE_AFTER_MS);
-
-    if (answered) {
-        platform->answered_at = now;
-    }
-    if (platform->reachable != reachable) {
-        platform->reachable = reachable;
-        mr_log(reachable ? MR_LOG_INFO : MR_LOG_WARNING,
-               reachable ? "platform_reachable" : "platform_unreachable",
-               "address=%s:%d", platform->ip, platform->port);
-    }
-}
-
 static void
 end_call(call_t *call, const answer_t *answer)
 {
-    mr_platform_t *platform = call->platform;
     call_t ended = *call;
-    bool failed = answer->error == MR_ERR_UNAVAILABLE
-                  || answer->error == MR_ERR_OUTCOME_UNKNOWN;
 
-    if (call->conn != NULL) {
-        call->conn->call = NULL;
-        event_active(platform->dispatcher, EV_TIMEOUT, 0);
-        note_end(platform, !failed);
+    if (answer->error == MR_ERR_UNAVAILABLE
+        || answer->error == MR_ERR_OUTCOME_UNKNOWN) {
+        mr_counter_add(call->platform->failures[call->kind], 1);
     }
-    else {
-        platform->queued--;
-    }
-    if (failed) {
-        mr_counter_add(platform->failures[call->kind], 1);
-    }
-    free_call(call);
+    mr_list_remove(&call->link);
+    free(call);
     switch (ended.kind) {
     case CALL_ROW_GET:
     case CALL_ROW_PUT:
@@ -181,45 +111,12 @@
     }
 }
 
-/* A call that was not handed to a connection has certainly no effect. */
+/* Of a call that was sent and has no usable answer. */
 static mr_error_kind_t
 failure_of(const call_t *call)
 {
-    return call->sent && call_kinds[call->kind].write ? MR_ERR_OUTCOME_UNKNOWN
-                                                      : MR_ERR_UNAVAILABLE;
-}
-
-/* Closing keeps a late answer away from the next call. */
-static void
-close_conn(conn_t *conn)
-{
-    if (conn != NULL && conn->http != NULL) {
-        evhttp_connection_free(conn->http);
-        conn->http = NULL;
-    }
-}
-
-static void
-on_timeout(evutil_socket_t fd, short what, void *ctx)
-{
-    call_t *call = ctx;
-    answer_t answer = {.error = failure_of(call)};
-
-    (void)fd;
-    (void)what;
-    close_conn(call->conn);
-    end_call(call, &answer);
-}
-
-/* Reads an answer's JSON; NULL when it is malformed. */
-static json_t *
-read_body(struct evhttp_request *req)
-{
-    struct evbuffer *in = evhttp_request_get_input_buffer(req);
-    size_t len = evbuffer_get_length(in);
-    mr_json_problem_t problem;
-
-    return mr_json_parse(evbuffer_pullup(in, -1), len, &problem);
+    return call_kinds[call->kind].write ? MR_ERR_OUTCOME_UNKNOWN
+                                        : MR_ERR_UNAVAILABLE;
 }
 
 static void
@@ -264,122 +161,39 @@
     }
 }
 
-/* Ends a call that was answered. */
 static void
-finish(call_t *call, struct evhttp_request *req)
+on_answer(void *ctx, mr_error_kind_t error, int status, const char *text,
+          size_t len)
 {
-    int status = evhttp_request_get_response_code(req);
-    answer_t answer = {.error = error_of_status(call, status)};
+    call_t *call = ctx;
+    answer_t answer = {.error = MR_ERR_UNAVAILABLE};
+    mr_json_problem_t problem;
     json_t *body = NULL;
 
+    if (error == MR_OK) {
+        answer.error = error_of_status(call, status);
+    }
+    else if (error == MR_ERR_OUTCOME_UNKNOWN) {
+        answer.error = failure_of(call);
+    }
     if (answer.error == MR_OK && call->kind == CALL_OBJECT_GET) {
-        struct evbuffer *in = evhttp_request_get_input_buffer(req);
-        answer.len = evbuffer_get_length(in);
-        answer.data = evbuffer_pullup(in, -1);
+        answer.len = len;
+        answer.data = text;
     }
     else if (call->kind == CALL_ROW_GET || call->kind == CALL_ROW_PUT) {
         if (answer.error == MR_OK || answer.error == MR_ERR_CONFLICT) {
-            body = read_body(req);
+            body = mr_json_parse(text, len, &problem);
             read_row(call, body, &answer);
         }
     }
     else if (answer.error == MR_OK && call_kinds[call->kind].list != NULL) {
-        body = read_body(req);
+        body = mr_json_parse(text, len, &problem);
         read_list(call, body, &answer);
     }
     end_call(call, &answer);
     json_decref(body);
 }
 
-static void
-on_answer(struct evhttp_request *req, void *ctx)
-{
-    call_t *call = ctx;
-
-    if (req == NULL) {
-        /* The connection closed after the request was sent. */
-        end_call(call, &(answer_t){.error = failure_of(call)});
-    }
-    else if (evhttp_request_get_response_code(req) == 0) {
-        /* The connection could not be opened: nothing was sent. */
-        end_call(call, &(answer_t){.error = MR_ERR_UNAVAILABLE});
-    }
-    else {
-        finish(call, req);
-    }
-}
-
-static struct evhttp_connection *
-open_conn(mr_platform_t *platform)
-{
-    struct evhttp_connection *http = evhttp_connection_base_new(
-        platform->base, NULL, platform->ip, (uint16_t)platform->port);
-
-    if (http != NULL) {
-        evhttp_connection_set_max_body_size(http, BODY_MAX_BYTES);
-        mr_traffic_watch(&platform->traffic,
-                         evhttp_connection_get_bufferevent(http));
-        if (mr_address_source() != NULL) {
-            evhttp_connection_set_local_address(http, mr_address_source());
-        }
-    }
-    return http;
-}
-
-static bool
-send_call(conn_t *conn, call_t *call)
-{
-    mr_platform_t *platform = call->platform;
-    bool write = call_kinds[call->kind].write;
-    char host[MR_ADDRESS_MAX_BYTES + 8];
-
-    if (conn->http == NULL && (conn->http = open_conn(platform)) == NULL) {
-        return false;
-    }
-    struct evhttp_request *req = evhttp_request_new(on_answer, call);
-    snprintf(host, sizeof(host),
-             strchr(platform->ip, ':') ? "[%s]:%d" : "%s:%d", platform->ip,
-             platform->port);
-    evhttp_add_header(evhttp_request_get_output_headers(req), "Host", host);
-    if (call->body != NULL) {
-        evbuffer_add_buffer(evhttp_request_get_output_buffer(req), call->body);
-    }
-    call->sent = true;
-    return evhttp_make_request(conn->http, req,
-                               write ? EVHTTP_REQ_PUT : EVHTTP_REQ_GET,
-                               call->uri)
-           == 0;
-}
-
-/* Hands waiting calls to idle connections. It runs from the event loop only,
- * as a connection that fails at once calls back at once. */
-static void
-on_dispatch(evutil_socket_t fd, short what, void *ctx)
-{
-    mr_platform_t *platform = ctx;
-
-    (void)fd;
-    (void)what;
-    for (size_t i = 0; i < CONNECTIONS; i++) {
-        conn_t *conn = &platform->conns[i];
-        if (conn->call != NULL) {
-            continue;
-        }
-        mr_list_t *link = mr_list_pop(&platform->queue);
-        if (link == NULL) {
-            return;
-        }
-        call_t *call = MR_LIST_ENTRY(link, call_t, link);
-        platform->queued--;
-        mr_list_append(&platform->running, &call->link);
-        call->conn = conn;
-        conn->call = call;
-        if (!send_call(conn, call)) {
-            event_active(call->timer, EV_TIMEOUT, 0);
-        }
-    }
-}
-
 /* Path of @name below the call's folder; keeps slashes. */
 static char *
 make_uri(call_kind_t kind, const char *name)
@@ -402,47 +216,44 @@
 }
 
 static call_t *
-new_call(mr_platform_t *platform, call_kind_t kind, const char *name,
-         void *ctx)
+new_call(mr_platform_t *platform, call_kind_t kind, void *ctx)
 {
     call_t *call = MR_NEW(call_t);
 
     call->platform = platform;
     call->kind = kind;
-    call->uri = make_uri(kind, name);
     call->ctx = ctx;
-    mr_list_init(&call->link);
+    mr_list_append(&platform->calls_open, &call->link);
     mr_counter_add(platform->calls[kind], 1);
     return call;
 }
 
 static void
-start_call(call_t *call)
+start_call(call_t *call, const char *name, const void *body, size_t len)
 {
     mr_platform_t *platform = call->platform;
-    struct timeval tv = mr_clock_timeval(platform->timeout);
-
-    call->timer = evtimer_new(platform->base, on_timeout, call);
-    platform->queued++;
-    if (platform->queued > QUEUE_MAX) {
-        mr_counter_add(platform->refused, 1);
-        tv = mr_clock_timeval(0);
-        mr_list_append(&platform->running, &call->link);
-    }
-    else {
-        mr_list_append(&platform->queue, &call->link);
-        event_active(platform->dispatcher, EV_TIMEOUT, 0);
-    }
-    evtimer_add(call->timer, &tv);
+    char *uri = make_uri(call->kind, name);
+
+    call->pending =
+        mr_http_call(platform->http,
+                     &(mr_http_call_t){.method = call_kinds[call->kind].write
+                                                     ? EVHTTP_REQ_PUT
+                                                     : EVHTTP_REQ_GET,
+                                       .uri = uri,
+                                       .body = body,
+                                       .body_len = len,
+                                       .timeout = platform->timeout},
+                     on_answer, call);
+    free(uri);
 }
 
+/* Takes over @value. */
 static void
-set_json_body(call_t *call, json_t *value)
+start_json_call(call_t *call, const char *name, json_t *value)
 {
     char *text = mr_json_canonical(value);
 
-    call->body = evbuffer_new();
-    evbuffer_add(call->body, text, strlen(text));
+    start_call(call, name, text, strlen(text));
     free(text);
     json_decref(value);
 }
@@ -451,42 +262,42 @@
 mr_platform_row_get(mr_platform_t *platform, const char *row,
                     mr_platform_row_fn_t fn, void *ctx)
 {
-    call_t *call = new_call(platform, CALL_ROW_GET, row, ctx);
+    call_t *call = new_call(platform, CALL_ROW_GET, ctx);
 
     call->fn.row = fn;
-    start_call(call);
+    start_call(call, row, NULL, 0);
 }
 
 void
 mr_platform_row_put(mr_platform_t *platform, const char *row, int64_t expect,
                     json_t *value, mr_platform_row_fn_t fn, void *ctx)
 {
-    call_t *call = new_call(platform, CALL_ROW_PUT, row, ctx);
+    call_t *call = new_call(platform, CALL_ROW_PUT, ctx);
 
     call->fn.row = fn;
-    set_json_body(call, json_pack("{s:I,s:O}", "expect", (json_int_t)expect,
-                                  "value", value));
-    start_call(call);
+    start_json_call(
+        call, row,
+        json_pack("{s:I,s:O}", "expect", (json_int_t)expect, "value", value));
 }
 
 void
 mr_platform_rows(mr_platform_t *platform, const char *prefix,
                  mr_platform_json_fn_t fn, void *ctx)
 {
-    call_t *call = new_call(platform, CALL_ROWS, prefix, ctx);
+    call_t *call = new_call(platform, CALL_ROWS, ctx);
 
     call->fn.json = fn;
-    start_call(call);
+    start_call(call, prefix, NULL, 0);
 }
 
 void
 mr_platform_object_get(mr_platform_t *platform, const char *name,
                        mr_platform_object_fn_t fn, void *ctx)
 {
-    call_t *call = new_call(platform, CALL_OBJECT_GET, name, ctx);
+    call_t *call = new_call(platform, CALL_OBJECT_GET, ctx);
 
     call->fn.object = fn;
-    start_call(call);
+    start_call(call, name, NULL, 0);
 }
 
 void
@@ -494,32 +305,30 @@
                        const void *data, size_t len,
                        mr_platform_object_fn_t fn, void *ctx)
 {
-    call_t *call = new_call(platform, CALL_OBJECT_PUT, name, ctx);
+    call_t *call = new_call(platform, CALL_OBJECT_PUT, ctx);
 
     call->fn.object = fn;
-    call->body = evbuffer_new();
-    evbuffer_add(call->body, data, len);
-    start_call(call);
+    start_call(call, name, data, len);
 }
 
 void
 mr_platform_objects(mr_platform_t *platform, const char *prefix,
                     mr_platform_json_fn_t fn, void *ctx)
 {
-    call_t *call = new_call(platform, CALL_OBJECTS, prefix, ctx);
+    call_t *call = new_call(platform, CALL_OBJECTS, ctx);
 
     call->fn.json = fn;
-    start_call(call);
+    start_call(call, prefix, NULL, 0);
 }
 
 void
 mr_platform_instances(mr_platform_t *platform, mr_platform_json_fn_t fn,
                       void *ctx)
 {
-    call_t *call = new_call(platform, CALL_INSTANCES, "", ctx);
+    call_t *call = new_call(platform, CALL_INSTANCES, ctx);
 
     call->fn.json = fn;
-    start_call(call);
+    start_call(call, "", NULL, 0);
 }
 
 void
@@ -527,63 +336,49 @@
                      const char *data_centre, const char *address,
                      const char *state, mr_platform_json_fn_t fn, void *ctx)
 {
-    call_t *call = new_call(platform, CALL_REGISTER, name, ctx);
+    call_t *call = new_call(platform, CALL_REGISTER, ctx);
 
     call->fn.json = fn;
-    set_json_body(call, json_pack("{s:s,s:s,s:s,s:s}", "data_centre",
-                                  data_centre, "address", address, "kind",
-                                  "instance", "state", state));
-    start_call(call);
+    start_json_call(call, name,
+                    json_pack("{s:s,s:s,s:s,s:s}", "data_centre", data_centre,
+                              "address", address, "kind", "instance", "state",
+                              state));
 }
 
-static void
-cancel_calls(mr_list_t *calls, const void *ctx)
+void
+mr_platform_cancel(mr_platform_t *platform, const void *ctx)
 {
-    MR_LIST_FOREACH(it, calls)
+    MR_LIST_FOREACH(it, &platform->calls_open)
     {
         call_t *call = MR_LIST_ENTRY(it, call_t, link);
-        if (call->ctx != ctx) {
-            continue;
-        }
-        close_conn(call->conn);
-        if (call->conn == NULL) {
-            call->platform->queued--;
+        if (call->ctx == ctx) {
+            mr_http_cancel(call->pending);
+            mr_list_remove(&call->link);
+            free(call);
         }
-        else {
-            call->conn->call = NULL;
-            event_active(call->platform->dispatcher, EV_TIMEOUT, 0);
-        }
-        free_call(call);
     }
 }
 
-void
-mr_platform_cancel(mr_platform_t *platform, const void *ctx)
-{
-    cancel_calls(&platform->queue, ctx);
-    cancel_calls(&platform->running, ctx);
-}
-
 mr_platform_t *
 mr_platform_create(const mr_platform_options_t *options)
 {
-    char ip[MR_ADDRESS_MAX_BYTES];
-    int port;
+    mr_platform_t *platform = MR_NEW(mr_platform_t);
 
     assert(options->timeout > 0);
-    if (!mr_address_split(options->address, ip, &port)) {
+    platform->http =
+        mr_http_create(&(mr_http_options_t){.base = options->base,
+                                            .counters = options->counters,
+                                            .address = options->address,
+                                            .name = "platform",
+                                            .connections = CONNECTIONS,
+                                            .lost_after = UNREACHABLE_AFTER_MS,
+                                            .traffic = "platform"});
+    if (platform->http == NULL) {
+        free(platform);
         return NULL;
     }
-    mr_platform_t *platform = MR_NEW(mr_platform_t);
-    platform->base = options->base;
-    platform->ip = mr_strdup(ip);
-    platform->port = port;
     platform->timeout = options->timeout;
-    platform->reachable = true;
-    platform->answered_at = mr_clock_now(NULL);
-    mr_list_init(&platform->queue);
-    mr_list_init(&platform->running);
-    platform->dispatcher = evtimer_new(platform->base, on_dispatch, platform);
+    mr_list_init(&platform->calls_open);
     for (size_t i = 0; i < CALL_KINDS; i++) {
         platform->calls[i] = mr_counters_get(
             options->counters, "masticrelay_platform_calls_total",
@@ -593,10 +388,6 @@
             call_kinds[i].labels,
             "calls to the platform without a usable answer");
     }
-    platform->traffic = mr_traffic_create(options->counters, "platform");
-    platform->refused = mr_counters_get(
-        options->counters, "masticrelay_platform_queue_full_total", "",
-        "calls to the platform refused at a full queue");
     return platform;
 }
 
@@ -608,16 +399,9 @@
     if (platform == NULL) {
         return;
     }
-    for (size_t i = 0; i < CONNECTIONS; i++) {
-        if (platform->conns[i].http != NULL) {
-            evhttp_connection_free(platform->conns[i].http);
-        }
-    }
-    while ((link = mr_list_pop(&platform->queue)) != NULL
-           || (link = mr_list_pop(&platform->running)) != NULL) {
-        free_call(MR_LIST_ENTRY(link, call_t, link));
+    mr_http_destroy(platform->http);
+    while ((link = mr_list_pop(&platform->calls_open)) != NULL) {
+        free(MR_LIST_ENTRY(link, call_t, link));
     }
-    event_free(platform->dispatcher);
-    free(platform->ip);
     free(platform);
 }
--- /dev/null
+++ b/tests/unit/test_http.c
@@ -0,0 +1,204 @@
+/* Guards against calls that end before they return, twice or never, and
+ * against a statement that something was not sent although it was. */
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "../common/runner.h"
+#include "common/http.h"
+
+enum { TIMEOUT_MS = 150, CONNECTIONS = 2, ENDED_MAX_MS = 5000 };
+
+static struct event_base *base;
+static mr_counters_t *counters;
+static struct evhttp *server;
+static char address[32];
+static struct evhttp_request *held[8]; /* calls that get no answer */
+static int held_count;
+static int ended;
+static mr_error_kind_t errors[8];
+static mr_error_kind_t last_error;
+static int last_status;
+static char last_body[64];
+
+static void
+on_call(struct evhttp_request *req, void *ctx)
+{
+    (void)ctx;
+    if (strcmp(evhttp_request_get_uri(req), "/hold") == 0) {
+        held[held_count++] = req;
+        return;
+    }
+    evbuffer_add_printf(evhttp_request_get_output_buffer(req), "answer");
+    evhttp_send_reply(req, 200, NULL, NULL);
+}
+
+static void
+set_up(void)
+{
+    base = event_base_new();
+    counters = mr_counters_create();
+    server = evhttp_new(base);
+    struct evhttp_bound_socket *bound =
+        evhttp_bind_socket_with_handle(server, "127.0.0.1", 0);
+    struct sockaddr_in addr;
+    socklen_t len = sizeof(addr);
+    getsockname(evhttp_bound_socket_get_fd(bound), (struct sockaddr *)&addr,
+                &len);
+    snprintf(address, sizeof(address), "127.0.0.1:%d", ntohs(addr.sin_port));
+    evhttp_set_gencb(server, on_call, NULL);
+    held_count = 0;
+    ended = 0;
+}
+
+static void
+tear_down(void)
+{
+    evhttp_free(server);
+    mr_counters_destroy(counters);
+    event_base_free(base);
+}
+
+static mr_http_t *
+connect_to(const char *where)
+{
+    return mr_http_create(&(mr_http_options_t){.base = base,
+                                               .counters = counters,
+                                               .address = where,
+                                               .name = "test",
+                                               .connections = CONNECTIONS});
+}
+
+static void
+on_end(void *ctx, mr_error_kind_t error, int status, const char *body,
+       size_t len)
+{
+    (void)ctx;
+    errors[ended++] = error;
+    last_error = error;
+    last_status = status;
+    snprintf(last_body, sizeof(last_body), "%.*s", (int)len,
+             body != NULL ? body : "");
+}
+
+static mr_http_pending_t *
+call_within(mr_http_t *http, const char *uri, mr_ms_t timeout)
+{
+    return mr_http_call(http,
+                        &(mr_http_call_t){.method = EVHTTP_REQ_GET,
+                                          .uri = uri,
+                                          .timeout = timeout},
+                        on_end, NULL);
+}
+
+static mr_http_pending_t *
+call(mr_http_t *http, const char *uri)
+{
+    return call_within(http, uri, TIMEOUT_MS);
+}
+
+static void
+run_for(mr_ms_t ms)
+{
+    struct timeval tv = mr_clock_timeval(ms);
+
+    event_base_loopexit(base, &tv);
+    event_base_dispatch(base);
+}
+
+static void
+await(int count)
+{
+    mr_ms_t end = mr_clock_now(NULL) + ENDED_MAX_MS;
+
+    while (ended < count && mr_clock_now(NULL) < end) {
+        run_for(5);
+    }
+    ck_assert_int_eq(ended, count);
+}
+
+START_TEST(test_calls_are_answered_on_kept_connections)
+{
+    mr_http_t *http = connect_to(address);
+
+    for (int i = 0; i < 5; i++) {
+        call_within(http, "/", ENDED_MAX_MS);
+    }
+    ck_assert_int_eq(ended, 0);
+    await(5);
+    ck_assert_int_eq(last_error, MR_OK);
+    ck_assert_int_eq(last_status, 200);
+    ck_assert_str_eq(last_body, "answer");
+    mr_http_destroy(http);
+}
+END_TEST
+
+/* The library reports a connection that cannot even be tried from within the
+ * call. */
+START_TEST(test_an_address_without_a_route_ends_calls_later)
+{
+    mr_http_t *http = connect_to("255.255.255.255:1");
+
+    call(http, "/");
+    ck_assert_int_eq(ended, 0);
+    await(1);
+    ck_assert_int_eq(last_error, MR_ERR_UNAVAILABLE);
+    mr_http_destroy(http);
+}
+END_TEST
+
+START_TEST(test_only_what_was_sent_is_in_doubt)
+{
+    mr_http_t *http = connect_to(address);
+
+    call(http, "/hold");
+    call(http, "/hold");
+    run_for(20);
+    /* No connection is free before the deadline of the first of these. */
+    call_within(http, "/", TIMEOUT_MS / 3);
+    call_within(http, "/", ENDED_MAX_MS);
+    await(4);
+    ck_assert_int_eq(errors[0], MR_ERR_UNAVAILABLE);
+    ck_assert_int_eq(errors[1], MR_ERR_OUTCOME_UNKNOWN);
+    ck_assert_int_eq(errors[2], MR_ERR_OUTCOME_UNKNOWN);
+    ck_assert_int_eq(errors[3], MR_OK);
+    mr_http_destroy(http);
+}
+END_TEST
+
+START_TEST(test_a_cancelled_call_ends_without_a_callback)
+{
+    mr_http_t *http = connect_to(address);
+    mr_http_pending_t *sent = call(http, "/hold");
+    mr_http_pending_t *other = call(http, "/hold");
+
+    run_for(30);
+    mr_http_pending_t *waiting = call(http, "/");
+    mr_http_cancel(waiting);
+    mr_http_cancel(sent);
+    mr_http_cancel(other);
+    run_for(2 * TIMEOUT_MS);
+    ck_assert_int_eq(ended, 0);
+    /* The connections of the calls are free again. */
+    call_within(http, "/", ENDED_MAX_MS);
+    await(1);
+    ck_assert_int_eq(last_error, MR_OK);
+    mr_http_destroy(http);
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {
+        test_calls_are_answered_on_kept_connections,
+        test_an_address_without_a_route_ends_calls_later,
+        test_only_what_was_sent_is_in_doubt,
+        test_a_cancelled_call_ends_without_a_callback,
+    };
+
+    return RUN_TESTS(tests, .suite = "http", .setup = set_up,
+                     .teardown = tear_down);
+}
