--- a/lib/common/http.c
+++ b/lib/common/http.c
@@ -108,7 +108,8 @@
     if (http->reachable != reachable) {
         http->reachable = reachable;
         mr_log(reachable ? MR_LOG_INFO : MR_LOG_WARNING,
-               reachable ? "dependency_regained" : "dependency_lost",
+               reachable ? MR_EVENT_DEPENDENCY_REGAINED
+                         : MR_EVENT_DEPENDENCY_LOST,
                "name=%s address=%s:%d", http->name, http->ip, http->port);
     }
 }
--- a/lib/common/log.c
+++ b/lib/common/log.c
@@ -182,7 +182,7 @@
 }
 
 __attribute__((format(printf, 4, 0))) static void
-write_line(mr_log_level_t level, mr_log_class_t class, const char *event,
+write_line(mr_log_level_t level, mr_log_class_t class, mr_event_t event,
            const char *fmt, va_list args)
 {
     char pairs[LINE_MAX_BYTES] = "";
@@ -201,8 +201,8 @@
     int len =
         snprintf(line, sizeof(line),
                  "time=%s.%03ldZ level=%s instance=%s event=%s%s%s\n", when,
-                 ts.tv_nsec / 1000000, level_names[level], log_instance, event,
-                 pairs[0] != '\0' ? " " : "", pairs);
+                 ts.tv_nsec / 1000000, level_names[level], log_instance,
+                 mr_event_name(event), pairs[0] != '\0' ? " " : "", pairs);
     if (stream.open) {
         write_to_stream(class, line, (size_t)len);
     }
@@ -212,7 +212,7 @@
 }
 
 void
-mr_log(mr_log_level_t level, const char *event, const char *fmt, ...)
+mr_log(mr_log_level_t level, mr_event_t event, const char *fmt, ...)
 {
     va_list args;
 
@@ -225,7 +225,7 @@
 }
 
 void
-mr_log_request(mr_log_class_t class, const char *event, const char *fmt, ...)
+mr_log_request(mr_log_class_t class, mr_event_t event, const char *fmt, ...)
 {
     mr_log_level_t level =
         class == MR_LOG_FAILED ? MR_LOG_WARNING : MR_LOG_INFO;
--- a/lib/common/log.h
+++ b/lib/common/log.h
@@ -12,6 +12,7 @@
 #include <stdbool.h>
 
 #include "common/counters.h"
+#include "common/event.h"
 
 /** Importance of a line. */
 typedef enum mr_log_level {
@@ -58,17 +59,17 @@
 /**
  * mr_log() - write one line of class MR_LOG_STATE
  * @level: importance
- * @event: stable event name, lower case with underscores
- * @fmt: further key=value pairs; NULL for none
+ * @event: see common/event.h
+ * @fmt: key=value pairs of the event's fields; NULL for none
  *
  * Control characters in the text are replaced, so that input cannot forge a
  * line.
  */
-void mr_log(mr_log_level_t level, const char *event, const char *fmt, ...)
+void mr_log(mr_log_level_t level, mr_event_t event, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
 
 /** mr_log_request() - write one line about a request. */
-void mr_log_request(mr_log_class_t class, const char *event, const char *fmt,
+void mr_log_request(mr_log_class_t class, mr_event_t event, const char *fmt,
                     ...) __attribute__((format(printf, 3, 4)));
 
 #endif
--- a/lib/common/tls.c
+++ b/lib/common/tls.c
@@ -136,14 +136,15 @@
     if (fresh == NULL) {
         /* Files may be half written; the old ones stay in use. */
         mr_counter_add(tls->refused, 1);
-        mr_log(MR_LOG_ERROR, "certificate_refused", "file=%s reason=\"%s\"",
-               tls->certificate, problem);
+        mr_log(MR_LOG_ERROR, MR_EVENT_CERTIFICATE_REFUSED,
+               "file=%s reason=\"%s\"", tls->certificate, problem);
         return;
     }
     SSL_CTX_free(tls->ctx);
     tls->ctx = fresh;
     mr_counter_add(tls->reloaded, 1);
-    mr_log(MR_LOG_INFO, "certificate_reloaded", "file=%s", tls->certificate);
+    mr_log(MR_LOG_INFO, MR_EVENT_CERTIFICATE_RELOADED, "file=%s",
+           tls->certificate);
 }
 
 mr_tls_t *
--- a/lib/config/store.c
+++ b/lib/config/store.c
@@ -56,7 +56,7 @@
              (long long)version, hash);
     if (strcmp(refusal, store->last_refusal) != 0) {
         strcpy(store->last_refusal, refusal);
-        mr_log(MR_LOG_WARNING, "config_refused",
+        mr_log(MR_LOG_WARNING, MR_EVENT_CONFIG_REFUSED,
                "reason=%s version=%lld hash=%.12s", reason, (long long)version,
                hash);
     }
--- a/lib/config/store_apply.c
+++ b/lib/config/store_apply.c
@@ -38,7 +38,7 @@
 clear_staged(mr_config_store_t *store)
 {
     if (store->staged.config != NULL) {
-        mr_log(MR_LOG_INFO, "config_unstaged", "version=%lld",
+        mr_log(MR_LOG_INFO, MR_EVENT_CONFIG_UNSTAGED, "version=%lld",
                (long long)store->staged.head.version);
         mr_config_held_clear(&store->staged);
     }
@@ -56,7 +56,7 @@
     }
     mr_counter_add(store->counters.applied, 1);
     mr_counter_set(store->counters.version, held->head.version);
-    mr_log(MR_LOG_INFO, "config_applied", "version=%lld hash=%.12s",
+    mr_log(MR_LOG_INFO, MR_EVENT_CONFIG_APPLIED, "version=%lld hash=%.12s",
            (long long)held->head.version, held->head.hash);
     mr_members_set_config_version(store->options.members, held->head.version);
     for (guint i = 0; i < store->subscribers->len; i++) {
@@ -213,7 +213,7 @@
     store->staged = *held;
     store->staged_as_of = view->contact;
     mr_counter_add(store->counters.staged, 1);
-    mr_log(MR_LOG_INFO, "config_staged", "version=%lld hash=%.12s",
+    mr_log(MR_LOG_INFO, MR_EVENT_CONFIG_STAGED, "version=%lld hash=%.12s",
            (long long)held->head.version, held->head.hash);
 }
 
--- a/lib/config/store_confirm.c
+++ b/lib/config/store_confirm.c
@@ -136,8 +136,9 @@
             record(confirming->store);
         }
         mr_counter_add(confirming->store->counters.confirmed, 1);
-        mr_log(MR_LOG_INFO, "config_confirmed", "version=%lld hash=%.12s",
-               (long long)confirming->value.version, confirming->value.hash);
+        mr_log(MR_LOG_INFO, MR_EVENT_CONFIG_CONFIRMED,
+               "version=%lld hash=%.12s", (long long)confirming->value.version,
+               confirming->value.hash);
         /* Neither a timer nor a read sent before the write may write again. */
         confirming->revision = revision;
         reset(confirming);
--- a/lib/config/store_poll.c
+++ b/lib/config/store_poll.c
@@ -243,7 +243,7 @@
     }
     else if (now - store->ticked_at >= MR_CONFIG_PAUSE_MS) {
         store->resumed_at = now;
-        mr_log(MR_LOG_WARNING, "config_paused", "ms=%lld",
+        mr_log(MR_LOG_WARNING, MR_EVENT_CONFIG_PAUSED, "ms=%lld",
                (long long)(now - store->ticked_at));
     }
     store->ticked_at = now;
--- a/lib/daemon/daemon.c
+++ b/lib/daemon/daemon.c
@@ -148,8 +148,8 @@
 static bool
 listen_failed(const char *setting, const char *address)
 {
-    mr_log(MR_LOG_ERROR, "listen_failed", "setting=%s address=%s", setting,
-           address);
+    mr_log(MR_LOG_ERROR, MR_EVENT_LISTEN_FAILED, "setting=%s address=%s",
+           setting, address);
     return false;
 }
 
@@ -427,7 +427,7 @@
 
     d->admin = mr_admin_create(&options);
     if (mr_admin_listen(d->admin, s->admin)) {
-        mr_log(MR_LOG_INFO, "ready", "admin=%s", s->admin);
+        mr_log(MR_LOG_INFO, MR_EVENT_READY, "admin=%s", s->admin);
         mr_log_flush();
         return true;
     }
@@ -452,7 +452,7 @@
 {
     mr_daemon_t *d = ctx;
 
-    mr_log(MR_LOG_ERROR, "child_failed", "child=%s", name);
+    mr_log(MR_LOG_ERROR, MR_EVENT_CHILD_FAILED, "child=%s", name);
     d->status = EXIT_FAILURE;
     event_base_loopbreak(d->base);
 }
@@ -482,7 +482,7 @@
 {
     mr_daemon_t *d = ctx;
 
-    mr_log(MR_LOG_INFO, "stopped", "drain_ms=%lld",
+    mr_log(MR_LOG_INFO, MR_EVENT_STOPPED, "drain_ms=%lld",
            (long long)(mr_clock_now(NULL) - d->stop_started));
     event_base_loopbreak(d->base);
 }
@@ -507,7 +507,7 @@
     if (d->stopping) {
         return;
     }
-    mr_log(MR_LOG_INFO, "stopping", "signal=%d", (int)fd);
+    mr_log(MR_LOG_INFO, MR_EVENT_STOPPING, "signal=%d", (int)fd);
     d->stopping = true;
     d->stop_started = mr_clock_now(NULL);
     if (!mr_supervisor_running(d->supervisor)) {
@@ -574,7 +574,7 @@
     }
     limit.rlim_cur = wanted < limit.rlim_max ? wanted : limit.rlim_max;
     if (setrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur < wanted) {
-        mr_log(MR_LOG_WARNING, "descriptor_limit_low",
+        mr_log(MR_LOG_WARNING, MR_EVENT_DESCRIPTOR_LIMIT_LOW,
                "limit=%llu wanted=%llu", (unsigned long long)limit.rlim_cur,
                (unsigned long long)wanted);
     }
@@ -607,7 +607,7 @@
     add_signal(d, 0, SIGTERM);
     add_signal(d, 1, SIGINT);
     create_supervisor(d);
-    mr_log(MR_LOG_INFO, "started", "listen=%s peer=%s admin=%s",
+    mr_log(MR_LOG_INFO, MR_EVENT_STARTED, "listen=%s peer=%s admin=%s",
            settings->listen, settings->peer, settings->admin);
     return d;
 }
--- a/lib/daemon/supervisor.c
+++ b/lib/daemon/supervisor.c
@@ -94,7 +94,7 @@
     if (child->restart_count == MR_SUPERVISOR_RESTARTS_MAX) {
         supervisor->phase = PHASE_FAILED;
         evtimer_del(supervisor->restart);
-        mr_log(MR_LOG_ERROR, "child_failed", "child=%s restarts=%d",
+        mr_log(MR_LOG_ERROR, MR_EVENT_CHILD_FAILED, "child=%s restarts=%d",
                child->spec.name, child->restart_count);
         supervisor->options.failed(supervisor->options.ctx, child->spec.name);
         return;
@@ -108,7 +108,7 @@
     }
     child->restarts[child->restart_count++] = now;
     mr_counter_add(child->restart_counter, 1);
-    mr_log(MR_LOG_WARNING, "child_restart", "child=%s backoff_ms=%lld",
+    mr_log(MR_LOG_WARNING, MR_EVENT_CHILD_RESTART, "child=%s backoff_ms=%lld",
            child->spec.name, (long long)backoff);
     struct timeval tv = mr_clock_timeval(backoff);
     evtimer_add(supervisor->restart, &tv);
@@ -129,7 +129,8 @@
             return;
         }
         child->running = true;
-        mr_log(MR_LOG_INFO, "child_started", "child=%s", child->spec.name);
+        mr_log(MR_LOG_INFO, MR_EVENT_CHILD_STARTED, "child=%s",
+               child->spec.name);
     }
 }
 
@@ -216,7 +217,7 @@
 
     (void)fd;
     (void)what;
-    mr_log(MR_LOG_WARNING, "drain_deadline", "child=%s",
+    mr_log(MR_LOG_WARNING, MR_EVENT_DRAIN_DEADLINE, "child=%s",
            supervisor->draining == NULL ? "-"
                                         : supervisor->draining->spec.name);
     finish_stop(supervisor);
--- a/lib/group/election.c
+++ b/lib/group/election.c
@@ -159,7 +159,7 @@
         return;
     }
     count(e, "masticrelay_promotions_total", "targets promoted");
-    mr_log(MR_LOG_WARNING, "promoted",
+    mr_log(MR_LOG_WARNING, MR_EVENT_PROMOTED,
            "group=%s term=%lld target=%s reason=%s decide_ms=%lld "
            "grant_ms=%lld promote_ms=%lld",
            e->options.group, (long long)copy.term,
--- a/lib/group/owner.c
+++ b/lib/group/owner.c
@@ -182,7 +182,7 @@
     target->group->users++;
     target->pool = mr_pool_create(&options);
     g_hash_table_insert(owner->targets, target->name, target);
-    mr_log(MR_LOG_INFO, "target_owned", "target=%s", target->name);
+    mr_log(MR_LOG_INFO, MR_EVENT_TARGET_OWNED, "target=%s", target->name);
     return target;
 }
 
@@ -191,7 +191,7 @@
 {
     mr_owner_t *owner = target->owner;
 
-    mr_log(MR_LOG_INFO, "target_released", "target=%s", target->name);
+    mr_log(MR_LOG_INFO, MR_EVENT_TARGET_RELEASED, "target=%s", target->name);
     g_hash_table_remove(owner->targets, target->name);
     mr_pool_destroy(target->pool);
     if (--target->group->users == 0) {
--- a/lib/group/pool.c
+++ b/lib/group/pool.c
@@ -139,10 +139,11 @@
 note_open_result(mr_pool_t *pool, bool opened)
 {
     if (opened && pool->retry_delay > 0) {
-        mr_log(MR_LOG_INFO, "target_connected", "target=%s", pool->target);
+        mr_log(MR_LOG_INFO, MR_EVENT_TARGET_CONNECTED, "target=%s",
+               pool->target);
     }
     else if (!opened && pool->retry_delay == 0) {
-        mr_log(MR_LOG_WARNING, "target_connection_failed", "target=%s",
+        mr_log(MR_LOG_WARNING, MR_EVENT_TARGET_CONNECTION_FAILED, "target=%s",
                pool->target);
     }
     if (opened) {
--- a/lib/limit/limiter.c
+++ b/lib/limit/limiter.c
@@ -443,7 +443,8 @@
     }
     shard->held = held;
     mr_counter_add(limiter->held, held ? 1 : -1);
-    mr_log(MR_LOG_INFO, held ? "limiter_lease_held" : "limiter_lease_lost",
+    mr_log(MR_LOG_INFO,
+           held ? MR_EVENT_LIMITER_LEASE_HELD : MR_EVENT_LIMITER_LEASE_LOST,
            "shard=%u epoch=%lld owner=%s", shard->index,
            (long long)mr_lease_epoch(shard->lease),
            mr_lease_owner(shard->lease));
--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -519,7 +519,8 @@
     mr_ms_t pause = mr_member_table_tick(members->table);
     if (pause > 0) {
         mr_counter_add(members->pauses, 1);
-        mr_log(MR_LOG_WARNING, "process_paused", "ms=%lld", (long long)pause);
+        mr_log(MR_LOG_WARNING, MR_EVENT_PROCESS_PAUSED, "ms=%lld",
+               (long long)pause);
         MR_LIST_FOREACH(it, &members->probes)
         {
             free_probe(MR_LIST_ENTRY(it, probe_t, link));
--- a/lib/member/table.c
+++ b/lib/member/table.c
@@ -169,8 +169,8 @@
         return;
     }
     mr_log(state == MR_MEMBER_SUSPECT ? MR_LOG_DEBUG : MR_LOG_INFO,
-           "member_state", "member=%s from=%s to=%s", entry->member.name,
-           names[entry->member.state], names[state]);
+           MR_EVENT_MEMBER_STATE, "member=%s from=%s to=%s",
+           entry->member.name, names[entry->member.state], names[state]);
     entry->member.state = state;
     entry->since = now(table);
     table->changed = true;
@@ -324,7 +324,7 @@
 
     self->version = version + 1;
     pass_on(table, self);
-    mr_log(MR_LOG_INFO, "member_refuted", "version=%lld",
+    mr_log(MR_LOG_INFO, MR_EVENT_MEMBER_REFUTED, "version=%lld",
            (long long)self->version);
 }
 
--- a/lib/session/client.c
+++ b/lib/session/client.c
@@ -124,7 +124,7 @@
 mr_client_refuse(mr_client_t *session, const char *id, mr_error_kind_t error,
                  const char *detail, mr_ms_t retry_after)
 {
-    mr_log_request(MR_LOG_FAILED, "request_refused",
+    mr_log_request(MR_LOG_FAILED, MR_EVENT_REQUEST_REFUSED,
                    "id=%s account=%s database=%s error=%s config=%lld "
                    "retry_after_ms=%lld coordinated=%d waited=%d",
                    id, session->account != NULL ? session->account : "-",
@@ -197,7 +197,7 @@
 static void
 refuse_open(mr_client_t *session, mr_error_kind_t error)
 {
-    mr_log_request(MR_LOG_FAILED, "session_refused", "error=%s",
+    mr_log_request(MR_LOG_FAILED, MR_EVENT_SESSION_REFUSED, "error=%s",
                    mr_error_name(error));
     mr_counter_add(session->relay->answers[error], 1);
     mr_line_write_error(output_of(session), error, NULL, -1);
@@ -238,8 +238,8 @@
         return true;
     }
     if (!session->admitting && mr_quota_is_coordinated(quota)) {
-        mr_log_request(MR_LOG_SUCCEEDED, "token_wait", "id=%s account=%s",
-                       line->u.query.id, session->account);
+        mr_log_request(MR_LOG_SUCCEEDED, MR_EVENT_TOKEN_WAIT,
+                       "id=%s account=%s", line->u.query.id, session->account);
         mr_run_park(session, line);
         relay->options.short_of_tokens(relay->options.ctx);
         return false;
--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -215,7 +215,7 @@
     mr_list_init(&db->waits);
     mr_list_append(&cluster->dbs, &db->link);
     update_links_max(db);
-    mr_log(MR_LOG_INFO, "database_found",
+    mr_log(MR_LOG_INFO, MR_EVENT_DATABASE_FOUND,
            "service=%s id=%s address=%s role=%s", cluster->service, id,
            entry->address, entry->primary ? "primary" : "replica");
     return db;
@@ -242,7 +242,7 @@
     mr_db_t *db = find_db(cluster, id);
 
     if (db != NULL && !is_same(db, entry)) {
-        mr_log(MR_LOG_INFO, "database_restarted", "service=%s id=%s",
+        mr_log(MR_LOG_INFO, MR_EVENT_DATABASE_RESTARTED, "service=%s id=%s",
                cluster->service, id);
         remove_db(db);
         db = NULL;
@@ -254,7 +254,7 @@
     db->slots = entry->slots > 0 ? entry->slots : 1;
     if (entry->draining != db->draining) {
         db->draining = entry->draining;
-        mr_log(MR_LOG_INFO, "database_draining",
+        mr_log(MR_LOG_INFO, MR_EVENT_DATABASE_DRAINING,
                "service=%s id=%s draining=%d", cluster->service, id,
                db->draining);
     }
@@ -263,7 +263,7 @@
     }
     else if (db->primary_version == 0) {
         db->primary_version = version;
-        mr_log(MR_LOG_INFO, "primary_registered",
+        mr_log(MR_LOG_INFO, MR_EVENT_PRIMARY_REGISTERED,
                "service=%s id=%s version=%lld", cluster->service, id,
                (long long)version);
     }
@@ -282,7 +282,7 @@
         db->missing_since = now;
     }
     if (now - db->missing_since >= MISSING_MAX_MS) {
-        mr_log(MR_LOG_INFO, "database_gone",
+        mr_log(MR_LOG_INFO, MR_EVENT_DATABASE_GONE,
                "service=%s id=%s missing_ms=%lld", db->cluster->service,
                db->id, (long long)(now - db->missing_since));
         remove_db(db);
@@ -373,8 +373,9 @@
     if (version <= cluster->promoted_version) {
         return;
     }
-    mr_log(MR_LOG_INFO, "primary_promoted", "service=%s id=%s version=%lld",
-           cluster->service, id, (long long)version);
+    mr_log(MR_LOG_INFO, MR_EVENT_PRIMARY_PROMOTED,
+           "service=%s id=%s version=%lld", cluster->service, id,
+           (long long)version);
     free(cluster->promoted);
     cluster->promoted = mr_strdup(id);
     cluster->promoted_version = version;
@@ -516,7 +517,7 @@
 
     if (db->failures++ == 0) {
         db->failing_since = now;
-        mr_log(MR_LOG_WARNING, "database_failing", "service=%s id=%s",
+        mr_log(MR_LOG_WARNING, MR_EVENT_DATABASE_FAILING, "service=%s id=%s",
                db->cluster->service, db->id);
     }
     db->avoid_until = now + pause;
@@ -526,7 +527,7 @@
 mr_db_answered(mr_db_t *db, mr_ms_t now, mr_ms_t took)
 {
     if (db->failures > 0) {
-        mr_log(MR_LOG_INFO, "database_answers",
+        mr_log(MR_LOG_INFO, MR_EVENT_DATABASE_ANSWERS,
                "service=%s id=%s after_ms=%lld", db->cluster->service, db->id,
                (long long)(now - db->failing_since));
     }
--- a/lib/session/directory.c
+++ b/lib/session/directory.c
@@ -114,12 +114,12 @@
 
     if (catalog == NULL) {
         mr_counter_add(directory->malformed, 1);
-        mr_log(MR_LOG_ERROR, "configuration_malformed",
+        mr_log(MR_LOG_ERROR, MR_EVENT_CONFIGURATION_MALFORMED,
                "source=%s problem=\"%s\"", source, problem);
         return;
     }
     if (catalog->version > directory->config_version) {
-        mr_log(MR_LOG_INFO, "configuration_applied",
+        mr_log(MR_LOG_INFO, MR_EVENT_CONFIGURATION_APPLIED,
                "version=%lld before=%lld source=%s",
                (long long)catalog->version,
                (long long)directory->config_version, source);
@@ -339,8 +339,9 @@
     if (directory->digest != in->registrations_digest) {
         /* The sender missed what this instance read in between: the next
          * answer brings all rows. */
-        mr_log(MR_LOG_INFO, "registrations_differ", "source=%s version=%lld",
-               source, (long long)in->registrations_version);
+        mr_log(MR_LOG_INFO, MR_EVENT_REGISTRATIONS_DIFFER,
+               "source=%s version=%lld", source,
+               (long long)in->registrations_version);
         directory->registrations_version = 0;
         directory->digest = 0;
     }
@@ -366,7 +367,7 @@
                                  in->config_patch_count, &len);
     if (body == NULL) {
         mr_counter_add(directory->malformed, 1);
-        mr_log(MR_LOG_ERROR, "configuration_malformed",
+        mr_log(MR_LOG_ERROR, MR_EVENT_CONFIGURATION_MALFORMED,
                "source=%s problem=\"patch does not apply\"", source);
         return;
     }
--- a/lib/session/feed.c
+++ b/lib/session/feed.c
@@ -46,7 +46,7 @@
 
     feed->config_waiting = false;
     if (answer->error == MR_ERR_NOT_FOUND) {
-        mr_log(MR_LOG_INFO, "feed_history_gone", "after=%lld",
+        mr_log(MR_LOG_INFO, MR_EVENT_FEED_HISTORY_GONE, "after=%lld",
                (long long)feed->after);
         feed->after = 0;
         mr_timer_start(feed->config_timer, 0);
--- a/lib/session/fleet.c
+++ b/lib/session/fleet.c
@@ -102,7 +102,8 @@
 
     if (fleet->coordinator != coordinator
         || fleet->coordinating != coordinating) {
-        mr_log(MR_LOG_INFO, "coordinator_chosen", "name=%s instances=%zu",
+        mr_log(MR_LOG_INFO, MR_EVENT_COORDINATOR_CHOSEN,
+               "name=%s instances=%zu",
                coordinating ? fleet->options.name : coordinator->name,
                mr_fleet_instances(fleet));
     }
--- a/lib/session/fleet_members.c
+++ b/lib/session/fleet_members.c
@@ -92,7 +92,7 @@
     int len;
 
     if (!mr_address_parse(address, &addr, &len)) {
-        mr_log(MR_LOG_WARNING, "instance_address_malformed",
+        mr_log(MR_LOG_WARNING, MR_EVENT_INSTANCE_ADDRESS_MALFORMED,
                "name=%s address=%s", name, address);
         return instance;
     }
@@ -113,7 +113,7 @@
     (void)ctx;
     (void)version;
     if (error != MR_OK) {
-        mr_log(MR_LOG_INFO, "instance_not_removed", "error=%s",
+        mr_log(MR_LOG_INFO, MR_EVENT_INSTANCE_NOT_REMOVED, "error=%s",
                mr_error_name(error));
     }
 }
@@ -133,8 +133,9 @@
         if (now - instance->heard_at < PURGE_AFTER_MS) {
             continue;
         }
-        mr_log(MR_LOG_INFO, "instance_removed", "name=%s silent_ms=%lld",
-               instance->name, (long long)(now - instance->heard_at));
+        mr_log(MR_LOG_INFO, MR_EVENT_INSTANCE_REMOVED,
+               "name=%s silent_ms=%lld", instance->name,
+               (long long)(now - instance->heard_at));
         if (instance->row_version > 0) {
             mr_store_put(fleet->options.store, instances_table, instance->name,
                          instance->row_version, NULL, 0, on_purged, fleet);
@@ -198,7 +199,7 @@
     }
     if (!fleet->joined) {
         fleet->joined = true;
-        mr_log(MR_LOG_INFO, "fleet_joined", "instances=%zu",
+        mr_log(MR_LOG_INFO, MR_EVENT_FLEET_JOINED, "instances=%zu",
                mr_fleet_instances(fleet));
         mr_fleet_start_reports(fleet);
     }
@@ -231,7 +232,7 @@
     });
     mr_peer_handle(fleet->peer, MR_MSG_REPORT, mr_fleet_on_report, fleet);
     if (mr_peer_listen(fleet->peer, fleet->options.address) < 0) {
-        mr_log(MR_LOG_ERROR, "listen_failed", "address=%s",
+        mr_log(MR_LOG_ERROR, MR_EVENT_LISTEN_FAILED, "address=%s",
                fleet->options.address);
     }
 }
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -133,7 +133,7 @@
     from->failures += from == fleet->coordinator ? 1 : MR_FLEET_FAILURES_MAX;
     mr_counter_add(fleet->reports_failed, 1);
     if (!lost && from->failures >= MR_FLEET_FAILURES_MAX) {
-        mr_log(MR_LOG_WARNING, "instance_lost", "name=%s", from->name);
+        mr_log(MR_LOG_WARNING, MR_EVENT_INSTANCE_LOST, "name=%s", from->name);
     }
     if (from == fleet->coordinator && from->failures == 1) {
         search(fleet);
@@ -158,7 +158,7 @@
     }
     const mr_msg_report_reply_t *reply = &msg->u.report_reply;
     if (from->failures >= MR_FLEET_FAILURES_MAX) {
-        mr_log(MR_LOG_INFO, "instance_regained", "name=%s", from->name);
+        mr_log(MR_LOG_INFO, MR_EVENT_INSTANCE_REGAINED, "name=%s", from->name);
     }
     from->failures = 0;
     mr_directory_import(fleet->options.directory, &reply->directory,
--- a/lib/session/link.c
+++ b/lib/session/link.c
@@ -206,8 +206,8 @@
         free_link(link);
     }
     else if (!good) {
-        mr_log(MR_LOG_WARNING, "database_answer_malformed", "service=%s id=%s",
-               link->db->cluster->service, link->db->id);
+        mr_log(MR_LOG_WARNING, MR_EVENT_DATABASE_ANSWER_MALFORMED,
+               "service=%s id=%s", link->db->cluster->service, link->db->id);
         lose(link);
     }
 }
@@ -250,7 +250,7 @@
     }
     int fd = mr_address_socket(&addr);
     if (fd < 0) {
-        mr_log(MR_LOG_WARNING, "socket_failed", "service=%s id=%s",
+        mr_log(MR_LOG_WARNING, MR_EVENT_SOCKET_FAILED, "service=%s id=%s",
                db->cluster->service, db->id);
         return NULL;
     }
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -256,7 +256,7 @@
         request_token(memory);
     }
     else {
-        mr_log(MR_LOG_WARNING, "token_not_taken", "service=%s error=%s",
+        mr_log(MR_LOG_WARNING, MR_EVENT_TOKEN_NOT_TAKEN, "service=%s error=%s",
                memory->service, mr_error_name(error));
     }
 }
@@ -287,7 +287,7 @@
     mr_ms_t now = mr_clock_now(NULL);
     memory_t *memory = get_memory(order->promoter, order->service);
 
-    mr_log(MR_LOG_INFO, "promotion_ended",
+    mr_log(MR_LOG_INFO, MR_EVENT_PROMOTION_ENDED,
            "service=%s id=%s token=%lld outcome=%s planned=%d took_ms=%lld",
            order->service, order->chosen != NULL ? order->chosen : "-",
            (long long)order->token, outcome, order->planned,
@@ -324,7 +324,7 @@
     set_stage(order, ORDER_CALL);
     evtimer_del(order->timer);
     mr_counter_add(promoter->ordered, 1);
-    mr_log(MR_LOG_INFO, "promotion_ordered",
+    mr_log(MR_LOG_INFO, MR_EVENT_PROMOTION_ORDERED,
            "service=%s id=%s token=%lld planned=%d", order->service,
            order->chosen, (long long)order->token, order->planned);
     mr_duty_promote(promoter->options.duty, order->service, order->chosen,
@@ -435,8 +435,9 @@
         answer->answered = read_status(reply, &answer->status);
     }
     if (!answer->answered) {
-        mr_log(MR_LOG_INFO, "status_refused", "service=%s id=%s error=%s",
-               order->service, answer->id, mr_error_name(reply->error));
+        mr_log(MR_LOG_INFO, MR_EVENT_STATUS_REFUSED,
+               "service=%s id=%s error=%s", order->service, answer->id,
+               mr_error_name(reply->error));
     }
     (void)link;
     check_complete(order);
@@ -526,7 +527,7 @@
     if (reply->error == MR_OK && read_status(reply, &status)) {
         order->goal = status.received;
     }
-    mr_log(MR_LOG_INFO, "primary_demoted", "service=%s id=%s error=%s",
+    mr_log(MR_LOG_INFO, MR_EVENT_PRIMARY_DEMOTED, "service=%s id=%s error=%s",
            order->service, answer->id, mr_error_name(reply->error));
     set_stage(order, ORDER_CATCH_UP);
     mr_timer_start(order->timer, 0);
@@ -668,7 +669,7 @@
     mr_list_init(&order->answers);
     mr_list_append(&promoter->orders, &order->link);
     order->timer = evtimer_new(promoter->options.base, on_order_timer, order);
-    mr_log(MR_LOG_WARNING, "promotion_started", "service=%s reason=%s",
+    mr_log(MR_LOG_WARNING, MR_EVENT_PROMOTION_STARTED, "service=%s reason=%s",
            service, reason);
     request_token(memory);
     start_status(order);
--- a/lib/session/relay.c
+++ b/lib/session/relay.c
@@ -70,7 +70,8 @@
             LISTEN_BACKLOG, (struct sockaddr *)&addr, len);
     }
     if (relay->listener == NULL) {
-        mr_log(MR_LOG_ERROR, "listen_failed", "address=%s", options->listen);
+        mr_log(MR_LOG_ERROR, MR_EVENT_LISTEN_FAILED, "address=%s",
+               options->listen);
         free(relay);
         return NULL;
     }
--- a/lib/session/run.c
+++ b/lib/session/run.c
@@ -197,7 +197,7 @@
         run->failed_db = mr_link_db(run->link);
     }
     put_link_away(session);
-    mr_log_request(MR_LOG_FAILED, "attempt_failed",
+    mr_log_request(MR_LOG_FAILED, MR_EVENT_ATTEMPT_FAILED,
                    "id=%s target=%s stage=%d error=%s tries=%d waited_ms=%lld",
                    run->line.u.query.id, run->target, run->stage,
                    mr_error_name(error), run->tries,
@@ -500,8 +500,9 @@
         return;
     }
     if (reply->error != MR_OK) {
-        mr_log(MR_LOG_WARNING, "session_value_refused", "error=%s detail=%s",
-               mr_error_name(reply->error), reply->detail);
+        mr_log(MR_LOG_WARNING, MR_EVENT_SESSION_VALUE_REFUSED,
+               "error=%s detail=%s", mr_error_name(reply->error),
+               reply->detail);
         try_again(session, reply->error, mr_run_retry_pause(&session->run));
         return;
     }
@@ -695,7 +696,7 @@
     (void)what;
     switch (run->stage) {
     case MR_RUN_NONE:
-        mr_log_request(MR_LOG_FAILED, "transaction_idle",
+        mr_log_request(MR_LOG_FAILED, MR_EVENT_TRANSACTION_IDLE,
                        "account=%s database=%s limit_ms=%lld",
                        session->account, session->database,
                        (long long)session->catalog->tx_idle);
--- a/lib/session/run_limits.c
+++ b/lib/session/run_limits.c
@@ -110,7 +110,8 @@
                                     : &session->relay->failures,
                      took);
     mr_log_request(
-        error == MR_OK ? MR_LOG_SUCCEEDED : MR_LOG_FAILED, "request_ended",
+        error == MR_OK ? MR_LOG_SUCCEEDED : MR_LOG_FAILED,
+        MR_EVENT_REQUEST_ENDED,
         "id=%s account=%s database=%s mode=%s target=%s after=%lld.%lld "
         "sample_age_ms=%lld config=%lld tries=%d offered=%d error=%s "
         "retry_after_ms=%lld took_ms=%lld",
@@ -125,7 +126,7 @@
 void
 mr_run_log_abandoned(const mr_client_t *session)
 {
-    mr_log_request(MR_LOG_FAILED, "request_abandoned",
+    mr_log_request(MR_LOG_FAILED, MR_EVENT_REQUEST_ABANDONED,
                    "id=%s account=%s mode=%s target=%s stage=%d tries=%d "
                    "offered=%d waited_ms=%lld",
                    session->run.line.u.query.id, session->account,
--- a/lib/session/sessiond.c
+++ b/lib/session/sessiond.c
@@ -143,12 +143,12 @@
     (void)what;
     if (signal == SIGHUP) {
         /* Settings come with the start; a change takes effect then. */
-        mr_log(MR_LOG_INFO, "reload", "effect=none");
+        mr_log(MR_LOG_INFO, MR_EVENT_RELOAD, "effect=none");
         return;
     }
     if (daemon->stopping_since == 0) {
-        mr_log(MR_LOG_INFO, "stopping", "signal=%d sessions=%zu", (int)signal,
-               mr_relay_sessions(daemon->relay));
+        mr_log(MR_LOG_INFO, MR_EVENT_STOPPING, "signal=%d sessions=%zu",
+               (int)signal, mr_relay_sessions(daemon->relay));
         daemon->stopping_since = mr_clock_now(NULL);
         mr_fleet_leave(daemon->fleet);
         on_drain(-1, 0, daemon);
@@ -267,7 +267,7 @@
         mr_sessiond_destroy(daemon);
         return NULL;
     }
-    mr_log(MR_LOG_INFO, "started", "data_centre=%s listen=%s",
+    mr_log(MR_LOG_INFO, MR_EVENT_STARTED, "data_centre=%s listen=%s",
            settings->data_centre, settings->listen);
     return daemon;
 }
@@ -305,7 +305,7 @@
 {
     int result = event_base_dispatch(daemon->base);
 
-    mr_log(MR_LOG_INFO, "stopped", "sessions=%zu",
+    mr_log(MR_LOG_INFO, MR_EVENT_STOPPED, "sessions=%zu",
            mr_relay_sessions(daemon->relay));
     return result < 0 ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/tests/unit/test_log.c
+++ b/tests/unit/test_log.c
@@ -68,7 +68,7 @@
     mr_ms_t start = mr_clock_now(NULL);
 
     for (int i = 0; i < LINES; i++) {
-        mr_log(MR_LOG_INFO, "state", "i=%d text=%0500d", i, i);
+        mr_log(MR_LOG_INFO, MR_EVENT_STARTED, "i=%d text=%0500d", i, i);
         event_base_loop(base, EVLOOP_NONBLOCK);
     }
     ck_assert_int_lt(mr_clock_now(NULL) - start, MAX_MS);
@@ -81,16 +81,16 @@
     static char text[256 << 10];
 
     for (int i = 0; i < 500; i++) {
-        mr_log_request(MR_LOG_SUCCEEDED, "request_ended", "id=%d", i);
+        mr_log_request(MR_LOG_SUCCEEDED, MR_EVENT_REQUEST_ENDED, "id=%d", i);
     }
-    mr_log_request(MR_LOG_FAILED, "request_ended", "id=failed");
-    mr_log(MR_LOG_INFO, "state", NULL);
+    mr_log_request(MR_LOG_FAILED, MR_EVENT_REQUEST_ENDED, "id=failed");
+    mr_log(MR_LOG_INFO, MR_EVENT_STARTED, NULL);
     mr_log_close();
     ck_assert_uint_gt(read_all(text, sizeof(text)), 0);
     ck_assert_int_ge(left_out("class=\"succeeded\""), 400);
     ck_assert_int_eq(left_out("class=\"failed\""), 0);
     ck_assert_ptr_nonnull(strstr(text, "id=failed"));
-    ck_assert_ptr_nonnull(strstr(text, "event=state"));
+    ck_assert_ptr_nonnull(strstr(text, "event=started"));
 }
 END_TEST
 
@@ -98,12 +98,12 @@
 {
     for (int second = 0; second < 6; second++) {
         for (int i = 0; i < 200; i++) {
-            mr_log(MR_LOG_INFO, "state", "text=%0900d", i);
+            mr_log(MR_LOG_INFO, MR_EVENT_STARTED, "text=%0900d", i);
         }
         usleep(1010 * 1000);
     }
     int64_t before = left_out("class=\"succeeded\"");
-    mr_log_request(MR_LOG_SUCCEEDED, "request_ended", "text=%0900d", 1);
+    mr_log_request(MR_LOG_SUCCEEDED, MR_EVENT_REQUEST_ENDED, "text=%0900d", 1);
     ck_assert_int_eq(left_out("class=\"succeeded\""), before + 1);
 }
 END_TEST
@@ -112,7 +112,8 @@
 {
     char text[4096];
 
-    mr_log_request(MR_LOG_FAILED, "x", "id=%s", "a\nevent=forged\r\x1b");
+    mr_log_request(MR_LOG_FAILED, MR_EVENT_REQUEST_ENDED, "id=%s",
+                   "a\nevent=forged\r\x1b");
     mr_log_close();
     read_all(text, sizeof(text));
     ck_assert_ptr_nonnull(strstr(text, "id=a?event=forged??\n"));
@@ -123,7 +124,7 @@
 {
     signal(SIGPIPE, SIG_IGN);
     close(pipe_fds[0]);
-    mr_log(MR_LOG_INFO, "state", NULL);
+    mr_log(MR_LOG_INFO, MR_EVENT_STARTED, NULL);
     mr_log_close();
     ck_assert_int_gt(
         mr_counter_value(mr_counters_get(
