--- a/tests/integration/session_soak_fault.c
+++ b/tests/integration/session_soak_fault.c
@@ -9,12 +9,13 @@
 #include "session_soak.h"
 
 enum {
-    FIRST_ODDS = 40, /* one in as many steps begins a fault */
+    BEGIN_ODDS = 15, /* one in as many steps begins a fault */
     LASTS_MIN_MS = 200,
     LASTS_MAX_MS = 4000,
     DOWN_MAX_MS = 1000, /* of a killed process */
     WALL_MAX_MS = 10000,
     LAG_MAX_MS = 3000,
+    LAG_MS = 20, /* of a replica without a fault */
 };
 
 /** How a fault begins and ends. */
@@ -183,13 +184,32 @@
 static void
 begin_lag(soak_t *soak, soak_fault_t *fault)
 {
-    world_lag(soak->world, fault->db, soak_below(soak, LAG_MAX_MS));
+    world_lag(soak->world, fault->db, 1 + soak_below(soak, LAG_MAX_MS));
 }
 
 static void
 end_lag(soak_t *soak, soak_fault_t *fault)
 {
-    world_lag(soak->world, fault->db, 20);
+    world_lag(soak->world, fault->db, LAG_MS);
+}
+
+/* Longer than any age that reads accept. */
+static void
+begin_lag_all(soak_t *soak, soak_fault_t *fault)
+{
+    (void)fault;
+    for (int i = 0; i < WORLD_DBS; i++) {
+        world_lag(soak->world, i, LAG_MAX_MS + soak_below(soak, LAG_MAX_MS));
+    }
+}
+
+static void
+end_lag_all(soak_t *soak, soak_fault_t *fault)
+{
+    (void)fault;
+    for (int i = 0; i < WORLD_DBS; i++) {
+        world_lag(soak->world, i, LAG_MS);
+    }
 }
 
 static void
@@ -255,6 +275,7 @@
     {.name = "db_kill", .begin = begin_db_kill, .end = end_db_kill},
     {.name = "db_silent", .begin = begin_db_silent, .end = end_db_silent},
     {.name = "lag", .begin = begin_lag, .end = end_lag},
+    {.name = "lag_all", .begin = begin_lag_all, .end = end_lag_all},
     {.name = "busy", .begin = begin_busy},
     {.name = "lost", .begin = begin_lost_answers, .end = end_lost_answers},
     {.name = "late", .begin = begin_late, .end = end_late},
@@ -354,7 +375,7 @@
             end_fault(soak, fault);
         }
         else if (fault->kind == NULL && !soak->calm
-                 && soak_below(soak, FIRST_ODDS) == 0) {
+                 && soak_below(soak, BEGIN_ODDS) == 0) {
             begin_fault(soak, fault, now);
         }
     }
--- a/tests/integration/test_session_soak.c
+++ b/tests/integration/test_session_soak.c
@@ -23,12 +23,13 @@
     READY_MAX_MS = 8000,
     SETTLE_MS = 2500, /* the coordinator is chosen, the primary known */
     STEP_MS = 4,
+    WORK_MS = 10,            /* of a statement at a database */
     RECOVERY_MAX_MS = 12000, /* the users' bound */
     ANSWERS_MS = 1500,       /* until the last answers are there */
     /* What one CI run plays: a seed with every kind of fault, and one with
      * planned work only. */
     CI_SEED = 1,
-    CI_PLANNED_SEED = 4,
+    CI_PLANNED_SEED = 12,
 };
 
 /* Seeds that failed once. */
@@ -122,6 +123,7 @@
     soak->planned_only = seed % 4 == 0;
     soak->world = world_create(soak->base);
     soak->config_version = 5;
+    world_work(soak->world, WORK_MS);
     world_config(soak->world, soak->config_version, keys, SOAK_RATE);
     for (int i = 0; i < SOAK_RELAYS; i++) {
         relay_prepare(&soak->relays[i], i);
--- a/tests/integration/world.c
+++ b/tests/integration/world.c
@@ -197,6 +197,12 @@
     world->dbs[db].open_takes = ms;
 }
 
+void
+world_work(world_t *world, mr_ms_t ms)
+{
+    world->work = ms;
+}
+
 bool
 world_db_refuses(const world_t *world, int db)
 {
--- a/tests/integration/world.h
+++ b/tests/integration/world.h
@@ -66,6 +66,8 @@
 /** world_db_slow_open() - each new connection is answered after @ms, one
  * after the other. */
 void world_db_slow_open(world_t *world, int db, mr_ms_t ms);
+/** world_work() - answers of all databases take @ms. */
+void world_work(world_t *world, mr_ms_t ms);
 /** world_db_refuses() - whether it will refuse another one. */
 bool world_db_refuses(const world_t *world, int db);
 /** world_db_busy() - it has no slot for the next @count statements. */
--- a/tests/integration/world_db.c
+++ b/tests/integration/world_db.c
@@ -28,6 +28,7 @@
     size_t pending[PENDING_MAX]; /* runs of the open transaction's writes */
     int pending_count;
     struct event *opened; /* ends a slow opening */
+    struct event *worked; /* ends the work on a statement */
 } conn_t;
 
 void
@@ -47,6 +48,7 @@
 {
     mr_list_remove(&conn->link);
     event_free(conn->opened);
+    event_free(conn->worked);
     bufferevent_free(conn->stream);
     free(conn);
 }
@@ -434,6 +436,28 @@
     evtimer_add(conn->opened, &tv);
 }
 
+static void
+on_worked(evutil_socket_t fd, short what, void *ctx)
+{
+    conn_t *conn = ctx;
+
+    (void)fd;
+    (void)what;
+    bufferevent_enable(conn->stream, EV_WRITE);
+}
+
+/* What is answered from now on is written a little later. */
+static void
+begin_work(conn_t *conn)
+{
+    struct timeval tv = mr_clock_timeval(conn->db->world->work);
+
+    if (conn->db->world->work > 0) {
+        bufferevent_disable(conn->stream, EV_WRITE);
+        evtimer_add(conn->worked, &tv);
+    }
+}
+
 static void
 on_read(struct bufferevent *stream, void *ctx)
 {
@@ -446,6 +470,7 @@
         evbuffer_drain(in, evbuffer_get_length(in));
         return;
     }
+    begin_work(conn);
     while (alive
            && (line = evbuffer_readln(in, NULL, EVBUFFER_EOL_CRLF_STRICT))
                   != NULL) {
@@ -486,6 +511,7 @@
     (void)len;
     conn->db = db;
     conn->opened = evtimer_new(db->world->base, on_opened, conn);
+    conn->worked = evtimer_new(db->world->base, on_worked, conn);
     conn->stream =
         bufferevent_socket_new(db->world->base, fd, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(conn->stream, on_read, NULL, on_event, conn);
--- a/tests/integration/world_internal.h
+++ b/tests/integration/world_internal.h
@@ -69,6 +69,7 @@
     char last_holder[WORLD_TEXT_BYTES];
     mr_ms_t promotion_delay;
     int lose_nth;
+    mr_ms_t work; /* until an answer is written */
     int statements;
     struct evhttp *stores[WORLD_STORES];
     world_gate_t *gates; /* to the calls of each store */
