--- a/lib/limit/limit.c
+++ b/lib/limit/limit.c
@@ -1,14 +1,9 @@
-#include "limit/limit.h"
-
-#include <glib.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/list.h"
 #include "common/mem.h"
-#include "limit/limiter.h"
-#include "limit/local.h"
+#include "limit/limit_internal.h"
 
 enum {
     /* While requests are held, and otherwise. */
@@ -19,96 +14,18 @@
     /* With at most this many accounts, an instance keeps a base of each;
      * otherwise only of those that it has served. */
     BASE_ACCOUNTS_MAX = 32,
-    /* A request that its own data centre could not serve at once is worth a
-     * question to another one, which takes a few milliseconds. */
-    REMOTE_AFTER_MS = 6,
-    REMOTE_TIMEOUT_MS = 20,
-    REMOTE_TOKENS_MAX = 32,
-    REMOTE_PARALLEL = 3, /* data centres asked at the same time */
-    /* Until the same data centre is asked again for the same account. */
-    REMOTE_AGAIN_MS = 10,
-    /* Tokens for the requests of this time are asked for together, since an
-     * instance can hold few grants of tokens. */
-    REMOTE_AHEAD_MS = 100,
-};
-
-typedef struct account account_t;
-
-/* Tokens of one other data centre for one account; see ask_remote(). Ids of
- * grants are unique only within a data centre, so each has its own hold. */
-typedef struct remote {
-    mr_list_t link;
-    account_t *account;
-    char *data_centre;
-    char *key; /* of its limiter */
-    mr_grant_hold_t hold;
-    mr_peer_call_t *call;
-    mr_ms_t sent;
-    mr_ms_t refused; /* its last refusal was asked for then */
-} remote_t;
-
-struct account {
-    mr_list_t link;
-    mr_limit_t *limit;
-    struct event *kick; /* asks for a request that was just held */
-    char *name;
-    mr_limit_local_t local;
-    mr_list_t waits; /* by arrival */
-    size_t wait_count;
-    mr_list_t asks;
-    int64_t admitted;
-    int64_t refused;
-    bool configured;     /* in the configuration in force */
-    mr_list_t remotes;   /* in the order in which they are asked */
-    mr_ms_t own_refused; /* the own limiter's last refusal was asked then */
 };
 
 /* An ask that waits for its reply. */
 typedef struct ask {
     mr_list_t link;
-    account_t *account;
+    mr_limit_account_t *account;
     mr_peer_call_t *call;
     mr_ms_t sent;
 } ask_t;
 
-struct mr_limit_wait {
-    mr_list_t link;
-    account_t *account;
-    mr_ms_t since;
-    mr_limit_fn_t fn;
-    void *ctx;
-};
-
-/* Who is believed to be the limiter of a shard. */
-typedef struct route {
-    char *owner;
-    size_t next; /* candidate that is asked when the owner fails */
-} route_t;
-
-struct mr_limit {
-    mr_limit_options_t options;
-    char *name;
-    char *data_centre;
-    int64_t process;
-    mr_limiter_t *limiter;
-    GHashTable *by_name;
-    GHashTable *remote_owners; /* limiter's key -> instance */
-    mr_list_t accounts;
-    route_t routes[MR_LIMITER_SHARDS];
-    size_t held_now;
-    struct event *timer;
-    bool fast; /* the timer runs at TICK_HELD_MS */
-    mr_counter_t *admitted;
-    mr_counter_t *refused;
-    mr_counter_t *refused_late;
-    mr_counter_t *held;
-    mr_counter_t *asked;
-    mr_counter_t *ask_failures;
-    mr_counter_t *remote_asks;
-};
-
-static mr_ms_t
-now_of(const mr_limit_t *limit)
+mr_ms_t
+mr_limit_now(const mr_limit_t *limit)
 {
     return mr_clock_now(limit->options.clock);
 }
@@ -145,7 +62,7 @@
 static void
 end_wait(mr_limit_wait_t *wait, mr_error_kind_t error)
 {
-    account_t *account = wait->account;
+    mr_limit_account_t *account = wait->account;
     mr_limit_fn_t fn = wait->fn;
     void *ctx = wait->ctx;
 
@@ -161,30 +78,17 @@
     fn(ctx, error);
 }
 
-static bool
-admit_remote(account_t *account, mr_ms_t now)
-{
-    MR_LIST_FOREACH(it, &account->remotes)
-    {
-        if (mr_grant_hold_admit(&MR_LIST_ENTRY(it, remote_t, link)->hold,
-                                now)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Admit held requests in order; refuse those that arrived up to @refuse_to,
  * and those that were held as long as allowed. */
-static void
-serve_waits(account_t *account, mr_ms_t refuse_to)
+void
+mr_limit_serve_waits(mr_limit_account_t *account, mr_ms_t refuse_to)
 {
     while (!mr_list_empty(&account->waits)) {
         mr_limit_wait_t *wait =
             MR_LIST_ENTRY(account->waits.next, mr_limit_wait_t, link);
-        mr_ms_t now = now_of(account->limit);
+        mr_ms_t now = mr_limit_now(account->limit);
         if (mr_grant_hold_admit(&account->local.hold, now)
-            || admit_remote(account, now)) {
+            || mr_limit_remotes_admit(account, now)) {
             end_wait(wait, MR_OK);
         }
         else if (wait->since <= refuse_to) {
@@ -200,43 +104,15 @@
     }
 }
 
-/* Asks of other data centres. */
-
-static const mr_config_t *
-config_of(const mr_limit_t *limit)
+const mr_config_t *
+mr_limit_config(const mr_limit_t *limit)
 {
     return mr_config_store_current(limit->options.config);
 }
 
-static size_t
-other_data_centres(const mr_limit_t *limit)
-{
-    const mr_config_t *config = config_of(limit);
-
-    return config == NULL || config->data_centre_count == 0
-               ? 0
-               : config->data_centre_count - 1;
-}
-
-/* Requests that arrived up to then are refused: since then the own limiter
- * and those of all other data centres have said that they have no token. */
-static mr_ms_t
-refused_until(const account_t *account)
-{
-    mr_ms_t until = account->own_refused;
-    size_t count = 0;
-
-    MR_LIST_FOREACH(it, &account->remotes)
-    {
-        const remote_t *remote = MR_LIST_ENTRY(it, remote_t, link);
-        until = remote->refused < until ? remote->refused : until;
-        count++;
-    }
-    return count < other_data_centres(account->limit) ? INT64_MIN : until;
-}
-
-static void
-send_return_to(account_t *account, const char *owner, int64_t id)
+void
+mr_limit_send_return(mr_limit_account_t *account, const char *owner,
+                     int64_t id)
 {
     mr_limit_t *limit = account->limit;
     const mr_member_t *member = mr_members_find(limit->options.members, owner);
@@ -249,241 +125,10 @@
     }
 }
 
-/* A limiter counts tokens as a part of its share until they are returned. */
-static void
-return_remote(remote_t *remote, int64_t id)
-{
-    account_t *account = remote->account;
-    const char *owner =
-        g_hash_table_lookup(account->limit->remote_owners, remote->key);
-
-    if (owner != NULL) {
-        send_return_to(account, owner, id);
-    }
-}
-
-static void
-return_spent_remote(account_t *account, mr_ms_t now)
-{
-    int64_t id;
-
-    MR_LIST_FOREACH(it, &account->remotes)
-    {
-        remote_t *remote = MR_LIST_ENTRY(it, remote_t, link);
-        while ((id = mr_grant_hold_spent(&remote->hold, now)) != 0) {
-            return_remote(remote, id);
-        }
-    }
-}
-
-static void ask_remote(account_t *account, bool at_once);
-
-static void
-take_remote_reply(remote_t *remote, const mr_msg_grant_reply_t *reply)
-{
-    account_t *account = remote->account;
-    GHashTable *owners = account->limit->remote_owners;
-    mr_ms_t now = now_of(account->limit);
-
-    if (reply->owner[0] != '\0') {
-        g_hash_table_replace(owners, mr_strdup(remote->key),
-                             mr_strdup(reply->owner));
-    }
-    else if (reply->grant_count == 0) {
-        g_hash_table_remove(owners, remote->key);
-    }
-    for (size_t i = 0; i < reply->grant_count; i++) {
-        if (reply->grants[i].kind == MR_GRANT_TOKENS) {
-            mr_grant_hold_accept(&remote->hold, &reply->grants[i],
-                                 remote->sent, now);
-        }
-    }
-    if (reply->grant_count == 0 && reply->error == MR_ERR_RATE_LIMITED) {
-        remote->refused = remote->sent;
-    }
-}
-
-static void
-on_remote_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *reply)
-{
-    remote_t *remote = ctx;
-    account_t *account = remote->account;
-    mr_limit_t *limit = account->limit;
-
-    remote->call = NULL;
-    return_spent_remote(account, now_of(limit));
-    if (error == MR_OK && reply->type == MR_MSG_GRANT_REPLY) {
-        take_remote_reply(remote, &reply->u.grant_reply);
-    }
-    else {
-        mr_counter_add(limit->ask_failures, 1);
-        g_hash_table_remove(limit->remote_owners, remote->key);
-    }
-    serve_waits(account, refused_until(account));
-    ask_remote(account, true);
-}
-
-static void
-destroy_remote(remote_t *remote)
-{
-    if (remote->call != NULL) {
-        mr_peer_cancel(remote->call);
-    }
-    mr_list_remove(&remote->link);
-    free(remote->data_centre);
-    free(remote->key);
-    free(remote);
-}
-
-/* Bring the list in line with the data centres of the configuration. */
-static void
-sync_remotes(account_t *account)
-{
-    mr_limit_t *limit = account->limit;
-    const mr_config_t *config = config_of(limit);
-    size_t count = config == NULL ? 0 : config->data_centre_count;
-    char key[160];
-
-    MR_LIST_FOREACH(it, &account->remotes)
-    {
-        remote_t *remote = MR_LIST_ENTRY(it, remote_t, link);
-        bool known = false;
-        for (size_t i = 0; i < count; i++) {
-            known =
-                known
-                || strcmp(config->data_centres[i].name, remote->data_centre)
-                       == 0;
-        }
-        if (!known) {
-            destroy_remote(remote);
-        }
-    }
-    for (size_t i = 0; i < count; i++) {
-        const char *name = config->data_centres[i].name;
-        bool found = strcmp(name, limit->data_centre) == 0;
-        MR_LIST_FOREACH(it, &account->remotes)
-        {
-            remote_t *remote = MR_LIST_ENTRY(it, remote_t, link);
-            found = found || strcmp(name, remote->data_centre) == 0;
-        }
-        if (!found) {
-            remote_t *remote = MR_NEW(remote_t);
-            mr_limiter_key(name, mr_limiter_shard(account->name), key,
-                           sizeof(key));
-            remote->account = account;
-            remote->data_centre = mr_strdup(name);
-            remote->key = mr_strdup(key);
-            remote->sent = INT64_MIN / 2;
-            remote->refused = INT64_MIN;
-            mr_list_append(&account->remotes, &remote->link);
-        }
-    }
-}
-
-static const mr_member_t *
-remote_limiter(const remote_t *remote)
-{
-    const mr_limit_t *limit = remote->account->limit;
-    const mr_member_t *member = NULL;
-    const char *owner = g_hash_table_lookup(limit->remote_owners, remote->key);
-
-    if (owner != NULL) {
-        member = mr_members_find(limit->options.members, owner);
-    }
-    if (member == NULL) {
-        mr_members_usable(limit->options.members, remote->key,
-                          remote->data_centre, &member, 1);
-    }
-    return member;
-}
-
-/* The data centre that was asked least recently, if it may be asked now. */
-static remote_t *
-next_remote(const account_t *account, mr_ms_t now)
-{
-    remote_t *found = NULL;
-
-    MR_LIST_FOREACH(it, &account->remotes)
-    {
-        remote_t *remote = MR_LIST_ENTRY(it, remote_t, link);
-        if (remote->call == NULL && now - remote->sent >= REMOTE_AGAIN_MS
-            && (found == NULL || remote->sent < found->sent)) {
-            found = remote;
-        }
-    }
-    return found;
-}
-
-static void
-send_remote_ask(remote_t *remote, int64_t wanted, mr_ms_t now)
-{
-    account_t *account = remote->account;
-    mr_limit_t *limit = account->limit;
-    mr_msg_t msg = {.type = MR_MSG_GRANT};
-    const mr_member_t *member = remote_limiter(remote);
-
-    remote->sent = now;
-    if (member == NULL) {
-        return;
-    }
-    msg.u.grant = (mr_msg_grant_t){
-        .account = account->name,
-        .wanted = wanted < REMOTE_TOKENS_MAX ? wanted : REMOTE_TOKENS_MAX,
-        .process = limit->process,
-        .tokens_only = true,
-    };
-    mr_counter_add(limit->remote_asks, 1);
-    remote->call = mr_peer_call(limit->options.peer, member->address, &msg,
-                                REMOTE_TIMEOUT_MS, on_remote_reply, remote);
-}
-
-/*
- * Demand that moves from one data centre to another meets a share that is
- * still elsewhere, and moving a share takes writes to the store. Until then
- * the limiters of other data centres can spare tokens of their own shares.
- * @at_once: the own limiter has answered without a token, or failed
- */
-static void
-ask_remote(account_t *account, bool at_once)
-{
-    mr_ms_t now = now_of(account->limit);
-    size_t busy = 0;
-    remote_t *remote;
-
-    if (mr_list_empty(&account->waits)) {
-        return;
-    }
-    mr_limit_wait_t *oldest =
-        MR_LIST_ENTRY(account->waits.next, mr_limit_wait_t, link);
-    if (!at_once && now - oldest->since < REMOTE_AFTER_MS
-        && account->own_refused < oldest->since) {
-        return;
-    }
-    if (mr_list_empty(&account->remotes)) {
-        sync_remotes(account);
-    }
-    MR_LIST_FOREACH(it, &account->remotes)
-    {
-        busy += MR_LIST_ENTRY(it, remote_t, link)->call != NULL;
-    }
-    int64_t wanted =
-        (int64_t)account->wait_count
-        + account->local.demand * REMOTE_AHEAD_MS / (1000 * MR_TOKEN_MILLI);
-    /* Each is asked for a part: tokens that lapse unused are lost to all. */
-    int64_t part = (wanted + REMOTE_PARALLEL - 1) / REMOTE_PARALLEL;
-    int64_t asked = (int64_t)busy * part;
-    while (busy < REMOTE_PARALLEL && asked < wanted
-           && (remote = next_remote(account, now)) != NULL) {
-        send_remote_ask(remote, part, now);
-        busy += remote->call != NULL;
-        asked += remote->call != NULL ? part : 0;
-    }
-}
-
 /* Asks. */
 
 static void
-set_owner(route_t *route, const char *owner)
+set_owner(mr_limit_route_t *route, const char *owner)
 {
     if (route->owner == NULL || strcmp(route->owner, owner) != 0) {
         free(route->owner);
@@ -496,7 +141,7 @@
 static void
 rotate_owner(mr_limit_t *limit, unsigned shard)
 {
-    route_t *route = &limit->routes[shard];
+    mr_limit_route_t *route = &limit->routes[shard];
     const mr_member_t *members[CANDIDATES_MAX];
     char key[160];
     size_t count;
@@ -512,7 +157,7 @@
 }
 
 static void
-send_return(account_t *account, int64_t id)
+send_return(mr_limit_account_t *account, int64_t id)
 {
     mr_limit_t *limit = account->limit;
     const char *owner = limit->routes[mr_limiter_shard(account->name)].owner;
@@ -525,22 +170,23 @@
                           limit->process, id);
         return;
     }
-    send_return_to(account, owner, id);
+    mr_limit_send_return(account, owner, id);
 }
 
 static void
-return_spent(account_t *account, mr_ms_t now)
+return_spent(mr_limit_account_t *account, mr_ms_t now)
 {
     int64_t id;
 
     while ((id = mr_grant_hold_spent(&account->local.hold, now)) != 0) {
         send_return(account, id);
     }
-    return_spent_remote(account, now);
+    mr_limit_remotes_return_spent(account, now);
 }
 
 static void
-take_reply(account_t *account, const mr_msg_grant_reply_t *reply, mr_ms_t sent)
+take_reply(mr_limit_account_t *account, const mr_msg_grant_reply_t *reply,
+           mr_ms_t sent)
 {
     unsigned shard = mr_limiter_shard(account->name);
     mr_limit_t *limit = account->limit;
@@ -552,23 +198,24 @@
     else {
         set_owner(&limit->routes[shard], reply->owner);
     }
-    return_spent(account, now_of(limit));
+    return_spent(account, mr_limit_now(limit));
     mr_limit_local_reply(&account->local, reply ? reply->grants : NULL,
-                         reply ? reply->grant_count : 0, sent, now_of(limit));
+                         reply ? reply->grant_count : 0, sent,
+                         mr_limit_now(limit));
     if (reply != NULL && reply->error == MR_ERR_RATE_LIMITED) {
         account->own_refused = sent;
         /* Without other data centres its word is the last one. */
-        refuse_to = refused_until(account);
+        refuse_to = mr_limit_refused_until(account);
     }
-    serve_waits(account, refuse_to);
-    ask_remote(account, true);
+    mr_limit_serve_waits(account, refuse_to);
+    mr_limit_remotes_ask(account, true);
 }
 
 static void
 on_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *reply)
 {
     ask_t *ask = ctx;
-    account_t *account = ask->account;
+    mr_limit_account_t *account = ask->account;
     mr_ms_t sent = ask->sent;
     bool good = error == MR_OK && reply->type == MR_MSG_GRANT_REPLY;
 
@@ -581,10 +228,10 @@
 }
 
 static void
-send_ask(account_t *account, const mr_grant_ask_t *ask, mr_ms_t now)
+send_ask(mr_limit_account_t *account, const mr_grant_ask_t *ask, mr_ms_t now)
 {
     mr_limit_t *limit = account->limit;
-    route_t *route = &limit->routes[mr_limiter_shard(account->name)];
+    mr_limit_route_t *route = &limit->routes[mr_limiter_shard(account->name)];
     const mr_member_t *member;
 
     mr_counter_add(limit->asked, 1);
@@ -625,10 +272,10 @@
 }
 
 static void
-run_account(account_t *account)
+run_account(mr_limit_account_t *account)
 {
     mr_limit_t *limit = account->limit;
-    mr_ms_t now = now_of(limit);
+    mr_ms_t now = mr_limit_now(limit);
     mr_grant_ask_t ask = {.instance = limit->name, .process = limit->process};
 
     return_spent(account, now);
@@ -646,10 +293,11 @@
     (void)events;
     MR_LIST_FOREACH(it, &limit->accounts)
     {
-        account_t *account = MR_LIST_ENTRY(it, account_t, link);
-        serve_waits(account, INT64_MIN);
+        mr_limit_account_t *account =
+            MR_LIST_ENTRY(it, mr_limit_account_t, link);
+        mr_limit_serve_waits(account, INT64_MIN);
         run_account(account);
-        ask_remote(account, false);
+        mr_limit_remotes_ask(account, false);
     }
     set_tick(limit);
 }
@@ -657,28 +305,29 @@
 static void
 on_kick(evutil_socket_t fd, short events, void *arg)
 {
-    account_t *account = arg;
+    mr_limit_account_t *account = arg;
 
     (void)fd;
     (void)events;
     run_account(account);
-    ask_remote(account, false);
+    mr_limit_remotes_ask(account, false);
 }
 
 /* Accounts. */
 
-static account_t *
+static mr_limit_account_t *
 get_account(mr_limit_t *limit, const mr_config_account_t *config)
 {
     mr_limit_amount_t amount = {config->rate * MR_TOKEN_MILLI,
                                 config->burst * MR_TOKEN_MILLI};
-    account_t *account = g_hash_table_lookup(limit->by_name, config->name);
-    mr_ms_t now = now_of(limit);
+    mr_limit_account_t *account =
+        g_hash_table_lookup(limit->by_name, config->name);
+    mr_ms_t now = mr_limit_now(limit);
 
     if (account != NULL) {
         return account;
     }
-    account = MR_NEW(account_t);
+    account = MR_NEW(mr_limit_account_t);
     account->limit = limit;
     account->name = mr_strdup(config->name);
     mr_list_init(&account->waits);
@@ -694,7 +343,7 @@
 
 /* Held requests get no callback; the caller ends them before. */
 static void
-destroy_account(account_t *account)
+destroy_account(mr_limit_account_t *account)
 {
     mr_list_t *link;
 
@@ -706,9 +355,7 @@
         mr_peer_cancel(ask->call);
         free(ask);
     }
-    while (!mr_list_empty(&account->remotes)) {
-        destroy_remote(MR_LIST_ENTRY(account->remotes.next, remote_t, link));
-    }
+    mr_limit_remotes_destroy(account);
     event_free(account->kick);
     g_hash_table_remove(account->limit->by_name, account->name);
     mr_list_remove(&account->link);
@@ -716,47 +363,39 @@
     free(account);
 }
 
-static void
-scale_remotes(account_t *account, mr_limit_amount_t to, mr_ms_t now)
-{
-    MR_LIST_FOREACH(it, &account->remotes)
-    {
-        mr_grant_hold_scale(&MR_LIST_ENTRY(it, remote_t, link)->hold,
-                            account->local.limit, to, now);
-    }
-}
-
 static void
 on_config(void *ctx, mr_config_t *config)
 {
     mr_limit_t *limit = ctx;
-    mr_ms_t now = now_of(limit);
+    mr_ms_t now = mr_limit_now(limit);
 
     MR_LIST_FOREACH(it, &limit->accounts)
     {
-        MR_LIST_ENTRY(it, account_t, link)->configured = false;
+        MR_LIST_ENTRY(it, mr_limit_account_t, link)->configured = false;
     }
     for (size_t i = 0; i < config->account_count; i++) {
         const mr_config_account_t *source = &config->accounts[i];
         mr_limit_amount_t amount = {source->rate * MR_TOKEN_MILLI,
                                     source->burst * MR_TOKEN_MILLI};
-        account_t *account = g_hash_table_lookup(limit->by_name, source->name);
+        mr_limit_account_t *account =
+            g_hash_table_lookup(limit->by_name, source->name);
         if (account == NULL && config->account_count > BASE_ACCOUNTS_MAX) {
             continue;
         }
         account = get_account(limit, source);
         account->configured = true;
         if (account->local.limit.rate > 0 && account->local.limit.burst > 0) {
-            scale_remotes(account, amount, now);
+            mr_limit_remotes_scale(account, amount, now);
         }
         mr_limit_local_configure(&account->local, amount, now);
         if (!mr_list_empty(&account->remotes)) {
-            sync_remotes(account);
+            mr_limit_remotes_sync(account);
         }
     }
     MR_LIST_FOREACH(it, &limit->accounts)
     {
-        account_t *account = MR_LIST_ENTRY(it, account_t, link);
+        mr_limit_account_t *account =
+            MR_LIST_ENTRY(it, mr_limit_account_t, link);
         /* One with held requests goes at a later change. */
         if (!account->configured && account->wait_count == 0) {
             destroy_account(account);
@@ -770,11 +409,12 @@
 mr_limit_admit(mr_limit_t *limit, const mr_config_account_t *account,
                mr_limit_fn_t fn, void *ctx)
 {
-    account_t *own = get_account(limit, account);
+    mr_limit_account_t *own = get_account(limit, account);
     mr_limit_wait_t *wait;
 
-    if (mr_limit_local_arrive(&own->local, now_of(limit))
-        || (mr_list_empty(&own->waits) && admit_remote(own, now_of(limit)))) {
+    if (mr_limit_local_arrive(&own->local, mr_limit_now(limit))
+        || (mr_list_empty(&own->waits)
+            && mr_limit_remotes_admit(own, mr_limit_now(limit)))) {
         own->admitted++;
         mr_counter_add(limit->admitted, 1);
         run_account(own);
@@ -782,7 +422,7 @@
     }
     wait = MR_NEW(mr_limit_wait_t);
     wait->account = own;
-    wait->since = now_of(limit);
+    wait->since = mr_limit_now(limit);
     wait->fn = fn;
     wait->ctx = ctx;
     mr_list_append(&own->waits, &wait->link);
@@ -853,7 +493,8 @@
     mr_config_store_unsubscribe(limit->options.config, limit);
     event_free(limit->timer);
     while (!mr_list_empty(&limit->accounts)) {
-        destroy_account(MR_LIST_ENTRY(limit->accounts.next, account_t, link));
+        destroy_account(
+            MR_LIST_ENTRY(limit->accounts.next, mr_limit_account_t, link));
     }
     g_hash_table_destroy(limit->by_name);
     g_hash_table_destroy(limit->remote_owners);
@@ -869,22 +510,17 @@
 void
 mr_limit_drain(mr_limit_t *limit)
 {
-    mr_ms_t now = now_of(limit);
+    mr_ms_t now = mr_limit_now(limit);
     int64_t id;
 
     MR_LIST_FOREACH(it, &limit->accounts)
     {
-        account_t *account = MR_LIST_ENTRY(it, account_t, link);
+        mr_limit_account_t *account =
+            MR_LIST_ENTRY(it, mr_limit_account_t, link);
         while ((id = mr_grant_hold_drop(&account->local.hold, now)) != 0) {
             send_return(account, id);
         }
-        MR_LIST_FOREACH(at, &account->remotes)
-        {
-            remote_t *remote = MR_LIST_ENTRY(at, remote_t, link);
-            while ((id = mr_grant_hold_drop(&remote->hold, now)) != 0) {
-                return_remote(remote, id);
-            }
-        }
+        mr_limit_remotes_drop(account, now);
     }
     mr_limiter_drain(limit->limiter);
 }
@@ -893,11 +529,12 @@
 mr_limit_status(const mr_limit_t *limit)
 {
     json_t *array = json_array();
-    mr_ms_t now = now_of(limit);
+    mr_ms_t now = mr_limit_now(limit);
 
     MR_LIST_FOREACH(it, &limit->accounts)
     {
-        account_t *account = MR_LIST_ENTRY(it, account_t, link);
+        mr_limit_account_t *account =
+            MR_LIST_ENTRY(it, mr_limit_account_t, link);
         const char *owner =
             limit->routes[mr_limiter_shard(account->name)].owner;
         mr_limit_amount_t share =
--- /dev/null
+++ b/lib/limit/limit_remote.c
@@ -0,0 +1,326 @@
+/* Tokens of other data centres, for what the own limiter could not serve. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/mem.h"
+#include "limit/limit_internal.h"
+
+enum {
+    /* A request that its own data centre could not serve at once is worth a
+     * question to another one, which takes a few milliseconds. */
+    REMOTE_AFTER_MS = 6,
+    REMOTE_TIMEOUT_MS = 20,
+    REMOTE_TOKENS_MAX = 32,
+    REMOTE_PARALLEL = 3, /* data centres asked at the same time */
+    /* Until the same data centre is asked again for the same account. */
+    REMOTE_AGAIN_MS = 10,
+    /* Tokens for the requests of this time are asked for together, since an
+     * instance can hold few grants of tokens. */
+    REMOTE_AHEAD_MS = 100,
+};
+
+bool
+mr_limit_remotes_admit(mr_limit_account_t *account, mr_ms_t now)
+{
+    MR_LIST_FOREACH(it, &account->remotes)
+    {
+        if (mr_grant_hold_admit(
+                &MR_LIST_ENTRY(it, mr_limit_remote_t, link)->hold, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static size_t
+other_data_centres(const mr_limit_t *limit)
+{
+    const mr_config_t *config = mr_limit_config(limit);
+
+    return config == NULL || config->data_centre_count == 0
+               ? 0
+               : config->data_centre_count - 1;
+}
+
+/* Requests that arrived up to then are refused: since then the own limiter
+ * and those of all other data centres have said that they have no token. */
+mr_ms_t
+mr_limit_refused_until(const mr_limit_account_t *account)
+{
+    mr_ms_t until = account->own_refused;
+    size_t count = 0;
+
+    MR_LIST_FOREACH(it, &account->remotes)
+    {
+        const mr_limit_remote_t *remote =
+            MR_LIST_ENTRY(it, mr_limit_remote_t, link);
+        until = remote->refused < until ? remote->refused : until;
+        count++;
+    }
+    return count < other_data_centres(account->limit) ? INT64_MIN : until;
+}
+
+/* A limiter counts tokens as a part of its share until they are returned. */
+static void
+return_remote(mr_limit_remote_t *remote, int64_t id)
+{
+    mr_limit_account_t *account = remote->account;
+    const char *owner =
+        g_hash_table_lookup(account->limit->remote_owners, remote->key);
+
+    if (owner != NULL) {
+        mr_limit_send_return(account, owner, id);
+    }
+}
+
+void
+mr_limit_remotes_return_spent(mr_limit_account_t *account, mr_ms_t now)
+{
+    int64_t id;
+
+    MR_LIST_FOREACH(it, &account->remotes)
+    {
+        mr_limit_remote_t *remote = MR_LIST_ENTRY(it, mr_limit_remote_t, link);
+        while ((id = mr_grant_hold_spent(&remote->hold, now)) != 0) {
+            return_remote(remote, id);
+        }
+    }
+}
+
+static void
+take_remote_reply(mr_limit_remote_t *remote, const mr_msg_grant_reply_t *reply)
+{
+    mr_limit_account_t *account = remote->account;
+    GHashTable *owners = account->limit->remote_owners;
+    mr_ms_t now = mr_limit_now(account->limit);
+
+    if (reply->owner[0] != '\0') {
+        g_hash_table_replace(owners, mr_strdup(remote->key),
+                             mr_strdup(reply->owner));
+    }
+    else if (reply->grant_count == 0) {
+        g_hash_table_remove(owners, remote->key);
+    }
+    for (size_t i = 0; i < reply->grant_count; i++) {
+        if (reply->grants[i].kind == MR_GRANT_TOKENS) {
+            mr_grant_hold_accept(&remote->hold, &reply->grants[i],
+                                 remote->sent, now);
+        }
+    }
+    if (reply->grant_count == 0 && reply->error == MR_ERR_RATE_LIMITED) {
+        remote->refused = remote->sent;
+    }
+}
+
+static void
+on_remote_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *reply)
+{
+    mr_limit_remote_t *remote = ctx;
+    mr_limit_account_t *account = remote->account;
+    mr_limit_t *limit = account->limit;
+
+    remote->call = NULL;
+    mr_limit_remotes_return_spent(account, mr_limit_now(limit));
+    if (error == MR_OK && reply->type == MR_MSG_GRANT_REPLY) {
+        take_remote_reply(remote, &reply->u.grant_reply);
+    }
+    else {
+        mr_counter_add(limit->ask_failures, 1);
+        g_hash_table_remove(limit->remote_owners, remote->key);
+    }
+    mr_limit_serve_waits(account, mr_limit_refused_until(account));
+    mr_limit_remotes_ask(account, true);
+}
+
+static void
+destroy_remote(mr_limit_remote_t *remote)
+{
+    if (remote->call != NULL) {
+        mr_peer_cancel(remote->call);
+    }
+    mr_list_remove(&remote->link);
+    free(remote->data_centre);
+    free(remote->key);
+    free(remote);
+}
+
+/* Bring the list in line with the data centres of the configuration. */
+void
+mr_limit_remotes_sync(mr_limit_account_t *account)
+{
+    mr_limit_t *limit = account->limit;
+    const mr_config_t *config = mr_limit_config(limit);
+    size_t count = config == NULL ? 0 : config->data_centre_count;
+    char key[160];
+
+    MR_LIST_FOREACH(it, &account->remotes)
+    {
+        mr_limit_remote_t *remote = MR_LIST_ENTRY(it, mr_limit_remote_t, link);
+        bool known = false;
+        for (size_t i = 0; i < count; i++) {
+            known =
+                known
+                || strcmp(config->data_centres[i].name, remote->data_centre)
+                       == 0;
+        }
+        if (!known) {
+            destroy_remote(remote);
+        }
+    }
+    for (size_t i = 0; i < count; i++) {
+        const char *name = config->data_centres[i].name;
+        bool found = strcmp(name, limit->data_centre) == 0;
+        MR_LIST_FOREACH(it, &account->remotes)
+        {
+            mr_limit_remote_t *remote =
+                MR_LIST_ENTRY(it, mr_limit_remote_t, link);
+            found = found || strcmp(name, remote->data_centre) == 0;
+        }
+        if (!found) {
+            mr_limit_remote_t *remote = MR_NEW(mr_limit_remote_t);
+            mr_limiter_key(name, mr_limiter_shard(account->name), key,
+                           sizeof(key));
+            remote->account = account;
+            remote->data_centre = mr_strdup(name);
+            remote->key = mr_strdup(key);
+            remote->sent = INT64_MIN / 2;
+            remote->refused = INT64_MIN;
+            mr_list_append(&account->remotes, &remote->link);
+        }
+    }
+}
+
+static const mr_member_t *
+remote_limiter(const mr_limit_remote_t *remote)
+{
+    const mr_limit_t *limit = remote->account->limit;
+    const mr_member_t *member = NULL;
+    const char *owner = g_hash_table_lookup(limit->remote_owners, remote->key);
+
+    if (owner != NULL) {
+        member = mr_members_find(limit->options.members, owner);
+    }
+    if (member == NULL) {
+        mr_members_usable(limit->options.members, remote->key,
+                          remote->data_centre, &member, 1);
+    }
+    return member;
+}
+
+/* The data centre that was asked least recently, if it may be asked now. */
+static mr_limit_remote_t *
+next_remote(const mr_limit_account_t *account, mr_ms_t now)
+{
+    mr_limit_remote_t *found = NULL;
+
+    MR_LIST_FOREACH(it, &account->remotes)
+    {
+        mr_limit_remote_t *remote = MR_LIST_ENTRY(it, mr_limit_remote_t, link);
+        if (remote->call == NULL && now - remote->sent >= REMOTE_AGAIN_MS
+            && (found == NULL || remote->sent < found->sent)) {
+            found = remote;
+        }
+    }
+    return found;
+}
+
+static void
+send_remote_ask(mr_limit_remote_t *remote, int64_t wanted, mr_ms_t now)
+{
+    mr_limit_account_t *account = remote->account;
+    mr_limit_t *limit = account->limit;
+    mr_msg_t msg = {.type = MR_MSG_GRANT};
+    const mr_member_t *member = remote_limiter(remote);
+
+    remote->sent = now;
+    if (member == NULL) {
+        return;
+    }
+    msg.u.grant = (mr_msg_grant_t){
+        .account = account->name,
+        .wanted = wanted < REMOTE_TOKENS_MAX ? wanted : REMOTE_TOKENS_MAX,
+        .process = limit->process,
+        .tokens_only = true,
+    };
+    mr_counter_add(limit->remote_asks, 1);
+    remote->call = mr_peer_call(limit->options.peer, member->address, &msg,
+                                REMOTE_TIMEOUT_MS, on_remote_reply, remote);
+}
+
+/*
+ * Demand that moves from one data centre to another meets a share that is
+ * still elsewhere, and moving a share takes writes to the store. Until then
+ * the limiters of other data centres can spare tokens of their own shares.
+ * @at_once: the own limiter has answered without a token, or failed
+ */
+void
+mr_limit_remotes_ask(mr_limit_account_t *account, bool at_once)
+{
+    mr_ms_t now = mr_limit_now(account->limit);
+    size_t busy = 0;
+    mr_limit_remote_t *remote;
+
+    if (mr_list_empty(&account->waits)) {
+        return;
+    }
+    mr_limit_wait_t *oldest =
+        MR_LIST_ENTRY(account->waits.next, mr_limit_wait_t, link);
+    if (!at_once && now - oldest->since < REMOTE_AFTER_MS
+        && account->own_refused < oldest->since) {
+        return;
+    }
+    if (mr_list_empty(&account->remotes)) {
+        mr_limit_remotes_sync(account);
+    }
+    MR_LIST_FOREACH(it, &account->remotes)
+    {
+        busy += MR_LIST_ENTRY(it, mr_limit_remote_t, link)->call != NULL;
+    }
+    int64_t wanted =
+        (int64_t)account->wait_count
+        + account->local.demand * REMOTE_AHEAD_MS / (1000 * MR_TOKEN_MILLI);
+    /* Each is asked for a part: tokens that lapse unused are lost to all. */
+    int64_t part = (wanted + REMOTE_PARALLEL - 1) / REMOTE_PARALLEL;
+    int64_t asked = (int64_t)busy * part;
+    while (busy < REMOTE_PARALLEL && asked < wanted
+           && (remote = next_remote(account, now)) != NULL) {
+        send_remote_ask(remote, part, now);
+        busy += remote->call != NULL;
+        asked += remote->call != NULL ? part : 0;
+    }
+}
+
+void
+mr_limit_remotes_scale(mr_limit_account_t *account, mr_limit_amount_t to,
+                       mr_ms_t now)
+{
+    MR_LIST_FOREACH(it, &account->remotes)
+    {
+        mr_grant_hold_scale(&MR_LIST_ENTRY(it, mr_limit_remote_t, link)->hold,
+                            account->local.limit, to, now);
+    }
+}
+
+void
+mr_limit_remotes_destroy(mr_limit_account_t *account)
+{
+    while (!mr_list_empty(&account->remotes)) {
+        destroy_remote(
+            MR_LIST_ENTRY(account->remotes.next, mr_limit_remote_t, link));
+    }
+}
+
+void
+mr_limit_remotes_drop(mr_limit_account_t *account, mr_ms_t now)
+{
+    int64_t id;
+
+    MR_LIST_FOREACH(it, &account->remotes)
+    {
+        mr_limit_remote_t *remote = MR_LIST_ENTRY(it, mr_limit_remote_t, link);
+        while ((id = mr_grant_hold_drop(&remote->hold, now)) != 0) {
+            return_remote(remote, id);
+        }
+    }
+}
