--- a/tests/integration/session_soak_fault.c
+++ b/tests/integration/session_soak_fault.c
@@ -346,11 +346,13 @@
     relay_process_t *relay = &soak->relays[index];
     int status;
 
-    if (soak->leaving[index]
+    if (relay->pid != 0
         && waitpid(relay->pid, &status, WNOHANG) == relay->pid) {
-        ck_assert_msg(WIFEXITED(status) && WEXITSTATUS(status) == 0,
-                      "%s stopped with 0x%x, see %s", relay->name,
-                      (unsigned)status, relay->log);
+        ck_assert_msg(soak->leaving[index] && WIFEXITED(status)
+                          && WEXITSTATUS(status) == 0,
+                      "%s ended with 0x%x, asked to stop: %d, see %s",
+                      relay->name, (unsigned)status, soak->leaving[index],
+                      relay->log);
         relay->pid = 0;
         soak->leaving[index] = false;
         soak->restart_at[index] = now + soak_below(soak, DOWN_MAX_MS) + 1;
