--- a/tests/standins/redirect.c
+++ b/tests/standins/redirect.c
@@ -53,13 +53,13 @@
 }
 
 int
-clock_gettime(clockid_t id, struct timespec *now)
+clock_gettime(clockid_t clock_id, struct timespec *tp)
 {
     const char *shift = getenv("HARNESS_WALL_MS");
-    long result = syscall(SYS_clock_gettime, id, now);
+    long result = syscall(SYS_clock_gettime, clock_id, tp);
 
-    if (result == 0 && id == CLOCK_REALTIME && shift != NULL) {
-        now->tv_sec += strtol(shift, NULL, 10) / 1000;
+    if (result == 0 && clock_id == CLOCK_REALTIME && shift != NULL) {
+        tp->tv_sec += strtol(shift, NULL, 10) / 1000;
     }
     return (int)result;
 }
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -43,7 +43,7 @@
     server = evhttp_new(base);
     struct evhttp_bound_socket *bound =
         evhttp_bind_socket_with_handle(server, "127.0.0.1", 0);
-    struct sockaddr_in addr;
+    struct sockaddr_in addr = {0};
     socklen_t len = sizeof(addr);
     getsockname(evhttp_bound_socket_get_fd(bound), (struct sockaddr *)&addr,
                 &len);
--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -66,7 +66,7 @@
 set_up(void)
 {
     char address[32];
-    struct sockaddr_in addr;
+    struct sockaddr_in addr = {0};
     socklen_t len = sizeof(addr);
 
     base = event_base_new();
