Tell primaries and their health only with news; keep sights by service

Cause: each report and each answer listed all services, four times a second and for every draw, and each check of a primary went through the sights of all services. No profile was taken, so how much of it these lists are is not known. Answers list the primaries with news since the last answer to that instance, all after a gap; reports leave out primaries that were neither used nor missed in the last 1.5 s, which no verdict counted. Sights moved to a module of their own. Tests: test_sights; test_clusters.

--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -379,6 +379,7 @@
     free(cluster->promoted);
     cluster->promoted = mr_strdup(id);
     cluster->promoted_version = version;
+    cluster->changed = ++cluster->clusters->changes;
     mr_db_t *db = find_db(cluster, id);
     if (db != NULL) {
         db->refused_at = 0;
@@ -422,6 +423,7 @@
         cluster->sample_count--;
     }
     *sample_at(cluster, cluster->sample_count++) = (mr_sample_t){position, at};
+    cluster->changed = ++cluster->clusters->changes;
 }
 
 const mr_sample_t *
--- a/lib/session/cluster.h
+++ b/lib/session/cluster.h
@@ -79,6 +79,7 @@
     int64_t connections;      /* to one database, from all instances */
     int copies; /* most databases that were registered at one time */
     mr_ms_t leaderless_since; /* 0: a leader is known */
+    uint64_t changed;  /* last change of samples or promotion, see below */
     mr_ms_t sought_at; /* a read last asked the primary for its position */
 };
 
@@ -87,6 +88,7 @@
     char *instance;    /* this one's name */
     char *data_centre; /* of this instance */
     int64_t instances; /* that share the connections */
+    uint64_t changes;  /* of samples and promotions so far, all clusters */
 };
 
 mr_clusters_t *mr_clusters_create(const char *instance,
--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -25,6 +25,7 @@
     int failures;
     mr_ms_t tried_at;
     mr_ms_t heard_at; /* its last report */
+    uint64_t told;    /* changes of the clusters up to its last answer */
     bool listed;
 } mr_fleet_instance_t;
 
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -6,10 +6,12 @@
 #include "common/log.h"
 #include "common/mem.h"
 #include "session/fleet_internal.h"
+#include "session/sights.h"
 
 enum {
     REPORT_PERIOD_MS = 250,
     REPORT_TIMEOUT_MS = 350,
+    REPORT_GAP_MAX_MS = 400, /* between reports of a running instance */
     /* Drawn tokens lapse after it; a coordinator counts an instance for the
      * same time after its report (see budget.c). */
     TOKEN_LIFETIME_MS = 1200,
@@ -22,7 +24,8 @@
     WANTS_MAX = 1024,
 };
 
-/* How this instance sees the primaries; returns the number of entries. */
+/* How this instance sees the primaries that it used or missed lately; returns
+ * the number of entries. */
 static size_t
 describe_health(mr_fleet_t *fleet, mr_msg_db_health_t *out, mr_ms_t now)
 {
@@ -32,14 +35,20 @@
     {
         mr_cluster_t *cluster = MR_LIST_ENTRY(it, mr_cluster_t, link);
         mr_db_t *leader = mr_cluster_leader(cluster);
-        if (leader != NULL && count < HEALTH_MAX) {
-            out[count++] = (mr_msg_db_health_t){
-                .service = cluster->service,
-                .id = leader->id,
-                .failing_ms = mr_db_failing(leader, now),
-                .answered_ms =
-                    leader->answered_at != 0 ? now - leader->answered_at : -1,
-            };
+        if (leader == NULL || count == HEALTH_MAX) {
+            continue;
+        }
+        mr_msg_db_health_t health = {
+            .service = cluster->service,
+            .id = leader->id,
+            .failing_ms = mr_db_failing(leader, now),
+            .answered_ms =
+                leader->answered_at != 0 ? now - leader->answered_at : -1,
+        };
+        bool answered = health.answered_ms >= 0
+                        && health.answered_ms <= MR_SIGHTS_ANSWERED_MS;
+        if (health.failing_ms > 0 || answered) {
+            out[count++] = health;
         }
     }
     return count;
@@ -334,8 +343,22 @@
     free_lists(&lists);
 }
 
+/* Whether an instance that was told @told may lack something. A promotion is
+ * repeated until the database registers, as answers can get lost. */
+static bool
+has_news(mr_cluster_t *cluster, uint64_t told)
+{
+    const mr_db_t *leader = mr_cluster_leader(cluster);
+    bool registered = leader != NULL && leader->primary_version != 0;
+
+    return cluster->changed > told
+           || (cluster->promoted != NULL && !registered);
+}
+
+/* Primaries with news for an instance that was told those up to @told. */
 static size_t
-describe_primaries(mr_fleet_t *fleet, mr_msg_primary_t *out, mr_ms_t now)
+describe_primaries(mr_fleet_t *fleet, mr_msg_primary_t *out, uint64_t told,
+                   mr_ms_t now)
 {
     size_t count = 0;
 
@@ -343,6 +366,9 @@
     {
         mr_cluster_t *cluster = MR_LIST_ENTRY(it, mr_cluster_t, link);
         const mr_sample_t *sample = mr_cluster_newest(cluster);
+        if (!has_news(cluster, told)) {
+            continue;
+        }
         mr_msg_primary_t *primary = &out[count++];
         *primary = (mr_msg_primary_t){
             .service = cluster->service,
@@ -359,10 +385,11 @@
     return count;
 }
 
-/* Answers a report with the sender's shares and what it lacks. */
+/* Answers a report with the sender's shares and what it lacks, of the
+ * primaries what changed after @told. */
 static void
 answer_report(mr_fleet_t *fleet, mr_peer_request_t *request,
-              const mr_msg_report_t *report, mr_ms_t now)
+              const mr_msg_report_t *report, uint64_t told, mr_ms_t now)
 {
     mr_msg_t msg = {.type = MR_MSG_REPORT_REPLY};
     mr_msg_report_reply_t *reply = &msg.u.report_reply;
@@ -382,7 +409,7 @@
     reply->draws = draws;
     reply->draw_count = report->want_count;
     reply->primaries = primaries;
-    reply->primary_count = describe_primaries(fleet, primaries, now);
+    reply->primary_count = describe_primaries(fleet, primaries, told, now);
     mr_peer_reply(request, &msg);
     free(draws);
     free(primaries);
@@ -401,8 +428,17 @@
     }
     mr_fleet_instance_t *instance =
         mr_fleet_note_instance(fleet, from, report->address);
+    uint64_t told = 0;
     if (instance != NULL) {
+        /* After a gap it may have started again. */
+        if (now - instance->heard_at <= REPORT_GAP_MAX_MS) {
+            told = instance->told;
+        }
         instance->heard_at = now;
+        if (report->draws) {
+            /* Others do not use what they are told of the primaries. */
+            instance->told = fleet->options.clusters->changes;
+        }
     }
     mr_directory_import(fleet->options.directory, &report->directory, from);
     if (report->draws) {
@@ -413,5 +449,5 @@
     if (report->refresh) {
         mr_feed_refresh(fleet->options.feed);
     }
-    answer_report(fleet, request, report, now);
+    answer_report(fleet, request, report, told, now);
 }
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -8,14 +8,9 @@
 #include "common/mem.h"
 #include "common/timer.h"
 #include "session/link.h"
+#include "session/sights.h"
 
 enum {
-    REPORT_MAX_AGE_MS = 1000,
-    /* A primary that failed for this long on one instance counts as failed
-     * there: above a lost packet's retransmission. */
-    FAILED_MS = 250,
-    /* An answer this recent shows a primary that others do not reach. */
-    ANSWERED_MS = 1500,
     /* A primary that only a minority reaches is replaced after this time. */
     MINORITY_MS = 1500,
     /* Without a registered primary: a new service is still starting, or the
@@ -33,16 +28,6 @@
 };
 
 static const char token_table[] = "promotions";
-/** How one instance sees one primary. */
-typedef struct sight {
-    mr_list_t link;
-    char *instance;
-    char *service;
-    char *id;
-    int64_t failing_ms;
-    int64_t answered_ms;
-    mr_ms_t at;
-} sight_t;
 
 typedef enum order_stage {
     ORDER_STATUS,
@@ -93,7 +78,7 @@
 
 struct mr_promoter {
     mr_promoter_options_t options;
-    mr_list_t sights;
+    mr_sights_t *sights;
     mr_list_t orders;
     mr_list_t memories;
     mr_counter_t *ordered;
@@ -108,7 +93,7 @@
     mr_promoter_t *promoter = MR_NEW(mr_promoter_t);
 
     promoter->options = *options;
-    mr_list_init(&promoter->sights);
+    promoter->sights = mr_sights_create();
     mr_list_init(&promoter->orders);
     mr_list_init(&promoter->memories);
     promoter->ordered = mr_counters_get(
@@ -120,16 +105,6 @@
     return promoter;
 }
 
-static void
-free_sight(sight_t *sight)
-{
-    mr_list_remove(&sight->link);
-    free(sight->instance);
-    free(sight->service);
-    free(sight->id);
-    free(sight);
-}
-
 static void
 free_answers(order_t *order)
 {
@@ -162,10 +137,7 @@
     if (promoter == NULL) {
         return;
     }
-    MR_LIST_FOREACH(it, &promoter->sights)
-    {
-        free_sight(MR_LIST_ENTRY(it, sight_t, link));
-    }
+    mr_sights_destroy(promoter->sights);
     MR_LIST_FOREACH(it, &promoter->orders)
     {
         free_order(MR_LIST_ENTRY(it, order_t, link));
@@ -180,32 +152,6 @@
     free(promoter);
 }
 
-void
-mr_promoter_report(mr_promoter_t *promoter, const char *instance, mr_ms_t now,
-                   const mr_msg_db_health_t *health, size_t count)
-{
-    MR_LIST_FOREACH(it, &promoter->sights)
-    {
-        sight_t *sight = MR_LIST_ENTRY(it, sight_t, link);
-        if (strcmp(sight->instance, instance) == 0
-            || now - sight->at > REPORT_MAX_AGE_MS) {
-            free_sight(sight);
-        }
-    }
-    for (size_t i = 0; i < count; i++) {
-        sight_t *sight = MR_NEW(sight_t);
-        *sight = (sight_t){
-            .instance = mr_strdup(instance),
-            .service = mr_strdup(health[i].service),
-            .id = mr_strdup(health[i].id),
-            .failing_ms = health[i].failing_ms,
-            .answered_ms = health[i].answered_ms,
-            .at = now,
-        };
-        mr_list_append(&promoter->sights, &sight->link);
-    }
-}
-
 static memory_t *
 get_memory(mr_promoter_t *promoter, const char *service)
 {
@@ -223,6 +169,13 @@
     return memory;
 }
 
+void
+mr_promoter_report(mr_promoter_t *promoter, const char *instance, mr_ms_t now,
+                   const mr_msg_db_health_t *health, size_t count)
+{
+    mr_sights_report(promoter->sights, instance, now, health, count);
+}
+
 static void on_token(void *ctx, mr_error_kind_t error, int64_t version);
 
 /* Asks the store for a token that no other order has. */
@@ -675,41 +628,6 @@
     start_status(order);
 }
 
-/** How the instances see a primary. */
-typedef struct verdict {
-    size_t failed;
-    size_t answered;
-    int64_t failing_ms; /* longest */
-} verdict_t;
-
-static verdict_t
-judge(const mr_promoter_t *promoter, const char *service, const char *id,
-      mr_ms_t now)
-{
-    verdict_t verdict = {0, 0, 0};
-
-    MR_LIST_FOREACH(it, &promoter->sights)
-    {
-        const sight_t *sight = MR_LIST_ENTRY(it, sight_t, link);
-        if (now - sight->at > REPORT_MAX_AGE_MS
-            || strcmp(sight->service, service) != 0
-            || strcmp(sight->id, id) != 0) {
-            continue;
-        }
-        if (sight->failing_ms >= FAILED_MS) {
-            verdict.failed++;
-            if (sight->failing_ms > verdict.failing_ms) {
-                verdict.failing_ms = sight->failing_ms;
-            }
-        }
-        else if (sight->failing_ms == 0 && sight->answered_ms >= 0
-                 && sight->answered_ms <= ANSWERED_MS) {
-            verdict.answered++;
-        }
-    }
-    return verdict;
-}
-
 static void
 check_cluster(mr_promoter_t *promoter, mr_cluster_t *cluster, mr_ms_t now,
               size_t reporting)
@@ -732,7 +650,8 @@
         }
         return;
     }
-    verdict_t verdict = judge(promoter, cluster->service, leader->id, now);
+    mr_verdict_t verdict =
+        mr_sights_judge(promoter->sights, cluster->service, leader->id, now);
     if (verdict.failed >= needed && verdict.answered == 0) {
         start_order(promoter, cluster->service, false, "primary_failed");
     }
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -43,7 +43,7 @@
     char address[MR_ADDRESS_MAX_BYTES]; /* that callers use */
     char *args[HARNESS_ARGS_MAX];       /* with the program's path */
     const char *ready;            /* part of the line that says it is ready */
-    char log[HARNESS_PATH_BYTES]; /* receives standard error */
+    char log[HARNESS_PATH_BYTES]; /* receives standard output and error */
     char redirect[HARNESS_REDIRECT_BYTES]; /* see standins/redirect.c */
     pid_t pid;                             /* 0: not running */
     bool stopping; /* got SIGTERM: may end, and callers leave it out */
--- a/tests/unit/test_clusters.c
+++ b/tests/unit/test_clusters.c
@@ -236,10 +236,27 @@
 }
 END_TEST
 
+/* The coordinator tells instances only of clusters that changed. */
+START_TEST(test_samples_and_promotions_are_changes)
+{
+    register_two(1, NOW);
+    uint64_t before = clusters->changes;
+    mr_cluster_sample(rez(), (mr_position_t){1, 5}, NOW);
+    ck_assert_uint_gt(rez()->changed, before);
+    before = clusters->changes;
+    /* What is older changes nothing. */
+    mr_cluster_sample(rez(), (mr_position_t){1, 4}, NOW + 500);
+    ck_assert_uint_eq(clusters->changes, before);
+    mr_cluster_promoted(rez(), "b", 9);
+    ck_assert_uint_gt(rez()->changed, before);
+}
+END_TEST
+
 int
 main(void)
 {
     const TTest *const tests[] = {
+        test_samples_and_promotions_are_changes,
         test_finds_the_registered_primary,
         test_a_promotion_goes_before_an_older_registration,
         test_a_promotion_with_an_old_token_counts,
