--- /dev/null
+++ b/completion/masticrelaysd.bash
@@ -0,0 +1,17 @@
+# Bash completion for masticrelaysd. Source it, or install it as
+# masticrelaysd in bash-completion's folder.
+
+_masticrelaysd()
+{
+    local cur=${COMP_WORDS[COMP_CWORD]}
+    local prev=${COMP_WORDS[COMP_CWORD - 1]}
+
+    if [ "$prev" = --log-level ]; then
+        mapfile -t COMPREPLY < <(compgen -W "debug info warning error" -- "$cur")
+        return
+    fi
+    mapfile -t COMPREPLY < <(compgen -W "--name --data-centre --listen --ready
+        --peer --store --duty --grace-s --log-level --check --help" -- "$cur")
+}
+
+complete -F _masticrelaysd masticrelaysd
