Measure the memory in use and log changes of its level

Callers saw: instances of the session daemon ended over their memory limit, and their sessions broke. Neither the log nor the metrics told what filled the memory.

lib/common/memory measures what is allocated (mallinfo2) every 250 ms, shows it beside the limit on the metrics page, and writes one line, memory_level, when the level changes, with the values that tell the hypotheses apart: sessions, unread input and unsent output of clients, live versions of the desired state. Other modules add theirs with mr_memory_add_gauge(). Nothing acts on the level yet, and no limit is known.

--- a/lib/common/event.h
+++ b/lib/common/event.h
@@ -21,6 +21,7 @@
     X(CHILD_RESTART, "child_restart", "child backoff_ms")                     \
     X(DRAIN_DEADLINE, "drain_deadline", "child")                              \
     X(PROCESS_PAUSED, "process_paused", "ms")                                 \
+    X(MEMORY_LEVEL, "memory_level", "from to in_use held limit gauges")       \
     X(CERTIFICATE_RELOADED, "certificate_reloaded", "file")                   \
     X(CERTIFICATE_REFUSED, "certificate_refused", "file reason")              \
     /* The platform */                                                        \
--- a/lib/session/catalog.c
+++ b/lib/session/catalog.c
@@ -5,11 +5,14 @@
 
 #include "common/mem.h"
 
+static int64_t live_catalogs;
+
 mr_catalog_t *
 mr_catalog_create(void)
 {
     mr_catalog_t *catalog = MR_NEW(mr_catalog_t);
 
+    live_catalogs++;
     catalog->refs = 1;
     return catalog;
 }
@@ -27,6 +30,7 @@
     if (catalog == NULL || --catalog->refs > 0) {
         return;
     }
+    live_catalogs--;
     for (size_t i = 0; i < catalog->route_count; i++) {
         free(catalog->routes[i].database);
         free(catalog->routes[i].service);
@@ -47,6 +51,12 @@
     free(catalog);
 }
 
+int64_t
+mr_catalog_count_live(void)
+{
+    return live_catalogs;
+}
+
 /* The name is the first field of all entries. */
 static int
 compare_names(const void *a, const void *b)
--- a/lib/session/catalog.h
+++ b/lib/session/catalog.h
@@ -63,6 +63,8 @@
 mr_catalog_t *mr_catalog_create(void);
 mr_catalog_t *mr_catalog_ref(mr_catalog_t *catalog);
 void mr_catalog_unref(mr_catalog_t *catalog);
+/** mr_catalog_count_live() - number of catalogs that are referenced. */
+int64_t mr_catalog_count_live(void);
 
 /** mr_catalog_sort() - sort the tables; call it once all entries are added. */
 void mr_catalog_sort(mr_catalog_t *catalog);
--- a/lib/session/client.c
+++ b/lib/session/client.c
@@ -86,6 +86,18 @@
     free(session);
 }
 
+size_t
+mr_client_input_bytes(const mr_client_t *session)
+{
+    return evbuffer_get_length(bufferevent_get_input(session->stream));
+}
+
+size_t
+mr_client_output_bytes(const mr_client_t *session)
+{
+    return evbuffer_get_length(bufferevent_get_output(session->stream));
+}
+
 mr_setting_t *
 mr_client_find_setting(mr_client_t *session, const char *name, bool prepared)
 {
--- a/lib/session/client.h
+++ b/lib/session/client.h
@@ -113,6 +113,8 @@
 /* client.c */
 void mr_client_create(mr_relay_t *relay, evutil_socket_t fd);
 void mr_client_destroy(mr_client_t *session);
+size_t mr_client_input_bytes(const mr_client_t *session);
+size_t mr_client_output_bytes(const mr_client_t *session);
 /** mr_client_process_input() - handle the messages that have arrived, up to
  * the next statement that takes time. */
 void mr_client_process_input(mr_client_t *session);
--- a/lib/session/relay.c
+++ b/lib/session/relay.c
@@ -54,6 +54,63 @@
     }
 }
 
+static int64_t
+count_sessions(void *ctx)
+{
+    return (int64_t)((mr_relay_t *)ctx)->session_count;
+}
+
+static int64_t
+sum_input(void *ctx)
+{
+    mr_relay_t *relay = ctx;
+    size_t sum = 0;
+
+    MR_LIST_FOREACH(it, &relay->sessions)
+    {
+        sum += mr_client_input_bytes(MR_LIST_ENTRY(it, mr_client_t, link));
+    }
+    return (int64_t)sum;
+}
+
+static int64_t
+sum_output(void *ctx)
+{
+    mr_relay_t *relay = ctx;
+    size_t sum = 0;
+
+    MR_LIST_FOREACH(it, &relay->sessions)
+    {
+        sum += mr_client_output_bytes(MR_LIST_ENTRY(it, mr_client_t, link));
+    }
+    return (int64_t)sum;
+}
+
+static int64_t
+count_catalogs(void *ctx)
+{
+    (void)ctx;
+    return mr_catalog_count_live();
+}
+
+static void
+create_gauges(mr_relay_t *relay)
+{
+    mr_memory_t *memory = relay->options.memory;
+
+    mr_memory_add_gauge(memory, "sessions", "open sessions", count_sessions,
+                        relay);
+    mr_memory_add_gauge(memory, "session_input_bytes",
+                        "messages of clients that wait to be handled",
+                        sum_input, relay);
+    mr_memory_add_gauge(memory, "session_output_bytes",
+                        "answers that clients have not read", sum_output,
+                        relay);
+    mr_memory_add_gauge(memory, "catalogs",
+                        "versions of the desired state in memory",
+                        count_catalogs, relay);
+}
+
 mr_relay_t *
 mr_relay_create(const mr_relay_options_t *options)
 {
@@ -76,6 +133,7 @@
         free(relay);
         return NULL;
     }
+    create_gauges(relay);
     return relay;
 }
 
--- a/lib/session/relay.h
+++ b/lib/session/relay.h
@@ -10,6 +10,7 @@
 #include <stdbool.h>
 
 #include "common/counters.h"
+#include "common/memory.h"
 #include "session/catalog.h"
 #include "session/cluster.h"
 #include "session/quota.h"
@@ -19,6 +20,7 @@
 typedef struct mr_relay_options {
     struct event_base *base;
     mr_counters_t *counters;
+    mr_memory_t *memory;
     mr_clusters_t *clusters;
     mr_quota_t *quota;
     const char *listen; /* "IP:port" for clients */
--- a/lib/session/sessiond.c
+++ b/lib/session/sessiond.c
@@ -7,6 +7,7 @@
 
 #include "common/counters.h"
 #include "common/mem.h"
+#include "common/memory.h"
 #include "session/feed.h"
 #include "session/fleet.h"
 #include "session/promoter.h"
@@ -28,6 +29,7 @@
 struct mr_sessiond {
     struct event_base *base;
     mr_counters_t *counters;
+    mr_memory_t *memory;
     mr_clusters_t *clusters;
     mr_quota_t *quota;
     mr_store_t *store;
@@ -233,6 +235,7 @@
     daemon->relay = mr_relay_create(&(mr_relay_options_t){
         .base = daemon->base,
         .counters = daemon->counters,
+        .memory = daemon->memory,
         .clusters = daemon->clusters,
         .quota = daemon->quota,
         .listen = settings->listen,
@@ -262,6 +265,8 @@
     mr_log_open(&(mr_log_options_t){.base = daemon->base,
                                     .counters = daemon->counters,
                                     .fd = STDOUT_FILENO});
+    daemon->memory = mr_memory_create(&(mr_memory_options_t){
+        .base = daemon->base, .counters = daemon->counters});
     daemon->drain_timer = evtimer_new(daemon->base, on_drain_timer, daemon);
     add_signals(daemon);
     if (!create_modules(daemon, settings)) {
@@ -280,6 +285,7 @@
         return;
     }
     mr_ready_destroy(daemon->ready);
+    mr_memory_destroy(daemon->memory);
     mr_relay_destroy(daemon->relay);
     /* Before the modules below, which pending calls refer to. */
     mr_promotion_client_destroy(daemon->duty);
--- /dev/null
+++ b/tests/unit/test_memory.c
@@ -0,0 +1,136 @@
+/* Tests the memory levels: thresholds, hysteresis, and the gauges. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "../common/runner.h"
+#include "common/clock.h"
+#include "common/memory.h"
+
+enum { LIMIT = 100 * 1000 * 1000, BLOCK_BYTES = 8 << 20 };
+
+static mr_counters_t *counters;
+
+static void
+set_up(void)
+{
+    counters = mr_counters_create();
+}
+
+static void
+tear_down(void)
+{
+    mr_counters_destroy(counters);
+}
+
+static int64_t
+value(const char *name)
+{
+    return mr_counter_value(mr_counters_get(counters, name, "", ""));
+}
+
+static void
+set_percent(mr_memory_t *memory, int percent)
+{
+    mr_memory_set_in_use(memory, (int64_t)LIMIT / 100 * percent);
+}
+
+START_TEST(test_a_level_starts_at_its_threshold_and_ends_below_it)
+{
+    mr_memory_t *memory = mr_memory_create(
+        &(mr_memory_options_t){.counters = counters, .limit = LIMIT});
+
+    set_percent(memory, MR_MEMORY_REFUSING_PERCENT - 1);
+    ck_assert_int_eq(mr_memory_level(memory), MR_MEMORY_NORMAL);
+    set_percent(memory, MR_MEMORY_REFUSING_PERCENT);
+    ck_assert_int_eq(mr_memory_level(memory), MR_MEMORY_REFUSING);
+    set_percent(memory, MR_MEMORY_REFUSING_PERCENT - 1);
+    ck_assert_int_eq(mr_memory_level(memory), MR_MEMORY_REFUSING);
+    set_percent(memory, MR_MEMORY_CRITICAL_PERCENT);
+    ck_assert_int_eq(mr_memory_level(memory), MR_MEMORY_CRITICAL);
+    set_percent(memory, MR_MEMORY_CRITICAL_PERCENT - 1);
+    ck_assert_int_eq(mr_memory_level(memory), MR_MEMORY_CRITICAL);
+    set_percent(memory,
+                MR_MEMORY_CRITICAL_PERCENT - MR_MEMORY_HYSTERESIS_PERCENT - 1);
+    ck_assert_int_eq(mr_memory_level(memory), MR_MEMORY_REFUSING);
+    set_percent(memory,
+                MR_MEMORY_REFUSING_PERCENT - MR_MEMORY_HYSTERESIS_PERCENT - 1);
+    ck_assert_int_eq(mr_memory_level(memory), MR_MEMORY_NORMAL);
+    mr_memory_destroy(memory);
+}
+END_TEST
+
+START_TEST(test_without_a_limit_the_level_is_normal)
+{
+    mr_memory_t *memory =
+        mr_memory_create(&(mr_memory_options_t){.counters = counters});
+
+    mr_memory_set_in_use(memory, INT64_MAX);
+    ck_assert_int_eq(mr_memory_level(memory), MR_MEMORY_NORMAL);
+    ck_assert_int_eq(mr_memory_level(NULL), MR_MEMORY_NORMAL);
+    mr_memory_destroy(memory);
+}
+END_TEST
+
+static int64_t
+read_number(void *ctx)
+{
+    return *(int64_t *)ctx;
+}
+
+START_TEST(test_gauges_follow_each_measurement)
+{
+    int64_t number = 7;
+    mr_memory_t *memory = mr_memory_create(
+        &(mr_memory_options_t){.counters = counters, .limit = LIMIT});
+
+    mr_memory_add_gauge(memory, "number", "", read_number, &number);
+    set_percent(memory, MR_MEMORY_CRITICAL_PERCENT);
+    set_percent(memory, 1);
+    ck_assert_int_eq(value("masticrelay_number"), 7);
+    ck_assert_int_eq(value("masticrelay_memory_limit_bytes"), LIMIT);
+    ck_assert_int_eq(value("masticrelay_memory_in_use_bytes"), LIMIT / 100);
+    ck_assert_int_eq(value("masticrelay_memory_peak_bytes"),
+                     LIMIT / 100 * MR_MEMORY_CRITICAL_PERCENT);
+    ck_assert_int_eq(value("masticrelay_memory_level"), MR_MEMORY_NORMAL);
+    mr_memory_destroy(memory);
+}
+END_TEST
+
+START_TEST(test_allocated_memory_is_measured_by_the_timer)
+{
+    struct event_base *base = event_base_new();
+    mr_memory_t *memory = mr_memory_create(
+        &(mr_memory_options_t){.base = base, .counters = counters});
+    int64_t before = value("masticrelay_memory_in_use_bytes");
+    struct timeval wait = mr_clock_timeval(600);
+    char *block = malloc(BLOCK_BYTES);
+
+    ck_assert_ptr_nonnull(block);
+    memset(block, 1, BLOCK_BYTES);
+    event_base_loopexit(base, &wait);
+    event_base_dispatch(base);
+    ck_assert_int_eq(block[BLOCK_BYTES - 1], 1);
+    ck_assert_int_ge(value("masticrelay_memory_in_use_bytes"),
+                     before + BLOCK_BYTES);
+    ck_assert_int_ge(value("masticrelay_memory_held_bytes"),
+                     value("masticrelay_memory_in_use_bytes"));
+    free(block);
+    mr_memory_destroy(memory);
+    event_base_free(base);
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {
+        test_a_level_starts_at_its_threshold_and_ends_below_it,
+        test_without_a_limit_the_level_is_normal,
+        test_gauges_follow_each_measurement,
+        test_allocated_memory_is_measured_by_the_timer,
+    };
+
+    return RUN_TESTS(tests, .suite = "memory", .setup = set_up,
+                     .teardown = tear_down);
+}
