--- a/lib/session/sessiond.c
+++ b/lib/session/sessiond.c
@@ -265,8 +265,10 @@
     mr_log_open(&(mr_log_options_t){.base = daemon->base,
                                     .counters = daemon->counters,
                                     .fd = STDOUT_FILENO});
-    daemon->memory = mr_memory_create(&(mr_memory_options_t){
-        .base = daemon->base, .counters = daemon->counters});
+    daemon->memory = mr_memory_create(
+        &(mr_memory_options_t){.base = daemon->base,
+                               .counters = daemon->counters,
+                               .limit = settings->memory_limit});
     daemon->drain_timer = evtimer_new(daemon->base, on_drain_timer, daemon);
     add_signals(daemon);
     if (!create_modules(daemon, settings)) {
--- a/lib/session/sessiond.h
+++ b/lib/session/sessiond.h
@@ -13,12 +13,13 @@
 typedef struct mr_sessiond_settings {
     char *name;
     char *data_centre;
-    char *listen;  /* address for clients */
-    char *ready;   /* address for readiness probes and counters */
-    char *peer;    /* address for other instances */
-    char *store;   /* address of the platform's store */
-    char *duty;    /* address for promotion orders to the platform */
-    mr_ms_t grace; /* from the stop signal to the kill */
+    char *listen;         /* address for clients */
+    char *ready;          /* address for readiness probes and counters */
+    char *peer;           /* address for other instances */
+    char *store;          /* address of the platform's store */
+    char *duty;           /* address for promotion orders to the platform */
+    mr_ms_t grace;        /* from the stop signal to the kill */
+    int64_t memory_limit; /* bytes; 0: not known */
     mr_log_level_t log_level;
     gboolean check; /* check the settings and exit */
 } mr_sessiond_settings_t;
--- a/lib/session/sessiond_settings.c
+++ b/lib/session/sessiond_settings.c
@@ -10,6 +10,8 @@
 enum {
     GRACE_DEFAULT_S = 6,
     GRACE_MAX_S = 600,
+    MEMORY_MAX_MB = 1 << 20,
+    BYTES_PER_MB = 1000 * 1000,
 };
 
 typedef enum setting_kind {
@@ -85,6 +87,24 @@
     return report_error("log-level", "must be debug, info, warning or error");
 }
 
+/* Reads the memory limit from the environment unless its flag was given. */
+static bool
+parse_memory_limit(const char *text, int64_t *limit)
+{
+    guint64 mb = 0;
+
+    if (text == NULL) {
+        text = read_environment("memory-mb");
+    }
+    if (text != NULL
+        && !g_ascii_string_to_unsigned(text, 10, 0, MEMORY_MAX_MB, &mb,
+                                       NULL)) {
+        return report_error("memory-mb", "must be from 0 to 1048576");
+    }
+    *limit = (int64_t)mb * BYTES_PER_MB;
+    return true;
+}
+
 bool
 mr_sessiond_settings_read(int *argc, char ***argv,
                           mr_sessiond_settings_t *settings)
@@ -102,8 +122,9 @@
         {"duty", "the platform's promotion calls", SETTING_ADDRESS,
          &settings->duty},
     };
-    GOptionEntry entries[G_N_ELEMENTS(table) + 4] = {{0}};
+    GOptionEntry entries[G_N_ELEMENTS(table) + 5] = {{0}};
     int grace_s = GRACE_DEFAULT_S;
+    char *memory_mb = NULL;
     char *level = NULL;
     GError *error = NULL;
     size_t n = 0;
@@ -124,6 +145,11 @@
         0,         G_OPTION_ARG_INT,
         &grace_s,  "seconds from the stop signal to the kill (6)",
         "S"};
+    entries[n++] = (GOptionEntry){
+        "memory-mb", 0,
+        0,           G_OPTION_ARG_STRING,
+        &memory_mb,  "memory limit of the process; 0: not known (0)",
+        "MB"};
     entries[n++] =
         (GOptionEntry){"log-level", 0,
                        0,           G_OPTION_ARG_STRING,
@@ -150,8 +176,10 @@
     if (good && (grace_s < 1 || grace_s > GRACE_MAX_S)) {
         good = report_error("grace-s", "must be from 1 to 600");
     }
+    good = good && parse_memory_limit(memory_mb, &settings->memory_limit);
     good = good && parse_log_level(level, &settings->log_level);
     settings->grace = (mr_ms_t)grace_s * 1000;
+    g_free(memory_mb);
     g_free(level);
     if (!good) {
         mr_sessiond_settings_release(settings);
--- a/tests/integration/test_session_daemon.c
+++ b/tests/integration/test_session_daemon.c
@@ -92,6 +92,8 @@
 
     ck_assert_int_eq(check_settings(NULL, text, sizeof(text)), 0);
     ck_assert_int_eq(check_settings("--grace-s=10", text, sizeof(text)), 0);
+    ck_assert_int_eq(check_settings("--memory-mb=0", text, sizeof(text)), 0);
+    ck_assert_int_eq(check_settings("--memory-mb=112", text, sizeof(text)), 0);
 }
 END_TEST
 
@@ -106,6 +108,9 @@
         "--store",
         "--duty=x:1",
         "--grace-s=0",
+        "--memory-mb=-1",
+        "--memory-mb=1.5",
+        "--memory-mb=",
         "--log-level=loud",
     };
 
@@ -149,6 +154,24 @@
     return true;
 }
 
+/* Starts the daemon, fetches its metrics and ends it. */
+static void
+read_metrics(const char *change, char *text, size_t size)
+{
+    int pipe_fds[2];
+    mr_ms_t end = mr_clock_now(NULL) + START_MAX_MS;
+
+    ck_assert_int_eq(pipe(pipe_fds), 0);
+    pid_t pid = start_daemon(change, false, pipe_fds[1]);
+    while (!fetch_metrics(text, size) && mr_clock_now(NULL) < end) {
+        usleep(20000);
+    }
+    kill(pid, SIGKILL);
+    waitpid(pid, NULL, 0);
+    close(pipe_fds[0]);
+    close(pipe_fds[1]);
+}
+
 /* Returns "name type" for each row of the documented metrics table. */
 static GHashTable *
 read_documented_metrics(void)
@@ -175,18 +198,8 @@
 START_TEST(test_the_documentation_names_each_metric)
 {
     static char text[TEXT_MAX_BYTES];
-    int pipe_fds[2];
-    mr_ms_t end = mr_clock_now(NULL) + START_MAX_MS;
 
-    ck_assert_int_eq(pipe(pipe_fds), 0);
-    pid_t pid = start_daemon(NULL, false, pipe_fds[1]);
-    while (!fetch_metrics(text, sizeof(text)) && mr_clock_now(NULL) < end) {
-        usleep(20000);
-    }
-    kill(pid, SIGKILL);
-    waitpid(pid, NULL, 0);
-    close(pipe_fds[0]);
-    close(pipe_fds[1]);
+    read_metrics(NULL, text, sizeof(text));
     GHashTable *documented = read_documented_metrics();
     guint served = 0;
     for (char *line = strstr(text, "# TYPE "); line != NULL;
@@ -202,6 +215,20 @@
 }
 END_TEST
 
+START_TEST(test_the_memory_limit_comes_from_flag_or_environment)
+{
+    static char text[TEXT_MAX_BYTES];
+
+    read_metrics("--memory-mb=112", text, sizeof(text));
+    ck_assert_ptr_nonnull(
+        strstr(text, "\nmasticrelay_memory_limit_bytes 112000000\n"));
+    g_setenv("MASTICRELAY_MEMORY_MB", "182", TRUE);
+    read_metrics(NULL, text, sizeof(text));
+    ck_assert_ptr_nonnull(
+        strstr(text, "\nmasticrelay_memory_limit_bytes 182000000\n"));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -209,6 +236,7 @@
         test_valid_settings_pass_the_check,
         test_an_invalid_setting_is_named,
         test_the_documentation_names_each_metric,
+        test_the_memory_limit_comes_from_flag_or_environment,
     };
 
     return RUN_TESTS(tests, .suite = "session daemon", .setup = set_up);
