Count what links between instances hold and drop

Unsent output and unread input of links were not visible: a process that was killed for its memory left no trace of which of the two filled it.

Gauges give the unsent output and unread input of all links, their peaks, the peak of one link, and the number of links; a counter gives the bytes of dropped messages. A log line tells when a link's output reaches its bound and messages are dropped, another when all was sent again, each at most once in 10 s for a link.

--- a/lib/common/event.h
+++ b/lib/common/event.h
@@ -74,6 +74,10 @@
     X(INSTANCE_NOT_REMOVED, "instance_not_removed", "error")                  \
     X(INSTANCE_ADDRESS_MALFORMED, "instance_address_malformed",               \
       "name address")                                                         \
+    X(PEER_OUTPUT_FULL, "peer_output_full", "name bytes bound")               \
+    X(PEER_OUTPUT_DRAINED, "peer_output_drained", "name bound dropped ms")    \
+    X(PEER_BUFFERS_PEAK, "peer_buffers_peak",                                 \
+      "output input links name largest")                                      \
     /* Changes of primary */                                                  \
     X(PROMOTION_STARTED, "promotion_started", "service reason")               \
     X(PROMOTION_ORDERED, "promotion_ordered", "service id token planned")     \
--- a/lib/wire/peer.c
+++ b/lib/wire/peer.c
@@ -29,6 +29,7 @@
     char *data_centre;
     uint8_t secret[MR_PEER_SECRET_BYTES];
     handler_t handlers[HANDLERS_MAX];
+    mr_peer_buffers_t *buffers;
     struct evconnlistener *listener;
     GHashTable *outgoing;        /* address -> outgoing_t */
     mr_list_t incoming;          /* incoming_t */
@@ -263,8 +264,8 @@
         g_hash_table_insert(peer->outgoing, out->address, out);
     }
     if (out->link == NULL && mr_clock_now(NULL) >= out->retry_at) {
-        out->link =
-            mr_peer_link_open(&peer->options, address, &outgoing_events, out);
+        out->link = mr_peer_link_open(&peer->options, peer->buffers, address,
+                                      &outgoing_events, out);
         out->retry_at = mr_clock_now(NULL) + RECONNECT_DELAY_MS;
     }
     return out;
@@ -419,7 +420,8 @@
     in->peer = peer;
     mr_list_init(&in->requests);
     mr_list_append(&peer->incoming, &in->link);
-    in->conn = mr_peer_link_accept(&peer->options, fd, &incoming_events, in);
+    in->conn = mr_peer_link_accept(&peer->options, peer->buffers, fd,
+                                   &incoming_events, in);
     if (in->conn == NULL) {
         evutil_closesocket(fd);
         free_incoming(in);
@@ -471,6 +473,7 @@
     peer->options.name = peer->name;
     peer->options.data_centre = peer->data_centre;
     peer->options.secret = peer->secret;
+    peer->buffers = mr_peer_buffers_create(options->counters);
     peer->outgoing =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_outgoing);
     mr_list_init(&peer->incoming);
@@ -498,6 +501,7 @@
     }
     destroy_closed_links(-1, 0, peer);
     event_free(peer->destroy_event);
+    mr_peer_buffers_destroy(peer->buffers);
     free(peer->name);
     free(peer->data_centre);
     free(peer);
--- a/lib/wire/peer_link.c
+++ b/lib/wire/peer_link.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "common/address.h"
+#include "common/log.h"
 #include "common/mem.h"
 #include "common/traffic.h"
 #include "wire/lateness.h"
@@ -23,8 +24,19 @@
     /* Messages to a reader that is this far behind are dropped, as if it were
      * unreachable. */
     OUTPUT_MAX_BYTES = 64 << 20,
+    /* Minimum time between two logged periods in which a link drops frames. */
+    FULL_LOG_PERIOD_MS = 10000,
 };
 
+/** A period in which a link's output is at its bound. */
+typedef struct full_period {
+    bool active; /* until nothing is left to send */
+    bool logged;
+    mr_ms_t since;
+    mr_ms_t logged_at;
+    int64_t dropped; /* frames */
+} full_period_t;
+
 struct mr_peer_link {
     const mr_peer_options_t *options;
     mr_peer_link_events_t events;
@@ -38,6 +50,8 @@
     uint8_t peer_nonce[MR_PEER_NONCE_BYTES];
     char name[MR_PEER_NAME_MAX_BYTES];
     mr_lateness_t lateness;
+    mr_peer_buffer_t buffer;
+    full_period_t full;
     mr_counter_t *sent;     /* messages */
     mr_counter_t *received; /* messages */
 };
@@ -70,18 +84,59 @@
     crypto_auth_hmacsha512256_final(&state, proof);
 }
 
+static void
+record_full(mr_peer_link_t *link)
+{
+    full_period_t *full = &link->full;
+    mr_ms_t now = mr_clock_now(NULL);
+
+    if (!full->active) {
+        bool log = full->logged_at == 0
+                   || now - full->logged_at >= FULL_LOG_PERIOD_MS;
+        *full = (full_period_t){
+            .active = true,
+            .logged = log,
+            .since = now,
+            .logged_at = log ? now : full->logged_at,
+        };
+        if (log) {
+            mr_log(MR_LOG_WARNING, MR_EVENT_PEER_OUTPUT_FULL,
+                   "name=%s bytes=%zu bound=%d", link->name,
+                   mr_peer_buffer_output(&link->buffer), OUTPUT_MAX_BYTES);
+        }
+    }
+    full->dropped++;
+}
+
+/* Called when all output has been sent. */
+static void
+on_write(struct bufferevent *bev, void *ctx)
+{
+    mr_peer_link_t *link = ctx;
+    full_period_t *full = &link->full;
+
+    (void)bev;
+    if (full->active && full->logged) {
+        mr_log(MR_LOG_INFO, MR_EVENT_PEER_OUTPUT_DRAINED,
+               "name=%s bound=%d dropped=%lld ms=%lld", link->name,
+               OUTPUT_MAX_BYTES, (long long)full->dropped,
+               (long long)(mr_clock_now(NULL) - full->since));
+    }
+    full->active = false;
+}
+
 void
 mr_peer_link_send_encoded(mr_peer_link_t *link, const msgpack_sbuffer *msg)
 {
-    struct evbuffer *out = bufferevent_get_output(link->bev);
     uint32_t header = htonl((uint32_t)msg->size);
+    bool full = mr_peer_buffer_output(&link->buffer) >= OUTPUT_MAX_BYTES;
 
-    if (msg->size > MR_PEER_FRAME_MAX_BYTES
-        || evbuffer_get_length(out) >= OUTPUT_MAX_BYTES) {
-        mr_counter_add(mr_counters_get(link->options->counters,
-                                       "masticrelay_peer_unsent_total", "",
-                                       "peer messages dropped unsent"),
-                       1);
+    if (msg->size > MR_PEER_FRAME_MAX_BYTES || full) {
+        mr_peer_buffers_record_drop(link->buffer.all,
+                                    FRAME_HEADER_BYTES + msg->size);
+        if (full) {
+            record_full(link);
+        }
         return;
     }
     mr_counter_add(link->sent, 1);
@@ -305,8 +360,9 @@
 }
 
 static mr_peer_link_t *
-create_link(const mr_peer_options_t *options, evutil_socket_t fd,
-            bool is_initiator, const mr_peer_link_events_t *events, void *ctx)
+create_link(const mr_peer_options_t *options, mr_peer_buffers_t *buffers,
+            evutil_socket_t fd, bool is_initiator,
+            const mr_peer_link_events_t *events, void *ctx)
 {
     struct bufferevent *bev = create_bufferevent(options, fd, is_initiator);
     struct timeval timeout = {.tv_sec = HANDSHAKE_TIMEOUT_S};
@@ -329,15 +385,17 @@
         options->counters, "masticrelay_peer_received_messages_total", "",
         "peer messages received");
     mr_traffic_watch(&traffic, bev);
-    bufferevent_setcb(bev, on_read, NULL, on_event, link);
+    mr_peer_buffer_init(&link->buffer, buffers, bev, link->name);
+    bufferevent_setcb(bev, on_read, on_write, on_event, link);
     bufferevent_set_timeouts(bev, &timeout, &timeout);
     bufferevent_enable(bev, EV_READ | EV_WRITE);
     return link;
 }
 
 mr_peer_link_t *
-mr_peer_link_open(const mr_peer_options_t *options, const char *address,
-                  const mr_peer_link_events_t *events, void *ctx)
+mr_peer_link_open(const mr_peer_options_t *options, mr_peer_buffers_t *buffers,
+                  const char *address, const mr_peer_link_events_t *events,
+                  void *ctx)
 {
     struct sockaddr_storage addr;
     int len;
@@ -349,7 +407,8 @@
     if (fd < 0) {
         return NULL;
     }
-    mr_peer_link_t *link = create_link(options, fd, true, events, ctx);
+    mr_peer_link_t *link =
+        create_link(options, buffers, fd, true, events, ctx);
     if (link == NULL) {
         evutil_closesocket(fd);
         return NULL;
@@ -363,11 +422,12 @@
 }
 
 mr_peer_link_t *
-mr_peer_link_accept(const mr_peer_options_t *options, evutil_socket_t fd,
+mr_peer_link_accept(const mr_peer_options_t *options,
+                    mr_peer_buffers_t *buffers, evutil_socket_t fd,
                     const mr_peer_link_events_t *events, void *ctx)
 {
     set_tcp_options(fd);
-    return create_link(options, fd, false, events, ctx);
+    return create_link(options, buffers, fd, false, events, ctx);
 }
 
 void
@@ -376,6 +436,7 @@
     if (link == NULL) {
         return;
     }
+    mr_peer_buffer_clear(&link->buffer);
     bufferevent_free(link->bev);
     free(link);
 }
--- a/lib/wire/peer_link.h
+++ b/lib/wire/peer_link.h
@@ -5,8 +5,8 @@
 
 #include <event2/bufferevent.h>
 
-#include "common/list.h"
 #include "wire/peer.h"
+#include "wire/peer_buffers.h"
 
 enum { MR_PEER_NAME_MAX_BYTES = 128, MR_PEER_NONCE_BYTES = 16 };
 
@@ -25,6 +25,7 @@
 /** mr_peer_link_open() - connect to @address; returns NULL if the address is
  * invalid or the connection cannot be started. */
 mr_peer_link_t *mr_peer_link_open(const mr_peer_options_t *options,
+                                  mr_peer_buffers_t *buffers,
                                   const char *address,
                                   const mr_peer_link_events_t *events,
                                   void *ctx);
@@ -32,6 +33,7 @@
 /** mr_peer_link_accept() - create a link on an accepted socket; returns NULL
  * on failure. */
 mr_peer_link_t *mr_peer_link_accept(const mr_peer_options_t *options,
+                                    mr_peer_buffers_t *buffers,
                                     evutil_socket_t fd,
                                     const mr_peer_link_events_t *events,
                                     void *ctx);
