Limit bandwidth in the fault proxy and add routes to the simulated store

fault_proxy: POST /limits/LIMIT sets a bandwidth, and limit_to_target and limit_to_caller of a link name the limit that its bytes pass. Connections under one limit take turns of 4 KB. Reading from a sender pauses at 32 KB of pending bytes, so that the rest stays with the sender.

world: backend_set_extra_routes() adds routes to the desired states. Rows point to values of any length, which the backend keeps until it is destroyed, so that copies of rows stay valid. Before, a value was limited to 8 KB.

--- a/tests/integration/world.c
+++ b/tests/integration/world.c
@@ -1,6 +1,5 @@
 #include "world.h"
 
-#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -20,6 +19,7 @@
     backend->log = mr_calloc(LOG_MAX, sizeof(*backend->log));
     backend->runs = mr_calloc(RUNS_MAX, sizeof(*backend->runs));
     backend->rows = mr_calloc(ROWS_MAX, sizeof(*backend->rows));
+    backend->texts = g_ptr_array_new_with_free_func(free);
     for (int i = 0; i < BACKEND_DBS; i++) {
         backend_db_t *db = &backend->dbs[i];
         db->backend = backend;
@@ -46,6 +46,7 @@
     free(backend->log);
     free(backend->runs);
     free(backend->rows);
+    g_ptr_array_free(backend->texts, TRUE);
     free(backend);
 }
 
@@ -73,58 +74,84 @@
              database);
 }
 
-static void
-add_text(char *out, const char *fmt, ...)
+void
+backend_set_extra_routes(backend_t *backend, int count)
 {
-    va_list args;
-    size_t len = strlen(out);
+    backend->extra_routes = count;
+}
+
+void
+backend_extra_database(int index, char name[BACKEND_TEXT_BYTES])
+{
+    snprintf(name, BACKEND_TEXT_BYTES, "extra-%d-%08x", index,
+             (unsigned)index * 2654435761U);
+}
 
-    va_start(args, fmt);
-    vsnprintf(out + len, VALUE_MAX_BYTES - len, fmt, args);
-    va_end(args);
+size_t
+backend_config_length(const backend_t *backend)
+{
+    return backend->config_len;
 }
 
 static void
-add_route(const backend_t *backend, char *out, const char *database,
+add_route(const backend_t *backend, GString *out, const char *database,
           const char *type, int max_age)
 {
     if (strcmp(backend->dropped_route, database) == 0) {
         return;
     }
-    add_text(out,
-             "%s{\"name\":\"r-%s\",\"host\":\"%s\",\"path_prefix\":\"/\","
-             "\"type\":\"%s\",\"timeout_ms\":1000,\"target_latency_ms\":200,"
-             "\"priority\":1,\"service\":\"rez\",\"max_tries\":2,"
-             "\"max_staleness_ms\":%d,\"anonymous\":false}",
-             out[strlen(out) - 1] == '[' ? "" : ",", database, database, type,
-             max_age);
+    g_string_append_printf(
+        out,
+        "%s{\"name\":\"r-%s\",\"host\":\"%s\",\"path_prefix\":\"/\","
+        "\"type\":\"%s\",\"timeout_ms\":1000,\"target_latency_ms\":200,"
+        "\"priority\":1,\"service\":\"rez\",\"max_tries\":2,"
+        "\"max_staleness_ms\":%d,\"anonymous\":false}",
+        out->str[out->len - 1] == '[' ? "" : ",", database, database, type,
+        max_age);
+}
+
+static void
+add_routes(const backend_t *backend, GString *out)
+{
+    char database[BACKEND_TEXT_BYTES];
+
+    add_route(backend, out, "primary", "primary", 0);
+    add_route(backend, out, "bounded", "bounded_staleness", 1500);
+    add_route(backend, out, "own", "read_your_writes", 2500);
+    for (int i = 0; i < backend->extra_routes; i++) {
+        backend_extra_database(i, database);
+        add_route(backend, out, database, "read_your_writes", 2500);
+    }
 }
 
 void
 backend_put_config(backend_t *backend, int64_t version,
                    const char *const *keys, int64_t rate)
 {
-    char text[VALUE_MAX_BYTES] = "";
-
-    add_text(text, "{\"version\":%lld,\"routes\":[", (long long)version);
-    add_route(backend, text, "primary", "primary", 0);
-    add_route(backend, text, "bounded", "bounded_staleness", 1500);
-    add_route(backend, text, "own", "read_your_writes", 2500);
-    add_text(text,
-             "],\"services\":[{\"name\":\"rez\",\"max_conns\":%d,"
-             "\"sync_replicas\":%d}],\"limits\":{\"tx_idle_ms\":3000},"
-             "\"tenants\":[",
-             backend->max_conns, backend->sync_replicas);
+    GString *text = g_string_new(NULL);
+
+    g_string_append_printf(text, "{\"version\":%lld,\"routes\":[",
+                           (long long)version);
+    add_routes(backend, text);
+    g_string_append_printf(
+        text,
+        "],\"services\":[{\"name\":\"rez\",\"max_conns\":%d,"
+        "\"sync_replicas\":%d}],\"limits\":{\"tx_idle_ms\":3000},"
+        "\"tenants\":[",
+        backend->max_conns, backend->sync_replicas);
     for (int i = 0; keys[i] != NULL; i++) {
         const char *colon = strchr(keys[i], ':');
-        add_text(text,
-                 "%s{\"name\":\"%.*s\",\"api_keys\":[\"%s\"],"
-                 "\"rate_per_s\":%lld,\"burst\":%lld}",
-                 i == 0 ? "" : ",", (int)(colon - keys[i]), keys[i], colon + 1,
-                 (long long)rate, (long long)rate);
+        g_string_append_printf(text,
+                               "%s{\"name\":\"%.*s\",\"api_keys\":[\"%s\"],"
+                               "\"rate_per_s\":%lld,\"burst\":%lld}",
+                               i == 0 ? "" : ",", (int)(colon - keys[i]),
+                               keys[i], colon + 1, (long long)rate,
+                               (long long)rate);
     }
-    add_text(text, "]}");
-    backend_put_row(backend, "op", "config", text);
+    g_string_append(text, "]}");
+    backend->config_len = text->len;
+    backend_put_row(backend, "op", "config", text->str);
+    g_string_free(text, TRUE);
 }
 
 int
--- a/tests/integration/world.h
+++ b/tests/integration/world.h
@@ -58,6 +58,15 @@
 /** backend_drop_route() - omit the route of @database from the desired states
  * stored from now on. */
 void backend_drop_route(backend_t *backend, const char *database);
+/** backend_set_extra_routes() - set the number of routes that the desired
+ * states stored from now on have in addition; see backend_extra_database().
+ */
+void backend_set_extra_routes(backend_t *backend, int count);
+/** backend_extra_database() - name of the database that extra route @index
+ * serves, with session consistency. */
+void backend_extra_database(int index, char name[BACKEND_TEXT_BYTES]);
+/** backend_config_length() - bytes of the last desired state. */
+size_t backend_config_length(const backend_t *backend);
 
 int backend_db_port(const backend_t *backend, int db);
 const char *backend_store_address(const backend_t *backend, int index);
--- a/tests/integration/world_internal.h
+++ b/tests/integration/world_internal.h
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/listener.h>
+#include <glib.h>
 
 #include "common/list.h"
 #include "world.h"
@@ -12,7 +13,6 @@
     LOG_MAX = 20000,
     RUNS_MAX = 60000,
     ROWS_MAX = 256,
-    VALUE_MAX_BYTES = 8192,
 };
 
 /** One entry of the replicated log. */
@@ -47,7 +47,7 @@
 typedef struct backend_row {
     char table[BACKEND_TEXT_BYTES];
     char key[BACKEND_TEXT_BYTES];
-    char value[VALUE_MAX_BYTES];
+    const char *value; /* base64-encoded, in the backend's texts */
     int64_t version;
     bool deleted;
 } backend_row_t;
@@ -79,11 +79,14 @@
     char promotion_address[BACKEND_TEXT_BYTES];
     backend_row_t *rows;
     size_t row_count;
+    GPtrArray *texts; /* values that rows have or had; never change */
     int64_t version;
     int store_reads;
     mr_list_t feeds; /* feed calls that wait for a change */
     struct event *registration_timer;
     char dropped_route[BACKEND_TEXT_BYTES];
+    int extra_routes;  /* in the next desired states */
+    size_t config_len; /* of the last desired state */
     backend_run_t *runs;
     size_t run_count;
     char violation[256];
--- a/tests/integration/world_store.c
+++ b/tests/integration/world_store.c
@@ -151,8 +151,8 @@
     row->version = ++backend->version;
     row->deleted = value == NULL;
     if (value != NULL) {
-        ck_assert_uint_lt(strlen(value), sizeof(row->value));
-        snprintf(row->value, sizeof(row->value), "%s", value);
+        row->value = mr_strdup(value);
+        g_ptr_array_add(backend->texts, (void *)row->value);
     }
     MR_LIST_FOREACH(it, &backend->feeds)
     {
--- a/tests/standins/fault_proxy.c
+++ b/tests/standins/fault_proxy.c
@@ -6,12 +6,20 @@
  *   POST /links/NAME  {"delay_ms":N,"delay_to_target_ms":N,
  *                      "delay_to_caller_ms":N,
  *                      "cut":"none"|"both"|"to_target"|"to_caller",
- *                      "refuse":bool,"hold":bool,"reset":true}
+ *                      "refuse":bool,"hold":bool,"reset":true,
+ *                      "limit_to_target":LIMIT,"limit_to_caller":LIMIT}
+ *   POST /limits/LIMIT  {"bytes_per_s":N}
  *   GET /links        counters; bytes and dropped are [to target, to caller]
  *
  * NAME may be a pattern with '*'. During a cut, the bytes of that direction
  * are dropped while the connection stays open. When the cut ends, connections
  * that lost bytes are reset, so that no stream continues with a gap.
+ *
+ * A limit is the bandwidth that all directions of links naming it share, for
+ * example the outgoing half of one machine's network connection. Open
+ * connections take turns. "" ends the limit of a direction, N = 0 that of all
+ * directions with this limit. Bytes that wait for their turn stay with the
+ * sender, except for PENDING_LIMITED_MAX_BYTES of each connection.
  */
 
 #include <event2/buffer.h>
@@ -39,8 +47,19 @@
     DIRECTIONS,
     READ_MAX_BYTES = 256 << 10,
     PENDING_MAX_BYTES = 64 << 20, /* reading from the sender pauses above it */
+    PENDING_LIMITED_MAX_BYTES = 32 << 10, /* the same under a limit */
+    TURN_BYTES = 4 << 10,  /* sent by one connection before the next one */
+    TURN_LATE_MAX_MS = 10, /* unused time that a limit makes up for */
 };
 
+/** Bandwidth shared by directions of links. */
+typedef struct limit {
+    mr_list_t link;
+    char *name;
+    int64_t bytes_per_s; /* 0: unlimited */
+    double free_at;      /* end of the last reserved turn, ms */
+} limit_t;
+
 typedef struct link {
     mr_list_t link;
     char *name;
@@ -50,6 +69,7 @@
     mr_ms_t delay[DIRECTIONS];
     bool cut[DIRECTIONS];
     bool hold;
+    limit_t *limit[DIRECTIONS]; /* NULL: none */
     mr_list_t conns;
     int64_t accepted;
     int64_t open;
@@ -72,7 +92,9 @@
     struct evbuffer *queued;
     GQueue segments; /* segment_t of the queued bytes, in order */
     struct event *timer;
-    bool discarded; /* bytes were dropped; nothing more is forwarded */
+    size_t turn_len;   /* bytes of the reserved turn; 0: none */
+    mr_ms_t turn_ends; /* when they are forwarded */
+    bool discarded;    /* bytes were dropped; nothing more is forwarded */
     bool sender_closed;
 } stream_t;
 
@@ -84,6 +106,7 @@
 
 static struct event_base *base;
 static mr_list_t links;
+static mr_list_t limits;
 
 static void
 free_conn(conn_t *conn, bool reset)
@@ -115,9 +138,56 @@
     stream->conn->owner->dropped[stream->direction] += (int64_t)len;
     evbuffer_drain(stream->queued, len);
     g_queue_clear_full(&stream->segments, free);
+    stream->turn_len = 0;
     event_del(stream->timer);
 }
 
+static limit_t *
+get_limit(const char *name)
+{
+    MR_LIST_FOREACH(it, &limits)
+    {
+        limit_t *limit = MR_LIST_ENTRY(it, limit_t, link);
+        if (strcmp(limit->name, name) == 0) {
+            return limit;
+        }
+    }
+    limit_t *limit = MR_NEW(limit_t);
+    limit->name = mr_strdup(name);
+    mr_list_append(&limits, &limit->link);
+    return limit;
+}
+
+static bool
+is_limited(const link_t *owner, int direction)
+{
+    return owner->limit[direction] != NULL
+           && owner->limit[direction]->bytes_per_s > 0;
+}
+
+/* Reserves the bandwidth for the next bytes of the first segment. */
+static void
+reserve_turn(stream_t *stream, const segment_t *segment, mr_ms_t now)
+{
+    limit_t *limit = stream->conn->owner->limit[stream->direction];
+
+    stream->turn_len = segment->len < TURN_BYTES ? segment->len : TURN_BYTES;
+    if (limit->free_at < (double)(now - TURN_LATE_MAX_MS)) {
+        limit->free_at = (double)(now - TURN_LATE_MAX_MS);
+    }
+    limit->free_at +=
+        (double)stream->turn_len * 1000 / (double)limit->bytes_per_s;
+    stream->turn_ends = (mr_ms_t)limit->free_at;
+}
+
+static size_t
+pending_max(const stream_t *stream)
+{
+    return is_limited(stream->conn->owner, stream->direction)
+               ? PENDING_LIMITED_MAX_BYTES
+               : PENDING_MAX_BYTES;
+}
+
 static size_t
 pending_bytes(const stream_t *stream)
 {
@@ -136,15 +206,28 @@
 
     while (!owner->hold
            && (segment = g_queue_peek_head(&stream->segments)) != NULL) {
-        if (segment->due > now) {
-            struct timeval tv = mr_clock_timeval(segment->due - now);
+        bool limited = is_limited(owner, stream->direction);
+        mr_ms_t due = segment->due;
+        if (limited && due <= now) {
+            if (stream->turn_len == 0) {
+                reserve_turn(stream, segment, now);
+            }
+            due = stream->turn_ends;
+        }
+        if (due > now) {
+            struct timeval tv = mr_clock_timeval(due - now);
             evtimer_add(stream->timer, &tv);
             break;
         }
-        owner->bytes[stream->direction] += (int64_t)segment->len;
-        evbuffer_remove_buffer(
-            stream->queued, bufferevent_get_output(stream->to), segment->len);
-        free(g_queue_pop_head(&stream->segments));
+        size_t len = limited ? stream->turn_len : segment->len;
+        stream->turn_len = 0;
+        owner->bytes[stream->direction] += (int64_t)len;
+        evbuffer_remove_buffer(stream->queued,
+                               bufferevent_get_output(stream->to), len);
+        segment->len -= len;
+        if (segment->len == 0) {
+            free(g_queue_pop_head(&stream->segments));
+        }
     }
     /* The receiver does not see a close that happens during a cut. */
     if (stream->sender_closed && !stream->discarded
@@ -152,7 +235,7 @@
         free_conn(stream->conn, false);
         return false;
     }
-    if (pending_bytes(stream) < PENDING_MAX_BYTES && !stream->sender_closed
+    if (pending_bytes(stream) < pending_max(stream) && !stream->sender_closed
         && !stream->discarded) {
         bufferevent_enable(stream->from, EV_READ);
     }
@@ -198,7 +281,7 @@
         discard(stream);
     }
     else if (forward_due(stream)
-             && pending_bytes(stream) >= PENDING_MAX_BYTES) {
+             && pending_bytes(stream) >= pending_max(stream)) {
         bufferevent_disable(bev, EV_READ);
     }
 }
@@ -246,6 +329,7 @@
     struct sockaddr_storage addr;
     int len;
     int on = 1;
+    int limited = PENDING_LIMITED_MAX_BYTES;
 
     (void)listener;
     (void)from;
@@ -258,7 +342,8 @@
     owner->open++;
     mr_list_append(&owner->conns, &conn->link);
     ends[0] = bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
-    ends[1] = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    ends[1] = bufferevent_socket_new(base, mr_address_socket(&addr),
+                                     BEV_OPT_CLOSE_ON_FREE);
     for (int i = 0; i < DIRECTIONS; i++) {
         stream_t *stream = &conn->streams[i];
         stream->conn = conn;
@@ -267,6 +352,10 @@
         stream->to = ends[1 - i];
         stream->queued = evbuffer_new();
         stream->timer = evtimer_new(base, on_timer, stream);
+        if (is_limited(owner, i)) {
+            setsockopt(bufferevent_getfd(ends[i]), SOL_SOCKET, SO_RCVBUF,
+                       &limited, sizeof(limited));
+        }
         bufferevent_set_max_single_read(ends[i], READ_MAX_BYTES);
         bufferevent_set_max_single_write(ends[i], READ_MAX_BYTES);
         bufferevent_setcb(ends[i], on_read, on_write, on_event, conn);
@@ -324,12 +413,22 @@
     }
 }
 
+/* Sets the limit of a direction. @name: NULL: unchanged, "": none. */
+static void
+set_limit(link_t *owner, int direction, const char *name)
+{
+    if (name != NULL) {
+        owner->limit[direction] = name[0] != '\0' ? get_limit(name) : NULL;
+    }
+}
+
 static bool
 apply_faults(link_t *owner, json_t *fault, mr_json_problem_t *problem)
 {
     int64_t both = -1;
     mr_ms_t *delay = owner->delay;
     const char *cut = NULL;
+    const char *limit[DIRECTIONS] = {NULL, NULL};
     bool refuse = owner->listener == NULL;
     bool hold = owner->hold;
     bool reset = false;
@@ -342,6 +441,8 @@
         {"refuse", MR_JSON_BOOL, false, &refuse, 0, 0},
         {"hold", MR_JSON_BOOL, false, &hold, 0, 0},
         {"reset", MR_JSON_BOOL, false, &reset, 0, 0},
+        {"limit_to_target", MR_JSON_STRING, false, &limit[0], 0, 0},
+        {"limit_to_caller", MR_JSON_STRING, false, &limit[1], 0, 0},
     };
     if (!mr_json_read(fault, owner->name, fields, G_N_ELEMENTS(fields),
                       problem)) {
@@ -360,6 +461,8 @@
         delay[TO_CALLER] = both;
     }
     owner->hold = hold;
+    set_limit(owner, TO_TARGET, limit[TO_TARGET]);
+    set_limit(owner, TO_CALLER, limit[TO_CALLER]);
     if (refuse && owner->listener != NULL) {
         evconnlistener_free(owner->listener);
         owner->listener = NULL;
@@ -372,6 +475,27 @@
     return true;
 }
 
+/* Sets the bandwidth of a limit. */
+static bool
+change_limit(const char *name, json_t *doc, mr_json_problem_t *problem)
+{
+    int64_t bytes_per_s = 0;
+    const mr_json_field_t fields[] = {
+        {"bytes_per_s", MR_JSON_INTEGER, true, &bytes_per_s, 0,
+         INT64_C(1) << 40},
+    };
+
+    if (!mr_json_read(doc, name, fields, G_N_ELEMENTS(fields), problem)) {
+        return false;
+    }
+    get_limit(name)->bytes_per_s = bytes_per_s;
+    MR_LIST_FOREACH(it, &links)
+    {
+        apply_to_connections(MR_LIST_ENTRY(it, link_t, link), false);
+    }
+    return true;
+}
+
 static json_t *
 describe_links(void)
 {
@@ -431,6 +555,10 @@
             }
         }
     }
+    else if (fault != NULL && strncmp(path, "/limits/", 8) == 0) {
+        found = true;
+        valid = change_limit(path + 8, fault, &problem);
+    }
     int status = found && valid ? 200 : found || fault == NULL ? 400 : 404;
     send_answer(
         req, status,
@@ -484,6 +612,7 @@
     signal(SIGPIPE, SIG_IGN);
     base = precise_loop_create();
     mr_list_init(&links);
+    mr_list_init(&limits);
     for (gchar **spec = specs; spec != NULL && *spec != NULL; spec++) {
         if (!add_link(*spec)) {
             fprintf(stderr, "fault_proxy: cannot open link %s\n", *spec);
