Announce large contents and fetch them in chunks

Callers saw requests within their rate refused as rate_limited, requests without an answer and processes that ended over their memory limit, beside a desired state with 1,400 routes more.

Cause: a reply to a report carried the whole desired state (300 KB and more) whenever the reporter had an older version. It shared the link and the queue with the replies that bring tokens and show that the coordinator is alive. Nothing bounded it: each further report of a receiver that had not applied the text yet got another copy, and so did each of the 16 candidates that were asked when the coordinator answered late.

Change: reports and replies carry at most 2 KB of contents, and all replies of an instance 256 KB a second. What is larger is announced by its version. Replies of other instances carry versions only. Earlier desired states that are kept as bases of patches are bounded in bytes, and a text that is in force already is not decoded again.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 CC ?= gcc
 PKGS = libevent libevent_openssl msgpack glib-2.0 jansson libsodium libxxhash \
-       libssl libcrypto
+       libssl libcrypto libzstd
 BUILD ?= build
 SANITIZE ?=
 
--- a/lib/common/event.h
+++ b/lib/common/event.h
@@ -53,6 +53,8 @@
       "version before source")                                                \
     X(CONFIGURATION_MALFORMED, "configuration_malformed", "source problem")   \
     X(FEED_HISTORY_GONE, "feed_history_gone", "after")                        \
+    X(UPDATE_APPLIED, "update_applied", "source bytes took_ms")               \
+    X(UPDATE_FAILED, "update_failed", "source reason received size")          \
     X(REGISTRATIONS_DIFFER, "registrations_differ", "source version")         \
     /* Databases */                                                           \
     X(DATABASE_FOUND, "database_found", "service id address role")            \
--- a/lib/session/directory.c
+++ b/lib/session/directory.c
@@ -9,8 +9,12 @@
 #include "config/patch.h"
 
 enum {
-    /* Number of earlier desired states that patches can start from. */
+    /* Number of earlier desired states that patches can start from, and the
+     * most bytes that they take together. */
     HISTORY_LENGTH = 8,
+    HISTORY_MAX_BYTES = 4 << 20,
+    /* Bytes that an item of a list adds to a message besides its contents. */
+    ITEM_OVERHEAD_BYTES = 24,
 };
 
 /** An earlier desired state. */
@@ -103,6 +107,21 @@
     directory->history[0] = (old_config_t){
         .version = directory->config_version, .body = directory->config};
     directory->config = (mr_bytes_t){0};
+    size_t bytes = 0;
+    for (size_t i = 0; i < HISTORY_LENGTH; i++) {
+        bytes += directory->history[i].body.len;
+        if (bytes > HISTORY_MAX_BYTES) {
+            clear_old_config(&directory->history[i]);
+        }
+    }
+}
+
+static bool
+is_current_config(const mr_directory_t *directory, const void *data,
+                  size_t len)
+{
+    return len == directory->config.len && len > 0
+           && memcmp(data, directory->config.data, len) == 0;
 }
 
 void
@@ -110,8 +129,11 @@
                         size_t len, const char *source)
 {
     const char *problem;
-    mr_catalog_t *catalog = mr_catalog_decode(data, len, &problem);
 
+    if (is_current_config(directory, data, len)) {
+        return;
+    }
+    mr_catalog_t *catalog = mr_catalog_decode(data, len, &problem);
     if (catalog == NULL) {
         mr_counter_add(directory->malformed_counter, 1);
         mr_log(MR_LOG_ERROR, MR_EVENT_CONFIGURATION_MALFORMED,
@@ -252,10 +274,27 @@
     return version > than_version && digest != than_digest;
 }
 
+static size_t
+patch_bytes(const mr_msg_patch_part_t *parts, size_t count)
+{
+    size_t bytes = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        bytes += ITEM_OVERHEAD_BYTES + parts[i].insert.len;
+    }
+    return bytes;
+}
+
+static size_t
+row_bytes(const mr_msg_registration_t *row)
+{
+    return ITEM_OVERHEAD_BYTES + strlen(row->id) + row->value.len;
+}
+
 /* Exports the desired state for a receiver that has version @known, as a patch
  * if possible. */
 static void
-export_config(mr_directory_t *directory, int64_t known,
+export_config(mr_directory_t *directory, int64_t known, size_t max_bytes,
               mr_msg_directory_t *out)
 {
     for (size_t i = 0; known > 0 && i < HISTORY_LENGTH; i++) {
@@ -269,28 +308,39 @@
                                  &old_config->patch);
         }
         if (old_config->patch.count > 0) {
-            out->config_base = known;
-            out->config_patch = old_config->patch.parts;
-            out->config_patch_count = old_config->patch.count;
+            if (patch_bytes(old_config->patch.parts, old_config->patch.count)
+                <= max_bytes) {
+                out->config_base = known;
+                out->config_patch = old_config->patch.parts;
+                out->config_patch_count = old_config->patch.count;
+            }
             return;
         }
     }
-    out->config = directory->config;
+    if (directory->config.len <= max_bytes) {
+        out->config = directory->config;
+    }
 }
 
 /* Exports all rows; those that have not changed since @known have no value. */
 static void
-export_rows(mr_directory_t *directory, int64_t known, mr_msg_directory_t *out)
+export_rows(mr_directory_t *directory, int64_t known, size_t max_bytes,
+            mr_msg_directory_t *out)
 {
-    size_t bytes =
+    size_t size =
         (directory->row_count + 1) * sizeof(*directory->exported_rows);
+    size_t bytes = 0;
 
-    directory->exported_rows = mr_realloc(directory->exported_rows, bytes);
+    directory->exported_rows = mr_realloc(directory->exported_rows, size);
     for (size_t i = 0; i < directory->row_count; i++) {
         directory->exported_rows[i] = directory->rows[i];
         if (directory->row_states[i].changed_version <= known) {
             directory->exported_rows[i].value = (mr_bytes_t){0};
         }
+        bytes += row_bytes(&directory->exported_rows[i]);
+    }
+    if (bytes > max_bytes) {
+        return;
     }
     out->registrations = directory->exported_rows;
     out->registration_count = directory->row_count;
@@ -298,7 +348,7 @@
 
 void
 mr_directory_export(mr_directory_t *directory, const mr_msg_directory_t *known,
-                    mr_msg_directory_t *out)
+                    size_t max_bytes, mr_msg_directory_t *out)
 {
     *out = (mr_msg_directory_t){
         .config_version = directory->config_version,
@@ -309,13 +359,60 @@
         return;
     }
     if (directory->config_version > known->config_version) {
-        export_config(directory, known->config_version, out);
+        export_config(directory, known->config_version, max_bytes, out);
     }
     if (registrations_newer(
             directory->registrations_version, directory->registrations_digest,
             known->registrations_version, known->registrations_digest)) {
-        export_rows(directory, known->registrations_version, out);
+        export_rows(directory, known->registrations_version, max_bytes, out);
+    }
+}
+
+bool
+mr_directory_has_contents(const mr_msg_directory_t *exported)
+{
+    return exported->config.len > 0 || exported->config_patch_count > 0
+           || exported->registration_count > 0;
+}
+
+size_t
+mr_directory_content_bytes(const mr_msg_directory_t *exported)
+{
+    size_t bytes =
+        exported->config.len
+        + patch_bytes(exported->config_patch, exported->config_patch_count);
+
+    for (size_t i = 0; i < exported->registration_count; i++) {
+        bytes += row_bytes(&exported->registrations[i]);
     }
+    return bytes;
+}
+
+bool
+mr_directory_leaves_out(const mr_msg_directory_t *exported,
+                        const mr_msg_directory_t *known)
+{
+    bool config = exported->config_version > known->config_version
+                  && exported->config.len == 0
+                  && exported->config_patch_count == 0;
+    bool rows = registrations_newer(exported->registrations_version,
+                                    exported->registrations_digest,
+                                    known->registrations_version,
+                                    known->registrations_digest)
+                && exported->registration_count == 0;
+
+    return config || rows;
+}
+
+bool
+mr_directory_lacks(const mr_directory_t *directory,
+                   const mr_msg_directory_t *exported)
+{
+    return exported->config_version > directory->config_version
+           || registrations_newer(exported->registrations_version,
+                                  exported->registrations_digest,
+                                  directory->registrations_version,
+                                  directory->registrations_digest);
 }
 
 static void
--- a/lib/session/directory.h
+++ b/lib/session/directory.h
@@ -45,12 +45,30 @@
 int64_t mr_directory_config_version(const mr_directory_t *directory);
 
 /** mr_directory_export() - describe the versions, and the contents that are
- * newer than @known; NULL: only the versions. Contents are borrowed until the
- * next call. */
+ * newer than @known; NULL: only the versions. The desired state and the
+ * registrations are each left out if they take more than @max_bytes. Contents
+ * are borrowed until the next call. */
 void mr_directory_export(mr_directory_t *directory,
-                         const mr_msg_directory_t *known,
+                         const mr_msg_directory_t *known, size_t max_bytes,
                          mr_msg_directory_t *out);
 
+/** mr_directory_has_contents() - whether @exported has more than versions. */
+bool mr_directory_has_contents(const mr_msg_directory_t *exported);
+
+/** mr_directory_content_bytes() - bytes that the contents of @exported take in
+ * a message. */
+size_t mr_directory_content_bytes(const mr_msg_directory_t *exported);
+
+/** mr_directory_leaves_out() - whether contents newer than @known are missing
+ * in @exported because of its limit. */
+bool mr_directory_leaves_out(const mr_msg_directory_t *exported,
+                             const mr_msg_directory_t *known);
+
+/** mr_directory_lacks() - whether @exported describes newer contents than the
+ * directory has. */
+bool mr_directory_lacks(const mr_directory_t *directory,
+                        const mr_msg_directory_t *exported);
+
 /** mr_directory_import() - apply the contents of @in that are newer. */
 void mr_directory_import(mr_directory_t *directory,
                          const mr_msg_directory_t *in, const char *source);
--- a/lib/session/fleet.c
+++ b/lib/session/fleet.c
@@ -193,6 +193,7 @@
             fleet,
             MR_LIST_ENTRY(fleet->instances.next, mr_fleet_instance_t, link));
     }
+    mr_updates_destroy(fleet->updates);
     if (fleet->peer != NULL) {
         mr_peer_destroy(fleet->peer);
     }
--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -2,12 +2,14 @@
 #define MR_SESSION_FLEET_INTERNAL_H
 
 /* Shared by fleet.c (choice of the coordinator), fleet_report.c (reports and
- * their replies) and fleet_members.c (registration of the instances). */
+ * their replies), fleet_source.c (who sends large contents to whom) and
+ * fleet_members.c (registration of the instances). */
 
 #include "common/list.h"
 #include "common/timer.h"
 #include "session/budget.h"
 #include "session/fleet.h"
+#include "session/update.h"
 #include "wire/peer.h"
 
 enum {
@@ -24,11 +26,17 @@
     int64_t row_version; /* of its registration; 0: only known from a report */
     uint64_t priority;   /* the instance with the highest one coordinates */
     int failures;        /* consecutive unanswered reports */
-    mr_ms_t last_sent_at;   /* last report sent to it */
-    mr_ms_t last_report_at; /* last report, or coordinator's reply, from it */
-    uint64_t sent_changes;  /* change_count of the clusters at the last reply
-                               to it */
-    bool in_store;          /* in the registrations just read */
+    mr_ms_t last_sent_at;    /* last report sent to it */
+    mr_ms_t last_report_at;  /* last report, or coordinator's reply, from it */
+    uint64_t sent_changes;   /* change_count of the clusters at the last reply
+                                to it */
+    bool in_store;           /* in the registrations just read */
+    char *data_centre;       /* NULL: has not reported yet */
+    mr_msg_directory_t held; /* versions in its last report; no contents */
+    bool fetching;           /* was told to fetch contents from @source */
+    struct mr_fleet_instance *source; /* NULL: this instance */
+    mr_ms_t source_chosen_at;
+    int fetchers; /* instances that were told to fetch from it */
 } mr_fleet_instance_t;
 
 /** A report that waits for its reply. */
@@ -42,12 +50,13 @@
 
 struct mr_fleet {
     mr_fleet_options_t options;
-    mr_peer_t *peer; /* NULL until the secret is known */
+    mr_peer_t *peer;       /* NULL until the secret is known */
+    mr_updates_t *updates; /* likewise */
     mr_budgets_t *budgets;
     mr_list_t instances; /* other instances, highest priority first */
     size_t other_count;
     uint64_t own_priority;
-    int64_t own_version; /* of this instance's registration; 0: none */
+    int64_t own_version;    /* of this instance's registration; 0: none */
     bool joined;
     bool leaving;
     bool coordinating;
@@ -62,6 +71,9 @@
     mr_fleet_instance_t *coordinator; /* NULL: this one */
     /* Versions in the coordinator's last reply; no contents. */
     mr_msg_directory_t coordinator_directory;
+    int own_fetchers;     /* instances that were told to fetch from this one */
+    int64_t inline_bytes; /* that replies may still carry as contents */
+    mr_ms_t inline_filled_at; /* when @inline_bytes was last increased */
     mr_list_t reports;
     struct event *report_timer;
     struct event *check_timer;
@@ -84,6 +96,17 @@
 void mr_fleet_on_report(void *ctx, mr_peer_request_t *request,
                         const mr_msg_t *msg, const char *from);
 
+/* fleet_source.c */
+/** mr_fleet_choose_source() - choose where @receiver fetches contents that
+ * this instance has and it lacks. Unless it is fetching afterwards, it has to
+ * wait. */
+void mr_fleet_choose_source(mr_fleet_t *fleet, mr_fleet_instance_t *receiver,
+                            mr_ms_t now);
+/** mr_fleet_release_source() - @instance does not fetch any more. */
+void mr_fleet_release_source(mr_fleet_t *fleet, mr_fleet_instance_t *instance);
+/** mr_fleet_remove_source() - @source is removed. */
+void mr_fleet_remove_source(mr_fleet_t *fleet, mr_fleet_instance_t *source);
+
 /* fleet_members.c */
 /** mr_fleet_add_or_update_instance() - add an instance, or update its address.
  * NULL if it is new and its address is malformed. */
--- a/lib/session/fleet_members.c
+++ b/lib/session/fleet_members.c
@@ -54,10 +54,12 @@
     if (fleet->coordinator == instance) {
         fleet->coordinator = NULL;
     }
+    mr_fleet_remove_source(fleet, instance);
     mr_list_remove(&instance->link);
     fleet->other_count--;
     free(instance->name);
     free(instance->address);
+    free(instance->data_centre);
     free(instance);
 }
 
@@ -223,6 +225,12 @@
     remove_silent_instances(fleet, mr_clock_now(NULL));
 }
 
+static void
+on_update_applied(void *ctx)
+{
+    mr_fleet_report_soon(ctx);
+}
+
 static void
 start_peer(mr_fleet_t *fleet)
 {
@@ -235,6 +243,13 @@
         .secret = fleet->secret,
     });
     mr_peer_handle(fleet->peer, MR_MSG_REPORT, mr_fleet_on_report, fleet);
+    fleet->updates = mr_updates_create(&(mr_updates_options_t){
+        .counters = fleet->options.counters,
+        .peer = fleet->peer,
+        .directory = fleet->options.directory,
+        .applied = on_update_applied,
+        .ctx = fleet,
+    });
     if (mr_peer_listen(fleet->peer, fleet->options.address) < 0) {
         mr_log(MR_LOG_ERROR, MR_EVENT_LISTEN_FAILED, "address=%s",
                fleet->options.address);
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -24,6 +24,11 @@
     CANDIDATES_MAX = 16,
     HEALTH_MAX = 4096,
     WANTS_MAX = 1024,
+    /* Contents that a message carries; what is larger is fetched. */
+    INLINE_MAX_BYTES = 2048,
+    /* Bound of the contents in all replies together, a fifth of a link of 10
+     * Mbit/s. */
+    INLINE_RATE_BYTES_PER_S = 256 << 10,
 };
 
 /* Lists the health of the primaries that answered this instance lately or fail
@@ -153,6 +158,22 @@
     }
 }
 
+/* Fetches newer contents that a reply announces without carrying them. */
+static void
+fetch_announced(mr_fleet_t *fleet, const mr_fleet_instance_t *from,
+                const mr_msg_report_reply_t *reply)
+{
+    if (!mr_directory_lacks(fleet->options.directory, &reply->directory)) {
+        return;
+    }
+    if (from != fleet->coordinator) {
+        mr_updates_fetch(fleet->updates, from->address, from->name);
+    }
+    else if (reply->source_address[0] != '\0') {
+        mr_updates_fetch(fleet->updates, reply->source_address, reply->source);
+    }
+}
+
 static void
 on_reply(void *ctx, mr_error_kind_t error, const mr_msg_t *msg)
 {
@@ -174,8 +195,8 @@
         mr_log(MR_LOG_INFO, MR_EVENT_INSTANCE_REGAINED, "name=%s", from->name);
     }
     from->failures = 0;
-    mr_directory_import(fleet->options.directory, &reply->directory,
-                        from->name);
+    mr_updates_import(fleet->updates, &reply->directory, from->name);
+    fetch_announced(fleet, from, reply);
     if (from == fleet->coordinator) {
         fleet->answered_at = now;
         fleet->store_failing = reply->store_failing;
@@ -211,8 +232,10 @@
         .want_count = lists->want_count,
         .health = lists->health,
         .health_count = lists->health_count,
+        .data_centre = fleet->options.data_centre,
+        .defers_config = !mr_updates_accepts_config(fleet->updates),
     };
-    mr_directory_export(fleet->options.directory, known,
+    mr_directory_export(fleet->options.directory, known, INLINE_MAX_BYTES,
                         &msg.u.report.directory);
     *report = (mr_fleet_report_t){
         .fleet = fleet, .to = to, .sent_at = mr_clock_now(NULL)};
@@ -395,12 +418,67 @@
     return count;
 }
 
+/* Returns the bytes that the next reply may carry as contents. */
+static size_t
+inline_allowance(mr_fleet_t *fleet, mr_ms_t now)
+{
+    mr_ms_t elapsed = now - fleet->inline_filled_at;
+    int64_t bytes = INLINE_RATE_BYTES_PER_S;
+
+    if (fleet->inline_filled_at != 0 && elapsed < 1000) {
+        bytes = fleet->inline_bytes + elapsed * INLINE_RATE_BYTES_PER_S / 1000;
+    }
+    fleet->inline_bytes =
+        bytes < INLINE_RATE_BYTES_PER_S ? bytes : INLINE_RATE_BYTES_PER_S;
+    fleet->inline_filled_at = now;
+    return fleet->inline_bytes < INLINE_MAX_BYTES ? (size_t)fleet->inline_bytes
+                                                  : INLINE_MAX_BYTES;
+}
+
+/* Adds newer contents to the reply if they are small, and otherwise the
+ * instance to fetch them from. */
+static void
+add_contents(mr_fleet_t *fleet, mr_fleet_instance_t *instance,
+             const mr_msg_report_t *report, mr_msg_report_reply_t *reply,
+             mr_ms_t now)
+{
+    mr_msg_directory_t known = report->directory;
+
+    reply->source = "";
+    reply->source_address = "";
+    if (instance == NULL || !report->draws_tokens) {
+        mr_directory_export(fleet->options.directory, NULL, 0,
+                            &reply->directory);
+        return;
+    }
+    if (report->defers_config) {
+        known.config_version = INT64_MAX;
+    }
+    mr_directory_export(fleet->options.directory, &known,
+                        inline_allowance(fleet, now), &reply->directory);
+    fleet->inline_bytes -=
+        (int64_t)mr_directory_content_bytes(&reply->directory);
+    if (!mr_directory_leaves_out(&reply->directory, &known)) {
+        mr_fleet_release_source(fleet, instance);
+        return;
+    }
+    mr_fleet_choose_source(fleet, instance, now);
+    if (instance->fetching && instance->source != NULL) {
+        reply->source = instance->source->name;
+        reply->source_address = instance->source->address;
+    }
+    else if (instance->fetching) {
+        reply->source = fleet->options.name;
+        reply->source_address = fleet->options.address;
+    }
+}
+
 /* Replies to a report with the requested tokens, newer contents of the
  * directory, and the primaries that changed after @known_changes. */
 static void
 answer_report(mr_fleet_t *fleet, mr_peer_request_t *request,
-              const mr_msg_report_t *report, uint64_t known_changes,
-              mr_ms_t now)
+              mr_fleet_instance_t *instance, const mr_msg_report_t *report,
+              uint64_t known_changes, mr_ms_t now)
 {
     mr_msg_t msg = {.type = MR_MSG_REPORT_REPLY};
     mr_msg_report_reply_t *reply = &msg.u.report_reply;
@@ -411,8 +489,7 @@
     reply->instances = (int64_t)mr_fleet_instances(fleet);
     reply->lifetime_ms = TOKEN_LIFETIME_MS;
     reply->store_failing = mr_feed_failing(fleet->options.feed);
-    mr_directory_export(fleet->options.directory, &report->directory,
-                        &reply->directory);
+    add_contents(fleet, instance, report, reply, now);
     for (size_t i = 0; i < report->want_count; i++) {
         draws[i] = (mr_msg_draw_t){report->wants[i].account,
                                    draw_tokens(fleet, &report->wants[i], now)};
@@ -427,6 +504,25 @@
     free(primaries);
 }
 
+/* Notes which versions the sender of a report has. */
+static void
+record_holdings(mr_fleet_instance_t *instance, const mr_msg_report_t *report)
+{
+    const mr_msg_directory_t *directory = &report->directory;
+
+    instance->held = (mr_msg_directory_t){
+        .config_version = directory->config_version,
+        .registrations_version = directory->registrations_version,
+        .registrations_digest = directory->registrations_digest,
+    };
+    if (report->data_centre[0] != '\0'
+        && (instance->data_centre == NULL
+            || strcmp(instance->data_centre, report->data_centre) != 0)) {
+        free(instance->data_centre);
+        instance->data_centre = mr_strdup(report->data_centre);
+    }
+}
+
 void
 mr_fleet_on_report(void *ctx, mr_peer_request_t *request, const mr_msg_t *msg,
                    const char *from)
@@ -453,8 +549,13 @@
              * reply. */
             instance->sent_changes = fleet->options.clusters->change_count;
         }
+        record_holdings(instance, report);
+    }
+    mr_updates_import(fleet->updates, &report->directory, from);
+    if (instance != NULL
+        && mr_directory_lacks(fleet->options.directory, &report->directory)) {
+        mr_updates_fetch(fleet->updates, instance->address, instance->name);
     }
-    mr_directory_import(fleet->options.directory, &report->directory, from);
     if (report->draws_tokens) {
         mr_budgets_report(fleet->budgets, from, now);
         mr_promoter_report(fleet->options.promoter, from, now, report->health,
@@ -463,5 +564,5 @@
     if (report->refresh) {
         mr_feed_refresh(fleet->options.feed);
     }
-    answer_report(fleet, request, report, known_changes, now);
+    answer_report(fleet, request, instance, report, known_changes, now);
 }
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -252,24 +252,26 @@
 static const layout_t db_health_layout =
     LAYOUT(mr_msg_db_health_t, db_health_fields);
 
-#define DIRECTORY_FIELDS(type)                                                \
-    FIELD(INTEGER, type, directory.config_version),                           \
-        FIELD(BYTES, type, directory.config),                                 \
-        FIELD(INTEGER, type, directory.config_base),                          \
-        LIST_FIELD(type, directory.config_patch,                              \
-                   directory.config_patch_count, patch_part_layout),          \
-        FIELD(INTEGER, type, directory.registrations_version),                \
-        FIELD(INTEGER, type, directory.registrations_digest),                 \
-        LIST_FIELD(type, directory.registrations,                             \
-                   directory.registration_count, registration_layout)
+#define DIRECTORY_FIELDS(type, prefix)                                        \
+    FIELD(INTEGER, type, prefix config_version),                              \
+        FIELD(BYTES, type, prefix config),                                    \
+        FIELD(INTEGER, type, prefix config_base),                             \
+        LIST_FIELD(type, prefix config_patch, prefix config_patch_count,      \
+                   patch_part_layout),                                        \
+        FIELD(INTEGER, type, prefix registrations_version),                   \
+        FIELD(INTEGER, type, prefix registrations_digest),                    \
+        LIST_FIELD(type, prefix registrations, prefix registration_count,     \
+                   registration_layout)
 
 static const field_t report_fields[] = {
     FIELD(STRING, mr_msg_report_t, address),
     FIELD(BOOL, mr_msg_report_t, refresh),
-    DIRECTORY_FIELDS(mr_msg_report_t),
+    DIRECTORY_FIELDS(mr_msg_report_t, directory.),
     FIELD(BOOL, mr_msg_report_t, draws_tokens),
     LIST_FIELD(mr_msg_report_t, wants, want_count, draw_layout),
     LIST_FIELD(mr_msg_report_t, health, health_count, db_health_layout),
+    FIELD(STRING, mr_msg_report_t, data_centre),
+    FIELD(BOOL, mr_msg_report_t, defers_config),
 };
 static const layout_t report_layout = LAYOUT(mr_msg_report_t, report_fields);
 
@@ -288,14 +290,40 @@
     FIELD(INTEGER, mr_msg_report_reply_t, instances),
     FIELD(INTEGER, mr_msg_report_reply_t, lifetime_ms),
     FIELD(BOOL, mr_msg_report_reply_t, store_failing),
-    DIRECTORY_FIELDS(mr_msg_report_reply_t),
+    DIRECTORY_FIELDS(mr_msg_report_reply_t, directory.),
     LIST_FIELD(mr_msg_report_reply_t, draws, draw_count, draw_layout),
     LIST_FIELD(mr_msg_report_reply_t, primaries, primary_count,
                primary_layout),
+    FIELD(STRING, mr_msg_report_reply_t, source),
+    FIELD(STRING, mr_msg_report_reply_t, source_address),
 };
 static const layout_t report_reply_layout =
     LAYOUT(mr_msg_report_reply_t, report_reply_fields);
 
+static const field_t update_fetch_fields[] = {
+    FIELD(INTEGER, mr_msg_update_fetch_t, id),
+    FIELD(INTEGER, mr_msg_update_fetch_t, offset),
+    DIRECTORY_FIELDS(mr_msg_update_fetch_t, known.),
+};
+static const layout_t update_fetch_layout =
+    LAYOUT(mr_msg_update_fetch_t, update_fetch_fields);
+
+static const field_t update_chunk_fields[] = {
+    FIELD(BOOL, mr_msg_update_chunk_t, busy),
+    FIELD(INTEGER, mr_msg_update_chunk_t, id),
+    FIELD(INTEGER, mr_msg_update_chunk_t, size),
+    FIELD(INTEGER, mr_msg_update_chunk_t, offset),
+    FIELD(BYTES, mr_msg_update_chunk_t, data),
+};
+static const layout_t update_chunk_layout =
+    LAYOUT(mr_msg_update_chunk_t, update_chunk_fields);
+
+static const field_t update_fields[] = {
+    DIRECTORY_FIELDS(mr_msg_directory_t, ),
+};
+static const layout_t update_layout =
+    LAYOUT(mr_msg_directory_t, update_fields);
+
 static const layout_t *
 find_layout(int64_t type)
 {
@@ -337,6 +365,12 @@
         return &report_layout;
     case MR_MSG_REPORT_REPLY:
         return &report_reply_layout;
+    case MR_MSG_UPDATE_FETCH:
+        return &update_fetch_layout;
+    case MR_MSG_UPDATE_FETCH_REPLY:
+        return &update_chunk_layout;
+    case MR_MSG_UPDATE:
+        return &update_layout;
     }
     return NULL;
 }
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -40,6 +40,9 @@
     MR_MSG_GRANT_RETURN = 44,
     MR_MSG_REPORT = 50,
     MR_MSG_REPORT_REPLY = 51,
+    MR_MSG_UPDATE_FETCH = 52,
+    MR_MSG_UPDATE_FETCH_REPLY = 53,
+    MR_MSG_UPDATE = 54, /* sent in the chunks of UPDATE_FETCH_REPLY */
 } mr_msg_type_t;
 
 /** HELLO or HELLO_REPLY, a message of the handshake on a link. */
@@ -266,6 +269,8 @@
     size_t want_count;
     mr_msg_db_health_t *health;
     size_t health_count;
+    const char *data_centre; /* of the sender */
+    bool defers_config;      /* no desired state with the reply, please */
 } mr_msg_report_t;
 
 /** State of a service's primary, as known to the coordinator. */
@@ -288,8 +293,27 @@
     size_t draw_count;
     mr_msg_primary_t *primaries;
     size_t primary_count;
+    /* Instance to fetch newer contents from, if they are too large for this
+     * message; "": none at present. */
+    const char *source;
+    const char *source_address;
 } mr_msg_report_reply_t;
 
+/** Requests the next chunk of an update. */
+typedef struct mr_msg_update_fetch {
+    int64_t id; /* of the update whose chunks were received; 0: none so far */
+    int64_t offset;
+    mr_msg_directory_t known; /* versions that the sender has; no contents */
+} mr_msg_update_fetch_t;
+
+typedef struct mr_msg_update_chunk {
+    bool busy;    /* no chunk, as too many other transfers are in progress */
+    int64_t id;   /* differs from the one requested if a newer update begins */
+    int64_t size; /* of the whole update, bytes; 0: no chunk */
+    int64_t offset;
+    mr_bytes_t data;
+} mr_msg_update_chunk_t;
+
 /** A message of any type. */
 typedef struct mr_msg {
     mr_msg_type_t type;
@@ -314,6 +338,9 @@
         mr_msg_grant_return_t grant_return;
         mr_msg_report_t report;
         mr_msg_report_reply_t report_reply;
+        mr_msg_update_fetch_t update_fetch;
+        mr_msg_update_chunk_t update_chunk; /* UPDATE_FETCH_REPLY */
+        mr_msg_directory_t update;
     } u;
 } mr_msg_t;
 
--- a/tests/unit/test_directory.c
+++ b/tests/unit/test_directory.c
@@ -115,8 +115,8 @@
     mr_msg_directory_t known;
     mr_msg_directory_t sent;
 
-    mr_directory_export(to->directory, NULL, &known);
-    mr_directory_export(from->directory, &known, &sent);
+    mr_directory_export(to->directory, NULL, SIZE_MAX, &known);
+    mr_directory_export(from->directory, &known, SIZE_MAX, &sent);
     return sent;
 }
 
@@ -207,6 +207,28 @@
 }
 END_TEST
 
+START_TEST(test_contents_over_the_limit_are_left_out)
+{
+    mr_msg_directory_t known;
+    mr_msg_directory_t sent;
+
+    set_config(&sender, 1);
+    set_rows(&sender, 10, 1);
+    mr_directory_export(receiver.directory, NULL, SIZE_MAX, &known);
+    mr_directory_export(sender.directory, &known, 500, &sent);
+    ck_assert_int_eq(sent.config_version, 1);
+    ck_assert(!mr_directory_has_contents(&sent));
+    ck_assert_uint_eq(mr_directory_content_bytes(&sent), 0);
+    ck_assert(mr_directory_leaves_out(&sent, &known));
+    ck_assert(mr_directory_lacks(receiver.directory, &sent));
+    mr_directory_import(receiver.directory, &sent, "front-1");
+    ck_assert_int_eq(mr_directory_config_version(receiver.directory), 0);
+    set_config(&receiver, 1);
+    set_rows(&receiver, 10, 1);
+    ck_assert(!mr_directory_lacks(receiver.directory, &sent));
+}
+END_TEST
+
 START_TEST(test_only_changed_registrations_are_sent)
 {
     set_rows(&sender, 10, 1);
@@ -245,6 +267,7 @@
         test_a_change_is_sent_as_a_patch,
         test_a_receiver_far_behind_gets_the_whole_state,
         test_a_patch_of_another_version_is_ignored,
+        test_contents_over_the_limit_are_left_out,
         test_only_changed_registrations_are_sent,
         test_registrations_that_differ_are_sent_whole,
     };
