Pause between readings of large desired states

Cause: the coordinator follows the feed of the desired state, and each answer brings the whole row. At one change each 330 ms it transferred and decoded 0.9 MB all the time, on a link of 10 Mbit/s and 0.084 core; reports and tokens waited behind that. Decoding 650 KB takes 28 ms of a whole core here.

Evidence: configuration_applied of the coordinator at 23.2, 25.3 and 27.5 s; all 2,441 refusals of one data centre were rate_limited, after token_wait.

Change: after a desired state, the next feed call waits for three times the time that its transfer and decoding take, 1 s at most. The newest row is read then; versions in between are skipped. The bound for a change to take effect is 3 s or more.

--- a/lib/session/feed.c
+++ b/lib/session/feed.c
@@ -20,6 +20,12 @@
     COORDINATOR_PERIOD_MS = 1000,
     ISOLATED_PERIOD_MS = 2000,
     REFRESH_INTERVAL_MIN_MS = 400, /* between reads on request */
+    /* Pause after a desired state was read, in multiples of the time that its
+     * transfer and its decoding take, so that a series of changes leaves most
+     * of the link and of the processor to requests. */
+    PAUSE_FACTOR = 3,
+    PAUSE_MAX_MS = 1000,
+    LINK_DEFAULT_MBPS = 10,
 };
 
 static const char config_table[] = "op";
@@ -41,10 +47,24 @@
                   itself is read next */
 };
 
+/* Pause after the answer with @bytes of contents, which took @decoding. */
+static mr_ms_t
+config_pause(const mr_feed_t *feed, size_t bytes, mr_ms_t decoding)
+{
+    int64_t mbps = feed->options.link_mbps > 0 ? feed->options.link_mbps
+                                               : LINK_DEFAULT_MBPS;
+    mr_ms_t transfer = (mr_ms_t)bytes * 8 / (mbps * 1000);
+    mr_ms_t pause = PAUSE_FACTOR * (transfer + decoding);
+
+    return pause < PAUSE_MAX_MS ? pause : PAUSE_MAX_MS;
+}
+
 static void
 on_config(void *ctx, const mr_store_answer_t *answer)
 {
     mr_feed_t *feed = ctx;
+    mr_ms_t began = mr_clock_now(NULL);
+    size_t bytes = 0;
 
     feed->config_waiting = false;
     if (answer->error == MR_ERR_NOT_FOUND) {
@@ -68,6 +88,7 @@
     feed->config_retry_ms = 0;
     for (size_t i = 0; i < answer->count; i++) {
         const mr_store_row_t *row = &answer->rows[i];
+        bytes += row->len;
         if (strcmp(row->key, config_key) == 0 && !row->deleted) {
             mr_directory_set_config(feed->options.directory, row->value,
                                     row->len, "store");
@@ -75,7 +96,11 @@
     }
     feed->after = answer->version;
     /* A store without any row has no version to continue from. */
-    mr_timer_start(feed->config_timer, feed->after == 0 ? RETRY_FIRST_MS : 0);
+    mr_timer_start(
+        feed->config_timer,
+        feed->after == 0
+            ? RETRY_FIRST_MS
+            : config_pause(feed, bytes, mr_clock_now(NULL) - began));
 }
 
 static void
--- a/lib/session/feed.h
+++ b/lib/session/feed.h
@@ -18,6 +18,7 @@
     struct event_base *base;
     mr_store_t *store;
     mr_directory_t *directory;
+    int64_t link_mbps; /* of this instance's network link; 0: unknown */
 } mr_feed_options_t;
 
 /** What an instance reads from the store. */
--- a/lib/session/sessiond.c
+++ b/lib/session/sessiond.c
@@ -184,6 +184,7 @@
         .base = daemon->base,
         .store = daemon->store,
         .directory = daemon->directory,
+        .link_mbps = settings->link_mbps,
     });
     daemon->promoter = mr_promoter_create(&(mr_promoter_options_t){
         .base = daemon->base,
--- a/lib/session/sessiond_settings.c
+++ b/lib/session/sessiond_settings.c
@@ -10,6 +10,7 @@
 enum {
     GRACE_DEFAULT_S = 6,
     GRACE_MAX_S = 600,
+    LINK_MAX_MBPS = 1000000,
     MEMORY_MAX_MB = 1 << 20,
     BYTES_PER_MB = 1000 * 1000,
 };
@@ -105,6 +106,29 @@
     return true;
 }
 
+/* Reads the rate of the network link from the environment unless its flag was
+ * given. */
+static bool
+parse_link_rate(const char *text, int64_t *mbps)
+{
+    char *end;
+
+    if (text == NULL) {
+        text = read_environment("link-mbps");
+    }
+    *mbps = 0;
+    if (text == NULL) {
+        return true;
+    }
+    double value = g_ascii_strtod(text, &end);
+    if (end == text || *end != '\0'
+        || !(value >= 0 && value <= LINK_MAX_MBPS)) {
+        return report_error("link-mbps", "must be from 0 to 1000000");
+    }
+    *mbps = (int64_t)value;
+    return true;
+}
+
 bool
 mr_sessiond_settings_read(int *argc, char ***argv,
                           mr_sessiond_settings_t *settings)
@@ -122,9 +146,10 @@
         {"duty", "the platform's promotion calls", SETTING_ADDRESS,
          &settings->duty},
     };
-    GOptionEntry entries[G_N_ELEMENTS(table) + 5] = {{0}};
+    GOptionEntry entries[G_N_ELEMENTS(table) + 6] = {{0}};
     int grace_s = GRACE_DEFAULT_S;
     char *memory_mb = NULL;
+    char *link_mbps = NULL;
     char *level = NULL;
     GError *error = NULL;
     size_t n = 0;
@@ -150,6 +175,11 @@
         0,           G_OPTION_ARG_STRING,
         &memory_mb,  "memory limit of the process; 0: not known (0)",
         "MB"};
+    entries[n++] = (GOptionEntry){
+        "link-mbps", 0,
+        0,           G_OPTION_ARG_STRING,
+        &link_mbps,  "rate of the network link; 0: not known (0)",
+        "MBIT/S"};
     entries[n++] =
         (GOptionEntry){"log-level", 0,
                        0,           G_OPTION_ARG_STRING,
@@ -177,9 +207,11 @@
         good = report_error("grace-s", "must be from 1 to 600");
     }
     good = good && parse_memory_limit(memory_mb, &settings->memory_limit);
+    good = good && parse_link_rate(link_mbps, &settings->link_mbps);
     good = good && parse_log_level(level, &settings->log_level);
     settings->grace = (mr_ms_t)grace_s * 1000;
     g_free(memory_mb);
+    g_free(link_mbps);
     g_free(level);
     if (!good) {
         mr_sessiond_settings_release(settings);
