Prefer instances with fast links as the coordinator

Callers saw late and refused operations while the coordinator decoded a large desired state: each operation without a stocked token waits for its answer.

Cause: the coordinator was chosen by a hash alone, so it was mostly one of the 87 of 95 instances with 0.084 core and 10 Mbit/s, though 8 have up to 0.5 core and 200 Mbit/s.

Change: the class of the link's rate (powers of two) comes first in the priority, then the hash as before. Instances register the rate behind their address and send it with their reports. Where all links are alike, or unknown, the order stays that of the hash.

--- a/lib/session/fleet.c
+++ b/lib/session/fleet.c
@@ -160,7 +160,11 @@
     mr_fleet_t *fleet = MR_NEW(mr_fleet_t);
 
     fleet->options = *options;
-    fleet->own_priority = mr_rendezvous_score("coordinator", options->name);
+    fleet->own_priority = mr_fleet_priority(options->name, options->link_mbps);
+    fleet->own_registration = options->link_mbps > 0
+                                  ? mr_asprintf("%s %lld", options->address,
+                                                (long long)options->link_mbps)
+                                  : mr_strdup(options->address);
     fleet->budgets = mr_budgets_create();
     mr_list_init(&fleet->instances);
     mr_list_init(&fleet->reports);
@@ -198,6 +202,7 @@
         mr_peer_destroy(fleet->peer);
     }
     mr_budgets_destroy(fleet->budgets);
+    free(fleet->own_registration);
     event_free(fleet->report_timer);
     event_free(fleet->check_timer);
     event_free(fleet->members_timer);
--- a/lib/session/fleet.h
+++ b/lib/session/fleet.h
@@ -3,8 +3,9 @@
 
 /*
  * The instances and their coordinator. Instances register in the store and
- * have priorities that all of them compute alike. The reachable instance with
- * the highest priority is the coordinator. The others report to it several
+ * have priorities that all of them compute alike; those with the fastest
+ * network links come first. The reachable instance with the highest priority
+ * is the coordinator. The others report to it several
  * times a second and receive tokens for the accounts' rates, newer desired
  * states and registrations, and the state of the primaries. When it does not
  * answer, the instance with the next priority takes over.
@@ -28,6 +29,7 @@
     const char *name;
     const char *data_centre;
     const char *address; /* where other instances reach this one */
+    int64_t link_mbps;   /* of this instance's network link; 0: unknown */
     mr_store_t *store;
     mr_feed_t *feed;
     mr_directory_t *directory;
--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -56,6 +56,7 @@
     mr_list_t instances; /* other instances, highest priority first */
     size_t other_count;
     uint64_t own_priority;
+    char *own_registration; /* this instance's row: address and link rate */
     int64_t own_version;    /* of this instance's registration; 0: none */
     bool joined;
     bool leaving;
@@ -108,11 +109,14 @@
 void mr_fleet_remove_source(mr_fleet_t *fleet, mr_fleet_instance_t *source);
 
 /* fleet_members.c */
-/** mr_fleet_add_or_update_instance() - add an instance, or update its address.
- * NULL if it is new and its address is malformed. */
+/** mr_fleet_add_or_update_instance() - add an instance, or update its address
+ * and the rate of its link. NULL if it is new and its address is malformed. */
 mr_fleet_instance_t *mr_fleet_add_or_update_instance(mr_fleet_t *fleet,
                                                      const char *name,
-                                                     const char *address);
+                                                     const char *address,
+                                                     int64_t link_mbps);
+/** mr_fleet_priority() - priority of the instance @name as the coordinator. */
+uint64_t mr_fleet_priority(const char *name, int64_t link_mbps);
 void mr_fleet_remove_instance(mr_fleet_t *fleet,
                               mr_fleet_instance_t *instance);
 void mr_fleet_on_members_timer(evutil_socket_t fd, short what, void *ctx);
--- a/lib/session/fleet_members.c
+++ b/lib/session/fleet_members.c
@@ -2,6 +2,7 @@
  * authenticates the connections between them. */
 
 #include <sodium.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -19,6 +20,9 @@
     MEMBERS_PERIOD_MS = 20000,
     /* An instance that has not reported for this long is removed. */
     REMOVE_AFTER_MS = 15000,
+    /* A priority has the class of the link's rate in its highest bits. */
+    RATE_CLASS_BITS = 8,
+    RATE_CLASS_SHIFT = 64 - RATE_CLASS_BITS,
 };
 
 static const char instances_table[] = "instances";
@@ -63,15 +67,24 @@
     free(instance);
 }
 
-static mr_fleet_instance_t *
-add_instance(mr_fleet_t *fleet, const char *name, const char *address)
+uint64_t
+mr_fleet_priority(const char *name, int64_t link_mbps)
+{
+    uint64_t rate_class = 0;
+
+    for (int64_t rate = link_mbps; rate > 0; rate >>= 1) {
+        rate_class++;
+    }
+    return rate_class << RATE_CLASS_SHIFT
+           | mr_rendezvous_score("coordinator", name) >> RATE_CLASS_BITS;
+}
+
+/* Puts @instance into the list, which is ordered by priority. */
+static void
+insert_instance(mr_fleet_t *fleet, mr_fleet_instance_t *instance)
 {
-    mr_fleet_instance_t *instance = MR_NEW(mr_fleet_instance_t);
     mr_list_t *before = &fleet->instances;
 
-    instance->name = mr_strdup(name);
-    instance->address = mr_strdup(address);
-    instance->priority = mr_rendezvous_score("coordinator", name);
     MR_LIST_FOREACH(it, &fleet->instances)
     {
         if (MR_LIST_ENTRY(it, mr_fleet_instance_t, link)->priority
@@ -81,14 +94,44 @@
         }
     }
     mr_list_append(before, &instance->link);
+}
+
+static mr_fleet_instance_t *
+add_instance(mr_fleet_t *fleet, const char *name, const char *address,
+             int64_t link_mbps)
+{
+    mr_fleet_instance_t *instance = MR_NEW(mr_fleet_instance_t);
+
+    instance->name = mr_strdup(name);
+    instance->address = mr_strdup(address);
+    instance->priority = mr_fleet_priority(name, link_mbps);
+    insert_instance(fleet, instance);
     fleet->other_count++;
     mr_fleet_update_count(fleet);
     return instance;
 }
 
+static void
+update_instance(mr_fleet_t *fleet, mr_fleet_instance_t *instance,
+                const char *address, int64_t link_mbps)
+{
+    uint64_t priority = mr_fleet_priority(instance->name, link_mbps);
+
+    if (strcmp(instance->address, address) != 0) {
+        free(instance->address);
+        instance->address = mr_strdup(address);
+        instance->failures = 0;
+    }
+    if (priority != instance->priority) {
+        instance->priority = priority;
+        mr_list_remove(&instance->link);
+        insert_instance(fleet, instance);
+    }
+}
+
 mr_fleet_instance_t *
 mr_fleet_add_or_update_instance(mr_fleet_t *fleet, const char *name,
-                                const char *address)
+                                const char *address, int64_t link_mbps)
 {
     mr_fleet_instance_t *instance = find_instance(fleet, name);
     struct sockaddr_storage addr;
@@ -100,16 +143,26 @@
         return instance;
     }
     if (instance == NULL) {
-        return add_instance(fleet, name, address);
-    }
-    if (strcmp(instance->address, address) != 0) {
-        free(instance->address);
-        instance->address = mr_strdup(address);
-        instance->failures = 0;
+        return add_instance(fleet, name, address, link_mbps);
     }
+    update_instance(fleet, instance, address, link_mbps);
     return instance;
 }
 
+/* Applies the row of another instance: its address and, if it is known, the
+ * rate of its link. */
+static mr_fleet_instance_t *
+apply_member_row(mr_fleet_t *fleet, const mr_store_row_t *row)
+{
+    char address[MR_ADDRESS_MAX_BYTES];
+    const char *text = row->value;
+    size_t address_len = strcspn(text, " ");
+
+    snprintf(address, sizeof(address), "%.*s", (int)address_len, text);
+    return mr_fleet_add_or_update_instance(
+        fleet, row->key, address, strtoll(text + address_len, NULL, 10));
+}
+
 static void
 on_registration_removed(void *ctx, mr_error_kind_t error, int64_t version)
 {
@@ -177,11 +230,10 @@
         const mr_store_row_t *row = &answer->rows[i];
         if (strcmp(row->key, fleet->options.name) == 0) {
             fleet->own_version = row->version;
-            current = strcmp(row->value, fleet->options.address) == 0;
+            current = strcmp(row->value, fleet->own_registration) == 0;
             continue;
         }
-        mr_fleet_instance_t *instance =
-            mr_fleet_add_or_update_instance(fleet, row->key, row->value);
+        mr_fleet_instance_t *instance = apply_member_row(fleet, row);
         if (instance != NULL) {
             instance->in_store = true;
             instance->row_version = row->version;
@@ -199,7 +251,7 @@
     if (!current && !fleet->leaving) {
         mr_store_put(fleet->options.store, instances_table,
                      fleet->options.name, fleet->own_version,
-                     fleet->options.address, strlen(fleet->options.address),
+                     fleet->own_registration, strlen(fleet->own_registration),
                      on_registered, fleet);
         return;
     }
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -234,6 +234,7 @@
         .health_count = lists->health_count,
         .data_centre = fleet->options.data_centre,
         .defers_config = !mr_updates_accepts_config(fleet->updates),
+        .link_mbps = fleet->options.link_mbps,
     };
     mr_directory_export(fleet->options.directory, known, INLINE_MAX_BYTES,
                         &msg.u.report.directory);
@@ -534,8 +535,8 @@
     if (request == NULL) {
         return;
     }
-    mr_fleet_instance_t *instance =
-        mr_fleet_add_or_update_instance(fleet, from, report->address);
+    mr_fleet_instance_t *instance = mr_fleet_add_or_update_instance(
+        fleet, from, report->address, report->link_mbps);
     uint64_t known_changes = 0;
     if (instance != NULL) {
         /* After a longer gap the instance may have restarted, and then needs
--- a/lib/session/sessiond.c
+++ b/lib/session/sessiond.c
@@ -204,6 +204,7 @@
         .name = settings->name,
         .data_centre = settings->data_centre,
         .address = settings->peer,
+        .link_mbps = settings->link_mbps,
         .store = daemon->store,
         .feed = daemon->feed,
         .directory = daemon->directory,
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -272,6 +272,7 @@
     LIST_FIELD(mr_msg_report_t, health, health_count, db_health_layout),
     FIELD(STRING, mr_msg_report_t, data_centre),
     FIELD(BOOL, mr_msg_report_t, defers_config),
+    FIELD(INTEGER, mr_msg_report_t, link_mbps),
 };
 static const layout_t report_layout = LAYOUT(mr_msg_report_t, report_fields);
 
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -271,6 +271,7 @@
     size_t health_count;
     const char *data_centre; /* of the sender */
     bool defers_config;      /* no desired state with the reply, please */
+    int64_t link_mbps;       /* of the sender's network link; 0: unknown */
 } mr_msg_report_t;
 
 /** State of a service's primary, as known to the coordinator. */
--- a/tests/unit/test_fleet_source.c
+++ b/tests/unit/test_fleet_source.c
@@ -56,7 +56,7 @@
         char name[32];
         snprintf(name, sizeof(name), "front-%d", i);
         instances[i] =
-            mr_fleet_add_or_update_instance(fleet, name, "127.0.0.1:7000");
+            mr_fleet_add_or_update_instance(fleet, name, "127.0.0.1:7000", 0);
         instances[i]->data_centre = mr_strdup(data_centres[i % 4]);
         instances[i]->held.config_version = 6;
     }
@@ -170,6 +170,21 @@
 }
 END_TEST
 
+START_TEST(test_instances_with_slow_links_come_last)
+{
+    mr_fleet_instance_t *slow =
+        mr_fleet_add_or_update_instance(fleet, "slow", "127.0.0.1:7001", 10);
+    mr_fleet_instance_t *fast =
+        mr_fleet_add_or_update_instance(fleet, "fast", "127.0.0.1:7002", 200);
+
+    ck_assert_ptr_eq(fleet->instances.next, &fast->link);
+    ck_assert_ptr_eq(fleet->instances.next->next, &slow->link);
+    mr_fleet_add_or_update_instance(fleet, "slow", "127.0.0.1:7001", 700);
+    ck_assert_ptr_eq(fleet->instances.next, &slow->link);
+    ck_assert_uint_eq(mr_fleet_priority("slow", 700), slow->priority);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -177,6 +192,7 @@
         test_contents_spread_without_loading_one_instance,
         test_a_transfer_that_does_not_end_gets_another_source,
         test_a_removed_source_leaves_no_transfer_behind,
+        test_instances_with_slow_links_come_last,
     };
 
     return RUN_TESTS(tests, .suite = "fleet_source", .setup = set_up,
