Bound what links between instances hold

A link could hold 64 MB of unsent output, a frame 16 MiB, and nothing bounded all links of a process together: 95 instances with 112 MB each could be filled by a few slow readers. A message beyond the bound was dropped silently, so that its caller waited for the timeout and took the receiver for lost. Requests whose caller had given up stayed in the output and were sent late.

mr_peer_create() takes limits for one frame, the unsent output of a link and of all links, and the unanswered requests of a link; the defaults keep what statements and their answers need. A link may also hold no more than what all links have left, so that links with short queues find room while others are full. A request that cannot be queued fails in the next iteration of the event loop as known not sent. Requests wait outside the connection's buffer beyond 64 KiB, so that those that time out or are cancelled are taken out. A reply that cannot be queued is dropped and counted; what is queued stays.

Input is bounded by one frame a link. Reading stops while the other side has as many unanswered requests as allowed, or leaves half of the link's output unread, and frames of the handshake are limited to 4 KiB.

--- a/lib/common/event.h
+++ b/lib/common/event.h
@@ -74,8 +74,8 @@
     X(INSTANCE_NOT_REMOVED, "instance_not_removed", "error")                  \
     X(INSTANCE_ADDRESS_MALFORMED, "instance_address_malformed",               \
       "name address")                                                         \
-    X(PEER_OUTPUT_FULL, "peer_output_full", "name bytes bound")               \
-    X(PEER_OUTPUT_DRAINED, "peer_output_drained", "name bound dropped ms")    \
+    X(PEER_OUTPUT_FULL, "peer_output_full", "name bytes bound frame")         \
+    X(PEER_OUTPUT_DRAINED, "peer_output_drained", "name dropped ms")          \
     X(PEER_BUFFERS_PEAK, "peer_buffers_peak",                                 \
       "output input links name largest")                                      \
     /* Changes of primary */                                                  \
--- a/lib/wire/peer.c
+++ b/lib/wire/peer.c
@@ -18,6 +18,14 @@
     RECONNECT_DELAY_MS = 100,
 };
 
+/* The largest answer that is read from a target has 8 MiB. */
+const mr_peer_limits_t mr_peer_statement_limits = {
+    .frame_max_bytes = 16 << 20,
+    .link_output_max_bytes = 64 << 20,
+    .output_max_bytes = 128 << 20,
+    .requests_max = 8192,
+};
+
 typedef struct handler {
     mr_peer_handler_fn_t fn;
     void *ctx;
@@ -45,19 +53,22 @@
     mr_peer_link_t *link; /* NULL while closed */
     mr_ms_t retry_at;
     mr_list_t waiting; /* mr_peer_call_t, waiting for replies */
-    mr_list_t unsent; /* calls and one-way messages, until the link is ready */
+    mr_list_t unsent;  /* calls and one-way messages, until the link is
+                          writable */
+    size_t call_count; /* in both lists */
 } outgoing_t;
 
 struct mr_peer_call {
     mr_list_t link;
     outgoing_t *outgoing;
     int64_t number; /* 0: one-way */
+    bool queued;    /* false: refused by the limits, or no link */
     bool sent;
     mr_peer_reply_fn_t fn;
     void *ctx;
     struct event *timer;
     mr_msg_type_t type;
-    msgpack_sbuffer frame; /* encoded message, until the link is ready */
+    msgpack_sbuffer frame; /* encoded message, until it is sent */
 };
 
 /** A link that another process opened, with its unanswered requests. */
@@ -66,6 +77,7 @@
     mr_peer_t *peer;
     mr_peer_link_t *conn;
     mr_list_t requests;
+    size_t request_count;
 } incoming_t;
 
 struct mr_peer_request {
@@ -112,14 +124,27 @@
     event_active(peer->destroy_event, 0, 0);
 }
 
+static void
+drop_frame(mr_peer_call_t *call)
+{
+    if (call->frame.size > 0 && call->outgoing->link != NULL) {
+        mr_peer_link_remove_waiting(call->outgoing->link, call->frame.size);
+    }
+    msgpack_sbuffer_destroy(&call->frame);
+    msgpack_sbuffer_init(&call->frame);
+}
+
 static void
 free_call(mr_peer_call_t *call)
 {
     mr_list_remove(&call->link);
+    drop_frame(call);
+    if (call->queued) {
+        call->outgoing->call_count--;
+    }
     if (call->timer != NULL) {
         event_free(call->timer);
     }
-    msgpack_sbuffer_destroy(&call->frame);
     free(call);
 }
 
@@ -164,22 +189,40 @@
 }
 
 static void
-on_outgoing_ready(void *ctx, mr_peer_link_t *link)
+send_call(outgoing_t *out, mr_peer_call_t *call)
 {
-    outgoing_t *out = ctx;
-    mr_list_t *it;
+    mr_peer_link_t *link = out->link;
+    msgpack_sbuffer frame = call->frame;
 
-    while ((it = mr_list_pop(&out->unsent)) != NULL) {
-        mr_peer_call_t *call = MR_LIST_ENTRY(it, mr_peer_call_t, link);
-        mr_peer_link_send_encoded(link, &call->frame);
-        call->sent = true;
-        if (call->number == 0) {
-            free_call(call);
-        }
-        else {
-            mr_list_append(&out->waiting, &call->link);
-        }
+    msgpack_sbuffer_init(&call->frame);
+    mr_list_remove(&call->link);
+    mr_peer_link_remove_waiting(link, frame.size);
+    call->sent = true;
+    if (call->number == 0) {
+        free_call(call);
+    }
+    else {
+        mr_list_append(&out->waiting, &call->link);
     }
+    /* The link may fail here, which ends the call. */
+    mr_peer_link_send(link, &frame);
+    msgpack_sbuffer_destroy(&frame);
+}
+
+static void
+send_queued_calls(outgoing_t *out)
+{
+    while (out->link != NULL && mr_peer_link_writable(out->link)
+           && !mr_list_empty(&out->unsent)) {
+        send_call(out, MR_LIST_ENTRY(out->unsent.next, mr_peer_call_t, link));
+    }
+}
+
+static void
+on_outgoing_writable(void *ctx, mr_peer_link_t *link)
+{
+    (void)link;
+    send_queued_calls(ctx);
 }
 
 static mr_peer_call_t *
@@ -223,6 +266,10 @@
     if (out->link != link) {
         return;
     }
+    MR_LIST_FOREACH(it, &out->unsent)
+    {
+        drop_frame(MR_LIST_ENTRY(it, mr_peer_call_t, link));
+    }
     out->link = NULL;
     out->retry_at = mr_clock_now(NULL) + RECONNECT_DELAY_MS;
     fail_calls(&out->unsent, MR_ERR_UNAVAILABLE);
@@ -230,7 +277,7 @@
 }
 
 static const mr_peer_link_events_t outgoing_events = {
-    .ready = on_outgoing_ready,
+    .writable = on_outgoing_writable,
     .message = on_outgoing_message,
     .closed = on_outgoing_closed,
 };
@@ -241,11 +288,11 @@
     outgoing_t *out = data;
     mr_list_t *link;
 
-    mr_peer_link_destroy(out->link);
     while ((link = mr_list_pop(&out->waiting)) != NULL
            || (link = mr_list_pop(&out->unsent)) != NULL) {
         free_call(MR_LIST_ENTRY(link, mr_peer_call_t, link));
     }
+    mr_peer_link_destroy(out->link);
     free(out->address);
     free(out);
 }
@@ -272,39 +319,61 @@
 }
 
 static mr_peer_call_t *
-submit_message(mr_peer_t *peer, const char *address, const mr_msg_t *msg,
-               bool wants_reply)
+create_call(mr_peer_t *peer, const char *address, const mr_msg_t *msg,
+            bool wants_reply)
 {
-    outgoing_t *out = get_outgoing(peer, address);
     mr_peer_call_t *call = MR_NEW(mr_peer_call_t);
-    mr_msg_t copy = *msg;
 
-    call->outgoing = out;
+    call->outgoing = get_outgoing(peer, address);
     call->type = msg->type;
     call->number = wants_reply ? ++peer->last_call_number : 0;
-    copy.call = call->number;
     msgpack_sbuffer_init(&call->frame);
     mr_list_init(&call->link);
-    if (out->link != NULL && mr_peer_link_ready(out->link)) {
-        mr_peer_link_send(out->link, &copy);
-        call->sent = true;
-        mr_list_append(&out->waiting, &call->link);
+    return call;
+}
+
+/* Queues the message of a call if there is a link and the limits allow it. */
+static void
+queue_call(mr_peer_call_t *call, const mr_msg_t *msg)
+{
+    outgoing_t *out = call->outgoing;
+    mr_peer_t *peer = out->peer;
+    msgpack_sbuffer *frame = &call->frame;
+    mr_msg_t copy = *msg;
+
+    if (out->link == NULL) {
+        return;
     }
-    else if (out->link != NULL) {
-        mr_msg_encode(&copy, &call->frame);
-        mr_list_append(&out->unsent, &call->link);
+    if (out->call_count >= peer->options.limits->requests_max) {
+        increment_counter(peer, "masticrelay_peer_requests_refused_total",
+                          "requests refused as too many were unanswered");
+        return;
     }
-    return call;
+    copy.call = call->number;
+    mr_msg_encode(&copy, frame);
+    if (!mr_peer_link_admit(out->link, frame->size)) {
+        msgpack_sbuffer_destroy(frame);
+        msgpack_sbuffer_init(frame);
+        return;
+    }
+    frame->data = mr_realloc(frame->data, frame->size);
+    frame->alloc = frame->size;
+    mr_peer_link_add_waiting(out->link, frame->size);
+    mr_list_append(&out->unsent, &call->link);
+    call->queued = true;
+    out->call_count++;
 }
 
 mr_peer_call_t *
 mr_peer_call(mr_peer_t *peer, const char *address, const mr_msg_t *msg,
              mr_ms_t timeout, mr_peer_reply_fn_t fn, void *ctx)
 {
-    mr_peer_call_t *call = submit_message(peer, address, msg, true);
+    mr_peer_call_t *call = create_call(peer, address, msg, true);
 
-    /* A call without a link fails in the next iteration of the event loop. */
-    if (call->outgoing->link == NULL || timeout < 0) {
+    queue_call(call, msg);
+    /* A call that is not queued fails in the next iteration of the event
+     * loop. */
+    if (!call->queued || timeout < 0) {
         timeout = 0;
     }
     struct timeval tv = mr_clock_timeval(timeout);
@@ -313,6 +382,7 @@
     call->ctx = ctx;
     call->timer = evtimer_new(peer->options.base, on_call_timeout, call);
     evtimer_add(call->timer, &tv);
+    send_queued_calls(call->outgoing);
     return call;
 }
 
@@ -331,20 +401,31 @@
 void
 mr_peer_send(mr_peer_t *peer, const char *address, const mr_msg_t *msg)
 {
-    mr_peer_call_t *call = submit_message(peer, address, msg, false);
+    mr_peer_call_t *call = create_call(peer, address, msg, false);
+    outgoing_t *out = call->outgoing;
 
-    if (call->sent || call->outgoing->link == NULL) {
+    queue_call(call, msg);
+    if (!call->queued) {
         free_call(call);
     }
+    send_queued_calls(out);
 }
 
 static void
-on_incoming_ready(void *ctx, mr_peer_link_t *link)
+on_incoming_writable(void *ctx, mr_peer_link_t *link)
 {
     (void)ctx;
     (void)link;
 }
 
+static void
+update_incoming_pause(incoming_t *in)
+{
+    size_t max = in->peer->options.limits->requests_max;
+
+    mr_peer_link_pause(in->conn, in->request_count >= max);
+}
+
 static void
 on_incoming_message(void *ctx, mr_peer_link_t *link, const mr_msg_t *msg)
 {
@@ -362,6 +443,8 @@
         request->incoming = in;
         request->call = msg->call;
         mr_list_append(&in->requests, &request->link);
+        in->request_count++;
+        update_incoming_pause(in);
     }
     handler->fn(handler->ctx, request, msg, mr_peer_link_name(link));
 }
@@ -390,7 +473,7 @@
 }
 
 static const mr_peer_link_events_t incoming_events = {
-    .ready = on_incoming_ready,
+    .writable = on_incoming_writable,
     .message = on_incoming_message,
     .closed = on_incoming_closed,
 };
@@ -398,12 +481,22 @@
 void
 mr_peer_reply(mr_peer_request_t *request, const mr_msg_t *reply)
 {
-    if (request->incoming != NULL) {
+    incoming_t *in = request->incoming;
+
+    mr_list_remove(&request->link);
+    if (in != NULL) {
         mr_msg_t copy = *reply;
+        msgpack_sbuffer frame;
         copy.call = request->call;
-        mr_peer_link_send(request->incoming->conn, &copy);
+        msgpack_sbuffer_init(&frame);
+        mr_msg_encode(&copy, &frame);
+        in->request_count--;
+        update_incoming_pause(in);
+        if (mr_peer_link_admit(in->conn, frame.size)) {
+            mr_peer_link_send(in->conn, &frame);
+        }
+        msgpack_sbuffer_destroy(&frame);
     }
-    mr_list_remove(&request->link);
     free(request);
 }
 
@@ -473,7 +566,11 @@
     peer->options.name = peer->name;
     peer->options.data_centre = peer->data_centre;
     peer->options.secret = peer->secret;
-    peer->buffers = mr_peer_buffers_create(options->counters);
+    if (options->limits == NULL) {
+        peer->options.limits = &mr_peer_statement_limits;
+    }
+    peer->buffers =
+        mr_peer_buffers_create(options->counters, peer->options.limits);
     peer->outgoing =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_outgoing);
     mr_list_init(&peer->incoming);
--- a/lib/wire/peer.h
+++ b/lib/wire/peer.h
@@ -16,11 +16,7 @@
 #include "common/tls.h"
 #include "wire/msg.h"
 
-enum {
-    MR_PEER_SECRET_BYTES = 32,
-    /* Larger than the largest answer that is read from a target (8 MiB). */
-    MR_PEER_FRAME_MAX_BYTES = 16 << 20,
-};
+enum { MR_PEER_SECRET_BYTES = 32 };
 
 /** All links of one process. */
 typedef struct mr_peer mr_peer_t;
@@ -31,6 +27,22 @@
 /** A received request, to be answered exactly once. */
 typedef struct mr_peer_request mr_peer_request_t;
 
+/**
+ * Limits of the links of a process. A message that would exceed one is not
+ * queued, and those that are queued stay. The unsent output of a link is also
+ * limited to what is left of @output_max_bytes, so that links with short
+ * queues find room when others are full.
+ */
+typedef struct mr_peer_limits {
+    size_t frame_max_bytes;       /* one message, with its header */
+    size_t link_output_max_bytes; /* unsent output of a link */
+    size_t output_max_bytes;      /* unsent output of all links */
+    size_t requests_max;          /* unanswered or unsent, on a link */
+} mr_peer_limits_t;
+
+/** Limits for links that carry statements and their answers. */
+extern const mr_peer_limits_t mr_peer_statement_limits;
+
 /** Options of mr_peer_create(). Strings and the secret are copied. */
 typedef struct mr_peer_options {
     struct event_base *base;
@@ -40,6 +52,7 @@
     int64_t incarnation;
     const uint8_t *secret; /* fleet secret, MR_PEER_SECRET_BYTES bytes */
     mr_tls_t *tls;         /* NULL: plain TCP */
+    const mr_peer_limits_t *limits; /* NULL: mr_peer_statement_limits */
 } mr_peer_options_t;
 
 /** mr_peer_handler_fn_t - handles a request or, with @request NULL, a one-way
@@ -79,6 +92,10 @@
  * @msg: the request; its call number is ignored
  * @timeout: time after which @fn is called with an error
  * @fn: called exactly once, after this function has returned
+ *
+ * A request that cannot be queued within the limits fails in the next
+ * iteration of the event loop. One that is still queued when it times out or
+ * is cancelled is not sent.
  */
 mr_peer_call_t *mr_peer_call(mr_peer_t *peer, const char *address,
                              const mr_msg_t *msg, mr_ms_t timeout,
@@ -94,7 +111,8 @@
 /** mr_peer_send() - send a one-way message; it may be lost. */
 void mr_peer_send(mr_peer_t *peer, const char *address, const mr_msg_t *msg);
 
-/** mr_peer_reply() - answer @request and free it. */
+/** mr_peer_reply() - answer @request and free it. A reply that cannot be
+ * queued within the limits is dropped. */
 void mr_peer_reply(mr_peer_request_t *request, const mr_msg_t *reply);
 
 #endif
--- a/lib/wire/peer_buffers.c
+++ b/lib/wire/peer_buffers.c
@@ -10,9 +10,12 @@
     /* A new peak of all buffers is logged from this size on, and again when it
      * has doubled. */
     PEAK_LOGGED_BYTES = 256 << 10,
+    /* Minimum time between two logged periods in which a link drops frames. */
+    FULL_LOG_PERIOD_MS = 10000,
 };
 
 struct mr_peer_buffers {
+    const mr_peer_limits_t *limits;
     mr_list_t list; /* mr_peer_buffer_t */
     int64_t link_count;
     int64_t output_bytes;
@@ -35,10 +38,11 @@
 }
 
 mr_peer_buffers_t *
-mr_peer_buffers_create(mr_counters_t *counters)
+mr_peer_buffers_create(mr_counters_t *counters, const mr_peer_limits_t *limits)
 {
     mr_peer_buffers_t *all = MR_NEW(mr_peer_buffers_t);
 
+    all->limits = limits;
     mr_list_init(&all->list);
     all->next_logged_peak = PEAK_LOGGED_BYTES;
     all->links = get_counter(counters, "masticrelay_peer_links",
@@ -119,11 +123,15 @@
 }
 
 static void
-add_output(mr_peer_buffers_t *all, int64_t bytes)
+add_output(mr_peer_buffer_t *buffer, int64_t bytes)
 {
+    mr_peer_buffers_t *all = buffer->all;
+
     all->output_bytes += bytes;
     mr_counter_set(all->output, all->output_bytes);
     raise_to(all->output_peak, all->output_bytes);
+    raise_to(all->link_output_peak, (int64_t)mr_peer_buffer_output(buffer));
+    log_peak(all);
 }
 
 static void
@@ -132,18 +140,15 @@
     all->input_bytes += bytes;
     mr_counter_set(all->input, all->input_bytes);
     raise_to(all->input_peak, all->input_bytes);
+    log_peak(all);
 }
 
 static void
 on_output(struct evbuffer *output, const struct evbuffer_cb_info *info,
           void *ctx)
 {
-    mr_peer_buffer_t *buffer = ctx;
-
-    add_output(buffer->all, (int64_t)info->n_added - (int64_t)info->n_deleted);
-    raise_to(buffer->all->link_output_peak,
-             (int64_t)evbuffer_get_length(output));
-    log_peak(buffer->all);
+    (void)output;
+    add_output(ctx, (int64_t)info->n_added - (int64_t)info->n_deleted);
 }
 
 static void
@@ -154,7 +159,6 @@
 
     (void)input;
     add_input(buffer->all, (int64_t)info->n_added - (int64_t)info->n_deleted);
-    log_peak(buffer->all);
 }
 
 void
@@ -180,7 +184,8 @@
 
     evbuffer_remove_cb_entry(output, buffer->output_callback);
     evbuffer_remove_cb_entry(input, buffer->input_callback);
-    add_output(buffer->all, -(int64_t)evbuffer_get_length(output));
+    add_output(buffer, -(int64_t)mr_peer_buffer_output(buffer));
+    buffer->waiting = 0;
     add_input(buffer->all, -(int64_t)evbuffer_get_length(input));
     mr_list_remove(&buffer->link);
     mr_counter_set(buffer->all->links, --buffer->all->link_count);
@@ -189,12 +194,81 @@
 size_t
 mr_peer_buffer_output(const mr_peer_buffer_t *buffer)
 {
-    return evbuffer_get_length(bufferevent_get_output(buffer->stream));
+    return evbuffer_get_length(bufferevent_get_output(buffer->stream))
+           + buffer->waiting;
+}
+
+static size_t
+output_bound(const mr_peer_buffer_t *buffer)
+{
+    const mr_peer_limits_t *limits = buffer->all->limits;
+    size_t used = (size_t)buffer->all->output_bytes;
+    size_t left =
+        used < limits->output_max_bytes ? limits->output_max_bytes - used : 0;
+
+    return left < limits->link_output_max_bytes
+               ? left
+               : limits->link_output_max_bytes;
+}
+
+static void
+record_drop(mr_peer_buffer_t *buffer, size_t bytes, size_t bound)
+{
+    mr_peer_full_period_t *full = &buffer->full;
+    mr_ms_t now = mr_clock_now(NULL);
+
+    mr_counter_add(buffer->all->unsent, 1);
+    mr_counter_add(buffer->all->unsent_bytes, (int64_t)bytes);
+    full->dropped++;
+    if (full->active) {
+        return;
+    }
+    full->active = true;
+    full->since = now;
+    full->dropped = 1;
+    full->logged =
+        full->logged_at == 0 || now - full->logged_at >= FULL_LOG_PERIOD_MS;
+    if (full->logged) {
+        full->logged_at = now;
+        mr_log(MR_LOG_WARNING, MR_EVENT_PEER_OUTPUT_FULL,
+               "name=%s bytes=%zu bound=%zu frame=%zu", buffer->name,
+               mr_peer_buffer_output(buffer), bound, bytes);
+    }
+}
+
+bool
+mr_peer_buffer_admit(mr_peer_buffer_t *buffer, size_t bytes)
+{
+    size_t bound = output_bound(buffer);
+
+    if (bytes <= buffer->all->limits->frame_max_bytes
+        && mr_peer_buffer_output(buffer) + bytes <= bound) {
+        return true;
+    }
+    record_drop(buffer, bytes, bound);
+    return false;
+}
+
+void
+mr_peer_buffer_add_waiting(mr_peer_buffer_t *buffer, int64_t bytes)
+{
+    buffer->waiting = (size_t)((int64_t)buffer->waiting + bytes);
+    add_output(buffer, bytes);
 }
 
 void
-mr_peer_buffers_record_drop(mr_peer_buffers_t *all, size_t bytes)
+mr_peer_buffer_record_sent(mr_peer_buffer_t *buffer)
 {
-    mr_counter_add(all->unsent, 1);
-    mr_counter_add(all->unsent_bytes, (int64_t)bytes);
+    mr_peer_full_period_t *full = &buffer->full;
+
+    if (!full->active || mr_peer_buffer_output(buffer) > 0) {
+        return;
+    }
+    full->active = false;
+    if (full->logged) {
+        mr_log(MR_LOG_INFO, MR_EVENT_PEER_OUTPUT_DRAINED,
+               "name=%s dropped=%lld ms=%lld", buffer->name,
+               (long long)full->dropped,
+               (long long)(mr_clock_now(NULL) - full->since));
+    }
 }
--- a/lib/wire/peer_link.c
+++ b/lib/wire/peer_link.c
@@ -8,7 +8,6 @@
 #include <string.h>
 
 #include "common/address.h"
-#include "common/log.h"
 #include "common/mem.h"
 #include "common/traffic.h"
 #include "wire/lateness.h"
@@ -21,22 +20,12 @@
     TCP_USER_TIMEOUT_MS = 2000,
     TCP_KEEPALIVE_INTERVAL_S = 1,
     TCP_KEEPALIVE_PROBES = 2,
-    /* Messages to a reader that is this far behind are dropped, as if it were
-     * unreachable. */
-    OUTPUT_MAX_BYTES = 64 << 20,
-    /* Minimum time between two logged periods in which a link drops frames. */
-    FULL_LOG_PERIOD_MS = 10000,
+    /* Largest frame of the handshake. */
+    HELLO_MAX_BYTES = 4096,
+    /* Output that is passed to the connection ahead of what it accepts. */
+    WRITE_AHEAD_BYTES = 64 << 10,
 };
 
-/** A period in which a link's output is at its bound. */
-typedef struct full_period {
-    bool active; /* until nothing is left to send */
-    bool logged;
-    mr_ms_t since;
-    mr_ms_t logged_at;
-    int64_t dropped; /* frames */
-} full_period_t;
-
 struct mr_peer_link {
     const mr_peer_options_t *options;
     mr_peer_link_events_t events;
@@ -46,12 +35,13 @@
     bool ready;
     bool hello_sent;
     bool closed;
+    bool paused_by_owner;
+    bool paused_by_output;
     uint8_t nonce[MR_PEER_NONCE_BYTES];
     uint8_t peer_nonce[MR_PEER_NONCE_BYTES];
     char name[MR_PEER_NAME_MAX_BYTES];
     mr_lateness_t lateness;
     mr_peer_buffer_t buffer;
-    full_period_t full;
     mr_counter_t *sent;     /* messages */
     mr_counter_t *received; /* messages */
 };
@@ -84,81 +74,100 @@
     crypto_auth_hmacsha512256_final(&state, proof);
 }
 
+bool
+mr_peer_link_admit(mr_peer_link_t *link, size_t bytes)
+{
+    return mr_peer_buffer_admit(&link->buffer, FRAME_HEADER_BYTES + bytes);
+}
+
+void
+mr_peer_link_add_waiting(mr_peer_link_t *link, size_t bytes)
+{
+    mr_peer_buffer_add_waiting(&link->buffer,
+                               (int64_t)(FRAME_HEADER_BYTES + bytes));
+}
+
+void
+mr_peer_link_remove_waiting(mr_peer_link_t *link, size_t bytes)
+{
+    mr_peer_buffer_add_waiting(&link->buffer,
+                               -(int64_t)(FRAME_HEADER_BYTES + bytes));
+}
+
+bool
+mr_peer_link_writable(const mr_peer_link_t *link)
+{
+    return link->ready && !link->closed
+           && evbuffer_get_length(bufferevent_get_output(link->bev))
+                  < WRITE_AHEAD_BYTES;
+}
+
+/* Reads only while messages may be handled. The callback handles frames that
+ * are complete already. */
 static void
-record_full(mr_peer_link_t *link)
+update_reading(mr_peer_link_t *link)
 {
-    full_period_t *full = &link->full;
-    mr_ms_t now = mr_clock_now(NULL);
-
-    if (!full->active) {
-        bool log = full->logged_at == 0
-                   || now - full->logged_at >= FULL_LOG_PERIOD_MS;
-        *full = (full_period_t){
-            .active = true,
-            .logged = log,
-            .since = now,
-            .logged_at = log ? now : full->logged_at,
-        };
-        if (log) {
-            mr_log(MR_LOG_WARNING, MR_EVENT_PEER_OUTPUT_FULL,
-                   "name=%s bytes=%zu bound=%d", link->name,
-                   mr_peer_buffer_output(&link->buffer), OUTPUT_MAX_BYTES);
-        }
+    if (link->closed) {
+        return;
+    }
+    if (link->paused_by_owner || link->paused_by_output) {
+        bufferevent_disable(link->bev, EV_READ);
+    }
+    else if (!(bufferevent_get_enabled(link->bev) & EV_READ)) {
+        bufferevent_enable(link->bev, EV_READ);
+        bufferevent_trigger(link->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
     }
-    full->dropped++;
 }
 
-/* Called when all output has been sent. */
+void
+mr_peer_link_pause(mr_peer_link_t *link, bool paused)
+{
+    link->paused_by_owner = paused;
+    update_reading(link);
+}
+
+/* Requests of a peer that does not read its replies are not handled. */
+static void
+update_output_pause(mr_peer_link_t *link)
+{
+    size_t bytes = mr_peer_buffer_output(&link->buffer);
+
+    link->paused_by_output =
+        !link->is_initiator
+        && bytes >= link->options->limits->link_output_max_bytes / 2;
+    update_reading(link);
+}
+
+/* Called when little output is left. */
 static void
 on_write(struct bufferevent *bev, void *ctx)
 {
     mr_peer_link_t *link = ctx;
-    full_period_t *full = &link->full;
 
     (void)bev;
-    if (full->active && full->logged) {
-        mr_log(MR_LOG_INFO, MR_EVENT_PEER_OUTPUT_DRAINED,
-               "name=%s bound=%d dropped=%lld ms=%lld", link->name,
-               OUTPUT_MAX_BYTES, (long long)full->dropped,
-               (long long)(mr_clock_now(NULL) - full->since));
+    mr_peer_buffer_record_sent(&link->buffer);
+    update_output_pause(link);
+    if (mr_peer_link_writable(link)) {
+        link->events.writable(link->ctx, link);
     }
-    full->active = false;
 }
 
 void
-mr_peer_link_send_encoded(mr_peer_link_t *link, const msgpack_sbuffer *msg)
+mr_peer_link_send(mr_peer_link_t *link, const msgpack_sbuffer *msg)
 {
     uint32_t header = htonl((uint32_t)msg->size);
-    bool full = mr_peer_buffer_output(&link->buffer) >= OUTPUT_MAX_BYTES;
 
-    if (msg->size > MR_PEER_FRAME_MAX_BYTES || full) {
-        mr_peer_buffers_record_drop(link->buffer.all,
-                                    FRAME_HEADER_BYTES + msg->size);
-        if (full) {
-            record_full(link);
-        }
-        return;
-    }
     mr_counter_add(link->sent, 1);
     bufferevent_write(link->bev, &header, sizeof(header));
     bufferevent_write(link->bev, msg->data, msg->size);
-}
-
-void
-mr_peer_link_send(mr_peer_link_t *link, const mr_msg_t *msg)
-{
-    msgpack_sbuffer buf;
-
-    msgpack_sbuffer_init(&buf);
-    mr_msg_encode(msg, &buf);
-    mr_peer_link_send_encoded(link, &buf);
-    msgpack_sbuffer_destroy(&buf);
+    update_output_pause(link);
 }
 
 static void
 send_hello(mr_peer_link_t *link, bool with_proof)
 {
     uint8_t proof[crypto_auth_BYTES];
+    msgpack_sbuffer frame;
     mr_msg_t msg = {.type = link->is_initiator ? MR_MSG_HELLO
                                                : MR_MSG_HELLO_REPLY};
 
@@ -170,7 +179,10 @@
         make_proof(link, link->is_initiator, link->options->name, proof);
         msg.u.hello.proof = (mr_bytes_t){proof, sizeof(proof)};
     }
-    mr_peer_link_send(link, &msg);
+    msgpack_sbuffer_init(&frame);
+    mr_msg_encode(&msg, &frame);
+    mr_peer_link_send(link, &frame);
+    msgpack_sbuffer_destroy(&frame);
 }
 
 static bool
@@ -190,7 +202,7 @@
 {
     link->ready = true;
     bufferevent_set_timeouts(link->bev, NULL, NULL);
-    link->events.ready(link->ctx, link);
+    link->events.writable(link->ctx, link);
 }
 
 /*
@@ -285,10 +297,13 @@
     struct evbuffer *in = bufferevent_get_input(bev);
     uint32_t header;
 
-    while (evbuffer_copyout(in, &header, sizeof(header)) == FRAME_HEADER_BYTES
-           && !link->closed) {
+    while (!link->closed && !link->paused_by_owner && !link->paused_by_output
+           && evbuffer_copyout(in, &header, sizeof(header))
+                  == FRAME_HEADER_BYTES) {
         size_t len = ntohl(header);
-        if (len > MR_PEER_FRAME_MAX_BYTES) {
+        size_t max = link->ready ? link->options->limits->frame_max_bytes
+                                 : HELLO_MAX_BYTES;
+        if (FRAME_HEADER_BYTES + len > max) {
             goto broken;
         }
         if (evbuffer_get_length(in) < FRAME_HEADER_BYTES + len) {
@@ -387,6 +402,9 @@
     mr_traffic_watch(&traffic, bev);
     mr_peer_buffer_init(&link->buffer, buffers, bev, link->name);
     bufferevent_setcb(bev, on_read, on_write, on_event, link);
+    bufferevent_setwatermark(bev, EV_READ, 0,
+                             options->limits->frame_max_bytes);
+    bufferevent_setwatermark(bev, EV_WRITE, WRITE_AHEAD_BYTES / 2, 0);
     bufferevent_set_timeouts(bev, &timeout, &timeout);
     bufferevent_enable(bev, EV_READ | EV_WRITE);
     return link;
@@ -441,12 +459,6 @@
     free(link);
 }
 
-bool
-mr_peer_link_ready(const mr_peer_link_t *link)
-{
-    return link->ready;
-}
-
 const char *
 mr_peer_link_name(const mr_peer_link_t *link)
 {
