Release the desired state when a session's operation ends

Cause: a session kept a reference to the catalog of its last operation until its next one. Sessions are long and mostly idle, so as many old versions stayed in memory as there were sessions.

The reference now ends with the operation or transaction. An open transaction keeps the version that it began under.

--- a/lib/session/client.c
+++ b/lib/session/client.c
@@ -524,6 +524,18 @@
     return true;
 }
 
+/* Releases the desired state of an operation that has ended, as an idle
+ * session would keep an old version in memory. */
+static void
+release_catalog(mr_client_t *session)
+{
+    if (session->run.stage == MR_RUN_NONE && session->tx != MR_TX_OPEN) {
+        mr_catalog_unref(session->catalog);
+        session->catalog = NULL;
+        session->route = NULL;
+    }
+}
+
 void
 mr_client_process_input(mr_client_t *session)
 {
@@ -541,6 +553,9 @@
                                         : refuse_malformed(session, result);
         mr_line_release(&line);
     }
+    if (alive) {
+        release_catalog(session);
+    }
     if (alive && !session->closing && session->relay->draining
         && session->database != NULL && session->run.stage == MR_RUN_NONE
         && session->tx == MR_TX_IDLE) {
--- a/lib/session/client.h
+++ b/lib/session/client.h
@@ -98,7 +98,8 @@
     char *account; /* client account, as named to the databases */
     mr_list_t settings;
     mr_position_t position; /* newest commit of this session */
-    mr_catalog_t *catalog;  /* desired state of the current operation */
+    mr_catalog_t *catalog;  /* desired state of the current operation; NULL
+                               between operations */
     const mr_catalog_route_t *route;
     mr_tx_state_t tx;
     bool tx_read_only;
--- a/tests/integration/session_client.c
+++ b/tests/integration/session_client.c
@@ -103,10 +103,11 @@
     relay_restart(relay, backend);
 }
 
-/** Result of a readiness probe. */
+/** Reply of the listener for readiness probes and metrics. */
 typedef struct probe {
     int status;
     bool done;
+    struct evbuffer *body;
 } probe_t;
 
 static void
@@ -115,27 +116,61 @@
     probe_t *probe = ctx;
 
     probe->done = true;
-    probe->status = req != NULL ? evhttp_request_get_response_code(req) : 0;
+    if (req != NULL) {
+        probe->status = evhttp_request_get_response_code(req);
+        evbuffer_add_buffer(probe->body, evhttp_request_get_input_buffer(req));
+    }
 }
 
-bool
-relay_is_ready(relay_process_t *relay, struct event_base *base)
+/* Returns the status; 0: no answer. @body receives the answer's body. */
+static int
+probe_relay(relay_process_t *relay, struct event_base *base, const char *path,
+            struct evbuffer *body)
 {
     char ip[MR_ADDRESS_MAX_BYTES];
     int port;
-    probe_t probe = {0};
+    probe_t probe = {.body = body};
     mr_ms_t end = mr_clock_now(NULL) + PROBE_TIMEOUT_MS;
 
     ck_assert(mr_address_split(relay->ready, ip, &port));
     struct evhttp_connection *connection =
         evhttp_connection_base_new(base, NULL, ip, (ev_uint16_t)port);
     evhttp_make_request(connection, evhttp_request_new(on_probe, &probe),
-                        EVHTTP_REQ_GET, "/masticrelay/readiness");
+                        EVHTTP_REQ_GET, path);
     while (!probe.done && mr_clock_now(NULL) < end) {
         harness_run_loop(base, STEP_MS);
     }
     evhttp_connection_free(connection);
-    return probe.status == 200;
+    return probe.status;
+}
+
+bool
+relay_is_ready(relay_process_t *relay, struct event_base *base)
+{
+    struct evbuffer *body = evbuffer_new();
+    int status = probe_relay(relay, base, "/masticrelay/readiness", body);
+
+    evbuffer_free(body);
+    return status == 200;
+}
+
+int64_t
+relay_metric(relay_process_t *relay, struct event_base *base, const char *name)
+{
+    struct evbuffer *body = evbuffer_new();
+    size_t len = strlen(name);
+    int64_t value = -1;
+    char *line;
+
+    probe_relay(relay, base, "/metrics", body);
+    while ((line = evbuffer_readln(body, NULL, EVBUFFER_EOL_LF)) != NULL) {
+        if (strncmp(line, name, len) == 0 && line[len] == ' ') {
+            value = strtoll(line + len, NULL, 10);
+        }
+        free(line);
+    }
+    evbuffer_free(body);
+    return value;
 }
 
 bool
