Bound the links of the session daemon by the size of a report

The links of masticrelaysd had the bounds of masticrelayd, whose messages carry statements and answers of up to 8 MiB. Its own messages are reports and their replies, and its instances have as little as 112 MB.

A frame may have 128 KiB, a link hold 128 KiB of unsent output and all links 4 MiB. The contents that the instances exchange have to be sent in pieces: a desired state or registrations above the limit of a frame are not passed on in one message.

--- a/lib/session/fleet_members.c
+++ b/lib/session/fleet_members.c
@@ -233,6 +233,7 @@
         .data_centre = fleet->options.data_centre,
         .incarnation = mr_clock_wall(),
         .secret = fleet->secret,
+        .limits = &mr_peer_report_limits,
     });
     mr_peer_handle(fleet->peer, MR_MSG_REPORT, mr_fleet_on_report, fleet);
     if (mr_peer_listen(fleet->peer, fleet->options.address) < 0) {
--- a/lib/wire/peer.c
+++ b/lib/wire/peer.c
@@ -26,6 +26,15 @@
     .requests_max = 8192,
 };
 
+/* A frame holds a report, or its reply, with 1,900 services and 1,024
+ * accounts. */
+const mr_peer_limits_t mr_peer_report_limits = {
+    .frame_max_bytes = 128 << 10,
+    .link_output_max_bytes = 128 << 10,
+    .output_max_bytes = 4 << 20,
+    .requests_max = 64,
+};
+
 typedef struct handler {
     mr_peer_handler_fn_t fn;
     void *ctx;
--- a/lib/wire/peer.h
+++ b/lib/wire/peer.h
@@ -43,6 +43,9 @@
 /** Limits for links that carry statements and their answers. */
 extern const mr_peer_limits_t mr_peer_statement_limits;
 
+/** Limits for links that carry only reports and their replies. */
+extern const mr_peer_limits_t mr_peer_report_limits;
+
 /** Options of mr_peer_create(). Strings and the secret are copied. */
 typedef struct mr_peer_options {
     struct event_base *base;
--- a/tests/unit/test_peer_bounds.c
+++ b/tests/unit/test_peer_bounds.c
@@ -507,6 +507,55 @@
 }
 END_TEST
 
+static size_t
+encoded_size(const mr_msg_t *msg)
+{
+    msgpack_sbuffer frame;
+
+    msgpack_sbuffer_init(&frame);
+    mr_msg_encode(msg, &frame);
+    size_t size = frame.size;
+    msgpack_sbuffer_destroy(&frame);
+    return size;
+}
+
+/* A report and its reply at the size that is planned for two years: 1,900
+ * services and 1,024 accounts that want tokens. */
+START_TEST(test_reports_of_the_planned_size_fit_a_frame)
+{
+    enum { SERVICES = 1900, ACCOUNTS = 1024 };
+    static mr_msg_db_health_t health[SERVICES];
+    static mr_msg_primary_t primaries[SERVICES];
+    static mr_msg_draw_t draws[ACCOUNTS];
+    mr_msg_t report = {.type = MR_MSG_REPORT, .call = 1000000};
+    mr_msg_t reply = {.type = MR_MSG_REPORT_REPLY, .call = 1000000};
+
+    for (int i = 0; i < SERVICES; i++) {
+        health[i] = (mr_msg_db_health_t){"servicio-db~1900", "i-513976abea",
+                                         1000, 1000};
+        primaries[i] = (mr_msg_primary_t){
+            "servicio-db~1900", "i-513976abea", 100000, 100, 10000000, 1000};
+    }
+    for (int i = 0; i < ACCOUNTS; i++) {
+        draws[i] = (mr_msg_draw_t){"mivo242x5", 1000000};
+    }
+    report.u.report = (mr_msg_report_t){.address = "10.1.100.100:65535",
+                                        .wants = draws,
+                                        .want_count = ACCOUNTS,
+                                        .health = health,
+                                        .health_count = SERVICES};
+    reply.u.report_reply = (mr_msg_report_reply_t){.draws = draws,
+                                                   .draw_count = ACCOUNTS,
+                                                   .primaries = primaries,
+                                                   .primary_count = SERVICES};
+    open_both(NULL, NULL);
+    ck_assert_uint_le(encoded_size(&report),
+                      mr_peer_report_limits.frame_max_bytes - 4096);
+    ck_assert_uint_le(encoded_size(&reply),
+                      mr_peer_report_limits.frame_max_bytes - 4096);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -523,6 +572,7 @@
         test_timed_out_requests_are_not_sent,
         test_unanswered_requests_are_limited,
         test_unread_input_is_bounded,
+        test_reports_of_the_planned_size_fit_a_frame,
     };
 
     return RUN_TESTS(tests, .suite = "peer_bounds", .setup = set_up,
