Bound the results stored for request ids in bytes

Results are kept for 120 s, up to 64 KiB each, and only the number of records was bounded: 200,000 of them could hold 12.8 GB. Their sum is now at most 64 MiB. A result beyond it is not stored, like one above 64 KiB, and a repeated request is told that it ran; what is stored stays.

test_stored_results_are_bounded_in_bytes fails on the code before: 122,880,000 bytes stored where 67,108,864 are allowed.

--- a/lib/entry/reqid.c
+++ b/lib/entry/reqid.c
@@ -14,9 +14,10 @@
     ID_LIFETIME_MS = 120000,
     SWEEP_INTERVAL_MS = 1000,
     RECORDS_MAX = 200000,
-    /* A longer result is not stored; a repeated request is only told that it
-     * ran. */
+    /* Bounds of one stored result and of all. A result beyond them is not
+     * stored; a repeated request is only told that it ran. */
     RESULT_MAX_BYTES = 64 << 10,
+    RESULTS_MAX_BYTES = 64 << 20,
     RANDOM_BYTES = 12,
 };
 
@@ -51,6 +52,7 @@
     mr_list_t record_list; /* in order of first use */
     struct event *sweep_timer;
     size_t running;
+    size_t result_bytes; /* of all stored results */
     mr_counter_t *repeated;
     mr_counter_t *expired;
 };
@@ -138,6 +140,9 @@
         free_waiter(MR_LIST_ENTRY(link, waiter_t, link));
     }
     mr_list_remove(&record->link);
+    if (record->answer != NULL) {
+        record->reqid->result_bytes -= record->answer->result.len;
+    }
     mr_execute_reply_free(record->answer);
     free(record->id);
     free(record);
@@ -154,11 +159,14 @@
 store_answer(record_t *record, const mr_msg_execute_reply_t *reply)
 {
     mr_msg_execute_reply_t stored = *reply;
+    size_t *total = &record->reqid->result_bytes;
 
-    if (stored.result.len > RESULT_MAX_BYTES) {
+    if (stored.result.len > RESULT_MAX_BYTES
+        || *total + stored.result.len > RESULTS_MAX_BYTES) {
         stored.result = (mr_bytes_t){"null", strlen("null")};
         stored.message = "the request ran; its result was too large to store";
     }
+    *total += stored.result.len;
     record->state = RECORD_ANSWERED;
     record->answer = mr_execute_reply_copy(&stored);
 }
--- a/tests/unit/test_reqid.c
+++ b/tests/unit/test_reqid.c
@@ -219,6 +219,55 @@
 }
 END_TEST
 
+/* Issues an id and runs a request with it; returns the id. */
+static char *
+run_request(fixture_t *fixture, const char *result)
+{
+    char *id = mr_reqid_issue(fixture->reqid, "a");
+
+    fixture->run_count = 0;
+    execute(fixture, "a", id, "{}");
+    complete_run(fixture, 0, MR_OK, result);
+    return id;
+}
+
+START_TEST(test_stored_results_are_bounded_in_bytes)
+{
+    enum { RESULT_BYTES = 60 << 10, REQUESTS = 2000, BOUND = 64 << 20 };
+    fixture_t fixture;
+    char *ids[REQUESTS];
+    char *result = malloc(RESULT_BYTES + 1);
+    size_t stored = 0;
+
+    memset(result, '1', RESULT_BYTES);
+    result[RESULT_BYTES] = '\0';
+    open_fixture(&fixture);
+    for (int i = 0; i < REQUESTS; i++) {
+        ids[i] = run_request(&fixture, result);
+    }
+    fixture.run_count = 0;
+    for (int i = 0; i < REQUESTS; i++) {
+        execute(&fixture, "a", ids[i], "{}");
+        ck_assert_int_eq(fixture.last_error, MR_OK);
+        stored += fixture.last_result[0] == '1' ? RESULT_BYTES : 0;
+        free(ids[i]);
+    }
+    ck_assert_int_eq(fixture.run_count, 0);
+    ck_assert_uint_le(stored, BOUND);
+    ck_assert_uint_gt(stored, BOUND - 2 * RESULT_BYTES);
+    /* Records that expired make room. */
+    fixture.clock.u.manual.now += 120000;
+    event_base_loopexit(fixture.base, &(struct timeval){.tv_sec = 2});
+    event_base_dispatch(fixture.base);
+    char *id = run_request(&fixture, result);
+    execute(&fixture, "a", id, "{}");
+    ck_assert_int_eq(fixture.last_result[0], '1');
+    free(id);
+    free(result);
+    close_fixture(&fixture);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -227,7 +276,8 @@
                                   test_refused_request_may_run_later,
                                   test_restarted_instance_does_not_run_old_ids,
                                   test_expired_id_does_not_run,
-                                  test_id_belongs_to_its_account_and_request};
+                                  test_id_belongs_to_its_account_and_request,
+                                  test_stored_results_are_bounded_in_bytes};
 
     return RUN_TESTS(tests, .suite = "reqid");
 }
