Wait for conditions instead of times in test_peer_bounds

test_timed_out_requests_are_not_sent failed once beside a build: the kernel took two of the ten requests while they timed out, as its buffers grew. The test now fills the link until nothing more is taken for 100 ms. The other tests wait until what they check has happened, for 10 s at most, and then 50 ms longer, in which a bound might be exceeded; no bound has changed.

--- a/tests/unit/test_peer_bounds.c
+++ b/tests/unit/test_peer_bounds.c
@@ -19,6 +19,7 @@
 enum {
     BODY_BYTES = 4 << 20,
     CALL_TIMEOUT_MS = 20000,
+    WAIT_MAX_MS = 10000,
     LOG_MAX_BYTES = 65536,
     /* More than the kernel buffers for a reader that stands still. */
     FILL_BYTES = 16 << 20,
@@ -45,6 +46,7 @@
     mr_peer_request_t *held[HELD_MAX];
     int held_count;
     int handled_count;
+    int call_count;
     int reply_count; /* replies that it got */
     int ok_count;
     int unavailable_count;
@@ -149,6 +151,17 @@
     }
 }
 
+/* Runs both until @condition holds, and then for a moment, in which a bound
+ * might be exceeded. */
+#define RUN_UNTIL(condition)                                                  \
+    do {                                                                      \
+        mr_ms_t end_ = mr_clock_now(NULL) + WAIT_MAX_MS;                      \
+        while (!(condition) && mr_clock_now(NULL) < end_) {                   \
+            run_both(5);                                                      \
+        }                                                                     \
+        run_both(50);                                                         \
+    } while (0)
+
 static void
 run_caller(int ms)
 {
@@ -166,6 +179,7 @@
     mr_msg_t msg = {.type = MR_MSG_EXECUTE};
 
     msg.u.execute.statement = (mr_bytes_t){body, bytes};
+    caller.call_count++;
     mr_peer_call(caller.peer, to->address, &msg, timeout, on_reply, &caller);
 }
 
@@ -266,7 +280,7 @@
                      output);
     ck_assert_int_ge(
         metric(&caller, "masticrelay_peer_link_output_peak_bytes"), output);
-    run_both(2000);
+    RUN_UNTIL(caller.ok_count == 5);
     ck_assert_int_eq(caller.ok_count, 5);
     ck_assert_int_eq(metric(&caller, "masticrelay_peer_output_bytes"), 0);
     ck_assert_int_eq(metric(&receiver, "masticrelay_peer_input_bytes"), 0);
@@ -276,7 +290,7 @@
     mr_peer_destroy(receiver.peer);
     receiver.peer = NULL;
     ck_assert_int_eq(metric(&receiver, "masticrelay_peer_links"), 0);
-    run_both(50);
+    RUN_UNTIL(metric(&caller, "masticrelay_peer_links") == 0);
     ck_assert_int_eq(metric(&caller, "masticrelay_peer_links"), 0);
 }
 END_TEST
@@ -293,7 +307,7 @@
     char *full = strstr(read_log(), "event=peer_output_full name=receiver ");
     ck_assert_ptr_nonnull(full);
     ck_assert_ptr_null(strstr(full + 1, "event=peer_output_full"));
-    run_both(3000);
+    RUN_UNTIL(caller.reply_count == caller.call_count);
     ck_assert_ptr_nonnull(
         strstr(read_log(), "event=peer_output_drained name=receiver "));
 }
@@ -312,7 +326,7 @@
     send_call(100000);
     run_one(&caller);
     ck_assert_int_eq(caller.unavailable_count, refused + 1);
-    run_both(1000);
+    RUN_UNTIL(caller.reply_count == caller.call_count);
     ck_assert_int_eq(caller.ok_count, receiver.handled_count);
     ck_assert_int_eq(caller.unavailable_count, refused + 1);
 }
@@ -334,7 +348,7 @@
 {
     open_both(NULL, &small_limits);
     send_call(small_limits.frame_max_bytes);
-    run_both(200);
+    RUN_UNTIL(caller.reply_count == 2);
     ck_assert_int_eq(caller.reply_count, 2);
     ck_assert_int_eq(caller.last_error, MR_ERR_OUTCOME_UNKNOWN);
     ck_assert_int_eq(metric(&receiver, "masticrelay_peer_broken_total"), 1);
@@ -354,7 +368,7 @@
     ck_assert_int_eq(connect(fd, (struct sockaddr *)&address, (socklen_t)len),
                      0);
     ck_assert_int_eq(write(fd, &header, sizeof(header)), sizeof(header));
-    run_both(100);
+    RUN_UNTIL(metric(&receiver, "masticrelay_peer_broken_total") == 1);
     ck_assert_int_eq(metric(&receiver, "masticrelay_peer_broken_total"), 1);
     ck_assert_int_eq(metric(&receiver, "masticrelay_peer_links"), 1);
     close(fd);
@@ -383,7 +397,7 @@
     int refused = caller.unavailable_count;
     ck_assert_int_gt(refused, 0);
     send_call(100000);
-    run_both(200);
+    RUN_UNTIL(receiver.handled_count == 2);
     ck_assert_int_eq(receiver.handled_count, 2);
     ck_assert_int_eq(caller.unavailable_count, refused);
     for (int i = 0; i < RECEIVERS; i++) {
@@ -400,7 +414,7 @@
     for (int i = 0; i < 64; i++) {
         send_call(0);
     }
-    run_both(100);
+    RUN_UNTIL(receiver.held_count == 64);
     ck_assert_int_eq(receiver.held_count, 64);
     for (int i = 0; i < 64; i++) {
         reply_to(&receiver, receiver.held[i]);
@@ -409,7 +423,7 @@
     }
     int64_t dropped = metric(&receiver, "masticrelay_peer_unsent_total");
     ck_assert_int_gt(dropped, 0);
-    run_both(500);
+    RUN_UNTIL(caller.ok_count == 1 + 64 - (int)dropped);
     ck_assert_int_eq(caller.ok_count, 1 + 64 - (int)dropped);
 }
 END_TEST
@@ -430,31 +444,37 @@
     ck_assert_int_eq(metric(&receiver, "masticrelay_peer_unsent_total"), 0);
     ck_assert_int_le(metric(&receiver, "masticrelay_peer_output_bytes"),
                      (int64_t)small_limits.link_output_max_bytes);
-    run_both(3000);
+    RUN_UNTIL(caller.ok_count == 201);
     ck_assert_int_eq(caller.ok_count, 201);
 }
 END_TEST
 
 START_TEST(test_timed_out_requests_are_not_sent)
 {
+    const char *const output = "masticrelay_peer_output_bytes";
+
     open_both(&small_limits, NULL);
     /* Fills the kernel's buffers, but not the link. */
-    int64_t before;
+    int64_t before = 0;
+    int64_t previous;
     do {
-        send_call(60000);
-        run_caller(1);
-        before = metric(&caller, "masticrelay_peer_output_bytes");
-    } while (before < 200000);
-    int unanswered = receiver.handled_count;
+        while (metric(&caller, output) < 1200000) {
+            send_call(60000);
+            run_one(&caller);
+        }
+        previous = before;
+        run_caller(100);
+        before = metric(&caller, output);
+    } while (before != previous);
     for (int i = 0; i < 10; i++) {
         send_call_to(&receiver, 60000, 20);
     }
-    ck_assert_int_gt(metric(&caller, "masticrelay_peer_output_bytes"), before);
+    ck_assert_int_gt(metric(&caller, output), before);
     run_caller(50);
     ck_assert_int_eq(caller.unavailable_count, 10);
-    ck_assert_int_eq(metric(&caller, "masticrelay_peer_output_bytes"), before);
-    run_both(1000);
-    ck_assert_int_gt(receiver.handled_count, unanswered);
+    ck_assert_int_eq(metric(&caller, output), before);
+    RUN_UNTIL(caller.reply_count == caller.call_count);
+    ck_assert_int_eq(receiver.handled_count, caller.call_count - 10);
     ck_assert_int_eq(caller.ok_count, receiver.handled_count);
 }
 END_TEST
@@ -468,13 +488,13 @@
     for (int i = 0; i < max + 10; i++) {
         send_call(0);
     }
-    run_both(100);
+    RUN_UNTIL(receiver.held_count == max);
     ck_assert_int_eq(receiver.held_count, max);
     ck_assert_int_eq(caller.unavailable_count, 10);
     for (int i = 0; i < max; i++) {
         reply_to(&receiver, receiver.held[i]);
     }
-    run_both(100);
+    RUN_UNTIL(caller.ok_count == 1 + max);
     ck_assert_int_eq(caller.ok_count, 1 + max);
     receiver.holds = false;
     connect_to(&receiver);
@@ -490,19 +510,19 @@
     for (int i = 0; i < max + 200; i++) {
         send_call(30000);
     }
-    run_both(500);
+    RUN_UNTIL(receiver.held_count == max);
     ck_assert_int_eq(receiver.held_count, max);
     ck_assert_int_le(metric(&receiver, "masticrelay_peer_input_peak_bytes"),
                      (int64_t)small_limits.frame_max_bytes);
     for (int i = 0; i < max; i++) {
         reply_to(&receiver, receiver.held[i]);
     }
-    run_both(500);
+    RUN_UNTIL(receiver.held_count == max + 200);
     ck_assert_int_eq(receiver.held_count, max + 200);
     for (int i = 0; i < 200; i++) {
         reply_to(&receiver, receiver.held[max + i]);
     }
-    run_both(200);
+    RUN_UNTIL(caller.ok_count == 1 + max + 200);
     ck_assert_int_eq(caller.ok_count, 1 + max + 200);
 }
 END_TEST
