--- a/lib/common/event.h
+++ b/lib/common/event.h
@@ -21,6 +21,7 @@
     X(CHILD_RESTART, "child_restart", "child backoff_ms")                     \
     X(DRAIN_DEADLINE, "drain_deadline", "child")                              \
     X(PROCESS_PAUSED, "process_paused", "ms")                                 \
+    X(MEMORY_LEVEL, "memory_level", "from to in_use held limit gauges")       \
     X(CERTIFICATE_RELOADED, "certificate_reloaded", "file")                   \
     X(CERTIFICATE_REFUSED, "certificate_refused", "file reason")              \
     /* The platform */                                                        \
@@ -52,6 +53,8 @@
       "version before source")                                                \
     X(CONFIGURATION_MALFORMED, "configuration_malformed", "source problem")   \
     X(FEED_HISTORY_GONE, "feed_history_gone", "after")                        \
+    X(UPDATE_APPLIED, "update_applied", "source bytes took_ms")               \
+    X(UPDATE_FAILED, "update_failed", "source reason received size")          \
     X(REGISTRATIONS_DIFFER, "registrations_differ", "source version")         \
     /* Databases */                                                           \
     X(DATABASE_FOUND, "database_found", "service id address role")            \
--- a/lib/session/client.c
+++ b/lib/session/client.c
@@ -86,6 +86,18 @@
     free(session);
 }
 
+size_t
+mr_client_input_bytes(const mr_client_t *session)
+{
+    return evbuffer_get_length(bufferevent_get_input(session->stream));
+}
+
+size_t
+mr_client_output_bytes(const mr_client_t *session)
+{
+    return evbuffer_get_length(bufferevent_get_output(session->stream));
+}
+
 mr_setting_t *
 mr_client_find_setting(mr_client_t *session, const char *name, bool prepared)
 {
@@ -512,6 +524,18 @@
     return true;
 }
 
+/* Releases the desired state of an operation that has ended, as an idle
+ * session would keep an old version in memory. */
+static void
+release_catalog(mr_client_t *session)
+{
+    if (session->run.stage == MR_RUN_NONE && session->tx != MR_TX_OPEN) {
+        mr_catalog_unref(session->catalog);
+        session->catalog = NULL;
+        session->route = NULL;
+    }
+}
+
 void
 mr_client_process_input(mr_client_t *session)
 {
@@ -529,6 +553,9 @@
                                         : refuse_malformed(session, result);
         mr_line_release(&line);
     }
+    if (alive) {
+        release_catalog(session);
+    }
     if (alive && !session->closing && session->relay->draining
         && session->database != NULL && session->run.stage == MR_RUN_NONE
         && session->tx == MR_TX_IDLE) {
--- a/lib/session/client.h
+++ b/lib/session/client.h
@@ -98,7 +98,8 @@
     char *account; /* client account, as named to the databases */
     mr_list_t settings;
     mr_position_t position; /* newest commit of this session */
-    mr_catalog_t *catalog;  /* desired state of the current operation */
+    mr_catalog_t *catalog;  /* desired state of the current operation; NULL
+                               between operations */
     const mr_catalog_route_t *route;
     mr_tx_state_t tx;
     bool tx_read_only;
@@ -113,6 +114,8 @@
 /* client.c */
 void mr_client_create(mr_relay_t *relay, evutil_socket_t fd);
 void mr_client_destroy(mr_client_t *session);
+size_t mr_client_input_bytes(const mr_client_t *session);
+size_t mr_client_output_bytes(const mr_client_t *session);
 /** mr_client_process_input() - handle the messages that have arrived, up to
  * the next statement that takes time. */
 void mr_client_process_input(mr_client_t *session);
