--- a/lib/session/fleet_members.c
+++ b/lib/session/fleet_members.c
@@ -293,6 +293,7 @@
         .data_centre = fleet->options.data_centre,
         .incarnation = mr_clock_wall(),
         .secret = fleet->secret,
+        .limits = &mr_peer_report_limits,
     });
     mr_peer_handle(fleet->peer, MR_MSG_REPORT, mr_fleet_on_report, fleet);
     fleet->updates = mr_updates_create(&(mr_updates_options_t){
