Refuse new operations and sessions when memory runs short

Callers saw: an instance took on work until the platform ended it for its memory, and all its sessions broke without an answer.

Open transactions and running statements go on. A caller with an unknown route or key still gets that answer, as it would never be served.

Times to retry after: never shorter than the interval of measurements (250 ms), as the level cannot have changed before; each refusal gets another place in a window, so that callers don't return together and raise the level again. Single reads hold least and return first, then writes and transactions. A refused session returns after 20 to 99 ms, since the balancer gives it to another instance, which may have room.

The kind memory_short is new, so that logs and answers by kind tell it from an account's limit, which has the same code on the wire.

--- a/lib/common/error.h
+++ b/lib/common/error.h
@@ -51,7 +51,8 @@
     X(MR_ERR_REQUEST_ID_EXPIRED, "request_id_expired", 504,                   \
       MR_OUTCOME_UNKNOWN)                                                     \
     X(MR_ERR_UNKNOWN_STATEMENT, "unknown_statement", 404, MR_OUTCOME_NOT_RUN) \
-    X(MR_ERR_STATEMENT_TIMEOUT, "statement_timeout", 504, MR_OUTCOME_UNKNOWN)
+    X(MR_ERR_STATEMENT_TIMEOUT, "statement_timeout", 504, MR_OUTCOME_UNKNOWN) \
+    X(MR_ERR_MEMORY_SHORT, "memory_short", 503, MR_OUTCOME_NOT_RUN)
 
 #define MR_ERROR_ENUM(kind, name, status, outcome) kind,
 /** Kind of an error; see MR_ERROR_KINDS(). */
--- a/lib/common/event.h
+++ b/lib/common/event.h
@@ -87,7 +87,7 @@
     X(TOKEN_WAIT, "token_wait", "id account")                                 \
     X(REQUEST_REFUSED, "request_refused",                                     \
       "id account database error config retry_after_ms coordinated waited")   \
-    X(SESSION_REFUSED, "session_refused", "error")                            \
+    X(SESSION_REFUSED, "session_refused", "error retry_after_ms")             \
     X(ATTEMPT_FAILED, "attempt_failed",                                       \
       "id target stage error tries waited_ms")                                \
     X(REQUEST_ENDED, "request_ended",                                         \
--- a/lib/session/client.c
+++ b/lib/session/client.c
@@ -11,8 +11,26 @@
 #include "common/log.h"
 #include "common/mem.h"
 
-/* TCP_USER_TIMEOUT: ends sessions of clients across a network partition. */
-enum { USER_TIMEOUT_MS = 10000 };
+enum {
+    /* TCP_USER_TIMEOUT: ends sessions of clients across a network partition.
+     */
+    USER_TIMEOUT_MS = 10000,
+    /* Time until operations refused for lack of memory may return. A quarter
+     * of a second is the interval of measurements, before which the level
+     * stays the same. Single reads, which hold least, come first, everything
+     * else in the second half of the window. */
+    RETRY_READ_FIRST_MS = 250,
+    RETRY_OTHER_FIRST_MS = 500,
+    RETRY_WINDOW_MS = 250,
+    RETRY_CRITICAL_FACTOR = 2,
+    /* The balancer gives a new session to another instance, so its client does
+     * not have to wait for this one. */
+    RETRY_OPEN_FIRST_MS = 20,
+    RETRY_OPEN_WINDOW_MS = 80,
+    /* Has no common factor with the windows, so that successive refusals
+     * spread evenly over them. */
+    RETRY_STEP_MS = 89,
+};
 
 static void
 on_read(struct bufferevent *stream, void *ctx)
@@ -211,15 +229,47 @@
 
 /* Refuses an OPEN and ends the session. */
 static void
-refuse_open(mr_client_t *session, mr_error_kind_t error)
+refuse_open(mr_client_t *session, mr_error_kind_t error, mr_ms_t retry_after)
 {
-    mr_log_request(MR_LOG_FAILED, MR_EVENT_SESSION_REFUSED, "error=%s",
-                   mr_error_name(error));
+    mr_log_request(MR_LOG_FAILED, MR_EVENT_SESSION_REFUSED,
+                   "error=%s retry_after_ms=%lld", mr_error_name(error),
+                   (long long)retry_after);
     mr_counter_add(session->relay->answers[error], 1);
-    mr_line_write_error(client_output(session), error, NULL, -1);
+    mr_line_write_error(client_output(session), error, NULL, retry_after);
     close_after_output(session);
 }
 
+/* Time after which a refused caller may return: the next place in the window
+ * that begins at @first, so that callers do not return together. */
+static mr_ms_t
+next_return(mr_relay_t *relay, mr_ms_t first, mr_ms_t window)
+{
+    mr_ms_t place = (mr_ms_t)relay->refusals++ * RETRY_STEP_MS % window;
+
+    return first + place;
+}
+
+static mr_memory_level_t
+memory_level(const mr_client_t *session)
+{
+    return mr_memory_level(session->relay->options.memory);
+}
+
+/* Refuses a request for lack of memory. */
+static void
+refuse_for_memory(mr_client_t *session, const char *id, bool single_read)
+{
+    mr_ms_t wait =
+        next_return(session->relay,
+                    single_read ? RETRY_READ_FIRST_MS : RETRY_OTHER_FIRST_MS,
+                    RETRY_WINDOW_MS);
+
+    if (memory_level(session) == MR_MEMORY_CRITICAL) {
+        wait *= RETRY_CRITICAL_FACTOR;
+    }
+    mr_client_refuse(session, id, MR_ERR_MEMORY_SHORT, NULL, wait);
+}
+
 static bool
 open_session(mr_client_t *session, const mr_line_t *line)
 {
@@ -228,11 +278,17 @@
 
     session->credential = mr_strdup(line->u.open.credential);
     if (route == NULL) {
-        refuse_open(session, MR_ERR_UNKNOWN_ROUTE);
+        refuse_open(session, MR_ERR_UNKNOWN_ROUTE, -1);
         return false;
     }
     if (find_caller(session, route) == NULL) {
-        refuse_open(session, MR_ERR_UNAUTHENTICATED);
+        refuse_open(session, MR_ERR_UNAUTHENTICATED, -1);
+        return false;
+    }
+    if (memory_level(session) != MR_MEMORY_NORMAL) {
+        refuse_open(session, MR_ERR_MEMORY_SHORT,
+                    next_return(session->relay, RETRY_OPEN_FIRST_MS,
+                                RETRY_OPEN_WINDOW_MS));
         return false;
     }
     session->database = mr_strdup(line->u.open.database);
@@ -270,7 +326,7 @@
 /* Begins an operation under the current desired state. Returns false if it was
  * refused or has to wait. */
 static bool
-begin_operation(mr_client_t *session, mr_line_t *line)
+begin_operation(mr_client_t *session, mr_line_t *line, bool single_read)
 {
     mr_relay_t *relay = session->relay;
 
@@ -282,6 +338,10 @@
                          -1);
         return false;
     }
+    if (memory_level(session) != MR_MEMORY_NORMAL) {
+        refuse_for_memory(session, line->u.query.id, single_read);
+        return false;
+    }
     if (!take_token(session, line)) {
         return false;
     }
@@ -348,7 +408,7 @@
                                "a transaction is open", -1);
         return;
     }
-    if (!begin_operation(session, line)) {
+    if (!begin_operation(session, line, false)) {
         return;
     }
     session->tx = MR_TX_OPEN;
@@ -421,7 +481,7 @@
                                    "no transaction is open", -1);
             return;
         }
-        if (!begin_operation(session, line)) {
+        if (!begin_operation(session, line, !writes)) {
             return;
         }
     }
@@ -492,7 +552,7 @@
 {
     if (session->database == NULL) {
         if (line->kind != MR_LINE_OPEN) {
-            refuse_open(session, MR_ERR_INVALID_REQUEST);
+            refuse_open(session, MR_ERR_INVALID_REQUEST, -1);
             return false;
         }
         return open_session(session, line);
@@ -517,7 +577,7 @@
                                 : MR_ERR_INVALID_REQUEST;
 
     if (session->database == NULL || result == MR_LINE_TOO_LONG) {
-        refuse_open(session, error);
+        refuse_open(session, error, -1);
         return false;
     }
     mr_client_answer_error(session, error, NULL, -1);
--- a/lib/session/client.h
+++ b/lib/session/client.h
@@ -22,6 +22,7 @@
     size_t session_count;
     uint64_t last_serial;
     bool draining;
+    uint32_t refusals; /* for lack of memory */
     mr_counter_t *opened;
     mr_counter_t *operations;
     mr_counter_t *limited;
--- a/tests/integration/session_client.c
+++ b/tests/integration/session_client.c
@@ -27,8 +27,9 @@
 static void
 exec_relay(const relay_process_t *relay, const backend_t *backend)
 {
-    char arguments[9][256];
-    char *argv[10];
+    enum { ARGUMENTS = 10 };
+    char arguments[ARGUMENTS][256];
+    char *argv[ARGUMENTS + 1];
     int out = open(relay->log, O_WRONLY | O_CREAT | O_APPEND, 0644);
     const char *build = getenv("MASTICRELAY_BUILD");
 
@@ -44,10 +45,11 @@
     snprintf(arguments[7], 256, "--duty=%s",
              backend_promotion_address(backend));
     snprintf(arguments[8], 256, "--grace-s=6");
-    for (int i = 0; i < 9; i++) {
+    snprintf(arguments[9], 256, "--memory-mb=%d", relay->memory_mb);
+    for (int i = 0; i < ARGUMENTS; i++) {
         argv[i] = arguments[i];
     }
-    argv[9] = NULL;
+    argv[ARGUMENTS] = NULL;
     /* Ends the daemon when the test process aborts. */
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     dup2(out, STDOUT_FILENO);
--- a/tests/integration/session_client.h
+++ b/tests/integration/session_client.h
@@ -24,6 +24,7 @@
     char redirect[512];  /* see standins/redirect.c; empty: none */
     mr_ms_t clock_shift; /* of its wall clock; needs a redirect */
     int store_index;     /* of the store address that it uses */
+    int memory_mb;       /* its memory limit; 0: none */
 } relay_process_t;
 
 /** relay_prepare() - choose name, addresses and log file without starting the
--- /dev/null
+++ b/tests/integration/test_session_memory.c
@@ -0,0 +1,219 @@
+/* Runs one daemon with a small memory limit. Guards against a daemon that
+ * grows over its limit instead of refusing work, and against clients that fill
+ * its memory. */
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/mem.h"
+#include "common/memory.h"
+#include "harness.h"
+#include "session_client.h"
+#include "world.h"
+
+enum {
+    READY_MAX_MS = 8000,
+    RATE = 5000,
+    LIMIT_MB = 16,
+    BYTES_PER_MB = 1000 * 1000,
+    VALUE_BYTES = 900 * 1000,
+    HOLDERS = 20,
+    HOLDERS_BELOW = 8, /* whose values stay below each level together */
+    MEASURED_MS = 350, /* until a change of memory use has been measured */
+    CALLERS = 8,
+};
+
+static const char *const keys[] = {"coop:key-1", "agent:key-2", NULL};
+
+static struct event_base *base;
+static backend_t *backend;
+static relay_process_t relay;
+static char *large_value;
+
+static void
+set_up(void)
+{
+    signal(SIGPIPE, SIG_IGN);
+    base = event_base_new();
+    backend = backend_create(base);
+    backend_put_config(backend, 5, keys, RATE);
+    relay_prepare(&relay, 0);
+    relay.memory_mb = LIMIT_MB;
+    relay_restart(&relay, backend);
+    ck_assert(relay_wait_ready(&relay, base, READY_MAX_MS));
+    /* Until the coordinator is chosen and has read the registrations. */
+    harness_run_loop(base, 2500);
+    large_value = mr_calloc(1, VALUE_BYTES + 1);
+    memset(large_value, 'v', VALUE_BYTES);
+}
+
+static void
+tear_down(void)
+{
+    ck_assert_msg(backend_violation(backend) == NULL, "%s",
+                  backend_violation(backend));
+    relay_kill(&relay);
+    backend_destroy(backend);
+    event_base_free(base);
+    free(large_value);
+}
+
+static client_t *
+open_session(void)
+{
+    char code[ANSWER_BYTES] = "";
+    client_t *client = client_open(base, &relay, "own", "key-1", code);
+
+    ck_assert_msg(client != NULL, "refused: %s", code);
+    return client;
+}
+
+static int64_t
+metric(const char *name)
+{
+    return relay_metric(&relay, base, name);
+}
+
+static int64_t
+level(void)
+{
+    return metric("masticrelay_memory_level");
+}
+
+static void
+run_ok(client_t *client, const char *statement)
+{
+    client_answer_t answer = client_run(client, statement, NULL);
+
+    ck_assert_msg(answer.complete, "%.80s: %s", statement, answer.text);
+}
+
+static void
+set_large_value(client_t *client)
+{
+    char *statement = mr_asprintf("SET name %s", large_value);
+
+    run_ok(client, statement);
+    free(statement);
+}
+
+/* Opens the holders' sessions and fills memory with their values. */
+static void
+open_holders(client_t **holders)
+{
+    for (int i = 0; i < HOLDERS; i++) {
+        holders[i] = open_session();
+    }
+    for (int i = 0; i < HOLDERS_BELOW; i++) {
+        set_large_value(holders[i]);
+    }
+    harness_run_loop(base, MEASURED_MS);
+    ck_assert_int_eq(level(), MR_MEMORY_NORMAL);
+}
+
+/* Fills memory with further values until @wanted is reached. */
+static void
+fill_memory(client_t **holders, mr_memory_level_t wanted)
+{
+    for (int i = HOLDERS_BELOW; i < HOLDERS && level() < (int64_t)wanted;
+         i++) {
+        set_large_value(holders[i]);
+        harness_run_loop(base, MEASURED_MS);
+    }
+    ck_assert_int_eq(level(), wanted);
+}
+
+static void
+close_all(client_t **clients, int count)
+{
+    for (int i = 0; i < count; i++) {
+        client_close(clients[i]);
+    }
+}
+
+/* Returns the time to retry after that an answer names; -1: none. */
+static int
+retry_after(const char *text)
+{
+    const char *found = strstr(text, "; retry after ");
+
+    return found != NULL ? atoi(found + strlen("; retry after ")) : -1;
+}
+
+START_TEST(test_new_work_is_refused_before_the_memory_limit_is_reached)
+{
+    client_t *holders[HOLDERS];
+    client_t *transaction = open_session();
+    client_t *caller = open_session();
+    char code[ANSWER_BYTES] = "";
+
+    open_holders(holders);
+    run_ok(transaction, "BEGIN");
+    run_ok(transaction, "WRITE a b");
+    fill_memory(holders, MR_MEMORY_REFUSING);
+
+    mr_ms_t start = mr_clock_now(NULL);
+    client_answer_t read = client_run(caller, "READ a", NULL);
+    client_answer_t write = client_run(caller, "WRITE a b", NULL);
+    client_answer_t begin = client_run(caller, "BEGIN", NULL);
+    ck_assert_int_lt(mr_clock_now(NULL) - start, 200);
+    ck_assert_msg(answer_is_error(&read, "OVERLOAD"), "%s", read.text);
+    ck_assert_msg(answer_is_error(&write, "OVERLOAD"), "%s", write.text);
+    ck_assert_msg(answer_is_error(&begin, "OVERLOAD"), "%s", begin.text);
+    ck_assert_int_eq(begin.state, 'I');
+    ck_assert_int_gt(retry_after(read.text), 0);
+    ck_assert_int_lt(retry_after(read.text), retry_after(write.text));
+    ck_assert_ptr_null(client_open(base, &relay, "own", "key-1", code));
+    ck_assert_msg(strncmp(code, "OVERLOAD", 8) == 0, "%s", code);
+    ck_assert_int_gt(retry_after(code), 0);
+    ck_assert_ptr_null(client_open(base, &relay, "own", "none", code));
+    ck_assert_msg(strncmp(code, "NOAUTH", 6) == 0, "%s", code);
+
+    run_ok(transaction, "READ a");
+    run_ok(transaction, "COMMIT");
+    close_all(holders, HOLDERS);
+    harness_run_loop(base, MEASURED_MS);
+    ck_assert_int_eq(level(), MR_MEMORY_NORMAL);
+    run_ok(caller, "READ a");
+    ck_assert(relay_log_contains(&relay, "event=memory_level", "to=refusing"));
+    client_close(transaction);
+    client_close(caller);
+}
+END_TEST
+
+START_TEST(test_refused_callers_do_not_return_together)
+{
+    client_t *holders[HOLDERS];
+    client_t *callers[CALLERS];
+    int waits[CALLERS];
+
+    open_holders(holders);
+    for (int i = 0; i < CALLERS; i++) {
+        callers[i] = open_session();
+    }
+    fill_memory(holders, MR_MEMORY_REFUSING);
+    for (int i = 0; i < CALLERS; i++) {
+        client_answer_t answer = client_run(callers[i], "READ a", NULL);
+        waits[i] = retry_after(answer.text);
+        for (int j = 0; j < i; j++) {
+            ck_assert_int_gt(abs(waits[i] - waits[j]), 5);
+        }
+    }
+    close_all(callers, CALLERS);
+    close_all(holders, HOLDERS);
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {
+        test_new_work_is_refused_before_the_memory_limit_is_reached,
+        test_refused_callers_do_not_return_together,
+    };
+
+    return RUN_TESTS(tests, .suite = "session memory", .setup = set_up,
+                     .teardown = tear_down, HARNESS_RUNNER_OPTIONS);
+}
