Bound the memory that client sessions hold

Callers saw: instances ended over their memory limit. A client could bring that about by itself: one that sent further messages while a statement ran, never ended a message, did not read its answers or stored values without bound; and nothing bounded the sum over all sessions.

Now one session holds at most one message of unread input (the read watermark; 64 KB while a statement runs), 64 KB of unsent output and one answer (further messages wait until it is written), and 1 MiB of values and prepared statements (TOOLARGE beyond). All sessions together hold at most 20 % of the memory limit in buffers; beyond that, and at the critical level until it would end, idle sessions are closed, the largest first. Sessions of up to 64 KB are kept: to open them again would cost more than it frees. For a client without a request under way a close is no failure; a request that has arrived in part is answered OVERLOAD with a time to retry after. At the critical level further values are refused.

Connections are still accepted at the critical level, and messages read: a client that isn't accepted waits for its own time limit, one that is accepted is refused within a round trip, at the cost of one small message.

--- a/lib/common/memory.c
+++ b/lib/common/memory.c
@@ -30,8 +30,11 @@
 struct mr_memory {
     mr_memory_options_t options;
     mr_memory_level_t level;
+    int64_t in_use;
     int64_t held;
     mr_list_t gauges;
+    void (*handler)(void *ctx);
+    void *handler_ctx;
     struct event *timer;
     mr_counter_t *in_use_gauge;
     mr_counter_t *peak_gauge;
@@ -79,7 +82,7 @@
         "address space of the allocator, including free blocks");
     memory->level_gauge = mr_counters_get(
         counters, "masticrelay_memory_level", "",
-        "0: normal, 1: new work is refused, 2: no input is read");
+        "0: normal, 1: new work is refused, 2: memory is freed as well");
     mr_counter_set(mr_counters_get(counters, "masticrelay_memory_limit_bytes",
                                    "", "memory limit, 0 if not known"),
                    options->limit);
@@ -115,6 +118,33 @@
     return memory != NULL ? memory->level : MR_MEMORY_NORMAL;
 }
 
+int64_t
+mr_memory_limit(const mr_memory_t *memory)
+{
+    return memory != NULL ? memory->options.limit : 0;
+}
+
+/* Bytes in use from which @level begins or, once it holds, goes on. */
+static int64_t
+threshold(const mr_memory_t *memory, mr_memory_level_t level)
+{
+    int percent = level_percent[level];
+
+    if (memory->level >= level) {
+        percent -= MR_MEMORY_HYSTERESIS_PERCENT;
+    }
+    return memory->options.limit / 100 * percent;
+}
+
+int64_t
+mr_memory_excess(const mr_memory_t *memory)
+{
+    if (mr_memory_level(memory) != MR_MEMORY_CRITICAL) {
+        return 0;
+    }
+    return memory->in_use - threshold(memory, MR_MEMORY_CRITICAL) + 1;
+}
+
 const char *
 mr_memory_level_name(mr_memory_level_t level)
 {
@@ -137,6 +167,13 @@
     free(metric);
 }
 
+void
+mr_memory_set_handler(mr_memory_t *memory, void (*fn)(void *ctx), void *ctx)
+{
+    memory->handler = fn;
+    memory->handler_ctx = ctx;
+}
+
 static mr_memory_level_t
 find_level(const mr_memory_t *memory, int64_t in_use)
 {
@@ -146,11 +183,7 @@
         return level;
     }
     for (int i = MR_MEMORY_NORMAL + 1; i < MR_MEMORY_LEVELS; i++) {
-        int percent = level_percent[i];
-        if (memory->level >= (mr_memory_level_t)i) {
-            percent -= MR_MEMORY_HYSTERESIS_PERCENT;
-        }
-        if (in_use >= memory->options.limit / 100 * percent) {
+        if (in_use >= threshold(memory, (mr_memory_level_t)i)) {
             level = (mr_memory_level_t)i;
         }
     }
@@ -158,7 +191,7 @@
 }
 
 static void
-log_level(const mr_memory_t *memory, mr_memory_level_t from, int64_t in_use)
+log_level(const mr_memory_t *memory, mr_memory_level_t from)
 {
     char *gauges = mr_strdup("");
 
@@ -174,8 +207,9 @@
     mr_log(memory->level > from ? MR_LOG_WARNING : MR_LOG_INFO,
            MR_EVENT_MEMORY_LEVEL,
            "from=%s to=%s in_use=%lld held=%lld limit=%lld gauges=%s",
-           level_names[from], level_names[memory->level], (long long)in_use,
-           (long long)memory->held, (long long)memory->options.limit, gauges);
+           level_names[from], level_names[memory->level],
+           (long long)memory->in_use, (long long)memory->held,
+           (long long)memory->options.limit, gauges);
     free(gauges);
 }
 
@@ -189,6 +223,7 @@
         gauge_t *gauge = MR_LIST_ENTRY(it, gauge_t, link);
         mr_counter_set(gauge->counter, gauge->read(gauge->ctx));
     }
+    memory->in_use = in_use;
     mr_counter_set(memory->in_use_gauge, in_use);
     if (in_use > mr_counter_value(memory->peak_gauge)) {
         mr_counter_set(memory->peak_gauge, in_use);
@@ -196,6 +231,9 @@
     memory->level = find_level(memory, in_use);
     mr_counter_set(memory->level_gauge, memory->level);
     if (memory->level != from) {
-        log_level(memory, from, in_use);
+        log_level(memory, from);
+    }
+    if (memory->handler != NULL) {
+        memory->handler(memory->handler_ctx);
     }
 }
--- a/lib/common/memory.h
+++ b/lib/common/memory.h
@@ -15,7 +15,7 @@
 typedef enum mr_memory_level {
     MR_MEMORY_NORMAL,
     MR_MEMORY_REFUSING, /* new work is refused */
-    MR_MEMORY_CRITICAL, /* no input is read, and memory is given back */
+    MR_MEMORY_CRITICAL, /* memory is freed and given back */
     MR_MEMORY_LEVELS,
 } mr_memory_level_t;
 
@@ -44,6 +44,11 @@
 /** mr_memory_level() - the level at the last measurement. A NULL @memory is
  * at the normal level. */
 mr_memory_level_t mr_memory_level(const mr_memory_t *memory);
+/** mr_memory_limit() - the limit in bytes; 0: not known. */
+int64_t mr_memory_limit(const mr_memory_t *memory);
+/** mr_memory_excess() - bytes to be freed before the critical level ends; 0
+ * at the other levels. */
+int64_t mr_memory_excess(const mr_memory_t *memory);
 const char *mr_memory_level_name(mr_memory_level_t level);
 
 /**
@@ -56,6 +61,11 @@
                          const char *help, int64_t (*read)(void *ctx),
                          void *ctx);
 
+/** mr_memory_set_handler() - call @fn after each measurement; it may free
+ * memory. */
+void mr_memory_set_handler(mr_memory_t *memory, void (*fn)(void *ctx),
+                           void *ctx);
+
 /** mr_memory_set_in_use() - set the level for @in_use bytes; called with each
  * measurement. */
 void mr_memory_set_in_use(mr_memory_t *memory, int64_t in_use);
--- a/lib/session/client.c
+++ b/lib/session/client.c
@@ -15,6 +15,11 @@
     /* TCP_USER_TIMEOUT: ends sessions of clients across a network partition.
      */
     USER_TIMEOUT_MS = 10000,
+    /* Unsent output of a session from which on no further message is handled.
+     */
+    OUTPUT_FULL_BYTES = 64 * 1024,
+    /* Values and prepared statements of one session. */
+    SETTINGS_MAX_BYTES = MR_LINE_MAX_BYTES,
     /* Time until operations refused for lack of memory may return. A quarter
      * of a second is the interval of measurements, before which the level
      * stays the same. Single reads, which hold least, come first, everything
@@ -37,7 +42,14 @@
 {
     mr_client_t *session = ctx;
 
-    (void)stream;
+    if (mr_client_input_bytes(session) > MR_CLIENT_SMALL_BYTES) {
+        /* Not called directly, as it may end this session. */
+        event_active(session->relay->large_input, 0, 0);
+        if (session->run.stage != MR_RUN_NONE || session->output_full) {
+            session->input_paused = true;
+            bufferevent_disable(stream, EV_READ);
+        }
+    }
     if (session->run.stage == MR_RUN_NONE) {
         mr_client_process_input(session);
     }
@@ -70,6 +82,9 @@
     session->stream =
         bufferevent_socket_new(relay->options.base, fd, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(session->stream, on_read, NULL, on_event, session);
+    /* One byte more than the longest message shows that it is too long. */
+    bufferevent_setwatermark(session->stream, EV_READ, 0,
+                             MR_LINE_MAX_BYTES + 1);
     bufferevent_enable(session->stream, EV_READ | EV_WRITE);
 }
 
@@ -116,6 +131,25 @@
     return evbuffer_get_length(bufferevent_get_output(session->stream));
 }
 
+size_t
+mr_client_buffer_bytes(const mr_client_t *session)
+{
+    return mr_client_input_bytes(session) + mr_client_output_bytes(session);
+}
+
+size_t
+mr_client_held_bytes(const mr_client_t *session)
+{
+    return mr_client_buffer_bytes(session) + session->settings_bytes;
+}
+
+bool
+mr_client_is_idle(const mr_client_t *session)
+{
+    return session->run.stage == MR_RUN_NONE && session->tx == MR_TX_IDLE
+           && !session->closing;
+}
+
 mr_setting_t *
 mr_client_find_setting(mr_client_t *session, const char *name, bool prepared)
 {
@@ -270,6 +304,35 @@
     mr_client_refuse(session, id, MR_ERR_MEMORY_SHORT, NULL, wait);
 }
 
+void
+mr_client_shed(mr_client_t *session)
+{
+    struct evbuffer *in = bufferevent_get_input(session->stream);
+    size_t input = mr_client_input_bytes(session);
+    size_t output = mr_client_output_bytes(session);
+    mr_ms_t wait =
+        next_return(session->relay, RETRY_OTHER_FIRST_MS, RETRY_WINDOW_MS);
+
+    mr_log_request(MR_LOG_FAILED, MR_EVENT_SESSION_SHED,
+                   "account=%s database=%s input=%zu output=%zu values=%zu",
+                   session->account != NULL ? session->account : "-",
+                   session->database != NULL ? session->database : "-", input,
+                   output, session->settings_bytes);
+    mr_counter_add(session->relay->shed, 1);
+    if (input == 0 || output > 0) {
+        mr_client_destroy(session);
+        return;
+    }
+    /* A request has arrived in part. */
+    evbuffer_drain(in, input);
+    if (session->database == NULL) {
+        refuse_open(session, MR_ERR_MEMORY_SHORT, wait);
+        return;
+    }
+    mr_client_answer_error(session, MR_ERR_MEMORY_SHORT, NULL, wait);
+    close_after_output(session);
+}
+
 static bool
 open_session(mr_client_t *session, const mr_line_t *line)
 {
@@ -376,20 +439,39 @@
     return true;
 }
 
-static void
+static size_t
+setting_bytes(const mr_setting_t *setting)
+{
+    return strlen(setting->name) + strlen(setting->statement);
+}
+
+/* Adds, replaces or removes a value or prepared statement. Returns false if
+ * the session would hold too much. */
+static bool
 change_setting(mr_client_t *session, const char *text,
                const mr_command_t *statement)
 {
     bool prepared = statement->kind != MR_COMMAND_SET;
     mr_setting_t *setting =
         mr_client_find_setting(session, statement->name, prepared);
+    size_t bytes = session->settings_bytes;
 
+    if (setting != NULL) {
+        bytes -= setting_bytes(setting);
+    }
+    if (statement->kind != MR_COMMAND_DEALLOCATE) {
+        bytes += strlen(statement->name) + strlen(text);
+        if (bytes > SETTINGS_MAX_BYTES) {
+            return false;
+        }
+    }
     session->version++;
+    session->settings_bytes = bytes;
     if (setting != NULL) {
         free_setting(setting);
     }
     if (statement->kind == MR_COMMAND_DEALLOCATE) {
-        return;
+        return true;
     }
     setting = MR_NEW(mr_setting_t);
     setting->name = mr_strdup(statement->name);
@@ -397,6 +479,24 @@
     setting->prepared = prepared;
     setting->read_only = statement->read_only;
     mr_list_append(&session->settings, &setting->link);
+    return true;
+}
+
+static void
+handle_setting(mr_client_t *session, const mr_line_t *line,
+               const mr_command_t *statement)
+{
+    if (statement->kind != MR_COMMAND_DEALLOCATE
+        && memory_level(session) == MR_MEMORY_CRITICAL) {
+        refuse_for_memory(session, line->u.query.id, false);
+    }
+    else if (!change_setting(session, line->u.query.statement, statement)) {
+        mr_client_refuse(session, line->u.query.id, MR_ERR_PAYLOAD_TOO_LARGE,
+                         "the session's values", -1);
+    }
+    else {
+        mr_client_answer(session, NULL);
+    }
 }
 
 static void
@@ -511,8 +611,7 @@
     case MR_COMMAND_SET:
     case MR_COMMAND_PREPARE:
     case MR_COMMAND_DEALLOCATE:
-        change_setting(session, line->u.query.statement, &statement);
-        mr_client_answer(session, NULL);
+        handle_setting(session, line, &statement);
         return;
     case MR_COMMAND_READ:
     case MR_COMMAND_WRITE:
@@ -596,6 +695,40 @@
     }
 }
 
+static void
+on_output_empty(struct bufferevent *stream, void *ctx)
+{
+    mr_client_t *session = ctx;
+
+    session->output_full = false;
+    bufferevent_setcb(stream, on_read, NULL, on_event, session);
+    mr_client_process_input(session);
+}
+
+/* Whether the client has to read answers before its next message is handled.
+ */
+static bool
+is_output_full(mr_client_t *session)
+{
+    if (!session->output_full
+        && mr_client_output_bytes(session) >= OUTPUT_FULL_BYTES) {
+        session->output_full = true;
+        bufferevent_setcb(session->stream, on_read, on_output_empty, on_event,
+                          session);
+    }
+    return session->output_full;
+}
+
+static void
+resume_input(mr_client_t *session)
+{
+    if (session->input_paused && session->run.stage == MR_RUN_NONE
+        && !session->output_full && !session->closing) {
+        session->input_paused = false;
+        bufferevent_enable(session->stream, EV_READ);
+    }
+}
+
 void
 mr_client_process_input(mr_client_t *session)
 {
@@ -603,7 +736,7 @@
     bool alive = true;
 
     while (alive && !session->closing && session->run.stage == MR_RUN_NONE
-           && session->relay->catalog != NULL) {
+           && session->relay->catalog != NULL && !is_output_full(session)) {
         mr_line_t line;
         mr_line_result_t result = mr_line_read(in, &line, NULL);
         if (result == MR_LINE_PARTIAL) {
@@ -613,12 +746,13 @@
                                         : refuse_malformed(session, result);
         mr_line_release(&line);
     }
-    if (alive) {
-        release_catalog(session);
+    if (!alive) {
+        return;
     }
-    if (alive && !session->closing && session->relay->draining
-        && session->database != NULL && session->run.stage == MR_RUN_NONE
-        && session->tx == MR_TX_IDLE) {
+    release_catalog(session);
+    resume_input(session);
+    if (mr_client_is_idle(session) && session->relay->draining
+        && session->database != NULL && !session->output_full) {
         close_after_output(session);
     }
 }
--- a/lib/session/client.h
+++ b/lib/session/client.h
@@ -14,6 +14,10 @@
 
 typedef struct mr_client mr_client_t;
 
+/** Sessions up to this size are not closed to free memory; it is also the
+ * input that is read ahead while a statement runs. */
+enum { MR_CLIENT_SMALL_BYTES = 64 * 1024 };
+
 struct mr_relay {
     mr_relay_options_t options;
     mr_catalog_t *catalog; /* NULL until the first one is known */
@@ -22,10 +26,12 @@
     size_t session_count;
     uint64_t last_serial;
     bool draining;
-    uint32_t refusals; /* for lack of memory */
+    uint32_t refusals;         /* for lack of memory */
+    struct event *large_input; /* activated when a session has much input */
     mr_counter_t *opened;
     mr_counter_t *operations;
     mr_counter_t *limited;
+    mr_counter_t *shed;
     mr_counter_t *retries;
     mr_counter_t *answers[MR_ERROR_COUNT];
     mr_histogram_t latency;  /* of statements that succeeded */
@@ -98,6 +104,7 @@
     char *credential;
     char *account; /* client account, as named to the databases */
     mr_list_t settings;
+    size_t settings_bytes;
     mr_position_t position; /* newest commit of this session */
     mr_catalog_t *catalog;  /* desired state of the current operation; NULL
                                between operations */
@@ -107,6 +114,8 @@
     bool tx_wrote;
     bool waited_for_token; /* the current message has waited for a token */
     bool closing;          /* ends once its output is written */
+    bool input_paused;     /* until the buffered input is handled */
+    bool output_full;      /* no input is handled until it is written */
     mr_db_conn_t *tx_conn; /* NULL until the first statement has run */
     bool tx_lost; /* its connection was lost; the database rolls it back */
     mr_run_t run;
@@ -117,6 +126,14 @@
 void mr_client_destroy(mr_client_t *session);
 size_t mr_client_input_bytes(const mr_client_t *session);
 size_t mr_client_output_bytes(const mr_client_t *session);
+/** mr_client_buffer_bytes() - unread input and unsent output. */
+size_t mr_client_buffer_bytes(const mr_client_t *session);
+/** mr_client_held_bytes() - the buffers and the session's values. */
+size_t mr_client_held_bytes(const mr_client_t *session);
+/** mr_client_is_idle() - whether no operation is under way. */
+bool mr_client_is_idle(const mr_client_t *session);
+/** mr_client_shed() - end an idle session to free its memory. */
+void mr_client_shed(mr_client_t *session);
 /** mr_client_process_input() - handle the messages that have arrived, up to
  * the next statement that takes time. */
 void mr_client_process_input(mr_client_t *session);
--- a/lib/session/line.h
+++ b/lib/session/line.h
@@ -59,6 +59,9 @@
     } u;
 } mr_line_t;
 
+/** Longest message, with its end of line. */
+enum { MR_LINE_MAX_BYTES = 1 << 20 };
+
 /** Result of mr_line_read(). */
 typedef enum mr_line_result {
     MR_LINE_VALID,
--- a/lib/session/relay.c
+++ b/lib/session/relay.c
@@ -9,8 +9,13 @@
 #include "common/mem.h"
 #include "session/client.h"
 
-/* Room for all sessions of an instance, which may reconnect together. */
-enum { LISTEN_BACKLOG = 1024 };
+enum {
+    /* Room for all sessions of an instance, which may reconnect together. */
+    LISTEN_BACKLOG = 1024,
+    /* Part of the memory limit for unread input and unsent output of all
+     * sessions together. */
+    BUFFERS_PERCENT = 20,
+};
 
 static void
 on_accept(struct evconnlistener *listener, evutil_socket_t fd,
@@ -39,6 +44,8 @@
     relay->retries =
         mr_counters_get(counters, "masticrelay_statement_retries_total", "",
                         "further attempts of statements at databases");
+    relay->shed = mr_counters_get(counters, "masticrelay_sessions_shed_total",
+                                  "", "sessions closed to free memory");
     relay->latency = mr_histogram_create(
         counters, "masticrelay_statement_ms", "outcome=\"ok\"",
         "time of statements, from their arrival to the answer");
@@ -86,6 +93,63 @@
     return (int64_t)sum;
 }
 
+/* Closes idle sessions, those with most memory first, until @excess bytes are
+ * free. @size: counts the memory of a session. Small sessions are kept: to
+ * open them again would cost more than it frees. */
+static void
+shed_sessions(mr_relay_t *relay, int64_t excess,
+              size_t (*size)(const mr_client_t *session))
+{
+    while (excess > 0) {
+        mr_client_t *largest = NULL;
+        size_t most = MR_CLIENT_SMALL_BYTES;
+        MR_LIST_FOREACH(it, &relay->sessions)
+        {
+            mr_client_t *session = MR_LIST_ENTRY(it, mr_client_t, link);
+            if (mr_client_is_idle(session) && size(session) > most) {
+                largest = session;
+                most = size(session);
+            }
+        }
+        if (largest == NULL) {
+            return;
+        }
+        excess -= (int64_t)most;
+        mr_client_shed(largest);
+    }
+}
+
+static void
+bound_buffers(mr_relay_t *relay)
+{
+    int64_t limit = mr_memory_limit(relay->options.memory);
+
+    if (limit > 0) {
+        shed_sessions(relay,
+                      sum_input(relay) + sum_output(relay)
+                          - limit / 100 * BUFFERS_PERCENT,
+                      mr_client_buffer_bytes);
+    }
+}
+
+static void
+on_large_input(evutil_socket_t fd, short what, void *ctx)
+{
+    (void)fd;
+    (void)what;
+    bound_buffers(ctx);
+}
+
+static void
+on_measured(void *ctx)
+{
+    mr_relay_t *relay = ctx;
+
+    bound_buffers(relay);
+    shed_sessions(relay, mr_memory_excess(relay->options.memory),
+                  mr_client_held_bytes);
+}
+
 static int64_t
 count_catalogs(void *ctx)
 {
@@ -134,6 +198,9 @@
         return NULL;
     }
     create_gauges(relay);
+    relay->large_input =
+        event_new(options->base, -1, 0, on_large_input, relay);
+    mr_memory_set_handler(options->memory, on_measured, relay);
     return relay;
 }
 
@@ -147,6 +214,7 @@
     {
         mr_client_destroy(MR_LIST_ENTRY(it, mr_client_t, link));
     }
+    event_free(relay->large_input);
     evconnlistener_free(relay->listener);
     mr_catalog_unref(relay->catalog);
     free(relay);
--- a/tests/integration/session_client.c
+++ b/tests/integration/session_client.c
@@ -368,6 +368,23 @@
     return client->id;
 }
 
+void
+client_send_raw(client_t *client, const char *data, size_t len)
+{
+    evbuffer_add(bufferevent_get_output(client->stream), data, len);
+}
+
+void
+client_set_reading(client_t *client, bool reading)
+{
+    if (reading) {
+        bufferevent_enable(client->stream, EV_READ);
+    }
+    else {
+        bufferevent_disable(client->stream, EV_READ);
+    }
+}
+
 client_answer_t
 client_run(client_t *client, const char *statement, char *id)
 {
--- a/tests/integration/session_client.h
+++ b/tests/integration/session_client.h
@@ -77,6 +77,10 @@
 
 /** client_send() - send a statement with a new id, which is returned. */
 const char *client_send(client_t *client, const char *statement);
+/** client_send_raw() - send bytes that need not be a message. */
+void client_send_raw(client_t *client, const char *data, size_t len);
+/** client_set_reading() - whether the client reads its answers. */
+void client_set_reading(client_t *client, bool reading);
 /** client_poll() - get the next answer; false: it is not complete yet. */
 bool client_poll(client_t *client, client_answer_t *answer);
 /** client_run() - send a statement and wait for its answer. @id, if not NULL,
--- a/tests/integration/test_session_memory.c
+++ b/tests/integration/test_session_memory.c
@@ -206,12 +206,116 @@
 }
 END_TEST
 
+START_TEST(test_large_idle_sessions_are_closed_at_the_critical_level)
+{
+    client_t *holders[HOLDERS];
+    client_t *small = open_session();
+    int closed = 0;
+
+    open_holders(holders);
+    for (int i = HOLDERS_BELOW; i < HOLDERS && closed == 0; i++) {
+        set_large_value(holders[i]);
+        harness_run_loop(base, MEASURED_MS);
+        for (int j = 0; j < HOLDERS; j++) {
+            closed += client_is_closed(holders[j]) ? 1 : 0;
+        }
+    }
+    ck_assert_int_ge(closed, 1);
+    ck_assert_int_lt(closed, HOLDERS_BELOW);
+    harness_run_loop(base, MEASURED_MS);
+    ck_assert(!client_is_closed(small));
+    ck_assert_int_lt(level(), MR_MEMORY_CRITICAL);
+    ck_assert_int_eq(metric("masticrelay_sessions_shed_total"), closed);
+    ck_assert(relay_log_contains(&relay, "event=memory_level", "to=critical"));
+    ck_assert_int_lt(metric("masticrelay_memory_peak_bytes"),
+                     LIMIT_MB * BYTES_PER_MB);
+    client_close(small);
+    close_all(holders, HOLDERS);
+}
+END_TEST
+
+START_TEST(test_unfinished_messages_do_not_fill_the_memory)
+{
+    client_t *senders[2 * HOLDERS];
+    client_t *caller = open_session();
+
+    for (int i = 0; i < 2 * HOLDERS; i++) {
+        senders[i] = open_session();
+    }
+    for (int i = 0; i < 2 * HOLDERS; i++) {
+        client_send_raw(senders[i], "QUERY q WRITE a ", 16);
+        client_send_raw(senders[i], large_value, VALUE_BYTES);
+    }
+    for (int i = 0; i < 5; i++) {
+        harness_run_loop(base, MEASURED_MS);
+        run_ok(caller, "READ a");
+    }
+    ck_assert_int_ge(metric("masticrelay_sessions_shed_total"), HOLDERS);
+    ck_assert_int_lt(metric("masticrelay_memory_peak_bytes"),
+                     LIMIT_MB * BYTES_PER_MB / 2);
+    client_close(caller);
+    close_all(senders, 2 * HOLDERS);
+}
+END_TEST
+
+START_TEST(test_unread_answers_do_not_fill_the_memory)
+{
+    enum { REQUESTS = 500 * 1000, BUFFERED_MAX_BYTES = 256 * 1024 };
+    static const char request[] = "QUERY q SET a b\r\n";
+    client_t *client = open_session();
+    client_answer_t answer;
+    int answers = 0;
+    mr_ms_t end = mr_clock_now(NULL) + 15000;
+
+    client_set_reading(client, false);
+    for (int i = 0; i < REQUESTS; i++) {
+        client_send_raw(client, request, sizeof(request) - 1);
+    }
+    for (int i = 0; i < 6; i++) {
+        harness_run_loop(base, MEASURED_MS);
+        ck_assert_int_lt(metric("masticrelay_session_output_bytes"),
+                         BUFFERED_MAX_BYTES);
+        ck_assert_int_lt(metric("masticrelay_session_input_bytes"),
+                         BUFFERED_MAX_BYTES);
+    }
+    client_set_reading(client, true);
+    while (answers < REQUESTS && mr_clock_now(NULL) < end) {
+        while (client_poll(client, &answer) && !answer.closed) {
+            ck_assert(answer.complete);
+            answers++;
+        }
+        harness_run_loop(base, 2);
+    }
+    ck_assert_int_eq(answers, REQUESTS);
+    client_close(client);
+}
+END_TEST
+
+START_TEST(test_a_session_holds_values_of_one_message_at_most)
+{
+    client_t *client = open_session();
+    char *statement = mr_asprintf("SET other %s", large_value);
+
+    set_large_value(client);
+    set_large_value(client); /* replaces the first one */
+    client_answer_t answer = client_run(client, statement, NULL);
+    ck_assert_msg(answer_is_error(&answer, "TOOLARGE"), "%s", answer.text);
+    run_ok(client, "SET other b");
+    client_close(client);
+    free(statement);
+}
+END_TEST
+
 int
 main(void)
 {
     const TTest *const tests[] = {
         test_new_work_is_refused_before_the_memory_limit_is_reached,
         test_refused_callers_do_not_return_together,
+        test_large_idle_sessions_are_closed_at_the_critical_level,
+        test_unfinished_messages_do_not_fill_the_memory,
+        test_unread_answers_do_not_fill_the_memory,
+        test_a_session_holds_values_of_one_message_at_most,
     };
 
     return RUN_TESTS(tests, .suite = "session memory", .setup = set_up,
--- a/tests/unit/test_memory.c
+++ b/tests/unit/test_memory.c
@@ -121,6 +121,34 @@
 }
 END_TEST
 
+static void
+count_call(void *ctx)
+{
+    (*(int *)ctx)++;
+}
+
+START_TEST(test_the_excess_is_what_ends_the_critical_level)
+{
+    int calls = 0;
+    mr_memory_t *memory = mr_memory_create(
+        &(mr_memory_options_t){.counters = counters, .limit = LIMIT});
+    int64_t in_use = (int64_t)LIMIT / 100 * 90;
+
+    mr_memory_set_handler(memory, count_call, &calls);
+    set_percent(memory, MR_MEMORY_REFUSING_PERCENT);
+    ck_assert_int_eq(mr_memory_excess(memory), 0);
+    mr_memory_set_in_use(memory, in_use);
+    ck_assert_int_eq(mr_memory_level(memory), MR_MEMORY_CRITICAL);
+    mr_memory_set_in_use(memory, in_use - mr_memory_excess(memory) + 1);
+    ck_assert_int_eq(mr_memory_level(memory), MR_MEMORY_CRITICAL);
+    mr_memory_set_in_use(memory, in_use);
+    mr_memory_set_in_use(memory, in_use - mr_memory_excess(memory));
+    ck_assert_int_eq(mr_memory_level(memory), MR_MEMORY_REFUSING);
+    ck_assert_int_eq(calls, 5);
+    mr_memory_destroy(memory);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -129,6 +157,7 @@
         test_without_a_limit_the_level_is_normal,
         test_gauges_follow_each_measurement,
         test_allocated_memory_is_measured_by_the_timer,
+        test_the_excess_is_what_ends_the_critical_level,
     };
 
     return RUN_TESTS(tests, .suite = "memory", .setup = set_up,
