Give freed memory back to the system

The platform counts the pages of a process, not what it has allocated. Once a large block has been freed, the allocator takes blocks of up to that size (32 MB at most) from its heap, where a small block behind them keeps the pages after they are freed. Desired states, their encodings and frames between instances are such blocks.

Blocks of 128 KB or more are now always mapped, and unmapped when freed. At the critical level, at most once a second, malloc_trim() gives back the free pages of the heap.

The cost of the further page faults has not been measured on the machines.

--- a/lib/common/memory.c
+++ b/lib/common/memory.c
@@ -11,7 +11,16 @@
 #include "common/mem.h"
 #include "common/timer.h"
 
-enum { MEASURE_INTERVAL_MS = 250 };
+enum {
+    MEASURE_INTERVAL_MS = 250,
+    /* Interval in which free pages are given back at the critical level, which
+     * visits all free blocks. */
+    TRIM_INTERVAL_MS = 1000,
+    /* Blocks from this size on are mapped, and given back when freed. By
+     * default the allocator raises its threshold to the largest block that was
+     * freed, and later blocks of that size split the heap. */
+    MAPPED_BLOCK_BYTES = 128 * 1024,
+};
 
 static const char *const level_names[MR_MEMORY_LEVELS] = {"normal", "refusing",
                                                           "critical"};
@@ -32,6 +41,7 @@
     mr_memory_level_t level;
     int64_t in_use;
     int64_t held;
+    mr_ms_t trimmed_at;
     mr_list_t gauges;
     void (*handler)(void *ctx);
     void *handler_ctx;
@@ -52,6 +62,17 @@
     mr_memory_set_in_use(memory, (int64_t)(info.uordblks + info.hblkhd));
 }
 
+static void
+give_pages_back(mr_memory_t *memory)
+{
+    mr_ms_t now = mr_clock_now(NULL);
+
+    if (now - memory->trimmed_at >= TRIM_INTERVAL_MS) {
+        memory->trimmed_at = now;
+        malloc_trim(0);
+    }
+}
+
 static void
 on_timer(evutil_socket_t fd, short what, void *ctx)
 {
@@ -60,6 +81,9 @@
     (void)fd;
     (void)what;
     measure(memory);
+    if (memory->level == MR_MEMORY_CRITICAL) {
+        give_pages_back(memory);
+    }
     mr_timer_start(memory->timer, MEASURE_INTERVAL_MS);
 }
 
@@ -87,6 +111,7 @@
                                    "", "memory limit, 0 if not known"),
                    options->limit);
     if (options->base != NULL) {
+        mallopt(M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES);
         memory->timer = evtimer_new(options->base, on_timer, memory);
         on_timer(-1, 0, memory);
     }
--- a/tests/unit/test_memory.c
+++ b/tests/unit/test_memory.c
@@ -1,10 +1,15 @@
-/* Tests the memory levels: thresholds, hysteresis, and the gauges. */
+/* Tests the memory levels: thresholds, hysteresis, and the gauges, and that
+ * freed memory is given back. */
 
+#include <malloc.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "../common/runner.h"
 #include "common/clock.h"
+#include "common/mem.h"
 #include "common/memory.h"
 
 enum { LIMIT = 100 * 1000 * 1000, BLOCK_BYTES = 8 << 20 };
@@ -149,6 +154,80 @@
 }
 END_TEST
 
+START_TEST(test_freed_large_blocks_do_not_stay_in_the_heap)
+{
+    enum { BLOCKS = 16, LARGE_BYTES = 900 * 1000, SMALL_BYTES = 1000 };
+    struct event_base *base = event_base_new();
+    mr_memory_t *memory = mr_memory_create(
+        &(mr_memory_options_t){.base = base, .counters = counters});
+    int64_t before = (int64_t)mallinfo2().arena;
+    char *large[BLOCKS];
+    char *small[BLOCKS];
+
+    /* Raises the threshold that the allocator has by default. */
+    free(mr_calloc(4, LARGE_BYTES));
+    for (int i = 0; i < BLOCKS; i++) {
+        large[i] = malloc(LARGE_BYTES);
+        small[i] = malloc(SMALL_BYTES);
+    }
+    for (int i = 0; i < BLOCKS; i++) {
+        free(large[i]);
+    }
+    ck_assert_int_lt((int64_t)mallinfo2().arena, before + LARGE_BYTES);
+    for (int i = 0; i < BLOCKS; i++) {
+        free(small[i]);
+    }
+    mr_memory_destroy(memory);
+    event_base_free(base);
+}
+END_TEST
+
+static int64_t
+resident_bytes(void)
+{
+    FILE *file = fopen("/proc/self/statm", "r");
+    long long pages = 0;
+
+    ck_assert_ptr_nonnull(file);
+    ck_assert_int_eq(fscanf(file, "%*d %lld", &pages), 1);
+    fclose(file);
+    return pages * sysconf(_SC_PAGESIZE);
+}
+
+START_TEST(test_free_pages_are_given_back_at_the_critical_level)
+{
+    enum { BLOCKS = 400, KEPT_EVERY = 8, HEAP_BLOCK_BYTES = 64 * 1024 };
+    struct event_base *base = event_base_new();
+    char *blocks[BLOCKS];
+    struct timeval wait = mr_clock_timeval(400);
+
+    for (int i = 0; i < BLOCKS; i++) {
+        blocks[i] = malloc(HEAP_BLOCK_BYTES);
+        ck_assert_ptr_nonnull(blocks[i]);
+        memset(blocks[i], 1, HEAP_BLOCK_BYTES);
+    }
+    for (int i = 0; i < BLOCKS; i++) {
+        if (i % KEPT_EVERY != KEPT_EVERY - 1) {
+            free(blocks[i]);
+        }
+    }
+    int64_t before = resident_bytes();
+    mr_memory_t *memory = mr_memory_create(
+        &(mr_memory_options_t){.base = base,
+                               .counters = counters,
+                               .limit = (int64_t)mallinfo2().uordblks});
+    event_base_loopexit(base, &wait);
+    event_base_dispatch(base);
+    ck_assert_int_eq(mr_memory_level(memory), MR_MEMORY_CRITICAL);
+    ck_assert_int_lt(resident_bytes(), before - BLOCKS / 2 * HEAP_BLOCK_BYTES);
+    for (int i = KEPT_EVERY - 1; i < BLOCKS; i += KEPT_EVERY) {
+        free(blocks[i]);
+    }
+    mr_memory_destroy(memory);
+    event_base_free(base);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -158,6 +237,8 @@
         test_gauges_follow_each_measurement,
         test_allocated_memory_is_measured_by_the_timer,
         test_the_excess_is_what_ends_the_critical_level,
+        test_freed_large_blocks_do_not_stay_in_the_heap,
+        test_free_pages_are_given_back_at_the_critical_level,
     };
 
     return RUN_TESTS(tests, .suite = "memory", .setup = set_up,
