Move the fencing tokens of promotions to a module of their own

No change of behaviour, except that the 500 ms for a token now count from the first request and no longer anew after a conflict. A unit test can then run the module against a store of its own.

--- /dev/null
+++ b/lib/session/fence.c
@@ -0,0 +1,109 @@
+#include "session/fence.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "common/mem.h"
+
+enum {
+    TIMEOUT_MS = 500, /* for the store; then the token in reserve is used */
+    RETRY_MS = 2000,  /* between requests for a token in reserve */
+};
+
+static const char table[] = "promotions";
+
+struct mr_fence {
+    mr_store_t *store;
+    char *service;
+    char *instance;
+    int64_t row_version; /* newest known version of the row */
+    int64_t reserve;     /* 0: none */
+    bool requested;      /* the store has not answered yet */
+    mr_ms_t requested_at;
+};
+
+mr_fence_t *
+mr_fence_create(const mr_fence_options_t *options)
+{
+    mr_fence_t *fence = MR_NEW(mr_fence_t);
+
+    fence->store = options->store;
+    fence->service = mr_strdup(options->service);
+    fence->instance = mr_strdup(options->instance);
+    return fence;
+}
+
+void
+mr_fence_destroy(mr_fence_t *fence)
+{
+    if (fence == NULL) {
+        return;
+    }
+    free(fence->service);
+    free(fence->instance);
+    free(fence);
+}
+
+static void on_written(void *ctx, mr_error_kind_t error, int64_t version);
+
+static void
+write_row(mr_fence_t *fence)
+{
+    fence->requested = true;
+    mr_store_put(fence->store, table, fence->service, fence->row_version,
+                 fence->instance, strlen(fence->instance), on_written, fence);
+}
+
+static void
+on_written(void *ctx, mr_error_kind_t error, int64_t version)
+{
+    mr_fence_t *fence = ctx;
+
+    fence->requested = false;
+    if (error == MR_OK) {
+        fence->row_version = version;
+        fence->reserve = version;
+    }
+    else if (error == MR_ERR_CONFLICT) {
+        fence->row_version = version;
+        write_row(fence);
+    }
+    else {
+        mr_log(MR_LOG_WARNING, MR_EVENT_TOKEN_NOT_TAKEN, "service=%s error=%s",
+               fence->service, mr_error_name(error));
+    }
+}
+
+void
+mr_fence_request(mr_fence_t *fence, mr_ms_t now)
+{
+    if (fence->requested) {
+        return;
+    }
+    fence->requested_at = now;
+    write_row(fence);
+}
+
+void
+mr_fence_refill(mr_fence_t *fence, mr_ms_t now)
+{
+    if (fence->reserve == 0 && now - fence->requested_at >= RETRY_MS) {
+        mr_fence_request(fence, now);
+    }
+}
+
+bool
+mr_fence_waiting(const mr_fence_t *fence, mr_ms_t now)
+{
+    return fence->requested && now - fence->requested_at < TIMEOUT_MS;
+}
+
+int64_t
+mr_fence_take(mr_fence_t *fence)
+{
+    int64_t token = fence->reserve;
+
+    fence->reserve = 0;
+    return token;
+}
--- /dev/null
+++ b/lib/session/fence.h
@@ -0,0 +1,44 @@
+#ifndef MR_SESSION_FENCE_H
+#define MR_SESSION_FENCE_H
+
+/*
+ * Fencing tokens for the promotions of one service. A token is the version of
+ * a row in the store that each request writes, so no two requests get the same
+ * one. One token is kept in reserve, for a promotion while the store is
+ * unreachable.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+#include "session/store.h"
+
+typedef struct mr_fence mr_fence_t;
+
+typedef struct mr_fence_options {
+    mr_store_t *store;
+    const char *service;
+    const char *instance; /* name of this instance */
+} mr_fence_options_t;
+
+mr_fence_t *mr_fence_create(const mr_fence_options_t *options);
+/** mr_fence_destroy() - the store must not call back any more. */
+void mr_fence_destroy(mr_fence_t *fence);
+
+/** mr_fence_request() - request a token that is newer than the one in reserve.
+ * Does nothing while a request is in progress. */
+void mr_fence_request(mr_fence_t *fence, mr_ms_t now);
+
+/** mr_fence_refill() - request a token if there is none in reserve and the
+ * last request was some time ago. */
+void mr_fence_refill(mr_fence_t *fence, mr_ms_t now);
+
+/** mr_fence_waiting() - whether the store may still answer a request in time.
+ */
+bool mr_fence_waiting(const mr_fence_t *fence, mr_ms_t now);
+
+/** mr_fence_take() - take the newest token; 0: there is none. */
+int64_t mr_fence_take(mr_fence_t *fence);
+
+#endif
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -8,6 +8,7 @@
 #include "common/mem.h"
 #include "common/timer.h"
 #include "session/db_conn.h"
+#include "session/fence.h"
 #include "session/primary_health.h"
 
 enum {
@@ -17,8 +18,6 @@
     /* How long a service may have no registered primary. A new service may
      * still be starting, or the old primary may register again. */
     NO_PRIMARY_MS = 1000,
-    TOKEN_TIMEOUT_MS = 500,    /* for the store; then a spare token is used */
-    TOKEN_RETRY_MS = 2000,     /* between requests for a spare token */
     STATUS_TIMEOUT_MS = 350,   /* for a new connection and one answer */
     CATCH_UP_TIMEOUT_MS = 600, /* for a replica, after the demotion */
     POLL_MS = 20, /* while a token or a replica's log is awaited */
@@ -29,8 +28,6 @@
     STATUS_MAX_BYTES = 256, /* a status row has seven fields */
 };
 
-static const char token_table[] = "promotions";
-
 typedef enum promotion_stage {
     STAGE_STATUS,
     STAGE_DEMOTE,
@@ -70,13 +67,9 @@
 /** State of a service that is kept between its promotions. */
 typedef struct service_state {
     mr_list_t link;
-    mr_promoter_t *promoter;
     char *service;
     mr_ms_t blocked_until;
-    int64_t token_row_version; /* newest known version of the token's row */
-    int64_t spare_token;       /* not used yet; 0: none */
-    bool token_requested;      /* the store has not answered yet */
-    mr_ms_t token_requested_at;
+    mr_fence_t *fence;
 } service_state_t;
 
 struct mr_promoter {
@@ -149,6 +142,7 @@
     {
         service_state_t *state = MR_LIST_ENTRY(it, service_state_t, link);
         mr_list_remove(it);
+        mr_fence_destroy(state->fence);
         free(state->service);
         free(state);
     }
@@ -166,8 +160,11 @@
         }
     }
     service_state_t *state = MR_NEW(service_state_t);
-    state->promoter = promoter;
     state->service = mr_strdup(service);
+    state->fence = mr_fence_create(
+        &(mr_fence_options_t){.store = promoter->options.store,
+                              .service = service,
+                              .instance = promoter->options.instance});
     mr_list_append(&promoter->services, &state->link);
     return state;
 }
@@ -179,45 +176,6 @@
     mr_primary_health_report(promoter->health, instance, now, health, count);
 }
 
-static void on_token(void *ctx, mr_error_kind_t error, int64_t version);
-
-/* Requests a fencing token from the store. The token is the version of a row
- * that each request writes, so no two orders get the same one. */
-static void
-request_token(service_state_t *state)
-{
-    const char *instance = state->promoter->options.instance;
-
-    if (state->token_requested) {
-        return;
-    }
-    state->token_requested = true;
-    state->token_requested_at = mr_clock_now(NULL);
-    mr_store_put(state->promoter->options.store, token_table, state->service,
-                 state->token_row_version, instance, strlen(instance),
-                 on_token, state);
-}
-
-static void
-on_token(void *ctx, mr_error_kind_t error, int64_t version)
-{
-    service_state_t *state = ctx;
-
-    state->token_requested = false;
-    if (error == MR_OK) {
-        state->token_row_version = version;
-        state->spare_token = version;
-    }
-    else if (error == MR_ERR_CONFLICT) {
-        state->token_row_version = version;
-        request_token(state);
-    }
-    else {
-        mr_log(MR_LOG_WARNING, MR_EVENT_TOKEN_NOT_TAKEN, "service=%s error=%s",
-               state->service, mr_error_name(error));
-    }
-}
-
 static promotion_t *
 find_promotion(mr_promoter_t *promoter, const char *service)
 {
@@ -553,15 +511,11 @@
     }
     service_state_t *state =
         get_service_state(promotion->promoter, promotion->service);
-    if (state->token_requested
-        && mr_clock_now(NULL) - state->token_requested_at < TOKEN_TIMEOUT_MS) {
+    if (mr_fence_waiting(state->fence, mr_clock_now(NULL))) {
         mr_timer_start(promotion->timer, POLL_MS);
         return;
     }
-    /* A token that was requested earlier allows a promotion while the store
-     * is unreachable. */
-    promotion->token = state->spare_token;
-    state->spare_token = 0;
+    promotion->token = mr_fence_take(state->fence);
     if (promotion->token == 0) {
         resume_replicas(promotion);
         end_promotion(promotion, PROMOTION_RETRY_MS, "no_token");
@@ -654,7 +608,7 @@
         evtimer_new(promoter->options.base, on_promotion_timer, promotion);
     mr_log(MR_LOG_WARNING, MR_EVENT_PROMOTION_STARTED, "service=%s reason=%s",
            service, reason);
-    request_token(state);
+    mr_fence_request(state->fence, promotion->started_at);
     query_statuses(promotion);
 }
 
@@ -666,10 +620,7 @@
     mr_db_t *primary = mr_cluster_known_primary(cluster);
     size_t needed = reporting > 1 ? 2 : 1;
 
-    if (state->spare_token == 0
-        && now - state->token_requested_at >= TOKEN_RETRY_MS) {
-        request_token(state);
-    }
+    mr_fence_refill(state->fence, now);
     if (now < state->blocked_until
         || find_promotion(promoter, cluster->service) != NULL) {
         return;
