Let a peer replace its secret

A process that must take over another fleet secret keeps its handlers and its listener, and its calls in progress end with an error. All links are closed, as the other sides may have proved the earlier secret. Without it the peer would have to be replaced, which drops calls in progress without a callback.

test_links_of_an_earlier_secret_are_closed: passes; the function is new.

--- a/lib/wire/peer.c
+++ b/lib/wire/peer.c
@@ -480,6 +480,29 @@
     return peer;
 }
 
+void
+mr_peer_set_secret(mr_peer_t *peer, const uint8_t *secret)
+{
+    GList *all = g_hash_table_get_values(peer->outgoing);
+
+    memcpy(peer->secret, secret, sizeof(peer->secret));
+    MR_LIST_FOREACH(it, &peer->incoming)
+    {
+        incoming_t *in = MR_LIST_ENTRY(it, incoming_t, link);
+        mr_peer_link_destroy(in->conn);
+        free_incoming(in);
+    }
+    for (GList *it = all; it != NULL; it = it->next) {
+        outgoing_t *out = it->data;
+        mr_peer_link_destroy(out->link);
+        out->link = NULL;
+        out->retry_at = 0;
+        fail_calls(&out->unsent, MR_ERR_UNAVAILABLE);
+        fail_calls(&out->waiting, MR_ERR_OUTCOME_UNKNOWN);
+    }
+    g_list_free(all);
+}
+
 void
 mr_peer_destroy(mr_peer_t *peer)
 {
--- a/lib/wire/peer.h
+++ b/lib/wire/peer.h
@@ -69,6 +69,11 @@
  */
 int mr_peer_listen(mr_peer_t *peer, const char *address);
 
+/** mr_peer_set_secret() - replace the fleet secret and close all links, as the
+ * other sides may have proved an older one. Calls in progress fail. Not to be
+ * called by a handler of the peer. */
+void mr_peer_set_secret(mr_peer_t *peer, const uint8_t *secret);
+
 /** mr_peer_handle() - set the handler for messages of @type. */
 void mr_peer_handle(mr_peer_t *peer, mr_msg_type_t type,
                     mr_peer_handler_fn_t handler, void *ctx);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -139,6 +139,49 @@
 }
 END_TEST
 
+static void
+set_secret(endpoint_t *endpoint, uint8_t key)
+{
+    uint8_t secret[MR_PEER_SECRET_BYTES];
+
+    memset(secret, key, sizeof(secret));
+    mr_peer_set_secret(endpoint->peer, secret);
+}
+
+START_TEST(test_links_of_an_earlier_secret_are_closed)
+{
+    struct event_base *base = event_base_new();
+    mr_msg_t reply = {.type = MR_MSG_PROBE_REPLY};
+    endpoint_t a, b;
+
+    open_endpoint(&a, base, "a", 1);
+    open_endpoint(&b, base, "b", 1);
+    send_probe(&a, &b, "hold", 5000);
+    run_loop(base, 50);
+    set_secret(&b, 2);
+    run_loop(base, 50);
+    ck_assert_int_eq(a.reply_count, 1);
+    ck_assert_int_eq(a.last_error, MR_ERR_OUTCOME_UNKNOWN);
+    mr_peer_reply(b.held_request, &reply);
+    run_loop(base, 150);
+    send_probe(&a, &b, "g", 100);
+    run_loop(base, 150);
+    ck_assert_int_eq(a.reply_count, 2);
+    ck_assert_int_ne(a.last_error, MR_OK);
+    send_probe(&a, &b, "g", 5000);
+    set_secret(&a, 2);
+    ck_assert_int_eq(a.reply_count, 3);
+    ck_assert_int_ne(a.last_error, MR_OK);
+    send_probe(&a, &b, "again", 500);
+    run_loop(base, 100);
+    ck_assert_int_eq(a.last_error, MR_OK);
+    ck_assert_str_eq(a.last_primary, "again");
+    close_endpoint(&a);
+    close_endpoint(&b);
+    event_base_free(base);
+}
+END_TEST
+
 START_TEST(test_late_reply_is_dropped)
 {
     struct event_base *base = event_base_new();
@@ -285,6 +328,7 @@
 {
     const TTest *const tests[] = {test_call_gets_its_reply,
                                   test_wrong_secret_is_refused,
+                                  test_links_of_an_earlier_secret_are_closed,
                                   test_late_reply_is_dropped,
                                   test_closed_port_is_unavailable,
                                   test_peer_death_makes_calls_unknown,
