Create the links between instances with the fleet

Their metrics were missing until the fleet secret was known, so a daemon whose store was out served fewer metrics than docs/OPERATIONS.md names (test_the_documentation_names_each_metric: 31 of 43). The peer listens once the secret is known, as before.

--- a/lib/session/fleet.c
+++ b/lib/session/fleet.c
@@ -182,6 +182,7 @@
     fleet->instances_gauge =
         mr_counters_get(options->counters, "masticrelay_instances", "",
                         "instances that may admit operations");
+    mr_fleet_create_peer(fleet);
     mr_timer_start(fleet->members_timer, 0);
     return fleet;
 }
@@ -198,9 +199,7 @@
             MR_LIST_ENTRY(fleet->instances.next, mr_fleet_instance_t, link));
     }
     mr_updates_destroy(fleet->updates);
-    if (fleet->peer != NULL) {
-        mr_peer_destroy(fleet->peer);
-    }
+    mr_peer_destroy(fleet->peer);
     mr_budgets_destroy(fleet->budgets);
     free(fleet->own_registration);
     event_free(fleet->report_timer);
--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -50,8 +50,9 @@
 
 struct mr_fleet {
     mr_fleet_options_t options;
-    mr_peer_t *peer;       /* NULL until the secret is known */
-    mr_updates_t *updates; /* likewise */
+    mr_peer_t *peer;
+    mr_updates_t *updates;
+    bool secret_known; /* the peer accepts links and may open them */
     mr_budgets_t *budgets;
     mr_list_t instances; /* other instances, highest priority first */
     size_t other_count;
@@ -115,6 +116,8 @@
                                                      const char *name,
                                                      const char *address,
                                                      int64_t link_mbps);
+/** mr_fleet_create_peer() - create the peer, without listening yet. */
+void mr_fleet_create_peer(mr_fleet_t *fleet);
 /** mr_fleet_priority() - priority of the instance @name as the coordinator. */
 uint64_t mr_fleet_priority(const char *name, int64_t link_mbps);
 void mr_fleet_remove_instance(mr_fleet_t *fleet,
--- a/lib/session/fleet_members.c
+++ b/lib/session/fleet_members.c
@@ -283,8 +283,8 @@
     mr_fleet_report_soon(ctx);
 }
 
-static void
-start_peer(mr_fleet_t *fleet)
+void
+mr_fleet_create_peer(mr_fleet_t *fleet)
 {
     fleet->peer = mr_peer_create(&(mr_peer_options_t){
         .base = fleet->options.base,
@@ -303,6 +303,14 @@
         .applied = on_update_applied,
         .ctx = fleet,
     });
+}
+
+/* Accepts links of other instances, which prove that they know the secret. */
+static void
+start_listening(mr_fleet_t *fleet)
+{
+    mr_peer_set_secret(fleet->peer, fleet->secret);
+    fleet->secret_known = true;
     if (mr_peer_listen(fleet->peer, fleet->options.address) < 0) {
         mr_log(MR_LOG_ERROR, MR_EVENT_LISTEN_FAILED, "address=%s",
                fleet->options.address);
@@ -333,7 +341,7 @@
     }
     if (answer->count == 1 && answer->rows[0].len == sizeof(fleet->secret)) {
         memcpy(fleet->secret, answer->rows[0].value, sizeof(fleet->secret));
-        start_peer(fleet);
+        start_listening(fleet);
         mr_timer_start(fleet->members_timer, 0);
         return;
     }
@@ -349,7 +357,7 @@
 
     (void)fd;
     (void)what;
-    if (fleet->peer == NULL) {
+    if (!fleet->secret_known) {
         mr_store_get(fleet->options.store, secret_table, secret_key, on_secret,
                      fleet);
         return;
--- a/lib/wire/peer.c
+++ b/lib/wire/peer.c
@@ -603,6 +603,10 @@
     }
     for (GList *it = all; it != NULL; it = it->next) {
         outgoing_t *out = it->data;
+        MR_LIST_FOREACH(jt, &out->unsent)
+        {
+            drop_frame(MR_LIST_ENTRY(jt, mr_peer_call_t, link));
+        }
         mr_peer_link_destroy(out->link);
         out->link = NULL;
         out->retry_at = 0;
