Read the store's era and order its versions by it

The platform's store may come back from a copy some seconds old: what it acknowledged since is gone, and its versions go back and are given out again. Its answers tell the era, which rises by one each time; nothing here read it.

- mr_revision_t: era and version of the store, ordered by the era first.
Rows, answers and conditions of writes carry it.
Callers keep it, but compare only versions so far.
- The client keeps the highest era of all answers, refusals included, and reports a rise (mr_store_on_era(), event store_restored, gauge masticrelay_store_era).
An era that cannot be read is counted and ignored.
- An answer of an older era than the highest one is not delivered: a read ends as unavailable, a write with an unknown outcome, since what was acknowledged may be lost.
A read whose pages are of two eras ends as unavailable.
- A condition of an older era is not sent, as its version may be that of another value by now; the write ends as a conflict with an unknown revision.
If the store evaluated it in a later era than the condition's, the outcome is unknown.
- mr_http_answer_header() hands out a header of the answer in the callback.
- The stand-in of the session tests has an era, answers feed calls from a version that it does not have with 410, and can be restored from a copy.

Tests: test_platform_store (5 new), test_http (1 new). The calls are new, so the tests do not build on the old code.

--- a/lib/common/event.h
+++ b/lib/common/event.h
@@ -27,6 +27,7 @@
     X(DEPENDENCY_LOST, "dependency_lost", "name address")                     \
     X(DEPENDENCY_REGAINED, "dependency_regained", "name address")             \
     X(STORE_ANSWER_MALFORMED, "store_answer_malformed", "problem")            \
+    X(STORE_RESTORED, "store_restored", "era before")                         \
     X(STORE_WRITE_REFUSED, "store_write_refused", "status")                   \
     X(PROMOTION_CALL_REFUSED, "promotion_call_refused", "status")             \
     /* Configuration of the HTTP daemon */                                    \
--- a/lib/common/http.c
+++ b/lib/common/http.c
@@ -49,6 +49,7 @@
     mr_list_t queue;            /* calls that wait for a connection */
     mr_list_t pending;          /* calls taken from or refused by the queue */
     mr_http_pending_t *sending; /* call inside evhttp_make_request() */
+    struct evkeyvalq *answer_headers; /* during a callback; else NULL */
     struct event *dispatcher;
     bool reachable;
     mr_ms_t answered_at;
@@ -188,10 +189,20 @@
     size_t len = evbuffer_get_length(in);
     char *body = mr_calloc(1, len + 1);
     evbuffer_remove(in, body, len);
+    ended.http->answer_headers = evhttp_request_get_input_headers(req);
     ended.fn(ended.ctx, MR_OK, status, body, len);
+    ended.http->answer_headers = NULL;
     free(body);
 }
 
+const char *
+mr_http_answer_header(const mr_http_t *http, const char *name)
+{
+    return http->answer_headers != NULL
+               ? evhttp_find_header(http->answer_headers, name)
+               : NULL;
+}
+
 /* Sends the call on a connection; without one, fails it from its timer. */
 static void
 send_call(mr_http_pending_t *pending)
--- a/lib/common/http.h
+++ b/lib/common/http.h
@@ -64,6 +64,9 @@
  */
 mr_http_pending_t *mr_http_call(mr_http_t *http, const mr_http_call_t *call,
                                 mr_http_fn_t fn, void *ctx);
+/** mr_http_answer_header() - header @name of the answer that is passed to the
+ * running callback; NULL if it has none, and outside of callbacks. */
+const char *mr_http_answer_header(const mr_http_t *http, const char *name);
 /** mr_http_cancel() - drop a call without a callback. */
 void mr_http_cancel(mr_http_pending_t *pending);
 
--- a/lib/session/directory.c
+++ b/lib/session/directory.c
@@ -200,10 +200,10 @@
         copies[copied++] = (mr_msg_registration_t){
             .id = mr_strdup(row->key),
             .value = {mr_memdup(row->value, row->len), row->len},
-            .version = row->version,
+            .version = row->revision.version,
         };
         mr_clusters_add_registration(directory->options.clusters, row->key,
-                                     &entry, row->version);
+                                     &entry, row->revision.version);
         mr_db_entry_release(doc);
     }
     mr_clusters_end_update(directory->options.clusters, mr_clock_now(NULL));
@@ -334,7 +334,7 @@
         rows[i] = (mr_store_row_t){.key = row->id,
                                    .value = row->value.data,
                                    .len = row->value.len,
-                                   .version = row->version};
+                                   .revision = {.version = row->version}};
     }
     mr_directory_set_registrations(directory, in->registrations_version, rows,
                                    in->registration_count);
--- a/lib/session/feed.c
+++ b/lib/session/feed.c
@@ -37,8 +37,8 @@
     bool config_failed;
     bool registrations_failed;
     mr_ms_t registrations_read_at;
-    int64_t after; /* store version that the feed continues from; 0: the row
-                  itself is read next */
+    mr_revision_t after; /* that the feed continues from; version 0: the row
+                            itself is read next */
 };
 
 static void
@@ -49,8 +49,8 @@
     feed->config_waiting = false;
     if (answer->error == MR_ERR_NOT_FOUND) {
         mr_log(MR_LOG_INFO, MR_EVENT_FEED_HISTORY_GONE, "after=%lld",
-               (long long)feed->after);
-        feed->after = 0;
+               (long long)feed->after.version);
+        feed->after = (mr_revision_t){0};
         mr_timer_start(feed->config_timer, 0);
         return;
     }
@@ -73,9 +73,10 @@
                                     row->len, "store");
         }
     }
-    feed->after = answer->version;
+    feed->after = answer->revision;
     /* A store without any row has no version to continue from. */
-    mr_timer_start(feed->config_timer, feed->after == 0 ? RETRY_FIRST_MS : 0);
+    mr_timer_start(feed->config_timer,
+                   feed->after.version == 0 ? RETRY_FIRST_MS : 0);
 }
 
 static void
@@ -89,11 +90,11 @@
         return;
     }
     if (feed->role == MR_FEED_NONE) {
-        feed->after = 0;
+        feed->after = (mr_revision_t){0};
         return;
     }
     feed->config_waiting = true;
-    if (feed->after == 0) {
+    if (feed->after.version == 0) {
         mr_store_get(feed->options.store, config_table, config_key, on_config,
                      feed);
         return;
@@ -127,12 +128,13 @@
                            : RETRY_FIRST_MS);
         return;
     }
-    mr_directory_set_registrations(feed->options.directory, answer->version,
-                                   answer->rows, answer->count);
+    mr_directory_set_registrations(feed->options.directory,
+                                   answer->revision.version, answer->rows,
+                                   answer->count);
     if (!mr_directory_has_registrations(feed->options.directory)) {
         feed->registrations_waiting = true;
         mr_store_feed(feed->options.store, registrations_table,
-                      answer->version, FEED_WAIT_MS, on_first_registration,
+                      answer->revision, FEED_WAIT_MS, on_first_registration,
                       feed);
         return;
     }
--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -21,9 +21,10 @@
     mr_list_t link;
     char *name;
     char *address;
-    int64_t row_version; /* of its registration; 0: only known from a report */
-    uint64_t priority;   /* the instance with the highest one coordinates */
-    int failures;        /* consecutive unanswered reports */
+    mr_revision_t row_revision; /* of its registration; version 0: only known
+                                   from a report */
+    uint64_t priority;      /* the instance with the highest one coordinates */
+    int failures;           /* consecutive unanswered reports */
     mr_ms_t last_sent_at;   /* last report sent to it */
     mr_ms_t last_report_at; /* last report, or coordinator's reply, from it */
     uint64_t sent_changes;  /* change_count of the clusters at the last reply
@@ -47,7 +48,8 @@
     mr_list_t instances; /* other instances, highest priority first */
     size_t other_count;
     uint64_t own_priority;
-    int64_t own_version; /* of this instance's registration; 0: none */
+    mr_revision_t own_revision; /* of this instance's registration; version 0:
+                                   none */
     bool joined;
     bool leaving;
     bool coordinating;
--- a/lib/session/fleet_members.c
+++ b/lib/session/fleet_members.c
@@ -109,10 +109,11 @@
 }
 
 static void
-on_registration_removed(void *ctx, mr_error_kind_t error, int64_t version)
+on_registration_removed(void *ctx, mr_error_kind_t error,
+                        mr_revision_t revision)
 {
     (void)ctx;
-    (void)version;
+    (void)revision;
     if (error != MR_OK) {
         mr_log(MR_LOG_INFO, MR_EVENT_INSTANCE_NOT_REMOVED, "error=%s",
                mr_error_name(error));
@@ -138,9 +139,9 @@
         mr_log(MR_LOG_INFO, MR_EVENT_INSTANCE_REMOVED,
                "name=%s silent_ms=%lld", instance->name,
                (long long)(now - instance->last_report_at));
-        if (instance->row_version > 0) {
+        if (instance->row_revision.version > 0) {
             mr_store_put(fleet->options.store, instances_table, instance->name,
-                         instance->row_version, NULL, 0,
+                         instance->row_revision, NULL, 0,
                          on_registration_removed, fleet);
         }
         mr_fleet_remove_instance(fleet, instance);
@@ -149,12 +150,12 @@
 }
 
 static void
-on_registered(void *ctx, mr_error_kind_t error, int64_t version)
+on_registered(void *ctx, mr_error_kind_t error, mr_revision_t revision)
 {
     mr_fleet_t *fleet = ctx;
 
     if (error == MR_OK || error == MR_ERR_CONFLICT) {
-        fleet->own_version = version;
+        fleet->own_revision = revision;
     }
     mr_timer_start(fleet->members_timer, error == MR_OK
                                              ? MEMBERS_AFTER_REGISTERING_MS
@@ -164,7 +165,7 @@
 static void
 apply_members(mr_fleet_t *fleet, const mr_store_answer_t *answer)
 {
-    fleet->own_version = 0;
+    fleet->own_revision = (mr_revision_t){0};
     bool current = false;
 
     MR_LIST_FOREACH(it, &fleet->instances)
@@ -174,7 +175,7 @@
     for (size_t i = 0; i < answer->count; i++) {
         const mr_store_row_t *row = &answer->rows[i];
         if (strcmp(row->key, fleet->options.name) == 0) {
-            fleet->own_version = row->version;
+            fleet->own_revision = row->revision;
             current = strcmp(row->value, fleet->options.address) == 0;
             continue;
         }
@@ -182,21 +183,21 @@
             mr_fleet_add_or_update_instance(fleet, row->key, row->value);
         if (instance != NULL) {
             instance->in_store = true;
-            instance->row_version = row->version;
+            instance->row_revision = row->revision;
         }
     }
     MR_LIST_FOREACH(it, &fleet->instances)
     {
         mr_fleet_instance_t *instance =
             MR_LIST_ENTRY(it, mr_fleet_instance_t, link);
-        if (!instance->in_store && instance->row_version > 0) {
+        if (!instance->in_store && instance->row_revision.version > 0) {
             mr_fleet_remove_instance(fleet, instance);
         }
     }
     mr_fleet_update_count(fleet);
     if (!current && !fleet->leaving) {
         mr_store_put(fleet->options.store, instances_table,
-                     fleet->options.name, fleet->own_version,
+                     fleet->options.name, fleet->own_revision,
                      fleet->options.address, strlen(fleet->options.address),
                      on_registered, fleet);
         return;
@@ -242,11 +243,11 @@
 }
 
 static void
-on_secret_written(void *ctx, mr_error_kind_t error, int64_t version)
+on_secret_written(void *ctx, mr_error_kind_t error, mr_revision_t revision)
 {
     mr_fleet_t *fleet = ctx;
 
-    (void)version;
+    (void)revision;
     /* Read the secret next, whichever instance wrote it. */
     mr_timer_start(
         fleet->members_timer,
@@ -270,8 +271,9 @@
         return;
     }
     randombytes_buf(fresh, sizeof(fresh));
-    mr_store_put(fleet->options.store, secret_table, secret_key, 0, fresh,
-                 sizeof(fresh), on_secret_written, fleet);
+    mr_store_put(fleet->options.store, secret_table, secret_key,
+                 (mr_revision_t){0}, fresh, sizeof(fresh), on_secret_written,
+                 fleet);
 }
 
 void
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -73,9 +73,9 @@
     mr_promoter_t *promoter;
     char *service;
     mr_ms_t blocked_until;
-    int64_t token_row_version; /* newest known version of the token's row */
-    int64_t spare_token;       /* not used yet; 0: none */
-    bool token_requested;      /* the store has not answered yet */
+    mr_revision_t token_row_revision; /* newest known one of the token's row */
+    int64_t spare_token;              /* not used yet; 0: none */
+    bool token_requested;             /* the store has not answered yet */
     mr_ms_t token_requested_at;
 } service_state_t;
 
@@ -179,7 +179,7 @@
     mr_primary_health_report(promoter->health, instance, now, health, count);
 }
 
-static void on_token(void *ctx, mr_error_kind_t error, int64_t version);
+static void on_token(void *ctx, mr_error_kind_t error, mr_revision_t revision);
 
 /* Requests a fencing token from the store. The token is the version of a row
  * that each request writes, so no two orders get the same one. */
@@ -194,22 +194,22 @@
     state->token_requested = true;
     state->token_requested_at = mr_clock_now(NULL);
     mr_store_put(state->promoter->options.store, token_table, state->service,
-                 state->token_row_version, instance, strlen(instance),
+                 state->token_row_revision, instance, strlen(instance),
                  on_token, state);
 }
 
 static void
-on_token(void *ctx, mr_error_kind_t error, int64_t version)
+on_token(void *ctx, mr_error_kind_t error, mr_revision_t revision)
 {
     service_state_t *state = ctx;
 
     state->token_requested = false;
     if (error == MR_OK) {
-        state->token_row_version = version;
-        state->spare_token = version;
+        state->token_row_revision = revision;
+        state->spare_token = revision.version;
     }
     else if (error == MR_ERR_CONFLICT) {
-        state->token_row_version = version;
+        state->token_row_revision = revision;
         request_token(state);
     }
     else {
--- a/tests/integration/world.h
+++ b/tests/integration/world.h
@@ -68,6 +68,15 @@
 /** backend_set_store_failing() - whether the store answers every call to the
  * address @index with 503. */
 void backend_set_store_failing(backend_t *backend, int index, bool failing);
+/** backend_copy_store() - copy the store's rows for a later restoration. */
+void backend_copy_store(backend_t *backend);
+/** backend_restore_store() - restore the store from the copy: the changes made
+ * since are lost and its version goes back. The store is away for @away before
+ * it answers again. The operator and the databases write again @rewrite_after
+ * that what they have written since the copy; the daemons' writes stay lost.
+ */
+void backend_restore_store(backend_t *backend, mr_ms_t away,
+                           mr_ms_t rewrite_after);
 void backend_db_kill(backend_t *backend, int db);
 /** backend_db_start() - start a killed database under its old name.
  * @empty: it reports an empty log for the first 500 ms. */
@@ -109,6 +118,7 @@
 int backend_db_count_conns(const backend_t *backend, int db);
 /** backend_log_length() - number of entries in the log. */
 int64_t backend_log_length(const backend_t *backend);
+int64_t backend_store_version(const backend_t *backend);
 /** backend_count_store_reads() - count the read calls to the store so far. */
 int backend_count_store_reads(const backend_t *backend);
 /** backend_find_run() - the last execution of statement @id; NULL: none. */
--- a/tests/integration/world_internal.h
+++ b/tests/integration/world_internal.h
@@ -54,6 +54,13 @@
 
 typedef struct store_handler store_handler_t;
 
+/** Copy of the store's rows. */
+typedef struct backend_copy {
+    backend_row_t *rows; /* NULL: none */
+    size_t count;
+    int64_t version;
+} backend_copy_t;
+
 struct backend {
     struct event_base *base;
     backend_db_t dbs[BACKEND_DBS];
@@ -80,6 +87,11 @@
     backend_row_t *rows;
     size_t row_count;
     int64_t version;
+    int64_t era;
+    backend_copy_t copy;    /* that the store is restored from */
+    backend_copy_t rewrite; /* rows that their owners write again */
+    mr_ms_t away_until;
+    struct event *rewrite_timer;
     int store_reads;
     mr_list_t feeds; /* feed calls that wait for a change */
     struct event *registration_timer;
--- a/tests/integration/world_store.c
+++ b/tests/integration/world_store.c
@@ -54,6 +54,16 @@
     return doc;
 }
 
+static void
+add_era(struct evhttp_request *req, const backend_t *backend)
+{
+    char text[32];
+
+    snprintf(text, sizeof(text), "%lld", (long long)backend->era);
+    evhttp_add_header(evhttp_request_get_output_headers(req), "Store-Era",
+                      text);
+}
+
 static void
 send_json(struct evhttp_request *req, int status, json_t *doc)
 {
@@ -179,6 +189,71 @@
     put_encoded_row(backend, table, key, NULL);
 }
 
+static void
+take_copy(const backend_t *backend, backend_copy_t *copy)
+{
+    free(copy->rows);
+    copy->rows = mr_memdup(backend->rows,
+                           (backend->row_count + 1) * sizeof(*backend->rows));
+    copy->count = backend->row_count;
+    copy->version = backend->version;
+}
+
+void
+backend_copy_store(backend_t *backend)
+{
+    take_copy(backend, &backend->copy);
+}
+
+/* Writes rows of the operator and of the databases that a restoration lost. */
+static void
+on_rewrite_timer(evutil_socket_t fd, short what, void *ctx)
+{
+    backend_t *backend = ctx;
+    struct timeval now = {0, 0};
+
+    (void)fd;
+    (void)what;
+    for (size_t i = 0; i < backend->rewrite.count; i++) {
+        const backend_row_t *row = &backend->rewrite.rows[i];
+        if (row->version > backend->copy.version
+            && (strcmp(row->table, "op") == 0
+                || (strcmp(row->table, "servers") == 0 && row->deleted))) {
+            put_encoded_row(backend, row->table, row->key,
+                            row->deleted ? NULL : row->value);
+        }
+    }
+    evtimer_add(backend->registration_timer, &now);
+}
+
+void
+backend_restore_store(backend_t *backend, mr_ms_t away, mr_ms_t rewrite_after)
+{
+    struct timeval tv = mr_clock_timeval(away + rewrite_after);
+
+    ck_assert_ptr_nonnull(backend->copy.rows);
+    while (!mr_list_empty(&backend->feeds)) {
+        feed_t *feed = MR_LIST_ENTRY(backend->feeds.next, feed_t, link);
+        /* Its close callback frees the feed. */
+        evhttp_connection_free(evhttp_request_get_connection(feed->req));
+    }
+    take_copy(backend, &backend->rewrite);
+    memcpy(backend->rows, backend->copy.rows,
+           backend->copy.count * sizeof(*backend->rows));
+    backend->row_count = backend->copy.count;
+    backend->version = backend->copy.version;
+    backend->era++;
+    backend->away_until = mr_clock_now(NULL) + away;
+    evtimer_del(backend->registration_timer);
+    evtimer_add(backend->rewrite_timer, &tv);
+}
+
+int64_t
+backend_store_version(const backend_t *backend)
+{
+    return backend->version;
+}
+
 static void
 parse_read_query(backend_t *backend, struct evhttp_request *req,
                  struct evkeyvalq *query)
@@ -213,7 +288,10 @@
     const char *table = evhttp_find_header(&query, "table");
     int64_t after = atoll(evhttp_find_header(&query, "after"));
     mr_ms_t wait = atoll(evhttp_find_header(&query, "wait_ms"));
-    if (collect_rows(backend, table, NULL, after, true, &doc) > 0) {
+    if (after > backend->version) {
+        evhttp_send_reply(req, 410, NULL, NULL);
+    }
+    else if (collect_rows(backend, table, NULL, after, true, &doc) > 0) {
         send_json(req, 200, doc);
     }
     else {
@@ -403,6 +481,11 @@
 {
     const store_handler_t *handler = ctx;
 
+    if (mr_clock_now(NULL) < handler->backend->away_until) {
+        evhttp_connection_free(evhttp_request_get_connection(req));
+        return;
+    }
+    add_era(req, handler->backend);
     if (handler->backend->store_failing[handler->index]) {
         evhttp_send_reply(req, 503, NULL, NULL);
         return;
@@ -449,6 +532,8 @@
     backend->registration_timer =
         evtimer_new(backend->base, on_registration_timer, backend);
     evtimer_add(backend->registration_timer, &first);
+    backend->rewrite_timer =
+        evtimer_new(backend->base, on_rewrite_timer, backend);
 }
 
 void
@@ -458,6 +543,9 @@
         end_feed(MR_LIST_ENTRY(backend->feeds.next, feed_t, link));
     }
     event_free(backend->registration_timer);
+    event_free(backend->rewrite_timer);
+    free(backend->copy.rows);
+    free(backend->rewrite.rows);
     for (int i = 0; i < BACKEND_STORES; i++) {
         evhttp_free(backend->store_servers[i]);
     }
--- a/tests/unit/test_directory.c
+++ b/tests/unit/test_directory.c
@@ -103,7 +103,7 @@
         rows[i] = (mr_store_row_t){.key = keys[i],
                                    .value = values[i],
                                    .len = strlen(values[i]),
-                                   .version = version};
+                                   .revision = {.version = version}};
     }
     mr_directory_set_registrations(side->directory, version, rows, ROWS);
 }
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -23,6 +23,7 @@
 static mr_error_kind_t last_error;
 static int last_status;
 static char last_body[64];
+static char last_header[64];
 
 static void
 on_call(struct evhttp_request *req, void *ctx)
@@ -33,6 +34,8 @@
         return;
     }
     evbuffer_add_printf(evhttp_request_get_output_buffer(req), "answer");
+    evhttp_add_header(evhttp_request_get_output_headers(req), "Colour",
+                      "green");
     evhttp_send_reply(req, 200, NULL, NULL);
 }
 
@@ -84,6 +87,18 @@
              body != NULL ? body : "");
 }
 
+static void
+on_end_with_header(void *ctx, mr_error_kind_t error, int status,
+                   const char *body, size_t len)
+{
+    const char *header = mr_http_answer_header(ctx, "colour");
+
+    ck_assert_ptr_null(mr_http_answer_header(ctx, "shape"));
+    snprintf(last_header, sizeof(last_header), "%s",
+             header != NULL ? header : "");
+    on_end(NULL, error, status, body, len);
+}
+
 static mr_http_pending_t *
 call_with_timeout(mr_http_t *http, const char *uri, mr_ms_t timeout)
 {
@@ -136,6 +151,25 @@
 }
 END_TEST
 
+START_TEST(test_headers_of_an_answer_are_available_in_its_callback)
+{
+    mr_http_t *http = create_client(address);
+    mr_http_call_t request = {
+        .method = EVHTTP_REQ_GET, .uri = "/", .timeout = TEST_TIMEOUT_MS};
+
+    mr_http_call(http, &request, on_end_with_header, http);
+    wait_for_calls(1);
+    ck_assert_str_eq(last_header, "green");
+    ck_assert_ptr_null(mr_http_answer_header(http, "colour"));
+    request.uri = "/hold";
+    request.timeout = TIMEOUT_MS;
+    mr_http_call(http, &request, on_end_with_header, http);
+    wait_for_calls(2);
+    ck_assert_str_eq(last_header, "");
+    mr_http_destroy(http);
+}
+END_TEST
+
 /* libevent reports an address that cannot be connected to from inside
  * evhttp_make_request(). */
 START_TEST(test_an_address_without_a_route_ends_calls_later)
@@ -196,6 +230,7 @@
 {
     const TTest *const tests[] = {
         test_calls_are_answered_on_kept_connections,
+        test_headers_of_an_answer_are_available_in_its_callback,
         test_an_address_without_a_route_ends_calls_later,
         test_outcome_is_unknown_only_for_sent_calls,
         test_a_cancelled_call_ends_without_a_callback,
--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -1,5 +1,6 @@
 /* Tests reads from the store that take more than one page: no row may be
- * missing or delivered twice. */
+ * missing or delivered twice. Guards also against answers and conditions from
+ * before the store was restored from an older copy. */
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -13,7 +14,7 @@
 #include "common/clock.h"
 #include "session/store.h"
 
-enum { ROWS = 5, PAGE_ROWS = 2, READ_TIMEOUT_MS = 3000 };
+enum { ROWS = 5, PAGE_ROWS = 2, READ_TIMEOUT_MS = 3000, CALLS_MAX = 8 };
 
 static const char *const keys[ROWS] = {"a", "a b", "a/b", "b", "z"};
 
@@ -23,6 +24,10 @@
 static mr_store_t *store;
 static int calls;
 static int failing_call; /* number of the call that gets 503; 0: none */
+static const char *eras[CALLS_MAX]; /* header of the answer to each call */
+static int eras_reported;
+static int64_t last_era;
+static mr_revision_t last_written;
 static int ended;
 static mr_error_kind_t last_error;
 static int64_t last_version;
@@ -39,10 +44,19 @@
     int i = 0;
 
     (void)ctx;
+    if (calls < CALLS_MAX && eras[calls] != NULL) {
+        evhttp_add_header(evhttp_request_get_output_headers(req), "Store-Era",
+                          eras[calls]);
+    }
     if (++calls == failing_call) {
         evhttp_send_reply(req, 503, NULL, NULL);
         return;
     }
+    if (evhttp_request_get_command(req) == EVHTTP_REQ_POST) {
+        evbuffer_add_printf(out, "{\"ver\":%d}", 40 + calls);
+        evhttp_send_reply(req, 200, NULL, NULL);
+        return;
+    }
     evhttp_parse_query_str(
         evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), &query);
     const char *from = evhttp_find_header(&query, "from");
@@ -62,6 +76,14 @@
     evhttp_send_reply(req, 200, NULL, NULL);
 }
 
+static void
+on_era(void *ctx, int64_t era)
+{
+    (void)ctx;
+    eras_reported++;
+    last_era = era;
+}
+
 static void
 set_up(void)
 {
@@ -81,6 +103,7 @@
     store = mr_store_create(&(mr_store_options_t){
         .base = base, .counters = counters, .address = address});
     ck_assert_ptr_nonnull(store);
+    mr_store_on_era(store, on_era, NULL);
 }
 
 static void
@@ -98,7 +121,7 @@
     (void)ctx;
     ended++;
     last_error = answer->error;
-    last_version = answer->version;
+    last_version = answer->revision.version;
     last_count = answer->count;
     for (size_t i = 0; i < answer->count && i <= ROWS; i++) {
         snprintf(last_keys[i], sizeof(last_keys[i]), "%s",
@@ -108,14 +131,51 @@
 }
 
 static void
-read_all(void)
+run_until_ended(int count)
 {
-    struct timeval tv = mr_clock_timeval(READ_TIMEOUT_MS);
+    while (ended < count) {
+        struct timeval tv = mr_clock_timeval(READ_TIMEOUT_MS);
+        int before = ended;
+        event_base_loopexit(base, &tv);
+        event_base_dispatch(base);
+        ck_assert_int_gt(ended, before);
+    }
+    ck_assert_int_eq(ended, count);
+}
 
+static void
+read_all(void)
+{
+    ended = 0;
     mr_store_get(store, "t", NULL, on_rows, NULL);
-    event_base_loopexit(base, &tv);
-    event_base_dispatch(base);
-    ck_assert_int_eq(ended, 1);
+    run_until_ended(1);
+}
+
+static void
+on_written(void *ctx, mr_error_kind_t error, mr_revision_t revision)
+{
+    (void)ctx;
+    ended++;
+    last_error = error;
+    last_written = revision;
+    event_base_loopbreak(base);
+}
+
+static void
+put(mr_revision_t expect)
+{
+    ended = 0;
+    mr_store_put(store, "t", "a", expect, "x", 1, on_written, NULL);
+    ck_assert_int_eq(ended, 0);
+    run_until_ended(1);
+}
+
+static void
+set_eras(const char *const *list)
+{
+    for (int i = 0; list[i] != NULL; i++) {
+        eras[i] = list[i];
+    }
 }
 
 START_TEST(test_all_pages_are_read)
@@ -143,12 +203,98 @@
 }
 END_TEST
 
+/* Refusals tell the era, too. */
+START_TEST(test_each_rise_of_the_era_is_reported_once)
+{
+    set_eras((const char *[]){"3", "3", "3", "5", "5", "5", "5", NULL});
+    read_all();
+    ck_assert_int_eq(eras_reported, 0);
+    ck_assert_int_eq(mr_store_era(store), 3);
+    failing_call = 4;
+    read_all();
+    ck_assert_int_eq(last_error, MR_ERR_UNAVAILABLE);
+    read_all();
+    ck_assert_int_eq(last_error, MR_OK);
+    ck_assert_int_eq(eras_reported, 1);
+    ck_assert_int_eq(last_era, 5);
+    ck_assert_int_eq(mr_counter_value(mr_counters_get(
+                         counters, "masticrelay_store_era", "", "")),
+                     5);
+}
+END_TEST
+
+START_TEST(test_a_read_across_a_restoration_fails)
+{
+    set_eras((const char *[]){"1", "2", "2", "2", "2", NULL});
+    read_all();
+    ck_assert_int_eq(last_error, MR_ERR_UNAVAILABLE);
+    ck_assert_uint_eq(last_count, 0);
+    read_all();
+    ck_assert_int_eq(last_error, MR_OK);
+    ck_assert_uint_eq(last_count, ROWS);
+}
+END_TEST
+
+START_TEST(test_an_answer_from_before_a_restoration_is_not_delivered)
+{
+    set_eras((const char *[]){"2", "2", "2", "1", "1", "1", NULL});
+    read_all();
+    ck_assert_int_eq(last_error, MR_OK);
+    read_all();
+    ck_assert_int_eq(last_error, MR_ERR_UNAVAILABLE);
+    ck_assert_uint_eq(last_count, 0);
+    ck_assert_int_eq(mr_store_era(store), 2);
+    put((mr_revision_t){0});
+    ck_assert_int_eq(last_error, MR_ERR_OUTCOME_UNKNOWN);
+    ck_assert_int_eq(eras_reported, 0);
+}
+END_TEST
+
+START_TEST(test_a_malformed_era_is_counted_and_ignored)
+{
+    set_eras((const char *[]){"x", "-7", "99999999999999999999", NULL});
+    read_all();
+    ck_assert_int_eq(last_error, MR_OK);
+    ck_assert_int_eq(mr_store_era(store), 0);
+    ck_assert_int_eq(
+        mr_counter_value(mr_counters_get(
+            counters, "masticrelay_store_eras_malformed_total", "", "")),
+        3);
+}
+END_TEST
+
+START_TEST(test_a_condition_from_before_a_restoration_is_not_sent)
+{
+    set_eras((const char *[]){"1", "1", "2", "2", NULL});
+    put((mr_revision_t){0});
+    ck_assert_int_eq(last_error, MR_OK);
+    ck_assert_int_eq(last_written.era, 1);
+    ck_assert_int_eq(last_written.version, 41);
+    mr_revision_t before = last_written;
+    put(before);
+    ck_assert_int_eq(last_error, MR_OK);
+    /* The store evaluates this condition after it was restored. */
+    put(before);
+    ck_assert_int_eq(last_error, MR_ERR_OUTCOME_UNKNOWN);
+    ck_assert_int_eq(last_written.version, 0);
+    put(before);
+    ck_assert_int_eq(last_error, MR_ERR_CONFLICT);
+    ck_assert_int_eq(last_written.version, 0);
+    ck_assert_int_eq(calls, 3);
+}
+END_TEST
+
 int
 main(void)
 {
     const TTest *const tests[] = {
         test_all_pages_are_read,
         test_a_page_that_fails_fails_the_read,
+        test_each_rise_of_the_era_is_reported_once,
+        test_a_read_across_a_restoration_fails,
+        test_an_answer_from_before_a_restoration_is_not_delivered,
+        test_a_malformed_era_is_counted_and_ignored,
+        test_a_condition_from_before_a_restoration_is_not_sent,
     };
 
     return RUN_TESTS(tests, .suite = "platform_store", .setup = set_up,
