Take registrations of a restored store before its versions catch up

What callers would see: after the store came back from an older copy, databases that drain, leave or start are not noticed until the store has given out as many versions as it had lost. Statements go to draining databases for that long.

Cause: a set of registrations was applied, exported and imported if its version was higher than the own one. Versions go back with the copy.

Change: the directory orders sets of registrations by their revision, era first. Reports and their replies carry the era as their last field, and each registration that of its row. A set that an instance read before the restoration is older than any set read after it, whatever its version.

Evidence: three new tests. With revisions compared by their version alone, as before, - test_registrations_of_a_restored_store_are_applied: the former primary stays; - test_registrations_of_a_restored_store_are_sent: none of 2 changes is sent; - test_a_drain_after_a_restoration_is_seen: after the loss of 1,000 versions, the draining database is not seen as draining within 3 s.

Instances of the previous version ignore the new fields. Their own reports lack them and count as malformed here, as with each field added so far: the decoder has no optional fields, other than docs/OPERATIONS.md says ("two versions can run together"). Not changed here.

--- a/lib/session/directory.c
+++ b/lib/session/directory.c
@@ -24,7 +24,7 @@
 /** Hash of a row's contents, and when it last changed. */
 typedef struct row_state {
     uint64_t digest;
-    int64_t changed_version; /* store version since which @digest is valid */
+    mr_revision_t changed_at; /* revision since which @digest is valid */
 } row_state_t;
 
 struct mr_directory {
@@ -32,7 +32,7 @@
     int64_t config_version;
     mr_bytes_t config;
     old_config_t history[HISTORY_LENGTH]; /* newest first; version 0: none */
-    int64_t registrations_version;
+    mr_revision_t registrations_revision;
     int64_t registrations_digest;
     mr_msg_registration_t *rows;
     mr_msg_registration_t *exported_rows; /* of the last export */
@@ -169,9 +169,8 @@
     bool same = old < directory->row_count
                 && directory->row_states[old].digest == digest;
 
-    return (row_state_t){digest,
-                         same ? directory->row_states[old].changed_version
-                              : directory->registrations_version};
+    return (row_state_t){digest, same ? directory->row_states[old].changed_at
+                                      : directory->registrations_revision};
 }
 
 /* Applies the well-formed rows. */
@@ -201,6 +200,7 @@
             .id = mr_strdup(row->key),
             .value = {mr_memdup(row->value, row->len), row->len},
             .version = row->revision.version,
+            .era = row->revision.era,
         };
         mr_clusters_add_registration(directory->options.clusters, row->key,
                                      &entry, row->revision.version);
@@ -216,13 +216,15 @@
 }
 
 void
-mr_directory_set_registrations(mr_directory_t *directory, int64_t version,
+mr_directory_set_registrations(mr_directory_t *directory,
+                               mr_revision_t revision,
                                const mr_store_row_t *rows, size_t count)
 {
-    if (version <= directory->registrations_version) {
+    if (mr_revision_compare(revision, directory->registrations_revision)
+        <= 0) {
         return;
     }
-    directory->registrations_version = version;
+    directory->registrations_revision = revision;
     apply_rows(directory, rows, count);
 }
 
@@ -245,11 +247,10 @@
     return directory->config_version;
 }
 
-static bool
-registrations_newer(int64_t version, int64_t digest, int64_t than_version,
-                    int64_t than_digest)
+static mr_revision_t
+registrations_revision(const mr_msg_directory_t *msg)
 {
-    return version > than_version && digest != than_digest;
+    return (mr_revision_t){msg->registrations_era, msg->registrations_version};
 }
 
 /* Exports the desired state for a receiver that has version @known, as a patch
@@ -280,7 +281,8 @@
 
 /* Exports all rows; those that have not changed since @known have no value. */
 static void
-export_rows(mr_directory_t *directory, int64_t known, mr_msg_directory_t *out)
+export_rows(mr_directory_t *directory, mr_revision_t known,
+            mr_msg_directory_t *out)
 {
     size_t bytes =
         (directory->row_count + 1) * sizeof(*directory->exported_rows);
@@ -288,7 +290,8 @@
     directory->exported_rows = mr_realloc(directory->exported_rows, bytes);
     for (size_t i = 0; i < directory->row_count; i++) {
         directory->exported_rows[i] = directory->rows[i];
-        if (directory->row_states[i].changed_version <= known) {
+        if (mr_revision_compare(directory->row_states[i].changed_at, known)
+            <= 0) {
             directory->exported_rows[i].value = (mr_bytes_t){0};
         }
     }
@@ -302,7 +305,8 @@
 {
     *out = (mr_msg_directory_t){
         .config_version = directory->config_version,
-        .registrations_version = directory->registrations_version,
+        .registrations_version = directory->registrations_revision.version,
+        .registrations_era = directory->registrations_revision.era,
         .registrations_digest = directory->registrations_digest,
     };
     if (known == NULL) {
@@ -311,10 +315,11 @@
     if (directory->config_version > known->config_version) {
         export_config(directory, known->config_version, out);
     }
-    if (registrations_newer(
-            directory->registrations_version, directory->registrations_digest,
-            known->registrations_version, known->registrations_digest)) {
-        export_rows(directory, known->registrations_version, out);
+    if (mr_revision_compare(directory->registrations_revision,
+                            registrations_revision(known))
+            > 0
+        && directory->registrations_digest != known->registrations_digest) {
+        export_rows(directory, registrations_revision(known), out);
     }
 }
 
@@ -334,9 +339,9 @@
         rows[i] = (mr_store_row_t){.key = row->id,
                                    .value = row->value.data,
                                    .len = row->value.len,
-                                   .revision = {.version = row->version}};
+                                   .revision = {row->era, row->version}};
     }
-    mr_directory_set_registrations(directory, in->registrations_version, rows,
+    mr_directory_set_registrations(directory, registrations_revision(in), rows,
                                    in->registration_count);
     free(rows);
     if (directory->registrations_digest != in->registrations_digest) {
@@ -345,7 +350,7 @@
         mr_log(MR_LOG_INFO, MR_EVENT_REGISTRATIONS_DIFFER,
                "source=%s version=%lld", source,
                (long long)in->registrations_version);
-        directory->registrations_version = 0;
+        directory->registrations_revision.version = 0;
         directory->registrations_digest = 0;
     }
 }
@@ -385,11 +390,13 @@
     if (in->config_version > directory->config_version) {
         import_config(directory, in, source);
     }
-    if (in->registrations_version <= directory->registrations_version) {
+    if (mr_revision_compare(registrations_revision(in),
+                            directory->registrations_revision)
+        <= 0) {
         return;
     }
     if (in->registrations_digest == directory->registrations_digest) {
-        directory->registrations_version = in->registrations_version;
+        directory->registrations_revision = registrations_revision(in);
         mr_clusters_end_update(directory->options.clusters,
                                mr_clock_now(NULL));
     }
--- a/lib/session/directory.h
+++ b/lib/session/directory.h
@@ -6,7 +6,8 @@
  * registrations of the databases. Instances exchange newer versions, so that
  * an instance that cannot reach the store stays up to date. The desired state
  * is sent as a patch where possible, and only registrations that changed are
- * sent. A directory never returns to an older version.
+ * sent. A directory never returns to an older desired state, nor to
+ * registrations of an older revision of the store.
  */
 
 #include "common/counters.h"
@@ -34,8 +35,9 @@
                              size_t len, const char *source);
 
 /** mr_directory_set_registrations() - apply the complete registrations, read
- * at store version @version, if they are newer. */
-void mr_directory_set_registrations(mr_directory_t *directory, int64_t version,
+ * at @revision of the store, if they are newer. */
+void mr_directory_set_registrations(mr_directory_t *directory,
+                                    mr_revision_t revision,
                                     const mr_store_row_t *rows, size_t count);
 
 /** mr_directory_complete() - whether the desired state and the registrations
--- a/lib/session/feed.c
+++ b/lib/session/feed.c
@@ -128,9 +128,8 @@
                            : RETRY_FIRST_MS);
         return;
     }
-    mr_directory_set_registrations(feed->options.directory,
-                                   answer->revision.version, answer->rows,
-                                   answer->count);
+    mr_directory_set_registrations(feed->options.directory, answer->revision,
+                                   answer->rows, answer->count);
     if (!mr_directory_has_registrations(feed->options.directory)) {
         feed->registrations_waiting = true;
         mr_store_feed(feed->options.store, registrations_table,
--- a/lib/session/fleet.c
+++ b/lib/session/fleet.c
@@ -109,8 +109,10 @@
     }
     if (fleet->coordinator != coordinator) {
         /* Send it no contents before its first reply, as it may have them. */
-        fleet->coordinator_directory = (mr_msg_directory_t){
-            .config_version = INT64_MAX, .registrations_version = INT64_MAX};
+        fleet->coordinator_directory =
+            (mr_msg_directory_t){.config_version = INT64_MAX,
+                                 .registrations_version = INT64_MAX,
+                                 .registrations_era = INT64_MAX};
     }
     if (coordinating && !fleet->coordinating) {
         fleet->coordinating_since = now;
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -187,6 +187,7 @@
             .config_version = reply->directory.config_version,
             .registrations_version = reply->directory.registrations_version,
             .registrations_digest = reply->directory.registrations_digest,
+            .registrations_era = reply->directory.registrations_era,
         };
         from->last_report_at = now;
         if (fleet->report_again) {
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -233,6 +233,7 @@
     FIELD(STRING, mr_msg_registration_t, id),
     FIELD(BYTES, mr_msg_registration_t, value),
     FIELD(INTEGER, mr_msg_registration_t, version),
+    FIELD(INTEGER, mr_msg_registration_t, era),
 };
 static const layout_t registration_layout =
     LAYOUT(mr_msg_registration_t, registration_fields);
@@ -270,6 +271,7 @@
     FIELD(BOOL, mr_msg_report_t, draws_tokens),
     LIST_FIELD(mr_msg_report_t, wants, want_count, draw_layout),
     LIST_FIELD(mr_msg_report_t, health, health_count, db_health_layout),
+    FIELD(INTEGER, mr_msg_report_t, directory.registrations_era),
 };
 static const layout_t report_layout = LAYOUT(mr_msg_report_t, report_fields);
 
@@ -292,6 +294,7 @@
     LIST_FIELD(mr_msg_report_reply_t, draws, draw_count, draw_layout),
     LIST_FIELD(mr_msg_report_reply_t, primaries, primary_count,
                primary_layout),
+    FIELD(INTEGER, mr_msg_report_reply_t, directory.registrations_era),
 };
 static const layout_t report_reply_layout =
     LAYOUT(mr_msg_report_reply_t, report_reply_fields);
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -223,6 +223,7 @@
     const char *id;
     mr_bytes_t value; /* empty: unchanged since the receiver's version */
     int64_t version;  /* of the row in the store */
+    int64_t era;      /* of that version */
 } mr_msg_registration_t;
 
 /** Contents of the store, as known to an instance. The configuration and the
@@ -237,6 +238,7 @@
     int64_t registrations_digest;  /* of the fields of them that are used */
     mr_msg_registration_t *registrations;
     size_t registration_count;
+    int64_t registrations_era; /* of registrations_version */
 } mr_msg_directory_t;
 
 /** Tokens of a client account, requested in a report and granted in its reply.
--- a/tests/integration/test_session_store.c
+++ b/tests/integration/test_session_store.c
@@ -82,6 +82,36 @@
     }
 }
 
+static mr_db_t *
+find_db(int index)
+{
+    mr_cluster_t *cluster = mr_clusters_get(clusters, "rez");
+
+    MR_LIST_FOREACH(it, &cluster->dbs)
+    {
+        mr_db_t *db = MR_LIST_ENTRY(it, mr_db_t, link);
+        if (!db->removed && strcmp(db->id, backend->dbs[index].id) == 0) {
+            return db;
+        }
+    }
+    return NULL;
+}
+
+/* Waits for the registrations of all databases. */
+static void
+wait_for_dbs(void)
+{
+    mr_ms_t end = mr_clock_now(NULL) + APPLY_MAX_MS;
+
+    mr_feed_set_role(feed, MR_FEED_COORDINATOR);
+    for (int i = 0; i < BACKEND_DBS; i++) {
+        while (find_db(i) == NULL) {
+            ck_assert_int_lt(mr_clock_now(NULL), end);
+            harness_run_loop(base, 10);
+        }
+    }
+}
+
 START_TEST(test_a_change_that_the_cursor_has_passed_is_not_missed)
 {
     backend_put_config(backend, 5, keys, RATE);
@@ -137,6 +167,24 @@
 }
 END_TEST
 
+START_TEST(test_a_drain_after_a_restoration_is_seen)
+{
+    backend_put_config(backend, 5, keys, RATE);
+    wait_for_dbs();
+    backend_copy_store(backend);
+    raise_store_version(backend_store_version(backend) + 1000);
+    harness_run_loop(base, 1500);
+    backend_restore_store(backend, 200, 100);
+    harness_run_loop(base, 1000);
+    backend_db_drain(backend, 1);
+    mr_ms_t end = mr_clock_now(NULL) + APPLY_MAX_MS;
+    while (!find_db(1)->draining) {
+        ck_assert_int_lt(mr_clock_now(NULL), end);
+        harness_run_loop(base, 10);
+    }
+}
+END_TEST
+
 int
 main(void)
 {
@@ -144,8 +192,9 @@
         test_a_change_that_the_cursor_has_passed_is_not_missed,
         test_a_copy_does_not_bring_back_an_older_desired_state,
         test_a_malformed_desired_state_of_a_copy_changes_nothing,
+        test_a_drain_after_a_restoration_is_seen,
     };
 
-    return RUN_TESTS(tests, .suite = "session_store", .setup = set_up,
-                     .teardown = tear_down);
+    return RUN_TESTS(tests, .suite = "session_store", .timeout_s = 20,
+                     .setup = set_up, .teardown = tear_down);
 }
--- a/tests/unit/test_directory.c
+++ b/tests/unit/test_directory.c
@@ -82,10 +82,10 @@
     free(text);
 }
 
-/* Sets the registrations at store version @version. @primaries is a bit mask
- * of the databases that are primaries. */
+/* Sets the registrations at @version of era @era. @primaries is a bit mask of
+ * the databases that are primaries. */
 static void
-set_rows(side_t *side, int version, unsigned int primaries)
+set_rows_of_era(side_t *side, int era, int version, unsigned int primaries)
 {
     static char keys[ROWS][16];
     static char values[ROWS][256];
@@ -103,9 +103,16 @@
         rows[i] = (mr_store_row_t){.key = keys[i],
                                    .value = values[i],
                                    .len = strlen(values[i]),
-                                   .revision = {.version = version}};
+                                   .revision = {era, version}};
     }
-    mr_directory_set_registrations(side->directory, version, rows, ROWS);
+    mr_directory_set_registrations(side->directory,
+                                   (mr_revision_t){era, version}, rows, ROWS);
+}
+
+static void
+set_rows(side_t *side, int version, unsigned int primaries)
+{
+    set_rows_of_era(side, 0, version, primaries);
 }
 
 /* What @from sends to @to, given the versions that @to has. */
@@ -238,6 +245,35 @@
 }
 END_TEST
 
+START_TEST(test_registrations_of_a_restored_store_are_applied)
+{
+    set_rows(&sender, 100, 1);
+    set_rows_of_era(&sender, 1, 20, 2);
+    ck_assert(is_primary(&sender, "i-1"));
+    /* A late answer from before the restoration. */
+    set_rows(&sender, 110, 1);
+    ck_assert(is_primary(&sender, "i-1"));
+}
+END_TEST
+
+START_TEST(test_registrations_of_a_restored_store_are_sent)
+{
+    set_rows(&sender, 100, 1);
+    set_rows(&receiver, 110, 1);
+    set_rows_of_era(&sender, 1, 20, 2);
+    mr_msg_directory_t sent = export_to(&sender, &receiver);
+    ck_assert_uint_eq(count_values(&sent), 2);
+    mr_directory_import(receiver.directory, &sent, "front-1");
+    ck_assert(is_primary(&receiver, "i-1"));
+    /* The former receiver must not send older ones back. */
+    set_rows_of_era(&sender, 2, 15, 4);
+    sent = export_to(&receiver, &sender);
+    ck_assert_uint_eq(sent.registration_count, 0);
+    mr_directory_import(sender.directory, &sent, "front-1");
+    ck_assert(is_primary(&sender, "i-2"));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -247,6 +283,8 @@
         test_a_patch_of_another_version_is_ignored,
         test_only_changed_registrations_are_sent,
         test_registrations_that_differ_are_sent_whole,
+        test_registrations_of_a_restored_store_are_applied,
+        test_registrations_of_a_restored_store_are_sent,
     };
 
     return RUN_TESTS(tests, .suite = "directory", .setup = set_up,
