Keep newer registrations when the store is restored from a copy

What callers would see: for some seconds after the store came back from an older copy, statements go to databases that drain or have left, and writes to a former primary, as the copy holds their earlier registrations.

Cause: each set of registrations replaced the one before. A newer version of the store meant newer contents; a restored store breaks that.

Change: an entry's number of its report (it rises within one start of the database's process) and the start of that process order the registrations of one database. In the 15 s after the era has risen, a row that is older than the known one, which was read in an earlier era, is replaced by the known one. A row of a database that had been removed before is left out. As the copy may hold a report later than the last one read, a row whose version is not above the set that lacked it also counts as removed, once; the next report of a running database brings it back. At most 256 removed registrations are remembered. Within an era the store's order stays the only one. Sets whose hashes differ from the sender's because of kept rows are not asked for again at once. New event registrations_outdated, counter masticrelay_registrations_outdated_total.

Evidence, with the check taken out: test_a_restored_store_does_not_end_a_drain, ..._does_not_bring_back_a_removed_database, ..._an_unread_report, ..._a_former_primary, test_a_database_that_started_again_counts_after_a_ restoration, test_an_older_registration_counts_when_nothing_newer_comes and test_a_copy_does_not_bring_back_databases_that_left fail. test_a_kept_registration_does_not_ask_for_all_others fails if the sets are always asked for again.

Tests changed: the rows of test_directory.c number their reports by a counter of its own, and the stand-in's registrations too. They took the store's version, which goes back with a restoration, as reports of databases do not.

--- a/lib/common/event.h
+++ b/lib/common/event.h
@@ -53,6 +53,7 @@
       "version before source")                                                \
     X(CONFIGURATION_MALFORMED, "configuration_malformed", "source problem")   \
     X(FEED_HISTORY_GONE, "feed_history_gone", "after")                        \
+    X(REGISTRATIONS_OUTDATED, "registrations_outdated", "count era")          \
     X(REGISTRATIONS_DIFFER, "registrations_differ", "source version")         \
     /* Databases */                                                           \
     X(DATABASE_FOUND, "database_found", "service id address role")            \
--- a/lib/session/directory.c
+++ b/lib/session/directory.c
@@ -11,6 +11,11 @@
 enum {
     /* Number of earlier desired states that patches can start from. */
     HISTORY_LENGTH = 8,
+    /* How long a restored store may hold registrations older than the known
+     * ones. By then, databases that run have registered again and the others'
+     * registrations have lapsed. */
+    OUTDATED_MAX_MS = 15000,
+    REMOVED_ROWS_MAX = 256, /* removed registrations that are remembered */
 };
 
 /** An earlier desired state. */
@@ -21,12 +26,36 @@
     mr_config_patch_t patch; /* empty: it would be too long */
 } old_config_t;
 
-/** Hash of a row's contents, and when it last changed. */
+/** Age of a registration, as its database counts it. */
+typedef struct row_age {
+    int64_t started_at; /* start of the database's process; 0: not known */
+    int64_t report_number;
+} row_age_t;
+
+/** What is known of a row besides its contents. */
 typedef struct row_state {
-    uint64_t digest;
+    uint64_t digest;          /* of its contents */
     mr_revision_t changed_at; /* revision since which @digest is valid */
+    row_age_t age;
 } row_state_t;
 
+/** A registration that was removed. */
+typedef struct removed_row {
+    char *id;                 /* NULL: none */
+    mr_revision_t removed_at; /* of the set that lacked it */
+    row_age_t age;
+    int64_t copied_era; /* in which @age was that of the restored row */
+} removed_row_t;
+
+/** A set of registrations that is being built. */
+typedef struct row_set {
+    mr_msg_registration_t *rows;
+    row_state_t *states;
+    size_t count;
+    uint64_t digest;
+    size_t outdated; /* rows replaced or left out as they are older */
+} row_set_t;
+
 struct mr_directory {
     mr_directory_options_t options;
     int64_t config_version;
@@ -38,7 +67,12 @@
     mr_msg_registration_t *exported_rows; /* of the last export */
     row_state_t *row_states;
     size_t row_count;
+    removed_row_t removed_rows[REMOVED_ROWS_MAX]; /* ring buffer */
+    size_t removed_next;
+    bool restored; /* the era has risen, at @restored_at */
+    mr_ms_t restored_at;
     mr_counter_t *malformed_counter;
+    mr_counter_t *outdated_counter;
 };
 
 mr_directory_t *
@@ -50,6 +84,9 @@
     directory->malformed_counter =
         mr_counters_get(options->counters, "masticrelay_rows_ignored_total",
                         "", "desired states and registrations not understood");
+    directory->outdated_counter = mr_counters_get(
+        options->counters, "masticrelay_registrations_outdated_total", "",
+        "registrations of a restored store older than the known ones");
     return directory;
 }
 
@@ -80,6 +117,9 @@
     for (size_t i = 0; i < HISTORY_LENGTH; i++) {
         clear_old_config(&directory->history[i]);
     }
+    for (size_t i = 0; i < REMOVED_ROWS_MAX; i++) {
+        free(directory->removed_rows[i].id);
+    }
     free_rows(directory->rows, directory->row_count);
     free(directory->exported_rows);
     free(directory->row_states);
@@ -145,74 +185,250 @@
     return digest;
 }
 
-/* Returns the index of the row of @id, or the number of rows. The search
- * starts at @hint, as rows mostly keep their index. */
-static size_t
-find_row(const mr_directory_t *directory, const char *id, size_t hint)
+static mr_store_row_t
+to_store_row(const mr_msg_registration_t *row)
 {
-    size_t count = directory->row_count;
+    return (mr_store_row_t){.key = row->id,
+                            .value = row->value.data,
+                            .len = row->value.len,
+                            .revision = {row->era, row->version}};
+}
 
+/* Returns the index of the row of @id, or @count. The search starts at @hint,
+ * as rows mostly keep their index. */
+static size_t
+find_row(const mr_msg_registration_t *rows, size_t count, const char *id,
+         size_t hint)
+{
     for (size_t i = 0; i < count; i++) {
         size_t at = (hint + i) % count;
-        if (strcmp(directory->rows[at].id, id) == 0) {
+        if (strcmp(rows[at].id, id) == 0) {
             return at;
         }
     }
     return count;
 }
 
-static row_state_t
-make_row_state(const mr_directory_t *directory, const char *id, size_t hint,
-               uint64_t digest)
+static removed_row_t *
+find_removed_row(mr_directory_t *directory, const char *id)
 {
-    size_t old = find_row(directory, id, hint);
-    bool same = old < directory->row_count
-                && directory->row_states[old].digest == digest;
-
-    return (row_state_t){digest, same ? directory->row_states[old].changed_at
-                                      : directory->registrations_revision};
+    for (size_t i = 0; i < REMOVED_ROWS_MAX; i++) {
+        removed_row_t *row = &directory->removed_rows[i];
+        if (row->id != NULL && strcmp(row->id, id) == 0) {
+            return row;
+        }
+    }
+    return NULL;
 }
 
-/* Applies the well-formed rows. */
 static void
-apply_rows(mr_directory_t *directory, const mr_store_row_t *rows, size_t count)
+forget_removed_row(mr_directory_t *directory, const char *id)
 {
-    mr_msg_registration_t *copies = mr_calloc(count + 1, sizeof(*copies));
-    row_state_t *states = mr_calloc(count + 1, sizeof(*states));
-    size_t copied = 0;
-    uint64_t digest = 0;
+    removed_row_t *row = find_removed_row(directory, id);
 
-    mr_clusters_begin_update(directory->options.clusters);
-    for (size_t i = 0; i < count; i++) {
-        const mr_store_row_t *row = &rows[i];
-        mr_db_entry_t entry;
-        mr_db_entry_doc_t *doc =
-            mr_db_entry_decode(row->value, row->len, &entry);
-        if (doc == NULL) {
-            mr_counter_add(directory->malformed_counter, 1);
+    if (row != NULL) {
+        free(row->id);
+        *row = (removed_row_t){0};
+    }
+}
+
+/* Remembers the rows that @set no longer has. */
+static void
+remember_removed_rows(mr_directory_t *directory, const row_set_t *set)
+{
+    for (size_t i = 0; i < directory->row_count; i++) {
+        const char *id = directory->rows[i].id;
+        if (find_row(set->rows, set->count, id, i) < set->count) {
             continue;
         }
-        states[copied] = make_row_state(directory, row->key, copied,
-                                        hash_registration(row->key, &entry));
-        digest = XXH3_64bits_withSeed(&states[copied].digest,
-                                      sizeof(states[copied].digest), digest);
-        copies[copied++] = (mr_msg_registration_t){
-            .id = mr_strdup(row->key),
-            .value = {mr_memdup(row->value, row->len), row->len},
-            .version = row->revision.version,
-            .era = row->revision.era,
+        removed_row_t *row = &directory->removed_rows[directory->removed_next];
+        directory->removed_next =
+            (directory->removed_next + 1) % REMOVED_ROWS_MAX;
+        free(row->id);
+        *row = (removed_row_t){
+            .id = mr_strdup(id),
+            .removed_at = directory->registrations_revision,
+            .age = directory->row_states[i].age,
         };
-        mr_clusters_add_registration(directory->options.clusters, row->key,
-                                     &entry, row->revision.version);
+    }
+}
+
+/* Order of two reports of the same database, like strcmp(). They count as
+ * equal if the start of a process is not known. */
+static int
+compare_ages(row_age_t a, row_age_t b)
+{
+    if (a.started_at == 0 || b.started_at == 0) {
+        return 0;
+    }
+    if (a.started_at != b.started_at) {
+        return a.started_at < b.started_at ? -1 : 1;
+    }
+    if (a.report_number != b.report_number) {
+        return a.report_number < b.report_number ? -1 : 1;
+    }
+    return 0;
+}
+
+/* Whether a row is the registration of a removed database as it was in the
+ * copy that the store was restored from. */
+static bool
+is_removed(mr_directory_t *directory, const mr_store_row_t *row, row_age_t age)
+{
+    int64_t era = directory->registrations_revision.era;
+    removed_row_t *removed = find_removed_row(directory, row->key);
+
+    if (removed == NULL || removed->removed_at.era >= era) {
+        return false;
+    }
+    /* The database may have made further reports before the copy, which were
+     * not read. If this one is newer than the copy, another one follows. */
+    if (row->revision.version <= removed->removed_at.version
+        && age.started_at == removed->age.started_at
+        && removed->copied_era != era) {
+        removed->copied_era = era;
+        if (compare_ages(age, removed->age) > 0) {
+            removed->age = age;
+        }
+    }
+    return compare_ages(age, removed->age) <= 0;
+}
+
+/* Whether a row is from the older copy that the store was restored from, and
+ * its database has registered again or been removed since. @own: index of its
+ * present row, or the number of rows. */
+static bool
+is_outdated(mr_directory_t *directory, const mr_store_row_t *row,
+            const mr_db_entry_t *entry, size_t own)
+{
+    row_age_t age = {entry->started_at, entry->report_number};
+    mr_ms_t now = mr_clock_now(directory->options.clock);
+
+    if (!directory->restored
+        || now - directory->restored_at >= OUTDATED_MAX_MS) {
+        return false;
+    }
+    if (own == directory->row_count) {
+        return is_removed(directory, row, age);
+    }
+    return directory->rows[own].era < directory->registrations_revision.era
+           && compare_ages(age, directory->row_states[own].age) < 0;
+}
+
+/* Adds a well-formed row to @set and to the clusters. @own: index of its
+ * present row, or the number of rows. */
+static void
+add_row(mr_directory_t *directory, row_set_t *set, const mr_store_row_t *row,
+        const mr_db_entry_t *entry, size_t own)
+{
+    row_state_t *state = &set->states[set->count];
+    bool known = own < directory->row_count;
+
+    *state = (row_state_t){
+        .digest = hash_registration(row->key, entry),
+        .changed_at = directory->registrations_revision,
+        .age = {entry->started_at, entry->report_number},
+    };
+    if (known && directory->row_states[own].digest == state->digest) {
+        state->changed_at = directory->row_states[own].changed_at;
+    }
+    if (!known) {
+        forget_removed_row(directory, row->key);
+    }
+    set->digest = XXH3_64bits_withSeed(&state->digest, sizeof(state->digest),
+                                       set->digest);
+    set->rows[set->count++] = (mr_msg_registration_t){
+        .id = mr_strdup(row->key),
+        .value = {mr_memdup(row->value, row->len), row->len},
+        .version = row->revision.version,
+        .era = row->revision.era,
+    };
+    mr_clusters_add_registration(directory->options.clusters, row->key, entry,
+                                 row->revision.version);
+}
+
+/* Adds @row to @set if it is well-formed, or the present row if @row is
+ * outdated. */
+static void
+apply_row(mr_directory_t *directory, row_set_t *set, const mr_store_row_t *row)
+{
+    mr_db_entry_t entry;
+    mr_db_entry_doc_t *doc = mr_db_entry_decode(row->value, row->len, &entry);
+    size_t own =
+        find_row(directory->rows, directory->row_count, row->key, set->count);
+
+    if (doc == NULL) {
+        mr_counter_add(directory->malformed_counter, 1);
+        return;
+    }
+    if (!is_outdated(directory, row, &entry, own)) {
+        add_row(directory, set, row, &entry, own);
+        mr_db_entry_release(doc);
+        return;
+    }
+    mr_db_entry_release(doc);
+    set->outdated++;
+    if (own < directory->row_count) {
+        mr_store_row_t present = to_store_row(&directory->rows[own]);
+        doc = mr_db_entry_decode(present.value, present.len, &entry);
+        add_row(directory, set, &present, &entry, own);
         mr_db_entry_release(doc);
     }
-    mr_clusters_end_update(directory->options.clusters, mr_clock_now(NULL));
+}
+
+/* Applies the well-formed rows. Returns the number of outdated ones. */
+static size_t
+apply_rows(mr_directory_t *directory, const mr_store_row_t *rows, size_t count)
+{
+    row_set_t set = {
+        .rows = mr_calloc(count + 1, sizeof(*set.rows)),
+        .states = mr_calloc(count + 1, sizeof(*set.states)),
+    };
+
+    mr_clusters_begin_update(directory->options.clusters);
+    for (size_t i = 0; i < count; i++) {
+        apply_row(directory, &set, &rows[i]);
+    }
+    mr_clusters_end_update(directory->options.clusters,
+                           mr_clock_now(directory->options.clock));
+    remember_removed_rows(directory, &set);
     free_rows(directory->rows, directory->row_count);
     free(directory->row_states);
-    directory->rows = copies;
-    directory->row_states = states;
-    directory->row_count = copied;
-    directory->registrations_digest = (int64_t)digest;
+    directory->rows = set.rows;
+    directory->row_states = set.states;
+    directory->row_count = set.count;
+    directory->registrations_digest = (int64_t)set.digest;
+    if (set.outdated > 0) {
+        mr_counter_add(directory->outdated_counter, (int64_t)set.outdated);
+        mr_log(MR_LOG_INFO, MR_EVENT_REGISTRATIONS_OUTDATED,
+               "count=%zu era=%lld", set.outdated,
+               (long long)directory->registrations_revision.era);
+    }
+    return set.outdated;
+}
+
+static void
+set_revision(mr_directory_t *directory, mr_revision_t revision)
+{
+    if (revision.era > directory->registrations_revision.era) {
+        directory->restored = true;
+        directory->restored_at = mr_clock_now(directory->options.clock);
+    }
+    directory->registrations_revision = revision;
+}
+
+/* Applies a set of registrations if it is newer. Returns the number of
+ * outdated ones in it. */
+static size_t
+apply_registrations(mr_directory_t *directory, mr_revision_t revision,
+                    const mr_store_row_t *rows, size_t count)
+{
+    if (mr_revision_compare(revision, directory->registrations_revision)
+        <= 0) {
+        return 0;
+    }
+    set_revision(directory, revision);
+    return apply_rows(directory, rows, count);
 }
 
 void
@@ -220,12 +436,7 @@
                                mr_revision_t revision,
                                const mr_store_row_t *rows, size_t count)
 {
-    if (mr_revision_compare(revision, directory->registrations_revision)
-        <= 0) {
-        return;
-    }
-    directory->registrations_revision = revision;
-    apply_rows(directory, rows, count);
+    apply_registrations(directory, revision, rows, count);
 }
 
 bool
@@ -332,19 +543,18 @@
 
     for (size_t i = 0; i < in->registration_count; i++) {
         const mr_msg_registration_t *row = &in->registrations[i];
-        size_t own = find_row(directory, row->id, i);
+        size_t own =
+            find_row(directory->rows, directory->row_count, row->id, i);
         if (row->value.len == 0 && own < directory->row_count) {
             row = &directory->rows[own];
         }
-        rows[i] = (mr_store_row_t){.key = row->id,
-                                   .value = row->value.data,
-                                   .len = row->value.len,
-                                   .revision = {row->era, row->version}};
+        rows[i] = to_store_row(row);
     }
-    mr_directory_set_registrations(directory, registrations_revision(in), rows,
-                                   in->registration_count);
+    size_t outdated = apply_registrations(
+        directory, registrations_revision(in), rows, in->registration_count);
     free(rows);
-    if (directory->registrations_digest != in->registrations_digest) {
+    if (directory->registrations_digest != in->registrations_digest
+        && outdated == 0) {
         /* This instance has read changes that the sender missed. With the
          * version reset, the next reply contains all rows. */
         mr_log(MR_LOG_INFO, MR_EVENT_REGISTRATIONS_DIFFER,
@@ -396,9 +606,9 @@
         return;
     }
     if (in->registrations_digest == directory->registrations_digest) {
-        directory->registrations_revision = registrations_revision(in);
+        set_revision(directory, registrations_revision(in));
         mr_clusters_end_update(directory->options.clusters,
-                               mr_clock_now(NULL));
+                               mr_clock_now(directory->options.clock));
     }
     else if (in->registration_count > 0) {
         import_registrations(directory, in, source);
--- a/lib/session/directory.h
+++ b/lib/session/directory.h
@@ -7,9 +7,12 @@
  * an instance that cannot reach the store stays up to date. The desired state
  * is sent as a patch where possible, and only registrations that changed are
  * sent. A directory never returns to an older desired state, nor to
- * registrations of an older revision of the store.
+ * registrations of an older revision of the store. When the store was restored
+ * from an older copy, a database keeps its newer registration, or stays
+ * removed, until it registers again.
  */
 
+#include "common/clock.h"
 #include "common/counters.h"
 #include "session/catalog.h"
 #include "session/cluster.h"
@@ -21,6 +24,7 @@
 typedef struct mr_directory_options {
     mr_clusters_t *clusters;
     mr_counters_t *counters;
+    const mr_clock_t *clock; /* NULL: the system's */
     /* Called with each newer desired state, which is borrowed. */
     void (*on_catalog)(void *ctx, mr_catalog_t *catalog);
     void *ctx;
--- a/lib/session/entry.h
+++ b/lib/session/entry.h
@@ -14,7 +14,8 @@
     const char *data_centre;
     int64_t
         started_at; /* start of its process, Unix time in ms; 0: not given */
-    int64_t slots;  /* statements that it runs at the same time */
+    int64_t report_number; /* rises with each report of its process */
+    int64_t slots;         /* statements that it runs at the same time */
     bool draining;
     bool primary; /* it considers itself the primary */
 } mr_db_entry_t;
--- a/tests/integration/test_session_store.c
+++ b/tests/integration/test_session_store.c
@@ -185,6 +185,30 @@
 }
 END_TEST
 
+START_TEST(test_a_copy_does_not_bring_back_databases_that_left)
+{
+    backend_put_config(backend, 5, keys, RATE);
+    wait_for_dbs();
+    harness_run_loop(base, 500);
+    backend_copy_store(backend);
+    backend_db_drain(backend, 1);
+    backend_db_kill(backend, 2);
+    mr_ms_t end = mr_clock_now(NULL) + APPLY_MAX_MS + 2000;
+    while (!find_db(1)->draining || find_db(2) != NULL) {
+        ck_assert_int_lt(mr_clock_now(NULL), end);
+        harness_run_loop(base, 10);
+    }
+    backend_restore_store(backend, 200, 2500);
+    end = mr_clock_now(NULL) + 5000;
+    while (mr_clock_now(NULL) < end) {
+        ck_assert(find_db(1)->draining);
+        ck_assert_ptr_null(find_db(2));
+        harness_run_loop(base, 10);
+    }
+    ck_assert_int_eq(mr_store_era(store), 1);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -193,6 +217,7 @@
         test_a_copy_does_not_bring_back_an_older_desired_state,
         test_a_malformed_desired_state_of_a_copy_changes_nothing,
         test_a_drain_after_a_restoration_is_seen,
+        test_a_copy_does_not_bring_back_databases_that_left,
     };
 
     return RUN_TESTS(tests, .suite = "session_store", .timeout_s = 20,
--- a/tests/integration/world_internal.h
+++ b/tests/integration/world_internal.h
@@ -95,6 +95,7 @@
     int store_reads;
     mr_list_t feeds; /* feed calls that wait for a change */
     struct event *registration_timer;
+    int64_t report_count; /* of the databases' registrations */
     char dropped_route[BACKEND_TEXT_BYTES];
     backend_run_t *runs;
     size_t run_count;
--- a/tests/integration/world_store.c
+++ b/tests/integration/world_store.c
@@ -457,7 +457,8 @@
                  "\"seq_no\":%lld,\"born\":%lld}",
                  db->port, db->draining ? "draining" : "ready",
                  backend->primary == i ? "primary" : "replica",
-                 (long long)backend->version, (long long)db->started_at);
+                 (long long)++backend->report_count,
+                 (long long)db->started_at);
         backend_put_row(backend, "servers", db->id, text);
         registered = true;
     }
--- a/tests/unit/test_directory.c
+++ b/tests/unit/test_directory.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "../common/runner.h"
+#include "common/list.h"
 #include "common/mem.h"
 #include "session/directory.h"
 
@@ -20,6 +21,8 @@
 
 static side_t sender;
 static side_t receiver;
+static mr_clock_t test_clock;
+static int reports; /* that the databases have made */
 
 static void
 on_catalog(void *ctx, mr_catalog_t *catalog)
@@ -36,6 +39,7 @@
     side->directory = mr_directory_create(
         &(mr_directory_options_t){.clusters = side->clusters,
                                   .counters = side->counters,
+                                  .clock = &test_clock,
                                   .on_catalog = on_catalog});
 }
 
@@ -50,6 +54,7 @@
 static void
 set_up(void)
 {
+    test_clock = (mr_clock_t){.kind = MR_CLOCK_MANUAL, .u.manual.now = 1000};
     start(&sender);
     start(&receiver);
 }
@@ -91,6 +96,7 @@
     static char values[ROWS][256];
     mr_store_row_t rows[ROWS];
 
+    reports++;
     for (int i = 0; i < ROWS; i++) {
         snprintf(keys[i], sizeof(keys[i]), "i-%d", i);
         snprintf(values[i], sizeof(values[i]),
@@ -98,7 +104,7 @@
                  "\"zone\": \"konya\", \"version\": 1, \"slots\": 2, "
                  "\"state\": \"ready\", \"cold_left_ms\": 0, \"seq_no\": %d, "
                  "\"born\": 5, \"db_role\": \"%s\"}",
-                 1000 + i, version,
+                 1000 + i, reports,
                  (primaries >> i & 1) != 0 ? "primary" : "replica");
         rows[i] = (mr_store_row_t){.key = keys[i],
                                    .value = values[i],
@@ -274,6 +280,203 @@
 }
 END_TEST
 
+/* Sets the registrations at @version of era @era. @list: "id started_at
+ * report_number state role" of each, ended by NULL. */
+static void
+set_reports(side_t *side, int era, int version, const char *const *list)
+{
+    char ids[ROWS][16];
+    char values[ROWS][256];
+    mr_store_row_t rows[ROWS];
+    size_t count = 0;
+
+    for (; list[count] != NULL; count++) {
+        char state[16];
+        char role[16];
+        int born;
+        int number;
+        int fields = sscanf(list[count], "%15s %d %d %15s %15s", ids[count],
+                            &born, &number, state, role);
+        ck_assert_int_eq(fields, 5);
+        snprintf(values[count], sizeof(values[count]),
+                 "{\"service\": \"rez\", \"address\": \"127.0.0.1:1\", "
+                 "\"zone\": \"konya\", \"slots\": 2, \"state\": \"%s\", "
+                 "\"seq_no\": %d, \"born\": %d, \"db_role\": \"%s\"}",
+                 state, number, born, role);
+        rows[count] = (mr_store_row_t){.key = ids[count],
+                                       .value = values[count],
+                                       .len = strlen(values[count]),
+                                       .revision = {era, version}};
+    }
+    mr_directory_set_registrations(side->directory,
+                                   (mr_revision_t){era, version}, rows, count);
+}
+
+static const mr_db_t *
+find_db(const side_t *side, const char *id)
+{
+    mr_cluster_t *cluster = mr_clusters_get(side->clusters, "rez");
+
+    MR_LIST_FOREACH(it, &cluster->dbs)
+    {
+        const mr_db_t *db = MR_LIST_ENTRY(it, mr_db_t, link);
+        if (!db->removed && strcmp(db->id, id) == 0) {
+            return db;
+        }
+    }
+    return NULL;
+}
+
+START_TEST(test_a_restored_store_does_not_end_a_drain)
+{
+    set_reports(&sender, 0, 100,
+                (const char *[]){"a 5 50 draining replica",
+                                 "b 5 70 ready replica", NULL});
+    set_reports(&sender, 1, 20,
+                (const char *[]){"a 5 40 ready replica",
+                                 "b 5 60 ready replica", NULL});
+    ck_assert(find_db(&sender, "a")->draining);
+    ck_assert(!find_db(&sender, "b")->draining);
+    /* Others are told the same. */
+    mr_msg_directory_t sent = export_to(&sender, &receiver);
+    mr_directory_import(receiver.directory, &sent, "front-1");
+    ck_assert(find_db(&receiver, "a")->draining);
+    /* The next report counts, whatever it says. */
+    set_reports(&sender, 1, 25,
+                (const char *[]){"a 5 51 ready replica",
+                                 "b 5 71 ready replica", NULL});
+    ck_assert(!find_db(&sender, "a")->draining);
+}
+END_TEST
+
+/* The sender has not read the newer report; asking for all rows brings none.
+ */
+START_TEST(test_a_kept_registration_does_not_ask_for_all_others)
+{
+    mr_msg_directory_t sent;
+
+    set_reports(&receiver, 0, 100,
+                (const char *[]){"a 5 50 draining replica",
+                                 "b 5 70 ready replica", NULL});
+    set_reports(&sender, 1, 20,
+                (const char *[]){"a 5 40 ready replica",
+                                 "b 5 60 ready replica", NULL});
+    sent = export_to(&sender, &receiver);
+    mr_directory_import(receiver.directory, &sent, "front-1");
+    ck_assert(find_db(&receiver, "a")->draining);
+    sent = export_to(&sender, &receiver);
+    ck_assert_uint_eq(count_values(&sent), 0);
+    set_reports(&sender, 1, 30,
+                (const char *[]){"a 5 51 draining replica",
+                                 "b 5 71 ready replica", NULL});
+    sent = export_to(&sender, &receiver);
+    mr_directory_import(receiver.directory, &sent, "front-1");
+    sent = export_to(&sender, &receiver);
+    ck_assert_uint_eq(sent.registration_count, 0);
+}
+END_TEST
+
+START_TEST(test_a_restored_store_does_not_bring_back_a_removed_database)
+{
+    set_reports(&sender, 0, 90,
+                (const char *[]){"a 5 50 ready replica",
+                                 "b 5 70 ready replica", NULL});
+    set_reports(&sender, 0, 95,
+                (const char *[]){"b 5 71 ready replica", NULL});
+    test_clock.u.manual.now += 3000;
+    set_reports(&sender, 0, 100,
+                (const char *[]){"b 5 72 ready replica", NULL});
+    ck_assert_ptr_null(find_db(&sender, "a"));
+    set_reports(&sender, 1, 20,
+                (const char *[]){"a 5 50 ready replica",
+                                 "b 5 60 ready replica", NULL});
+    ck_assert_ptr_null(find_db(&sender, "a"));
+    ck_assert_ptr_nonnull(find_db(&sender, "b"));
+    /* It runs, and has registered again. */
+    set_reports(&sender, 1, 25,
+                (const char *[]){"a 5 51 ready replica",
+                                 "b 5 73 ready replica", NULL});
+    ck_assert_ptr_nonnull(find_db(&sender, "a"));
+}
+END_TEST
+
+/* The database had made a further report before the copy. */
+START_TEST(test_a_restored_store_does_not_bring_back_an_unread_report)
+{
+    set_reports(&sender, 0, 90,
+                (const char *[]){"a 5 50 ready replica", NULL});
+    set_reports(&sender, 0, 100, (const char *[]){NULL});
+    test_clock.u.manual.now += 3000;
+    set_reports(&sender, 0, 101, (const char *[]){NULL});
+    set_reports(&sender, 1, 93,
+                (const char *[]){"a 5 51 ready replica", NULL});
+    ck_assert_ptr_null(find_db(&sender, "a"));
+    set_reports(&sender, 1, 94,
+                (const char *[]){"a 5 51 ready replica", NULL});
+    ck_assert_ptr_null(find_db(&sender, "a"));
+    set_reports(&sender, 1, 95,
+                (const char *[]){"a 5 52 ready replica", NULL});
+    ck_assert_ptr_nonnull(find_db(&sender, "a"));
+}
+END_TEST
+
+START_TEST(test_a_restored_store_does_not_bring_back_a_former_primary)
+{
+    set_reports(&sender, 0, 90,
+                (const char *[]){"a 5 40 ready primary",
+                                 "b 5 70 ready replica", NULL});
+    set_reports(&sender, 0, 100,
+                (const char *[]){"a 5 50 ready replica",
+                                 "b 5 80 ready primary", NULL});
+    set_reports(&sender, 1, 20,
+                (const char *[]){"a 5 40 ready primary",
+                                 "b 5 70 ready replica", NULL});
+    ck_assert(is_primary(&sender, "b"));
+    set_reports(&sender, 1, 25,
+                (const char *[]){"a 5 51 ready replica",
+                                 "b 5 81 ready primary", NULL});
+    ck_assert(is_primary(&sender, "b"));
+}
+END_TEST
+
+START_TEST(test_a_database_that_started_again_counts_after_a_restoration)
+{
+    set_reports(&sender, 0, 100,
+                (const char *[]){"a 5 50 draining replica", NULL});
+    set_reports(&sender, 1, 20, (const char *[]){"a 9 1 ready replica", NULL});
+    ck_assert(!find_db(&sender, "a")->draining);
+    ck_assert_int_eq(find_db(&sender, "a")->started_at, 9);
+    /* An older process of the same name stays replaced. */
+    set_reports(&sender, 2, 10,
+                (const char *[]){"a 5 50 ready replica", NULL});
+    ck_assert_int_eq(find_db(&sender, "a")->started_at, 9);
+}
+END_TEST
+
+START_TEST(test_an_older_registration_counts_when_nothing_newer_comes)
+{
+    set_reports(&sender, 0, 100,
+                (const char *[]){"a 5 50 draining replica", NULL});
+    set_reports(&sender, 1, 20,
+                (const char *[]){"a 4 90 ready replica", NULL});
+    ck_assert(find_db(&sender, "a")->draining);
+    test_clock.u.manual.now += 60000;
+    set_reports(&sender, 1, 80,
+                (const char *[]){"a 4 99 ready replica", NULL});
+    ck_assert(!find_db(&sender, "a")->draining);
+}
+END_TEST
+
+START_TEST(test_registrations_go_back_within_an_era)
+{
+    set_reports(&sender, 1, 20,
+                (const char *[]){"a 5 50 ready replica", NULL});
+    set_reports(&sender, 1, 30,
+                (const char *[]){"a 4 7 draining replica", NULL});
+    ck_assert(find_db(&sender, "a")->draining);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -285,6 +488,14 @@
         test_registrations_that_differ_are_sent_whole,
         test_registrations_of_a_restored_store_are_applied,
         test_registrations_of_a_restored_store_are_sent,
+        test_a_restored_store_does_not_end_a_drain,
+        test_a_kept_registration_does_not_ask_for_all_others,
+        test_a_restored_store_does_not_bring_back_a_removed_database,
+        test_a_restored_store_does_not_bring_back_an_unread_report,
+        test_a_restored_store_does_not_bring_back_a_former_primary,
+        test_a_database_that_started_again_counts_after_a_restoration,
+        test_an_older_registration_counts_when_nothing_newer_comes,
+        test_registrations_go_back_within_an_era,
     };
 
     return RUN_TESTS(tests, .suite = "directory", .setup = set_up,
