--- a/lib/session/fence.c
+++ b/lib/session/fence.c
@@ -17,9 +17,9 @@
     mr_store_t *store;
     char *service;
     char *instance;
-    int64_t row_version; /* newest known version of the row */
-    int64_t reserve;     /* 0: none */
-    bool requested;      /* the store has not answered yet */
+    mr_revision_t row; /* newest known revision of the row */
+    int64_t reserve;   /* 0: none */
+    bool requested;    /* the store has not answered yet */
     mr_ms_t requested_at;
 };
 
@@ -45,28 +45,29 @@
     free(fence);
 }
 
-static void on_written(void *ctx, mr_error_kind_t error, int64_t version);
+static void on_written(void *ctx, mr_error_kind_t error,
+                       mr_revision_t revision);
 
 static void
 write_row(mr_fence_t *fence)
 {
     fence->requested = true;
-    mr_store_put(fence->store, table, fence->service, fence->row_version,
+    mr_store_put(fence->store, table, fence->service, fence->row,
                  fence->instance, strlen(fence->instance), on_written, fence);
 }
 
 static void
-on_written(void *ctx, mr_error_kind_t error, int64_t version)
+on_written(void *ctx, mr_error_kind_t error, mr_revision_t revision)
 {
     mr_fence_t *fence = ctx;
 
     fence->requested = false;
     if (error == MR_OK) {
-        fence->row_version = version;
-        fence->reserve = version;
+        fence->row = revision;
+        fence->reserve = revision.version;
     }
     else if (error == MR_ERR_CONFLICT) {
-        fence->row_version = version;
+        fence->row = revision;
         write_row(fence);
     }
     else {
