Make fencing tokens rise across restorations of the store

After the store came back from an older copy, the platform refused promotion orders until the store's versions had caught up: callers got no primary for as long, and two orders could carry the same number.

Cause: the token was the version of a row. A restoration sets versions back and gives them out again, but the platform keeps the highest token that it has seen.

- The token is the revision of that row: the era, then the version in 40 bits, below 2^53 in all.
A revision that has no room is no token.
- A token in reserve is dropped when the era has risen, as another instance may have used a higher one; a new one is requested.
- A promotion that got its token before the era rose gets a new one before it calls the platform.
- A request that a restoration overtook is repeated at once.

During a roll-out, orders of the former version are refused once the new one has ordered a promotion, as its tokens are higher by the era.

The stand-in also reports a token that is used again after a refusal.

--- a/Makefile
+++ b/Makefile
@@ -97,7 +97,7 @@
 	@$(CC) $(LDFLAGS) $^ $(CHECK_LIBS) $(PKG_LIBS) -o $@
 
 # These tests surround the session daemon with a stand-in of their own.
-$(addprefix $(BUILD)/integration/,test_sessions test_session_soak): \
+$(addprefix $(BUILD)/integration/,test_sessions test_session_soak test_session_restore): \
     $(WORLD_SRC:%.c=$(BUILD)/%.o)
 
 $(BENCH:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/bench/%.o \
--- a/lib/session/fence.c
+++ b/lib/session/fence.c
@@ -9,6 +9,10 @@
 enum {
     TIMEOUT_MS = 500, /* for the store; then the token in reserve is used */
     RETRY_MS = 2000,  /* between requests for a token in reserve */
+    /* Parts of a token. The version lasts for 29 years of 1,200 writes a
+     * second. */
+    ERA_BITS = 13,
+    VERSION_BITS = 40,
 };
 
 static const char table[] = "promotions";
@@ -20,6 +24,7 @@
     mr_revision_t row; /* newest known revision of the row */
     int64_t reserve;   /* 0: none */
     bool requested;    /* the store has not answered yet */
+    int64_t requested_era;
     mr_ms_t requested_at;
 };
 
@@ -45,6 +50,22 @@
     free(fence);
 }
 
+int64_t
+mr_fence_token(mr_revision_t revision)
+{
+    if (revision.version <= 0 || revision.version >> VERSION_BITS != 0
+        || revision.era < 0 || revision.era >> ERA_BITS != 0) {
+        return 0;
+    }
+    return revision.era << VERSION_BITS | revision.version;
+}
+
+bool
+mr_fence_is_current(const mr_fence_t *fence, int64_t token)
+{
+    return token >> VERSION_BITS == mr_store_era(fence->store);
+}
+
 static void on_written(void *ctx, mr_error_kind_t error,
                        mr_revision_t revision);
 
@@ -52,6 +73,7 @@
 write_row(mr_fence_t *fence)
 {
     fence->requested = true;
+    fence->requested_era = mr_store_era(fence->store);
     mr_store_put(fence->store, table, fence->service, fence->row,
                  fence->instance, strlen(fence->instance), on_written, fence);
 }
@@ -64,9 +86,14 @@
     fence->requested = false;
     if (error == MR_OK) {
         fence->row = revision;
-        fence->reserve = revision.version;
+        fence->reserve = mr_fence_token(revision);
+        if (fence->reserve == 0) {
+            mr_log(MR_LOG_ERROR, MR_EVENT_TOKEN_NOT_TAKEN,
+                   "service=%s error=no_room", fence->service);
+        }
     }
-    else if (error == MR_ERR_CONFLICT) {
+    else if (error == MR_ERR_CONFLICT
+             || fence->requested_era != mr_store_era(fence->store)) {
         fence->row = revision;
         write_row(fence);
     }
@@ -86,9 +113,19 @@
     write_row(fence);
 }
 
+/* Another instance may have used a higher token than one of an older era. */
+static void
+drop_outdated_reserve(mr_fence_t *fence)
+{
+    if (!mr_fence_is_current(fence, fence->reserve)) {
+        fence->reserve = 0;
+    }
+}
+
 void
 mr_fence_refill(mr_fence_t *fence, mr_ms_t now)
 {
+    drop_outdated_reserve(fence);
     if (fence->reserve == 0 && now - fence->requested_at >= RETRY_MS) {
         mr_fence_request(fence, now);
     }
@@ -103,6 +140,7 @@
 int64_t
 mr_fence_take(mr_fence_t *fence)
 {
+    drop_outdated_reserve(fence);
     int64_t token = fence->reserve;
 
     fence->reserve = 0;
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -25,6 +25,9 @@
      * promotion of its service starts before that. */
     REGISTRATION_WAIT_MS = 2500,
     PROMOTION_RETRY_MS = 300,
+    /* After an order that the platform refused. Another instance may have
+     * ordered a promotion, which then shows in the registrations. */
+    REFUSED_WAIT_MS = 1000,
     STATUS_MAX_BYTES = 256, /* a status row has seven fields */
 };
 
@@ -32,6 +35,7 @@
     STAGE_STATUS,
     STAGE_DEMOTE,
     STAGE_CATCH_UP,
+    STAGE_TOKEN,
     STAGE_PLATFORM_CALL,
 } promotion_stage_t;
 
@@ -213,6 +217,22 @@
     free_promotion(promotion);
 }
 
+/* Makes the suspended replicas receive log entries again. */
+static void
+resume_replicas(promotion_t *promotion)
+{
+    MR_LIST_FOREACH(it, &promotion->status_queries)
+    {
+        status_query_t *query = MR_LIST_ENTRY(it, status_query_t, link);
+        if (promotion->suspend_replicas && query->answered
+            && query->conn != NULL) {
+            mr_db_conn_query(query->conn, mr_relay_statement_id, NULL,
+                             mr_relay_statement_text(MR_RELAY_RESUME), NULL,
+                             NULL);
+        }
+    }
+}
+
 static void
 on_promoted(void *ctx, mr_error_kind_t error)
 {
@@ -229,6 +249,11 @@
         promoter->options.promoted(promoter->options.ctx);
         return;
     }
+    if (error == MR_ERR_CONFLICT) {
+        end_promotion(promotion, REFUSED_WAIT_MS, mr_error_name(error));
+        promoter->options.promoted(promoter->options.ctx);
+        return;
+    }
     /* The platform may still carry the call out. The next order is safe, as
      * its token is higher. */
     end_promotion(promotion, PROMOTION_RETRY_MS, mr_error_name(error));
@@ -251,6 +276,36 @@
                                 on_promoted, promotion);
 }
 
+/* Calls the platform, with a new token if the store has been restored since
+ * the promotion got its own. */
+static void
+order(promotion_t *promotion)
+{
+    mr_ms_t now = mr_clock_now(NULL);
+    mr_fence_t *fence =
+        get_service_state(promotion->promoter, promotion->service)->fence;
+
+    if (mr_fence_is_current(fence, promotion->token)) {
+        call_platform(promotion);
+        return;
+    }
+    if (promotion->stage != STAGE_TOKEN) {
+        set_stage(promotion, STAGE_TOKEN);
+        mr_fence_request(fence, now);
+    }
+    if (mr_fence_waiting(fence, now)) {
+        mr_timer_start(promotion->timer, POLL_MS);
+        return;
+    }
+    promotion->token = mr_fence_take(fence);
+    if (promotion->token == 0) {
+        resume_replicas(promotion);
+        end_promotion(promotion, PROMOTION_RETRY_MS, "no_token");
+        return;
+    }
+    call_platform(promotion);
+}
+
 static status_query_t *
 find_status_query(promotion_t *promotion, const char *id)
 {
@@ -478,22 +533,6 @@
     mr_timer_start(promotion->timer, STATUS_TIMEOUT_MS);
 }
 
-/* Makes the suspended replicas receive log entries again. */
-static void
-resume_replicas(promotion_t *promotion)
-{
-    MR_LIST_FOREACH(it, &promotion->status_queries)
-    {
-        status_query_t *query = MR_LIST_ENTRY(it, status_query_t, link);
-        if (promotion->suspend_replicas && query->answered
-            && query->conn != NULL) {
-            mr_db_conn_query(query->conn, mr_relay_statement_id, NULL,
-                             mr_relay_statement_text(MR_RELAY_RESUME), NULL,
-                             NULL);
-        }
-    }
-}
-
 /* Chooses the new primary once all statuses have arrived or their time is
  * over. */
 static void
@@ -532,7 +571,7 @@
         demote_old_primary(promotion, old_primary);
         return;
     }
-    call_platform(promotion);
+    order(promotion);
 }
 
 static void
@@ -559,7 +598,7 @@
         || mr_position_compare(query->status.received,
                                promotion->catch_up_position)
                >= 0) {
-        call_platform(promotion);
+        order(promotion);
         return;
     }
     mr_db_conn_query(query->conn, mr_relay_statement_id, NULL,
@@ -586,6 +625,9 @@
     case STAGE_CATCH_UP:
         catch_up(promotion);
         break;
+    case STAGE_TOKEN:
+        order(promotion);
+        break;
     case STAGE_PLATFORM_CALL:
         break;
     }
--- a/tests/integration/world.h
+++ b/tests/integration/world.h
@@ -114,11 +114,17 @@
 /** backend_primary() - index of the primary; -1 after a DEMOTE. */
 int backend_primary(const backend_t *backend);
 int backend_count_promotions(const backend_t *backend);
+/** backend_count_refused_orders() - count the promotion calls that were
+ * refused because of their token. */
+int backend_count_refused_orders(const backend_t *backend);
 /** backend_db_count_conns() - count the connections opened to @db so far. */
 int backend_db_count_conns(const backend_t *backend, int db);
 /** backend_log_length() - number of entries in the log. */
 int64_t backend_log_length(const backend_t *backend);
 int64_t backend_store_version(const backend_t *backend);
+/** backend_has_row() - whether the store has the row. */
+bool backend_has_row(const backend_t *backend, const char *table,
+                     const char *key);
 /** backend_count_store_reads() - count the read calls to the store so far. */
 int backend_count_store_reads(const backend_t *backend);
 /** backend_find_run() - the last execution of statement @id; NULL: none. */
--- a/tests/integration/world_internal.h
+++ b/tests/integration/world_internal.h
@@ -73,6 +73,8 @@
     int max_conns;     /* to each database, in the next desired states */
     int64_t highest_token;
     int64_t last_token;
+    int64_t refused_token; /* of the last refused order; 0: none */
+    int refused_orders;
     char last_holder[BACKEND_TEXT_BYTES];
     mr_ms_t promotion_delay;
     int drop_every_nth; /* answer; 0: none */
--- a/tests/integration/world_store.c
+++ b/tests/integration/world_store.c
@@ -248,6 +248,24 @@
     evtimer_add(backend->rewrite_timer, &tv);
 }
 
+int
+backend_count_refused_orders(const backend_t *backend)
+{
+    return backend->refused_orders;
+}
+
+bool
+backend_has_row(const backend_t *backend, const char *table, const char *key)
+{
+    for (size_t i = 0; i < backend->row_count; i++) {
+        const backend_row_t *row = &backend->rows[i];
+        if (strcmp(row->table, table) == 0 && strcmp(row->key, key) == 0) {
+            return !row->deleted;
+        }
+    }
+    return false;
+}
+
 int64_t
 backend_store_version(const backend_t *backend)
 {
@@ -361,7 +379,12 @@
 static bool
 apply_promotion(backend_t *backend, int db, int64_t token)
 {
-    if (db < 0 || token <= backend->highest_token) {
+    if (token <= backend->highest_token) {
+        backend->refused_token = token;
+        backend->refused_orders++;
+        return false;
+    }
+    if (db < 0) {
         return false;
     }
     backend->highest_token = token;
@@ -380,7 +403,8 @@
     free(call);
 }
 
-/* Two holders must not use the same fence token. */
+/* Two holders must not use the same fence token, and a token that was refused
+ * must not be used again. */
 static void
 check_token(backend_t *backend, int64_t token, const char *holder)
 {
@@ -390,6 +414,10 @@
                                  (long long)token, backend->last_holder,
                                  holder);
     }
+    if (token == backend->refused_token) {
+        backend_report_violation(backend, "token %lld used again by %s",
+                                 (long long)token, holder);
+    }
     backend->last_token = token;
     snprintf(backend->last_holder, sizeof(backend->last_holder), "%s", holder);
 }
