Order promotions and registered primaries by the store's revisions

After a restoration of the store the instances took the wrong database for the primary: a promotion before it outranked the database that was promoted or registered as the primary after it, until the store's versions had caught up. Writes went to a replica and were refused.

Cause: the fencing token of a promotion and the row versions of registrations were compared as numbers of one counter, which a restoration sets back.

Change: both are numbers of revisions, era first (mr_revision_number()). A primary whose registration has a revision of a later era counts from that one, so that it outranks promotions before the restoration. A database that was not known gets no claim of the new era from a row that may be from the copy: up to the version of the first set after the restoration, its row counts as of the era before. The message between instances keeps its fields; the number of a promotion now carries the era.

Tests in test_clusters, 4 new, all pass now.

--- a/lib/common/event.h
+++ b/lib/common/event.h
@@ -63,8 +63,8 @@
     X(DATABASE_ANSWERS, "database_answers", "service id after_ms")            \
     X(DATABASE_ANSWER_MALFORMED, "database_answer_malformed", "service id")   \
     X(SOCKET_FAILED, "socket_failed", "service id")                           \
-    X(PRIMARY_REGISTERED, "primary_registered", "service id version")         \
-    X(PRIMARY_PROMOTED, "primary_promoted", "service id version")             \
+    X(PRIMARY_REGISTERED, "primary_registered", "service id era version")     \
+    X(PRIMARY_PROMOTED, "primary_promoted", "service id token")               \
     X(SESSION_VALUE_REFUSED, "session_value_refused", "error detail")         \
     /* Instances */                                                           \
     X(FLEET_JOINED, "fleet_joined", "instances")                              \
--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -229,8 +229,14 @@
 }
 
 void
-mr_clusters_begin_update(mr_clusters_t *clusters)
+mr_clusters_begin_update(mr_clusters_t *clusters, mr_revision_t revision)
 {
+    if (clusters->newest_set.version != 0
+        && revision.era > clusters->newest_set.era) {
+        clusters->era_before_restore = clusters->newest_set.era;
+        clusters->first_after_restore = revision;
+    }
+    clusters->newest_set = revision;
     MR_LIST_FOREACH(it, &clusters->list)
     {
         mr_cluster_t *cluster = MR_LIST_ENTRY(it, mr_cluster_t, link);
@@ -241,9 +247,39 @@
     }
 }
 
+/* Revision from which the row of a database that was not known counts. Unless
+ * it was written after the restoration for certain, it counts as written
+ * before, since the copy may hold a former primary. */
+static mr_revision_t
+first_revision(const mr_clusters_t *clusters, mr_revision_t row)
+{
+    const mr_revision_t *first = &clusters->first_after_restore;
+
+    if (row.era == first->era && row.version <= first->version) {
+        row.era = clusters->era_before_restore;
+    }
+    return row;
+}
+
+/* Updates since when @db is registered as the primary. A primary that has
+ * registered again after a restoration outranks promotions before it. */
+static void
+set_primary(mr_db_t *db, const char *id, mr_revision_t revision)
+{
+    if (db->primary_since != 0
+        && mr_revision_number_era(db->primary_since) >= revision.era) {
+        return;
+    }
+    db->primary_since = mr_revision_number(revision);
+    mr_log(MR_LOG_INFO, MR_EVENT_PRIMARY_REGISTERED,
+           "service=%s id=%s era=%lld version=%lld", db->cluster->service, id,
+           (long long)revision.era, (long long)revision.version);
+}
+
 void
 mr_clusters_add_registration(mr_clusters_t *clusters, const char *id,
-                             const mr_db_entry_t *entry, int64_t version)
+                             const mr_db_entry_t *entry,
+                             mr_revision_t revision)
 {
     mr_cluster_t *cluster = mr_clusters_get(clusters, entry->service);
     mr_db_t *db = find_db(cluster, id);
@@ -256,6 +292,7 @@
     }
     if (db == NULL) {
         db = add_db(cluster, id, entry);
+        revision = first_revision(clusters, revision);
     }
     db->in_current_set = true;
     db->slots = entry->slots > 0 ? entry->slots : 1;
@@ -265,14 +302,11 @@
                "service=%s id=%s draining=%d", cluster->service, id,
                db->draining);
     }
-    if (!entry->primary) {
-        db->primary_version = 0;
+    if (entry->primary) {
+        set_primary(db, id, revision);
     }
-    else if (db->primary_version == 0) {
-        db->primary_version = version;
-        mr_log(MR_LOG_INFO, MR_EVENT_PRIMARY_REGISTERED,
-               "service=%s id=%s version=%lld", cluster->service, id,
-               (long long)version);
+    else {
+        db->primary_since = 0;
     }
 }
 
@@ -323,17 +357,17 @@
     }
 }
 
-/* Store version of the newest promotion or registration that makes @db the
- * primary; 0: none. */
+/* Number of the newest promotion or registration that makes @db the primary;
+ * 0: none. */
 static int64_t
-primary_claim_version(const mr_cluster_t *cluster, const mr_db_t *db)
+primary_claim(const mr_cluster_t *cluster, const mr_db_t *db)
 {
     bool promoted = cluster->promoted_id != NULL
                     && strcmp(cluster->promoted_id, db->id) == 0;
 
-    return promoted && cluster->promoted_version > db->primary_version
-               ? cluster->promoted_version
-               : db->primary_version;
+    return promoted && cluster->promoted_token > db->primary_since
+               ? cluster->promoted_token
+               : db->primary_since;
 }
 
 static bool
@@ -351,7 +385,7 @@
     MR_LIST_FOREACH(it, &cluster->dbs)
     {
         mr_db_t *db = MR_LIST_ENTRY(it, mr_db_t, link);
-        int64_t claim = primary_claim_version(cluster, db);
+        int64_t claim = primary_claim(cluster, db);
         if (db->removed || (!include_refusing && refused_recently(db, now))) {
             continue;
         }
@@ -377,17 +411,17 @@
 
 void
 mr_cluster_record_promotion(mr_cluster_t *cluster, const char *id,
-                            int64_t version)
+                            int64_t token)
 {
-    if (version <= cluster->promoted_version) {
+    if (token <= cluster->promoted_token) {
         return;
     }
     mr_log(MR_LOG_INFO, MR_EVENT_PRIMARY_PROMOTED,
-           "service=%s id=%s version=%lld", cluster->service, id,
-           (long long)version);
+           "service=%s id=%s token=%lld", cluster->service, id,
+           (long long)token);
     free(cluster->promoted_id);
     cluster->promoted_id = mr_strdup(id);
-    cluster->promoted_version = version;
+    cluster->promoted_token = token;
     cluster->changed_at_count = ++cluster->clusters->change_count;
     mr_db_t *db = find_db(cluster, id);
     if (db != NULL) {
@@ -402,8 +436,7 @@
                                 int64_t token)
 {
     mr_db_t *primary = mr_cluster_known_primary(cluster);
-    int64_t before =
-        primary != NULL ? primary_claim_version(cluster, primary) : 0;
+    int64_t before = primary != NULL ? primary_claim(cluster, primary) : 0;
 
     /* A spare token may be older than the registration of the previous
      * primary. */
--- a/lib/session/cluster.h
+++ b/lib/session/cluster.h
@@ -14,6 +14,7 @@
 #include "common/list.h"
 #include "session/entry.h"
 #include "session/position.h"
+#include "session/revision.h"
 
 typedef struct mr_clusters mr_clusters_t;
 typedef struct mr_cluster mr_cluster_t;
@@ -31,13 +32,13 @@
     bool in_current_set;   /* in the newest set of registrations */
     mr_ms_t missing_since; /* 0: in the newest set */
     bool removed; /* no longer registered; freed with its last connection */
-    int64_t primary_version; /* store version since which it is registered as
-                                the primary; 0: as a replica */
-    mr_ms_t refused_at;      /* last refusal because it is not the primary */
-    mr_ms_t refused_since;   /* first refusal since it was last known to be
-                                the primary; 0: none */
-    mr_ms_t backoff_until;   /* not used before this time, after failures */
-    int failures;            /* consecutive ones */
+    int64_t primary_since; /* number of the revision since which it is
+                              registered as the primary; 0: as a replica */
+    mr_ms_t refused_at;    /* last refusal because it is not the primary */
+    mr_ms_t refused_since; /* first refusal since it was last known to be
+                              the primary; 0: none */
+    mr_ms_t backoff_until; /* not used before this time, after failures */
+    int failures;          /* consecutive ones */
     mr_ms_t failing_since;
     mr_ms_t answered_at;
     mr_position_t missing_position; /* last one that its log did not hold */
@@ -75,10 +76,10 @@
     mr_sample_t samples[MR_SAMPLES]; /* ring buffer, oldest first */
     size_t sample_first;
     size_t sample_count;
-    char *promoted_id;        /* database that the last promotion named */
-    int64_t promoted_version; /* fencing token of that promotion; higher if the
-                             previous primary registered after the token */
-    int64_t connections_max;  /* to one database, from all instances */
+    char *promoted_id;       /* database that the last promotion named */
+    int64_t promoted_token;  /* fencing token of that promotion; higher if the
+                                previous primary registered after the token */
+    int64_t connections_max; /* to one database, from all instances */
     int dbs_seen_max; /* most databases that were registered at one time */
     mr_ms_t no_primary_since;    /* 0: a primary is known */
     uint64_t changed_at_count;   /* change_count of the clusters at the last
@@ -89,10 +90,14 @@
 
 struct mr_clusters {
     mr_list_t list;
-    char *instance;         /* name of this instance */
-    char *data_centre;      /* of this instance */
-    int64_t instance_count; /* instances that share the connections */
-    uint64_t change_count;  /* new samples and promotions, of all clusters */
+    char *instance;           /* name of this instance */
+    char *data_centre;        /* of this instance */
+    int64_t instance_count;   /* instances that share the connections */
+    uint64_t change_count;    /* new samples and promotions, of all clusters */
+    mr_revision_t newest_set; /* of registrations */
+    mr_revision_t first_after_restore; /* first set of the newest era; version
+                                          0: no restoration was seen */
+    int64_t era_before_restore;
 };
 
 mr_clusters_t *mr_clusters_create(const char *instance,
@@ -104,13 +109,14 @@
 /** mr_clusters_get() - the cluster of @service, created if needed. */
 mr_cluster_t *mr_clusters_get(mr_clusters_t *clusters, const char *service);
 
-/** mr_clusters_begin_update() - start reading a complete set of registrations.
- */
-void mr_clusters_begin_update(mr_clusters_t *clusters);
+/** mr_clusters_begin_update() - start applying a complete set of registrations
+ * that was read at @revision. */
+void mr_clusters_begin_update(mr_clusters_t *clusters, mr_revision_t revision);
 /** mr_clusters_add_registration() - apply one registration of the set, whose
- * row has version @version. */
+ * row has @revision. It is not older than the one of the previous set. */
 void mr_clusters_add_registration(mr_clusters_t *clusters, const char *id,
-                                  const mr_db_entry_t *entry, int64_t version);
+                                  const mr_db_entry_t *entry,
+                                  mr_revision_t revision);
 /** mr_clusters_end_update() - the set read at @now is complete. Removes
  * databases that have been missing from the sets for too long. */
 void mr_clusters_end_update(mr_clusters_t *clusters, mr_ms_t now);
@@ -132,10 +138,10 @@
  * promotion names as the primary, even if it fails or refuses; NULL: none. */
 mr_db_t *mr_cluster_known_primary(mr_cluster_t *cluster);
 
-/** mr_cluster_record_promotion() - @id was promoted at store version @version.
+/** mr_cluster_record_promotion() - @id was promoted with fencing token @token.
  * Ignored unless it is newer than the last recorded promotion. */
 void mr_cluster_record_promotion(mr_cluster_t *cluster, const char *id,
-                                 int64_t version);
+                                 int64_t token);
 
 /** mr_cluster_record_own_promotion() - the platform has just promoted @id on
  * an order of this instance with fencing token @token. */
--- a/lib/session/directory.c
+++ b/lib/session/directory.c
@@ -182,7 +182,8 @@
     size_t copied = 0;
     uint64_t digest = 0;
 
-    mr_clusters_begin_update(directory->options.clusters);
+    mr_clusters_begin_update(directory->options.clusters,
+                             directory->registrations_revision);
     for (size_t i = 0; i < count; i++) {
         const mr_store_row_t *row = &rows[i];
         mr_db_entry_t entry;
@@ -203,7 +204,7 @@
             .era = row->revision.era,
         };
         mr_clusters_add_registration(directory->options.clusters, row->key,
-                                     &entry, row->revision.version);
+                                     &entry, row->revision);
         mr_db_entry_release(doc);
     }
     mr_clusters_end_update(directory->options.clusters, mr_clock_now(NULL));
--- a/lib/session/fence.c
+++ b/lib/session/fence.c
@@ -9,10 +9,6 @@
 enum {
     TIMEOUT_MS = 500, /* for the store; then the token in reserve is used */
     RETRY_MS = 2000,  /* between requests for a token in reserve */
-    /* Parts of a token. The version lasts for 29 years of 1,200 writes a
-     * second. */
-    ERA_BITS = 13,
-    VERSION_BITS = 40,
 };
 
 static const char table[] = "promotions";
@@ -50,20 +46,10 @@
     free(fence);
 }
 
-int64_t
-mr_fence_token(mr_revision_t revision)
-{
-    if (revision.version <= 0 || revision.version >> VERSION_BITS != 0
-        || revision.era < 0 || revision.era >> ERA_BITS != 0) {
-        return 0;
-    }
-    return revision.era << VERSION_BITS | revision.version;
-}
-
 bool
 mr_fence_is_current(const mr_fence_t *fence, int64_t token)
 {
-    return token >> VERSION_BITS == mr_store_era(fence->store);
+    return mr_revision_number_era(token) == mr_store_era(fence->store);
 }
 
 static void on_written(void *ctx, mr_error_kind_t error,
@@ -86,7 +72,7 @@
     fence->requested = false;
     if (error == MR_OK) {
         fence->row = revision;
-        fence->reserve = mr_fence_token(revision);
+        fence->reserve = mr_revision_number(revision);
         if (fence->reserve == 0) {
             mr_log(MR_LOG_ERROR, MR_EVENT_TOKEN_NOT_TAKEN,
                    "service=%s error=no_room", fence->service);
--- a/lib/session/fence.h
+++ b/lib/session/fence.h
@@ -4,8 +4,8 @@
 /*
  * Fencing tokens for the promotions of one service. A token is the revision of
  * a row in the store that each request writes, so no two requests get the same
- * one, and a later request gets a higher one. One token is kept in reserve,
- * for a promotion while the store is unreachable.
+ * one, and a later request gets a higher one: see mr_revision_number(). One
+ * token is kept in reserve, for a promotion while the store is unreachable.
  */
 
 #include <stdbool.h>
@@ -46,9 +46,4 @@
  * Otherwise another instance may have used a higher one. */
 bool mr_fence_is_current(const mr_fence_t *fence, int64_t token);
 
-/** mr_fence_token() - @revision as one number below 2^53, which is exact as a
- * double. Tokens are ordered like their revisions. 0 if @revision has version
- * 0 or has no room. */
-int64_t mr_fence_token(mr_revision_t revision);
-
 #endif
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -359,7 +359,7 @@
 has_updates(mr_cluster_t *cluster, uint64_t known_changes)
 {
     const mr_db_t *primary = mr_cluster_known_primary(cluster);
-    bool registered = primary != NULL && primary->primary_version != 0;
+    bool registered = primary != NULL && primary->primary_since != 0;
 
     return cluster->changed_at_count > known_changes
            || (cluster->promoted_id != NULL && !registered);
@@ -384,7 +384,7 @@
             .service = cluster->service,
             .promoted =
                 cluster->promoted_id != NULL ? cluster->promoted_id : "",
-            .promoted_version = cluster->promoted_version,
+            .promoted_version = cluster->promoted_token,
             .age_ms = -1,
         };
         if (sample != NULL) {
--- a/lib/session/revision.h
+++ b/lib/session/revision.h
@@ -26,4 +26,31 @@
     return 0;
 }
 
+enum {
+    /* Parts of a revision in one number. The version lasts for 29 years of
+     * 1,200 writes a second. */
+    MR_REVISION_ERA_BITS = 13,
+    MR_REVISION_VERSION_BITS = 40,
+};
+
+/** mr_revision_number() - @revision as one number below 2^53, which is exact
+ * as a double. Numbers are ordered like their revisions. 0: @revision has
+ * version 0 or has no room. */
+static inline int64_t
+mr_revision_number(mr_revision_t revision)
+{
+    if (revision.version <= 0
+        || revision.version >> MR_REVISION_VERSION_BITS != 0
+        || revision.era < 0 || revision.era >> MR_REVISION_ERA_BITS != 0) {
+        return 0;
+    }
+    return revision.era << MR_REVISION_VERSION_BITS | revision.version;
+}
+
+static inline int64_t
+mr_revision_number_era(int64_t number)
+{
+    return number >> MR_REVISION_VERSION_BITS;
+}
+
 #endif
--- a/tests/unit/test_clusters.c
+++ b/tests/unit/test_clusters.c
@@ -38,6 +38,12 @@
                            .primary = primary};
 }
 
+static mr_revision_t
+at(int64_t era, int64_t version)
+{
+    return (mr_revision_t){era, version};
+}
+
 /* Registers a primary "a" and a replica "b" at store version @version. */
 static void
 register_two(int64_t version, mr_ms_t now)
@@ -45,9 +51,33 @@
     mr_db_entry_t a = entry_of("127.0.0.1:1", true);
     mr_db_entry_t b = entry_of("127.0.0.1:2", false);
 
-    mr_clusters_begin_update(clusters);
-    mr_clusters_add_registration(clusters, "a", &a, version);
-    mr_clusters_add_registration(clusters, "b", &b, version);
+    mr_clusters_begin_update(clusters, at(0, 1));
+    mr_clusters_add_registration(clusters, "a", &a, at(0, version));
+    mr_clusters_add_registration(clusters, "b", &b, at(0, version));
+    mr_clusters_end_update(clusters, now);
+}
+
+/** One registration of a set. */
+typedef struct row {
+    const char *id;
+    bool primary;
+    int64_t era;
+    int64_t version;
+} row_t;
+
+/* Applies a set that was read at version @version of era @era; @rows ends with
+ * id NULL. */
+static void
+apply_set(int64_t era, int64_t version, const row_t *rows, mr_ms_t now)
+{
+    mr_clusters_begin_update(clusters, at(era, version));
+    for (size_t i = 0; rows[i].id != NULL; i++) {
+        char address[32];
+        snprintf(address, sizeof(address), "127.0.0.1:%d", rows[i].id[0]);
+        mr_db_entry_t entry = entry_of(address, rows[i].primary);
+        mr_clusters_add_registration(clusters, rows[i].id, &entry,
+                                     at(rows[i].era, rows[i].version));
+    }
     mr_clusters_end_update(clusters, now);
 }
 
@@ -84,9 +114,9 @@
     mr_db_entry_t b = entry_of("127.0.0.1:2", true);
 
     register_two(5, NOW);
-    mr_clusters_begin_update(clusters);
-    mr_clusters_add_registration(clusters, "a", &a, 20);
-    mr_clusters_add_registration(clusters, "b", &b, 20);
+    mr_clusters_begin_update(clusters, at(0, 1));
+    mr_clusters_add_registration(clusters, "a", &a, at(0, 20));
+    mr_clusters_add_registration(clusters, "b", &b, at(0, 20));
     mr_clusters_end_update(clusters, NOW);
     /* The token is older than the registration of "b" as the primary. */
     mr_cluster_record_own_promotion(rez_cluster(), "a", 8);
@@ -94,6 +124,82 @@
 }
 END_TEST
 
+START_TEST(test_a_role_written_after_a_restore_outranks_an_earlier_promotion)
+{
+    const row_t before[] = {
+        {"a", true, 1, 490}, {"b", false, 1, 491}, {"c", false, 1, 492}, {0}};
+    const row_t after[] = {
+        {"a", false, 2, 60}, {"b", false, 2, 61}, {"c", true, 2, 62}, {0}};
+
+    apply_set(1, 493, before, NOW);
+    mr_cluster_record_promotion(rez_cluster(), "b",
+                                mr_revision_number(at(1, 500)));
+    ck_assert_str_eq(mr_cluster_known_primary(rez_cluster())->id, "b");
+    /* Another instance has had "c" promoted. */
+    apply_set(2, 63, after, NOW + 1000);
+    ck_assert_str_eq(mr_cluster_known_primary(rez_cluster())->id, "c");
+}
+END_TEST
+
+START_TEST(test_a_promotion_after_a_restore_outranks_those_before)
+{
+    const row_t before[] = {
+        {"a", true, 1, 490}, {"b", false, 1, 491}, {"c", false, 1, 492}, {0}};
+    const row_t after[] = {
+        {"a", false, 2, 60}, {"b", true, 2, 61}, {"c", false, 2, 62}, {0}};
+
+    apply_set(1, 493, before, NOW);
+    mr_cluster_record_promotion(rez_cluster(), "b",
+                                mr_revision_number(at(1, 500)));
+    apply_set(2, 63, after, NOW + 1000);
+    mr_cluster_record_promotion(rez_cluster(), "c",
+                                mr_revision_number(at(2, 70)));
+    ck_assert_str_eq(mr_cluster_known_primary(rez_cluster())->id, "c");
+    apply_set(2, 80, after, NOW + 1100);
+    ck_assert_str_eq(mr_cluster_known_primary(rez_cluster())->id, "c");
+    /* A token in reserve, used while the store was away. */
+    mr_cluster_record_promotion(rez_cluster(), "a",
+                                mr_revision_number(at(1, 600)));
+    ck_assert_str_eq(mr_cluster_known_primary(rez_cluster())->id, "c");
+}
+END_TEST
+
+START_TEST(test_a_former_primary_does_not_return_with_an_older_copy)
+{
+    const row_t before[] = {{"a", true, 1, 490}, {"b", false, 1, 491}, {0}};
+    const row_t promoted[] = {{"b", true, 1, 510}, {0}};
+    /* The newer row of "b" is kept, but the one of "a" was no longer known. */
+    const row_t copy[] = {{"a", true, 2, 495}, {"b", true, 1, 510}, {0}};
+    const row_t written[] = {{"a", true, 2, 495}, {"b", true, 2, 505}, {0}};
+
+    apply_set(1, 493, before, NOW);
+    apply_set(1, 511, promoted, NOW + 1000);
+    apply_set(1, 515, promoted, NOW + 4000);
+    ck_assert_str_eq(mr_cluster_known_primary(rez_cluster())->id, "b");
+    apply_set(2, 500, copy, NOW + 5000);
+    ck_assert_str_eq(mr_cluster_known_primary(rez_cluster())->id, "b");
+    apply_set(2, 506, written, NOW + 6000);
+    ck_assert_str_eq(mr_cluster_known_primary(rez_cluster())->id, "b");
+}
+END_TEST
+
+START_TEST(test_a_late_registration_does_not_undo_an_own_promotion)
+{
+    const row_t before[] = {{"a", true, 1, 490}, {"b", false, 1, 491}, {0}};
+    const row_t again[] = {{"a", true, 2, 60}, {"b", false, 2, 61}, {0}};
+
+    apply_set(1, 493, before, NOW);
+    apply_set(2, 62, again, NOW + 1000);
+    /* With a token of the reserve of before. */
+    mr_cluster_record_own_promotion(rez_cluster(), "b",
+                                    mr_revision_number(at(1, 480)));
+    ck_assert_str_eq(mr_cluster_known_primary(rez_cluster())->id, "b");
+    const row_t later[] = {{"a", true, 2, 70}, {"b", false, 2, 71}, {0}};
+    apply_set(2, 72, later, NOW + 1100);
+    ck_assert_str_eq(mr_cluster_known_primary(rez_cluster())->id, "b");
+}
+END_TEST
+
 START_TEST(test_a_refusing_primary_is_skipped_for_a_while)
 {
     register_two(5, NOW);
@@ -119,8 +225,8 @@
     mr_db_record_missing_position(mr_cluster_primary(rez_cluster(), NOW),
                                   (mr_position_t){3, 10}, NOW);
     a.started_at = 2;
-    mr_clusters_begin_update(clusters);
-    mr_clusters_add_registration(clusters, "a", &a, 8);
+    mr_clusters_begin_update(clusters, at(0, 1));
+    mr_clusters_add_registration(clusters, "a", &a, at(0, 8));
     mr_clusters_end_update(clusters, NOW);
     int count = 0;
     MR_LIST_FOREACH(it, &rez_cluster()->dbs)
@@ -137,16 +243,16 @@
 
 START_TEST(test_a_lapsed_registration_is_kept_for_a_while)
 {
-    mr_clusters_begin_update(clusters);
+    mr_clusters_begin_update(clusters, at(0, 1));
     mr_clusters_end_update(clusters, NOW);
     register_two(5, NOW);
-    mr_clusters_begin_update(clusters);
+    mr_clusters_begin_update(clusters, at(0, 1));
     mr_clusters_end_update(clusters, NOW + 1000);
     ck_assert_ptr_nonnull(mr_cluster_primary(rez_cluster(), NOW + 1000));
-    mr_clusters_begin_update(clusters);
+    mr_clusters_begin_update(clusters, at(0, 1));
     mr_clusters_end_update(clusters, NOW + 2900);
     ck_assert_ptr_nonnull(mr_cluster_primary(rez_cluster(), NOW + 2900));
-    mr_clusters_begin_update(clusters);
+    mr_clusters_begin_update(clusters, at(0, 1));
     mr_clusters_end_update(clusters, NOW + 3000);
     ck_assert_ptr_null(mr_cluster_primary(rez_cluster(), NOW + 3000));
     ck_assert_int_eq(rez_cluster()->no_primary_since, NOW + 3000);
@@ -188,9 +294,9 @@
     mr_db_entry_t b = entry_of("127.0.0.1:2", false);
 
     b.draining = true;
-    mr_clusters_begin_update(clusters);
-    mr_clusters_add_registration(clusters, "a", &a, 5);
-    mr_clusters_add_registration(clusters, "b", &b, 5);
+    mr_clusters_begin_update(clusters, at(0, 1));
+    mr_clusters_add_registration(clusters, "a", &a, at(0, 5));
+    mr_clusters_add_registration(clusters, "b", &b, at(0, 5));
     mr_clusters_end_update(clusters, NOW);
     ck_assert_str_eq(mr_cluster_choose_reader(rez_cluster(), &criteria)->id,
                      "a");
@@ -275,6 +381,10 @@
         test_finds_the_registered_primary,
         test_a_promotion_overrides_an_older_registration,
         test_a_promotion_with_an_old_token_counts,
+        test_a_role_written_after_a_restore_outranks_an_earlier_promotion,
+        test_a_promotion_after_a_restore_outranks_those_before,
+        test_a_former_primary_does_not_return_with_an_older_copy,
+        test_a_late_registration_does_not_undo_an_own_promotion,
         test_a_refusing_primary_is_skipped_for_a_while,
         test_a_restarted_database_is_a_new_one,
         test_a_lapsed_registration_is_kept_for_a_while,
--- a/tests/unit/test_conn_pool.c
+++ b/tests/unit/test_conn_pool.c
@@ -85,7 +85,7 @@
                 &len);
     snprintf(address, sizeof(address), "127.0.0.1:%d", ntohs(addr.sin_port));
     clusters = mr_clusters_create("front-1", "konya");
-    mr_clusters_begin_update(clusters);
+    mr_clusters_begin_update(clusters, (mr_revision_t){0, 1});
     mr_clusters_add_registration(clusters, "a",
                                  &(mr_db_entry_t){.service = "rez",
                                                   .address = address,
@@ -93,7 +93,7 @@
                                                   .started_at = 1,
                                                   .slots = 2,
                                                   .primary = true},
-                                 1);
+                                 (mr_revision_t){0, 1});
     mr_clusters_end_update(clusters, 1);
     db = mr_cluster_known_primary(mr_clusters_find(clusters, "rez"));
     /* Other events wake the loop just before the pause is over. */
--- a/tests/unit/test_fence.c
+++ b/tests/unit/test_fence.c
@@ -231,16 +231,16 @@
 START_TEST(test_tokens_stay_exact_in_doubles_for_decades)
 {
     int64_t versions = (int64_t)YEARS * 365 * 86400 * WRITES_PER_S;
-    int64_t highest = mr_fence_token((mr_revision_t){4000, versions});
+    int64_t highest = mr_revision_number((mr_revision_t){4000, versions});
 
     ck_assert_int_gt(highest, 0);
     ck_assert_int_lt(highest, (int64_t)1 << DBL_MANT_DIG);
-    ck_assert_int_gt(mr_fence_token((mr_revision_t){4001, 1}), highest);
+    ck_assert_int_gt(mr_revision_number((mr_revision_t){4001, 1}), highest);
     /* What has no room is not a token, instead of the one of another revision.
      */
-    ck_assert_int_eq(mr_fence_token((mr_revision_t){1, INT64_MAX}), 0);
-    ck_assert_int_eq(mr_fence_token((mr_revision_t){INT64_MAX, 1}), 0);
-    ck_assert_int_eq(mr_fence_token((mr_revision_t){1, 0}), 0);
+    ck_assert_int_eq(mr_revision_number((mr_revision_t){1, INT64_MAX}), 0);
+    ck_assert_int_eq(mr_revision_number((mr_revision_t){INT64_MAX, 1}), 0);
+    ck_assert_int_eq(mr_revision_number((mr_revision_t){1, 0}), 0);
 }
 END_TEST
 
