Register instances again after the store was restored

After the store came back from an older copy, instances whose registration was lost stayed unregistered for up to 20 s and were dropped from the others' lists though they ran: the number of instances fell, and each admitted a larger equal part of the accounts' rates without a coordinator. Instances that had left came back in the lists, and one with the highest priority was chosen as the coordinator by all at once.

Cause: a missing row meant that the instance had left, and a row that it runs. Both are untrue of an older copy. Registrations were read every 20 s only.

Change: - Each instance reads the registrations, and registers again if its own is missing, within 600 ms after the era has risen, at a moment of its own. It learns of the era from its own calls or from reports and their replies. - A row of an earlier era that is missing was lost: the instance stays, for 15 s if it does not report. Without a restoration a missing row is removed as before. - An instance that appears with the copy counts, but must answer a report before it is chosen as the coordinator. - Rows are removed at the revision just read.

--- a/lib/session/fleet.c
+++ b/lib/session/fleet.c
@@ -180,6 +180,7 @@
     fleet->instances_gauge =
         mr_counters_get(options->counters, "masticrelay_instances", "",
                         "instances that may admit operations");
+    mr_store_on_era(options->store, mr_fleet_on_era, fleet);
     mr_timer_start(fleet->members_timer, 0);
     return fleet;
 }
--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -23,6 +23,8 @@
     char *address;
     mr_revision_t row_revision; /* of its registration; version 0: only known
                                    from a report */
+    mr_ms_t row_lost_at;        /* when its registration was missing after a
+                                   restoration of the store; 0: it is not */
     uint64_t priority;      /* the instance with the highest one coordinates */
     int failures;           /* consecutive unanswered reports */
     mr_ms_t last_sent_at;   /* last report sent to it */
@@ -50,6 +52,9 @@
     uint64_t own_priority;
     mr_revision_t own_revision; /* of this instance's registration; version 0:
                                    none */
+    int64_t era;                /* highest era of the store, as far as known */
+    int64_t members_era;        /* of the last reading of the registrations */
+    bool members_waiting;       /* for an answer of the store */
     bool joined;
     bool leaving;
     bool coordinating;
@@ -95,5 +100,8 @@
 void mr_fleet_remove_instance(mr_fleet_t *fleet,
                               mr_fleet_instance_t *instance);
 void mr_fleet_on_members_timer(evutil_socket_t fd, short what, void *ctx);
+/** mr_fleet_on_era() - the store, or another instance, has told the era @era
+ * of the store. */
+void mr_fleet_on_era(void *ctx, int64_t era);
 
 #endif
--- a/lib/session/fleet_members.c
+++ b/lib/session/fleet_members.c
@@ -19,12 +19,40 @@
     MEMBERS_PERIOD_MS = 20000,
     /* An instance that has not reported for this long is removed. */
     REMOVE_AFTER_MS = 15000,
+    /* After a restoration of the store, the instances register again within
+     * this time, each at a moment of its own. */
+    RESTORE_SPREAD_MS = 600,
 };
 
 static const char instances_table[] = "instances";
 static const char secret_table[] = "fleet";
 static const char secret_key[] = "secret";
 
+/* Starts the next reading after @delay, or soon if there was none since the
+ * store was restored. */
+static void
+start_members_timer(mr_fleet_t *fleet, mr_ms_t delay)
+{
+    if (fleet->members_era < fleet->era && delay > RESTORE_SPREAD_MS) {
+        delay = randombytes_uniform(RESTORE_SPREAD_MS);
+    }
+    mr_timer_start(fleet->members_timer, delay);
+}
+
+void
+mr_fleet_on_era(void *ctx, int64_t era)
+{
+    mr_fleet_t *fleet = ctx;
+
+    if (era <= fleet->era) {
+        return;
+    }
+    fleet->era = era;
+    if (fleet->joined && !fleet->members_waiting) {
+        start_members_timer(fleet, MEMBERS_PERIOD_MS);
+    }
+}
+
 static mr_fleet_instance_t *
 find_instance(mr_fleet_t *fleet, const char *name)
 {
@@ -154,12 +182,54 @@
 {
     mr_fleet_t *fleet = ctx;
 
+    fleet->members_waiting = false;
     if (error == MR_OK || error == MR_ERR_CONFLICT) {
         fleet->own_revision = revision;
     }
-    mr_timer_start(fleet->members_timer, error == MR_OK
-                                             ? MEMBERS_AFTER_REGISTERING_MS
-                                             : MEMBERS_RETRY_MS);
+    start_members_timer(fleet, error == MR_OK ? MEMBERS_AFTER_REGISTERING_MS
+                                              : MEMBERS_RETRY_MS);
+}
+
+/* Applies the registration @row of another instance. */
+static void
+apply_member(mr_fleet_t *fleet, const mr_store_row_t *row)
+{
+    bool known = find_instance(fleet, row->key) != NULL;
+    mr_fleet_instance_t *instance =
+        mr_fleet_add_or_update_instance(fleet, row->key, row->value);
+
+    if (instance == NULL) {
+        return;
+    }
+    instance->in_store = true;
+    instance->row_lost_at = 0;
+    instance->row_revision = row->revision;
+    if (!known && fleet->joined && row->revision.era > fleet->members_era) {
+        /* Perhaps one that had left, in the copy that the store was restored
+         * from. It may coordinate once it has answered. */
+        instance->failures = MR_FLEET_FAILURES_MAX;
+    }
+}
+
+/* Removes @instance, which has no registration, unless it is only known from
+ * reports. A registration that a restoration took is given the time to return.
+ */
+static void
+check_missing_member(mr_fleet_t *fleet, mr_fleet_instance_t *instance,
+                     int64_t era, mr_ms_t now)
+{
+    bool lost_long = instance->row_lost_at != 0
+                     && now - instance->row_lost_at >= REMOVE_AFTER_MS
+                     && now - instance->last_report_at >= REMOVE_AFTER_MS;
+
+    if (instance->row_revision.version > 0
+        && instance->row_revision.era < era) {
+        instance->row_revision = (mr_revision_t){0};
+        instance->row_lost_at = now;
+    }
+    else if (instance->row_revision.version > 0 || lost_long) {
+        mr_fleet_remove_instance(fleet, instance);
+    }
 }
 
 static void
@@ -179,27 +249,25 @@
             current = strcmp(row->value, fleet->options.address) == 0;
             continue;
         }
-        mr_fleet_instance_t *instance =
-            mr_fleet_add_or_update_instance(fleet, row->key, row->value);
-        if (instance != NULL) {
-            instance->in_store = true;
-            instance->row_revision = row->revision;
-        }
+        apply_member(fleet, row);
     }
     MR_LIST_FOREACH(it, &fleet->instances)
     {
         mr_fleet_instance_t *instance =
             MR_LIST_ENTRY(it, mr_fleet_instance_t, link);
-        if (!instance->in_store && instance->row_revision.version > 0) {
-            mr_fleet_remove_instance(fleet, instance);
+        if (!instance->in_store) {
+            check_missing_member(fleet, instance, answer->revision.era,
+                                 mr_clock_now(NULL));
         }
     }
+    fleet->members_era = answer->revision.era;
     mr_fleet_update_count(fleet);
     if (!current && !fleet->leaving) {
         mr_store_put(fleet->options.store, instances_table,
                      fleet->options.name, fleet->own_revision,
                      fleet->options.address, strlen(fleet->options.address),
                      on_registered, fleet);
+        fleet->members_waiting = true;
         return;
     }
     if (!fleet->joined) {
@@ -208,7 +276,7 @@
                mr_fleet_instances(fleet));
         mr_fleet_start_reports(fleet);
     }
-    mr_timer_start(fleet->members_timer, MEMBERS_PERIOD_MS);
+    start_members_timer(fleet, MEMBERS_PERIOD_MS);
 }
 
 static void
@@ -216,6 +284,7 @@
 {
     mr_fleet_t *fleet = ctx;
 
+    fleet->members_waiting = false;
     if (answer->error != MR_OK) {
         mr_timer_start(fleet->members_timer, MEMBERS_RETRY_MS);
         return;
@@ -288,6 +357,7 @@
                      fleet);
         return;
     }
+    fleet->members_waiting = true;
     mr_store_get(fleet->options.store, instances_table, NULL, on_members,
                  fleet);
 }
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -174,6 +174,7 @@
         mr_log(MR_LOG_INFO, MR_EVENT_INSTANCE_REGAINED, "name=%s", from->name);
     }
     from->failures = 0;
+    mr_fleet_on_era(fleet, reply->directory.registrations_era);
     mr_directory_import(fleet->options.directory, &reply->directory,
                         from->name);
     if (from == fleet->coordinator) {
@@ -455,6 +456,7 @@
             instance->sent_changes = fleet->options.clusters->change_count;
         }
     }
+    mr_fleet_on_era(fleet, report->directory.registrations_era);
     mr_directory_import(fleet->options.directory, &report->directory, from);
     if (report->draws_tokens) {
         mr_budgets_report(fleet->budgets, from, now);
--- a/tests/integration/test_session_restore.c
+++ b/tests/integration/test_session_restore.c
@@ -11,7 +11,7 @@
 #include "harness.h"
 #include "member/rendezvous.h"
 #include "session_client.h"
-#include "world.h"
+#include "world_internal.h"
 
 enum {
     RELAYS = 3,
@@ -21,6 +21,10 @@
     REWRITE_MS = 300, /* until the databases write again */
     /* Longest gap in service while a primary is replaced. */
     FAILOVER_MAX_MS = 5000,
+    /* Until all instances have registered again. */
+    REGISTERED_MAX_MS = 4000,
+    /* Until each instance has read the registrations of all. */
+    MEMBERS_READ_MAX_MS = 25000,
 };
 
 static const char *const keys[] = {"coop:key-1", "agent:key-2", NULL};
@@ -41,13 +45,14 @@
     }
 }
 
+/* Starts the relays from @first up to @end, which is excluded. */
 static void
-start_relays(void)
+start_relays(int first, int end)
 {
-    for (int i = 0; i < RELAYS; i++) {
+    for (int i = first; i < end; i++) {
         relay_restart(&relays[i], backend);
     }
-    for (int i = 0; i < RELAYS; i++) {
+    for (int i = first; i < end; i++) {
         ck_assert(relay_wait_ready(&relays[i], base, READY_MAX_MS));
     }
     /* Until the coordinator is chosen and has read the registrations. */
@@ -110,11 +115,50 @@
     return took;
 }
 
+/* Value of a metric of a relay. */
+static int64_t
+read_metric(int relay, const char *name)
+{
+    char *text = NULL;
+    size_t len = strlen(name);
+    int64_t value = -1;
+
+    ck_assert_int_eq(
+        harness_http_text(base, relays[relay].ready, "/metrics", NULL, &text),
+        200);
+    for (char *line = strtok(text, "\n"); line != NULL;
+         line = strtok(NULL, "\n")) {
+        if (strncmp(line, name, len) == 0 && line[len] == ' ') {
+            value = atoll(line + len);
+        }
+    }
+    free(text);
+    return value;
+}
+
+/* Waits until each relay has value @value of a metric; false: not within
+ * @max. */
+static bool
+wait_metric(const char *name, int64_t value, mr_ms_t max)
+{
+    mr_ms_t end = mr_clock_now(NULL) + max;
+    int equal = 0;
+
+    while (equal < RELAYS && mr_clock_now(NULL) < end) {
+        equal = 0;
+        for (int i = 0; i < RELAYS; i++) {
+            equal += read_metric(i, name) == value;
+        }
+        harness_run_loop(base, 50);
+    }
+    return equal == RELAYS;
+}
+
 START_TEST(test_a_promotion_after_a_restore_is_not_refused)
 {
     client_t *clients[RELAYS];
 
-    start_relays();
+    start_relays(0, RELAYS);
     backend_copy_store(backend);
     for (int i = 0; i < RELAYS; i++) {
         clients[i] = open_session(i, "own", "key-1");
@@ -134,11 +178,73 @@
 }
 END_TEST
 
+START_TEST(test_instances_lost_by_a_restore_register_again_and_count)
+{
+    backend_copy_store(backend);
+    start_relays(0, RELAYS);
+    ck_assert(wait_metric("masticrelay_instances", RELAYS, 2000));
+    backend_restore_store(backend, AWAY_MS, REWRITE_MS);
+    mr_ms_t end = mr_clock_now(NULL) + AWAY_MS + REGISTERED_MAX_MS;
+    while (mr_clock_now(NULL) < end) {
+        for (int i = 0; i < RELAYS; i++) {
+            ck_assert_int_eq(read_metric(i, "masticrelay_instances"), RELAYS);
+        }
+        harness_run_loop(base, 50);
+    }
+    for (int i = 0; i < RELAYS; i++) {
+        ck_assert(backend_has_row(backend, "instances", relays[i].name));
+    }
+}
+END_TEST
+
+/* Finds a name that would coordinate before all relays. */
+static void
+find_preferred_name(char *name, size_t size)
+{
+    uint64_t highest = 0;
+    int number = RELAYS;
+
+    for (int i = 0; i < RELAYS; i++) {
+        uint64_t score = mr_rendezvous_score("coordinator", relays[i].name);
+        highest = score > highest ? score : highest;
+    }
+    do {
+        snprintf(name, size, "edge-%d", number++);
+    } while (mr_rendezvous_score("coordinator", name) < highest);
+}
+
+START_TEST(test_an_instance_that_had_left_does_not_coordinate_after_a_restore)
+{
+    char gone[BACKEND_TEXT_BYTES];
+    char address[BACKEND_TEXT_BYTES];
+    char field[2 * BACKEND_TEXT_BYTES];
+
+    start_relays(0, RELAYS);
+    find_preferred_name(gone, sizeof(gone));
+    snprintf(address, sizeof(address), "127.0.0.1:%d", harness_port());
+    backend_put_row(backend, "instances", gone, address);
+    backend_copy_store(backend);
+    backend_remove_row(backend, "instances", gone);
+    harness_run_loop(base, 500);
+    backend_restore_store(backend, AWAY_MS, REWRITE_MS);
+    ck_assert(
+        wait_metric("masticrelay_instances", RELAYS + 1, MEMBERS_READ_MAX_MS));
+    harness_run_loop(base, 2000);
+    snprintf(field, sizeof(field), "name=%s ", gone);
+    for (int i = 0; i < RELAYS; i++) {
+        ck_assert(!relay_log_contains(&relays[i], "event=coordinator_chosen",
+                                      field));
+    }
+}
+END_TEST
+
 int
 main(void)
 {
     const TTest *const tests[] = {
         test_a_promotion_after_a_restore_is_not_refused,
+        test_instances_lost_by_a_restore_register_again_and_count,
+        test_an_instance_that_had_left_does_not_coordinate_after_a_restore,
     };
 
     return RUN_TESTS(tests, .suite = "session-restore", .setup = set_up,
