--- a/lib/session/directory.c
+++ b/lib/session/directory.c
@@ -344,7 +344,7 @@
         .era = row->revision.era,
     };
     mr_clusters_add_registration(directory->options.clusters, row->key, entry,
-                                 row->revision.version);
+                                 row->revision);
 }
 
 /* Adds @row to @set if it is well-formed, or the present row if @row is
@@ -385,7 +385,8 @@
         .states = mr_calloc(count + 1, sizeof(*set.states)),
     };
 
-    mr_clusters_begin_update(directory->options.clusters);
+    mr_clusters_begin_update(directory->options.clusters,
+                             directory->registrations_revision);
     for (size_t i = 0; i < count; i++) {
         apply_row(directory, &set, &rows[i]);
     }
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -174,6 +174,7 @@
         mr_log(MR_LOG_INFO, MR_EVENT_INSTANCE_REGAINED, "name=%s", from->name);
     }
     from->failures = 0;
+    mr_fleet_on_era(fleet, reply->directory.registrations_era);
     mr_directory_import(fleet->options.directory, &reply->directory,
                         from->name);
     if (from == fleet->coordinator) {
@@ -359,7 +360,7 @@
 has_updates(mr_cluster_t *cluster, uint64_t known_changes)
 {
     const mr_db_t *primary = mr_cluster_known_primary(cluster);
-    bool registered = primary != NULL && primary->primary_version != 0;
+    bool registered = primary != NULL && primary->primary_since != 0;
 
     return cluster->changed_at_count > known_changes
            || (cluster->promoted_id != NULL && !registered);
@@ -384,7 +385,7 @@
             .service = cluster->service,
             .promoted =
                 cluster->promoted_id != NULL ? cluster->promoted_id : "",
-            .promoted_version = cluster->promoted_version,
+            .promoted_version = cluster->promoted_token,
             .age_ms = -1,
         };
         if (sample != NULL) {
@@ -455,6 +456,7 @@
             instance->sent_changes = fleet->options.clusters->change_count;
         }
     }
+    mr_fleet_on_era(fleet, report->directory.registrations_era);
     mr_directory_import(fleet->options.directory, &report->directory, from);
     if (report->draws_tokens) {
         mr_budgets_report(fleet->budgets, from, now);
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -8,6 +8,7 @@
 #include "common/mem.h"
 #include "common/timer.h"
 #include "session/db_conn.h"
+#include "session/fence.h"
 #include "session/primary_health.h"
 
 enum {
@@ -17,8 +18,6 @@
     /* How long a service may have no registered primary. A new service may
      * still be starting, or the old primary may register again. */
     NO_PRIMARY_MS = 1000,
-    TOKEN_TIMEOUT_MS = 500,    /* for the store; then a spare token is used */
-    TOKEN_RETRY_MS = 2000,     /* between requests for a spare token */
     STATUS_TIMEOUT_MS = 350,   /* for a new connection and one answer */
     CATCH_UP_TIMEOUT_MS = 600, /* for a replica, after the demotion */
     POLL_MS = 20, /* while a token or a replica's log is awaited */
@@ -26,15 +25,17 @@
      * promotion of its service starts before that. */
     REGISTRATION_WAIT_MS = 2500,
     PROMOTION_RETRY_MS = 300,
+    /* After an order that the platform refused. Another instance may have
+     * ordered a promotion, which then shows in the registrations. */
+    REFUSED_WAIT_MS = 1000,
     STATUS_MAX_BYTES = 256, /* a status row has seven fields */
 };
 
-static const char token_table[] = "promotions";
-
 typedef enum promotion_stage {
     STAGE_STATUS,
     STAGE_DEMOTE,
     STAGE_CATCH_UP,
+    STAGE_TOKEN,
     STAGE_PLATFORM_CALL,
 } promotion_stage_t;
 
@@ -70,13 +71,9 @@
 /** State of a service that is kept between its promotions. */
 typedef struct service_state {
     mr_list_t link;
-    mr_promoter_t *promoter;
     char *service;
     mr_ms_t blocked_until;
-    mr_revision_t token_row_revision; /* newest known one of the token's row */
-    int64_t spare_token;              /* not used yet; 0: none */
-    bool token_requested;             /* the store has not answered yet */
-    mr_ms_t token_requested_at;
+    mr_fence_t *fence;
 } service_state_t;
 
 struct mr_promoter {
@@ -149,6 +146,7 @@
     {
         service_state_t *state = MR_LIST_ENTRY(it, service_state_t, link);
         mr_list_remove(it);
+        mr_fence_destroy(state->fence);
         free(state->service);
         free(state);
     }
@@ -166,8 +164,11 @@
         }
     }
     service_state_t *state = MR_NEW(service_state_t);
-    state->promoter = promoter;
     state->service = mr_strdup(service);
+    state->fence = mr_fence_create(
+        &(mr_fence_options_t){.store = promoter->options.store,
+                              .service = service,
+                              .instance = promoter->options.instance});
     mr_list_append(&promoter->services, &state->link);
     return state;
 }
@@ -179,45 +180,6 @@
     mr_primary_health_report(promoter->health, instance, now, health, count);
 }
 
-static void on_token(void *ctx, mr_error_kind_t error, mr_revision_t revision);
-
-/* Requests a fencing token from the store. The token is the version of a row
- * that each request writes, so no two orders get the same one. */
-static void
-request_token(service_state_t *state)
-{
-    const char *instance = state->promoter->options.instance;
-
-    if (state->token_requested) {
-        return;
-    }
-    state->token_requested = true;
-    state->token_requested_at = mr_clock_now(NULL);
-    mr_store_put(state->promoter->options.store, token_table, state->service,
-                 state->token_row_revision, instance, strlen(instance),
-                 on_token, state);
-}
-
-static void
-on_token(void *ctx, mr_error_kind_t error, mr_revision_t revision)
-{
-    service_state_t *state = ctx;
-
-    state->token_requested = false;
-    if (error == MR_OK) {
-        state->token_row_revision = revision;
-        state->spare_token = revision.version;
-    }
-    else if (error == MR_ERR_CONFLICT) {
-        state->token_row_revision = revision;
-        request_token(state);
-    }
-    else {
-        mr_log(MR_LOG_WARNING, MR_EVENT_TOKEN_NOT_TAKEN, "service=%s error=%s",
-               state->service, mr_error_name(error));
-    }
-}
-
 static promotion_t *
 find_promotion(mr_promoter_t *promoter, const char *service)
 {
@@ -255,6 +217,22 @@
     free_promotion(promotion);
 }
 
+/* Makes the suspended replicas receive log entries again. */
+static void
+resume_replicas(promotion_t *promotion)
+{
+    MR_LIST_FOREACH(it, &promotion->status_queries)
+    {
+        status_query_t *query = MR_LIST_ENTRY(it, status_query_t, link);
+        if (promotion->suspend_replicas && query->answered
+            && query->conn != NULL) {
+            mr_db_conn_query(query->conn, mr_relay_statement_id, NULL,
+                             mr_relay_statement_text(MR_RELAY_RESUME), NULL,
+                             NULL);
+        }
+    }
+}
+
 static void
 on_promoted(void *ctx, mr_error_kind_t error)
 {
@@ -271,6 +249,11 @@
         promoter->options.promoted(promoter->options.ctx);
         return;
     }
+    if (error == MR_ERR_CONFLICT) {
+        end_promotion(promotion, REFUSED_WAIT_MS, mr_error_name(error));
+        promoter->options.promoted(promoter->options.ctx);
+        return;
+    }
     /* The platform may still carry the call out. The next order is safe, as
      * its token is higher. */
     end_promotion(promotion, PROMOTION_RETRY_MS, mr_error_name(error));
@@ -293,6 +276,36 @@
                                 on_promoted, promotion);
 }
 
+/* Calls the platform, with a new token if the store has been restored since
+ * the promotion got its own. */
+static void
+order(promotion_t *promotion)
+{
+    mr_ms_t now = mr_clock_now(NULL);
+    mr_fence_t *fence =
+        get_service_state(promotion->promoter, promotion->service)->fence;
+
+    if (mr_fence_is_current(fence, promotion->token)) {
+        call_platform(promotion);
+        return;
+    }
+    if (promotion->stage != STAGE_TOKEN) {
+        set_stage(promotion, STAGE_TOKEN);
+        mr_fence_request(fence, now);
+    }
+    if (mr_fence_waiting(fence, now)) {
+        mr_timer_start(promotion->timer, POLL_MS);
+        return;
+    }
+    promotion->token = mr_fence_take(fence);
+    if (promotion->token == 0) {
+        resume_replicas(promotion);
+        end_promotion(promotion, PROMOTION_RETRY_MS, "no_token");
+        return;
+    }
+    call_platform(promotion);
+}
+
 static status_query_t *
 find_status_query(promotion_t *promotion, const char *id)
 {
@@ -520,22 +533,6 @@
     mr_timer_start(promotion->timer, STATUS_TIMEOUT_MS);
 }
 
-/* Makes the suspended replicas receive log entries again. */
-static void
-resume_replicas(promotion_t *promotion)
-{
-    MR_LIST_FOREACH(it, &promotion->status_queries)
-    {
-        status_query_t *query = MR_LIST_ENTRY(it, status_query_t, link);
-        if (promotion->suspend_replicas && query->answered
-            && query->conn != NULL) {
-            mr_db_conn_query(query->conn, mr_relay_statement_id, NULL,
-                             mr_relay_statement_text(MR_RELAY_RESUME), NULL,
-                             NULL);
-        }
-    }
-}
-
 /* Chooses the new primary once all statuses have arrived or their time is
  * over. */
 static void
@@ -553,15 +550,11 @@
     }
     service_state_t *state =
         get_service_state(promotion->promoter, promotion->service);
-    if (state->token_requested
-        && mr_clock_now(NULL) - state->token_requested_at < TOKEN_TIMEOUT_MS) {
+    if (mr_fence_waiting(state->fence, mr_clock_now(NULL))) {
         mr_timer_start(promotion->timer, POLL_MS);
         return;
     }
-    /* A token that was requested earlier allows a promotion while the store
-     * is unreachable. */
-    promotion->token = state->spare_token;
-    state->spare_token = 0;
+    promotion->token = mr_fence_take(state->fence);
     if (promotion->token == 0) {
         resume_replicas(promotion);
         end_promotion(promotion, PROMOTION_RETRY_MS, "no_token");
@@ -578,7 +571,7 @@
         demote_old_primary(promotion, old_primary);
         return;
     }
-    call_platform(promotion);
+    order(promotion);
 }
 
 static void
@@ -605,7 +598,7 @@
         || mr_position_compare(query->status.received,
                                promotion->catch_up_position)
                >= 0) {
-        call_platform(promotion);
+        order(promotion);
         return;
     }
     mr_db_conn_query(query->conn, mr_relay_statement_id, NULL,
@@ -632,6 +625,9 @@
     case STAGE_CATCH_UP:
         catch_up(promotion);
         break;
+    case STAGE_TOKEN:
+        order(promotion);
+        break;
     case STAGE_PLATFORM_CALL:
         break;
     }
@@ -654,7 +650,7 @@
         evtimer_new(promoter->options.base, on_promotion_timer, promotion);
     mr_log(MR_LOG_WARNING, MR_EVENT_PROMOTION_STARTED, "service=%s reason=%s",
            service, reason);
-    request_token(state);
+    mr_fence_request(state->fence, promotion->started_at);
     query_statuses(promotion);
 }
 
@@ -666,10 +662,7 @@
     mr_db_t *primary = mr_cluster_known_primary(cluster);
     size_t needed = reporting > 1 ? 2 : 1;
 
-    if (state->spare_token == 0
-        && now - state->token_requested_at >= TOKEN_RETRY_MS) {
-        request_token(state);
-    }
+    mr_fence_refill(state->fence, now);
     if (now < state->blocked_until
         || find_promotion(promoter, cluster->service) != NULL) {
         return;
