Report no restoration when the first answers have no era

An answer whose era is missing or cannot be read counted as era 0. If the first answers were such ones, the first real era was reported as a restoration, and all instances read the registrations again.

--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -252,7 +252,8 @@
 
 START_TEST(test_a_malformed_era_is_counted_and_ignored)
 {
-    set_eras((const char *[]){"x", "-7", "99999999999999999999", NULL});
+    set_eras((const char *[]){"x", "-7", "99999999999999999999", "4", "4", "4",
+                              NULL});
     read_all();
     ck_assert_int_eq(last_error, MR_OK);
     ck_assert_int_eq(mr_store_era(store), 0);
@@ -260,6 +261,10 @@
         mr_counter_value(mr_counters_get(
             counters, "masticrelay_store_eras_malformed_total", "", "")),
         3);
+    read_all();
+    ck_assert_int_eq(last_error, MR_OK);
+    ck_assert_int_eq(mr_store_era(store), 4);
+    ck_assert_int_eq(eras_reported, 0);
 }
 END_TEST
 
