--- a/lib/common/event.h
+++ b/lib/common/event.h
@@ -28,6 +28,7 @@
     X(DEPENDENCY_LOST, "dependency_lost", "name address")                     \
     X(DEPENDENCY_REGAINED, "dependency_regained", "name address")             \
     X(STORE_ANSWER_MALFORMED, "store_answer_malformed", "problem")            \
+    X(STORE_RESTORED, "store_restored", "era before")                         \
     X(STORE_WRITE_REFUSED, "store_write_refused", "status")                   \
     X(PROMOTION_CALL_REFUSED, "promotion_call_refused", "status")             \
     /* Configuration of the HTTP daemon */                                    \
@@ -55,6 +56,7 @@
     X(FEED_HISTORY_GONE, "feed_history_gone", "after")                        \
     X(UPDATE_APPLIED, "update_applied", "source bytes took_ms")               \
     X(UPDATE_FAILED, "update_failed", "source reason received size")          \
+    X(REGISTRATIONS_OUTDATED, "registrations_outdated", "count era")          \
     X(REGISTRATIONS_DIFFER, "registrations_differ", "source version")         \
     /* Databases */                                                           \
     X(DATABASE_FOUND, "database_found", "service id address role")            \
@@ -65,8 +67,8 @@
     X(DATABASE_ANSWERS, "database_answers", "service id after_ms")            \
     X(DATABASE_ANSWER_MALFORMED, "database_answer_malformed", "service id")   \
     X(SOCKET_FAILED, "socket_failed", "service id")                           \
-    X(PRIMARY_REGISTERED, "primary_registered", "service id version")         \
-    X(PRIMARY_PROMOTED, "primary_promoted", "service id version")             \
+    X(PRIMARY_REGISTERED, "primary_registered", "service id era version")     \
+    X(PRIMARY_PROMOTED, "primary_promoted", "service id token")               \
     X(SESSION_VALUE_REFUSED, "session_value_refused", "error detail")         \
     /* Instances */                                                           \
     X(FLEET_JOINED, "fleet_joined", "instances")                              \
--- a/lib/session/directory.c
+++ b/lib/session/directory.c
@@ -15,6 +15,11 @@
     HISTORY_MAX_BYTES = 4 << 20,
     /* Bytes that an item of a list adds to a message besides its contents. */
     ITEM_OVERHEAD_BYTES = 24,
+    /* How long a restored store may hold registrations older than the known
+     * ones. By then, databases that run have registered again and the others'
+     * registrations have lapsed. */
+    OUTDATED_MAX_MS = 15000,
+    REMOVED_ROWS_MAX = 256, /* removed registrations that are remembered */
 };
 
 /** An earlier desired state. */
@@ -25,25 +30,54 @@
     mr_config_patch_t patch; /* empty: it would be too long */
 } old_config_t;
 
-/** Hash of a row's contents, and when it last changed. */
+/** Age of a registration, as its database counts it. */
+typedef struct row_age {
+    int64_t started_at; /* start of the database's process; 0: not known */
+    int64_t report_number;
+} row_age_t;
+
+/** What is known of a row besides its contents. */
 typedef struct row_state {
-    uint64_t digest;
-    int64_t changed_version; /* store version since which @digest is valid */
+    uint64_t digest;          /* of its contents */
+    mr_revision_t changed_at; /* revision since which @digest is valid */
+    row_age_t age;
 } row_state_t;
 
+/** A registration that was removed. */
+typedef struct removed_row {
+    char *id;                 /* NULL: none */
+    mr_revision_t removed_at; /* of the set that lacked it */
+    row_age_t age;
+    int64_t copied_era; /* in which @age was that of the restored row */
+} removed_row_t;
+
+/** A set of registrations that is being built. */
+typedef struct row_set {
+    mr_msg_registration_t *rows;
+    row_state_t *states;
+    size_t count;
+    uint64_t digest;
+    size_t outdated; /* rows replaced or left out as they are older */
+} row_set_t;
+
 struct mr_directory {
     mr_directory_options_t options;
     int64_t config_version;
     mr_bytes_t config;
     mr_catalog_t *catalog; /* decoded from @config; NULL: none */
     old_config_t history[HISTORY_LENGTH]; /* newest first; version 0: none */
-    int64_t registrations_version;
+    mr_revision_t registrations_revision;
     int64_t registrations_digest;
     mr_msg_registration_t *rows;
     mr_msg_registration_t *exported_rows; /* of the last export */
     row_state_t *row_states;
     size_t row_count;
+    removed_row_t removed_rows[REMOVED_ROWS_MAX]; /* ring buffer */
+    size_t removed_next;
+    bool restored; /* the era has risen, at @restored_at */
+    mr_ms_t restored_at;
     mr_counter_t *malformed_counter;
+    mr_counter_t *outdated_counter;
 };
 
 mr_directory_t *
@@ -55,6 +89,9 @@
     directory->malformed_counter =
         mr_counters_get(options->counters, "masticrelay_rows_ignored_total",
                         "", "desired states and registrations not understood");
+    directory->outdated_counter = mr_counters_get(
+        options->counters, "masticrelay_registrations_outdated_total", "",
+        "registrations of a restored store older than the known ones");
     return directory;
 }
 
@@ -85,6 +122,9 @@
     for (size_t i = 0; i < HISTORY_LENGTH; i++) {
         clear_old_config(&directory->history[i]);
     }
+    for (size_t i = 0; i < REMOVED_ROWS_MAX; i++) {
+        free(directory->removed_rows[i].id);
+    }
     free_rows(directory->rows, directory->row_count);
     free(directory->exported_rows);
     free(directory->row_states);
@@ -173,85 +213,259 @@
     return digest;
 }
 
-/* Returns the index of the row of @id, or the number of rows. The search
- * starts at @hint, as rows mostly keep their index. */
-static size_t
-find_row(const mr_directory_t *directory, const char *id, size_t hint)
+static mr_store_row_t
+to_store_row(const mr_msg_registration_t *row)
 {
-    size_t count = directory->row_count;
+    return (mr_store_row_t){.key = row->id,
+                            .value = row->value.data,
+                            .len = row->value.len,
+                            .revision = {row->era, row->version}};
+}
 
+/* Returns the index of the row of @id, or @count. The search starts at @hint,
+ * as rows mostly keep their index. */
+static size_t
+find_row(const mr_msg_registration_t *rows, size_t count, const char *id,
+         size_t hint)
+{
     for (size_t i = 0; i < count; i++) {
         size_t at = (hint + i) % count;
-        if (strcmp(directory->rows[at].id, id) == 0) {
+        if (strcmp(rows[at].id, id) == 0) {
             return at;
         }
     }
     return count;
 }
 
-static row_state_t
-make_row_state(const mr_directory_t *directory, const char *id, size_t hint,
-               uint64_t digest)
+static removed_row_t *
+find_removed_row(mr_directory_t *directory, const char *id)
 {
-    size_t old = find_row(directory, id, hint);
-    bool same = old < directory->row_count
-                && directory->row_states[old].digest == digest;
-
-    return (row_state_t){digest,
-                         same ? directory->row_states[old].changed_version
-                              : directory->registrations_version};
+    for (size_t i = 0; i < REMOVED_ROWS_MAX; i++) {
+        removed_row_t *row = &directory->removed_rows[i];
+        if (row->id != NULL && strcmp(row->id, id) == 0) {
+            return row;
+        }
+    }
+    return NULL;
 }
 
-/* Applies the well-formed rows. */
 static void
-apply_rows(mr_directory_t *directory, const mr_store_row_t *rows, size_t count)
+forget_removed_row(mr_directory_t *directory, const char *id)
 {
-    mr_msg_registration_t *copies = mr_calloc(count + 1, sizeof(*copies));
-    row_state_t *states = mr_calloc(count + 1, sizeof(*states));
-    size_t copied = 0;
-    uint64_t digest = 0;
+    removed_row_t *row = find_removed_row(directory, id);
 
-    mr_clusters_begin_update(directory->options.clusters);
-    for (size_t i = 0; i < count; i++) {
-        const mr_store_row_t *row = &rows[i];
-        mr_db_entry_t entry;
-        mr_db_entry_doc_t *doc =
-            mr_db_entry_decode(row->value, row->len, &entry);
-        if (doc == NULL) {
-            mr_counter_add(directory->malformed_counter, 1);
+    if (row != NULL) {
+        free(row->id);
+        *row = (removed_row_t){0};
+    }
+}
+
+/* Remembers the rows that @set no longer has. */
+static void
+remember_removed_rows(mr_directory_t *directory, const row_set_t *set)
+{
+    for (size_t i = 0; i < directory->row_count; i++) {
+        const char *id = directory->rows[i].id;
+        if (find_row(set->rows, set->count, id, i) < set->count) {
             continue;
         }
-        states[copied] = make_row_state(directory, row->key, copied,
-                                        hash_registration(row->key, &entry));
-        digest = XXH3_64bits_withSeed(&states[copied].digest,
-                                      sizeof(states[copied].digest), digest);
-        copies[copied++] = (mr_msg_registration_t){
-            .id = mr_strdup(row->key),
-            .value = {mr_memdup(row->value, row->len), row->len},
-            .version = row->version,
+        removed_row_t *row = &directory->removed_rows[directory->removed_next];
+        directory->removed_next =
+            (directory->removed_next + 1) % REMOVED_ROWS_MAX;
+        free(row->id);
+        *row = (removed_row_t){
+            .id = mr_strdup(id),
+            .removed_at = directory->registrations_revision,
+            .age = directory->row_states[i].age,
         };
-        mr_clusters_add_registration(directory->options.clusters, row->key,
-                                     &entry, row->version);
+    }
+}
+
+/* Order of two reports of the same database, like strcmp(). They count as
+ * equal if the start of a process is not known. */
+static int
+compare_ages(row_age_t a, row_age_t b)
+{
+    if (a.started_at == 0 || b.started_at == 0) {
+        return 0;
+    }
+    if (a.started_at != b.started_at) {
+        return a.started_at < b.started_at ? -1 : 1;
+    }
+    if (a.report_number != b.report_number) {
+        return a.report_number < b.report_number ? -1 : 1;
+    }
+    return 0;
+}
+
+/* Whether a row is the registration of a removed database as it was in the
+ * copy that the store was restored from. */
+static bool
+is_removed(mr_directory_t *directory, const mr_store_row_t *row, row_age_t age)
+{
+    int64_t era = directory->registrations_revision.era;
+    removed_row_t *removed = find_removed_row(directory, row->key);
+
+    if (removed == NULL || removed->removed_at.era >= era) {
+        return false;
+    }
+    /* The database may have made further reports before the copy, which were
+     * not read. If this one is newer than the copy, another one follows. */
+    if (row->revision.version <= removed->removed_at.version
+        && age.started_at == removed->age.started_at
+        && removed->copied_era != era) {
+        removed->copied_era = era;
+        if (compare_ages(age, removed->age) > 0) {
+            removed->age = age;
+        }
+    }
+    return compare_ages(age, removed->age) <= 0;
+}
+
+/* Whether a row is from the older copy that the store was restored from, and
+ * its database has registered again or been removed since. @own: index of its
+ * present row, or the number of rows. */
+static bool
+is_outdated(mr_directory_t *directory, const mr_store_row_t *row,
+            const mr_db_entry_t *entry, size_t own)
+{
+    row_age_t age = {entry->started_at, entry->report_number};
+    mr_ms_t now = mr_clock_now(directory->options.clock);
+
+    if (!directory->restored
+        || now - directory->restored_at >= OUTDATED_MAX_MS) {
+        return false;
+    }
+    if (own == directory->row_count) {
+        return is_removed(directory, row, age);
+    }
+    return directory->rows[own].era < directory->registrations_revision.era
+           && compare_ages(age, directory->row_states[own].age) < 0;
+}
+
+/* Adds a well-formed row to @set and to the clusters. @own: index of its
+ * present row, or the number of rows. */
+static void
+add_row(mr_directory_t *directory, row_set_t *set, const mr_store_row_t *row,
+        const mr_db_entry_t *entry, size_t own)
+{
+    row_state_t *state = &set->states[set->count];
+    bool known = own < directory->row_count;
+
+    *state = (row_state_t){
+        .digest = hash_registration(row->key, entry),
+        .changed_at = directory->registrations_revision,
+        .age = {entry->started_at, entry->report_number},
+    };
+    if (known && directory->row_states[own].digest == state->digest) {
+        state->changed_at = directory->row_states[own].changed_at;
+    }
+    if (!known) {
+        forget_removed_row(directory, row->key);
+    }
+    set->digest = XXH3_64bits_withSeed(&state->digest, sizeof(state->digest),
+                                       set->digest);
+    set->rows[set->count++] = (mr_msg_registration_t){
+        .id = mr_strdup(row->key),
+        .value = {mr_memdup(row->value, row->len), row->len},
+        .version = row->revision.version,
+        .era = row->revision.era,
+    };
+    mr_clusters_add_registration(directory->options.clusters, row->key, entry,
+                                 row->revision);
+}
+
+/* Adds @row to @set if it is well-formed, or the present row if @row is
+ * outdated. */
+static void
+apply_row(mr_directory_t *directory, row_set_t *set, const mr_store_row_t *row)
+{
+    mr_db_entry_t entry;
+    mr_db_entry_doc_t *doc = mr_db_entry_decode(row->value, row->len, &entry);
+    size_t own =
+        find_row(directory->rows, directory->row_count, row->key, set->count);
+
+    if (doc == NULL) {
+        mr_counter_add(directory->malformed_counter, 1);
+        return;
+    }
+    if (!is_outdated(directory, row, &entry, own)) {
+        add_row(directory, set, row, &entry, own);
         mr_db_entry_release(doc);
+        return;
     }
-    mr_clusters_end_update(directory->options.clusters, mr_clock_now(NULL));
+    mr_db_entry_release(doc);
+    set->outdated++;
+    if (own < directory->row_count) {
+        mr_store_row_t present = to_store_row(&directory->rows[own]);
+        doc = mr_db_entry_decode(present.value, present.len, &entry);
+        add_row(directory, set, &present, &entry, own);
+        mr_db_entry_release(doc);
+    }
+}
+
+/* Applies the well-formed rows. Returns the number of outdated ones. */
+static size_t
+apply_rows(mr_directory_t *directory, const mr_store_row_t *rows, size_t count)
+{
+    row_set_t set = {
+        .rows = mr_calloc(count + 1, sizeof(*set.rows)),
+        .states = mr_calloc(count + 1, sizeof(*set.states)),
+    };
+
+    mr_clusters_begin_update(directory->options.clusters,
+                             directory->registrations_revision);
+    for (size_t i = 0; i < count; i++) {
+        apply_row(directory, &set, &rows[i]);
+    }
+    mr_clusters_end_update(directory->options.clusters,
+                           mr_clock_now(directory->options.clock));
+    remember_removed_rows(directory, &set);
     free_rows(directory->rows, directory->row_count);
     free(directory->row_states);
-    directory->rows = copies;
-    directory->row_states = states;
-    directory->row_count = copied;
-    directory->registrations_digest = (int64_t)digest;
+    directory->rows = set.rows;
+    directory->row_states = set.states;
+    directory->row_count = set.count;
+    directory->registrations_digest = (int64_t)set.digest;
+    if (set.outdated > 0) {
+        mr_counter_add(directory->outdated_counter, (int64_t)set.outdated);
+        mr_log(MR_LOG_INFO, MR_EVENT_REGISTRATIONS_OUTDATED,
+               "count=%zu era=%lld", set.outdated,
+               (long long)directory->registrations_revision.era);
+    }
+    return set.outdated;
+}
+
+static void
+set_revision(mr_directory_t *directory, mr_revision_t revision)
+{
+    if (revision.era > directory->registrations_revision.era) {
+        directory->restored = true;
+        directory->restored_at = mr_clock_now(directory->options.clock);
+    }
+    directory->registrations_revision = revision;
+}
+
+/* Applies a set of registrations if it is newer. Returns the number of
+ * outdated ones in it. */
+static size_t
+apply_registrations(mr_directory_t *directory, mr_revision_t revision,
+                    const mr_store_row_t *rows, size_t count)
+{
+    if (mr_revision_compare(revision, directory->registrations_revision)
+        <= 0) {
+        return 0;
+    }
+    set_revision(directory, revision);
+    return apply_rows(directory, rows, count);
 }
 
 void
-mr_directory_set_registrations(mr_directory_t *directory, int64_t version,
+mr_directory_set_registrations(mr_directory_t *directory,
+                               mr_revision_t revision,
                                const mr_store_row_t *rows, size_t count)
 {
-    if (version <= directory->registrations_version) {
-        return;
-    }
-    directory->registrations_version = version;
-    apply_rows(directory, rows, count);
+    apply_registrations(directory, revision, rows, count);
 }
 
 bool
@@ -273,11 +487,20 @@
     return directory->config_version;
 }
 
+static mr_revision_t
+registrations_revision(const mr_msg_directory_t *msg)
+{
+    return (mr_revision_t){msg->registrations_era, msg->registrations_version};
+}
+
+/* Returns whether @a has newer registrations than @b, with other contents. */
 static bool
-registrations_newer(int64_t version, int64_t digest, int64_t than_version,
-                    int64_t than_digest)
+registrations_newer(const mr_msg_directory_t *a, const mr_msg_directory_t *b)
 {
-    return version > than_version && digest != than_digest;
+    return mr_revision_compare(registrations_revision(a),
+                               registrations_revision(b))
+               > 0
+           && a->registrations_digest != b->registrations_digest;
 }
 
 static size_t
@@ -330,7 +553,7 @@
 
 /* Exports all rows; those that have not changed since @known have no value. */
 static void
-export_rows(mr_directory_t *directory, int64_t known, size_t max_bytes,
+export_rows(mr_directory_t *directory, mr_revision_t known, size_t max_bytes,
             mr_msg_directory_t *out)
 {
     size_t size =
@@ -340,7 +563,8 @@
     directory->exported_rows = mr_realloc(directory->exported_rows, size);
     for (size_t i = 0; i < directory->row_count; i++) {
         directory->exported_rows[i] = directory->rows[i];
-        if (directory->row_states[i].changed_version <= known) {
+        if (mr_revision_compare(directory->row_states[i].changed_at, known)
+            <= 0) {
             directory->exported_rows[i].value = (mr_bytes_t){0};
         }
         bytes += row_bytes(&directory->exported_rows[i]);
@@ -358,7 +582,8 @@
 {
     *out = (mr_msg_directory_t){
         .config_version = directory->config_version,
-        .registrations_version = directory->registrations_version,
+        .registrations_version = directory->registrations_revision.version,
+        .registrations_era = directory->registrations_revision.era,
         .registrations_digest = directory->registrations_digest,
     };
     if (known == NULL) {
@@ -367,10 +592,8 @@
     if (directory->config_version > known->config_version) {
         export_config(directory, known->config_version, max_bytes, out);
     }
-    if (registrations_newer(
-            directory->registrations_version, directory->registrations_digest,
-            known->registrations_version, known->registrations_digest)) {
-        export_rows(directory, known->registrations_version, max_bytes, out);
+    if (registrations_newer(out, known)) {
+        export_rows(directory, registrations_revision(known), max_bytes, out);
     }
 }
 
@@ -401,24 +624,21 @@
     bool config = exported->config_version > known->config_version
                   && exported->config.len == 0
                   && exported->config_patch_count == 0;
-    bool rows = registrations_newer(exported->registrations_version,
-                                    exported->registrations_digest,
-                                    known->registrations_version,
-                                    known->registrations_digest)
+    bool rows = registrations_newer(exported, known)
                 && exported->registration_count == 0;
 
     return config || rows;
 }
 
 bool
-mr_directory_lacks(const mr_directory_t *directory,
+mr_directory_lacks(mr_directory_t *directory,
                    const mr_msg_directory_t *exported)
 {
-    return exported->config_version > directory->config_version
-           || registrations_newer(exported->registrations_version,
-                                  exported->registrations_digest,
-                                  directory->registrations_version,
-                                  directory->registrations_digest);
+    mr_msg_directory_t own;
+
+    mr_directory_export(directory, NULL, 0, &own);
+    return exported->config_version > own.config_version
+           || registrations_newer(exported, &own);
 }
 
 static void
@@ -430,25 +650,24 @@
 
     for (size_t i = 0; i < in->registration_count; i++) {
         const mr_msg_registration_t *row = &in->registrations[i];
-        size_t own = find_row(directory, row->id, i);
+        size_t own =
+            find_row(directory->rows, directory->row_count, row->id, i);
         if (row->value.len == 0 && own < directory->row_count) {
             row = &directory->rows[own];
         }
-        rows[i] = (mr_store_row_t){.key = row->id,
-                                   .value = row->value.data,
-                                   .len = row->value.len,
-                                   .version = row->version};
+        rows[i] = to_store_row(row);
     }
-    mr_directory_set_registrations(directory, in->registrations_version, rows,
-                                   in->registration_count);
+    size_t outdated = apply_registrations(
+        directory, registrations_revision(in), rows, in->registration_count);
     free(rows);
-    if (directory->registrations_digest != in->registrations_digest) {
+    if (directory->registrations_digest != in->registrations_digest
+        && outdated == 0) {
         /* This instance has read changes that the sender missed. With the
          * version reset, the next reply contains all rows. */
         mr_log(MR_LOG_INFO, MR_EVENT_REGISTRATIONS_DIFFER,
                "source=%s version=%lld", source,
                (long long)in->registrations_version);
-        directory->registrations_version = 0;
+        directory->registrations_revision.version = 0;
         directory->registrations_digest = 0;
     }
 }
@@ -488,13 +707,15 @@
     if (in->config_version > directory->config_version) {
         import_config(directory, in, source);
     }
-    if (in->registrations_version <= directory->registrations_version) {
+    if (mr_revision_compare(registrations_revision(in),
+                            directory->registrations_revision)
+        <= 0) {
         return;
     }
     if (in->registrations_digest == directory->registrations_digest) {
-        directory->registrations_version = in->registrations_version;
+        set_revision(directory, registrations_revision(in));
         mr_clusters_end_update(directory->options.clusters,
-                               mr_clock_now(NULL));
+                               mr_clock_now(directory->options.clock));
     }
     else if (in->registration_count > 0) {
         import_registrations(directory, in, source);
--- a/lib/session/directory.h
+++ b/lib/session/directory.h
@@ -6,9 +6,13 @@
  * registrations of the databases. Instances exchange newer versions, so that
  * an instance that cannot reach the store stays up to date. The desired state
  * is sent as a patch where possible, and only registrations that changed are
- * sent. A directory never returns to an older version.
+ * sent. A directory never returns to an older desired state, nor to
+ * registrations of an older revision of the store. When the store was restored
+ * from an older copy, a database keeps its newer registration, or stays
+ * removed, until it registers again.
  */
 
+#include "common/clock.h"
 #include "common/counters.h"
 #include "session/catalog.h"
 #include "session/cluster.h"
@@ -20,6 +24,7 @@
 typedef struct mr_directory_options {
     mr_clusters_t *clusters;
     mr_counters_t *counters;
+    const mr_clock_t *clock; /* NULL: the system's */
     /* Called with each newer desired state, which is borrowed. */
     void (*on_catalog)(void *ctx, mr_catalog_t *catalog);
     void *ctx;
@@ -34,8 +39,9 @@
                              size_t len, const char *source);
 
 /** mr_directory_set_registrations() - apply the complete registrations, read
- * at store version @version, if they are newer. */
-void mr_directory_set_registrations(mr_directory_t *directory, int64_t version,
+ * at @revision of the store, if they are newer. */
+void mr_directory_set_registrations(mr_directory_t *directory,
+                                    mr_revision_t revision,
                                     const mr_store_row_t *rows, size_t count);
 
 /** mr_directory_complete() - whether the desired state and the registrations
@@ -66,7 +72,7 @@
 
 /** mr_directory_lacks() - whether @exported describes newer contents than the
  * directory has. */
-bool mr_directory_lacks(const mr_directory_t *directory,
+bool mr_directory_lacks(mr_directory_t *directory,
                         const mr_msg_directory_t *exported);
 
 /** mr_directory_import() - apply the contents of @in that are newer. */
--- a/lib/session/fleet.c
+++ b/lib/session/fleet.c
@@ -109,8 +109,10 @@
     }
     if (fleet->coordinator != coordinator) {
         /* Send it no contents before its first reply, as it may have them. */
-        fleet->coordinator_directory = (mr_msg_directory_t){
-            .config_version = INT64_MAX, .registrations_version = INT64_MAX};
+        fleet->coordinator_directory =
+            (mr_msg_directory_t){.config_version = INT64_MAX,
+                                 .registrations_version = INT64_MAX,
+                                 .registrations_era = INT64_MAX};
     }
     if (coordinating && !fleet->coordinating) {
         fleet->coordinating_since = now;
@@ -183,6 +185,7 @@
         mr_counters_get(options->counters, "masticrelay_instances", "",
                         "instances that may admit operations");
     mr_fleet_create_peer(fleet);
+    mr_store_on_era(options->store, mr_fleet_on_era, fleet);
     mr_timer_start(fleet->members_timer, 0);
     return fleet;
 }
--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -23,15 +23,18 @@
     mr_list_t link;
     char *name;
     char *address;
-    int64_t row_version; /* of its registration; 0: only known from a report */
-    uint64_t priority;   /* the instance with the highest one coordinates */
-    int failures;        /* consecutive unanswered reports */
-    mr_ms_t last_sent_at;    /* last report sent to it */
-    mr_ms_t last_report_at;  /* last report, or coordinator's reply, from it */
-    uint64_t sent_changes;   /* change_count of the clusters at the last reply
-                                to it */
-    bool in_store;           /* in the registrations just read */
-    char *data_centre;       /* NULL: has not reported yet */
+    mr_revision_t row_revision; /* of its registration; version 0: only known
+                                   from a report */
+    mr_ms_t row_lost_at;        /* when its registration was missing after a
+                                   restoration of the store; 0: it is not */
+    uint64_t priority;      /* the instance with the highest one coordinates */
+    int failures;           /* consecutive unanswered reports */
+    mr_ms_t last_sent_at;   /* last report sent to it */
+    mr_ms_t last_report_at; /* last report, or coordinator's reply, from it */
+    uint64_t sent_changes;  /* change_count of the clusters at the last reply
+                               to it */
+    bool in_store;          /* in the registrations just read */
+    char *data_centre;      /* NULL: has not reported yet */
     mr_msg_directory_t held; /* versions in its last report; no contents */
     bool fetching;           /* was told to fetch contents from @source */
     struct mr_fleet_instance *source; /* NULL: this instance */
@@ -58,7 +61,11 @@
     size_t other_count;
     uint64_t own_priority;
     char *own_registration; /* this instance's row: address and link rate */
-    int64_t own_version;    /* of this instance's registration; 0: none */
+    mr_revision_t own_revision; /* of this instance's registration; version 0:
+                                   none */
+    int64_t era;                /* highest era of the store, as far as known */
+    int64_t members_era;        /* of the last reading of the registrations */
+    bool members_waiting;       /* for an answer of the store */
     bool joined;
     bool leaving;
     bool coordinating;
@@ -123,5 +130,8 @@
 void mr_fleet_remove_instance(mr_fleet_t *fleet,
                               mr_fleet_instance_t *instance);
 void mr_fleet_on_members_timer(evutil_socket_t fd, short what, void *ctx);
+/** mr_fleet_on_era() - the store, or another instance, has told the era @era
+ * of the store. */
+void mr_fleet_on_era(void *ctx, int64_t era);
 
 #endif
--- a/lib/session/fleet_members.c
+++ b/lib/session/fleet_members.c
@@ -23,12 +23,40 @@
     /* A priority has the class of the link's rate in its highest bits. */
     RATE_CLASS_BITS = 8,
     RATE_CLASS_SHIFT = 64 - RATE_CLASS_BITS,
+    /* After a restoration of the store, the instances register again within
+     * this time, each at a moment of its own. */
+    RESTORE_SPREAD_MS = 600,
 };
 
 static const char instances_table[] = "instances";
 static const char secret_table[] = "fleet";
 static const char secret_key[] = "secret";
 
+/* Starts the next reading after @delay, or soon if there was none since the
+ * store was restored. */
+static void
+start_members_timer(mr_fleet_t *fleet, mr_ms_t delay)
+{
+    if (fleet->members_era < fleet->era && delay > RESTORE_SPREAD_MS) {
+        delay = randombytes_uniform(RESTORE_SPREAD_MS);
+    }
+    mr_timer_start(fleet->members_timer, delay);
+}
+
+void
+mr_fleet_on_era(void *ctx, int64_t era)
+{
+    mr_fleet_t *fleet = ctx;
+
+    if (era <= fleet->era) {
+        return;
+    }
+    fleet->era = era;
+    if (fleet->joined && !fleet->members_waiting) {
+        start_members_timer(fleet, MEMBERS_PERIOD_MS);
+    }
+}
+
 static mr_fleet_instance_t *
 find_instance(mr_fleet_t *fleet, const char *name)
 {
@@ -164,10 +192,11 @@
 }
 
 static void
-on_registration_removed(void *ctx, mr_error_kind_t error, int64_t version)
+on_registration_removed(void *ctx, mr_error_kind_t error,
+                        mr_revision_t revision)
 {
     (void)ctx;
-    (void)version;
+    (void)revision;
     if (error != MR_OK) {
         mr_log(MR_LOG_INFO, MR_EVENT_INSTANCE_NOT_REMOVED, "error=%s",
                mr_error_name(error));
@@ -193,9 +222,9 @@
         mr_log(MR_LOG_INFO, MR_EVENT_INSTANCE_REMOVED,
                "name=%s silent_ms=%lld", instance->name,
                (long long)(now - instance->last_report_at));
-        if (instance->row_version > 0) {
+        if (instance->row_revision.version > 0) {
             mr_store_put(fleet->options.store, instances_table, instance->name,
-                         instance->row_version, NULL, 0,
+                         instance->row_revision, NULL, 0,
                          on_registration_removed, fleet);
         }
         mr_fleet_remove_instance(fleet, instance);
@@ -204,22 +233,63 @@
 }
 
 static void
-on_registered(void *ctx, mr_error_kind_t error, int64_t version)
+on_registered(void *ctx, mr_error_kind_t error, mr_revision_t revision)
 {
     mr_fleet_t *fleet = ctx;
 
+    fleet->members_waiting = false;
     if (error == MR_OK || error == MR_ERR_CONFLICT) {
-        fleet->own_version = version;
+        fleet->own_revision = revision;
+    }
+    start_members_timer(fleet, error == MR_OK ? MEMBERS_AFTER_REGISTERING_MS
+                                              : MEMBERS_RETRY_MS);
+}
+
+/* Applies the registration @row of another instance. */
+static void
+apply_member(mr_fleet_t *fleet, const mr_store_row_t *row)
+{
+    bool known = find_instance(fleet, row->key) != NULL;
+    mr_fleet_instance_t *instance = apply_member_row(fleet, row);
+
+    if (instance == NULL) {
+        return;
+    }
+    instance->in_store = true;
+    instance->row_lost_at = 0;
+    instance->row_revision = row->revision;
+    if (!known && fleet->joined && row->revision.era > fleet->members_era) {
+        /* Perhaps one that had left, in the copy that the store was restored
+         * from. It may coordinate once it has answered. */
+        instance->failures = MR_FLEET_FAILURES_MAX;
+    }
+}
+
+/* Removes @instance, which has no registration, unless it is only known from
+ * reports. A registration that a restoration took is given the time to return.
+ */
+static void
+check_missing_member(mr_fleet_t *fleet, mr_fleet_instance_t *instance,
+                     int64_t era, mr_ms_t now)
+{
+    bool lost_long = instance->row_lost_at != 0
+                     && now - instance->row_lost_at >= REMOVE_AFTER_MS
+                     && now - instance->last_report_at >= REMOVE_AFTER_MS;
+
+    if (instance->row_revision.version > 0
+        && instance->row_revision.era < era) {
+        instance->row_revision = (mr_revision_t){0};
+        instance->row_lost_at = now;
+    }
+    else if (instance->row_revision.version > 0 || lost_long) {
+        mr_fleet_remove_instance(fleet, instance);
     }
-    mr_timer_start(fleet->members_timer, error == MR_OK
-                                             ? MEMBERS_AFTER_REGISTERING_MS
-                                             : MEMBERS_RETRY_MS);
 }
 
 static void
 apply_members(mr_fleet_t *fleet, const mr_store_answer_t *answer)
 {
-    fleet->own_version = 0;
+    fleet->own_revision = (mr_revision_t){0};
     bool current = false;
 
     MR_LIST_FOREACH(it, &fleet->instances)
@@ -229,30 +299,29 @@
     for (size_t i = 0; i < answer->count; i++) {
         const mr_store_row_t *row = &answer->rows[i];
         if (strcmp(row->key, fleet->options.name) == 0) {
-            fleet->own_version = row->version;
+            fleet->own_revision = row->revision;
             current = strcmp(row->value, fleet->own_registration) == 0;
             continue;
         }
-        mr_fleet_instance_t *instance = apply_member_row(fleet, row);
-        if (instance != NULL) {
-            instance->in_store = true;
-            instance->row_version = row->version;
-        }
+        apply_member(fleet, row);
     }
     MR_LIST_FOREACH(it, &fleet->instances)
     {
         mr_fleet_instance_t *instance =
             MR_LIST_ENTRY(it, mr_fleet_instance_t, link);
-        if (!instance->in_store && instance->row_version > 0) {
-            mr_fleet_remove_instance(fleet, instance);
+        if (!instance->in_store) {
+            check_missing_member(fleet, instance, answer->revision.era,
+                                 mr_clock_now(NULL));
         }
     }
+    fleet->members_era = answer->revision.era;
     mr_fleet_update_count(fleet);
     if (!current && !fleet->leaving) {
         mr_store_put(fleet->options.store, instances_table,
-                     fleet->options.name, fleet->own_version,
+                     fleet->options.name, fleet->own_revision,
                      fleet->own_registration, strlen(fleet->own_registration),
                      on_registered, fleet);
+        fleet->members_waiting = true;
         return;
     }
     if (!fleet->joined) {
@@ -261,7 +330,7 @@
                mr_fleet_instances(fleet));
         mr_fleet_start_reports(fleet);
     }
-    mr_timer_start(fleet->members_timer, MEMBERS_PERIOD_MS);
+    start_members_timer(fleet, MEMBERS_PERIOD_MS);
 }
 
 static void
@@ -269,6 +338,7 @@
 {
     mr_fleet_t *fleet = ctx;
 
+    fleet->members_waiting = false;
     if (answer->error != MR_OK) {
         mr_timer_start(fleet->members_timer, MEMBERS_RETRY_MS);
         return;
@@ -318,11 +388,11 @@
 }
 
 static void
-on_secret_written(void *ctx, mr_error_kind_t error, int64_t version)
+on_secret_written(void *ctx, mr_error_kind_t error, mr_revision_t revision)
 {
     mr_fleet_t *fleet = ctx;
 
-    (void)version;
+    (void)revision;
     /* Read the secret next, whichever instance wrote it. */
     mr_timer_start(
         fleet->members_timer,
@@ -346,8 +416,9 @@
         return;
     }
     randombytes_buf(fresh, sizeof(fresh));
-    mr_store_put(fleet->options.store, secret_table, secret_key, 0, fresh,
-                 sizeof(fresh), on_secret_written, fleet);
+    mr_store_put(fleet->options.store, secret_table, secret_key,
+                 (mr_revision_t){0}, fresh, sizeof(fresh), on_secret_written,
+                 fleet);
 }
 
 void
@@ -362,6 +433,7 @@
                      fleet);
         return;
     }
+    fleet->members_waiting = true;
     mr_store_get(fleet->options.store, instances_table, NULL, on_members,
                  fleet);
 }
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -195,6 +195,7 @@
         mr_log(MR_LOG_INFO, MR_EVENT_INSTANCE_REGAINED, "name=%s", from->name);
     }
     from->failures = 0;
+    mr_fleet_on_era(fleet, reply->directory.registrations_era);
     mr_updates_import(fleet->updates, &reply->directory, from->name);
     fetch_announced(fleet, from, reply);
     if (from == fleet->coordinator) {
@@ -208,6 +209,7 @@
             .config_version = reply->directory.config_version,
             .registrations_version = reply->directory.registrations_version,
             .registrations_digest = reply->directory.registrations_digest,
+            .registrations_era = reply->directory.registrations_era,
         };
         from->last_report_at = now;
         if (fleet->report_again) {
@@ -382,7 +384,7 @@
 has_updates(mr_cluster_t *cluster, uint64_t known_changes)
 {
     const mr_db_t *primary = mr_cluster_known_primary(cluster);
-    bool registered = primary != NULL && primary->primary_version != 0;
+    bool registered = primary != NULL && primary->primary_since != 0;
 
     return cluster->changed_at_count > known_changes
            || (cluster->promoted_id != NULL && !registered);
@@ -407,7 +409,7 @@
             .service = cluster->service,
             .promoted =
                 cluster->promoted_id != NULL ? cluster->promoted_id : "",
-            .promoted_version = cluster->promoted_version,
+            .promoted_version = cluster->promoted_token,
             .age_ms = -1,
         };
         if (sample != NULL) {
@@ -513,6 +515,7 @@
 
     instance->held = (mr_msg_directory_t){
         .config_version = directory->config_version,
+        .registrations_era = directory->registrations_era,
         .registrations_version = directory->registrations_version,
         .registrations_digest = directory->registrations_digest,
     };
@@ -552,6 +555,7 @@
         }
         record_holdings(instance, report);
     }
+    mr_fleet_on_era(fleet, report->directory.registrations_era);
     mr_updates_import(fleet->updates, &report->directory, from);
     if (instance != NULL
         && mr_directory_lacks(fleet->options.directory, &report->directory)) {
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -233,6 +233,7 @@
     FIELD(STRING, mr_msg_registration_t, id),
     FIELD(BYTES, mr_msg_registration_t, value),
     FIELD(INTEGER, mr_msg_registration_t, version),
+    FIELD(INTEGER, mr_msg_registration_t, era),
 };
 static const layout_t registration_layout =
     LAYOUT(mr_msg_registration_t, registration_fields);
@@ -273,6 +274,7 @@
     FIELD(STRING, mr_msg_report_t, data_centre),
     FIELD(BOOL, mr_msg_report_t, defers_config),
     FIELD(INTEGER, mr_msg_report_t, link_mbps),
+    FIELD(INTEGER, mr_msg_report_t, directory.registrations_era),
 };
 static const layout_t report_layout = LAYOUT(mr_msg_report_t, report_fields);
 
@@ -297,6 +299,7 @@
                primary_layout),
     FIELD(STRING, mr_msg_report_reply_t, source),
     FIELD(STRING, mr_msg_report_reply_t, source_address),
+    FIELD(INTEGER, mr_msg_report_reply_t, directory.registrations_era),
 };
 static const layout_t report_reply_layout =
     LAYOUT(mr_msg_report_reply_t, report_reply_fields);
@@ -305,6 +308,7 @@
     FIELD(INTEGER, mr_msg_update_fetch_t, id),
     FIELD(INTEGER, mr_msg_update_fetch_t, offset),
     DIRECTORY_FIELDS(mr_msg_update_fetch_t, known.),
+    FIELD(INTEGER, mr_msg_update_fetch_t, known.registrations_era),
 };
 static const layout_t update_fetch_layout =
     LAYOUT(mr_msg_update_fetch_t, update_fetch_fields);
@@ -321,6 +325,7 @@
 
 static const field_t update_fields[] = {
     DIRECTORY_FIELDS(mr_msg_directory_t, ),
+    FIELD(INTEGER, mr_msg_directory_t, registrations_era),
 };
 static const layout_t update_layout =
     LAYOUT(mr_msg_directory_t, update_fields);
--- a/tests/integration/world_internal.h
+++ b/tests/integration/world_internal.h
@@ -54,6 +54,13 @@
 
 typedef struct store_handler store_handler_t;
 
+/** Copy of the store's rows. */
+typedef struct backend_copy {
+    backend_row_t *rows; /* NULL: none */
+    size_t count;
+    int64_t version;
+} backend_copy_t;
+
 struct backend {
     struct event_base *base;
     backend_db_t dbs[BACKEND_DBS];
@@ -66,6 +73,8 @@
     int max_conns;     /* to each database, in the next desired states */
     int64_t highest_token;
     int64_t last_token;
+    int64_t refused_token; /* of the last refused order; 0: none */
+    int refused_orders;
     char last_holder[BACKEND_TEXT_BYTES];
     mr_ms_t promotion_delay;
     int drop_every_nth; /* answer; 0: none */
@@ -81,9 +90,15 @@
     size_t row_count;
     GPtrArray *texts; /* values that rows have or had; never change */
     int64_t version;
+    int64_t era;
+    backend_copy_t copy;    /* that the store is restored from */
+    backend_copy_t rewrite; /* rows that their owners write again */
+    mr_ms_t away_until;
+    struct event *rewrite_timer;
     int store_reads;
     mr_list_t feeds; /* feed calls that wait for a change */
     struct event *registration_timer;
+    int64_t report_count; /* of the databases' registrations */
     char dropped_route[BACKEND_TEXT_BYTES];
     int extra_routes;  /* in the next desired states */
     size_t config_len; /* of the last desired state */
