Write a lost fleet secret again and adopt a different one

After the store came back from a copy that is older than the fleet secret, an instance that started next wrote a fresh one. Instances with different secrets refuse each other's links: the fleet fell into parts, each with a coordinator of its own that ordered promotions and divided the accounts' rates.

Cause: the secret was read once, at the start.

Change: each instance reads the secret again when the era has risen, before the registrations. If it is missing, it writes its own, on the condition that there is none, and reads the result. A different one is adopted and the links are opened again (mr_peer_set_secret()). The stored secret counts for all, so the fleet converges whatever the order.

--- a/lib/common/event.h
+++ b/lib/common/event.h
@@ -73,6 +73,7 @@
     X(INSTANCE_REGAINED, "instance_regained", "name")                         \
     X(INSTANCE_REMOVED, "instance_removed", "name silent_ms")                 \
     X(INSTANCE_NOT_REMOVED, "instance_not_removed", "error")                  \
+    X(SECRET_REPLACED, "secret_replaced", "era")                              \
     X(INSTANCE_ADDRESS_MALFORMED, "instance_address_malformed",               \
       "name address")                                                         \
     /* Changes of primary */                                                  \
--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -54,6 +54,7 @@
                                    none */
     int64_t era;                /* highest era of the store, as far as known */
     int64_t members_era;        /* of the last reading of the registrations */
+    int64_t secret_era;         /* of the last reading of the secret */
     bool members_waiting;       /* for an answer of the store */
     bool joined;
     bool leaving;
--- a/lib/session/fleet_members.c
+++ b/lib/session/fleet_members.c
@@ -33,7 +33,10 @@
 static void
 start_members_timer(mr_fleet_t *fleet, mr_ms_t delay)
 {
-    if (fleet->members_era < fleet->era && delay > RESTORE_SPREAD_MS) {
+    bool outdated =
+        fleet->members_era < fleet->era || fleet->secret_era < fleet->era;
+
+    if (outdated && delay > RESTORE_SPREAD_MS) {
         delay = randombytes_uniform(RESTORE_SPREAD_MS);
     }
     mr_timer_start(fleet->members_timer, delay);
@@ -317,32 +320,59 @@
     mr_fleet_t *fleet = ctx;
 
     (void)revision;
+    fleet->members_waiting = false;
     /* Read the secret next, whichever instance wrote it. */
     mr_timer_start(
         fleet->members_timer,
         error == MR_OK || error == MR_ERR_CONFLICT ? 0 : MEMBERS_RETRY_MS);
 }
 
+/* Uses the stored secret. Another one than before was written by an instance
+ * that started after a restoration had lost the earlier one. */
+static void
+use_secret(mr_fleet_t *fleet, const void *secret)
+{
+    bool same = memcmp(fleet->secret, secret, sizeof(fleet->secret)) == 0;
+
+    memcpy(fleet->secret, secret, sizeof(fleet->secret));
+    if (fleet->peer == NULL) {
+        start_peer(fleet);
+    }
+    else if (!same) {
+        mr_log(MR_LOG_WARNING, MR_EVENT_SECRET_REPLACED, "era=%lld",
+               (long long)fleet->secret_era);
+        mr_peer_set_secret(fleet->peer, fleet->secret);
+    }
+}
+
 static void
 on_secret(void *ctx, const mr_store_answer_t *answer)
 {
     mr_fleet_t *fleet = ctx;
-    uint8_t fresh[MR_PEER_SECRET_BYTES];
+    uint8_t written[MR_PEER_SECRET_BYTES];
 
+    fleet->members_waiting = false;
     if (answer->error != MR_OK) {
         mr_timer_start(fleet->members_timer, MEMBERS_RETRY_MS);
         return;
     }
     if (answer->count == 1 && answer->rows[0].len == sizeof(fleet->secret)) {
-        memcpy(fleet->secret, answer->rows[0].value, sizeof(fleet->secret));
-        start_peer(fleet);
+        fleet->secret_era = answer->revision.era;
+        mr_fleet_on_era(fleet, answer->revision.era);
+        use_secret(fleet, answer->rows[0].value);
         mr_timer_start(fleet->members_timer, 0);
         return;
     }
-    randombytes_buf(fresh, sizeof(fresh));
+    if (fleet->peer != NULL) {
+        memcpy(written, fleet->secret, sizeof(written));
+    }
+    else {
+        randombytes_buf(written, sizeof(written));
+    }
+    fleet->members_waiting = true;
     mr_store_put(fleet->options.store, secret_table, secret_key,
-                 (mr_revision_t){0}, fresh, sizeof(fresh), on_secret_written,
-                 fleet);
+                 (mr_revision_t){0}, written, sizeof(written),
+                 on_secret_written, fleet);
 }
 
 void
@@ -352,12 +382,12 @@
 
     (void)fd;
     (void)what;
-    if (fleet->peer == NULL) {
+    fleet->members_waiting = true;
+    if (fleet->peer == NULL || fleet->secret_era < fleet->era) {
         mr_store_get(fleet->options.store, secret_table, secret_key, on_secret,
                      fleet);
         return;
     }
-    fleet->members_waiting = true;
     mr_store_get(fleet->options.store, instances_table, NULL, on_members,
                  fleet);
 }
--- a/tests/integration/test_session_restore.c
+++ b/tests/integration/test_session_restore.c
@@ -23,6 +23,8 @@
     FAILOVER_MAX_MS = 5000,
     /* Until all instances have registered again. */
     REGISTERED_MAX_MS = 4000,
+    /* Until all instances report to one coordinator. */
+    UNITED_MAX_MS = 10000,
     /* Until each instance has read the registrations of all. */
     MEMBERS_READ_MAX_MS = 25000,
 };
@@ -238,6 +240,48 @@
 }
 END_TEST
 
+/* Waits until one instance coordinates and all report to it. */
+static bool
+wait_united(void)
+{
+    mr_ms_t end = mr_clock_now(NULL) + UNITED_MAX_MS;
+    int64_t coordinators = 0;
+
+    while (coordinators != 1 && mr_clock_now(NULL) < end) {
+        harness_run_loop(base, 200);
+        coordinators = 0;
+        for (int i = 0; i < RELAYS; i++) {
+            coordinators += read_metric(i, "masticrelay_coordinator");
+        }
+    }
+    return coordinators == 1
+           && wait_metric("masticrelay_instances", RELAYS, 1000);
+}
+
+static void
+check_writes(void)
+{
+    for (int i = 0; i < RELAYS; i++) {
+        client_t *client = open_session(i, "own", "key-1");
+        client_answer_t answer = client_run(client, "WRITE a b", NULL);
+        ck_assert_msg(answer.complete, "%s", answer.text);
+        client_close(client);
+    }
+}
+
+START_TEST(test_an_instance_that_starts_after_a_restore_joins_the_fleet)
+{
+    backend_copy_store(backend);
+    start_relays(0, RELAYS - 1);
+    ck_assert(backend_has_row(backend, "fleet", "secret"));
+    backend_restore_store(backend, AWAY_MS, REWRITE_MS);
+    harness_run_loop(base, AWAY_MS + 2000);
+    start_relays(RELAYS - 1, RELAYS);
+    ck_assert(wait_united());
+    check_writes();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -245,6 +289,7 @@
         test_a_promotion_after_a_restore_is_not_refused,
         test_instances_lost_by_a_restore_register_again_and_count,
         test_an_instance_that_had_left_does_not_coordinate_after_a_restore,
+        test_an_instance_that_starts_after_a_restore_joins_the_fleet,
     };
 
     return RUN_TESTS(tests, .suite = "session-restore", .setup = set_up,
--- a/tests/unit/test_fleet_members.c
+++ b/tests/unit/test_fleet_members.c
@@ -335,6 +335,71 @@
 }
 END_TEST
 
+START_TEST(test_a_restore_during_a_reading_is_not_missed)
+{
+    mr_fleet_on_members_timer(-1, 0, fleet);
+    restore();
+    read_members("abc", 20);
+    ck_assert_int_lt(next_reading(), 1000);
+    read_secret(1);
+    read_members("abc", 20);
+    ck_assert_int_gt(next_reading(), 10000);
+}
+END_TEST
+
+START_TEST(test_a_lost_secret_is_written_again)
+{
+    uint8_t own[MR_PEER_SECRET_BYTES];
+
+    memset(own, 1, sizeof(own));
+    restore();
+    read_secret(0);
+    ck_assert_uint_eq(store.write_count, 1);
+    ck_assert_str_eq(store.writes[0].table, "fleet");
+    ck_assert_str_eq(store.writes[0].key, "secret");
+    ck_assert_int_eq(store.writes[0].expect.version, 0);
+    ck_assert_uint_eq(store.writes[0].len, sizeof(own));
+    ck_assert_mem_eq(store.writes[0].value, own, sizeof(own));
+    store.writes[0].fn(store.writes[0].ctx, MR_OK,
+                       (mr_revision_t){store.era, 21});
+    read_secret(1);
+    read_members("abc", 30);
+    ck_assert_int_gt(next_reading(), 10000);
+}
+END_TEST
+
+START_TEST(test_another_stored_secret_is_adopted)
+{
+    uint8_t other[MR_PEER_SECRET_BYTES];
+
+    memset(other, 2, sizeof(other));
+    restore();
+    read_secret(0);
+    /* Another instance was first. */
+    store.writes[0].fn(store.writes[0].ctx, MR_ERR_CONFLICT,
+                       (mr_revision_t){store.era, 20});
+    read_secret(2);
+    ck_assert_mem_eq(fleet->secret, other, sizeof(other));
+    ck_assert_str_eq(reading(), "instances");
+    read_members("abc", 30);
+    ck_assert_uint_eq(store.write_count, 1);
+}
+END_TEST
+
+START_TEST(test_the_secret_is_read_once_in_each_era)
+{
+    read_members("abc", 60);
+    restore();
+    read_secret(1);
+    ck_assert_str_eq(reading(), "instances");
+    read_members("abc", 20);
+    ck_assert_str_eq(reading(), "instances");
+    restore();
+    read_members("abc", 20);
+    ck_assert_str_eq(reading(), "fleet");
+}
+END_TEST
+
 int
 main(void)
 {
@@ -346,6 +411,10 @@
         test_a_lost_instance_is_forgotten_unless_it_reports,
         test_an_instance_of_the_copy_must_answer_before_it_coordinates,
         test_a_silent_instance_is_removed_at_the_version_just_read,
+        test_a_restore_during_a_reading_is_not_missed,
+        test_a_lost_secret_is_written_again,
+        test_another_stored_secret_is_adopted,
+        test_the_secret_is_read_once_in_each_era,
     };
 
     return RUN_TESTS(tests, .suite = "fleet-members", .setup = set_up,
