Introduce the coordinator to an instance that has not reported

An instance that started just after the store was restored read registrations that lacked those of the others. If all missing ones had a higher priority, it took itself for the only instance for up to 20 s, coordinated and admitted the whole rates. The coordinator, which found its registration, took it for silent and deleted the registration.

Cause: instances learn of each other from the registrations alone, and "has not reported for 15 s" held for an instance that had just been found.

An instance counts as silent 15 s after it was found at the earliest.

--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -25,6 +25,7 @@
                                    from a report */
     mr_ms_t row_lost_at;        /* when its registration was missing after a
                                    restoration of the store; 0: it is not */
+    mr_ms_t found_at;           /* when this instance learned of it */
     uint64_t priority;      /* the instance with the highest one coordinates */
     int failures;           /* consecutive unanswered reports */
     mr_ms_t last_sent_at;   /* last report sent to it */
@@ -88,6 +89,9 @@
 void mr_fleet_update_coordinator(mr_fleet_t *fleet, mr_ms_t now);
 
 /* fleet_report.c */
+/** mr_fleet_introduce() - send a report without contents to an instance that
+ * may not know of this one. */
+void mr_fleet_introduce(mr_fleet_t *fleet, mr_fleet_instance_t *instance);
 void mr_fleet_on_report_timer(evutil_socket_t fd, short what, void *ctx);
 void mr_fleet_on_report(void *ctx, mr_peer_request_t *request,
                         const mr_msg_t *msg, const char *from);
--- a/lib/session/fleet_members.c
+++ b/lib/session/fleet_members.c
@@ -100,6 +100,7 @@
 
     instance->name = mr_strdup(name);
     instance->address = mr_strdup(address);
+    instance->found_at = mr_clock_now(NULL);
     instance->priority = mr_rendezvous_score("coordinator", name);
     MR_LIST_FOREACH(it, &fleet->instances)
     {
@@ -164,7 +165,8 @@
     {
         mr_fleet_instance_t *instance =
             MR_LIST_ENTRY(it, mr_fleet_instance_t, link);
-        if (now - instance->last_report_at < REMOVE_AFTER_MS) {
+        if (now - instance->last_report_at < REMOVE_AFTER_MS
+            || now - instance->found_at < REMOVE_AFTER_MS) {
             continue;
         }
         mr_log(MR_LOG_INFO, MR_EVENT_INSTANCE_REMOVED,
@@ -282,6 +284,24 @@
     start_members_timer(fleet, MEMBERS_PERIOD_MS);
 }
 
+/* The registrations that a new instance read may have lacked the
+ * coordinator's, if the store had just been restored. */
+static void
+introduce_coordinator(mr_fleet_t *fleet)
+{
+    if (!fleet->coordinating || fleet->leaving) {
+        return;
+    }
+    MR_LIST_FOREACH(it, &fleet->instances)
+    {
+        mr_fleet_instance_t *instance =
+            MR_LIST_ENTRY(it, mr_fleet_instance_t, link);
+        if (instance->in_store && instance->last_report_at == 0) {
+            mr_fleet_introduce(fleet, instance);
+        }
+    }
+}
+
 static void
 on_members(void *ctx, const mr_store_answer_t *answer)
 {
@@ -294,6 +314,7 @@
     }
     apply_members(fleet, answer);
     remove_silent_instances(fleet, mr_clock_now(NULL));
+    introduce_coordinator(fleet);
 }
 
 static void
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -286,6 +286,16 @@
     }
 }
 
+void
+mr_fleet_introduce(mr_fleet_t *fleet, mr_fleet_instance_t *instance)
+{
+    report_lists_t none = {0};
+
+    if (!is_reporting_to(fleet, instance)) {
+        send_report(fleet, instance, &none, NULL);
+    }
+}
+
 /* Draws the tokens of one account that an instance requested. */
 static int64_t
 draw_tokens(mr_fleet_t *fleet, const mr_msg_draw_t *want, mr_ms_t now)
--- a/tests/integration/test_session_restore.c
+++ b/tests/integration/test_session_restore.c
@@ -282,6 +282,25 @@
 }
 END_TEST
 
+START_TEST(test_a_fleet_with_two_secrets_after_a_restore_becomes_one)
+{
+    backend_copy_store(backend);
+    start_relays(0, RELAYS - 1);
+    for (int i = 0; i < RELAYS - 1; i++) {
+        backend_set_store_failing(backend, i, true);
+    }
+    backend_restore_store(backend, 0, REWRITE_MS);
+    /* Only the last instance reaches the store, and writes a secret. */
+    start_relays(RELAYS - 1, RELAYS);
+    ck_assert(backend_has_row(backend, "fleet", "secret"));
+    for (int i = 0; i < RELAYS - 1; i++) {
+        backend_set_store_failing(backend, i, false);
+    }
+    ck_assert(wait_united());
+    check_writes();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -290,6 +309,7 @@
         test_instances_lost_by_a_restore_register_again_and_count,
         test_an_instance_that_had_left_does_not_coordinate_after_a_restore,
         test_an_instance_that_starts_after_a_restore_joins_the_fleet,
+        test_a_fleet_with_two_secrets_after_a_restore_becomes_one,
     };
 
     return RUN_TESTS(tests, .suite = "session-restore", .setup = set_up,
--- a/tests/unit/test_fleet_members.c
+++ b/tests/unit/test_fleet_members.c
@@ -43,6 +43,7 @@
 static mr_store_t store;
 static mr_clusters_t *clusters;
 static mr_quota_t *quota;
+static mr_directory_t *directory;
 static mr_fleet_t *fleet;
 
 int64_t
@@ -209,6 +210,10 @@
     counters = mr_counters_create();
     clusters = mr_clusters_create("a", "konya");
     quota = mr_quota_create(NULL, counters);
+    directory = mr_directory_create(&(mr_directory_options_t){
+        .clusters = clusters,
+        .counters = counters,
+    });
     fleet = mr_fleet_create(&(mr_fleet_options_t){
         .base = base,
         .counters = counters,
@@ -218,6 +223,7 @@
         .store = &store,
         .clusters = clusters,
         .quota = quota,
+        .directory = directory,
     });
     read_secret(1);
     read_members("abc", 50);
@@ -228,6 +234,7 @@
 tear_down(void)
 {
     mr_fleet_destroy(fleet);
+    mr_directory_destroy(directory);
     mr_quota_destroy(quota);
     mr_clusters_destroy(clusters);
     mr_counters_destroy(counters);
@@ -324,6 +331,8 @@
     fleet->coordinating_since = mr_clock_now(NULL) - LONG_MS;
     find("b")->last_report_at = mr_clock_now(NULL) - LONG_MS;
     find("c")->last_report_at = mr_clock_now(NULL) - LONG_MS;
+    find("b")->found_at -= LONG_MS;
+    find("c")->found_at -= LONG_MS;
     restore();
     read_members("ab", 20);
     ck_assert_uint_eq(store.write_count, 1);
@@ -400,6 +409,23 @@
 }
 END_TEST
 
+START_TEST(test_an_instance_just_found_is_not_removed_but_told_of_this_one)
+{
+    find("b")->found_at -= LONG_MS;
+    find("b")->last_report_at = mr_clock_now(NULL);
+    find("c")->found_at -= LONG_MS;
+    find("c")->last_report_at = mr_clock_now(NULL);
+    fleet->coordinating = true;
+    fleet->coordinating_since = mr_clock_now(NULL) - LONG_MS;
+    restore();
+    read_members("abcd", 20);
+    ck_assert_uint_eq(store.write_count, 0);
+    ck_assert_uint_eq(mr_fleet_instances(fleet), 4);
+    ck_assert_int_ne(find("d")->last_sent_at, 0);
+    ck_assert_int_eq(find("b")->last_sent_at, 0);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -411,6 +437,7 @@
         test_a_lost_instance_is_forgotten_unless_it_reports,
         test_an_instance_of_the_copy_must_answer_before_it_coordinates,
         test_a_silent_instance_is_removed_at_the_version_just_read,
+        test_an_instance_just_found_is_not_removed_but_told_of_this_one,
         test_a_restore_during_a_reading_is_not_missed,
         test_a_lost_secret_is_written_again,
         test_another_stored_secret_is_adopted,
