Keep a dead primary of an older copy behind a promotion

After a restoration of the store, a primary that had died and been replaced could count as the primary again while its row was in the copy: "written again" was taken from the era of the answer, which all rows of the copy have too. Writes went to it, and the coordinator would have ordered a promotion.

Change: a registered primary counts in the new era once its row is newer than the first set that was read in it, and then from the start of the era, so that it outranks promotions before the restoration and none after it. A row that may be of the copy gives a database that was not known no claim of the new era.

--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -247,28 +247,28 @@
     }
 }
 
-/* Revision from which the row of a database that was not known counts. Unless
- * it was written after the restoration for certain, it counts as written
- * before, since the copy may hold a former primary. */
-static mr_revision_t
-first_revision(const mr_clusters_t *clusters, mr_revision_t row)
+/* Returns whether the row at @revision may be of the copy that the store was
+ * restored from. */
+static bool
+may_be_copy(const mr_clusters_t *clusters, mr_revision_t revision)
 {
     const mr_revision_t *first = &clusters->first_after_restore;
 
-    if (row.era == first->era && row.version <= first->version) {
-        row.era = clusters->era_before_restore;
-    }
-    return row;
+    return revision.era == first->era && revision.version <= first->version;
 }
 
-/* Updates since when @db is registered as the primary. A primary that has
- * registered again after a restoration outranks promotions before it. */
+/* Updates since when @db is registered as the primary. One that registered as
+ * the primary before a restoration and again after it outranks all promotions
+ * before the restoration, and none after it. */
 static void
 set_primary(mr_db_t *db, const char *id, mr_revision_t revision)
 {
-    if (db->primary_since != 0
-        && mr_revision_number_era(db->primary_since) >= revision.era) {
-        return;
+    if (db->primary_since != 0) {
+        if (mr_revision_number_era(db->primary_since) >= revision.era
+            || may_be_copy(db->cluster->clusters, revision)) {
+            return;
+        }
+        revision.version = 1;
     }
     db->primary_since = mr_revision_number(revision);
     mr_log(MR_LOG_INFO, MR_EVENT_PRIMARY_REGISTERED,
@@ -292,7 +292,10 @@
     }
     if (db == NULL) {
         db = add_db(cluster, id, entry);
-        revision = first_revision(clusters, revision);
+        if (may_be_copy(clusters, revision)) {
+            /* Perhaps a former primary. */
+            revision.era = clusters->era_before_restore;
+        }
     }
     db->in_current_set = true;
     db->slots = entry->slots > 0 ? entry->slots : 1;
--- a/tests/integration/test_session_restore.c
+++ b/tests/integration/test_session_restore.c
@@ -19,6 +19,7 @@
     RATE = 500,
     AWAY_MS = 400,    /* time without the store, before it comes back */
     REWRITE_MS = 300, /* until the databases write again */
+    STALE_MS = 2500,  /* the same, where the copy is to be seen for long */
     /* Longest gap in service while a primary is replaced. */
     FAILOVER_MAX_MS = 5000,
     /* Until all instances have registered again. */
@@ -180,6 +181,39 @@
 }
 END_TEST
 
+START_TEST(test_a_former_primary_does_not_return_with_an_older_copy)
+{
+    client_t *clients[RELAYS];
+
+    start_relays(0, RELAYS);
+    for (int i = 0; i < RELAYS; i++) {
+        clients[i] = open_session(i, "own", "key-1");
+    }
+    backend_copy_store(backend);
+    replace_primary(clients);
+    backend_db_start(backend, 0, false);
+    harness_run_loop(base, 2500);
+    /* Until the databases write again, the copy names the former primary. */
+    backend_restore_store(backend, AWAY_MS, STALE_MS);
+    mr_ms_t end = mr_clock_now(NULL) + AWAY_MS + STALE_MS + 1500;
+    while (mr_clock_now(NULL) < end) {
+        for (int i = 0; i < RELAYS; i++) {
+            client_answer_t answer = client_run(clients[i], "WRITE a b", NULL);
+            ck_assert_msg(answer.complete, "%s", answer.text);
+        }
+        harness_run_loop(base, 20);
+    }
+    ck_assert_int_eq(backend_count_promotions(backend), 1);
+    for (int i = 0; i < RELAYS; i++) {
+        ck_assert(!relay_log_contains(&relays[i], "event=primary_registered",
+                                      "id=i-0 era=1"));
+        ck_assert(!relay_log_contains(&relays[i], "event=promotion_ordered",
+                                      "id=i-0"));
+        client_close(clients[i]);
+    }
+}
+END_TEST
+
 START_TEST(test_instances_lost_by_a_restore_register_again_and_count)
 {
     backend_copy_store(backend);
@@ -306,6 +340,7 @@
 {
     const TTest *const tests[] = {
         test_a_promotion_after_a_restore_is_not_refused,
+        test_a_former_primary_does_not_return_with_an_older_copy,
         test_instances_lost_by_a_restore_register_again_and_count,
         test_an_instance_that_had_left_does_not_coordinate_after_a_restore,
         test_an_instance_that_starts_after_a_restore_joins_the_fleet,
