Drop a reserve token that a known promotion has passed

A coordinator that cannot reach the store orders with the token that it holds in reserve. If another instance has had a promotion carried out in the meantime, also after a restoration of the store that this one has not seen, the token is lower than one that the platform has seen. The platform refuses it where it checks tokens, and breaks its order where it does not.

Change: a token must be above that of the last known promotion, which the instances tell each other.

Tests: test_promoter (new) drives the promoter against stand-ins for the store, the promotion calls and the databases. test_a_reserve_token_that_others_have_passed_is_not_ordered_with failed before (one order), as test_fence test_a_reserve_below_a_used_token_is_not_used does without the comparison.

--- a/lib/session/fence.c
+++ b/lib/session/fence.c
@@ -124,11 +124,11 @@
 }
 
 int64_t
-mr_fence_take(mr_fence_t *fence)
+mr_fence_take(mr_fence_t *fence, int64_t used)
 {
     drop_outdated_reserve(fence);
     int64_t token = fence->reserve;
 
     fence->reserve = 0;
-    return token;
+    return token > used ? token : 0;
 }
--- a/lib/session/fence.h
+++ b/lib/session/fence.h
@@ -39,8 +39,9 @@
 bool mr_fence_waiting(const mr_fence_t *fence, mr_ms_t now);
 
 /** mr_fence_take() - take the newest token; 0: there is none of the store's
- * present era. */
-int64_t mr_fence_take(mr_fence_t *fence);
+ * present era that is above @used, the highest token that is known to have
+ * been used. */
+int64_t mr_fence_take(mr_fence_t *fence, int64_t used);
 
 /** mr_fence_is_current() - whether @token is of the store's present era.
  * Otherwise another instance may have used a higher one. */
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -276,6 +276,18 @@
                                 on_promoted, promotion);
 }
 
+static void
+take_token(promotion_t *promotion)
+{
+    mr_promoter_t *promoter = promotion->promoter;
+    const mr_cluster_t *cluster =
+        mr_clusters_get(promoter->options.clusters, promotion->service);
+
+    promotion->token =
+        mr_fence_take(get_service_state(promoter, promotion->service)->fence,
+                      cluster->promoted_token);
+}
+
 /* Calls the platform, with a new token if the store has been restored since
  * the promotion got its own. */
 static void
@@ -297,7 +309,7 @@
         mr_timer_start(promotion->timer, POLL_MS);
         return;
     }
-    promotion->token = mr_fence_take(fence);
+    take_token(promotion);
     if (promotion->token == 0) {
         resume_replicas(promotion);
         end_promotion(promotion, PROMOTION_RETRY_MS, "no_token");
@@ -554,7 +566,7 @@
         mr_timer_start(promotion->timer, POLL_MS);
         return;
     }
-    promotion->token = mr_fence_take(state->fence);
+    take_token(promotion);
     if (promotion->token == 0) {
         resume_replicas(promotion);
         end_promotion(promotion, PROMOTION_RETRY_MS, "no_token");
--- a/tests/integration/test_session_restore.c
+++ b/tests/integration/test_session_restore.c
@@ -157,6 +157,17 @@
     return equal == RELAYS;
 }
 
+static void
+check_writes(void)
+{
+    for (int i = 0; i < RELAYS; i++) {
+        client_t *client = open_session(i, "own", "key-1");
+        client_answer_t answer = client_run(client, "WRITE a b", NULL);
+        ck_assert_msg(answer.complete, "%s", answer.text);
+        client_close(client);
+    }
+}
+
 START_TEST(test_a_promotion_after_a_restore_is_not_refused)
 {
     client_t *clients[RELAYS];
@@ -292,17 +303,6 @@
            && wait_metric("masticrelay_instances", RELAYS, 1000);
 }
 
-static void
-check_writes(void)
-{
-    for (int i = 0; i < RELAYS; i++) {
-        client_t *client = open_session(i, "own", "key-1");
-        client_answer_t answer = client_run(client, "WRITE a b", NULL);
-        ck_assert_msg(answer.complete, "%s", answer.text);
-        client_close(client);
-    }
-}
-
 START_TEST(test_an_instance_that_starts_after_a_restore_joins_the_fleet)
 {
     backend_copy_store(backend);
--- a/tests/unit/test_fence.c
+++ b/tests/unit/test_fence.c
@@ -115,7 +115,7 @@
 {
     mr_fence_request(fence, now);
     answer_all();
-    return mr_fence_take(fence);
+    return mr_fence_take(fence, 0);
 }
 
 START_TEST(test_each_token_is_used_once_and_higher_than_the_last)
@@ -126,7 +126,7 @@
         int64_t token = take_new(NOW + i);
         ck_assert_int_gt(token, last);
         last = token;
-        ck_assert_int_eq(mr_fence_take(fence), 0);
+        ck_assert_int_eq(mr_fence_take(fence, 0), 0);
     }
 }
 END_TEST
@@ -152,7 +152,7 @@
     mr_fence_request(fence, NOW);
     answer_all();
     restore(40, 0);
-    ck_assert_int_eq(mr_fence_take(fence), 0);
+    ck_assert_int_eq(mr_fence_take(fence, 0), 0);
 
     mr_fence_request(fence, NOW + 100);
     answer_all();
@@ -161,7 +161,7 @@
     mr_fence_refill(fence, NOW + 10000);
     ck_assert_int_gt(store.calls, calls);
     answer_all();
-    ck_assert(mr_fence_is_current(fence, mr_fence_take(fence)));
+    ck_assert(mr_fence_is_current(fence, mr_fence_take(fence, 0)));
 }
 END_TEST
 
@@ -175,6 +175,28 @@
 }
 END_TEST
 
+START_TEST(test_a_reserve_below_a_used_token_is_not_used)
+{
+    mr_fence_t *other = mr_fence_create(&(mr_fence_options_t){
+        .store = &store, .service = "rez", .instance = "front-2"});
+
+    mr_fence_refill(fence, NOW);
+    answer_all();
+    mr_fence_request(other, NOW + 100);
+    answer_all();
+    int64_t used = mr_fence_take(other, 0);
+    store.away = true;
+    mr_fence_request(fence, NOW + 200);
+    answer_all();
+    ck_assert_int_eq(mr_fence_take(fence, used), 0);
+    store.away = false;
+    mr_fence_request(fence, NOW + 300);
+    answer_all();
+    ck_assert_int_gt(mr_fence_take(fence, used), used);
+    mr_fence_destroy(other);
+}
+END_TEST
+
 START_TEST(test_a_request_during_a_restore_is_repeated)
 {
     take_new(NOW);
@@ -183,7 +205,7 @@
     /* The request reached the copy, in which the condition means nothing. */
     answer_all();
     ck_assert(!mr_fence_waiting(fence, NOW + 1001));
-    ck_assert(mr_fence_is_current(fence, mr_fence_take(fence)));
+    ck_assert(mr_fence_is_current(fence, mr_fence_take(fence, 0)));
 
     mr_fence_request(fence, NOW + 2000);
     mr_store_write_fn_t fn = store.fn;
@@ -191,7 +213,7 @@
     restore(40, 0);
     fn(store.ctx, MR_ERR_OUTCOME_UNKNOWN, (mr_revision_t){0});
     answer_all();
-    ck_assert(mr_fence_is_current(fence, mr_fence_take(fence)));
+    ck_assert(mr_fence_is_current(fence, mr_fence_take(fence, 0)));
 }
 END_TEST
 
@@ -217,7 +239,7 @@
             used[count++] = take_new(NOW + i);
             mr_fence_request(other, NOW + i);
             answer_all();
-            used[count++] = mr_fence_take(other);
+            used[count++] = mr_fence_take(other, 0);
         }
         restore(100, 0);
     }
@@ -252,6 +274,7 @@
         test_a_token_after_a_restore_is_higher_than_all_before,
         test_a_reserve_from_before_a_restore_is_not_used,
         test_a_reserve_serves_while_the_store_is_away,
+        test_a_reserve_below_a_used_token_is_not_used,
         test_a_request_during_a_restore_is_repeated,
         test_a_token_of_before_a_restore_is_not_current,
         test_two_instances_never_get_the_same_token,
--- /dev/null
+++ b/tests/unit/test_promoter.c
@@ -0,0 +1,398 @@
+/* Guards against promotion orders with a token that another instance may have
+ * passed, in particular when the store comes back from an older copy while a
+ * promotion is in progress. */
+
+#include <event2/event.h>
+#include <string.h>
+
+#include "../common/runner.h"
+#include "session/db_conn.h"
+#include "session/promoter.h"
+
+enum {
+    CONNS_MAX = 64,
+    ORDERS_MAX = 8,
+    TERM = 3,
+    POLL_MS = 50,
+};
+
+/** Stands in for the store's client; the test answers its calls. */
+struct mr_store {
+    int64_t era;
+    mr_store_write_fn_t fn; /* of the write in progress; NULL: none */
+    void *ctx;
+};
+
+/** Stands in for the client of the promotion calls. */
+struct mr_promotion_client {
+    int64_t tokens[ORDERS_MAX];
+    size_t count;
+    mr_promotion_client_fn_t fn;
+    void *ctx;
+};
+
+/** Stands in for a connection to a database. */
+struct mr_db_conn {
+    bool open;
+    mr_db_t *db;
+    char reply[64];
+    mr_db_conn_fn_t fn;
+    void *ctx;
+};
+
+static struct event_base *base;
+static mr_counters_t *counters;
+static mr_clusters_t *clusters;
+static mr_store_t store;
+static mr_promotion_client_t client;
+static mr_promoter_t *promoter;
+static mr_db_conn_t conns[CONNS_MAX];
+static size_t conn_count;
+static int64_t received; /* entries that the replica has */
+static bool demoted;
+
+int64_t
+mr_store_era(const mr_store_t *s)
+{
+    return s->era;
+}
+
+void
+mr_store_put(mr_store_t *s, const char *table, const char *key,
+             mr_revision_t expect, const void *value, size_t len,
+             mr_store_write_fn_t fn, void *ctx)
+{
+    (void)table;
+    (void)key;
+    (void)expect;
+    (void)value;
+    (void)len;
+    ck_assert_ptr_null((void *)s->fn);
+    s->fn = fn;
+    s->ctx = ctx;
+}
+
+void
+mr_promotion_client_promote(mr_promotion_client_t *duty, const char *service,
+                            const char *target, int64_t token,
+                            mr_promotion_client_fn_t fn, void *ctx)
+{
+    ck_assert_str_eq(service, "rez");
+    ck_assert_str_eq(target, "b");
+    ck_assert_uint_lt(duty->count, ORDERS_MAX);
+    duty->tokens[duty->count++] = token;
+    duty->fn = fn;
+    duty->ctx = ctx;
+}
+
+static void
+on_reply_due(evutil_socket_t fd, short what, void *ctx)
+{
+    mr_db_conn_t *conn = ctx;
+    mr_reply_t reply = {.error = MR_OK, .body = evbuffer_new()};
+
+    (void)fd;
+    (void)what;
+    evbuffer_add(reply.body, conn->reply, strlen(conn->reply));
+    if (conn->open && conn->fn != NULL) {
+        conn->fn(conn->ctx, conn, &reply);
+    }
+    evbuffer_free(reply.body);
+}
+
+static void
+reply_later(mr_db_conn_t *conn, mr_db_conn_fn_t fn, void *ctx)
+{
+    struct timeval now = {0, 0};
+
+    conn->fn = fn;
+    conn->ctx = ctx;
+    event_base_once(base, -1, EV_TIMEOUT, on_reply_due, conn, &now);
+}
+
+mr_db_conn_t *
+mr_db_conn_open(struct event_base *event_base, mr_db_t *db,
+                const char *account, mr_db_conn_fn_t fn, void *ctx)
+{
+    mr_db_conn_t *conn = &conns[conn_count++];
+
+    (void)event_base;
+    (void)account;
+    ck_assert_uint_le(conn_count, CONNS_MAX);
+    *conn = (mr_db_conn_t){.open = true, .db = db};
+    reply_later(conn, fn, ctx);
+    return conn;
+}
+
+void
+mr_db_conn_close(mr_db_conn_t *conn)
+{
+    conn->open = false;
+}
+
+void
+mr_db_conn_query(mr_db_conn_t *conn, const char *id,
+                 const mr_position_t *after, const char *statement,
+                 mr_db_conn_fn_t fn, void *ctx)
+{
+    bool primary = strcmp(conn->db->id, "a") == 0;
+
+    (void)id;
+    (void)after;
+    demoted = demoted || strncmp(statement, "DEMOTE", 6) == 0;
+    snprintf(conn->reply, sizeof(conn->reply), "ROW %s %d %d.%lld %d 0 0 1",
+             primary && !demoted ? "primary" : "replica", TERM, TERM,
+             primary ? 20LL : (long long)received, TERM);
+    reply_later(conn, fn, ctx);
+}
+
+void
+mr_db_conn_on_lost(mr_db_conn_t *conn, void (*fn)(void *ctx), void *ctx)
+{
+    (void)conn;
+    (void)fn;
+    (void)ctx;
+}
+
+/* Not used by the promoter. */
+
+void
+mr_db_conn_drop_replies(mr_db_conn_t *conn)
+{
+    (void)conn;
+}
+
+mr_db_t *
+mr_db_conn_db(const mr_db_conn_t *conn)
+{
+    return conn->db;
+}
+
+mr_db_conn_state_t *
+mr_db_conn_state(mr_db_conn_t *conn)
+{
+    (void)conn;
+    return NULL;
+}
+
+const char *
+mr_db_conn_account(const mr_db_conn_t *conn)
+{
+    (void)conn;
+    return "";
+}
+
+void
+mr_db_conn_set_idle(mr_db_conn_t *conn)
+{
+    (void)conn;
+}
+
+mr_db_conn_t *
+mr_db_conn_take_idle(mr_db_t *db, const char *account, uint64_t session)
+{
+    (void)db;
+    (void)account;
+    (void)session;
+    return NULL;
+}
+
+bool
+mr_db_conn_has_idle(const mr_db_t *db, const char *account)
+{
+    (void)db;
+    (void)account;
+    return false;
+}
+
+mr_db_conn_t *
+mr_db_conn_oldest_idle(mr_db_t *db)
+{
+    (void)db;
+    return NULL;
+}
+
+static int64_t
+sync_copies(void *ctx, const char *service)
+{
+    (void)ctx;
+    (void)service;
+    return 0;
+}
+
+static void
+on_promoted(void *ctx)
+{
+    (void)ctx;
+}
+
+static void
+run_loop(mr_ms_t ms)
+{
+    struct timeval tv = mr_clock_timeval(ms);
+
+    event_base_loopexit(base, &tv);
+    event_base_dispatch(base);
+}
+
+/* Starts the promotions that are due, as often as the coordinator does. */
+static void
+check_for(mr_ms_t ms)
+{
+    for (mr_ms_t end = mr_clock_now(NULL) + ms; mr_clock_now(NULL) < end;) {
+        mr_promoter_check(promoter, mr_clock_now(NULL), 1, 1);
+        run_loop(POLL_MS);
+    }
+}
+
+static void
+answer_store(mr_error_kind_t error, int64_t version)
+{
+    mr_store_write_fn_t fn = store.fn;
+
+    ck_assert_ptr_nonnull((void *)fn);
+    store.fn = NULL;
+    fn(store.ctx, error, (mr_revision_t){store.era, version});
+}
+
+static void
+answer_order(mr_error_kind_t error)
+{
+    mr_promotion_client_fn_t fn = client.fn;
+
+    ck_assert_ptr_nonnull((void *)fn);
+    client.fn = NULL;
+    fn(client.ctx, error);
+}
+
+static int64_t
+number(int64_t era, int64_t version)
+{
+    return mr_revision_number((mr_revision_t){era, version});
+}
+
+/* The primary "a" is leaving, "b" is a replica. */
+static void
+set_up(void)
+{
+    mr_db_entry_t a = {.service = "rez",
+                       .address = "127.0.0.1:1",
+                       .data_centre = "konya",
+                       .started_at = 1,
+                       .slots = 2,
+                       .draining = true,
+                       .primary = true};
+    mr_db_entry_t b = a;
+
+    b.address = "127.0.0.1:2";
+    b.draining = false;
+    b.primary = false;
+    store = (mr_store_t){.era = 1};
+    client = (mr_promotion_client_t){0};
+    conn_count = 0;
+    demoted = false;
+    received = 20;
+    base = event_base_new();
+    counters = mr_counters_create();
+    clusters = mr_clusters_create("front-1", "konya");
+    mr_clusters_begin_update(clusters, (mr_revision_t){1, 92});
+    mr_clusters_add_registration(clusters, "a", &a, (mr_revision_t){1, 90});
+    mr_clusters_add_registration(clusters, "b", &b, (mr_revision_t){1, 91});
+    mr_clusters_end_update(clusters, mr_clock_now(NULL));
+    promoter = mr_promoter_create(&(mr_promoter_options_t){
+        .base = base,
+        .counters = counters,
+        .clusters = clusters,
+        .store = &store,
+        .duty = &client,
+        .instance = "front-1",
+        .sync_copies = sync_copies,
+        .promoted = on_promoted,
+    });
+}
+
+static void
+tear_down(void)
+{
+    mr_promoter_destroy(promoter);
+    mr_clusters_destroy(clusters);
+    mr_counters_destroy(counters);
+    event_base_free(base);
+}
+
+START_TEST(test_a_promotion_that_a_restore_overtakes_takes_a_new_token)
+{
+    received = 10;
+    mr_promoter_check(promoter, mr_clock_now(NULL), 1, 1);
+    answer_store(MR_OK, 101);
+    run_loop(2 * POLL_MS);
+    ck_assert(demoted);
+    ck_assert_uint_eq(client.count, 0);
+    store.era = 2;
+    received = 20;
+    run_loop(2 * POLL_MS);
+    ck_assert_uint_eq(client.count, 0);
+    answer_store(MR_OK, 41);
+    run_loop(2 * POLL_MS);
+    ck_assert_uint_eq(client.count, 1);
+    ck_assert_int_eq(client.tokens[0], number(2, 41));
+}
+END_TEST
+
+START_TEST(test_an_order_that_was_refused_waits_and_has_a_new_token)
+{
+    mr_promoter_check(promoter, mr_clock_now(NULL), 1, 1);
+    answer_store(MR_OK, 101);
+    run_loop(2 * POLL_MS);
+    ck_assert_uint_eq(client.count, 1);
+    answer_order(MR_ERR_CONFLICT);
+    check_for(800);
+    ck_assert_uint_eq(client.count, 1);
+    check_for(400);
+    answer_store(MR_OK, 120);
+    check_for(2 * POLL_MS);
+    ck_assert_uint_eq(client.count, 2);
+    ck_assert_int_eq(client.tokens[1], number(1, 120));
+}
+END_TEST
+
+START_TEST(test_a_reserve_token_that_others_have_passed_is_not_ordered_with)
+{
+    mr_cluster_t *cluster = mr_clusters_find(clusters, "rez");
+
+    mr_promoter_check(promoter, mr_clock_now(NULL), 1, 1);
+    /* Another instance had "a" promoted with a higher token. */
+    mr_cluster_record_promotion(cluster, "a", number(1, 110));
+    answer_store(MR_OK, 101);
+    run_loop(2 * POLL_MS);
+    ck_assert_uint_eq(client.count, 0);
+}
+END_TEST
+
+START_TEST(test_no_order_is_sent_with_a_token_of_an_earlier_era)
+{
+    mr_promoter_check(promoter, mr_clock_now(NULL), 1, 1);
+    answer_store(MR_OK, 101);
+    store.era = 2;
+    run_loop(2 * POLL_MS);
+    ck_assert_uint_eq(client.count, 0);
+    check_for(400);
+    answer_store(MR_ERR_UNAVAILABLE, 0);
+    check_for(2 * POLL_MS);
+    ck_assert_uint_eq(client.count, 0);
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {
+        test_a_promotion_that_a_restore_overtakes_takes_a_new_token,
+        test_an_order_that_was_refused_waits_and_has_a_new_token,
+        test_a_reserve_token_that_others_have_passed_is_not_ordered_with,
+        test_no_order_is_sent_with_a_token_of_an_earlier_era,
+    };
+
+    return RUN_TESTS(tests, .suite = "promoter", .setup = set_up,
+                     .teardown = tear_down);
+}
