--- a/tests/unit/test_catalog.c
+++ b/tests/unit/test_catalog.c
@@ -115,6 +115,9 @@
 }
 END_TEST
 
+#define ROUTE_FIELDS "\"host\":\"a\",\"service\":\"b\",\"type\":\"primary\""
+#define ROUTE "{" ROUTE_FIELDS "}"
+
 START_TEST(test_malformed_states_are_refused)
 {
     static const char *const texts[] = {
@@ -136,12 +139,9 @@
         "{\"version\":1,\"routes\":[{}]}",
         "{\"version\":1,\"routes\":[,]}",
         "{\"version\":1,\"routes\":[5]}",
-        "{\"version\":1,\"routes\":[{\"host\":\"a\",\"service\":\"b\","
-        "\"type\":\"primary\"}",
-        "{\"version\":1,\"routes\":[{\"host\":\"a\",\"service\":\"b\","
-        "\"type\":\"primary\"},]}",
-        "{\"version\":1,\"routes\":[{\"host\":\"a\",\"host\":\"c\","
-        "\"service\":\"b\",\"type\":\"primary\"}]}",
+        "{\"version\":1,\"routes\":[" ROUTE,
+        "{\"version\":1,\"routes\":[" ROUTE ",]}",
+        "{\"version\":1,\"routes\":[{\"host\":\"c\"," ROUTE_FIELDS "}]}",
         "{\"version\":1,\"other\":tru}",
         "{\"version\":1,\"tenants\":[{\"name\":\"a\",\"api_keys\":[1]}]}",
         "{\"version\":1,\"other\":\"unterminated}",
