Send fewer requests that have timed out

Up to 64 KiB of requests were passed to a connection ahead of what it accepts, where they stay when they time out: 65,561 bytes in test_few_bytes_of_timed_out_requests_are_sent, about 20 reports of the session daemon, which a coordinator gets after a pause and answers in vain. 16 KiB are passed ahead now, as much as one write takes; the test allows 24 KiB.

--- a/lib/wire/peer_link.c
+++ b/lib/wire/peer_link.c
@@ -23,7 +23,7 @@
     /* Largest frame of the handshake. */
     HELLO_MAX_BYTES = 4096,
     /* Output that is passed to the connection ahead of what it accepts. */
-    WRITE_AHEAD_BYTES = 64 << 10,
+    WRITE_AHEAD_BYTES = 16 << 10,
 };
 
 struct mr_peer_link {
--- a/tests/unit/test_peer_bounds.c
+++ b/tests/unit/test_peer_bounds.c
@@ -479,6 +479,30 @@
 }
 END_TEST
 
+/* Guards against a receiver that gets seconds of old reports after a pause. */
+START_TEST(test_few_bytes_of_timed_out_requests_are_sent)
+{
+    enum { REPORT_BYTES = 3000, OLD_MAX_BYTES = 24 << 10 };
+    const char *const output = "masticrelay_peer_output_bytes";
+    mr_peer_limits_t limits = mr_peer_report_limits;
+    int64_t before = 0;
+
+    limits.requests_max = 8192;
+    open_both(&limits, NULL);
+    /* Fills the kernel's buffers. */
+    while (before == 0 || metric(&caller, output) != before) {
+        before = metric(&caller, output);
+        for (int i = 0; i < 1000; i++) {
+            send_call_to(&receiver, REPORT_BYTES, 50);
+            run_one(&caller);
+        }
+        run_caller(100);
+    }
+    ck_assert_int_eq(caller.reply_count, caller.call_count);
+    ck_assert_int_le(before, OLD_MAX_BYTES);
+}
+END_TEST
+
 START_TEST(test_unanswered_requests_are_limited)
 {
     int max = (int)small_limits.requests_max;
@@ -590,6 +614,7 @@
         test_dropped_replies_leave_the_queued_ones,
         test_requests_are_not_handled_for_a_caller_that_does_not_read,
         test_timed_out_requests_are_not_sent,
+        test_few_bytes_of_timed_out_requests_are_sent,
         test_unanswered_requests_are_limited,
         test_unread_input_is_bounded,
         test_reports_of_the_planned_size_fit_a_frame,
