Let a link of the fault proxy pass two limits

A message between two machines takes bandwidth of the sender's and of the receiver's connection. With one limit for each direction of a link only the first was modelled; limit_to_target and limit_to_caller now take two names.

--- a/tests/standins/fault_proxy.c
+++ b/tests/standins/fault_proxy.c
@@ -16,9 +16,10 @@
  * that lost bytes are reset, so that no stream continues with a gap.
  *
  * A limit is the bandwidth that all directions of links naming it share, for
- * example the outgoing half of one machine's network connection. Open
- * connections take turns. "" ends the limit of a direction, N = 0 that of all
- * directions with this limit. Bytes that wait for their turn stay with the
+ * example the outgoing half of one machine's network connection. A direction
+ * passes up to two limits, named as "FIRST,SECOND". Open connections take
+ * turns. "" ends the limits of a direction, N = 0 that of all directions with
+ * this limit. Bytes that wait for their turn stay with the
  * sender, except for PENDING_LIMITED_MAX_BYTES of each connection.
  */
 
@@ -48,6 +49,7 @@
     READ_MAX_BYTES = 256 << 10,
     PENDING_MAX_BYTES = 64 << 20, /* reading from the sender pauses above it */
     PENDING_LIMITED_MAX_BYTES = 32 << 10, /* the same under a limit */
+    LIMITS_MAX = 2,                       /* of one direction of a link */
     TURN_BYTES = 4 << 10,  /* sent by one connection before the next one */
     TURN_LATE_MAX_MS = 10, /* unused time that a limit makes up for */
 };
@@ -69,7 +71,7 @@
     mr_ms_t delay[DIRECTIONS];
     bool cut[DIRECTIONS];
     bool hold;
-    limit_t *limit[DIRECTIONS]; /* NULL: none */
+    limit_t *limits[DIRECTIONS][LIMITS_MAX]; /* NULL: none */
     mr_list_t conns;
     int64_t accepted;
     int64_t open;
@@ -161,23 +163,39 @@
 static bool
 is_limited(const link_t *owner, int direction)
 {
-    return owner->limit[direction] != NULL
-           && owner->limit[direction]->bytes_per_s > 0;
+    for (int i = 0; i < LIMITS_MAX; i++) {
+        const limit_t *limit = owner->limits[direction][i];
+        if (limit != NULL && limit->bytes_per_s > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Reserves @len bytes; returns when they have passed. */
+static mr_ms_t
+reserve(limit_t *limit, size_t len, mr_ms_t now)
+{
+    if (limit->free_at < (double)(now - TURN_LATE_MAX_MS)) {
+        limit->free_at = (double)(now - TURN_LATE_MAX_MS);
+    }
+    limit->free_at += (double)len * 1000 / (double)limit->bytes_per_s;
+    return (mr_ms_t)limit->free_at;
 }
 
 /* Reserves the bandwidth for the next bytes of the first segment. */
 static void
 reserve_turn(stream_t *stream, const segment_t *segment, mr_ms_t now)
 {
-    limit_t *limit = stream->conn->owner->limit[stream->direction];
-
     stream->turn_len = segment->len < TURN_BYTES ? segment->len : TURN_BYTES;
-    if (limit->free_at < (double)(now - TURN_LATE_MAX_MS)) {
-        limit->free_at = (double)(now - TURN_LATE_MAX_MS);
+    stream->turn_ends = now;
+    for (int i = 0; i < LIMITS_MAX; i++) {
+        limit_t *limit = stream->conn->owner->limits[stream->direction][i];
+        if (limit != NULL && limit->bytes_per_s > 0) {
+            mr_ms_t passed = reserve(limit, stream->turn_len, now);
+            stream->turn_ends = MAX(stream->turn_ends, passed);
+        }
     }
-    limit->free_at +=
-        (double)stream->turn_len * 1000 / (double)limit->bytes_per_s;
-    stream->turn_ends = (mr_ms_t)limit->free_at;
 }
 
 static size_t
@@ -413,13 +431,22 @@
     }
 }
 
-/* Sets the limit of a direction. @name: NULL: unchanged, "": none. */
-static void
-set_limit(link_t *owner, int direction, const char *name)
+/* Sets the limits of a direction. @names: NULL: unchanged, "": none. */
+static bool
+set_limits(link_t *owner, int direction, const char *names,
+           mr_json_problem_t *problem)
 {
-    if (name != NULL) {
-        owner->limit[direction] = name[0] != '\0' ? get_limit(name) : NULL;
+    if (names == NULL) {
+        return true;
+    }
+    gchar **list = g_strsplit(names, ",", -1);
+    guint count = g_strv_length(list);
+    for (guint i = 0; i < LIMITS_MAX && count <= LIMITS_MAX; i++) {
+        owner->limits[direction][i] = i < count ? get_limit(list[i]) : NULL;
     }
+    g_strfreev(list);
+    return count <= LIMITS_MAX
+           || mr_json_problem_set(problem, "limit: too many names");
 }
 
 static bool
@@ -461,8 +488,10 @@
         delay[TO_CALLER] = both;
     }
     owner->hold = hold;
-    set_limit(owner, TO_TARGET, limit[TO_TARGET]);
-    set_limit(owner, TO_CALLER, limit[TO_CALLER]);
+    if (!set_limits(owner, TO_TARGET, limit[TO_TARGET], problem)
+        || !set_limits(owner, TO_CALLER, limit[TO_CALLER], problem)) {
+        return false;
+    }
     if (refuse && owner->listener != NULL) {
         evconnlistener_free(owner->listener);
         owner->listener = NULL;
