--- a/tests/integration/test_session_control.c
+++ b/tests/integration/test_session_control.c
@@ -31,7 +31,7 @@
     ANSWER_MAX_MS = 6000,   /* longer than any timeout of the relay */
     CLOSE_GRACE_MS = 200,   /* given by the users' requirements */
     RECONNECT_MS = 30,
-    /* Outgoing half of an instance's network connection, 10 Mbit/s. */
+    /* Each half of an instance's network connection, 10 Mbit/s. */
     LINK_BYTES_PER_S = 1250000,
     MANY_ROUTES = 1400, /* about 300 KB */
     SMALL_CHANGES = 8,
@@ -94,42 +94,74 @@
         200);
 }
 
-/* Lets relay @index reach the others through links that share its bandwidth.
- */
+/* Adds a link of relay @index to the proxy. */
 static void
-add_links(int index)
+add_link(int index, const char *to, const char *address)
 {
     relay_process_t *relay = &relays[index];
+    size_t len = strlen(relay->redirect);
+    int port = harness_port();
 
+    harness_process_arg(&proxy, "--link=r%d--%s=127.0.0.1:%d=%s", index, to,
+                        port, address);
+    snprintf(relay->redirect + len, sizeof(relay->redirect) - len, "%s:%d,",
+             strrchr(address, ':') + 1, port);
+}
+
+/* Lets relay @index reach the other relays and the store through links. */
+static void
+add_links(int index)
+{
     for (int i = 0; i < relay_count; i++) {
-        size_t len = strlen(relay->redirect);
-        int port;
-        if (i == index) {
-            continue;
+        char to[BACKEND_TEXT_BYTES];
+        if (i != index) {
+            snprintf(to, sizeof(to), "r%d", i);
+            add_link(index, to, relays[i].peer);
         }
-        port = harness_port();
-        harness_process_arg(&proxy, "--link=r%d--r%d=127.0.0.1:%d=%s", index,
-                            i, port, relays[i].peer);
-        snprintf(relay->redirect + len, sizeof(relay->redirect) - len,
-                 "%s:%d,", strrchr(relays[i].peer, ':') + 1, port);
     }
+    add_link(index, "store",
+             backend_store_address(backend, relays[index].store_index));
 }
 
 static void
-limit_links(int index)
+set_bandwidth(const char *limit, int bytes_per_s)
 {
     char path[BACKEND_TEXT_BYTES];
     char json[BACKEND_TEXT_BYTES];
 
-    snprintf(path, sizeof(path), "/limits/r%d", index);
-    snprintf(json, sizeof(json), "{\"bytes_per_s\":%d}", LINK_BYTES_PER_S);
+    snprintf(path, sizeof(path), "/limits/%s", limit);
+    snprintf(json, sizeof(json), "{\"bytes_per_s\":%d}", bytes_per_s);
     set_faults(path, json);
-    snprintf(path, sizeof(path), "/links/r%d--*", index);
-    snprintf(json, sizeof(json), "{\"limit_to_target\":\"r%d\"}", index);
-    set_faults(path, json);
-    snprintf(path, sizeof(path), "/links/*--r%d", index);
-    snprintf(json, sizeof(json), "{\"limit_to_caller\":\"r%d\"}", index);
+}
+
+/* Lets the links of relay @index share its network connection. */
+static void
+limit_links(int index)
+{
+    char path[BACKEND_TEXT_BYTES];
+    char json[2 * BACKEND_TEXT_BYTES];
+    char limit[BACKEND_TEXT_BYTES];
+
+    for (int i = 0; i < relay_count; i++) {
+        snprintf(path, sizeof(path), "/links/r%d--r%d", index, i);
+        snprintf(json, sizeof(json),
+                 "{\"limit_to_target\":\"r%d-out,r%d-in\","
+                 "\"limit_to_caller\":\"r%d-out,r%d-in\"}",
+                 index, i, i, index);
+        if (i != index) {
+            set_faults(path, json);
+        }
+    }
+    snprintf(path, sizeof(path), "/links/r%d--store", index);
+    snprintf(json, sizeof(json),
+             "{\"limit_to_target\":\"r%d-out\","
+             "\"limit_to_caller\":\"r%d-in\"}",
+             index, index);
     set_faults(path, json);
+    snprintf(limit, sizeof(limit), "r%d-out", index);
+    set_bandwidth(limit, LINK_BYTES_PER_S);
+    snprintf(limit, sizeof(limit), "r%d-in", index);
+    set_bandwidth(limit, LINK_BYTES_PER_S);
 }
 
 /* Starts the proxy with the links between the relays, and the link named
@@ -624,7 +656,6 @@
     char name[BACKEND_TEXT_BYTES];
     char link[BACKEND_TEXT_BYTES];
     char own_address[BACKEND_TEXT_BYTES];
-    char json[BACKEND_TEXT_BYTES];
     uint8_t secret[MR_PEER_SECRET_BYTES];
     int port = harness_port();
     int replies = 0;
@@ -632,8 +663,7 @@
     prepare_fleet(3);
     relay_process_t *relay = &relays[preferred_coordinator()];
     start_proxy(port, relay->peer);
-    snprintf(json, sizeof(json), "{\"bytes_per_s\":%d}", SLOW_BYTES_PER_S);
-    set_faults("/limits/slow", json);
+    set_bandwidth("slow", SLOW_BYTES_PER_S);
     set_faults("/links/x--r", "{\"limit_to_caller\":\"slow\"}");
     start_fleet();
     add_routes(MANY_ROUTES);
