Share the limits of links between the tests of session daemons

links_limit_relay() gives a relay's links the two halves of a small machine's network connection, and relay_peak_memory() reads the peak memory, both for test_session_control and, next, for the soak.

--- a/tests/integration/session_client.c
+++ b/tests/integration/session_client.c
@@ -208,6 +208,25 @@
     return found;
 }
 
+int64_t
+relay_peak_memory(const relay_process_t *relay)
+{
+    char path[BACKEND_TEXT_BYTES];
+    char line[256];
+    long long kib = -1;
+
+    snprintf(path, sizeof(path), "/proc/%d/status", (int)relay->pid);
+    FILE *file = fopen(path, "r");
+    ck_assert_msg(file != NULL, "%s has ended, see %s", relay->name,
+                  relay->log);
+    while (kib < 0 && fgets(line, sizeof(line), file) != NULL) {
+        sscanf(line, "VmHWM: %lld", &kib);
+    }
+    fclose(file);
+    ck_assert_int_ge(kib, 0);
+    return kib * 1024;
+}
+
 static void
 on_event(struct bufferevent *stream, short what, void *ctx)
 {
--- a/tests/integration/session_client.h
+++ b/tests/integration/session_client.h
@@ -47,6 +47,9 @@
  * ended the process, -1 when it still runs after @max. */
 int relay_wait_exit(relay_process_t *relay, struct event_base *base,
                     mr_ms_t max);
+/** relay_peak_memory() - greatest resident memory of the process so far, in
+ * bytes. */
+int64_t relay_peak_memory(const relay_process_t *relay);
 /** relay_log_contains() - whether one line of the log holds both texts. */
 bool relay_log_contains(const relay_process_t *relay, const char *first,
                         const char *second);
--- a/tests/integration/test_session_control.c
+++ b/tests/integration/test_session_control.c
@@ -14,6 +14,7 @@
 #include "harness.h"
 #include "member/rendezvous.h"
 #include "session_client.h"
+#include "session_links.h"
 #include "wire/peer.h"
 #include "world.h"
 #include "world_internal.h"
@@ -31,8 +32,6 @@
     ANSWER_MAX_MS = 6000,   /* longer than any timeout of the relay */
     CLOSE_GRACE_MS = 200,   /* given by the users' requirements */
     RECONNECT_MS = 30,
-    /* Each half of an instance's network connection, 10 Mbit/s. */
-    LINK_BYTES_PER_S = 1250000,
     MANY_ROUTES = 1400, /* about 300 KB */
     SMALL_CHANGES = 8,
     SMALL_CHANGE_PERIOD_MS = 150,
@@ -86,14 +85,6 @@
 static int lost;
 static char first_lost[256];
 
-static void
-set_faults(const char *path, const char *json)
-{
-    ck_assert_int_eq(
-        harness_http(base, "POST", proxy.address, path, NULL, json, NULL),
-        200);
-}
-
 /* Adds a link of relay @index to the proxy. */
 static void
 add_link(int index, const char *to, const char *address)
@@ -123,47 +114,6 @@
              backend_store_address(backend, relays[index].store_index));
 }
 
-static void
-set_bandwidth(const char *limit, int bytes_per_s)
-{
-    char path[BACKEND_TEXT_BYTES];
-    char json[BACKEND_TEXT_BYTES];
-
-    snprintf(path, sizeof(path), "/limits/%s", limit);
-    snprintf(json, sizeof(json), "{\"bytes_per_s\":%d}", bytes_per_s);
-    set_faults(path, json);
-}
-
-/* Lets the links of relay @index share its network connection. */
-static void
-limit_links(int index)
-{
-    char path[BACKEND_TEXT_BYTES];
-    char json[2 * BACKEND_TEXT_BYTES];
-    char limit[BACKEND_TEXT_BYTES];
-
-    for (int i = 0; i < relay_count; i++) {
-        snprintf(path, sizeof(path), "/links/r%d--r%d", index, i);
-        snprintf(json, sizeof(json),
-                 "{\"limit_to_target\":\"r%d-out,r%d-in\","
-                 "\"limit_to_caller\":\"r%d-out,r%d-in\"}",
-                 index, i, i, index);
-        if (i != index) {
-            set_faults(path, json);
-        }
-    }
-    snprintf(path, sizeof(path), "/links/r%d--store", index);
-    snprintf(json, sizeof(json),
-             "{\"limit_to_target\":\"r%d-out\","
-             "\"limit_to_caller\":\"r%d-in\"}",
-             index, index);
-    set_faults(path, json);
-    snprintf(limit, sizeof(limit), "r%d-out", index);
-    set_bandwidth(limit, LINK_BYTES_PER_S);
-    snprintf(limit, sizeof(limit), "r%d-in", index);
-    set_bandwidth(limit, LINK_BYTES_PER_S);
-}
-
 /* Starts the proxy with the links between the relays, and the link named
  * "x--r" from port @extra_port to @extra_target. */
 static void
@@ -189,7 +139,7 @@
     }
     harness_process_start(&proxy);
     for (int i = 0; i < relay_count; i++) {
-        limit_links(i);
+        links_limit_relay(base, &proxy, i, relay_count);
     }
 }
 
@@ -264,26 +214,6 @@
     ck_assert_int_eq(fclose(file), 0);
 }
 
-/* Peak memory of the relay in bytes. */
-static int64_t
-peak_memory(const relay_process_t *relay)
-{
-    char path[BACKEND_TEXT_BYTES];
-    char line[256];
-    long long kib = -1;
-
-    snprintf(path, sizeof(path), "/proc/%d/status", (int)relay->pid);
-    FILE *file = fopen(path, "r");
-    ck_assert_msg(file != NULL, "%s has ended, see %s", relay->name,
-                  relay->log);
-    while (kib < 0 && fgets(line, sizeof(line), file) != NULL) {
-        sscanf(line, "VmHWM: %lld", &kib);
-    }
-    fclose(file);
-    ck_assert_int_ge(kib, 0);
-    return kib * 1024;
-}
-
 /* Chooses an instance that accepts new sessions, as a load balancer does. */
 static int
 choose_relay(int preferred)
@@ -471,7 +401,7 @@
     int64_t max = 0;
 
     for (int i = 0; i < relay_count; i++) {
-        int64_t peak = peak_memory(&relays[i]);
+        int64_t peak = relay_peak_memory(&relays[i]);
         max = peak > max ? peak : max;
     }
     return max;
@@ -663,8 +593,8 @@
     prepare_fleet(3);
     relay_process_t *relay = &relays[preferred_coordinator()];
     start_proxy(port, relay->peer);
-    set_bandwidth("slow", SLOW_BYTES_PER_S);
-    set_faults("/links/x--r", "{\"limit_to_caller\":\"slow\"}");
+    links_set_bandwidth(base, &proxy, "slow", SLOW_BYTES_PER_S);
+    links_set(base, &proxy, "/links/x--r", "{\"limit_to_caller\":\"slow\"}");
     start_fleet();
     add_routes(MANY_ROUTES);
     ck_assert_int_le(wait_until_served(), EFFECT_MAX_MS);
@@ -684,12 +614,12 @@
         .secret = secret,
     });
     reset_peak_memory(relay);
-    int64_t before = peak_memory(relay);
+    int64_t before = relay_peak_memory(relay);
     for (int i = 0; i < REPORTS; i++) {
         send_outdated_report(peer, link, own_address, &replies);
         harness_run_loop(base, REPORT_PERIOD_MS);
     }
-    int64_t growth = peak_memory(relay) - before;
+    int64_t growth = relay_peak_memory(relay) - before;
     printf("memory grew by %lld bytes over %d reports, %d replies read\n",
            (long long)growth, REPORTS, replies);
     ck_assert_int_le(growth, UNREAD_MAX_BYTES);
