Soak desired states with many routes, series of changes and narrow links

The soak changed only the version of a desired state of 1 KB, over links without a limit of bandwidth, so that control traffic never delayed anything.

Planned work now includes changes to 0 to 2,800 extra routes (up to 600 KB) and series of changes, which overlap with restarts, kills and faults of links. The links between the relays and to the store have 10 Mbit/s for each machine. After the faults the last route must be served within the same time as the others, and no process may have had more memory than the smallest machines have.

--- a/tests/integration/session_soak.h
+++ b/tests/integration/session_soak.h
@@ -91,6 +91,7 @@
     GPtrArray *ops; /* soak_op_t */
     uint64_t last_session;
     int64_t config_version;
+    int extra_routes;  /* of the desired state */
     bool planned_only; /* only stops, reloads and configuration changes */
     bool quiescing;    /* no new operations or faults */
 } soak_t;
--- a/tests/integration/session_soak_fault.c
+++ b/tests/integration/session_soak_fault.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <sys/wait.h>
 
+#include "session_links.h"
 #include "session_soak.h"
 
 enum {
@@ -16,12 +17,16 @@
     CLOCK_SHIFT_MAX_MS = 10000,
     LAG_MAX_MS = 3000,
     DEFAULT_LAG_MS = 20, /* of a replica without a fault */
+    ROUTES_STEP = 700,   /* routes added and removed at once; about 150 KB */
+    ROUTES_STEPS_MAX = 4,
+    SERIES_ODDS = 25, /* one step in this many of a series changes the state */
 };
 
 /** A type of fault: how it begins and ends. */
 typedef struct soak_fault_type {
     const char *name;
     void (*begin)(soak_t *soak, soak_fault_t *fault);
+    void (*update)(soak_t *soak); /* in each step between; may be NULL */
     void (*end)(soak_t *soak, soak_fault_t *fault);
     /* Name of the proxy's link; '#' stands for the number of the relay or
      * database. NULL: not a fault of a link. */
@@ -46,9 +51,7 @@
     char path[2 * BACKEND_TEXT_BYTES];
 
     snprintf(path, sizeof(path), "/links/%s", fault->link);
-    ck_assert_int_eq(harness_http(soak->base, "POST", soak->proxy.address,
-                                  path, NULL, json, NULL),
-                     200);
+    links_set(soak->base, &soak->proxy, path, json);
 }
 
 static void
@@ -120,16 +123,40 @@
 }
 
 static void
-begin_config_change(soak_t *soak, soak_fault_t *fault)
+change_config(soak_t *soak)
 {
     static const char *const keys[] = {"coop:key-1", "agent:key-2",
                                        "broker:key-3", NULL};
 
-    (void)fault;
     soak->config_version += 1 + soak_random(soak, 3);
+    backend_set_extra_routes(soak->backend, soak->extra_routes);
     backend_put_config(soak->backend, soak->config_version, keys, SOAK_RATE);
 }
 
+static void
+begin_config_change(soak_t *soak, soak_fault_t *fault)
+{
+    (void)fault;
+    change_config(soak);
+}
+
+static void
+begin_many_routes(soak_t *soak, soak_fault_t *fault)
+{
+    (void)fault;
+    soak->extra_routes = ROUTES_STEP * soak_random(soak, ROUTES_STEPS_MAX + 1);
+    change_config(soak);
+}
+
+static void
+update_change_series(soak_t *soak)
+{
+    if (soak_random(soak, SERIES_ODDS) == 0) {
+        soak->extra_routes += soak_random(soak, 2);
+        change_config(soak);
+    }
+}
+
 static void
 begin_store_failure(soak_t *soak, soak_fault_t *fault)
 {
@@ -272,6 +299,11 @@
 static const soak_fault_type_t fault_types[] = {
     {.name = "stop", .begin = begin_stop, .planned = true},
     {.name = "change", .begin = begin_config_change, .planned = true},
+    {.name = "routes", .begin = begin_many_routes, .planned = true},
+    {.name = "series",
+     .begin = begin_config_change,
+     .update = update_change_series,
+     .planned = true},
     {.name = "reload", .begin = begin_reload, .planned = true},
     {.name = "kill", .begin = begin_kill},
     {.name = "kill_all", .begin = begin_kill_all},
@@ -391,6 +423,9 @@
         if (fault->type != NULL && now >= fault->until) {
             end_fault(soak, fault);
         }
+        else if (fault->type != NULL && fault->type->update != NULL) {
+            fault->type->update(soak);
+        }
         else if (fault->type == NULL && !soak->quiescing
                  && soak_random(soak, FAULT_ODDS) == 0) {
             begin_fault(soak, fault, now);
--- a/tests/integration/test_session_soak.c
+++ b/tests/integration/test_session_soak.c
@@ -15,6 +15,7 @@
 #include <string.h>
 
 #include "common/mem.h"
+#include "session_links.h"
 #include "session_soak.h"
 
 enum {
@@ -23,9 +24,10 @@
     READY_MAX_MS = 8000,
     SETTLE_MS = 2500, /* to choose the coordinator and find the primary */
     STEP_MS = 4,
-    ANSWER_DELAY_MS = 10,    /* of the databases */
-    RECOVERY_MAX_MS = 12000, /* given by the users' requirements */
-    FINISH_MS = 1500,        /* for the last answers to arrive */
+    ANSWER_DELAY_MS = 10,         /* of the databases */
+    RECOVERY_MAX_MS = 12000,      /* given by the users' requirements */
+    FINISH_MS = 1500,             /* for the last answers to arrive */
+    MEMORY_MAX_BYTES = 112 << 20, /* of the smallest machines */
     /* A CI run uses one seed with all types of faults and one with planned
      * work only. */
     CI_SEED = 1,
@@ -109,6 +111,9 @@
         add_links(soak, i);
     }
     harness_process_start(proxy);
+    for (int i = 0; i < SOAK_RELAYS; i++) {
+        links_limit_relay(soak->base, proxy, i, SOAK_RELAYS);
+    }
 }
 
 static soak_t *
@@ -168,12 +173,12 @@
     }
 }
 
-/* Whether a new session on @route can run a statement and a transaction. */
+/* Whether a new session can run a statement and a transaction. */
 static bool
-is_served(soak_t *soak, int relay, int route)
+is_served(soak_t *soak, int relay, const char *database)
 {
-    client_t *client = client_open(soak->base, &soak->relays[relay],
-                                   soak_databases[route], soak_keys[0], NULL);
+    client_t *client = client_open(soak->base, &soak->relays[relay], database,
+                                   soak_keys[0], NULL);
     bool served = client != NULL;
 
     if (served) {
@@ -186,11 +191,24 @@
     return served;
 }
 
+static void
+wait_until_served(soak_t *soak, int relay, const char *database, mr_ms_t until)
+{
+    while (!is_served(soak, relay, database)) {
+        ck_assert_msg(mr_clock_now(NULL) < until,
+                      "RECOVER: %s does not serve route %s, see %s",
+                      soak->relays[relay].name, database,
+                      soak->relays[relay].log);
+        harness_run_loop(soak->base, 20);
+    }
+}
+
 /* All instances serve all routes again within a bound after the last fault. */
 static void
 check_recovery(soak_t *soak)
 {
     mr_ms_t until = mr_clock_now(NULL) + RECOVERY_MAX_MS;
+    char last[BACKEND_TEXT_BYTES]; /* of the extra routes */
 
     for (int i = 0; i < SOAK_RELAYS; i++) {
         while (soak->relays[i].pid == 0 || soak->stopping[i]) {
@@ -199,14 +217,22 @@
             harness_run_loop(soak->base, STEP_MS);
         }
         for (int route = 0; route < 3; route++) {
-            while (!is_served(soak, i, route)) {
-                ck_assert_msg(mr_clock_now(NULL) < until,
-                              "RECOVER: %s does not serve route %s, see %s",
-                              soak->relays[i].name, soak_databases[route],
-                              soak->relays[i].log);
-                harness_run_loop(soak->base, 20);
-            }
+            wait_until_served(soak, i, soak_databases[route], until);
         }
+        if (soak->extra_routes > 0) {
+            backend_extra_database(soak->extra_routes - 1, last);
+            wait_until_served(soak, i, last, until);
+        }
+    }
+}
+
+static void
+check_memory(const soak_t *soak)
+{
+    for (int i = 0; i < SOAK_RELAYS; i++) {
+        int64_t peak = relay_peak_memory(&soak->relays[i]);
+        ck_assert_msg(peak <= MEMORY_MAX_BYTES, "MEMORY: %s had %lld bytes",
+                      soak->relays[i].name, (long long)peak);
     }
 }
 
@@ -230,6 +256,7 @@
     soak_close_clients(soak);
     soak_check(soak);
     check_recovery(soak);
+    check_memory(soak);
     printf("%u operations, %d promotions\n", soak->ops->len,
            backend_count_promotions(soak->backend));
     end_soak(soak);
