--- a/tests/integration/test_session_control.c
+++ b/tests/integration/test_session_control.c
@@ -43,9 +43,10 @@
     MEMORY_PER_CONFIG_BYTE = 30,
     STOPPED_RELAYS = 4,
     STOP_MAX_MS = 8000,
-    /* A reporter that doesn't read its replies. */
-    SLOW_BYTES_PER_S = 32000,
-    REPORTS = 400,
+    /* Reporters that hardly read their replies. */
+    REPORTERS = 4,
+    SLOW_BYTES_PER_S = 128000, /* of all together */
+    REPORTS = 400,             /* of each */
     REPORT_PERIOD_MS = 5,
     REPORT_TIMEOUT_MS = 350,
     UNREAD_MAX_BYTES = 8 << 20,
@@ -546,19 +547,19 @@
     ck_assert_uint_eq(len, MR_PEER_SECRET_BYTES);
 }
 
-/* Chooses a name with a lower priority than all relays. */
+/* Chooses a name with a lower priority than all relays, and a number above
+ * @number, which it updates. */
 static void
-choose_reporter_name(char name[BACKEND_TEXT_BYTES])
+choose_reporter_name(char name[BACKEND_TEXT_BYTES], int *number)
 {
     uint64_t lowest = UINT64_MAX;
-    int number = 0;
 
     for (int i = 0; i < relay_count; i++) {
         lowest =
             MIN(lowest, mr_rendezvous_score("coordinator", relays[i].name));
     }
     do {
-        snprintf(name, BACKEND_TEXT_BYTES, "reporter-%d", ++number);
+        snprintf(name, BACKEND_TEXT_BYTES, "reporter-%d", ++*number);
     } while (mr_rendezvous_score("coordinator", name) >= lowest);
 }
 
@@ -581,12 +582,33 @@
     mr_peer_call(peer, to, &msg, REPORT_TIMEOUT_MS, on_report_reply, replies);
 }
 
-START_TEST(test_unread_replies_take_bounded_memory)
+static void
+create_reporters(mr_counters_t *counters, mr_peer_t *peers[REPORTERS])
 {
+    uint8_t secret[MR_PEER_SECRET_BYTES];
     char name[BACKEND_TEXT_BYTES];
+    int number = 0;
+
+    read_secret(secret);
+    for (int i = 0; i < REPORTERS; i++) {
+        choose_reporter_name(name, &number);
+        peers[i] = mr_peer_create(&(mr_peer_options_t){
+            .base = base,
+            .counters = counters,
+            .name = name,
+            .data_centre = "konya",
+            .incarnation = 1,
+            .secret = secret,
+        });
+    }
+}
+
+START_TEST(test_unread_replies_take_bounded_memory)
+{
     char link[BACKEND_TEXT_BYTES];
     char own_address[BACKEND_TEXT_BYTES];
-    uint8_t secret[MR_PEER_SECRET_BYTES];
+    mr_counters_t *counters = mr_counters_create();
+    mr_peer_t *peers[REPORTERS];
     int port = harness_port();
     int replies = 0;
 
@@ -600,31 +622,26 @@
     ck_assert_int_le(wait_until_served(), EFFECT_MAX_MS);
     run_for(1000);
 
-    read_secret(secret);
-    choose_reporter_name(name);
+    create_reporters(counters, peers);
     snprintf(link, sizeof(link), "127.0.0.1:%d", port);
     snprintf(own_address, sizeof(own_address), "127.0.0.1:%d", harness_port());
-    mr_counters_t *counters = mr_counters_create();
-    mr_peer_t *peer = mr_peer_create(&(mr_peer_options_t){
-        .base = base,
-        .counters = counters,
-        .name = name,
-        .data_centre = "konya",
-        .incarnation = 1,
-        .secret = secret,
-    });
     reset_peak_memory(relay);
     int64_t before = relay_peak_memory(relay);
-    for (int i = 0; i < REPORTS; i++) {
-        send_outdated_report(peer, link, own_address, &replies);
-        harness_run_loop(base, REPORT_PERIOD_MS);
+    for (int i = 0; i < REPORTERS * REPORTS; i++) {
+        send_outdated_report(peers[i % REPORTERS], link, own_address,
+                             &replies);
+        if (i % REPORTERS == 0) {
+            harness_run_loop(base, REPORT_PERIOD_MS);
+        }
     }
+    harness_run_loop(base, REPORT_TIMEOUT_MS + LOG_FLUSH_MS);
     int64_t growth = relay_peak_memory(relay) - before;
     printf("memory grew by %lld bytes over %d reports, %d replies read\n",
-           (long long)growth, REPORTS, replies);
+           (long long)growth, REPORTERS * REPORTS, replies);
     ck_assert_int_le(growth, UNREAD_MAX_BYTES);
-    harness_run_loop(base, REPORT_TIMEOUT_MS + LOG_FLUSH_MS);
-    mr_peer_destroy(peer);
+    for (int i = 0; i < REPORTERS; i++) {
+        mr_peer_destroy(peers[i]);
+    }
     mr_counters_destroy(counters);
     stop_fleet();
 }
