--- a/tests/integration/session_client.h
+++ b/tests/integration/session_client.h
@@ -51,6 +51,9 @@
 /** relay_metric() - value of a metric without labels; -1: it is not served. */
 int64_t relay_metric(relay_process_t *relay, struct event_base *base,
                      const char *name);
+/** relay_peak_memory() - greatest resident memory of the process so far, in
+ * bytes. */
+int64_t relay_peak_memory(const relay_process_t *relay);
 /** relay_log_contains() - whether one line of the log holds both texts. */
 bool relay_log_contains(const relay_process_t *relay, const char *first,
                         const char *second);
--- a/tests/integration/test_session_control.c
+++ b/tests/integration/test_session_control.c
@@ -14,6 +14,7 @@
 #include "harness.h"
 #include "member/rendezvous.h"
 #include "session_client.h"
+#include "session_links.h"
 #include "wire/peer.h"
 #include "world.h"
 #include "world_internal.h"
@@ -31,8 +32,6 @@
     ANSWER_MAX_MS = 6000,   /* longer than any timeout of the relay */
     CLOSE_GRACE_MS = 200,   /* given by the users' requirements */
     RECONNECT_MS = 30,
-    /* Outgoing half of an instance's network connection, 10 Mbit/s. */
-    LINK_BYTES_PER_S = 1250000,
     MANY_ROUTES = 1400, /* about 300 KB */
     SMALL_CHANGES = 8,
     SMALL_CHANGE_PERIOD_MS = 150,
@@ -44,9 +43,10 @@
     MEMORY_PER_CONFIG_BYTE = 30,
     STOPPED_RELAYS = 4,
     STOP_MAX_MS = 8000,
-    /* A reporter that doesn't read its replies. */
-    SLOW_BYTES_PER_S = 32000,
-    REPORTS = 400,
+    /* Reporters that hardly read their replies. */
+    REPORTERS = 4,
+    SLOW_BYTES_PER_S = 128000, /* of all together */
+    REPORTS = 400,             /* of each */
     REPORT_PERIOD_MS = 5,
     REPORT_TIMEOUT_MS = 350,
     UNREAD_MAX_BYTES = 8 << 20,
@@ -86,50 +86,33 @@
 static int lost;
 static char first_lost[256];
 
+/* Adds a link of relay @index to the proxy. */
 static void
-set_faults(const char *path, const char *json)
+add_link(int index, const char *to, const char *address)
 {
-    ck_assert_int_eq(
-        harness_http(base, "POST", proxy.address, path, NULL, json, NULL),
-        200);
+    relay_process_t *relay = &relays[index];
+    size_t len = strlen(relay->redirect);
+    int port = harness_port();
+
+    harness_process_arg(&proxy, "--link=r%d--%s=127.0.0.1:%d=%s", index, to,
+                        port, address);
+    snprintf(relay->redirect + len, sizeof(relay->redirect) - len, "%s:%d,",
+             strrchr(address, ':') + 1, port);
 }
 
-/* Lets relay @index reach the others through links that share its bandwidth.
- */
+/* Lets relay @index reach the other relays and the store through links. */
 static void
 add_links(int index)
 {
-    relay_process_t *relay = &relays[index];
-
     for (int i = 0; i < relay_count; i++) {
-        size_t len = strlen(relay->redirect);
-        int port;
-        if (i == index) {
-            continue;
+        char to[BACKEND_TEXT_BYTES];
+        if (i != index) {
+            snprintf(to, sizeof(to), "r%d", i);
+            add_link(index, to, relays[i].peer);
         }
-        port = harness_port();
-        harness_process_arg(&proxy, "--link=r%d--r%d=127.0.0.1:%d=%s", index,
-                            i, port, relays[i].peer);
-        snprintf(relay->redirect + len, sizeof(relay->redirect) - len,
-                 "%s:%d,", strrchr(relays[i].peer, ':') + 1, port);
     }
-}
-
-static void
-limit_links(int index)
-{
-    char path[BACKEND_TEXT_BYTES];
-    char json[BACKEND_TEXT_BYTES];
-
-    snprintf(path, sizeof(path), "/limits/r%d", index);
-    snprintf(json, sizeof(json), "{\"bytes_per_s\":%d}", LINK_BYTES_PER_S);
-    set_faults(path, json);
-    snprintf(path, sizeof(path), "/links/r%d--*", index);
-    snprintf(json, sizeof(json), "{\"limit_to_target\":\"r%d\"}", index);
-    set_faults(path, json);
-    snprintf(path, sizeof(path), "/links/*--r%d", index);
-    snprintf(json, sizeof(json), "{\"limit_to_caller\":\"r%d\"}", index);
-    set_faults(path, json);
+    add_link(index, "store",
+             backend_store_address(backend, relays[index].store_index));
 }
 
 /* Starts the proxy with the links between the relays, and the link named
@@ -157,7 +140,7 @@
     }
     harness_process_start(&proxy);
     for (int i = 0; i < relay_count; i++) {
-        limit_links(i);
+        links_limit_relay(base, &proxy, i, relay_count);
     }
 }
 
@@ -232,26 +215,6 @@
     ck_assert_int_eq(fclose(file), 0);
 }
 
-/* Peak memory of the relay in bytes. */
-static int64_t
-peak_memory(const relay_process_t *relay)
-{
-    char path[BACKEND_TEXT_BYTES];
-    char line[256];
-    long long kib = -1;
-
-    snprintf(path, sizeof(path), "/proc/%d/status", (int)relay->pid);
-    FILE *file = fopen(path, "r");
-    ck_assert_msg(file != NULL, "%s has ended, see %s", relay->name,
-                  relay->log);
-    while (kib < 0 && fgets(line, sizeof(line), file) != NULL) {
-        sscanf(line, "VmHWM: %lld", &kib);
-    }
-    fclose(file);
-    ck_assert_int_ge(kib, 0);
-    return kib * 1024;
-}
-
 /* Chooses an instance that accepts new sessions, as a load balancer does. */
 static int
 choose_relay(int preferred)
@@ -439,7 +402,7 @@
     int64_t max = 0;
 
     for (int i = 0; i < relay_count; i++) {
-        int64_t peak = peak_memory(&relays[i]);
+        int64_t peak = relay_peak_memory(&relays[i]);
         max = peak > max ? peak : max;
     }
     return max;
@@ -584,19 +547,19 @@
     ck_assert_uint_eq(len, MR_PEER_SECRET_BYTES);
 }
 
-/* Chooses a name with a lower priority than all relays. */
+/* Chooses a name with a lower priority than all relays, and a number above
+ * @number, which it updates. */
 static void
-choose_reporter_name(char name[BACKEND_TEXT_BYTES])
+choose_reporter_name(char name[BACKEND_TEXT_BYTES], int *number)
 {
     uint64_t lowest = UINT64_MAX;
-    int number = 0;
 
     for (int i = 0; i < relay_count; i++) {
         lowest =
             MIN(lowest, mr_rendezvous_score("coordinator", relays[i].name));
     }
     do {
-        snprintf(name, BACKEND_TEXT_BYTES, "reporter-%d", ++number);
+        snprintf(name, BACKEND_TEXT_BYTES, "reporter-%d", ++*number);
     } while (mr_rendezvous_score("coordinator", name) >= lowest);
 }
 
@@ -619,52 +582,66 @@
     mr_peer_call(peer, to, &msg, REPORT_TIMEOUT_MS, on_report_reply, replies);
 }
 
-START_TEST(test_unread_replies_take_bounded_memory)
+static void
+create_reporters(mr_counters_t *counters, mr_peer_t *peers[REPORTERS])
 {
+    uint8_t secret[MR_PEER_SECRET_BYTES];
     char name[BACKEND_TEXT_BYTES];
+    int number = 0;
+
+    read_secret(secret);
+    for (int i = 0; i < REPORTERS; i++) {
+        choose_reporter_name(name, &number);
+        peers[i] = mr_peer_create(&(mr_peer_options_t){
+            .base = base,
+            .counters = counters,
+            .name = name,
+            .data_centre = "konya",
+            .incarnation = 1,
+            .secret = secret,
+        });
+    }
+}
+
+START_TEST(test_unread_replies_take_bounded_memory)
+{
     char link[BACKEND_TEXT_BYTES];
     char own_address[BACKEND_TEXT_BYTES];
-    char json[BACKEND_TEXT_BYTES];
-    uint8_t secret[MR_PEER_SECRET_BYTES];
+    mr_counters_t *counters = mr_counters_create();
+    mr_peer_t *peers[REPORTERS];
     int port = harness_port();
     int replies = 0;
 
     prepare_fleet(3);
     relay_process_t *relay = &relays[preferred_coordinator()];
     start_proxy(port, relay->peer);
-    snprintf(json, sizeof(json), "{\"bytes_per_s\":%d}", SLOW_BYTES_PER_S);
-    set_faults("/limits/slow", json);
-    set_faults("/links/x--r", "{\"limit_to_caller\":\"slow\"}");
+    links_set_bandwidth(base, &proxy, "slow", SLOW_BYTES_PER_S);
+    links_set(base, &proxy, "/links/x--r", "{\"limit_to_caller\":\"slow\"}");
     start_fleet();
     add_routes(MANY_ROUTES);
     ck_assert_int_le(wait_until_served(), EFFECT_MAX_MS);
     run_for(1000);
 
-    read_secret(secret);
-    choose_reporter_name(name);
+    create_reporters(counters, peers);
     snprintf(link, sizeof(link), "127.0.0.1:%d", port);
     snprintf(own_address, sizeof(own_address), "127.0.0.1:%d", harness_port());
-    mr_counters_t *counters = mr_counters_create();
-    mr_peer_t *peer = mr_peer_create(&(mr_peer_options_t){
-        .base = base,
-        .counters = counters,
-        .name = name,
-        .data_centre = "konya",
-        .incarnation = 1,
-        .secret = secret,
-    });
     reset_peak_memory(relay);
-    int64_t before = peak_memory(relay);
-    for (int i = 0; i < REPORTS; i++) {
-        send_outdated_report(peer, link, own_address, &replies);
-        harness_run_loop(base, REPORT_PERIOD_MS);
+    int64_t before = relay_peak_memory(relay);
+    for (int i = 0; i < REPORTERS * REPORTS; i++) {
+        send_outdated_report(peers[i % REPORTERS], link, own_address,
+                             &replies);
+        if (i % REPORTERS == 0) {
+            harness_run_loop(base, REPORT_PERIOD_MS);
+        }
     }
-    int64_t growth = peak_memory(relay) - before;
+    harness_run_loop(base, REPORT_TIMEOUT_MS + LOG_FLUSH_MS);
+    int64_t growth = relay_peak_memory(relay) - before;
     printf("memory grew by %lld bytes over %d reports, %d replies read\n",
-           (long long)growth, REPORTS, replies);
+           (long long)growth, REPORTERS * REPORTS, replies);
     ck_assert_int_le(growth, UNREAD_MAX_BYTES);
-    harness_run_loop(base, REPORT_TIMEOUT_MS + LOG_FLUSH_MS);
-    mr_peer_destroy(peer);
+    for (int i = 0; i < REPORTERS; i++) {
+        mr_peer_destroy(peers[i]);
+    }
     mr_counters_destroy(counters);
     stop_fleet();
 }
