Decode only the newest desired state of an answer

An answer of the feed may hold several versions of the row, and each was decoded one after the other, though only the newest one counts. An earlier one is decoded only if the newer is malformed.

--- a/lib/session/directory.c
+++ b/lib/session/directory.c
@@ -166,14 +166,14 @@
            && memcmp(data, directory->config.data, len) == 0;
 }
 
-void
+bool
 mr_directory_set_config(mr_directory_t *directory, const void *data,
                         size_t len, const char *source)
 {
     const char *problem;
 
     if (is_current_config(directory, data, len)) {
-        return;
+        return true;
     }
     mr_catalog_t *catalog =
         mr_catalog_decode(data, len, directory->catalog, &problem);
@@ -181,7 +181,7 @@
         mr_counter_add(directory->malformed_counter, 1);
         mr_log(MR_LOG_ERROR, MR_EVENT_CONFIGURATION_MALFORMED,
                "source=%s problem=\"%s\"", source, problem);
-        return;
+        return false;
     }
     if (catalog->version > directory->config_version) {
         mr_log(MR_LOG_INFO, MR_EVENT_CONFIGURATION_APPLIED,
@@ -194,9 +194,10 @@
         directory->options.on_catalog(directory->options.ctx, catalog);
         mr_catalog_unref(directory->catalog);
         directory->catalog = catalog;
-        return;
+        return true;
     }
     mr_catalog_unref(catalog);
+    return true;
 }
 
 /* Hash of the fields of a registration that are used. */
--- a/lib/session/directory.h
+++ b/lib/session/directory.h
@@ -34,8 +34,9 @@
 void mr_directory_destroy(mr_directory_t *directory);
 
 /** mr_directory_set_config() - apply a desired state, in the store's encoding,
- * if it is newer; @source is "store" or the name of an instance. */
-void mr_directory_set_config(mr_directory_t *directory, const void *data,
+ * if it is newer; @source is "store" or the name of an instance. Returns false
+ * if it is malformed. */
+bool mr_directory_set_config(mr_directory_t *directory, const void *data,
                              size_t len, const char *source);
 
 /** mr_directory_set_registrations() - apply the complete registrations, read
--- a/lib/session/feed.c
+++ b/lib/session/feed.c
@@ -86,12 +86,13 @@
         return;
     }
     feed->config_retry_ms = 0;
-    for (size_t i = 0; i < answer->count; i++) {
-        const mr_store_row_t *row = &answer->rows[i];
+    bool applied = false;
+    for (size_t i = answer->count; i > 0; i--) {
+        const mr_store_row_t *row = &answer->rows[i - 1];
         bytes += row->len;
-        if (strcmp(row->key, config_key) == 0 && !row->deleted) {
-            mr_directory_set_config(feed->options.directory, row->value,
-                                    row->len, "store");
+        if (!applied && strcmp(row->key, config_key) == 0 && !row->deleted) {
+            applied = mr_directory_set_config(feed->options.directory,
+                                              row->value, row->len, "store");
         }
     }
     feed->after = answer->revision;
