Keep an encoded update for each transfer in progress

Found in the review of the chunked transfer: receivers that hold four different versions replaced each other's encoded update, of which three were kept, so that each began again at every chunk.

--- a/lib/session/update.c
+++ b/lib/session/update.c
@@ -17,9 +17,9 @@
     TRANSFERS_MAX = 4,
     /* A receiver that asks for no chunk for this long has given up. */
     TRANSFER_IDLE_MS = 500,
-    /* Encoded updates that are kept: receivers mostly hold the same version,
-     * or none. */
-    CACHED_MAX = 3,
+    /* Encoded updates that are kept: one for each transfer in progress, so
+     * that none of them has to begin again, and one for the next transfer. */
+    CACHED_MAX = TRANSFERS_MAX + 1,
     /* Limit of an update, encoded or not. */
     UPDATE_MAX_BYTES = 16 << 20,
     COMPRESSION_LEVEL = 1,
