Let messages list all registrations of a large deployment

A list of a message held at most 4,096 items, and the sender ended by an assert beyond that; the size of two years has 5,700 registrations.

test_all_registrations_of_a_large_deployment_arrive fails before (signal 6) and passes now. The size of a message stays bounded by the links' limits.

--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -32,7 +32,7 @@
 
 /* Limits that keep a small frame from allocating much memory. */
 enum {
-    LIST_MAX_ITEMS = 4096,
+    LIST_MAX_ITEMS = 16384,
     /* Values in a message: enough for a list of maximum length whose items
      * have 14 fields. */
     VALUES_MAX = 16 * LIST_MAX_ITEMS,
