Give tokens and claims in eras that have no room in a number

If the store's first era had been above 8,191, no promotion could have been ordered and no database would have counted as the primary: the number of such a revision was 0.

Change: the era has 22 bits, and eras beyond count as the last one, whose versions alone order them, as before eras were read. Up to era 8,191 numbers are below 2^53 as before.

The check that a revision of era INT64_MAX has no number is taken out, as it has one now; the others stay. test_fence 10 of 10, test_clusters 17 of 17, test_promoter 4 of 4, test_fleet_members 12 of 12, also with the address and undefined behaviour sanitizers.

--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -264,7 +264,9 @@
 set_primary(mr_db_t *db, const char *id, mr_revision_t revision)
 {
     if (db->primary_since != 0) {
-        if (mr_revision_number_era(db->primary_since) >= revision.era
+        int64_t era_start =
+            mr_revision_number((mr_revision_t){revision.era, 1});
+        if (db->primary_since >= era_start
             || may_be_copy(db->cluster->clusters, revision)) {
             return;
         }
--- a/lib/session/fence.c
+++ b/lib/session/fence.c
@@ -49,7 +49,7 @@
 bool
 mr_fence_is_current(const mr_fence_t *fence, int64_t token)
 {
-    return mr_revision_number_era(token) == mr_store_era(fence->store);
+    return mr_revision_number_has_era(token, mr_store_era(fence->store));
 }
 
 static void on_written(void *ctx, mr_error_kind_t error,
--- a/lib/session/revision.h
+++ b/lib/session/revision.h
@@ -29,28 +29,34 @@
 enum {
     /* Parts of a revision in one number. The version lasts for 29 years of
      * 1,200 writes a second. */
-    MR_REVISION_ERA_BITS = 13,
+    MR_REVISION_ERA_BITS = 22,
     MR_REVISION_VERSION_BITS = 40,
 };
 
-/** mr_revision_number() - @revision as one number below 2^53, which is exact
- * as a double. Numbers are ordered like their revisions. 0: @revision has
- * version 0 or has no room. */
+/** mr_revision_number() - @revision as one number. Numbers are ordered like
+ * their revisions; eras that have no room count as the last one that has. Up
+ * to era 8,191 they are below 2^53, and so exact as doubles. 0: @revision has
+ * version 0, or one that has no room. */
 static inline int64_t
 mr_revision_number(mr_revision_t revision)
 {
+    const int64_t era_max = ((int64_t)1 << MR_REVISION_ERA_BITS) - 1;
+    int64_t era = revision.era < era_max ? revision.era : era_max;
+
     if (revision.version <= 0
-        || revision.version >> MR_REVISION_VERSION_BITS != 0
-        || revision.era < 0 || revision.era >> MR_REVISION_ERA_BITS != 0) {
+        || revision.version >> MR_REVISION_VERSION_BITS != 0) {
         return 0;
     }
-    return revision.era << MR_REVISION_VERSION_BITS | revision.version;
+    return era << MR_REVISION_VERSION_BITS | revision.version;
 }
 
-static inline int64_t
-mr_revision_number_era(int64_t number)
+/** mr_revision_number_has_era() - whether @number is of era @era. */
+static inline bool
+mr_revision_number_has_era(int64_t number, int64_t era)
 {
-    return number >> MR_REVISION_VERSION_BITS;
+    return number >> MR_REVISION_VERSION_BITS
+           == mr_revision_number((mr_revision_t){era, 1})
+                  >> MR_REVISION_VERSION_BITS;
 }
 
 #endif
