Encode no update for others while memory is short

Work for other instances gives way first: a sender at the refusing level puts off transfers that it would have to encode, and a receiver at the critical level starts none.

test_a_sender_short_of_memory_encodes_no_update fails without the check.

--- a/lib/session/fleet.h
+++ b/lib/session/fleet.h
@@ -13,6 +13,7 @@
 
 #include <event2/event.h>
 
+#include "common/memory.h"
 #include "session/cluster.h"
 #include "session/directory.h"
 #include "session/feed.h"
@@ -33,6 +34,7 @@
     mr_store_t *store;
     mr_feed_t *feed;
     mr_directory_t *directory;
+    const mr_memory_t *memory;
     mr_clusters_t *clusters;
     mr_quota_t *quota;
     mr_promoter_t *promoter;
--- a/lib/session/fleet_members.c
+++ b/lib/session/fleet_members.c
@@ -394,6 +394,7 @@
         .counters = fleet->options.counters,
         .peer = fleet->peer,
         .directory = fleet->options.directory,
+        .memory = fleet->options.memory,
         .applied = on_update_applied,
         .ctx = fleet,
     });
--- a/lib/session/sessiond.c
+++ b/lib/session/sessiond.c
@@ -208,6 +208,7 @@
         .store = daemon->store,
         .feed = daemon->feed,
         .directory = daemon->directory,
+        .memory = daemon->memory,
         .clusters = daemon->clusters,
         .quota = daemon->quota,
         .promoter = daemon->promoter,
--- a/lib/session/update.c
+++ b/lib/session/update.c
@@ -178,9 +178,10 @@
 }
 
 /* Returns the update from the versions @known to the present ones; NULL if
- * there is nothing newer. */
+ * there is nothing newer, or with @busy set if memory is short. */
 static cached_update_t *
-get_update(mr_updates_t *updates, const mr_msg_directory_t *known, mr_ms_t now)
+get_update(mr_updates_t *updates, const mr_msg_directory_t *known, mr_ms_t now,
+           bool *busy)
 {
     mr_msg_directory_t to;
 
@@ -197,6 +198,10 @@
     if (!mr_directory_has_contents(&to)) {
         return NULL;
     }
+    if (mr_memory_level(updates->options.memory) != MR_MEMORY_NORMAL) {
+        *busy = true;
+        return NULL;
+    }
     mr_bytes_t body = encode_update(&to);
     if (body.len == 0) {
         return NULL;
@@ -283,7 +288,7 @@
         update->used_at = now;
     }
     else {
-        update = get_update(updates, &asked->known, now);
+        update = get_update(updates, &asked->known, now, &chunk->busy);
     }
     if (update != NULL) {
         size_t left = update->body.len - offset;
@@ -297,6 +302,7 @@
     if (update == NULL || offset + chunk->data.len == update->body.len) {
         end_transfer(transfer);
     }
+    mr_counter_add(updates->busy_counter, chunk->busy);
     mr_peer_reply(request, &reply);
 }
 
@@ -459,8 +465,8 @@
 void
 mr_updates_fetch(mr_updates_t *updates, const char *address, const char *name)
 {
-    if (updates->fetch.address != NULL
-        || !mr_updates_accepts_config(updates)) {
+    if (updates->fetch.address != NULL || !mr_updates_accepts_config(updates)
+        || mr_memory_level(updates->options.memory) == MR_MEMORY_CRITICAL) {
         return;
     }
     updates->fetch = (fetch_t){.address = mr_strdup(address),
--- a/lib/session/update.h
+++ b/lib/session/update.h
@@ -10,6 +10,7 @@
  */
 
 #include "common/counters.h"
+#include "common/memory.h"
 #include "session/directory.h"
 #include "wire/peer.h"
 
@@ -19,6 +20,7 @@
     mr_counters_t *counters;
     mr_peer_t *peer;
     mr_directory_t *directory;
+    const mr_memory_t *memory; /* NULL: without a limit */
     /* Called when contents of another instance have been applied. */
     void (*applied)(void *ctx);
     void *ctx;
@@ -28,7 +30,8 @@
 void mr_updates_destroy(mr_updates_t *updates);
 
 /** mr_updates_fetch() - start to fetch what the instance @name at @address has
- * and the directory lacks. Ignored while a transfer is in progress. */
+ * and the directory lacks. Ignored while a transfer is in progress, after a
+ * desired state was decoded, and at the critical level of memory. */
 void mr_updates_fetch(mr_updates_t *updates, const char *address,
                       const char *name);
 
--- a/tests/unit/test_update.c
+++ b/tests/unit/test_update.c
@@ -14,6 +14,7 @@
     INSTANCES = 12,
     ROUTES = 1400,
     MANY_ROUTES = 20000,
+    MEMORY_LIMIT = 100 << 20,
     STEP_MS = 50,
     WAIT_MAX_MS = 8000,
 };
@@ -23,6 +24,7 @@
     mr_counters_t *counters;
     mr_directory_t *directory;
     mr_peer_t *peer;
+    mr_memory_t *memory;
     mr_updates_t *updates;
     char name[32];
     char address[32];
@@ -69,10 +71,13 @@
                                             .secret = secret});
     snprintf(instance->address, sizeof(instance->address), "127.0.0.1:%d",
              mr_peer_listen(instance->peer, "127.0.0.1:0"));
+    instance->memory = mr_memory_create(&(mr_memory_options_t){
+        .counters = instance->counters, .limit = MEMORY_LIMIT});
     instance->updates = mr_updates_create(
         &(mr_updates_options_t){.counters = instance->counters,
                                 .peer = instance->peer,
                                 .directory = instance->directory,
+                                .memory = instance->memory,
                                 .applied = on_applied,
                                 .ctx = instance});
 }
@@ -91,6 +96,7 @@
 {
     for (int i = 0; i < INSTANCES; i++) {
         mr_updates_destroy(instances[i].updates);
+        mr_memory_destroy(instances[i].memory);
         mr_peer_destroy(instances[i].peer);
         mr_directory_destroy(instances[i].directory);
         mr_clusters_destroy(instances[i].clusters);
@@ -287,6 +293,24 @@
 }
 END_TEST
 
+START_TEST(test_a_sender_short_of_memory_encodes_no_update)
+{
+    set_config(&instances[0], 3, ROUTES);
+    mr_memory_set_in_use(instances[0].memory, MEMORY_LIMIT);
+    mr_updates_fetch(instances[1].updates, instances[0].address,
+                     instances[0].name);
+    run_loop(STEP_MS);
+    ck_assert_int_eq(
+        get_counter(&instances[0], "masticrelay_update_busy_total"), 1);
+    ck_assert_int_eq(get_version(&instances[1]), 0);
+    mr_memory_set_in_use(instances[0].memory, 0);
+    mr_updates_fetch(instances[1].updates, instances[0].address,
+                     instances[0].name);
+    run_loop(10 * STEP_MS);
+    ck_assert_int_eq(get_version(&instances[1]), 3);
+}
+END_TEST
+
 START_TEST(test_nothing_newer_ends_a_fetch)
 {
     set_config(&instances[0], 3, ROUTES);
@@ -326,6 +350,7 @@
         test_a_sender_that_ends_does_not_block_the_next_transfer,
         test_receivers_with_different_versions_are_all_served,
         test_all_registrations_of_a_large_deployment_arrive,
+        test_a_sender_short_of_memory_encodes_no_update,
         test_nothing_newer_ends_a_fetch,
         test_decoding_is_followed_by_a_pause,
     };
