Restore the store from a copy in the soak test

New fault "restored": the store comes back from a copy as old as the fault is long, is away for up to 2 s, and the operator and the databases write again up to 2 s later. MASTICRELAY_FAULTS=NAME,... injects only some faults.

Stand-in: a restoration does not lose rows again that an earlier one is still to bring back, and rows written since are not overwritten by lost ones.

--- a/tests/integration/session_soak_fault.c
+++ b/tests/integration/session_soak_fault.c
@@ -3,6 +3,7 @@
 
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/wait.h>
 
@@ -15,7 +16,9 @@
     DOWN_MAX_MS = 1000, /* of a killed or stopped process */
     CLOCK_SHIFT_MAX_MS = 10000,
     LAG_MAX_MS = 3000,
-    DEFAULT_LAG_MS = 20, /* of a replica without a fault */
+    DEFAULT_LAG_MS = 20,         /* of a replica without a fault */
+    STORE_AWAY_MAX_MS = 2000,    /* before it is back from a copy */
+    REWRITE_AFTER_MAX_MS = 2000, /* of rows that the copy lacks */
 };
 
 /** A type of fault: how it begins and ends. */
@@ -160,6 +163,22 @@
     }
 }
 
+/* The store is restored from a copy as old as the fault is long. */
+static void
+begin_restoration(soak_t *soak, soak_fault_t *fault)
+{
+    (void)fault;
+    backend_copy_store(soak->backend);
+}
+
+static void
+end_restoration(soak_t *soak, soak_fault_t *fault)
+{
+    (void)fault;
+    backend_restore_store(soak->backend, soak_random(soak, STORE_AWAY_MAX_MS),
+                          soak_random(soak, REWRITE_AFTER_MAX_MS));
+}
+
 static void
 begin_db_kill(soak_t *soak, soak_fault_t *fault)
 {
@@ -306,6 +325,7 @@
     LINK_FAULT("reset_clients", "c--r#", false, RESET, FAST),
     LINK_FAULT("hold_clients", "c--r#", false, HOLD, RELEASED),
     LINK_FAULT("slow_peers", "*--r#", false, SLOW, FAST),
+    {.name = "restored", .begin = begin_restoration, .end = end_restoration},
 };
 
 static void
@@ -334,13 +354,26 @@
     return false;
 }
 
+/* Whether MASTICRELAY_FAULTS, if set, names @type. */
+static bool
+is_selected(const soak_fault_type_t *type)
+{
+    const char *names = getenv("MASTICRELAY_FAULTS");
+    gchar **list = g_strsplit(names != NULL ? names : type->name, ",", -1);
+    bool selected = g_strv_contains((const gchar *const *)list, type->name);
+
+    g_strfreev(list);
+    return selected;
+}
+
 static void
 begin_fault(soak_t *soak, soak_fault_t *fault, mr_ms_t now)
 {
     const soak_fault_type_t *type =
         &fault_types[soak_random(soak, G_N_ELEMENTS(fault_types))];
 
-    if ((soak->planned_only && !type->planned) || has_conflict(soak, type)) {
+    if ((soak->planned_only && !type->planned) || !is_selected(type)
+        || has_conflict(soak, type)) {
         return;
     }
     *fault = (soak_fault_t){
--- a/tests/integration/test_session_soak.c
+++ b/tests/integration/test_session_soak.c
@@ -7,6 +7,7 @@
  * long faults are injected. A seed determines the sequence of random choices,
  * but not the timing of faults relative to statements. Seeds divisible by four
  * inject only planned stops, reloads and configuration changes.
+ * MASTICRELAY_FAULTS=NAME,... injects only these faults.
  */
 
 #include <signal.h>
--- a/tests/integration/world_store.c
+++ b/tests/integration/world_store.c
@@ -199,12 +199,6 @@
     copy->version = backend->version;
 }
 
-void
-backend_copy_store(backend_t *backend)
-{
-    take_copy(backend, &backend->copy);
-}
-
 /* Writes rows of the operator and of the databases that a restoration lost. */
 static void
 on_rewrite_timer(evutil_socket_t fd, short what, void *ctx)
@@ -216,6 +210,10 @@
     (void)what;
     for (size_t i = 0; i < backend->rewrite.count; i++) {
         const backend_row_t *row = &backend->rewrite.rows[i];
+        const backend_row_t *present = find_row(backend, row->table, row->key);
+        if (present != NULL && present->version > backend->copy.version) {
+            continue; /* written since the restoration */
+        }
         if (row->version > backend->copy.version
             && (strcmp(row->table, "op") == 0
                 || (strcmp(row->table, "servers") == 0 && row->deleted))) {
@@ -226,12 +224,30 @@
     evtimer_add(backend->registration_timer, &now);
 }
 
+/* Rows of an earlier restoration must not be lost again. */
+static void
+finish_rewrite(backend_t *backend)
+{
+    if (evtimer_pending(backend->rewrite_timer, NULL)) {
+        evtimer_del(backend->rewrite_timer);
+        on_rewrite_timer(-1, EV_TIMEOUT, backend);
+    }
+}
+
+void
+backend_copy_store(backend_t *backend)
+{
+    finish_rewrite(backend);
+    take_copy(backend, &backend->copy);
+}
+
 void
 backend_restore_store(backend_t *backend, mr_ms_t away, mr_ms_t rewrite_after)
 {
     struct timeval tv = mr_clock_timeval(away + rewrite_after);
 
     ck_assert_ptr_nonnull(backend->copy.rows);
+    finish_rewrite(backend);
     while (!mr_list_empty(&backend->feeds)) {
         feed_t *feed = MR_LIST_ENTRY(backend->feeds.next, feed_t, link);
         /* Its close callback frees the feed. */
