--- a/tests/integration/test_session_restore.c
+++ b/tests/integration/test_session_restore.c
@@ -19,10 +19,13 @@
     RATE = 500,
     AWAY_MS = 400,    /* time without the store, before it comes back */
     REWRITE_MS = 300, /* until the databases write again */
+    STALE_MS = 2500,  /* the same, where the copy is to be seen for long */
     /* Longest gap in service while a primary is replaced. */
     FAILOVER_MAX_MS = 5000,
     /* Until all instances have registered again. */
     REGISTERED_MAX_MS = 4000,
+    /* Until all instances report to one coordinator. */
+    UNITED_MAX_MS = 10000,
     /* Until each instance has read the registrations of all. */
     MEMBERS_READ_MAX_MS = 25000,
 };
@@ -154,6 +157,17 @@
     return equal == RELAYS;
 }
 
+static void
+check_writes(void)
+{
+    for (int i = 0; i < RELAYS; i++) {
+        client_t *client = open_session(i, "own", "key-1");
+        client_answer_t answer = client_run(client, "WRITE a b", NULL);
+        ck_assert_msg(answer.complete, "%s", answer.text);
+        client_close(client);
+    }
+}
+
 START_TEST(test_a_promotion_after_a_restore_is_not_refused)
 {
     client_t *clients[RELAYS];
@@ -178,6 +192,39 @@
 }
 END_TEST
 
+START_TEST(test_a_former_primary_does_not_return_with_an_older_copy)
+{
+    client_t *clients[RELAYS];
+
+    start_relays(0, RELAYS);
+    for (int i = 0; i < RELAYS; i++) {
+        clients[i] = open_session(i, "own", "key-1");
+    }
+    backend_copy_store(backend);
+    replace_primary(clients);
+    backend_db_start(backend, 0, false);
+    harness_run_loop(base, 2500);
+    /* Until the databases write again, the copy names the former primary. */
+    backend_restore_store(backend, AWAY_MS, STALE_MS);
+    mr_ms_t end = mr_clock_now(NULL) + AWAY_MS + STALE_MS + 1500;
+    while (mr_clock_now(NULL) < end) {
+        for (int i = 0; i < RELAYS; i++) {
+            client_answer_t answer = client_run(clients[i], "WRITE a b", NULL);
+            ck_assert_msg(answer.complete, "%s", answer.text);
+        }
+        harness_run_loop(base, 20);
+    }
+    ck_assert_int_eq(backend_count_promotions(backend), 1);
+    for (int i = 0; i < RELAYS; i++) {
+        ck_assert(!relay_log_contains(&relays[i], "event=primary_registered",
+                                      "id=i-0 era=1"));
+        ck_assert(!relay_log_contains(&relays[i], "event=promotion_ordered",
+                                      "id=i-0"));
+        client_close(clients[i]);
+    }
+}
+END_TEST
+
 START_TEST(test_instances_lost_by_a_restore_register_again_and_count)
 {
     backend_copy_store(backend);
@@ -238,13 +285,66 @@
 }
 END_TEST
 
+/* Waits until one instance coordinates and all report to it. */
+static bool
+wait_united(void)
+{
+    mr_ms_t end = mr_clock_now(NULL) + UNITED_MAX_MS;
+    int64_t coordinators = 0;
+
+    while (coordinators != 1 && mr_clock_now(NULL) < end) {
+        harness_run_loop(base, 200);
+        coordinators = 0;
+        for (int i = 0; i < RELAYS; i++) {
+            coordinators += read_metric(i, "masticrelay_coordinator");
+        }
+    }
+    return coordinators == 1
+           && wait_metric("masticrelay_instances", RELAYS, 1000);
+}
+
+START_TEST(test_an_instance_that_starts_after_a_restore_joins_the_fleet)
+{
+    backend_copy_store(backend);
+    start_relays(0, RELAYS - 1);
+    ck_assert(backend_has_row(backend, "fleet", "secret"));
+    backend_restore_store(backend, AWAY_MS, REWRITE_MS);
+    harness_run_loop(base, AWAY_MS + 2000);
+    start_relays(RELAYS - 1, RELAYS);
+    ck_assert(wait_united());
+    check_writes();
+}
+END_TEST
+
+START_TEST(test_a_fleet_with_two_secrets_after_a_restore_becomes_one)
+{
+    backend_copy_store(backend);
+    start_relays(0, RELAYS - 1);
+    for (int i = 0; i < RELAYS - 1; i++) {
+        backend_set_store_failing(backend, i, true);
+    }
+    backend_restore_store(backend, 0, REWRITE_MS);
+    /* Only the last instance reaches the store, and writes a secret. */
+    start_relays(RELAYS - 1, RELAYS);
+    ck_assert(backend_has_row(backend, "fleet", "secret"));
+    for (int i = 0; i < RELAYS - 1; i++) {
+        backend_set_store_failing(backend, i, false);
+    }
+    ck_assert(wait_united());
+    check_writes();
+}
+END_TEST
+
 int
 main(void)
 {
     const TTest *const tests[] = {
         test_a_promotion_after_a_restore_is_not_refused,
+        test_a_former_primary_does_not_return_with_an_older_copy,
         test_instances_lost_by_a_restore_register_again_and_count,
         test_an_instance_that_had_left_does_not_coordinate_after_a_restore,
+        test_an_instance_that_starts_after_a_restore_joins_the_fleet,
+        test_a_fleet_with_two_secrets_after_a_restore_becomes_one,
     };
 
     return RUN_TESTS(tests, .suite = "session-restore", .setup = set_up,
