Send all registrations to a receiver without a version

What callers saw: after a restoration of the store, an instance that had read the registrations itself before a database registered again never used that database, nor saw that its contents differ, until the database changed or the instance read the store again. It asked for all rows with each report.

Cause: a receiver whose registrations differ resets its version, not its era. Rows that had not changed since an earlier era then counted as older than its version 0, and were sent without their values.

Evidence: test_registrations_that_differ_after_a_restoration_are_sent_whole fails before (0 values sent of 2).

Change: values are left out only for a receiver that has a version.

Result: the test passes, test_directory 17 of 17 with address and undefined behaviour sanitizers.

--- a/lib/session/directory.c
+++ b/lib/session/directory.c
@@ -552,7 +552,8 @@
     }
 }
 
-/* Exports all rows; those that have not changed since @known have no value. */
+/* Exports all rows; those that have not changed since @known have no value. A
+ * receiver without a version gets all values. */
 static void
 export_rows(mr_directory_t *directory, mr_revision_t known, size_t max_bytes,
             mr_msg_directory_t *out)
@@ -564,8 +565,9 @@
     directory->exported_rows = mr_realloc(directory->exported_rows, size);
     for (size_t i = 0; i < directory->row_count; i++) {
         directory->exported_rows[i] = directory->rows[i];
-        if (mr_revision_compare(directory->row_states[i].changed_at, known)
-            <= 0) {
+        if (known.version > 0
+            && mr_revision_compare(directory->row_states[i].changed_at, known)
+                   <= 0) {
             directory->exported_rows[i].value = (mr_bytes_t){0};
         }
         bytes += row_bytes(&directory->exported_rows[i]);
--- a/tests/unit/test_directory.c
+++ b/tests/unit/test_directory.c
@@ -349,6 +349,35 @@
     return NULL;
 }
 
+/* The receiver has read the registrations before "a" registered again. */
+START_TEST(test_registrations_that_differ_after_a_restoration_are_sent_whole)
+{
+    const char *const both[] = {"a 5 50 ready replica", "b 5 70 ready replica",
+                                NULL};
+
+    set_reports(&sender, 0, 100, both);
+    set_reports(&receiver, 0, 100, both);
+    set_reports(&receiver, 1, 20,
+                (const char *[]){"b 5 71 ready replica", NULL});
+    set_reports(&sender, 1, 25,
+                (const char *[]){"a 5 51 ready replica",
+                                 "b 5 71 ready replica", NULL});
+    mr_msg_directory_t sent = export_to(&sender, &receiver);
+    mr_directory_import(receiver.directory, &sent, "front-1");
+    sent = export_to(&sender, &receiver);
+    ck_assert_uint_eq(count_values(&sent), 2);
+    mr_directory_import(receiver.directory, &sent, "front-1");
+    test_clock.u.manual.now += 3000;
+    set_reports(&sender, 1, 30,
+                (const char *[]){"a 5 52 ready replica",
+                                 "b 5 72 ready replica", NULL});
+    sent = export_to(&sender, &receiver);
+    ck_assert_uint_eq(sent.registration_count, 0);
+    mr_directory_import(receiver.directory, &sent, "front-1");
+    ck_assert_ptr_nonnull(find_db(&receiver, "a"));
+}
+END_TEST
+
 START_TEST(test_a_restored_store_does_not_end_a_drain)
 {
     set_reports(&sender, 0, 100,
@@ -511,6 +540,7 @@
         test_registrations_that_differ_are_sent_whole,
         test_registrations_of_a_restored_store_are_applied,
         test_registrations_of_a_restored_store_are_sent,
+        test_registrations_that_differ_after_a_restoration_are_sent_whole,
         test_a_restored_store_does_not_end_a_drain,
         test_a_kept_registration_does_not_ask_for_all_others,
         test_a_restored_store_does_not_bring_back_a_removed_database,
