Release the sources of receivers that are gone

What callers saw: when the receivers that fetch a large change from the coordinator die, no other instance of their data centres got the change until they were removed, 15 s after their last report and at the next reading of the registrations, which comes every 20 s.

Cause: an instance kept its source until its own next report. The places at the coordinator and at other sources stayed taken, and a data centre counted as supplied.

Evidence: test_dead_receivers_do_not_keep_contents_from_others fails before (0 of 36 instances fetch after 2.4 s, where 4 may) and passes now.

Change: each choice of a source first releases the receivers whose time is over or that have not reported within the time for sources.

--- a/lib/session/fleet_source.c
+++ b/lib/session/fleet_source.c
@@ -14,8 +14,8 @@
     /* An instance that has not got the contents after this time is told
      * another source. */
     SOURCE_TIMEOUT_MS = 1500,
-    /* A source has reported within this time. */
-    SOURCE_SEEN_MS = 600,
+    /* A source, or a receiver, has reported within this time. */
+    SEEN_MS = 600,
 };
 
 void
@@ -48,6 +48,22 @@
     }
 }
 
+/* Releases the sources of instances that have not got the contents in time or
+ * are gone. */
+static void
+release_expired(mr_fleet_t *fleet, mr_ms_t now)
+{
+    MR_LIST_FOREACH(it, &fleet->instances)
+    {
+        mr_fleet_instance_t *instance =
+            MR_LIST_ENTRY(it, mr_fleet_instance_t, link);
+        if (now - instance->source_chosen_at >= SOURCE_TIMEOUT_MS
+            || now - instance->last_report_at > SEEN_MS) {
+            mr_fleet_release_source(fleet, instance);
+        }
+    }
+}
+
 static bool
 has_contents(const mr_fleet_instance_t *instance,
              const mr_msg_directory_t *own)
@@ -80,7 +96,7 @@
         if (instance->fetching && instance->source == NULL) {
             state.supplied = true;
         }
-        if (now - instance->last_report_at > SOURCE_SEEN_MS
+        if (now - instance->last_report_at > SEEN_MS
             || !has_contents(instance, own)) {
             continue;
         }
@@ -116,12 +132,8 @@
 {
     mr_msg_directory_t own;
 
-    if (receiver->fetching
-        && now - receiver->source_chosen_at < SOURCE_TIMEOUT_MS) {
-        return;
-    }
-    mr_fleet_release_source(fleet, receiver);
-    if (receiver->data_centre == NULL) {
+    release_expired(fleet, now);
+    if (receiver->fetching || receiver->data_centre == NULL) {
         return;
     }
     mr_directory_export(fleet->options.directory, NULL, SIZE_MAX, &own);
--- a/tests/unit/test_fleet_source.c
+++ b/tests/unit/test_fleet_source.c
@@ -17,7 +17,7 @@
 static mr_fleet_t *fleet;
 static mr_counters_t *counters;
 static mr_fleet_instance_t *instances[INSTANCES];
-static const mr_fleet_instance_t *silent; /* does not report */
+static bool silent[INSTANCES]; /* do not report */
 
 static void
 on_catalog(void *ctx, mr_catalog_t *catalog)
@@ -32,7 +32,7 @@
     static const char config[] =
         "{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":[]}";
 
-    silent = NULL;
+    memset(silent, 0, sizeof(silent));
     counters = mr_counters_create();
     fleet = MR_NEW(mr_fleet_t);
     fleet->options = (mr_fleet_options_t){
@@ -82,7 +82,7 @@
 report_all(mr_ms_t now)
 {
     for (int i = 0; i < INSTANCES; i++) {
-        if (instances[i] == silent) {
+        if (silent[i]) {
             continue;
         }
         instances[i]->last_report_at = now;
@@ -146,7 +146,7 @@
     dead->last_report_at = ROUND_MS;
     report_all(2 * ROUND_MS);
     ck_assert_ptr_eq(instances[13]->source, dead);
-    silent = dead;
+    silent[5] = true;
     for (int i = 0; i < INSTANCES; i++) {
         instances[i]->held.config_version = i == 13 ? 6 : 7;
     }
@@ -159,6 +159,24 @@
 }
 END_TEST
 
+START_TEST(test_dead_receivers_do_not_keep_contents_from_others)
+{
+    report_all(ROUND_MS);
+    ck_assert_int_eq(count_fetching(NULL), 4);
+    for (int i = 0; i < INSTANCES; i++) {
+        silent[i] = instances[i]->fetching;
+    }
+    for (mr_ms_t now = 2 * ROUND_MS; now <= 8 * ROUND_MS; now += ROUND_MS) {
+        report_all(now);
+    }
+    int fetching = 0;
+    for (int i = 0; i < INSTANCES; i++) {
+        fetching += !silent[i] && instances[i]->fetching;
+    }
+    ck_assert_int_eq(fetching, 4);
+}
+END_TEST
+
 START_TEST(test_a_removed_source_leaves_no_transfer_behind)
 {
     report_all(ROUND_MS);
@@ -191,6 +209,7 @@
     const TTest *const tests[] = {
         test_contents_spread_without_loading_one_instance,
         test_a_transfer_that_does_not_end_gets_another_source,
+        test_dead_receivers_do_not_keep_contents_from_others,
         test_a_removed_source_leaves_no_transfer_behind,
         test_instances_with_slow_links_come_last,
     };
