Replace a source that is silent or slow

What callers saw: an instance in touch applied a large change late, or not in time at all, because the instance that it was told to fetch from was frozen or had a bad link. A source that answers each request for a chunk within its timeout, however little it sends, held the receiver for the whole transfer: the coordinator names another one after 1.5 s, but a transfer in progress was not replaced. A silent one cost two timeouts, as it was still named after the first.

Cause: the receiver knew only the limit of one chunk.

Change: a source whose transfer failed, or had less than one chunk a second after a second, is replaced by the coordinator and avoided for 1.5 s. The coordinator serves four transfers at a time as before, and a transfer from it is not replaced, so that a receiver that is slow itself does not begin again for ever.

--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -170,7 +170,10 @@
         mr_updates_fetch(fleet->updates, from->address, from->name);
     }
     else if (reply->source_address[0] != '\0') {
-        mr_updates_fetch(fleet->updates, reply->source_address, reply->source);
+        mr_updates_fetch_either(
+            fleet->updates,
+            &(mr_update_source_t){reply->source_address, reply->source},
+            &(mr_update_source_t){from->address, from->name});
     }
 }
 
--- a/lib/session/update.c
+++ b/lib/session/update.c
@@ -17,6 +17,11 @@
     TRANSFERS_MAX = 4,
     /* A receiver that asks for no chunk for this long has given up. */
     TRANSFER_IDLE_MS = 500,
+    /* A transfer is slow if it has taken this long at a lower rate. */
+    SLOW_AFTER_MS = 1000,
+    SLOW_BYTES_PER_S = CHUNK_BYTES,
+    /* How long a source of a transfer that failed is avoided. */
+    AVOID_MS = 1500,
     /* Encoded updates that are kept: one for each transfer in progress, so
      * that none of them has to begin again, and one for the next transfer. */
     CACHED_MAX = TRANSFERS_MAX + 1,
@@ -54,6 +59,7 @@
     size_t size;
     size_t received;
     mr_ms_t started_at;
+    bool replaceable; /* there is another source */
 } fetch_t;
 
 struct mr_updates {
@@ -61,6 +67,8 @@
     cached_update_t cache[CACHED_MAX];
     transfer_t transfers[TRANSFERS_MAX];
     fetch_t fetch;
+    char *avoided_address; /* of a source that failed; NULL: none */
+    mr_ms_t avoided_until;
     mr_ms_t config_paused_until;
     mr_counter_t *sent_bytes;
     mr_counter_t *received_bytes;
@@ -126,6 +134,7 @@
         mr_peer_cancel(updates->fetch.call);
     }
     clear_fetch(&updates->fetch);
+    free(updates->avoided_address);
     free(updates);
 }
 
@@ -353,13 +362,17 @@
 static void
 give_up(mr_updates_t *updates, const char *reason)
 {
-    const fetch_t *fetch = &updates->fetch;
+    fetch_t *fetch = &updates->fetch;
 
     mr_counter_add(updates->failed_counter, 1);
     mr_log(MR_LOG_WARNING, MR_EVENT_UPDATE_FAILED,
            "source=%s reason=%s received=%zu size=%zu", fetch->source, reason,
            fetch->received, fetch->size);
-    clear_fetch(&updates->fetch);
+    free(updates->avoided_address);
+    updates->avoided_address = fetch->address;
+    updates->avoided_until = mr_clock_now(NULL) + AVOID_MS;
+    fetch->address = NULL;
+    clear_fetch(fetch);
 }
 
 static void request_chunk(mr_updates_t *updates);
@@ -456,15 +469,58 @@
                                CHUNK_TIMEOUT_MS, on_chunk, updates);
 }
 
-void
-mr_updates_fetch(mr_updates_t *updates, const char *address, const char *name)
+static void
+start_fetch(mr_updates_t *updates, const mr_update_source_t *source,
+            bool replaceable)
 {
     if (updates->fetch.address != NULL
         || !mr_updates_accepts_config(updates)) {
         return;
     }
-    updates->fetch = (fetch_t){.address = mr_strdup(address),
-                               .source = mr_strdup(name),
-                               .started_at = mr_clock_now(NULL)};
+    updates->fetch = (fetch_t){.address = mr_strdup(source->address),
+                               .source = mr_strdup(source->name),
+                               .started_at = mr_clock_now(NULL),
+                               .replaceable = replaceable};
     request_chunk(updates);
 }
+
+void
+mr_updates_fetch(mr_updates_t *updates, const char *address, const char *name)
+{
+    start_fetch(updates, &(mr_update_source_t){address, name}, false);
+}
+
+static bool
+is_slow(const fetch_t *fetch)
+{
+    mr_ms_t elapsed = mr_clock_now(NULL) - fetch->started_at;
+
+    return elapsed >= SLOW_AFTER_MS
+           && (int64_t)fetch->received < elapsed * SLOW_BYTES_PER_S / 1000;
+}
+
+static bool
+is_avoided(const mr_updates_t *updates, const char *address)
+{
+    return updates->avoided_address != NULL
+           && mr_clock_now(NULL) < updates->avoided_until
+           && strcmp(updates->avoided_address, address) == 0;
+}
+
+void
+mr_updates_fetch_either(mr_updates_t *updates,
+                        const mr_update_source_t *source,
+                        const mr_update_source_t *other)
+{
+    fetch_t *fetch = &updates->fetch;
+
+    if (fetch->address != NULL && fetch->replaceable && is_slow(fetch)) {
+        mr_peer_cancel(fetch->call);
+        fetch->call = NULL;
+        give_up(updates, "slow");
+    }
+    if (is_avoided(updates, source->address)) {
+        source = other;
+    }
+    start_fetch(updates, source, strcmp(source->address, other->address) != 0);
+}
--- a/lib/session/update.h
+++ b/lib/session/update.h
@@ -24,6 +24,12 @@
     void *ctx;
 } mr_updates_options_t;
 
+/** An instance that contents are fetched from. */
+typedef struct mr_update_source {
+    const char *address;
+    const char *name;
+} mr_update_source_t;
+
 mr_updates_t *mr_updates_create(const mr_updates_options_t *options);
 void mr_updates_destroy(mr_updates_t *updates);
 
@@ -32,6 +38,12 @@
 void mr_updates_fetch(mr_updates_t *updates, const char *address,
                       const char *name);
 
+/** mr_updates_fetch_either() - like mr_updates_fetch(), from @source, or from
+ * @other if a transfer from @source is slow or has failed lately. */
+void mr_updates_fetch_either(mr_updates_t *updates,
+                             const mr_update_source_t *source,
+                             const mr_update_source_t *other);
+
 /** mr_updates_import() - apply the contents of @in that came with a report or
  * its reply. */
 void mr_updates_import(mr_updates_t *updates, const mr_msg_directory_t *in,
--- a/tests/unit/test_update.c
+++ b/tests/unit/test_update.c
@@ -2,9 +2,13 @@
  * same time, and against receivers that apply anything but the complete newest
  * contents. */
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "../common/runner.h"
 #include "common/mem.h"
@@ -234,6 +238,90 @@
 }
 END_TEST
 
+/* Fetches from @address as the replies to reports tell, which name another
+ * source after 1,500 ms. Returns the time until version 3 is applied. */
+static int
+fetch_from_a_source(const char *address)
+{
+    mr_update_source_t coordinator = {instances[0].address, instances[0].name};
+    mr_update_source_t source = {address, "source"};
+
+    set_config(&instances[0], 3, ROUTES);
+    for (int ms = 0; ms < WAIT_MAX_MS; ms += STEP_MS) {
+        if (ms % 250 == 0) {
+            mr_updates_fetch_either(instances[1].updates,
+                                    ms < 1500 ? &source : &coordinator,
+                                    &coordinator);
+        }
+        run_loop(STEP_MS);
+        if (get_version(&instances[1]) == 3) {
+            return ms;
+        }
+    }
+    return WAIT_MAX_MS;
+}
+
+START_TEST(test_a_silent_source_delays_a_large_change_once)
+{
+    struct sockaddr_in addr = {.sin_family = AF_INET,
+                               .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t len = sizeof(addr);
+    char address[32];
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    ck_assert_int_eq(bind(fd, (struct sockaddr *)&addr, len), 0);
+    ck_assert_int_eq(listen(fd, 16), 0);
+    ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&addr, &len), 0);
+    snprintf(address, sizeof(address), "127.0.0.1:%d", ntohs(addr.sin_port));
+    ck_assert_int_lt(fetch_from_a_source(address), 1500);
+    close(fd);
+}
+END_TEST
+
+/* A request for a chunk whose reply is held back. */
+static mr_peer_request_t *held_request;
+static struct event *slow_timer;
+static int64_t slow_offset;
+
+static void
+on_slow_timer(evutil_socket_t fd, short what, void *ctx)
+{
+    static const char byte[] = "x";
+    mr_msg_t reply = {.type = MR_MSG_UPDATE_FETCH_REPLY};
+
+    (void)fd;
+    (void)what;
+    (void)ctx;
+    reply.u.update_chunk = (mr_msg_update_chunk_t){
+        .id = 1, .size = 100000, .offset = slow_offset++, .data = {byte, 1}};
+    mr_peer_reply(held_request, &reply);
+}
+
+static void
+on_slow_fetch(void *ctx, mr_peer_request_t *request, const mr_msg_t *msg,
+              const char *from)
+{
+    struct timeval tv = {.tv_usec = 800000};
+
+    (void)ctx;
+    (void)msg;
+    (void)from;
+    held_request = request;
+    evtimer_add(slow_timer, &tv);
+}
+
+START_TEST(test_a_slow_source_does_not_hold_a_large_change_back)
+{
+    slow_offset = 0;
+    slow_timer = evtimer_new(base, on_slow_timer, NULL);
+    mr_peer_handle(instances[2].peer, MR_MSG_UPDATE_FETCH, on_slow_fetch,
+                   NULL);
+    ck_assert_int_lt(fetch_from_a_source(instances[2].address), 1500);
+    run_loop(900);
+    event_free(slow_timer);
+}
+END_TEST
+
 START_TEST(test_receivers_with_different_versions_are_all_served)
 {
     enum { RECEIVERS = 4 };
@@ -324,6 +412,8 @@
         test_a_sender_serves_few_transfers_at_a_time,
         test_a_version_that_changes_during_a_transfer_arrives_next,
         test_a_sender_that_ends_does_not_block_the_next_transfer,
+        test_a_silent_source_delays_a_large_change_once,
+        test_a_slow_source_does_not_hold_a_large_change_back,
         test_receivers_with_different_versions_are_all_served,
         test_all_registrations_of_a_large_deployment_arrive,
         test_nothing_newer_ends_a_fetch,
