Let instances fetch what others have when contents change often

What callers saw: while the desired state or the registrations changed more often than all instances of a data centre could fetch them, the same instances got none of the changes for as long as the series went on: routes that were added were not known, databases that drain were still used.

Cause: only an instance with the coordinator's newest contents was a source. With each change all stopped being one, and the place at the coordinator went to whichever instance reports first after its reading.

Read in the code: at 19 instances of a data centre, 1, 4, 16, 19 have the contents after each round of report and transfer, and the coordinator reads the registrations once a second, on request every 0.4 s.

Change: an instance that has waited for 1 s is told any instance of its data centre that has newer contents than itself.

--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -40,7 +40,8 @@
     bool fetching;           /* was told to fetch contents from @source */
     struct mr_fleet_instance *source; /* NULL: this instance */
     mr_ms_t source_chosen_at;
-    int fetchers; /* instances that were told to fetch from it */
+    mr_ms_t waiting_since; /* for a source; 0: it is not */
+    int fetchers;          /* instances that were told to fetch from it */
 } mr_fleet_instance_t;
 
 /** A report that waits for its reply. */
--- a/lib/session/fleet_source.c
+++ b/lib/session/fleet_source.c
@@ -14,6 +14,10 @@
     /* An instance that has not got the contents after this time is told
      * another source. */
     SOURCE_TIMEOUT_MS = 1500,
+    /* An instance that has waited for this long is told a source that has some
+     * of the newer contents only, as these may change more often than they
+     * reach all instances. */
+    WAIT_MAX_MS = 1000,
     /* A source, or a receiver, has reported within this time. */
     SEEN_MS = 600,
 };
@@ -21,6 +25,7 @@
 void
 mr_fleet_release_source(mr_fleet_t *fleet, mr_fleet_instance_t *instance)
 {
+    instance->waiting_since = 0;
     if (!instance->fetching) {
         return;
     }
@@ -57,8 +62,9 @@
     {
         mr_fleet_instance_t *instance =
             MR_LIST_ENTRY(it, mr_fleet_instance_t, link);
-        if (now - instance->source_chosen_at >= SOURCE_TIMEOUT_MS
-            || now - instance->last_report_at > SEEN_MS) {
+        if (instance->fetching
+            && (now - instance->source_chosen_at >= SOURCE_TIMEOUT_MS
+                || now - instance->last_report_at > SEEN_MS)) {
             mr_fleet_release_source(fleet, instance);
         }
     }
@@ -72,9 +78,25 @@
            && instance->held.registrations_digest == own->registrations_digest;
 }
 
+/* Whether @a has newer contents than @b and nothing older. */
+static bool
+is_newer(const mr_msg_directory_t *a, const mr_msg_directory_t *b)
+{
+    mr_revision_t revision = {a->registrations_era, a->registrations_version};
+    mr_revision_t other = {b->registrations_era, b->registrations_version};
+    int compared = mr_revision_compare(revision, other);
+
+    return a->config_version >= b->config_version && compared >= 0
+           && (a->config_version > b->config_version
+               || (compared > 0
+                   && a->registrations_digest != b->registrations_digest));
+}
+
 /** What the instances of a data centre have and do. */
 typedef struct data_centre_state {
     mr_fleet_instance_t *source; /* has the contents and room; NULL: none */
+    mr_fleet_instance_t *newer;  /* has room and newer contents than the
+                                    receiver; NULL: none */
     bool complete;               /* at least one instance has the contents */
     bool supplied;               /* one of them fetches from this instance */
 } data_centre_state_t;
@@ -96,8 +118,14 @@
         if (instance->fetching && instance->source == NULL) {
             state.supplied = true;
         }
-        if (now - instance->last_report_at > SEEN_MS
-            || !has_contents(instance, own)) {
+        if (now - instance->last_report_at > SEEN_MS) {
+            continue;
+        }
+        if (instance->fetchers < FETCHERS_MAX
+            && is_newer(&instance->held, &receiver->held)) {
+            state.newer = instance;
+        }
+        if (!has_contents(instance, own)) {
             continue;
         }
         state.complete = true;
@@ -116,6 +144,7 @@
        mr_fleet_instance_t *source, mr_ms_t now)
 {
     receiver->fetching = true;
+    receiver->waiting_since = 0;
     receiver->source = source;
     receiver->source_chosen_at = now;
     if (source != NULL) {
@@ -147,4 +176,11 @@
              && (local || (!state.complete && !state.supplied))) {
         assign(fleet, receiver, NULL, now);
     }
+    else if (receiver->waiting_since == 0) {
+        receiver->waiting_since = now;
+    }
+    else if (state.newer != NULL
+             && now - receiver->waiting_since >= WAIT_MAX_MS) {
+        assign(fleet, receiver, state.newer, now);
+    }
 }
--- a/tests/unit/test_fleet_source.c
+++ b/tests/unit/test_fleet_source.c
@@ -26,12 +26,28 @@
     (void)catalog;
 }
 
+/* Sets the desired state that the coordinator has. */
 static void
-set_up(void)
+set_version(int version)
 {
-    static const char config[] =
-        "{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":[]}";
+    char *config = mr_asprintf(
+        "{\"version\":%d,\"routes\":[],\"services\":[],\"tenants\":[]}",
+        version);
 
+    mr_directory_set_config(fleet->options.directory, config, strlen(config),
+                            "store");
+    free(config);
+}
+
+static int64_t
+get_version(void)
+{
+    return mr_directory_config_version(fleet->options.directory);
+}
+
+static void
+set_up(void)
+{
     memset(silent, 0, sizeof(silent));
     counters = mr_counters_create();
     fleet = MR_NEW(mr_fleet_t);
@@ -47,8 +63,7 @@
         .counters = counters,
         .on_catalog = on_catalog,
     });
-    mr_directory_set_config(fleet->options.directory, config, strlen(config),
-                            "store");
+    set_version(7);
     fleet->instances_gauge = mr_counters_get(counters, "instances", "", "");
     mr_list_init(&fleet->instances);
     mr_list_init(&fleet->reports);
@@ -86,7 +101,7 @@
             continue;
         }
         instances[i]->last_report_at = now;
-        if (instances[i]->held.config_version == 7) {
+        if (instances[i]->held.config_version == get_version()) {
             mr_fleet_release_source(fleet, instances[i]);
         }
         else {
@@ -177,6 +192,31 @@
 }
 END_TEST
 
+START_TEST(test_frequent_changes_do_not_starve_instances)
+{
+    enum { ROUNDS = 60, ROUNDS_BETWEEN = 10 };
+    int updated[INSTANCES] = {0};
+
+    for (int round = 1; round <= ROUNDS; round++) {
+        if (round % 2 == 1) {
+            set_version(7 + round);
+        }
+        report_all(round * ROUND_MS);
+        for (int i = 0; i < INSTANCES; i++) {
+            const mr_fleet_instance_t *source = instances[i]->source;
+            int64_t version =
+                source != NULL ? source->held.config_version : get_version();
+            if (instances[i]->fetching
+                && version > instances[i]->held.config_version) {
+                instances[i]->held.config_version = version;
+                updated[i] = round;
+            }
+            ck_assert_int_le(round - updated[i], ROUNDS_BETWEEN);
+        }
+    }
+}
+END_TEST
+
 START_TEST(test_a_removed_source_leaves_no_transfer_behind)
 {
     report_all(ROUND_MS);
@@ -210,6 +250,7 @@
         test_contents_spread_without_loading_one_instance,
         test_a_transfer_that_does_not_end_gets_another_source,
         test_dead_receivers_do_not_keep_contents_from_others,
+        test_frequent_changes_do_not_starve_instances,
         test_a_removed_source_leaves_no_transfer_behind,
         test_instances_with_slow_links_come_last,
     };
