Choose no source for an instance that pauses

What callers saw: in a data centre without the newest contents, an instance that had just decoded a desired state kept all others from fetching for up to a second, its own pause, when registrations had changed as well.

Cause: a reporter that puts desired states off, and lacks registrations that are too large for the reply, was told a source. It ignores that while it pauses, but held its data centre's place at the coordinator.

Evidence: test_a_pausing_instance_does_not_hold_back_its_data_centre fails before (the pausing instance has the place).

Change: the coordinator notes the pause from the report and chooses no source.

--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -37,6 +37,7 @@
     bool in_store;          /* in the registrations just read */
     char *data_centre;      /* NULL: has not reported yet */
     mr_msg_directory_t held; /* versions in its last report; no contents */
+    bool defers_config;      /* fetches nothing at present */
     bool fetching;           /* was told to fetch contents from @source */
     struct mr_fleet_instance *source; /* NULL: this instance */
     mr_ms_t source_chosen_at;
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -532,6 +532,7 @@
         .registrations_version = directory->registrations_version,
         .registrations_digest = directory->registrations_digest,
     };
+    instance->defers_config = report->defers_config;
     if (report->data_centre[0] != '\0'
         && (instance->data_centre == NULL
             || strcmp(instance->data_centre, report->data_centre) != 0)) {
--- a/lib/session/fleet_source.c
+++ b/lib/session/fleet_source.c
@@ -162,6 +162,10 @@
     mr_msg_directory_t own;
 
     release_expired(fleet, now);
+    if (receiver->defers_config) {
+        mr_fleet_release_source(fleet, receiver);
+        return;
+    }
     if (receiver->fetching || receiver->data_centre == NULL) {
         return;
     }
--- a/tests/unit/test_fleet_source.c
+++ b/tests/unit/test_fleet_source.c
@@ -217,6 +217,23 @@
 }
 END_TEST
 
+START_TEST(test_a_pausing_instance_does_not_hold_back_its_data_centre)
+{
+    for (int i = 0; i < INSTANCES; i += 4) {
+        instances[i]->held.config_version = 7;
+    }
+    instances[1]->defers_config = true;
+    report_all(ROUND_MS);
+    ck_assert(!instances[1]->fetching);
+    ck_assert(instances[5]->fetching);
+    instances[1]->defers_config = false;
+    instances[5]->held.config_version = 7;
+    report_all(2 * ROUND_MS);
+    report_all(3 * ROUND_MS);
+    ck_assert(instances[1]->fetching);
+}
+END_TEST
+
 START_TEST(test_a_removed_source_leaves_no_transfer_behind)
 {
     report_all(ROUND_MS);
@@ -251,6 +268,7 @@
         test_a_transfer_that_does_not_end_gets_another_source,
         test_dead_receivers_do_not_keep_contents_from_others,
         test_frequent_changes_do_not_starve_instances,
+        test_a_pausing_instance_does_not_hold_back_its_data_centre,
         test_a_removed_source_leaves_no_transfer_behind,
         test_instances_with_slow_links_come_last,
     };
