--- a/tests/unit/test_fleet_source.c
+++ b/tests/unit/test_fleet_source.c
@@ -17,7 +17,7 @@
 static mr_fleet_t *fleet;
 static mr_counters_t *counters;
 static mr_fleet_instance_t *instances[INSTANCES];
-static const mr_fleet_instance_t *silent; /* does not report */
+static bool silent[INSTANCES]; /* do not report */
 
 static void
 on_catalog(void *ctx, mr_catalog_t *catalog)
@@ -26,13 +26,29 @@
     (void)catalog;
 }
 
+/* Sets the desired state that the coordinator has. */
 static void
-set_up(void)
+set_version(int version)
 {
-    static const char config[] =
-        "{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":[]}";
+    char *config = mr_asprintf(
+        "{\"version\":%d,\"routes\":[],\"services\":[],\"tenants\":[]}",
+        version);
+
+    mr_directory_set_config(fleet->options.directory, config, strlen(config),
+                            "store");
+    free(config);
+}
 
-    silent = NULL;
+static int64_t
+get_version(void)
+{
+    return mr_directory_config_version(fleet->options.directory);
+}
+
+static void
+set_up(void)
+{
+    memset(silent, 0, sizeof(silent));
     counters = mr_counters_create();
     fleet = MR_NEW(mr_fleet_t);
     fleet->options = (mr_fleet_options_t){
@@ -47,8 +63,7 @@
         .counters = counters,
         .on_catalog = on_catalog,
     });
-    mr_directory_set_config(fleet->options.directory, config, strlen(config),
-                            "store");
+    set_version(7);
     fleet->instances_gauge = mr_counters_get(counters, "instances", "", "");
     mr_list_init(&fleet->instances);
     mr_list_init(&fleet->reports);
@@ -82,11 +97,11 @@
 report_all(mr_ms_t now)
 {
     for (int i = 0; i < INSTANCES; i++) {
-        if (instances[i] == silent) {
+        if (silent[i]) {
             continue;
         }
         instances[i]->last_report_at = now;
-        if (instances[i]->held.config_version == 7) {
+        if (instances[i]->held.config_version == get_version()) {
             mr_fleet_release_source(fleet, instances[i]);
         }
         else {
@@ -146,7 +161,7 @@
     dead->last_report_at = ROUND_MS;
     report_all(2 * ROUND_MS);
     ck_assert_ptr_eq(instances[13]->source, dead);
-    silent = dead;
+    silent[5] = true;
     for (int i = 0; i < INSTANCES; i++) {
         instances[i]->held.config_version = i == 13 ? 6 : 7;
     }
@@ -159,6 +174,66 @@
 }
 END_TEST
 
+START_TEST(test_dead_receivers_do_not_keep_contents_from_others)
+{
+    report_all(ROUND_MS);
+    ck_assert_int_eq(count_fetching(NULL), 4);
+    for (int i = 0; i < INSTANCES; i++) {
+        silent[i] = instances[i]->fetching;
+    }
+    for (mr_ms_t now = 2 * ROUND_MS; now <= 8 * ROUND_MS; now += ROUND_MS) {
+        report_all(now);
+    }
+    int fetching = 0;
+    for (int i = 0; i < INSTANCES; i++) {
+        fetching += !silent[i] && instances[i]->fetching;
+    }
+    ck_assert_int_eq(fetching, 4);
+}
+END_TEST
+
+START_TEST(test_frequent_changes_do_not_starve_instances)
+{
+    enum { ROUNDS = 60, ROUNDS_BETWEEN = 10 };
+    int updated[INSTANCES] = {0};
+
+    for (int round = 1; round <= ROUNDS; round++) {
+        if (round % 2 == 1) {
+            set_version(7 + round);
+        }
+        report_all(round * ROUND_MS);
+        for (int i = 0; i < INSTANCES; i++) {
+            const mr_fleet_instance_t *source = instances[i]->source;
+            int64_t version =
+                source != NULL ? source->held.config_version : get_version();
+            if (instances[i]->fetching
+                && version > instances[i]->held.config_version) {
+                instances[i]->held.config_version = version;
+                updated[i] = round;
+            }
+            ck_assert_int_le(round - updated[i], ROUNDS_BETWEEN);
+        }
+    }
+}
+END_TEST
+
+START_TEST(test_a_pausing_instance_does_not_hold_back_its_data_centre)
+{
+    for (int i = 0; i < INSTANCES; i += 4) {
+        instances[i]->held.config_version = 7;
+    }
+    instances[1]->defers_config = true;
+    report_all(ROUND_MS);
+    ck_assert(!instances[1]->fetching);
+    ck_assert(instances[5]->fetching);
+    instances[1]->defers_config = false;
+    instances[5]->held.config_version = 7;
+    report_all(2 * ROUND_MS);
+    report_all(3 * ROUND_MS);
+    ck_assert(instances[1]->fetching);
+}
+END_TEST
+
 START_TEST(test_a_removed_source_leaves_no_transfer_behind)
 {
     report_all(ROUND_MS);
@@ -191,6 +266,9 @@
     const TTest *const tests[] = {
         test_contents_spread_without_loading_one_instance,
         test_a_transfer_that_does_not_end_gets_another_source,
+        test_dead_receivers_do_not_keep_contents_from_others,
+        test_frequent_changes_do_not_starve_instances,
+        test_a_pausing_instance_does_not_hold_back_its_data_centre,
         test_a_removed_source_leaves_no_transfer_behind,
         test_instances_with_slow_links_come_last,
     };
