Let large answers of the store take longer than one timeout

A read of the desired state had 1 s in all; a row of 650 KB has 870 KB in base64 and takes 0.7 s of an otherwise free link of that rate, and one of 1 MB never arrived, however often it was asked for. After a stop of all instances none of them could have read it.

A store that is silent is given up as before.

--- a/lib/common/http.c
+++ b/lib/common/http.c
@@ -22,6 +22,7 @@
 typedef struct conn {
     mr_list_t link; /* in idle_conns */
     struct evhttp_connection *evcon;
+    size_t received; /* bytes so far */
 } conn_t;
 
 struct mr_http_pending {
@@ -32,6 +33,9 @@
     char *uri;
     struct evhttp_request *req; /* NULL once a connection owns it */
     struct event *timer;
+    mr_ms_t progress; /* longest time without any of an answer */
+    mr_ms_t ends_at;  /* latest end of a call whose answer arrives */
+    size_t received;  /* of the connection, when the timer was started */
     mr_http_fn_t fn;
     void *ctx;
 };
@@ -68,6 +72,16 @@
     free(conn);
 }
 
+static void
+on_input(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+         void *ctx)
+{
+    conn_t *conn = ctx;
+
+    (void)buffer;
+    conn->received += info->n_added;
+}
+
 static conn_t *
 take_conn(mr_http_t *http)
 {
@@ -85,6 +99,9 @@
         return NULL;
     }
     evhttp_connection_set_max_body_size(conn->evcon, BODY_MAX_BYTES);
+    evbuffer_add_cb(
+        bufferevent_get_input(evhttp_connection_get_bufferevent(conn->evcon)),
+        on_input, conn);
     if (http->counts_traffic) {
         mr_traffic_watch(&http->traffic,
                          evhttp_connection_get_bufferevent(conn->evcon));
@@ -148,13 +165,32 @@
     ended->fn(ended->ctx, error, 0, NULL, 0);
 }
 
+/* Restarts the timer of a call whose answer is arriving. Returns false if the
+ * call has to end. */
+static bool
+extend_timeout(mr_http_pending_t *pending)
+{
+    mr_ms_t left = pending->ends_at - mr_clock_now(NULL);
+
+    if (pending->conn == NULL || left <= 0
+        || pending->conn->received == pending->received) {
+        return false;
+    }
+    pending->received = pending->conn->received;
+    mr_timer_start(pending->timer,
+                   left < pending->progress ? left : pending->progress);
+    return true;
+}
+
 static void
 on_timeout(evutil_socket_t fd, short what, void *ctx)
 {
-    mr_http_pending_t ended = remove_call(ctx);
-
     (void)fd;
     (void)what;
+    if (extend_timeout(ctx)) {
+        return;
+    }
+    mr_http_pending_t ended = remove_call(ctx);
     if (ended.conn == NULL) {
         end_without_answer(&ended, MR_ERR_UNAVAILABLE);
         return;
@@ -216,6 +252,7 @@
         return;
     }
     pending->req = NULL; /* the connection owns it */
+    pending->received = pending->conn->received;
     http->queued--;
     http->running++;
     http->sending = pending;
@@ -355,6 +392,8 @@
     pending->uri = mr_strdup(call->uri);
     pending->req = build_request(http, call, pending);
     pending->timer = evtimer_new(http->base, on_timeout, pending);
+    pending->progress = call->timeout_progress;
+    pending->ends_at = mr_clock_now(NULL) + call->timeout_max;
     pending->fn = fn;
     pending->ctx = ctx;
     mr_list_init(&pending->link);
--- a/lib/common/http.h
+++ b/lib/common/http.h
@@ -43,6 +43,10 @@
     const void *body;                /* NULL: none */
     size_t body_len;
     mr_ms_t timeout;
+    /* An answer that is arriving may take until timeout_max, as long as no
+     * stretch of timeout_progress passes without any of it. 0: it may not. */
+    mr_ms_t timeout_max;
+    mr_ms_t timeout_progress;
 } mr_http_call_t;
 
 /**
