--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 CC ?= gcc
 PKGS = libevent libevent_openssl msgpack glib-2.0 jansson libsodium libxxhash \
-       libssl libcrypto
+       libssl libcrypto libzstd
 BUILD ?= build
 SANITIZE ?=
 
@@ -98,8 +98,8 @@
 
 # These tests surround session daemons, or parts of them, with a stand-in of
 # their own.
-$(addprefix $(BUILD)/integration/,test_sessions test_session_soak test_session_store \
-    test_session_restore): \
+$(addprefix $(BUILD)/integration/,test_sessions test_session_control test_session_memory \
+    test_session_soak test_session_store test_session_restore): \
     $(WORLD_SRC:%.c=$(BUILD)/%.o)
 
 $(BENCH:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/bench/%.o \
--- a/lib/common/event.h
+++ b/lib/common/event.h
@@ -21,6 +21,7 @@
     X(CHILD_RESTART, "child_restart", "child backoff_ms")                     \
     X(DRAIN_DEADLINE, "drain_deadline", "child")                              \
     X(PROCESS_PAUSED, "process_paused", "ms")                                 \
+    X(MEMORY_LEVEL, "memory_level", "from to in_use held limit gauges")       \
     X(CERTIFICATE_RELOADED, "certificate_reloaded", "file")                   \
     X(CERTIFICATE_REFUSED, "certificate_refused", "file reason")              \
     /* The platform */                                                        \
@@ -53,6 +54,8 @@
       "version before source")                                                \
     X(CONFIGURATION_MALFORMED, "configuration_malformed", "source problem")   \
     X(FEED_HISTORY_GONE, "feed_history_gone", "after")                        \
+    X(UPDATE_APPLIED, "update_applied", "source bytes took_ms")               \
+    X(UPDATE_FAILED, "update_failed", "source reason received size")          \
     X(REGISTRATIONS_OUTDATED, "registrations_outdated", "count era")          \
     X(REGISTRATIONS_DIFFER, "registrations_differ", "source version")         \
     /* Databases */                                                           \
@@ -77,6 +80,10 @@
     X(SECRET_REPLACED, "secret_replaced", "era")                              \
     X(INSTANCE_ADDRESS_MALFORMED, "instance_address_malformed",               \
       "name address")                                                         \
+    X(PEER_OUTPUT_FULL, "peer_output_full", "name bytes bound frame")         \
+    X(PEER_OUTPUT_DRAINED, "peer_output_drained", "name dropped ms")          \
+    X(PEER_BUFFERS_PEAK, "peer_buffers_peak",                                 \
+      "output input links name largest")                                      \
     /* Changes of primary */                                                  \
     X(PROMOTION_STARTED, "promotion_started", "service reason")               \
     X(PROMOTION_ORDERED, "promotion_ordered", "service id token planned")     \
@@ -89,7 +96,8 @@
     X(TOKEN_WAIT, "token_wait", "id account")                                 \
     X(REQUEST_REFUSED, "request_refused",                                     \
       "id account database error config retry_after_ms coordinated waited")   \
-    X(SESSION_REFUSED, "session_refused", "error")                            \
+    X(SESSION_REFUSED, "session_refused", "error retry_after_ms")             \
+    X(SESSION_SHED, "session_shed", "account database input output values")   \
     X(ATTEMPT_FAILED, "attempt_failed",                                       \
       "id target stage error tries waited_ms")                                \
     X(REQUEST_ENDED, "request_ended",                                         \
--- a/lib/session/directory.c
+++ b/lib/session/directory.c
@@ -9,8 +9,12 @@
 #include "config/patch.h"
 
 enum {
-    /* Number of earlier desired states that patches can start from. */
+    /* Number of earlier desired states that patches can start from, and the
+     * most bytes that they take together. */
     HISTORY_LENGTH = 8,
+    HISTORY_MAX_BYTES = 4 << 20,
+    /* Bytes that an item of a list adds to a message besides its contents. */
+    ITEM_OVERHEAD_BYTES = 24,
     /* How long a restored store may hold registrations older than the known
      * ones. By then, databases that run have registered again and the others'
      * registrations have lapsed. */
@@ -60,6 +64,7 @@
     mr_directory_options_t options;
     int64_t config_version;
     mr_bytes_t config;
+    mr_catalog_t *catalog; /* decoded from @config; NULL: none */
     old_config_t history[HISTORY_LENGTH]; /* newest first; version 0: none */
     mr_revision_t registrations_revision;
     int64_t registrations_digest;
@@ -123,6 +128,7 @@
     free_rows(directory->rows, directory->row_count);
     free(directory->exported_rows);
     free(directory->row_states);
+    mr_catalog_unref(directory->catalog);
     free((void *)directory->config.data);
     free(directory);
 }
@@ -143,6 +149,21 @@
     directory->history[0] = (old_config_t){
         .version = directory->config_version, .body = directory->config};
     directory->config = (mr_bytes_t){0};
+    size_t bytes = 0;
+    for (size_t i = 0; i < HISTORY_LENGTH; i++) {
+        bytes += directory->history[i].body.len;
+        if (bytes > HISTORY_MAX_BYTES) {
+            clear_old_config(&directory->history[i]);
+        }
+    }
+}
+
+static bool
+is_current_config(const mr_directory_t *directory, const void *data,
+                  size_t len)
+{
+    return len == directory->config.len && len > 0
+           && memcmp(data, directory->config.data, len) == 0;
 }
 
 void
@@ -150,8 +171,12 @@
                         size_t len, const char *source)
 {
     const char *problem;
-    mr_catalog_t *catalog = mr_catalog_decode(data, len, &problem);
 
+    if (is_current_config(directory, data, len)) {
+        return;
+    }
+    mr_catalog_t *catalog =
+        mr_catalog_decode(data, len, directory->catalog, &problem);
     if (catalog == NULL) {
         mr_counter_add(directory->malformed_counter, 1);
         mr_log(MR_LOG_ERROR, MR_EVENT_CONFIGURATION_MALFORMED,
@@ -167,6 +192,9 @@
         directory->config_version = catalog->version;
         directory->config = (mr_bytes_t){mr_memdup(data, len), len};
         directory->options.on_catalog(directory->options.ctx, catalog);
+        mr_catalog_unref(directory->catalog);
+        directory->catalog = catalog;
+        return;
     }
     mr_catalog_unref(catalog);
 }
@@ -465,10 +493,37 @@
     return (mr_revision_t){msg->registrations_era, msg->registrations_version};
 }
 
+/* Returns whether @a has newer registrations than @b, with other contents. */
+static bool
+registrations_newer(const mr_msg_directory_t *a, const mr_msg_directory_t *b)
+{
+    return mr_revision_compare(registrations_revision(a),
+                               registrations_revision(b))
+               > 0
+           && a->registrations_digest != b->registrations_digest;
+}
+
+static size_t
+patch_bytes(const mr_msg_patch_part_t *parts, size_t count)
+{
+    size_t bytes = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        bytes += ITEM_OVERHEAD_BYTES + parts[i].insert.len;
+    }
+    return bytes;
+}
+
+static size_t
+row_bytes(const mr_msg_registration_t *row)
+{
+    return ITEM_OVERHEAD_BYTES + strlen(row->id) + row->value.len;
+}
+
 /* Exports the desired state for a receiver that has version @known, as a patch
  * if possible. */
 static void
-export_config(mr_directory_t *directory, int64_t known,
+export_config(mr_directory_t *directory, int64_t known, size_t max_bytes,
               mr_msg_directory_t *out)
 {
     for (size_t i = 0; known > 0 && i < HISTORY_LENGTH; i++) {
@@ -482,30 +537,40 @@
                                  &old_config->patch);
         }
         if (old_config->patch.count > 0) {
-            out->config_base = known;
-            out->config_patch = old_config->patch.parts;
-            out->config_patch_count = old_config->patch.count;
+            if (patch_bytes(old_config->patch.parts, old_config->patch.count)
+                <= max_bytes) {
+                out->config_base = known;
+                out->config_patch = old_config->patch.parts;
+                out->config_patch_count = old_config->patch.count;
+            }
             return;
         }
     }
-    out->config = directory->config;
+    if (directory->config.len <= max_bytes) {
+        out->config = directory->config;
+    }
 }
 
 /* Exports all rows; those that have not changed since @known have no value. */
 static void
-export_rows(mr_directory_t *directory, mr_revision_t known,
+export_rows(mr_directory_t *directory, mr_revision_t known, size_t max_bytes,
             mr_msg_directory_t *out)
 {
-    size_t bytes =
+    size_t size =
         (directory->row_count + 1) * sizeof(*directory->exported_rows);
+    size_t bytes = 0;
 
-    directory->exported_rows = mr_realloc(directory->exported_rows, bytes);
+    directory->exported_rows = mr_realloc(directory->exported_rows, size);
     for (size_t i = 0; i < directory->row_count; i++) {
         directory->exported_rows[i] = directory->rows[i];
         if (mr_revision_compare(directory->row_states[i].changed_at, known)
             <= 0) {
             directory->exported_rows[i].value = (mr_bytes_t){0};
         }
+        bytes += row_bytes(&directory->exported_rows[i]);
+    }
+    if (bytes > max_bytes) {
+        return;
     }
     out->registrations = directory->exported_rows;
     out->registration_count = directory->row_count;
@@ -513,7 +578,7 @@
 
 void
 mr_directory_export(mr_directory_t *directory, const mr_msg_directory_t *known,
-                    mr_msg_directory_t *out)
+                    size_t max_bytes, mr_msg_directory_t *out)
 {
     *out = (mr_msg_directory_t){
         .config_version = directory->config_version,
@@ -525,14 +590,55 @@
         return;
     }
     if (directory->config_version > known->config_version) {
-        export_config(directory, known->config_version, out);
+        export_config(directory, known->config_version, max_bytes, out);
+    }
+    if (registrations_newer(out, known)) {
+        export_rows(directory, registrations_revision(known), max_bytes, out);
     }
-    if (mr_revision_compare(directory->registrations_revision,
-                            registrations_revision(known))
-            > 0
-        && directory->registrations_digest != known->registrations_digest) {
-        export_rows(directory, registrations_revision(known), out);
+}
+
+bool
+mr_directory_has_contents(const mr_msg_directory_t *exported)
+{
+    return exported->config.len > 0 || exported->config_patch_count > 0
+           || exported->registration_count > 0;
+}
+
+size_t
+mr_directory_content_bytes(const mr_msg_directory_t *exported)
+{
+    size_t bytes =
+        exported->config.len
+        + patch_bytes(exported->config_patch, exported->config_patch_count);
+
+    for (size_t i = 0; i < exported->registration_count; i++) {
+        bytes += row_bytes(&exported->registrations[i]);
     }
+    return bytes;
+}
+
+bool
+mr_directory_leaves_out(const mr_msg_directory_t *exported,
+                        const mr_msg_directory_t *known)
+{
+    bool config = exported->config_version > known->config_version
+                  && exported->config.len == 0
+                  && exported->config_patch_count == 0;
+    bool rows = registrations_newer(exported, known)
+                && exported->registration_count == 0;
+
+    return config || rows;
+}
+
+bool
+mr_directory_lacks(mr_directory_t *directory,
+                   const mr_msg_directory_t *exported)
+{
+    mr_msg_directory_t own;
+
+    mr_directory_export(directory, NULL, 0, &own);
+    return exported->config_version > own.config_version
+           || registrations_newer(exported, &own);
 }
 
 static void
--- a/lib/session/fleet.c
+++ b/lib/session/fleet.c
@@ -162,7 +162,11 @@
     mr_fleet_t *fleet = MR_NEW(mr_fleet_t);
 
     fleet->options = *options;
-    fleet->own_priority = mr_rendezvous_score("coordinator", options->name);
+    fleet->own_priority = mr_fleet_priority(options->name, options->link_mbps);
+    fleet->own_registration = options->link_mbps > 0
+                                  ? mr_asprintf("%s %lld", options->address,
+                                                (long long)options->link_mbps)
+                                  : mr_strdup(options->address);
     fleet->budgets = mr_budgets_create();
     mr_list_init(&fleet->instances);
     mr_list_init(&fleet->reports);
@@ -180,6 +184,7 @@
     fleet->instances_gauge =
         mr_counters_get(options->counters, "masticrelay_instances", "",
                         "instances that may admit operations");
+    mr_fleet_create_peer(fleet);
     mr_store_on_era(options->store, mr_fleet_on_era, fleet);
     mr_timer_start(fleet->members_timer, 0);
     return fleet;
@@ -196,10 +201,10 @@
             fleet,
             MR_LIST_ENTRY(fleet->instances.next, mr_fleet_instance_t, link));
     }
-    if (fleet->peer != NULL) {
-        mr_peer_destroy(fleet->peer);
-    }
+    mr_updates_destroy(fleet->updates);
+    mr_peer_destroy(fleet->peer);
     mr_budgets_destroy(fleet->budgets);
+    free(fleet->own_registration);
     event_free(fleet->report_timer);
     event_free(fleet->check_timer);
     event_free(fleet->members_timer);
--- a/lib/session/fleet_members.c
+++ b/lib/session/fleet_members.c
@@ -2,6 +2,7 @@
  * authenticates the connections between them. */
 
 #include <sodium.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -19,6 +20,9 @@
     MEMBERS_PERIOD_MS = 20000,
     /* An instance that has not reported for this long is removed. */
     REMOVE_AFTER_MS = 15000,
+    /* A priority has the class of the link's rate in its highest bits. */
+    RATE_CLASS_BITS = 8,
+    RATE_CLASS_SHIFT = 64 - RATE_CLASS_BITS,
     /* After a restoration of the store, the instances register again within
      * this time, each at a moment of its own. */
     RESTORE_SPREAD_MS = 600,
@@ -85,23 +89,33 @@
     if (fleet->coordinator == instance) {
         fleet->coordinator = NULL;
     }
+    mr_fleet_remove_source(fleet, instance);
     mr_list_remove(&instance->link);
     fleet->other_count--;
     free(instance->name);
     free(instance->address);
+    free(instance->data_centre);
     free(instance);
 }
 
-static mr_fleet_instance_t *
-add_instance(mr_fleet_t *fleet, const char *name, const char *address)
+uint64_t
+mr_fleet_priority(const char *name, int64_t link_mbps)
+{
+    uint64_t rate_class = 0;
+
+    for (int64_t rate = link_mbps; rate > 0; rate >>= 1) {
+        rate_class++;
+    }
+    return rate_class << RATE_CLASS_SHIFT
+           | mr_rendezvous_score("coordinator", name) >> RATE_CLASS_BITS;
+}
+
+/* Puts @instance into the list, which is ordered by priority. */
+static void
+insert_instance(mr_fleet_t *fleet, mr_fleet_instance_t *instance)
 {
-    mr_fleet_instance_t *instance = MR_NEW(mr_fleet_instance_t);
     mr_list_t *before = &fleet->instances;
 
-    instance->name = mr_strdup(name);
-    instance->address = mr_strdup(address);
-    instance->found_at = mr_clock_now(NULL);
-    instance->priority = mr_rendezvous_score("coordinator", name);
     MR_LIST_FOREACH(it, &fleet->instances)
     {
         if (MR_LIST_ENTRY(it, mr_fleet_instance_t, link)->priority
@@ -111,14 +125,45 @@
         }
     }
     mr_list_append(before, &instance->link);
+}
+
+static mr_fleet_instance_t *
+add_instance(mr_fleet_t *fleet, const char *name, const char *address,
+             int64_t link_mbps)
+{
+    mr_fleet_instance_t *instance = MR_NEW(mr_fleet_instance_t);
+
+    instance->name = mr_strdup(name);
+    instance->address = mr_strdup(address);
+    instance->found_at = mr_clock_now(NULL);
+    instance->priority = mr_fleet_priority(name, link_mbps);
+    insert_instance(fleet, instance);
     fleet->other_count++;
     mr_fleet_update_count(fleet);
     return instance;
 }
 
+static void
+update_instance(mr_fleet_t *fleet, mr_fleet_instance_t *instance,
+                const char *address, int64_t link_mbps)
+{
+    uint64_t priority = mr_fleet_priority(instance->name, link_mbps);
+
+    if (strcmp(instance->address, address) != 0) {
+        free(instance->address);
+        instance->address = mr_strdup(address);
+        instance->failures = 0;
+    }
+    if (priority != instance->priority) {
+        instance->priority = priority;
+        mr_list_remove(&instance->link);
+        insert_instance(fleet, instance);
+    }
+}
+
 mr_fleet_instance_t *
 mr_fleet_add_or_update_instance(mr_fleet_t *fleet, const char *name,
-                                const char *address)
+                                const char *address, int64_t link_mbps)
 {
     mr_fleet_instance_t *instance = find_instance(fleet, name);
     struct sockaddr_storage addr;
@@ -130,16 +175,26 @@
         return instance;
     }
     if (instance == NULL) {
-        return add_instance(fleet, name, address);
-    }
-    if (strcmp(instance->address, address) != 0) {
-        free(instance->address);
-        instance->address = mr_strdup(address);
-        instance->failures = 0;
+        return add_instance(fleet, name, address, link_mbps);
     }
+    update_instance(fleet, instance, address, link_mbps);
     return instance;
 }
 
+/* Applies the row of another instance: its address and, if it is known, the
+ * rate of its link. */
+static mr_fleet_instance_t *
+apply_member_row(mr_fleet_t *fleet, const mr_store_row_t *row)
+{
+    char address[MR_ADDRESS_MAX_BYTES];
+    const char *text = row->value;
+    size_t address_len = strcspn(text, " ");
+
+    snprintf(address, sizeof(address), "%.*s", (int)address_len, text);
+    return mr_fleet_add_or_update_instance(
+        fleet, row->key, address, strtoll(text + address_len, NULL, 10));
+}
+
 static void
 on_registration_removed(void *ctx, mr_error_kind_t error,
                         mr_revision_t revision)
@@ -200,8 +255,7 @@
 apply_member(mr_fleet_t *fleet, const mr_store_row_t *row)
 {
     bool known = find_instance(fleet, row->key) != NULL;
-    mr_fleet_instance_t *instance =
-        mr_fleet_add_or_update_instance(fleet, row->key, row->value);
+    mr_fleet_instance_t *instance = apply_member_row(fleet, row);
 
     if (instance == NULL) {
         return;
@@ -251,7 +305,7 @@
         const mr_store_row_t *row = &answer->rows[i];
         if (strcmp(row->key, fleet->options.name) == 0) {
             fleet->own_revision = row->revision;
-            current = strcmp(row->value, fleet->options.address) == 0;
+            current = strcmp(row->value, fleet->own_registration) == 0;
             continue;
         }
         apply_member(fleet, row);
@@ -270,7 +324,7 @@
     if (!current && !fleet->leaving) {
         mr_store_put(fleet->options.store, instances_table,
                      fleet->options.name, fleet->own_revision,
-                     fleet->options.address, strlen(fleet->options.address),
+                     fleet->own_registration, strlen(fleet->own_registration),
                      on_registered, fleet);
         fleet->members_waiting = true;
         return;
@@ -318,7 +372,13 @@
 }
 
 static void
-start_peer(mr_fleet_t *fleet)
+on_update_applied(void *ctx)
+{
+    mr_fleet_report_soon(ctx);
+}
+
+void
+mr_fleet_create_peer(mr_fleet_t *fleet)
 {
     fleet->peer = mr_peer_create(&(mr_peer_options_t){
         .base = fleet->options.base,
@@ -327,8 +387,24 @@
         .data_centre = fleet->options.data_centre,
         .incarnation = mr_clock_wall(),
         .secret = fleet->secret,
+        .limits = &mr_peer_report_limits,
     });
     mr_peer_handle(fleet->peer, MR_MSG_REPORT, mr_fleet_on_report, fleet);
+    fleet->updates = mr_updates_create(&(mr_updates_options_t){
+        .counters = fleet->options.counters,
+        .peer = fleet->peer,
+        .directory = fleet->options.directory,
+        .applied = on_update_applied,
+        .ctx = fleet,
+    });
+}
+
+/* Accepts links of other instances, which prove that they know the secret. */
+static void
+start_listening(mr_fleet_t *fleet)
+{
+    mr_peer_set_secret(fleet->peer, fleet->secret);
+    fleet->secret_known = true;
     if (mr_peer_listen(fleet->peer, fleet->options.address) < 0) {
         mr_log(MR_LOG_ERROR, MR_EVENT_LISTEN_FAILED, "address=%s",
                fleet->options.address);
@@ -356,8 +432,8 @@
     bool same = memcmp(fleet->secret, secret, sizeof(fleet->secret)) == 0;
 
     memcpy(fleet->secret, secret, sizeof(fleet->secret));
-    if (fleet->peer == NULL) {
-        start_peer(fleet);
+    if (!fleet->secret_known) {
+        start_listening(fleet);
     }
     else if (!same) {
         mr_log(MR_LOG_WARNING, MR_EVENT_SECRET_REPLACED, "era=%lld",
@@ -384,7 +460,7 @@
         mr_timer_start(fleet->members_timer, 0);
         return;
     }
-    if (fleet->peer != NULL) {
+    if (fleet->secret_known) {
         memcpy(written, fleet->secret, sizeof(written));
     }
     else {
@@ -404,7 +480,7 @@
     (void)fd;
     (void)what;
     fleet->members_waiting = true;
-    if (fleet->peer == NULL || fleet->secret_era < fleet->era) {
+    if (!fleet->secret_known || fleet->secret_era < fleet->era) {
         mr_store_get(fleet->options.store, secret_table, secret_key, on_secret,
                      fleet);
         return;
--- a/lib/session/relay.c
+++ b/lib/session/relay.c
@@ -9,8 +9,13 @@
 #include "common/mem.h"
 #include "session/client.h"
 
-/* Room for all sessions of an instance, which may reconnect together. */
-enum { LISTEN_BACKLOG = 1024 };
+enum {
+    /* Room for all sessions of an instance, which may reconnect together. */
+    LISTEN_BACKLOG = 1024,
+    /* Part of the memory limit for unread input and unsent output of all
+     * sessions together. */
+    BUFFERS_PERCENT = 20,
+};
 
 static void
 on_accept(struct evconnlistener *listener, evutil_socket_t fd,
@@ -39,6 +44,8 @@
     relay->retries =
         mr_counters_get(counters, "masticrelay_statement_retries_total", "",
                         "further attempts of statements at databases");
+    relay->shed = mr_counters_get(counters, "masticrelay_sessions_shed_total",
+                                  "", "sessions closed to free memory");
     relay->latency = mr_histogram_create(
         counters, "masticrelay_statement_ms", "outcome=\"ok\"",
         "time of statements, from their arrival to the answer");
@@ -54,6 +61,120 @@
     }
 }
 
+static int64_t
+count_sessions(void *ctx)
+{
+    return (int64_t)((mr_relay_t *)ctx)->session_count;
+}
+
+static int64_t
+sum_input(void *ctx)
+{
+    mr_relay_t *relay = ctx;
+    size_t sum = 0;
+
+    MR_LIST_FOREACH(it, &relay->sessions)
+    {
+        sum += mr_client_input_bytes(MR_LIST_ENTRY(it, mr_client_t, link));
+    }
+    return (int64_t)sum;
+}
+
+static int64_t
+sum_output(void *ctx)
+{
+    mr_relay_t *relay = ctx;
+    size_t sum = 0;
+
+    MR_LIST_FOREACH(it, &relay->sessions)
+    {
+        sum += mr_client_output_bytes(MR_LIST_ENTRY(it, mr_client_t, link));
+    }
+    return (int64_t)sum;
+}
+
+/* Closes idle sessions, those with most memory first, until @excess bytes are
+ * free. @size: counts the memory of a session. Small sessions are kept: to
+ * open them again would cost more than it frees. */
+static void
+shed_sessions(mr_relay_t *relay, int64_t excess,
+              size_t (*size)(const mr_client_t *session))
+{
+    while (excess > 0) {
+        mr_client_t *largest = NULL;
+        size_t most = MR_CLIENT_SMALL_BYTES;
+        MR_LIST_FOREACH(it, &relay->sessions)
+        {
+            mr_client_t *session = MR_LIST_ENTRY(it, mr_client_t, link);
+            if (mr_client_is_idle(session) && size(session) > most) {
+                largest = session;
+                most = size(session);
+            }
+        }
+        if (largest == NULL) {
+            return;
+        }
+        excess -= (int64_t)most;
+        mr_client_shed(largest);
+    }
+}
+
+static void
+bound_buffers(mr_relay_t *relay)
+{
+    int64_t limit = mr_memory_limit(relay->options.memory);
+
+    if (limit > 0) {
+        shed_sessions(relay,
+                      sum_input(relay) + sum_output(relay)
+                          - limit / 100 * BUFFERS_PERCENT,
+                      mr_client_buffer_bytes);
+    }
+}
+
+static void
+on_large_input(evutil_socket_t fd, short what, void *ctx)
+{
+    (void)fd;
+    (void)what;
+    bound_buffers(ctx);
+}
+
+static void
+on_measured(void *ctx)
+{
+    mr_relay_t *relay = ctx;
+
+    bound_buffers(relay);
+    shed_sessions(relay, mr_memory_excess(relay->options.memory),
+                  mr_client_held_bytes);
+}
+
+static int64_t
+count_catalogs(void *ctx)
+{
+    (void)ctx;
+    return mr_catalog_count_live();
+}
+
+static void
+create_gauges(mr_relay_t *relay)
+{
+    mr_memory_t *memory = relay->options.memory;
+
+    mr_memory_add_gauge(memory, "sessions", "open sessions", count_sessions,
+                        relay);
+    mr_memory_add_gauge(memory, "session_input_bytes",
+                        "messages of clients that wait to be handled",
+                        sum_input, relay);
+    mr_memory_add_gauge(memory, "session_output_bytes",
+                        "answers that clients have not read", sum_output,
+                        relay);
+    mr_memory_add_gauge(memory, "catalogs",
+                        "versions of the desired state in memory",
+                        count_catalogs, relay);
+}
+
 mr_relay_t *
 mr_relay_create(const mr_relay_options_t *options)
 {
@@ -76,6 +197,10 @@
         free(relay);
         return NULL;
     }
+    create_gauges(relay);
+    relay->large_input =
+        event_new(options->base, -1, 0, on_large_input, relay);
+    mr_memory_set_handler(options->memory, on_measured, relay);
     return relay;
 }
 
@@ -89,6 +214,7 @@
     {
         mr_client_destroy(MR_LIST_ENTRY(it, mr_client_t, link));
     }
+    event_free(relay->large_input);
     evconnlistener_free(relay->listener);
     mr_catalog_unref(relay->catalog);
     free(relay);
--- a/lib/wire/peer_link.c
+++ b/lib/wire/peer_link.c
@@ -20,9 +20,10 @@
     TCP_USER_TIMEOUT_MS = 2000,
     TCP_KEEPALIVE_INTERVAL_S = 1,
     TCP_KEEPALIVE_PROBES = 2,
-    /* Messages to a reader that is this far behind are dropped, as if it were
-     * unreachable. */
-    OUTPUT_MAX_BYTES = 64 << 20,
+    /* Largest frame of the handshake. */
+    HELLO_MAX_BYTES = 4096,
+    /* Output that is passed to the connection ahead of what it accepts. */
+    WRITE_AHEAD_BYTES = 16 << 10,
 };
 
 struct mr_peer_link {
@@ -34,10 +35,13 @@
     bool ready;
     bool hello_sent;
     bool closed;
+    bool paused_by_owner;
+    bool paused_by_output;
     uint8_t nonce[MR_PEER_NONCE_BYTES];
     uint8_t peer_nonce[MR_PEER_NONCE_BYTES];
     char name[MR_PEER_NAME_MAX_BYTES];
     mr_lateness_t lateness;
+    mr_peer_buffer_t buffer;
     mr_counter_t *sent;     /* messages */
     mr_counter_t *received; /* messages */
 };
@@ -70,40 +74,100 @@
     crypto_auth_hmacsha512256_final(&state, proof);
 }
 
+bool
+mr_peer_link_admit(mr_peer_link_t *link, size_t bytes)
+{
+    return mr_peer_buffer_admit(&link->buffer, FRAME_HEADER_BYTES + bytes);
+}
+
 void
-mr_peer_link_send_encoded(mr_peer_link_t *link, const msgpack_sbuffer *msg)
+mr_peer_link_add_waiting(mr_peer_link_t *link, size_t bytes)
 {
-    struct evbuffer *out = bufferevent_get_output(link->bev);
-    uint32_t header = htonl((uint32_t)msg->size);
+    mr_peer_buffer_add_waiting(&link->buffer,
+                               (int64_t)(FRAME_HEADER_BYTES + bytes));
+}
 
-    if (msg->size > MR_PEER_FRAME_MAX_BYTES
-        || evbuffer_get_length(out) >= OUTPUT_MAX_BYTES) {
-        mr_counter_add(mr_counters_get(link->options->counters,
-                                       "masticrelay_peer_unsent_total", "",
-                                       "peer messages dropped unsent"),
-                       1);
+void
+mr_peer_link_remove_waiting(mr_peer_link_t *link, size_t bytes)
+{
+    mr_peer_buffer_add_waiting(&link->buffer,
+                               -(int64_t)(FRAME_HEADER_BYTES + bytes));
+}
+
+bool
+mr_peer_link_writable(const mr_peer_link_t *link)
+{
+    return link->ready && !link->closed
+           && evbuffer_get_length(bufferevent_get_output(link->bev))
+                  < WRITE_AHEAD_BYTES;
+}
+
+/* Reads only while messages may be handled. The callback handles frames that
+ * are complete already. */
+static void
+update_reading(mr_peer_link_t *link)
+{
+    if (link->closed) {
         return;
     }
-    mr_counter_add(link->sent, 1);
-    bufferevent_write(link->bev, &header, sizeof(header));
-    bufferevent_write(link->bev, msg->data, msg->size);
+    if (link->paused_by_owner || link->paused_by_output) {
+        bufferevent_disable(link->bev, EV_READ);
+    }
+    else if (!(bufferevent_get_enabled(link->bev) & EV_READ)) {
+        bufferevent_enable(link->bev, EV_READ);
+        bufferevent_trigger(link->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+    }
+}
+
+void
+mr_peer_link_pause(mr_peer_link_t *link, bool paused)
+{
+    link->paused_by_owner = paused;
+    update_reading(link);
+}
+
+/* Requests of a peer that does not read its replies are not handled. */
+static void
+update_output_pause(mr_peer_link_t *link)
+{
+    size_t bytes = mr_peer_buffer_output(&link->buffer);
+
+    link->paused_by_output =
+        !link->is_initiator
+        && bytes >= link->options->limits->link_output_max_bytes / 2;
+    update_reading(link);
+}
+
+/* Called when little output is left. */
+static void
+on_write(struct bufferevent *bev, void *ctx)
+{
+    mr_peer_link_t *link = ctx;
+
+    (void)bev;
+    mr_peer_buffer_record_sent(&link->buffer);
+    update_output_pause(link);
+    if (mr_peer_link_writable(link)) {
+        link->events.writable(link->ctx, link);
+    }
 }
 
 void
-mr_peer_link_send(mr_peer_link_t *link, const mr_msg_t *msg)
+mr_peer_link_send(mr_peer_link_t *link, const msgpack_sbuffer *msg)
 {
-    msgpack_sbuffer buf;
+    uint32_t header = htonl((uint32_t)msg->size);
 
-    msgpack_sbuffer_init(&buf);
-    mr_msg_encode(msg, &buf);
-    mr_peer_link_send_encoded(link, &buf);
-    msgpack_sbuffer_destroy(&buf);
+    mr_counter_add(link->sent, 1);
+    bufferevent_write(link->bev, &header, sizeof(header));
+    bufferevent_write(link->bev, msg->data, msg->size);
+    update_output_pause(link);
 }
 
 static void
 send_hello(mr_peer_link_t *link, bool with_proof)
 {
     uint8_t proof[crypto_auth_BYTES];
+    msgpack_sbuffer frame;
     mr_msg_t msg = {.type = link->is_initiator ? MR_MSG_HELLO
                                                : MR_MSG_HELLO_REPLY};
 
@@ -115,7 +179,10 @@
         make_proof(link, link->is_initiator, link->options->name, proof);
         msg.u.hello.proof = (mr_bytes_t){proof, sizeof(proof)};
     }
-    mr_peer_link_send(link, &msg);
+    msgpack_sbuffer_init(&frame);
+    mr_msg_encode(&msg, &frame);
+    mr_peer_link_send(link, &frame);
+    msgpack_sbuffer_destroy(&frame);
 }
 
 static bool
@@ -135,7 +202,7 @@
 {
     link->ready = true;
     bufferevent_set_timeouts(link->bev, NULL, NULL);
-    link->events.ready(link->ctx, link);
+    link->events.writable(link->ctx, link);
 }
 
 /*
@@ -230,10 +297,13 @@
     struct evbuffer *in = bufferevent_get_input(bev);
     uint32_t header;
 
-    while (evbuffer_copyout(in, &header, sizeof(header)) == FRAME_HEADER_BYTES
-           && !link->closed) {
+    while (!link->closed && !link->paused_by_owner && !link->paused_by_output
+           && evbuffer_copyout(in, &header, sizeof(header))
+                  == FRAME_HEADER_BYTES) {
         size_t len = ntohl(header);
-        if (len > MR_PEER_FRAME_MAX_BYTES) {
+        size_t max = link->ready ? link->options->limits->frame_max_bytes
+                                 : HELLO_MAX_BYTES;
+        if (FRAME_HEADER_BYTES + len > max) {
             goto broken;
         }
         if (evbuffer_get_length(in) < FRAME_HEADER_BYTES + len) {
@@ -305,8 +375,9 @@
 }
 
 static mr_peer_link_t *
-create_link(const mr_peer_options_t *options, evutil_socket_t fd,
-            bool is_initiator, const mr_peer_link_events_t *events, void *ctx)
+create_link(const mr_peer_options_t *options, mr_peer_buffers_t *buffers,
+            evutil_socket_t fd, bool is_initiator,
+            const mr_peer_link_events_t *events, void *ctx)
 {
     struct bufferevent *bev = create_bufferevent(options, fd, is_initiator);
     struct timeval timeout = {.tv_sec = HANDSHAKE_TIMEOUT_S};
@@ -329,15 +400,20 @@
         options->counters, "masticrelay_peer_received_messages_total", "",
         "peer messages received");
     mr_traffic_watch(&traffic, bev);
-    bufferevent_setcb(bev, on_read, NULL, on_event, link);
+    mr_peer_buffer_init(&link->buffer, buffers, bev, link->name);
+    bufferevent_setcb(bev, on_read, on_write, on_event, link);
+    bufferevent_setwatermark(bev, EV_READ, 0,
+                             options->limits->frame_max_bytes);
+    bufferevent_setwatermark(bev, EV_WRITE, WRITE_AHEAD_BYTES / 2, 0);
     bufferevent_set_timeouts(bev, &timeout, &timeout);
     bufferevent_enable(bev, EV_READ | EV_WRITE);
     return link;
 }
 
 mr_peer_link_t *
-mr_peer_link_open(const mr_peer_options_t *options, const char *address,
-                  const mr_peer_link_events_t *events, void *ctx)
+mr_peer_link_open(const mr_peer_options_t *options, mr_peer_buffers_t *buffers,
+                  const char *address, const mr_peer_link_events_t *events,
+                  void *ctx)
 {
     struct sockaddr_storage addr;
     int len;
@@ -349,7 +425,8 @@
     if (fd < 0) {
         return NULL;
     }
-    mr_peer_link_t *link = create_link(options, fd, true, events, ctx);
+    mr_peer_link_t *link =
+        create_link(options, buffers, fd, true, events, ctx);
     if (link == NULL) {
         evutil_closesocket(fd);
         return NULL;
@@ -363,11 +440,12 @@
 }
 
 mr_peer_link_t *
-mr_peer_link_accept(const mr_peer_options_t *options, evutil_socket_t fd,
+mr_peer_link_accept(const mr_peer_options_t *options,
+                    mr_peer_buffers_t *buffers, evutil_socket_t fd,
                     const mr_peer_link_events_t *events, void *ctx)
 {
     set_tcp_options(fd);
-    return create_link(options, fd, false, events, ctx);
+    return create_link(options, buffers, fd, false, events, ctx);
 }
 
 void
@@ -376,16 +454,11 @@
     if (link == NULL) {
         return;
     }
+    mr_peer_buffer_clear(&link->buffer);
     bufferevent_free(link->bev);
     free(link);
 }
 
-bool
-mr_peer_link_ready(const mr_peer_link_t *link)
-{
-    return link->ready;
-}
-
 const char *
 mr_peer_link_name(const mr_peer_link_t *link)
 {
--- a/tests/integration/session_client.c
+++ b/tests/integration/session_client.c
@@ -27,8 +27,9 @@
 static void
 exec_relay(const relay_process_t *relay, const backend_t *backend)
 {
-    char arguments[9][256];
-    char *argv[10];
+    enum { ARGUMENTS = 10 };
+    char arguments[ARGUMENTS][256];
+    char *argv[ARGUMENTS + 1];
     int out = open(relay->log, O_WRONLY | O_CREAT | O_APPEND, 0644);
     const char *build = getenv("MASTICRELAY_BUILD");
 
@@ -44,10 +45,11 @@
     snprintf(arguments[7], 256, "--duty=%s",
              backend_promotion_address(backend));
     snprintf(arguments[8], 256, "--grace-s=6");
-    for (int i = 0; i < 9; i++) {
+    snprintf(arguments[9], 256, "--memory-mb=%d", relay->memory_mb);
+    for (int i = 0; i < ARGUMENTS; i++) {
         argv[i] = arguments[i];
     }
-    argv[9] = NULL;
+    argv[ARGUMENTS] = NULL;
     /* Ends the daemon when the test process aborts. */
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     dup2(out, STDOUT_FILENO);
@@ -103,10 +105,11 @@
     relay_restart(relay, backend);
 }
 
-/** Result of a readiness probe. */
+/** Reply of the listener for readiness probes and metrics. */
 typedef struct probe {
     int status;
     bool done;
+    struct evbuffer *body;
 } probe_t;
 
 static void
@@ -115,27 +118,61 @@
     probe_t *probe = ctx;
 
     probe->done = true;
-    probe->status = req != NULL ? evhttp_request_get_response_code(req) : 0;
+    if (req != NULL) {
+        probe->status = evhttp_request_get_response_code(req);
+        evbuffer_add_buffer(probe->body, evhttp_request_get_input_buffer(req));
+    }
 }
 
-bool
-relay_is_ready(relay_process_t *relay, struct event_base *base)
+/* Returns the status; 0: no answer. @body receives the answer's body. */
+static int
+probe_relay(relay_process_t *relay, struct event_base *base, const char *path,
+            struct evbuffer *body)
 {
     char ip[MR_ADDRESS_MAX_BYTES];
     int port;
-    probe_t probe = {0};
+    probe_t probe = {.body = body};
     mr_ms_t end = mr_clock_now(NULL) + PROBE_TIMEOUT_MS;
 
     ck_assert(mr_address_split(relay->ready, ip, &port));
     struct evhttp_connection *connection =
         evhttp_connection_base_new(base, NULL, ip, (ev_uint16_t)port);
     evhttp_make_request(connection, evhttp_request_new(on_probe, &probe),
-                        EVHTTP_REQ_GET, "/masticrelay/readiness");
+                        EVHTTP_REQ_GET, path);
     while (!probe.done && mr_clock_now(NULL) < end) {
         harness_run_loop(base, STEP_MS);
     }
     evhttp_connection_free(connection);
-    return probe.status == 200;
+    return probe.status;
+}
+
+bool
+relay_is_ready(relay_process_t *relay, struct event_base *base)
+{
+    struct evbuffer *body = evbuffer_new();
+    int status = probe_relay(relay, base, "/masticrelay/readiness", body);
+
+    evbuffer_free(body);
+    return status == 200;
+}
+
+int64_t
+relay_metric(relay_process_t *relay, struct event_base *base, const char *name)
+{
+    struct evbuffer *body = evbuffer_new();
+    size_t len = strlen(name);
+    int64_t value = -1;
+    char *line;
+
+    probe_relay(relay, base, "/metrics", body);
+    while ((line = evbuffer_readln(body, NULL, EVBUFFER_EOL_LF)) != NULL) {
+        if (strncmp(line, name, len) == 0 && line[len] == ' ') {
+            value = strtoll(line + len, NULL, 10);
+        }
+        free(line);
+    }
+    evbuffer_free(body);
+    return value;
 }
 
 bool
@@ -208,6 +245,25 @@
     return found;
 }
 
+int64_t
+relay_peak_memory(const relay_process_t *relay)
+{
+    char path[BACKEND_TEXT_BYTES];
+    char line[256];
+    long long kib = -1;
+
+    snprintf(path, sizeof(path), "/proc/%d/status", (int)relay->pid);
+    FILE *file = fopen(path, "r");
+    ck_assert_msg(file != NULL, "%s has ended, see %s", relay->name,
+                  relay->log);
+    while (kib < 0 && fgets(line, sizeof(line), file) != NULL) {
+        sscanf(line, "VmHWM: %lld", &kib);
+    }
+    fclose(file);
+    ck_assert_int_ge(kib, 0);
+    return kib * 1024;
+}
+
 static void
 on_event(struct bufferevent *stream, short what, void *ctx)
 {
@@ -331,6 +387,23 @@
     return client->id;
 }
 
+void
+client_send_raw(client_t *client, const char *data, size_t len)
+{
+    evbuffer_add(bufferevent_get_output(client->stream), data, len);
+}
+
+void
+client_set_reading(client_t *client, bool reading)
+{
+    if (reading) {
+        bufferevent_enable(client->stream, EV_READ);
+    }
+    else {
+        bufferevent_disable(client->stream, EV_READ);
+    }
+}
+
 client_answer_t
 client_run(client_t *client, const char *statement, char *id)
 {
--- a/tests/integration/session_client.h
+++ b/tests/integration/session_client.h
@@ -24,6 +24,7 @@
     char redirect[512];  /* see standins/redirect.c; empty: none */
     mr_ms_t clock_shift; /* of its wall clock; needs a redirect */
     int store_index;     /* of the store address that it uses */
+    int memory_mb;       /* its memory limit; 0: none */
 } relay_process_t;
 
 /** relay_prepare() - choose name, addresses and log file without starting the
@@ -47,6 +48,12 @@
  * ended the process, -1 when it still runs after @max. */
 int relay_wait_exit(relay_process_t *relay, struct event_base *base,
                     mr_ms_t max);
+/** relay_metric() - value of a metric without labels; -1: it is not served. */
+int64_t relay_metric(relay_process_t *relay, struct event_base *base,
+                     const char *name);
+/** relay_peak_memory() - greatest resident memory of the process so far, in
+ * bytes. */
+int64_t relay_peak_memory(const relay_process_t *relay);
 /** relay_log_contains() - whether one line of the log holds both texts. */
 bool relay_log_contains(const relay_process_t *relay, const char *first,
                         const char *second);
@@ -73,6 +80,10 @@
 
 /** client_send() - send a statement with a new id, which is returned. */
 const char *client_send(client_t *client, const char *statement);
+/** client_send_raw() - send bytes that need not be a message. */
+void client_send_raw(client_t *client, const char *data, size_t len);
+/** client_set_reading() - whether the client reads its answers. */
+void client_set_reading(client_t *client, bool reading);
 /** client_poll() - get the next answer; false: it is not complete yet. */
 bool client_poll(client_t *client, client_answer_t *answer);
 /** client_run() - send a statement and wait for its answer. @id, if not NULL,
