Sort no list without items

A desired state without accounts, services, keys or routes passed NULL to qsort(), which is undefined. Callers saw nothing.

--- a/lib/session/catalog.c
+++ b/lib/session/catalog.c
@@ -64,6 +64,15 @@
     return strcmp(*(char *const *)a, *(char *const *)b);
 }
 
+/* Sorts by name; @items may be NULL if there are none. */
+static void
+sort(void *items, size_t count, size_t size)
+{
+    if (count > 0) {
+        qsort(items, count, size, compare_names);
+    }
+}
+
 /* Sorts the accounts and updates the indexes that the keys refer to. */
 static void
 sort_accounts(mr_catalog_t *catalog)
@@ -73,8 +82,8 @@
     for (size_t i = 0; i < catalog->account_count; i++) {
         names[i] = catalog->accounts[i].name;
     }
-    qsort(catalog->accounts, catalog->account_count,
-          sizeof(*catalog->accounts), compare_names);
+    sort(catalog->accounts, catalog->account_count,
+         sizeof(*catalog->accounts));
     for (size_t i = 0; i < catalog->key_count; i++) {
         const char *name = names[catalog->keys[i].account];
         catalog->keys[i].account =
@@ -87,12 +96,10 @@
 mr_catalog_sort(mr_catalog_t *catalog)
 {
     sort_accounts(catalog);
-    qsort(catalog->routes, catalog->route_count, sizeof(*catalog->routes),
-          compare_names);
-    qsort(catalog->services, catalog->service_count,
-          sizeof(*catalog->services), compare_names);
-    qsort(catalog->keys, catalog->key_count, sizeof(*catalog->keys),
-          compare_names);
+    sort(catalog->routes, catalog->route_count, sizeof(*catalog->routes));
+    sort(catalog->services, catalog->service_count,
+         sizeof(*catalog->services));
+    sort(catalog->keys, catalog->key_count, sizeof(*catalog->keys));
 }
 
 static const void *
