Replace a candidate that sends a large change slowly

What callers saw: as with a slow source that the coordinator named. While the coordinator does not answer, an instance fetches from another one; that transfer was not replaced when a coordinator answered again.

Cause: only transfers that the coordinator had named could be replaced.

Evidence: test_a_slow_candidate_does_not_hold_a_large_change_back fails before (no change after 8 s) and takes less than 1.5 s now.

Change: such a transfer is replaced when it is slow and the coordinator names a source.

--- a/lib/session/update.c
+++ b/lib/session/update.c
@@ -487,7 +487,7 @@
 void
 mr_updates_fetch(mr_updates_t *updates, const char *address, const char *name)
 {
-    start_fetch(updates, &(mr_update_source_t){address, name}, false);
+    start_fetch(updates, &(mr_update_source_t){address, name}, true);
 }
 
 static bool
--- a/tests/unit/test_update.c
+++ b/tests/unit/test_update.c
@@ -322,6 +322,20 @@
 }
 END_TEST
 
+/* The coordinator was chosen after the transfer had begun. */
+START_TEST(test_a_slow_candidate_does_not_hold_a_large_change_back)
+{
+    slow_offset = 0;
+    slow_timer = evtimer_new(base, on_slow_timer, NULL);
+    mr_peer_handle(instances[2].peer, MR_MSG_UPDATE_FETCH, on_slow_fetch,
+                   NULL);
+    mr_updates_fetch(instances[1].updates, instances[2].address, "candidate");
+    ck_assert_int_lt(fetch_from_a_source(instances[0].address), 1500);
+    run_loop(900);
+    event_free(slow_timer);
+}
+END_TEST
+
 START_TEST(test_receivers_with_different_versions_are_all_served)
 {
     enum { RECEIVERS = 4 };
@@ -414,6 +428,7 @@
         test_a_sender_that_ends_does_not_block_the_next_transfer,
         test_a_silent_source_delays_a_large_change_once,
         test_a_slow_source_does_not_hold_a_large_change_back,
+        test_a_slow_candidate_does_not_hold_a_large_change_back,
         test_receivers_with_different_versions_are_all_served,
         test_all_registrations_of_a_large_deployment_arrive,
         test_nothing_newer_ends_a_fetch,
