--- a/lib/session/catalog.h
+++ b/lib/session/catalog.h
@@ -49,7 +49,6 @@
 typedef struct mr_catalog {
     int refs;
     int64_t version;
-    int64_t row_version;        /* of the store's row */
     mr_catalog_route_t *routes; /* sorted by database */
     size_t route_count;
     mr_catalog_service_t *services; /* sorted by name */
--- a/lib/session/update.c
+++ b/lib/session/update.c
@@ -268,12 +268,41 @@
     *transfer = (transfer_t){0};
 }
 
+/* Fills in the next chunk of the update that was asked for, or the first one
+ * of a newer update. Returns whether chunks are left for the receiver. */
+static bool
+fill_chunk(mr_updates_t *updates, const mr_msg_update_fetch_t *asked,
+           mr_ms_t now, mr_msg_update_chunk_t *chunk)
+{
+    cached_update_t *update = find_update(updates, asked->id);
+    size_t offset = 0;
+
+    if (update != NULL && asked->offset >= 0
+        && (uint64_t)asked->offset < update->body.len) {
+        offset = (size_t)asked->offset;
+        update->used_at = now;
+    }
+    else {
+        update = get_update(updates, &asked->known, now, &chunk->busy);
+    }
+    if (update == NULL) {
+        return false;
+    }
+    size_t left = update->body.len - offset;
+    chunk->id = update->id;
+    chunk->size = (int64_t)update->body.len;
+    chunk->offset = (int64_t)offset;
+    chunk->data = (mr_bytes_t){(const uint8_t *)update->body.data + offset,
+                               left < CHUNK_BYTES ? left : CHUNK_BYTES};
+    mr_counter_add(updates->sent_bytes, (int64_t)chunk->data.len);
+    return left > CHUNK_BYTES;
+}
+
 static void
 on_fetch(void *ctx, mr_peer_request_t *request, const mr_msg_t *msg,
          const char *from)
 {
     mr_updates_t *updates = ctx;
-    const mr_msg_update_fetch_t *asked = &msg->u.update_fetch;
     mr_ms_t now = mr_clock_now(NULL);
     mr_msg_t reply = {.type = MR_MSG_UPDATE_FETCH_REPLY};
     mr_msg_update_chunk_t *chunk = &reply.u.update_chunk;
@@ -283,33 +312,13 @@
     }
     transfer_t *transfer = claim_transfer(updates, from, now);
     if (transfer == NULL) {
-        mr_counter_add(updates->busy_counter, 1);
         chunk->busy = true;
-        mr_peer_reply(request, &reply);
-        return;
-    }
-    transfer->asked_at = now;
-    size_t offset = 0;
-    cached_update_t *update = find_update(updates, asked->id);
-    if (update != NULL && asked->offset >= 0
-        && (uint64_t)asked->offset < update->body.len) {
-        offset = (size_t)asked->offset;
-        update->used_at = now;
     }
     else {
-        update = get_update(updates, &asked->known, now, &chunk->busy);
-    }
-    if (update != NULL) {
-        size_t left = update->body.len - offset;
-        chunk->id = update->id;
-        chunk->size = (int64_t)update->body.len;
-        chunk->offset = (int64_t)offset;
-        chunk->data = (mr_bytes_t){(const uint8_t *)update->body.data + offset,
-                                   left < CHUNK_BYTES ? left : CHUNK_BYTES};
-        mr_counter_add(updates->sent_bytes, (int64_t)chunk->data.len);
-    }
-    if (update == NULL || offset + chunk->data.len == update->body.len) {
-        end_transfer(transfer);
+        transfer->asked_at = now;
+        if (!fill_chunk(updates, &msg->u.update_fetch, now, chunk)) {
+            end_transfer(transfer);
+        }
     }
     mr_counter_add(updates->busy_counter, chunk->busy);
     mr_peer_reply(request, &reply);
