Count the store as failing after two failed calls

Two calls in a row have to fail, or one that has waited as long as a feed call may; the second one comes 200 to 400 ms after the first.

--- a/lib/session/feed.c
+++ b/lib/session/feed.c
@@ -15,6 +15,9 @@
     /* Pauses after failed calls, doubled up to the maximum. */
     RETRY_FIRST_MS = 200,
     RETRY_MAX_MS = 1600,
+    /* Failed calls in a row from which on the store counts as failing, so that
+     * all instances read it. */
+    FAILURES_MAX = 2,
     /* How often registrations are read. Databases accept work for 7 s after
      * they have registered as draining. */
     COORDINATOR_PERIOD_MS = 1000,
@@ -24,7 +27,7 @@
      * transfer and its decoding take, so that a series of changes leaves most
      * of the link and of the processor to requests. */
     PAUSE_FACTOR = 3,
-    PAUSE_MAX_MS = 1000,
+    PAUSE_MAX_MS = 600,
     LINK_DEFAULT_MBPS = 10,
 };
 
@@ -40,8 +43,9 @@
     mr_ms_t config_retry_ms;
     bool config_waiting;        /* for an answer */
     bool registrations_waiting; /* for an answer, or a first registration */
-    bool config_failed;
-    bool registrations_failed;
+    int config_failures;        /* consecutive ones */
+    int registrations_failures;
+    mr_ms_t config_called_at;
     mr_ms_t registrations_read_at;
     mr_revision_t after; /* that the feed continues from; version 0: the row
                             itself is read next */
@@ -74,8 +78,10 @@
         mr_timer_start(feed->config_timer, 0);
         return;
     }
-    feed->config_failed = answer->error != MR_OK;
-    if (feed->config_failed) {
+    if (answer->error != MR_OK) {
+        /* A store that is silent has cost the time of a whole call. */
+        feed->config_failures +=
+            began - feed->config_called_at >= FEED_WAIT_MS ? FAILURES_MAX : 1;
         feed->config_retry_ms = feed->config_retry_ms == 0
                                     ? RETRY_FIRST_MS
                                     : feed->config_retry_ms * 2;
@@ -85,6 +91,7 @@
         mr_timer_start(feed->config_timer, feed->config_retry_ms);
         return;
     }
+    feed->config_failures = 0;
     feed->config_retry_ms = 0;
     bool applied = false;
     for (size_t i = answer->count; i > 0; i--) {
@@ -119,6 +126,7 @@
         return;
     }
     feed->config_waiting = true;
+    feed->config_called_at = mr_clock_now(NULL);
     if (feed->after.version == 0) {
         mr_store_get(feed->options.store, config_table, config_key, on_config,
                      feed);
@@ -145,14 +153,17 @@
     mr_feed_t *feed = ctx;
 
     feed->registrations_waiting = false;
-    feed->registrations_failed = answer->error != MR_OK;
-    if (feed->registrations_failed) {
+    if (answer->error != MR_OK) {
+        bool first = feed->registrations_failures++ == 0;
+        if (!mr_directory_has_registrations(feed->options.directory)) {
+            mr_timer_start(feed->registrations_timer, RETRY_FIRST_MS);
+            return;
+        }
         mr_timer_start(feed->registrations_timer,
-                       mr_directory_has_registrations(feed->options.directory)
-                           ? ISOLATED_PERIOD_MS
-                           : RETRY_FIRST_MS);
+                       first ? REFRESH_INTERVAL_MIN_MS : ISOLATED_PERIOD_MS);
         return;
     }
+    feed->registrations_failures = 0;
     mr_directory_set_registrations(feed->options.directory, answer->revision,
                                    answer->rows, answer->count);
     if (!mr_directory_has_registrations(feed->options.directory)) {
@@ -234,7 +245,8 @@
 bool
 mr_feed_failing(const mr_feed_t *feed)
 {
-    return feed->config_failed || feed->registrations_failed;
+    return feed->config_failures >= FAILURES_MAX
+           || feed->registrations_failures >= FAILURES_MAX;
 }
 
 void
--- a/lib/session/feed.h
+++ b/lib/session/feed.h
@@ -34,7 +34,8 @@
 
 void mr_feed_set_role(mr_feed_t *feed, mr_feed_role_t role);
 
-/** mr_feed_failing() - whether the last call to the store failed. */
+/** mr_feed_failing() - whether two calls to the store in a row have failed, or
+ * one that waited for long. */
 bool mr_feed_failing(const mr_feed_t *feed);
 
 /** mr_feed_refresh() - read the registrations soon. */
--- a/tests/integration/test_session_store.c
+++ b/tests/integration/test_session_store.c
@@ -209,6 +209,28 @@
 }
 END_TEST
 
+START_TEST(test_one_failed_call_does_not_send_all_instances_to_the_store)
+{
+    enum { FAILING_MS = 100, FAILING_LONG_MS = 3000 };
+
+    backend_put_config(backend, 5, keys, RATE);
+    wait_for_config(5);
+    wait_for_dbs();
+    backend_set_store_failing(backend, 0, true);
+    backend_put_config(backend, 6, keys, RATE); /* ends the feed's call */
+    harness_run_loop(base, FAILING_MS);
+    ck_assert(!mr_feed_failing(feed));
+    backend_set_store_failing(backend, 0, false);
+    backend_put_config(backend, 7, keys, RATE);
+    wait_for_config(7);
+    ck_assert(!mr_feed_failing(feed));
+    backend_set_store_failing(backend, 0, true);
+    backend_put_config(backend, 8, keys, RATE);
+    harness_run_loop(base, FAILING_LONG_MS);
+    ck_assert(mr_feed_failing(feed));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -218,6 +240,7 @@
         test_a_malformed_desired_state_of_a_copy_changes_nothing,
         test_a_drain_after_a_restoration_is_seen,
         test_a_copy_does_not_bring_back_databases_that_left,
+        test_one_failed_call_does_not_send_all_instances_to_the_store,
     };
 
     return RUN_TESTS(tests, .suite = "session_store", .timeout_s = 20,
