--- a/tests/integration/test_session_memory.c
+++ b/tests/integration/test_session_memory.c
@@ -23,6 +23,7 @@
     HOLDERS_BELOW = 8, /* whose values stay below each level together */
     MEASURED_MS = 350, /* until a change of memory use has been measured */
     CALLERS = 8,
+    LOG_FLUSH_MS = 200, /* until a daemon has written a log line to its file */
 };
 
 static const char *const keys[] = {"coop:key-1", "agent:key-2", NULL};
@@ -306,6 +307,40 @@
 }
 END_TEST
 
+START_TEST(test_idle_sessions_do_not_keep_old_desired_states)
+{
+    enum { VERSIONS = 12, FIRST_VERSION = 6 };
+    client_t *clients[VERSIONS];
+
+    for (int i = 0; i < VERSIONS; i++) {
+        char version[BACKEND_TEXT_BYTES];
+        clients[i] = open_session();
+        backend_put_config(backend, FIRST_VERSION + i, keys, RATE);
+        snprintf(version, sizeof(version), " version=%d ", FIRST_VERSION + i);
+        for (int tries = 0; tries < 20; tries++) {
+            harness_run_loop(base, LOG_FLUSH_MS);
+            if (relay_log_contains(&relay, "event=configuration_applied",
+                                   version)) {
+                break;
+            }
+        }
+        run_ok(clients[i], i % 2 == 0 ? "READ a" : "WRITE a b");
+    }
+    run_ok(clients[0], "BEGIN");
+    run_ok(clients[0], "READ a");
+    backend_put_config(backend, FIRST_VERSION + VERSIONS, keys, RATE);
+    harness_run_loop(base, 1500);
+    /* That of the transaction and the present one. */
+    ck_assert_int_eq(metric("masticrelay_catalogs"), 2);
+    run_ok(clients[0], "COMMIT");
+    harness_run_loop(base, 600);
+    ck_assert_int_eq(metric("masticrelay_catalogs"), 1);
+    for (int i = 0; i < VERSIONS; i++) {
+        client_close(clients[i]);
+    }
+}
+END_TEST
+
 int
 main(void)
 {
@@ -316,6 +351,7 @@
         test_unfinished_messages_do_not_fill_the_memory,
         test_unread_answers_do_not_fill_the_memory,
         test_a_session_holds_values_of_one_message_at_most,
+        test_idle_sessions_do_not_keep_old_desired_states,
     };
 
     return RUN_TESTS(tests, .suite = "session memory", .setup = set_up,
--- a/tests/integration/test_sessions.c
+++ b/tests/integration/test_sessions.c
@@ -248,42 +248,6 @@
 }
 END_TEST
 
-START_TEST(test_idle_sessions_do_not_keep_old_desired_states)
-{
-    enum { VERSIONS = 12, FIRST_VERSION = 6 };
-    client_t *clients[VERSIONS];
-
-    for (int i = 0; i < VERSIONS; i++) {
-        char version[BACKEND_TEXT_BYTES];
-        clients[i] = open_session(0, "own", "key-1");
-        backend_put_config(backend, FIRST_VERSION + i, keys, RATE);
-        snprintf(version, sizeof(version), " version=%d ", FIRST_VERSION + i);
-        for (int tries = 0; tries < 20; tries++) {
-            harness_run_loop(base, LOG_FLUSH_MS);
-            if (relay_log_contains(&relays[0], "event=configuration_applied",
-                                   version)) {
-                break;
-            }
-        }
-        run_ok(clients[i], i % 2 == 0 ? "READ a" : "WRITE a b", NULL);
-    }
-    run_ok(clients[0], "BEGIN", NULL);
-    run_ok(clients[0], "READ a", NULL);
-    backend_put_config(backend, FIRST_VERSION + VERSIONS, keys, RATE);
-    harness_run_loop(base, 1500);
-    /* That of the transaction and the present one. */
-    ck_assert_int_eq(relay_metric(&relays[0], base, "masticrelay_catalogs"),
-                     2);
-    run_ok(clients[0], "COMMIT", NULL);
-    harness_run_loop(base, 600);
-    ck_assert_int_eq(relay_metric(&relays[0], base, "masticrelay_catalogs"),
-                     1);
-    for (int i = 0; i < VERSIONS; i++) {
-        client_close(clients[i]);
-    }
-}
-END_TEST
-
 START_TEST(test_limits_hold_over_all_instances)
 {
     enum { LIMIT = 20, SPAN_MS = 4000, CLIENTS = 6 };
@@ -805,7 +769,6 @@
         test_values_and_names_follow_the_session,
         test_transactions_keep_to_themselves,
         test_withdrawn_keys_and_routes_stop,
-        test_idle_sessions_do_not_keep_old_desired_states,
         test_limits_hold_over_all_instances,
         test_a_dead_primary_is_replaced,
         test_with_synchronous_copies_the_complete_replica_is_promoted,
