Carry no contents in replies once their rate is used up

Found while reading the diff: a reply may carry the desired state and the registrations up to the allowance each, so that what is left can become negative, and a negative rest was taken as an unlimited one. The next reply of the same millisecond would then have carried everything, the fault that the bound is there to prevent.

test_contents_in_replies_stay_within_their_rate fails without the check (allowed bytes).

--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -16,6 +16,9 @@
     /* Consecutive unanswered reports after which an instance counts as lost.
      */
     MR_FLEET_FAILURES_MAX = 2,
+    /* Contents of each kind that a message carries; what is larger is fetched.
+     */
+    MR_FLEET_INLINE_MAX_BYTES = 2048,
 };
 
 /** Another instance. */
@@ -85,7 +88,8 @@
     /* Versions in the coordinator's last reply; no contents. */
     mr_msg_directory_t coordinator_directory;
     int own_fetchers;     /* instances that were told to fetch from this one */
-    int64_t inline_bytes; /* that replies may still carry as contents */
+    int64_t inline_bytes; /* that replies may still carry as contents;
+                             negative after a reply that carried more */
     mr_ms_t inline_filled_at; /* when @inline_bytes was last increased */
     mr_list_t reports;
     struct event *report_timer;
@@ -113,6 +117,9 @@
                         const mr_msg_t *msg, const char *from);
 
 /* fleet_source.c */
+/** mr_fleet_inline_allowance() - bytes of each kind of contents that the next
+ * reply may carry. The caller takes what it carries from @inline_bytes. */
+size_t mr_fleet_inline_allowance(mr_fleet_t *fleet, mr_ms_t now);
 /** mr_fleet_choose_source() - choose where @receiver fetches contents that
  * this instance has and it lacks. Unless it is fetching afterwards, it has to
  * wait. */
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -24,11 +24,6 @@
     CANDIDATES_MAX = 16,
     HEALTH_MAX = 4096,
     WANTS_MAX = 1024,
-    /* Contents that a message carries; what is larger is fetched. */
-    INLINE_MAX_BYTES = 2048,
-    /* Bound of the contents in all replies together, a fifth of a link of 10
-     * Mbit/s. */
-    INLINE_RATE_BYTES_PER_S = 256 << 10,
 };
 
 /* Lists the health of the primaries that answered this instance lately or fail
@@ -241,8 +236,8 @@
         .defers_config = !mr_updates_accepts_config(fleet->updates),
         .link_mbps = fleet->options.link_mbps,
     };
-    mr_directory_export(fleet->options.directory, known, INLINE_MAX_BYTES,
-                        &msg.u.report.directory);
+    mr_directory_export(fleet->options.directory, known,
+                        MR_FLEET_INLINE_MAX_BYTES, &msg.u.report.directory);
     *report = (mr_fleet_report_t){
         .fleet = fleet, .to = to, .sent_at = mr_clock_now(NULL)};
     to->last_sent_at = report->sent_at;
@@ -434,23 +429,6 @@
     return count;
 }
 
-/* Returns the bytes that the next reply may carry as contents. */
-static size_t
-inline_allowance(mr_fleet_t *fleet, mr_ms_t now)
-{
-    mr_ms_t elapsed = now - fleet->inline_filled_at;
-    int64_t bytes = INLINE_RATE_BYTES_PER_S;
-
-    if (fleet->inline_filled_at != 0 && elapsed < 1000) {
-        bytes = fleet->inline_bytes + elapsed * INLINE_RATE_BYTES_PER_S / 1000;
-    }
-    fleet->inline_bytes =
-        bytes < INLINE_RATE_BYTES_PER_S ? bytes : INLINE_RATE_BYTES_PER_S;
-    fleet->inline_filled_at = now;
-    return fleet->inline_bytes < INLINE_MAX_BYTES ? (size_t)fleet->inline_bytes
-                                                  : INLINE_MAX_BYTES;
-}
-
 /* Adds newer contents to the reply if they are small, and otherwise the
  * instance to fetch them from. */
 static void
@@ -471,7 +449,8 @@
         known.config_version = INT64_MAX;
     }
     mr_directory_export(fleet->options.directory, &known,
-                        inline_allowance(fleet, now), &reply->directory);
+                        mr_fleet_inline_allowance(fleet, now),
+                        &reply->directory);
     fleet->inline_bytes -=
         (int64_t)mr_directory_content_bytes(&reply->directory);
     if (!mr_directory_leaves_out(&reply->directory, &known)) {
--- a/lib/session/fleet_source.c
+++ b/lib/session/fleet_source.c
@@ -1,4 +1,5 @@
-/* Choice of the instance that another one fetches large contents from. The
+/* How newer contents reach an instance: small ones with the reply to its
+ * report, large ones from an instance that the coordinator chooses. The
  * first transfer to a data centre comes from the coordinator, the others from
  * instances of the same data centre that have the contents already. */
 
@@ -20,8 +21,31 @@
     WAIT_MAX_MS = 1000,
     /* A source, or a receiver, has reported within this time. */
     SEEN_MS = 600,
+    /* Bound of the contents in all replies together, a fifth of a link of 10
+     * Mbit/s. */
+    INLINE_RATE_BYTES_PER_S = 256 << 10,
 };
 
+size_t
+mr_fleet_inline_allowance(mr_fleet_t *fleet, mr_ms_t now)
+{
+    mr_ms_t elapsed = now - fleet->inline_filled_at;
+    int64_t bytes = INLINE_RATE_BYTES_PER_S;
+
+    if (fleet->inline_filled_at != 0 && elapsed < 1000) {
+        bytes = fleet->inline_bytes + elapsed * INLINE_RATE_BYTES_PER_S / 1000;
+    }
+    fleet->inline_bytes =
+        bytes < INLINE_RATE_BYTES_PER_S ? bytes : INLINE_RATE_BYTES_PER_S;
+    fleet->inline_filled_at = now;
+    if (fleet->inline_bytes <= 0) {
+        return 0;
+    }
+    return fleet->inline_bytes < MR_FLEET_INLINE_MAX_BYTES
+               ? (size_t)fleet->inline_bytes
+               : MR_FLEET_INLINE_MAX_BYTES;
+}
+
 void
 mr_fleet_release_source(mr_fleet_t *fleet, mr_fleet_instance_t *instance)
 {
--- a/tests/unit/test_fleet_source.c
+++ b/tests/unit/test_fleet_source.c
@@ -260,6 +260,25 @@
 }
 END_TEST
 
+START_TEST(test_contents_in_replies_stay_within_their_rate)
+{
+    enum { SECOND_MS = 1000, REPLIES = 100000 };
+    int64_t carried = 0;
+
+    for (int i = 0; i < REPLIES; i++) {
+        size_t allowed =
+            mr_fleet_inline_allowance(fleet, 1 + i * SECOND_MS / REPLIES);
+        ck_assert_uint_le(allowed, MR_FLEET_INLINE_MAX_BYTES);
+        /* The desired state and the registrations. */
+        fleet->inline_bytes -= 2 * (int64_t)allowed;
+        carried += 2 * (int64_t)allowed;
+    }
+    /* What one second allows, saved up from the second before, and once more.
+     */
+    ck_assert_int_le(carried, 2 * (256 << 10) + 2 * MR_FLEET_INLINE_MAX_BYTES);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -271,6 +290,7 @@
         test_a_pausing_instance_does_not_hold_back_its_data_centre,
         test_a_removed_source_leaves_no_transfer_behind,
         test_instances_with_slow_links_come_last,
+        test_contents_in_replies_stay_within_their_rate,
     };
 
     return RUN_TESTS(tests, .suite = "fleet_source", .setup = set_up,
