End a wait for a token only by the answer to a request that covers it

An operation that finds no token waits for the coordinator's answer. Which answers cover it was decided by time in milliseconds, so that the answer to a report sent earlier in the same millisecond, without the operation's demand, ended the wait and refused it. Requests for tokens are now numbered, and a report without any covers no wait.

--- a/lib/session/client.c
+++ b/lib/session/client.c
@@ -627,12 +627,12 @@
 }
 
 void
-mr_client_on_tokens(mr_client_t *session, mr_ms_t asked_at)
+mr_client_on_tokens(mr_client_t *session, int64_t round)
 {
     mr_line_t line;
 
     if (session->run.stage != MR_RUN_TOKEN_WAIT
-        || session->run.started_at > asked_at) {
+        || session->run.waited_after >= round) {
         return;
     }
     mr_run_end_token_wait(session, &line);
--- a/lib/session/client.h
+++ b/lib/session/client.h
@@ -88,6 +88,8 @@
     bool conn_reusable; /* the connection of this attempt has a known state */
     int setup_pending;
     mr_ms_t started_at;
+    int64_t waited_after; /* mr_quota_round() when it began to wait for a
+                             token; a later one covers it */
     char target[MR_NAME_MAX_BYTES]; /* database of the last attempt */
     mr_ms_t sent_at;
     mr_error_kind_t last_error;
@@ -151,9 +153,9 @@
 mr_setting_t *mr_client_find_setting(mr_client_t *session, const char *name,
                                      bool prepared);
 
-/** mr_client_on_tokens() - tokens were drawn for the demand of @asked_at:
+/** mr_client_on_tokens() - tokens were drawn for the demand of @round:
  * continue a statement that has waited since then. */
-void mr_client_on_tokens(mr_client_t *session, mr_ms_t asked_at);
+void mr_client_on_tokens(mr_client_t *session, int64_t round);
 
 /* run.c */
 /** mr_run_await_token() - keep @line until a token is available; takes over
--- a/lib/session/fleet.h
+++ b/lib/session/fleet.h
@@ -39,9 +39,9 @@
     mr_quota_t *quota;
     mr_promoter_t *promoter;
     mr_sampler_t *sampler;
-    /* Called after tokens were drawn for the demand up to @asked_at, whether
-     * or not there were enough. */
-    void (*tokens_drawn)(void *ctx, mr_ms_t asked_at);
+    /* Called after tokens were drawn for the demand of @round, see
+     * mr_quota_round(), whether or not there were enough. */
+    void (*tokens_drawn)(void *ctx, int64_t round);
     void *ctx;
 } mr_fleet_options_t;
 
--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -55,6 +55,7 @@
     mr_fleet_instance_t *to;
     mr_peer_call_t *call;
     mr_ms_t sent_at;
+    int64_t round; /* of the token requests in it; 0: it has none */
 } mr_fleet_report_t;
 
 struct mr_fleet {
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -123,7 +123,7 @@
 
 static void
 import_tokens(mr_fleet_t *fleet, const mr_msg_report_reply_t *reply,
-              mr_ms_t asked_at)
+              mr_ms_t asked_at, int64_t round)
 {
     mr_quota_set_coordinated_until(fleet->options.quota,
                                    asked_at + reply->lifetime_ms);
@@ -131,7 +131,7 @@
         mr_quota_add_tokens(fleet->options.quota, reply->draws[i].account,
                             reply->draws[i].milli);
     }
-    fleet->options.tokens_drawn(fleet->options.ctx, asked_at);
+    fleet->options.tokens_drawn(fleet->options.ctx, round);
 }
 
 static void report_to_candidates(mr_fleet_t *fleet);
@@ -179,6 +179,7 @@
     mr_fleet_t *fleet = report->fleet;
     mr_fleet_instance_t *from = report->to;
     mr_ms_t asked_at = report->sent_at;
+    int64_t round = report->round;
     mr_ms_t now = mr_clock_now(NULL);
 
     mr_list_remove(&report->link);
@@ -201,7 +202,7 @@
         fleet->store_failing = reply->store_failing;
         fleet->reported_instances = (size_t)reply->instances;
         mr_fleet_update_count(fleet);
-        import_tokens(fleet, reply, asked_at);
+        import_tokens(fleet, reply, asked_at, round);
         import_primaries(fleet, reply, asked_at);
         fleet->coordinator_directory = (mr_msg_directory_t){
             .config_version = reply->directory.config_version,
@@ -239,7 +240,11 @@
     mr_directory_export(fleet->options.directory, known,
                         MR_FLEET_INLINE_MAX_BYTES, &msg.u.report.directory);
     *report = (mr_fleet_report_t){
-        .fleet = fleet, .to = to, .sent_at = mr_clock_now(NULL)};
+        .fleet = fleet,
+        .to = to,
+        .sent_at = mr_clock_now(NULL),
+        .round =
+            lists->wants != NULL ? mr_quota_round(fleet->options.quota) : 0};
     to->last_sent_at = report->sent_at;
     mr_list_append(&fleet->reports, &report->link);
     report->call = mr_peer_call(fleet->peer, to->address, &msg,
@@ -348,7 +353,7 @@
         mr_quota_add_tokens(options->quota, lists->wants[i].account,
                             draw_tokens(fleet, &lists->wants[i], now));
     }
-    options->tokens_drawn(options->ctx, now);
+    options->tokens_drawn(options->ctx, mr_quota_round(options->quota));
 }
 
 void
--- a/lib/session/quota.c
+++ b/lib/session/quota.c
@@ -36,6 +36,7 @@
     mr_list_t accounts;
     int64_t instances;
     mr_ms_t demand_measured_at;
+    int64_t round; /* calls of mr_quota_token_requests() so far */
     mr_ms_t coordinated_until;
     bool coordinated;
     mr_counter_t *admitted;
@@ -210,6 +211,7 @@
     }
     int64_t weight = span < DEMAND_WINDOW_MS ? span : DEMAND_WINDOW_MS;
     quota->demand_measured_at = now;
+    quota->round++;
     update_coordinated(quota, now);
     MR_LIST_FOREACH(it, &quota->accounts)
     {
@@ -230,6 +232,12 @@
     return count;
 }
 
+int64_t
+mr_quota_round(const mr_quota_t *quota)
+{
+    return quota->round;
+}
+
 void
 mr_quota_add_tokens(mr_quota_t *quota, const char *name, int64_t milli)
 {
--- a/lib/session/quota.h
+++ b/lib/session/quota.h
@@ -34,6 +34,10 @@
 size_t mr_quota_token_requests(mr_quota_t *quota, mr_msg_draw_t *out,
                                size_t max);
 
+/** mr_quota_round() - number of calls of mr_quota_token_requests() so far. The
+ * answer to the last one covers the operations that waited by then. */
+int64_t mr_quota_round(const mr_quota_t *quota);
+
 /** mr_quota_add_tokens() - add tokens drawn for account @name, in thousandths.
  */
 void mr_quota_add_tokens(mr_quota_t *quota, const char *name, int64_t milli);
--- a/lib/session/relay.c
+++ b/lib/session/relay.c
@@ -242,11 +242,11 @@
 }
 
 void
-mr_relay_on_tokens(mr_relay_t *relay, mr_ms_t asked_at)
+mr_relay_on_tokens(mr_relay_t *relay, int64_t round)
 {
     MR_LIST_FOREACH(it, &relay->sessions)
     {
-        mr_client_on_tokens(MR_LIST_ENTRY(it, mr_client_t, link), asked_at);
+        mr_client_on_tokens(MR_LIST_ENTRY(it, mr_client_t, link), round);
     }
 }
 
--- a/lib/session/relay.h
+++ b/lib/session/relay.h
@@ -41,8 +41,9 @@
 /** mr_relay_sessions() - number of open sessions. */
 size_t mr_relay_sessions(const mr_relay_t *relay);
 
-/** mr_relay_on_tokens() - tokens were drawn for the demand of @asked_at. */
-void mr_relay_on_tokens(mr_relay_t *relay, mr_ms_t asked_at);
+/** mr_relay_on_tokens() - tokens were drawn for the demand of @round, see
+ * mr_quota_round(). */
+void mr_relay_on_tokens(mr_relay_t *relay, int64_t round);
 
 /** mr_relay_sync_copies() - number of replicas of @service that must hold a
  * commit before it is acknowledged, according to the desired state. */
--- a/lib/session/run.c
+++ b/lib/session/run.c
@@ -709,7 +709,7 @@
         session->tx_lost = true;
         break;
     case MR_RUN_TOKEN_WAIT:
-        mr_client_on_tokens(session, mr_clock_now(NULL));
+        mr_client_on_tokens(session, INT64_MAX);
         break;
     case MR_RUN_WAITING:
         if (run->conn != NULL) {
@@ -741,6 +741,7 @@
     run->line = *line;
     line->text = NULL;
     run->started_at = mr_clock_now(NULL);
+    run->waited_after = mr_quota_round(session->relay->options.quota);
     mr_quota_add_waiting(session->relay->options.quota, session->account, 1);
     set_stage(session, MR_RUN_TOKEN_WAIT, mr_run_unsent_limit(session));
 }
--- a/lib/session/sessiond.c
+++ b/lib/session/sessiond.c
@@ -89,11 +89,11 @@
 }
 
 static void
-on_tokens_drawn(void *ctx, mr_ms_t asked_at)
+on_tokens_drawn(void *ctx, int64_t round)
 {
     mr_sessiond_t *daemon = ctx;
 
-    mr_relay_on_tokens(daemon->relay, asked_at);
+    mr_relay_on_tokens(daemon->relay, round);
 }
 
 static void
--- a/tests/unit/test_quota.c
+++ b/tests/unit/test_quota.c
@@ -55,6 +55,21 @@
 }
 END_TEST
 
+/* Guards against an operation that is refused on the answer to a request from
+ * before it, sent in the same millisecond. */
+START_TEST(test_a_later_request_in_the_same_millisecond_is_told_apart)
+{
+    mr_msg_draw_t draws[2];
+
+    mr_quota_token_requests(quota, draws, 2);
+    int64_t before = mr_quota_round(quota);
+    mr_quota_admit(quota, "coop", false);
+    ck_assert_int_eq(mr_quota_round(quota), before);
+    mr_quota_token_requests(quota, draws, 2);
+    ck_assert_int_gt(mr_quota_round(quota), before);
+}
+END_TEST
+
 START_TEST(test_drawn_tokens_expire_with_the_coordinator)
 {
     mr_quota_set_coordinated_until(quota, clock_now.u.manual.now + 1200);
@@ -191,6 +206,7 @@
 main(void)
 {
     const TTest *const tests[] = {
+        test_a_later_request_in_the_same_millisecond_is_told_apart,
         test_without_coordinator_admits_an_equal_share,
         test_drawn_tokens_expire_with_the_coordinator,
         test_requests_tokens_for_waiting_operations,
