Do not take a replaced database as the primary when it registers again

A registration as the primary outranked an earlier promotion of another database when its row was newer. A former primary that does not know of the promotion, on platforms where it goes on, registers again once its entry has lapsed, and all instances returned to it. It now counts only after it has registered as a replica, or was promoted. The test fails before.

--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -99,6 +99,7 @@
         }
         free(cluster->service);
         free(cluster->promoted_id);
+        free(cluster->replaced_id);
         free(cluster);
     }
     free(clusters->instance);
@@ -220,6 +221,9 @@
     db->started_at = entry->started_at;
     mr_list_init(&db->idle_conns);
     mr_list_init(&db->waiters);
+    db->former_primary = cluster->replaced_id != NULL
+                         && strcmp(cluster->replaced_id, id) == 0
+                         && cluster->replaced_started_at == entry->started_at;
     mr_list_append(&cluster->dbs, &db->link);
     update_kept_conns_max(db);
     mr_log(MR_LOG_INFO, MR_EVENT_DATABASE_FOUND,
@@ -307,11 +311,14 @@
                "service=%s id=%s draining=%d", cluster->service, id,
                db->draining);
     }
-    if (entry->primary) {
-        set_primary(db, id, revision);
-    }
-    else {
+    if (!entry->primary) {
         db->primary_since = 0;
+        db->former_primary = false;
+    }
+    else if (!db->former_primary) {
+        /* A former primary that has not heard of the promotion registers as
+         * the primary again, later than the new one. */
+        set_primary(db, id, revision);
     }
 }
 
@@ -414,6 +421,33 @@
     return find_primary(cluster, true, 0);
 }
 
+/* The database @promoted_id takes over with @token: databases that registered
+ * as the primary before are not the primary, whatever they register next. */
+static void
+mark_former_primaries(mr_cluster_t *cluster, const char *promoted_id,
+                      int64_t token)
+{
+    mr_db_t *primary = mr_cluster_known_primary(cluster);
+
+    if (primary != NULL && strcmp(primary->id, promoted_id) != 0
+        && primary_claim(cluster, primary) < token) {
+        free(cluster->replaced_id);
+        cluster->replaced_id = mr_strdup(primary->id);
+        cluster->replaced_started_at = primary->started_at;
+    }
+    MR_LIST_FOREACH(it, &cluster->dbs)
+    {
+        mr_db_t *db = MR_LIST_ENTRY(it, mr_db_t, link);
+        if (strcmp(db->id, promoted_id) == 0) {
+            db->former_primary = false;
+        }
+        else if (db->primary_since != 0 && db->primary_since < token) {
+            db->former_primary = true;
+            db->primary_since = 0;
+        }
+    }
+}
+
 void
 mr_cluster_record_promotion(mr_cluster_t *cluster, const char *id,
                             int64_t token)
@@ -421,6 +455,7 @@
     if (token <= cluster->promoted_token) {
         return;
     }
+    mark_former_primaries(cluster, id, token);
     mr_log(MR_LOG_INFO, MR_EVENT_PRIMARY_PROMOTED,
            "service=%s id=%s token=%lld", cluster->service, id,
            (long long)token);
--- a/lib/session/cluster.h
+++ b/lib/session/cluster.h
@@ -34,6 +34,8 @@
     bool removed; /* no longer registered; freed with its last connection */
     int64_t primary_since; /* number of the revision since which it is
                               registered as the primary; 0: as a replica */
+    bool former_primary;   /* replaced by a promotion, and has not registered
+                              as a replica since */
     mr_ms_t refused_at;    /* last refusal because it is not the primary */
     mr_ms_t refused_since; /* first refusal since it was last known to be
                               the primary; 0: none */
@@ -80,6 +82,8 @@
     int64_t promoted_token;  /* fencing token of that promotion; higher if the
                                 previous primary registered after the token */
     int64_t connections_max; /* to one database, from all instances */
+    char *replaced_id;       /* primary before the last promotion; NULL */
+    int64_t replaced_started_at;
     int dbs_seen_max; /* most databases that were registered at one time */
     mr_ms_t no_primary_since;    /* 0: a primary is known */
     uint64_t changed_at_count;   /* change_count of the clusters at the last
--- a/tests/unit/test_clusters.c
+++ b/tests/unit/test_clusters.c
@@ -204,6 +204,29 @@
 }
 END_TEST
 
+/* On some platforms a primary goes on as such after it was replaced, as long
+ * as it does not reach the new one. */
+START_TEST(test_a_former_primary_that_registers_again_is_not_the_primary)
+{
+    const row_t before[] = {{"a", true, 1, 490}, {"b", false, 1, 491}, {0}};
+    const row_t away[] = {{"b", true, 1, 510}, {0}};
+    const row_t back[] = {{"a", true, 1, 530}, {"b", true, 1, 510}, {0}};
+    const row_t joined[] = {{"a", false, 1, 540}, {"b", true, 1, 510}, {0}};
+
+    apply_set(1, 493, before, NOW);
+    mr_cluster_record_promotion(rez_cluster(), "b",
+                                mr_revision_number(at(1, 500)));
+    apply_set(1, 511, away, NOW + 1000);
+    apply_set(1, 520, away, NOW + 4000); /* the entry of "a" has lapsed */
+    apply_set(1, 531, back, NOW + 5000);
+    ck_assert_str_eq(mr_cluster_known_primary(rez_cluster())->id, "b");
+    apply_set(1, 541, joined, NOW + 6000);
+    mr_cluster_record_promotion(rez_cluster(), "a",
+                                mr_revision_number(at(1, 600)));
+    ck_assert_str_eq(mr_cluster_known_primary(rez_cluster())->id, "a");
+}
+END_TEST
+
 START_TEST(test_a_late_registration_does_not_undo_an_own_promotion)
 {
     const row_t before[] = {{"a", true, 1, 490}, {"b", false, 1, 491}, {0}};
@@ -405,6 +428,7 @@
         test_a_promotion_after_a_restore_outranks_those_before,
         test_a_former_primary_does_not_return_with_an_older_copy,
         test_a_dead_primary_does_not_return_with_an_older_copy,
+        test_a_former_primary_that_registers_again_is_not_the_primary,
         test_a_late_registration_does_not_undo_an_own_promotion,
         test_a_refusing_primary_is_skipped_for_a_while,
         test_a_restarted_database_is_a_new_one,
