--- a/lib/common/event.h
+++ b/lib/common/event.h
@@ -69,6 +69,11 @@
     X(SOCKET_FAILED, "socket_failed", "service id")                           \
     X(PRIMARY_REGISTERED, "primary_registered", "service id era version")     \
     X(PRIMARY_PROMOTED, "primary_promoted", "service id token")               \
+    X(PRIMARY_WITHHELD, "primary_withheld", "service id")                     \
+    X(PRIMARY_GRANTED, "primary_granted", "service")                          \
+    X(PRIMARY_LEASE_GRANTED, "primary_lease_granted", "coordinator")          \
+    X(PRIMARY_LEASE_LAPSED, "primary_lease_lapsed", "coordinator")            \
+    X(PRIMARY_NOT_LEASED, "primary_not_leased", "id service")                 \
     X(SESSION_VALUE_REFUSED, "session_value_refused", "error detail")         \
     /* Instances */                                                           \
     X(FLEET_JOINED, "fleet_joined", "instances")                              \
--- a/lib/session/client.h
+++ b/lib/session/client.h
@@ -31,6 +31,7 @@
     mr_counter_t *opened;
     mr_counter_t *operations;
     mr_counter_t *limited;
+    mr_counter_t *not_leased;
     mr_counter_t *shed;
     mr_counter_t *retries;
     mr_counter_t *answers[MR_ERROR_COUNT];
@@ -81,6 +82,8 @@
     const mr_db_t *failed_db; /* database of the last failed attempt */
     mr_position_t min_position;
     bool begin_at_replica; /* begins a read-only transaction at a replica */
+    bool needs_lease;      /* could only go to the primary, which must not be
+                              used at present */
     bool needs_position;   /* goes to the primary only because no recent enough
                               position is known */
     int attempts;
--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -107,6 +107,12 @@
     free(clusters);
 }
 
+void
+mr_clusters_set_lease(mr_clusters_t *clusters, const mr_primary_lease_t *lease)
+{
+    clusters->lease = lease;
+}
+
 mr_cluster_t *
 mr_clusters_find(mr_clusters_t *clusters, const char *service)
 {
@@ -421,6 +427,22 @@
     return find_primary(cluster, true, 0);
 }
 
+bool
+mr_cluster_has_lease(const mr_cluster_t *cluster, mr_ms_t now)
+{
+    const mr_primary_lease_t *lease = cluster->clusters->lease;
+
+    return lease == NULL
+           || mr_primary_lease_covers(lease, cluster->service, now);
+}
+
+bool
+mr_db_is_leased_primary(const mr_db_t *db, mr_ms_t now)
+{
+    return mr_cluster_has_lease(db->cluster, now)
+           && db == mr_cluster_known_primary(db->cluster);
+}
+
 /* The database @promoted_id takes over with @token: databases that registered
  * as the primary before are not the primary, whatever they register next. */
 static void
@@ -448,6 +470,14 @@
     }
 }
 
+int64_t
+mr_cluster_primary_claim(mr_cluster_t *cluster)
+{
+    const mr_db_t *primary = mr_cluster_known_primary(cluster);
+
+    return primary != NULL ? primary_claim(cluster, primary) : 0;
+}
+
 void
 mr_cluster_record_promotion(mr_cluster_t *cluster, const char *id,
                             int64_t token)
@@ -462,6 +492,7 @@
     free(cluster->promoted_id);
     cluster->promoted_id = mr_strdup(id);
     cluster->promoted_token = token;
+    cluster->promoted_at = mr_clock_now(NULL);
     cluster->changed_at_count = ++cluster->clusters->change_count;
     mr_db_t *db = find_db(cluster, id);
     if (db != NULL) {
@@ -475,8 +506,7 @@
 mr_cluster_record_own_promotion(mr_cluster_t *cluster, const char *id,
                                 int64_t token)
 {
-    mr_db_t *primary = mr_cluster_known_primary(cluster);
-    int64_t before = primary != NULL ? primary_claim(cluster, primary) : 0;
+    int64_t before = mr_cluster_primary_claim(cluster);
 
     /* A spare token may be older than the registration of the previous
      * primary. */
--- a/lib/session/cluster.h
+++ b/lib/session/cluster.h
@@ -14,6 +14,7 @@
 #include "common/list.h"
 #include "session/entry.h"
 #include "session/position.h"
+#include "session/primary_lease.h"
 #include "session/revision.h"
 
 typedef struct mr_clusters mr_clusters_t;
@@ -82,6 +83,7 @@
     int64_t promoted_token;  /* fencing token of that promotion; higher if the
                                 previous primary registered after the token */
     int64_t connections_max; /* to one database, from all instances */
+    mr_ms_t promoted_at;     /* when this instance learned of it */
     char *replaced_id;       /* primary before the last promotion; NULL */
     int64_t replaced_started_at;
     int dbs_seen_max; /* most databases that were registered at one time */
@@ -94,9 +96,11 @@
 
 struct mr_clusters {
     mr_list_t list;
-    char *instance;           /* name of this instance */
-    char *data_centre;        /* of this instance */
-    int64_t instance_count;   /* instances that share the connections */
+    char *instance;                  /* name of this instance */
+    char *data_centre;               /* of this instance */
+    const mr_primary_lease_t *lease; /* NULL: the primaries may always be used
+                                      */
+    int64_t instance_count;          /* instances that share the connections */
     uint64_t change_count;    /* new samples and promotions, of all clusters */
     mr_revision_t newest_set; /* of registrations */
     mr_revision_t first_after_restore; /* first set of the newest era; version
@@ -108,6 +112,11 @@
                                   const char *data_centre);
 void mr_clusters_destroy(mr_clusters_t *clusters);
 
+/** mr_clusters_set_lease() - use the primaries only while @lease, which must
+ * outlive @clusters, covers them. */
+void mr_clusters_set_lease(mr_clusters_t *clusters,
+                           const mr_primary_lease_t *lease);
+
 /** mr_clusters_find() - NULL if @service is not known. */
 mr_cluster_t *mr_clusters_find(mr_clusters_t *clusters, const char *service);
 /** mr_clusters_get() - the cluster of @service, created if needed. */
@@ -142,6 +151,18 @@
  * promotion names as the primary, even if it fails or refuses; NULL: none. */
 mr_db_t *mr_cluster_known_primary(mr_cluster_t *cluster);
 
+/** mr_cluster_has_lease() - whether the primary of @cluster may be used. */
+bool mr_cluster_has_lease(const mr_cluster_t *cluster, mr_ms_t now);
+
+/** mr_db_is_leased_primary() - whether @db is certainly the primary at @now:
+ * until now no promotion of another database can have taken effect. */
+bool mr_db_is_leased_primary(const mr_db_t *db, mr_ms_t now);
+
+/** mr_cluster_primary_claim() - number of the registration or promotion that
+ * makes the known primary the primary; 0: there is none. The next one has a
+ * higher number. */
+int64_t mr_cluster_primary_claim(mr_cluster_t *cluster);
+
 /** mr_cluster_record_promotion() - @id was promoted with fencing token @token.
  * Ignored unless it is newer than the last recorded promotion. */
 void mr_cluster_record_promotion(mr_cluster_t *cluster, const char *id,
--- a/lib/session/fence.c
+++ b/lib/session/fence.c
@@ -117,6 +117,12 @@
     }
 }
 
+void
+mr_fence_drop_reserve(mr_fence_t *fence)
+{
+    fence->reserve = 0;
+}
+
 bool
 mr_fence_waiting(const mr_fence_t *fence, mr_ms_t now)
 {
--- a/lib/session/fence.h
+++ b/lib/session/fence.h
@@ -34,6 +34,10 @@
  * last request was some time ago. */
 void mr_fence_refill(mr_fence_t *fence, mr_ms_t now);
 
+/** mr_fence_drop_reserve() - another instance may take and use higher tokens
+ * from now on. */
+void mr_fence_drop_reserve(mr_fence_t *fence);
+
 /** mr_fence_waiting() - whether the store may still answer a request in time.
  */
 bool mr_fence_waiting(const mr_fence_t *fence, mr_ms_t now);
--- a/lib/session/fleet.c
+++ b/lib/session/fleet.c
@@ -31,6 +31,7 @@
 
     mr_quota_set_instances(fleet->options.quota, instances);
     mr_clusters_set_instances(fleet->options.clusters, (int64_t)instances);
+    mr_lease_grantor_set_instances(fleet->options.grantor, instances);
     mr_counter_set(fleet->instances_gauge, (int64_t)instances);
 }
 
@@ -119,7 +120,10 @@
     }
     if (!coordinating && fleet->coordinating) {
         mr_sampler_stop(fleet->options.sampler);
+        mr_promoter_stop(fleet->options.promoter);
     }
+    mr_lease_grantor_set_coordinating(fleet->options.grantor, coordinating,
+                                      now);
     fleet->coordinator = coordinator;
     fleet->coordinating = coordinating;
     mr_counter_set(fleet->coordinator_gauge, coordinating);
@@ -236,4 +240,9 @@
 mr_fleet_leave(mr_fleet_t *fleet)
 {
     fleet->leaving = true;
+    if (fleet->joined) {
+        /* Before the next reply, which tells the others. */
+        mr_fleet_update_coordinator(fleet, mr_clock_now(NULL));
+        mr_fleet_report_soon(fleet);
+    }
 }
--- a/lib/session/fleet.h
+++ b/lib/session/fleet.h
@@ -39,6 +39,8 @@
     mr_quota_t *quota;
     mr_promoter_t *promoter;
     mr_sampler_t *sampler;
+    mr_primary_lease_t *lease;
+    mr_lease_grantor_t *grantor;
     /* Called after tokens were drawn for the demand of @round, see
      * mr_quota_round(), whether or not there were enough. */
     void (*tokens_drawn)(void *ctx, int64_t round);
--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -81,6 +81,7 @@
     bool store_failing;        /* the coordinator cannot read the store */
     bool report_wanted;        /* a report is due ahead of time */
     bool report_again;         /* once the current report is answered */
+    bool lease_renewed;        /* by the last reply of the coordinator */
     size_t reported_instances; /* number according to the coordinator */
     mr_ms_t answered_at;       /* last reply of the coordinator */
     mr_ms_t reported_at;
--- a/lib/session/fleet_members.c
+++ b/lib/session/fleet_members.c
@@ -18,6 +18,9 @@
      * instances start at about the same time and have registered by then. */
     MEMBERS_AFTER_REGISTERING_MS = 1500,
     MEMBERS_PERIOD_MS = 20000,
+    /* While this instance coordinates without the support of a majority, as
+     * others may have to be removed. */
+    MEMBERS_UNSUPPORTED_MS = 5000,
     /* An instance that has not reported for this long is removed. */
     REMOVE_AFTER_MS = 15000,
     /* A priority has the class of the link's rate in its highest bits. */
@@ -234,9 +237,21 @@
         }
         mr_fleet_remove_instance(fleet, instance);
     }
+    /* The previous coordinator's number may count some of them. */
+    fleet->reported_instances = 0;
     mr_fleet_update_count(fleet);
 }
 
+static mr_ms_t
+members_period(const mr_fleet_t *fleet)
+{
+    bool unsupported =
+        fleet->coordinating
+        && !mr_lease_grantor_leads(fleet->options.grantor, mr_clock_now(NULL));
+
+    return unsupported ? MEMBERS_UNSUPPORTED_MS : MEMBERS_PERIOD_MS;
+}
+
 static void
 on_registered(void *ctx, mr_error_kind_t error, mr_revision_t revision)
 {
@@ -335,7 +350,7 @@
                mr_fleet_instances(fleet));
         mr_fleet_start_reports(fleet);
     }
-    start_members_timer(fleet, MEMBERS_PERIOD_MS);
+    start_members_timer(fleet, members_period(fleet));
 }
 
 /* The registrations that a new instance read may have lacked the
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -10,6 +10,10 @@
 
 enum {
     REPORT_PERIOD_MS = 250,
+    /* While a primary fails here or the lease is not renewed, so that a
+     * promotion, or another coordinator, does not wait for the reports. With
+     * many instances the period is a millisecond for each. */
+    URGENT_PERIOD_MIN_MS = 60,
     REPORT_TIMEOUT_MS = 350,
     REPORT_GAP_MAX_MS = 400, /* between reports of a running instance */
     /* Lifetime of drawn tokens. The coordinator counts an instance as
@@ -18,12 +22,21 @@
     /* How often lost instances of a higher priority than the coordinator are
      * tried again. */
     RETRY_PREFERRED_MS = 1500,
+    /* The same for the first ones while the lease is not renewed, as they may
+     * only have started later, or a partition may have ended. */
+    RETRY_URGENT_MS = 300,
+    RETRY_URGENT_MAX = 3,
     /* Instances that get a report at the same time when the coordinator does
      * not answer. Enough to find a reachable one if this instance's data
      * centre is one of four and cut off from the others. */
     CANDIDATES_MAX = 16,
     HEALTH_MAX = 4096,
     WANTS_MAX = 1024,
+    /* How long a report names a promotion, for a new coordinator that has not
+     * read the new primary's registration. */
+    NAME_PROMOTION_MS = 30000,
+    /* How long replies repeat a promotion, as some may get lost. */
+    REPEAT_PROMOTION_MS = 5000,
 };
 
 /* Lists the health of the primaries that answered this instance lately or fail
@@ -74,8 +87,35 @@
     size_t want_count;
     mr_msg_db_health_t *health;
     size_t health_count;
+    bool failing; /* one of the primaries */
+    mr_msg_withheld_t *withheld;
+    size_t withheld_count;
+    mr_msg_primary_t *promotions;
+    size_t promotion_count;
 } report_lists_t;
 
+/* Lists the recent promotions. */
+static size_t
+list_promotions(mr_fleet_t *fleet, mr_msg_primary_t *out, mr_ms_t now)
+{
+    size_t count = 0;
+
+    MR_LIST_FOREACH(it, &fleet->options.clusters->list)
+    {
+        const mr_cluster_t *cluster = MR_LIST_ENTRY(it, mr_cluster_t, link);
+        if (cluster->promoted_id != NULL
+            && now - cluster->promoted_at <= NAME_PROMOTION_MS) {
+            out[count++] = (mr_msg_primary_t){
+                .service = cluster->service,
+                .promoted = cluster->promoted_id,
+                .promoted_version = cluster->promoted_token,
+                .age_ms = -1,
+            };
+        }
+    }
+    return count;
+}
+
 static void
 create_lists(mr_fleet_t *fleet, mr_ms_t now, report_lists_t *lists)
 {
@@ -83,6 +123,14 @@
     lists->health =
         mr_calloc(count_clusters(fleet) + 1, sizeof(*lists->health));
     lists->health_count = list_health(fleet, lists->health, now);
+    for (size_t i = 0; i < lists->health_count; i++) {
+        lists->failing |= lists->health[i].failing_ms > 0;
+    }
+    lists->withheld = mr_primary_lease_list_withheld(
+        fleet->options.lease, &lists->withheld_count, now);
+    lists->promotions =
+        mr_calloc(count_clusters(fleet) + 1, sizeof(*lists->promotions));
+    lists->promotion_count = list_promotions(fleet, lists->promotions, now);
     lists->wants = mr_calloc(WANTS_MAX, sizeof(*lists->wants));
     lists->want_count =
         mr_quota_token_requests(fleet->options.quota, lists->wants, WANTS_MAX);
@@ -93,6 +141,8 @@
 {
     free(lists->wants);
     free(lists->health);
+    free(lists->withheld);
+    free(lists->promotions);
 }
 
 /* Imports the coordinator's state of the primaries. The report was sent at
@@ -121,6 +171,29 @@
     }
 }
 
+/* Applies what the coordinator's reply says of the lease, after the promotions
+ * that it names. */
+static void
+import_lease(mr_fleet_t *fleet, const mr_msg_t *msg, mr_ms_t asked_at,
+             mr_ms_t now)
+{
+    const mr_msg_report_reply_t *reply = &msg->u.report_reply;
+    bool awaited = mr_primary_lease_import(
+        fleet->options.lease, &(mr_lease_reply_t){
+                                  .coordinator = fleet->coordinator->name,
+                                  .asked_at = asked_at,
+                                  .sent_at = msg->sent_at,
+                                  .now = now,
+                                  .granted = reply->lease_granted,
+                                  .leaving = reply->leaving,
+                                  .withheld = reply->withheld,
+                                  .withheld_count = reply->withheld_count,
+                              });
+
+    fleet->lease_renewed = reply->lease_granted;
+    fleet->report_again |= awaited;
+}
+
 static void
 import_tokens(mr_fleet_t *fleet, const mr_msg_report_reply_t *reply,
               mr_ms_t asked_at, int64_t round)
@@ -193,7 +266,8 @@
     if (from->failures >= MR_FLEET_FAILURES_MAX) {
         mr_log(MR_LOG_INFO, MR_EVENT_INSTANCE_REGAINED, "name=%s", from->name);
     }
-    from->failures = 0;
+    /* One that leaves does not coordinate again. */
+    from->failures = reply->leaving ? MR_FLEET_FAILURES_MAX : 0;
     mr_fleet_on_era(fleet, reply->directory.registrations_era);
     mr_updates_import(fleet->updates, &reply->directory, from->name);
     fetch_announced(fleet, from, reply);
@@ -204,6 +278,7 @@
         mr_fleet_update_count(fleet);
         import_tokens(fleet, reply, asked_at, round);
         import_primaries(fleet, reply, asked_at);
+        import_lease(fleet, msg, asked_at, now);
         fleet->coordinator_directory = (mr_msg_directory_t){
             .config_version = reply->directory.config_version,
             .registrations_version = reply->directory.registrations_version,
@@ -236,7 +311,17 @@
         .data_centre = fleet->options.data_centre,
         .defers_config = !mr_updates_accepts_config(fleet->updates),
         .link_mbps = fleet->options.link_mbps,
+        .withheld = lists->withheld,
+        .withheld_count = lists->withheld_count,
+        .promotions = lists->promotions,
+        .promotion_count = lists->promotion_count,
     };
+    if (msg.u.report.draws_tokens) {
+        msg.u.report.support =
+            mr_primary_lease_support(fleet->options.lease, to->name);
+        msg.u.report.provisional = mr_primary_lease_is_provisional(
+            fleet->options.lease, mr_clock_now(NULL));
+    }
     mr_directory_export(fleet->options.directory, known,
                         MR_FLEET_INLINE_MAX_BYTES, &msg.u.report.directory);
     *report = (mr_fleet_report_t){
@@ -257,18 +342,20 @@
 retry_preferred(mr_fleet_t *fleet, mr_ms_t now)
 {
     report_lists_t none = {0};
+    int urgent = fleet->lease_renewed ? 0 : RETRY_URGENT_MAX;
 
     MR_LIST_FOREACH(it, &fleet->instances)
     {
         mr_fleet_instance_t *instance =
             MR_LIST_ENTRY(it, mr_fleet_instance_t, link);
+        mr_ms_t pause = urgent-- > 0 ? RETRY_URGENT_MS : RETRY_PREFERRED_MS;
         if (instance == fleet->coordinator
             || (fleet->coordinating && !fleet->leaving
                 && instance->priority < fleet->own_priority)) {
             return;
         }
         if (instance->failures >= MR_FLEET_FAILURES_MAX
-            && now - instance->last_sent_at >= RETRY_PREFERRED_MS) {
+            && now - instance->last_sent_at >= pause) {
             send_report(fleet, instance, &none, NULL);
         }
     }
@@ -345,6 +432,8 @@
 {
     const mr_fleet_options_t *options = &fleet->options;
 
+    mr_lease_grantor_renew_own(options->grantor, now);
+    fleet->lease_renewed = mr_lease_grantor_leads(options->grantor, now);
     mr_budgets_report(fleet->budgets, options->name, now);
     mr_promoter_report(options->promoter, options->name, now, lists->health,
                        lists->health_count);
@@ -356,6 +445,20 @@
     options->tokens_drawn(options->ctx, mr_quota_round(options->quota));
 }
 
+static mr_ms_t
+report_period(const mr_fleet_t *fleet, const report_lists_t *lists)
+{
+    mr_ms_t urgent = (mr_ms_t)mr_fleet_instances(fleet);
+
+    if (!lists->failing && fleet->lease_renewed) {
+        return REPORT_PERIOD_MS;
+    }
+    if (urgent < URGENT_PERIOD_MIN_MS) {
+        urgent = URGENT_PERIOD_MIN_MS;
+    }
+    return urgent < REPORT_PERIOD_MS ? urgent : REPORT_PERIOD_MS;
+}
+
 void
 mr_fleet_on_report_timer(evutil_socket_t fd, short what, void *ctx)
 {
@@ -375,7 +478,9 @@
     }
     fleet->report_wanted = false;
     fleet->reported_at = now;
+    mr_primary_lease_held(fleet->options.lease, now);
     create_lists(fleet, now, &lists);
+    mr_timer_start(fleet->report_timer, report_period(fleet, &lists));
     if (fleet->coordinator == NULL) {
         if (fleet->refresh_wanted) {
             mr_feed_refresh(fleet->options.feed);
@@ -391,16 +496,18 @@
 }
 
 /* Returns whether an instance that has the changes up to @known_changes needs
- * the state of @cluster. A promotion is repeated until the database registers
- * as the primary, as replies can get lost. */
+ * the state of @cluster. A promotion is repeated for a while, and until the
+ * database registers as the primary, as replies can get lost. */
 static bool
-has_updates(mr_cluster_t *cluster, uint64_t known_changes)
+has_updates(mr_cluster_t *cluster, uint64_t known_changes, mr_ms_t now)
 {
     const mr_db_t *primary = mr_cluster_known_primary(cluster);
     bool registered = primary != NULL && primary->primary_since != 0;
 
     return cluster->changed_at_count > known_changes
-           || (cluster->promoted_id != NULL && !registered);
+           || (cluster->promoted_id != NULL
+               && (!registered
+                   || now - cluster->promoted_at <= REPEAT_PROMOTION_MS));
 }
 
 /* Lists the primaries that changed after @known_changes. */
@@ -414,7 +521,7 @@
     {
         mr_cluster_t *cluster = MR_LIST_ENTRY(it, mr_cluster_t, link);
         const mr_sample_t *sample = mr_cluster_newest_sample(cluster);
-        if (!has_updates(cluster, known_changes)) {
+        if (!has_updates(cluster, known_changes, now)) {
             continue;
         }
         mr_msg_primary_t *primary = &out[count++];
@@ -499,9 +606,43 @@
     reply->primaries = primaries;
     reply->primary_count =
         list_primaries(fleet, primaries, known_changes, now);
+    reply->leaving = fleet->leaving && !fleet->coordinating;
+    if (report->draws_tokens && instance != NULL) {
+        reply->lease_granted = mr_lease_grantor_grant(fleet->options.grantor,
+                                                      instance->name, now);
+    }
+    reply->withheld = mr_lease_grantor_list_withheld(fleet->options.grantor,
+                                                     &reply->withheld_count);
     mr_peer_reply(request, &msg);
     free(draws);
     free(primaries);
+    free(reply->withheld);
+}
+
+/* Records what a report says of the leases, after the promotions that it
+ * names. */
+static void
+record_lease_report(mr_fleet_t *fleet, const char *from,
+                    const mr_msg_report_t *report, mr_ms_t now)
+{
+    for (size_t i = 0; i < report->promotion_count; i++) {
+        mr_cluster_t *cluster = mr_clusters_find(
+            fleet->options.clusters, report->promotions[i].service);
+        if (cluster != NULL) {
+            mr_cluster_record_promotion(
+                cluster, report->promotions[i].promoted,
+                report->promotions[i].promoted_version);
+        }
+    }
+    mr_lease_grantor_report(fleet->options.grantor,
+                            &(mr_lease_report_t){
+                                .instance = from,
+                                .support = report->support,
+                                .provisional = report->provisional,
+                                .withheld = report->withheld,
+                                .withheld_count = report->withheld_count,
+                                .now = now,
+                            });
 }
 
 /* Notes which versions the sender of a report has. */
@@ -563,6 +704,7 @@
         mr_budgets_report(fleet->budgets, from, now);
         mr_promoter_report(fleet->options.promoter, from, now, report->health,
                            report->health_count);
+        record_lease_report(fleet, from, report, now);
     }
     if (report->refresh) {
         mr_feed_refresh(fleet->options.feed);
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -29,12 +29,20 @@
      * ordered a promotion, which then shows in the registrations. */
     REFUSED_WAIT_MS = 1000,
     STATUS_MAX_BYTES = 256, /* a status row has seven fields */
+    /* Until all leases of the old primary are confirmed as given up or have
+     * lapsed. Those of this leader's predecessor lapse first. */
+    LEASES_TIMEOUT_MS = 2 * MR_PRIMARY_LEASE_MS,
+    /* Time for the promotion that the previous leader may have ordered to
+     * show. Longer than the platform takes, and a promoted database to
+     * register. */
+    ADOPTED_WAIT_MS = 4000,
 };
 
 typedef enum promotion_stage {
     STAGE_STATUS,
     STAGE_DEMOTE,
     STAGE_CATCH_UP,
+    STAGE_LEASES,
     STAGE_TOKEN,
     STAGE_PLATFORM_CALL,
 } promotion_stage_t;
@@ -56,6 +64,7 @@
     char *service;
     promotion_stage_t stage;
     bool planned; /* the old primary still works */
+    bool demoted; /* it has confirmed that it leads no more */
     /* Replicas stop receiving while their logs are compared. */
     bool suspend_replicas;
     int64_t term;  /* newest known term of the service */
@@ -73,6 +82,10 @@
     mr_list_t link;
     char *service;
     mr_ms_t blocked_until;
+    /* Database named by an order that was not answered, and may still be
+     * carried out; NULL: none. The next order names it again, as another one
+     * could be carried out before it. */
+    char *ordered_id;
     mr_fence_t *fence;
 } service_state_t;
 
@@ -148,6 +161,7 @@
         mr_list_remove(it);
         mr_fence_destroy(state->fence);
         free(state->service);
+        free(state->ordered_id);
         free(state);
     }
     free(promoter);
@@ -233,6 +247,32 @@
     }
 }
 
+/* Ends a promotion that was not ordered. The old primary may be used again,
+ * unless an earlier order may still be carried out. */
+static void
+abandon_promotion(promotion_t *promotion, const char *outcome)
+{
+    mr_promoter_t *promoter = promotion->promoter;
+    service_state_t *state = get_service_state(promoter, promotion->service);
+
+    resume_replicas(promotion);
+    if (state->ordered_id == NULL) {
+        mr_lease_grantor_release(promoter->options.grantor,
+                                 promotion->service);
+    }
+    end_promotion(promotion, PROMOTION_RETRY_MS, outcome);
+}
+
+static void
+set_ordered_id(mr_promoter_t *promoter, const char *service, const char *id)
+{
+    service_state_t *state = get_service_state(promoter, service);
+    char *copy = id != NULL ? mr_strdup(id) : NULL;
+
+    free(state->ordered_id);
+    state->ordered_id = copy;
+}
+
 static void
 on_promoted(void *ctx, mr_error_kind_t error)
 {
@@ -245,25 +285,45 @@
         mr_counter_add(promoter->promotions_counter, 1);
         mr_cluster_record_own_promotion(cluster, promotion->candidate,
                                         promotion->token);
+        set_ordered_id(promoter, promotion->service, NULL);
+        mr_lease_grantor_release(promoter->options.grantor,
+                                 promotion->service);
         end_promotion(promotion, REGISTRATION_WAIT_MS, "promoted");
         promoter->options.promoted(promoter->options.ctx);
         return;
     }
     if (error == MR_ERR_CONFLICT) {
+        set_ordered_id(promoter, promotion->service, NULL);
         end_promotion(promotion, REFUSED_WAIT_MS, mr_error_name(error));
         promoter->options.promoted(promoter->options.ctx);
         return;
     }
-    /* The platform may still carry the call out. The next order is safe, as
-     * its token is higher. */
+    /* The platform may still carry the call out. */
+    set_ordered_id(promoter, promotion->service, promotion->candidate);
     end_promotion(promotion, PROMOTION_RETRY_MS, mr_error_name(error));
 }
 
+/* Whether no instance can use the old primary at present. */
+static bool
+may_order(promotion_t *promotion)
+{
+    mr_lease_grantor_t *grantor = promotion->promoter->options.grantor;
+    mr_ms_t now = mr_clock_now(NULL);
+
+    return promotion->demoted
+               ? mr_lease_grantor_leads(grantor, now)
+               : mr_lease_grantor_may_order(grantor, promotion->service, now);
+}
+
 static void
 call_platform(promotion_t *promotion)
 {
     mr_promoter_t *promoter = promotion->promoter;
 
+    if (!may_order(promotion)) {
+        abandon_promotion(promotion, "not_leading");
+        return;
+    }
     set_stage(promotion, STAGE_PLATFORM_CALL);
     evtimer_del(promotion->timer);
     mr_counter_add(promoter->orders_counter, 1);
@@ -311,13 +371,47 @@
     }
     take_token(promotion);
     if (promotion->token == 0) {
-        resume_replicas(promotion);
-        end_promotion(promotion, PROMOTION_RETRY_MS, "no_token");
+        abandon_promotion(promotion, "no_token");
         return;
     }
     call_platform(promotion);
 }
 
+static void
+withhold(mr_promoter_t *promoter, const char *service, mr_ms_t now)
+{
+    mr_cluster_t *cluster =
+        mr_clusters_get(promoter->options.clusters, service);
+    const mr_db_t *primary = mr_cluster_known_primary(cluster);
+
+    mr_lease_grantor_withhold(promoter->options.grantor, service,
+                              primary != NULL ? primary->id : "",
+                              mr_cluster_primary_claim(cluster), now);
+}
+
+/* Orders the promotion once no instance can use the old primary any more. */
+static void
+order_without_leases(promotion_t *promotion)
+{
+    mr_ms_t now = mr_clock_now(NULL);
+
+    if (may_order(promotion)) {
+        order(promotion);
+        return;
+    }
+    if (promotion->stage != STAGE_LEASES) {
+        set_stage(promotion, STAGE_LEASES);
+        if (!promotion->demoted) {
+            withhold(promotion->promoter, promotion->service, now);
+        }
+    }
+    if (now - promotion->stage_started_at >= LEASES_TIMEOUT_MS) {
+        abandon_promotion(promotion, "leases_held");
+        return;
+    }
+    mr_timer_start(promotion->timer, POLL_MS);
+}
+
 static status_query_t *
 find_status_query(promotion_t *promotion, const char *id)
 {
@@ -339,6 +433,8 @@
     mr_cluster_t *cluster = mr_clusters_get(
         promotion->promoter->options.clusters, promotion->service);
     mr_db_t *primary = mr_cluster_known_primary(cluster);
+    const char *ordered =
+        get_service_state(promotion->promoter, promotion->service)->ordered_id;
     mr_db_t *best = NULL;
     mr_position_t best_position = {0, 0};
 
@@ -347,8 +443,13 @@
         mr_db_t *db = MR_LIST_ENTRY(it, mr_db_t, link);
         status_query_t *query = find_status_query(promotion, db->id);
         if (db->removed || db->draining
-            || (promotion->planned && db == primary) || query == NULL
-            || !query->answered) {
+            || (promotion->planned && db == primary) || query == NULL) {
+            continue;
+        }
+        if (ordered != NULL && strcmp(db->id, ordered) == 0) {
+            return db;
+        }
+        if (!query->answered) {
             continue;
         }
         if (best == NULL
@@ -522,6 +623,7 @@
     }
     if (reply->error == MR_OK && read_status(reply, &status)) {
         promotion->catch_up_position = status.received;
+        promotion->demoted = true;
     }
     mr_log(MR_LOG_INFO, MR_EVENT_PRIMARY_DEMOTED, "service=%s id=%s error=%s",
            promotion->service, query->id, mr_error_name(reply->error));
@@ -556,8 +658,7 @@
     mr_db_t *best = choose_replica(promotion);
 
     if (best == NULL || !has_enough_answers(promotion)) {
-        resume_replicas(promotion);
-        end_promotion(promotion, PROMOTION_RETRY_MS, "no_replica");
+        abandon_promotion(promotion, "no_replica");
         return;
     }
     service_state_t *state =
@@ -568,8 +669,7 @@
     }
     take_token(promotion);
     if (promotion->token == 0) {
-        resume_replicas(promotion);
-        end_promotion(promotion, PROMOTION_RETRY_MS, "no_token");
+        abandon_promotion(promotion, "no_token");
         return;
     }
     free(promotion->candidate);
@@ -583,7 +683,7 @@
         demote_old_primary(promotion, old_primary);
         return;
     }
-    order(promotion);
+    order_without_leases(promotion);
 }
 
 static void
@@ -610,7 +710,7 @@
         || mr_position_compare(query->status.received,
                                promotion->catch_up_position)
                >= 0) {
-        order(promotion);
+        order_without_leases(promotion);
         return;
     }
     mr_db_conn_query(query->conn, mr_relay_statement_id, NULL,
@@ -637,6 +737,9 @@
     case STAGE_CATCH_UP:
         catch_up(promotion);
         break;
+    case STAGE_LEASES:
+        order_without_leases(promotion);
+        break;
     case STAGE_TOKEN:
         order(promotion);
         break;
@@ -663,9 +766,35 @@
     mr_log(MR_LOG_WARNING, MR_EVENT_PROMOTION_STARTED, "service=%s reason=%s",
            service, reason);
     mr_fence_request(state->fence, promotion->started_at);
+    if (!planned) {
+        withhold(promoter, service, promotion->started_at);
+    }
     query_statuses(promotion);
 }
 
+/* A promotion that the previous leader may have ordered. Returns whether it
+ * may still show, so that no other one must be started. */
+static bool
+await_adopted(mr_promoter_t *promoter, mr_cluster_t *cluster, mr_ms_t now)
+{
+    mr_lease_grantor_t *grantor = promoter->options.grantor;
+    const mr_db_t *primary = mr_cluster_known_primary(cluster);
+    mr_msg_withheld_t adopted;
+
+    if (!mr_lease_grantor_adopted(grantor, cluster->service, &adopted)) {
+        return false;
+    }
+    if (primary != NULL && strcmp(primary->id, adopted.primary) != 0
+        && mr_cluster_primary_claim(cluster) > adopted.claim) {
+        mr_lease_grantor_release(grantor, cluster->service);
+        return false;
+    }
+    if (mr_lease_grantor_leading_ms(grantor, now) >= ADOPTED_WAIT_MS) {
+        start_promotion(promoter, cluster->service, false, "unfinished");
+    }
+    return true;
+}
+
 static void
 check_cluster(mr_promoter_t *promoter, mr_cluster_t *cluster, mr_ms_t now,
               size_t reporting)
@@ -676,9 +805,20 @@
 
     mr_fence_refill(state->fence, now);
     if (now < state->blocked_until
-        || find_promotion(promoter, cluster->service) != NULL) {
+        || find_promotion(promoter, cluster->service) != NULL
+        || await_adopted(promoter, cluster, now)) {
+        return;
+    }
+    if (state->ordered_id != NULL && primary != NULL
+        && strcmp(state->ordered_id, primary->id) == 0) {
+        set_ordered_id(promoter, cluster->service, NULL); /* it registered */
+    }
+    if (state->ordered_id != NULL) {
+        start_promotion(promoter, cluster->service, false, "not_answered");
         return;
     }
+    /* After a refused order. */
+    mr_lease_grantor_release(promoter->options.grantor, cluster->service);
     if (primary == NULL) {
         if (cluster->no_primary_since != 0
             && now - cluster->no_primary_since >= NO_PRIMARY_MS) {
@@ -700,13 +840,23 @@
     }
 }
 
+void
+mr_promoter_stop(mr_promoter_t *promoter)
+{
+    MR_LIST_FOREACH(it, &promoter->services)
+    {
+        mr_fence_drop_reserve(MR_LIST_ENTRY(it, service_state_t, link)->fence);
+    }
+}
+
 void
 mr_promoter_check(mr_promoter_t *promoter, mr_ms_t now, size_t reporting,
                   size_t instances)
 {
     /* Without a majority, this instance may be on the smaller side of a
      * network partition. */
-    if (reporting * 2 <= instances) {
+    if (reporting * 2 <= instances
+        || !mr_lease_grantor_leads(promoter->options.grantor, now)) {
         return;
     }
     MR_LIST_FOREACH(it, &promoter->options.clusters->list)
--- a/lib/session/promoter.h
+++ b/lib/session/promoter.h
@@ -6,11 +6,13 @@
  * health of each primary as reported by the instances. When a primary has
  * failed, is missing or is draining, the coordinator orders the platform to
  * promote the replica with the longest log. Each order carries a fencing token
- * from the store that no other order uses.
+ * from the store that no other order uses, and is sent only once no instance
+ * can use the old primary any more.
  */
 
 #include "common/clock.h"
 #include "session/cluster.h"
+#include "session/lease_grantor.h"
 #include "session/promotion_client.h"
 #include "session/store.h"
 #include "wire/msg.h"
@@ -23,6 +25,7 @@
     mr_clusters_t *clusters;
     mr_store_t *store;
     mr_promotion_client_t *duty;
+    mr_lease_grantor_t *grantor;
     const char *instance;
     /* Number of replicas that hold a commit before it is acknowledged. */
     int64_t (*sync_copies)(void *ctx, const char *service);
@@ -45,4 +48,7 @@
 void mr_promoter_check(mr_promoter_t *promoter, mr_ms_t now, size_t reporting,
                        size_t instances);
 
+/** mr_promoter_stop() - this instance no longer coordinates. */
+void mr_promoter_stop(mr_promoter_t *promoter);
+
 #endif
--- a/lib/session/relay.c
+++ b/lib/session/relay.c
@@ -41,6 +41,10 @@
     relay->limited = mr_counters_get(
         counters, "masticrelay_operations_limited_total", "",
         "operations refused since the account is beyond its rate");
+    relay->not_leased = mr_counters_get(
+        counters, "masticrelay_primary_not_leased_total", "",
+        "statements that could not use the primary, and commits whose outcome "
+        "is unknown, for lack of a lease");
     relay->retries =
         mr_counters_get(counters, "masticrelay_statement_retries_total", "",
                         "further attempts of statements at databases");
--- a/lib/session/run.c
+++ b/lib/session/run.c
@@ -216,6 +216,21 @@
     choose_db(session);
 }
 
+/* The primary must not be used at present. */
+static void
+await_lease(mr_client_t *session)
+{
+    mr_run_t *run = &session->run;
+
+    if (run->attempts++ == 0) {
+        mr_counter_add(session->relay->not_leased, 1);
+        mr_log_request(MR_LOG_FAILED, MR_EVENT_PRIMARY_NOT_LEASED,
+                       "id=%s service=%s", run->line.u.query.id,
+                       session->route->service);
+    }
+    retry_later(session, MR_RUN_RETRY_FIRST_MS);
+}
+
 static void
 request_refresh(mr_relay_t *relay)
 {
@@ -251,6 +266,17 @@
     }
 }
 
+/* Whether success of the statement means that a write is committed. */
+static bool
+commits_write(const mr_client_t *session)
+{
+    const mr_run_t *run = &session->run;
+
+    return session->tx == MR_TX_OPEN
+               ? run->statement.kind == MR_COMMAND_COMMIT && session->tx_wrote
+               : run->writes;
+}
+
 static void
 record_commit(mr_client_t *session, const mr_reply_t *reply)
 {
@@ -332,6 +358,19 @@
     retry(session, MR_ERR_UNAVAILABLE, 0);
 }
 
+/* A promotion may have taken effect before the commit, which its log would
+ * lack. */
+static void
+handle_unleased_commit(mr_client_t *session)
+{
+    mr_counter_add(session->relay->not_leased, 1);
+    mr_log_request(MR_LOG_FAILED, MR_EVENT_PRIMARY_NOT_LEASED,
+                   "id=%s service=%s", session->run.line.u.query.id,
+                   session->route->service);
+    drop_conn(session);
+    fail(session, MR_ERR_OUTCOME_UNKNOWN, NULL, -1);
+}
+
 /* Sends the statement again on the same connection after a pause. */
 static void
 resend_later(mr_client_t *session)
@@ -397,6 +436,11 @@
     switch (reply->error) {
     case MR_OK:
         mr_conn_pool_reset_pause(mr_db_conn_db(conn));
+        if (commits_write(session)
+            && !mr_db_is_leased_primary(mr_db_conn_db(conn), now)) {
+            handle_unleased_commit(session);
+            return;
+        }
         succeed(session, reply);
         return;
     case MR_ERR_OVERLOADED:
@@ -420,6 +464,22 @@
     fail(session, reply->error, reply->detail, -1);
 }
 
+/* The lease lapsed after the database was chosen; the write was not sent. */
+static void
+give_up_write(mr_client_t *session)
+{
+    mr_run_t *run = &session->run;
+
+    if (run->mode == MR_RUN_TX_NEXT) {
+        drop_conn(session);
+        fail(session, MR_ERR_TRANSACTION_LOST,
+             "the database may no longer be the primary", 0);
+        return;
+    }
+    run->conn_reusable = run->mode == MR_RUN_WRITE;
+    retry(session, MR_ERR_UNAVAILABLE, MR_RUN_RETRY_FIRST_MS);
+}
+
 static void
 send_statement(mr_client_t *session)
 {
@@ -433,6 +493,11 @@
         refuse(session);
         return;
     }
+    if (commits_write(session)
+        && !mr_db_is_leased_primary(mr_db_conn_db(run->conn), now)) {
+        give_up_write(session);
+        return;
+    }
     /* A read is given up early, so that another database, or another attempt
      * of the client, can still succeed in time. */
     if (run->statement.kind != MR_COMMAND_COMMIT && !run->writes
@@ -470,6 +535,11 @@
         /* Only the primary accepts a plain BEGIN. */
         mr_db_record_answer(db, now, db->latency);
         mr_db_record_primary(db);
+        if (!mr_db_is_leased_primary(db, now)) {
+            /* Its log may lack commits of a newer primary. */
+            retry(session, MR_ERR_UNAVAILABLE, MR_RUN_RETRY_FIRST_MS);
+            return;
+        }
         mr_cluster_add_sample(db->cluster, reply->position, reply->sent_at);
     }
     send_statement(session);
@@ -638,6 +708,10 @@
     if (cluster != NULL) {
         db = mr_run_choose_db(session, cluster);
     }
+    if (db == NULL && run->needs_lease) {
+        await_lease(session);
+        return;
+    }
     if (db == NULL) {
         run->attempts++;
         request_refresh(session->relay);
--- a/lib/session/run_choice.c
+++ b/lib/session/run_choice.c
@@ -65,6 +65,7 @@
 
     run->begin_at_replica = false;
     run->needs_position = false;
+    run->needs_lease = false;
     run->mode = in_tx ? MR_RUN_TX_FIRST : MR_RUN_WRITE;
     /* After two attempts at lagging replicas the read goes to the primary. */
     if (reads && session->route->freshness != MR_FRESH_PRIMARY
@@ -80,7 +81,9 @@
         run->mode = MR_RUN_PRIMARY_READ;
     }
     mr_db_t *primary = mr_cluster_primary(cluster, now);
-    if (primary != NULL && now < primary->backoff_until) {
+    run->needs_lease = primary != NULL && !mr_cluster_has_lease(cluster, now);
+    if (primary != NULL
+        && (run->needs_lease || now < primary->backoff_until)) {
         return NULL;
     }
     return primary;
--- a/lib/session/sampler.c
+++ b/lib/session/sampler.c
@@ -137,7 +137,9 @@
     }
     mr_db_record_answer(db, now, db->latency);
     mr_db_record_primary(db);
-    mr_cluster_add_sample(db->cluster, reply->position, reply->sent_at);
+    if (mr_db_is_leased_primary(db, now)) {
+        mr_cluster_add_sample(db->cluster, reply->position, reply->sent_at);
+    }
     mr_db_conn_query(conn, mr_relay_statement_id, NULL,
                      mr_relay_statement_text(MR_RELAY_ROLLBACK), NULL, NULL);
 }
--- a/lib/session/sessiond.c
+++ b/lib/session/sessiond.c
@@ -36,6 +36,8 @@
     mr_promotion_client_t *duty;
     mr_directory_t *directory;
     mr_feed_t *feed;
+    mr_primary_lease_t *lease;
+    mr_lease_grantor_t *grantor;
     mr_promoter_t *promoter;
     mr_sampler_t *sampler;
     mr_fleet_t *fleet;
@@ -54,7 +56,8 @@
 
     return daemon->stopping_since == 0
            && mr_directory_complete(daemon->directory)
-           && mr_fleet_joined(daemon->fleet);
+           && mr_fleet_joined(daemon->fleet)
+           && mr_primary_lease_was_held(daemon->lease);
 }
 
 static void
@@ -186,12 +189,17 @@
         .directory = daemon->directory,
         .link_mbps = settings->link_mbps,
     });
+    daemon->lease =
+        mr_primary_lease_create(daemon->counters, mr_clock_now(NULL));
+    mr_clusters_set_lease(daemon->clusters, daemon->lease);
+    daemon->grantor = mr_lease_grantor_create(settings->name, daemon->lease);
     daemon->promoter = mr_promoter_create(&(mr_promoter_options_t){
         .base = daemon->base,
         .counters = daemon->counters,
         .clusters = daemon->clusters,
         .store = daemon->store,
         .duty = daemon->duty,
+        .grantor = daemon->grantor,
         .instance = settings->name,
         .sync_copies = sync_copies,
         .promoted = on_primary_promoted,
@@ -213,6 +221,8 @@
         .quota = daemon->quota,
         .promoter = daemon->promoter,
         .sampler = daemon->sampler,
+        .lease = daemon->lease,
+        .grantor = daemon->grantor,
         .tokens_drawn = on_tokens_drawn,
         .ctx = daemon,
     });
@@ -302,6 +312,8 @@
     mr_directory_destroy(daemon->directory);
     mr_quota_destroy(daemon->quota);
     mr_clusters_destroy(daemon->clusters);
+    mr_lease_grantor_destroy(daemon->grantor);
+    mr_primary_lease_destroy(daemon->lease);
     for (int i = 0; i < SIGNALS; i++) {
         event_free(daemon->signals[i]);
     }
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -264,6 +264,27 @@
         LIST_FIELD(type, prefix registrations, prefix registration_count,     \
                    registration_layout)
 
+static const field_t primary_fields[] = {
+    FIELD(STRING, mr_msg_primary_t, service),
+    FIELD(STRING, mr_msg_primary_t, promoted),
+    FIELD(INTEGER, mr_msg_primary_t, promoted_version),
+    FIELD(INTEGER, mr_msg_primary_t, term),
+    FIELD(INTEGER, mr_msg_primary_t, position),
+    FIELD(INTEGER, mr_msg_primary_t, age_ms),
+};
+static const layout_t primary_layout =
+    LAYOUT(mr_msg_primary_t, primary_fields);
+
+static const field_t withheld_fields[] = {
+    FIELD(STRING, mr_msg_withheld_t, service),
+    FIELD(INTEGER, mr_msg_withheld_t, number),
+    FIELD(STRING, mr_msg_withheld_t, primary),
+    FIELD(INTEGER, mr_msg_withheld_t, claim),
+    FIELD(INTEGER, mr_msg_withheld_t, age_ms),
+};
+static const layout_t withheld_layout =
+    LAYOUT(mr_msg_withheld_t, withheld_fields);
+
 static const field_t report_fields[] = {
     FIELD(STRING, mr_msg_report_t, address),
     FIELD(BOOL, mr_msg_report_t, refresh),
@@ -275,20 +296,13 @@
     FIELD(BOOL, mr_msg_report_t, defers_config),
     FIELD(INTEGER, mr_msg_report_t, link_mbps),
     FIELD(INTEGER, mr_msg_report_t, directory.registrations_era),
+    FIELD(INTEGER, mr_msg_report_t, support),
+    FIELD(BOOL, mr_msg_report_t, provisional),
+    LIST_FIELD(mr_msg_report_t, withheld, withheld_count, withheld_layout),
+    LIST_FIELD(mr_msg_report_t, promotions, promotion_count, primary_layout),
 };
 static const layout_t report_layout = LAYOUT(mr_msg_report_t, report_fields);
 
-static const field_t primary_fields[] = {
-    FIELD(STRING, mr_msg_primary_t, service),
-    FIELD(STRING, mr_msg_primary_t, promoted),
-    FIELD(INTEGER, mr_msg_primary_t, promoted_version),
-    FIELD(INTEGER, mr_msg_primary_t, term),
-    FIELD(INTEGER, mr_msg_primary_t, position),
-    FIELD(INTEGER, mr_msg_primary_t, age_ms),
-};
-static const layout_t primary_layout =
-    LAYOUT(mr_msg_primary_t, primary_fields);
-
 static const field_t report_reply_fields[] = {
     FIELD(INTEGER, mr_msg_report_reply_t, instances),
     FIELD(INTEGER, mr_msg_report_reply_t, lifetime_ms),
@@ -300,6 +314,10 @@
     FIELD(STRING, mr_msg_report_reply_t, source),
     FIELD(STRING, mr_msg_report_reply_t, source_address),
     FIELD(INTEGER, mr_msg_report_reply_t, directory.registrations_era),
+    FIELD(BOOL, mr_msg_report_reply_t, lease_granted),
+    LIST_FIELD(mr_msg_report_reply_t, withheld, withheld_count,
+               withheld_layout),
+    FIELD(BOOL, mr_msg_report_reply_t, leaving),
 };
 static const layout_t report_reply_layout =
     LAYOUT(mr_msg_report_reply_t, report_reply_fields);
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -260,6 +260,25 @@
     int64_t answered_ms; /* since the last answer; -1: never */
 } mr_msg_db_health_t;
 
+/** State of a service's primary, as known to the coordinator. */
+typedef struct mr_msg_primary {
+    const char *service;
+    const char *promoted;     /* database that was promoted last; "": none */
+    int64_t promoted_version; /* fencing token of that promotion */
+    int64_t term;             /* term of the primary's log position */
+    int64_t position;         /* the log position within the term */
+    int64_t age_ms;           /* of the log position; -1: unknown */
+} mr_msg_primary_t;
+
+/** A service whose primary is not used, as its promotion is being prepared. */
+typedef struct mr_msg_withheld {
+    const char *service;
+    int64_t number;      /* of the coordinator's decision */
+    const char *primary; /* database that may be replaced; "": none */
+    int64_t claim;       /* see mr_cluster_primary_claim() */
+    int64_t age_ms;      /* since a coordinator last named it to the sender */
+} mr_msg_withheld_t;
+
 /** Periodic report of an instance to the coordinator. */
 typedef struct mr_msg_report {
     const char *address; /* of the sender's listener for instances */
@@ -274,18 +293,17 @@
     const char *data_centre; /* of the sender */
     bool defers_config;      /* no desired state with the reply, please */
     int64_t link_mbps;       /* of the sender's network link; 0: unknown */
+    /* Time of the receiver's reply that the sender's support follows, by the
+     * receiver's clock; 0: the sender does not support it. */
+    int64_t support;
+    bool provisional; /* an earlier process of the sender may have supported
+                         another coordinator shortly before */
+    mr_msg_withheld_t *withheld;
+    size_t withheld_count;
+    mr_msg_primary_t *promotions; /* recent ones, without positions */
+    size_t promotion_count;
 } mr_msg_report_t;
 
-/** State of a service's primary, as known to the coordinator. */
-typedef struct mr_msg_primary {
-    const char *service;
-    const char *promoted;     /* database that was promoted last; "": none */
-    int64_t promoted_version; /* fencing token of that promotion */
-    int64_t term;             /* term of the primary's log position */
-    int64_t position;         /* the log position within the term */
-    int64_t age_ms;           /* of the log position; -1: unknown */
-} mr_msg_primary_t;
-
 typedef struct mr_msg_report_reply {
     int64_t instances;   /* number of instances that may admit operations */
     int64_t lifetime_ms; /* of the tokens, counted from the report's sending */
@@ -300,6 +318,11 @@
      * message; "": none at present. */
     const char *source;
     const char *source_address;
+    bool lease_granted; /* the receiver may use the primaries, except those of
+                           the withheld services */
+    mr_msg_withheld_t *withheld;
+    size_t withheld_count;
+    bool leaving; /* the sender no longer coordinates */
 } mr_msg_report_reply_t;
 
 /** Requests the next chunk of an update. */
--- a/tests/integration/session_soak_check.c
+++ b/tests/integration/session_soak_check.c
@@ -116,6 +116,10 @@
         }
         ck_assert_msg(committed, "LOST: %s was acknowledged but not committed",
                       statement->id);
+        ck_assert_msg(!run->former,
+                      "ONE: %s was committed by a former primary and "
+                      "acknowledged",
+                      statement->id);
         const backend_entry_t *entry =
             g_hash_table_lookup(checker->entries, statement->id);
         if (entry != NULL) {
--- a/tests/integration/test_session_soak.c
+++ b/tests/integration/test_session_soak.c
@@ -6,7 +6,8 @@
  * MASTICRELAY_SEEDS=FIRST-LAST runs other seeds, MASTICRELAY_SECONDS sets how
  * long faults are injected. A seed determines the sequence of random choices,
  * but not the timing of faults relative to statements. Seeds divisible by four
- * inject only planned stops, reloads and configuration changes.
+ * inject only planned stops, reloads and configuration changes. In odd seeds a
+ * replaced primary goes on accepting writes.
  * MASTICRELAY_FAULTS=NAME,... injects only these faults.
  */
 
@@ -130,6 +131,8 @@
     soak->ops = g_ptr_array_new_with_free_func(free);
     soak->planned_only = seed % 4 == 0;
     soak->backend = backend_create(soak->base);
+    /* Replaced primaries go on in odd seeds. */
+    backend_set_former_leads(soak->backend, seed % 2 == 1);
     soak->config_version = 5;
     backend_set_answer_delay(soak->backend, ANSWER_DELAY_MS);
     backend_put_config(soak->backend, soak->config_version, keys, SOAK_RATE);
--- a/tests/integration/world.c
+++ b/tests/integration/world.c
@@ -273,6 +273,12 @@
     backend->promotion_delay = delay;
 }
 
+void
+backend_set_former_leads(backend_t *backend, bool leads)
+{
+    backend->former_leads = leads;
+}
+
 int
 backend_primary(const backend_t *backend)
 {
--- a/tests/integration/world.h
+++ b/tests/integration/world.h
@@ -35,6 +35,7 @@
      * entry of the write itself. Counted from 1. */
     int64_t log_index;
     bool committed; /* for a write: its transaction was committed */
+    bool former;    /* at a former primary, on its own log */
     mr_ms_t ran_at;
 } backend_run_t;
 
@@ -118,6 +119,10 @@
  * them after @delay; 0: answer them and apply them at once. */
 void backend_set_promotion_delay(backend_t *backend, mr_ms_t delay);
 
+/** backend_set_former_leads() - whether a primary goes on as one of its own
+ * term after another database was promoted, until a DEMOTE. */
+void backend_set_former_leads(backend_t *backend, bool leads);
+
 /* Observations. */
 
 /** backend_primary() - index of the primary; -1 after a DEMOTE. */
--- a/tests/integration/world_db.c
+++ b/tests/integration/world_db.c
@@ -58,7 +58,7 @@
 static bool
 is_primary(const backend_db_t *db)
 {
-    return db->backend->primary == db->index;
+    return db->former || db->backend->primary == db->index;
 }
 
 /* Returns the number of log entries that @db has received. */
@@ -67,6 +67,9 @@
 {
     int64_t count = db->backend->log_count;
 
+    if (db->former) {
+        return db->former_count;
+    }
     if (mr_clock_now(NULL) < db->log_empty_until) {
         return 0;
     }
@@ -88,10 +91,14 @@
     return count;
 }
 
+/* Term of entry @number of the log of @db. */
 static int64_t
-term_at(const backend_t *backend, int64_t number)
+term_at(const backend_db_t *db, int64_t number)
 {
-    return number > 0 ? backend->log[number - 1].term : 1;
+    if (db->former) {
+        return db->former_term;
+    }
+    return number > 0 ? db->backend->log[number - 1].term : 1;
 }
 
 static void
@@ -111,7 +118,7 @@
     int64_t count = applied_count(db);
 
     send_text(conn, "READY %c %lld.%lld\r\n", conn->state,
-              (long long)term_at(db->backend, count), (long long)count);
+              (long long)term_at(db, count), (long long)count);
 }
 
 static void
@@ -125,8 +132,16 @@
 }
 
 static void
-append_entry(backend_t *backend, backend_run_t *run)
+append_entry(backend_db_t *db, backend_run_t *run)
 {
+    backend_t *backend = db->backend;
+
+    if (db->former) {
+        run->committed = true;
+        run->log_index = ++db->former_count;
+        run->term = db->former_term;
+        return;
+    }
     ck_assert_int_lt(backend->log_count, LOG_MAX);
     backend_entry_t *entry = &backend->log[backend->log_count++];
 
@@ -153,7 +168,8 @@
     snprintf(run->account, sizeof(run->account), "%s", conn->account);
     snprintf(run->values, sizeof(run->values), "%s", conn->values);
     run->db = conn->db->index;
-    run->term = term_at(backend, count);
+    run->term = term_at(conn->db, count);
+    run->former = conn->db->former;
     run->log_index = count;
     run->ran_at = mr_clock_now(NULL);
     return index;
@@ -212,7 +228,7 @@
         conn->pending_writes[conn->pending_count++ % PENDING_MAX] = index;
     }
     else {
-        append_entry(backend, &backend->runs[index]);
+        append_entry(conn->db, &backend->runs[index]);
     }
     return send_result(conn, &backend->runs[index]);
 }
@@ -244,7 +260,7 @@
         return true;
     }
     for (int i = 0; i < conn->pending_count; i++) {
-        append_entry(backend, &backend->runs[conn->pending_writes[i]]);
+        append_entry(conn->db, &backend->runs[conn->pending_writes[i]]);
     }
     conn->pending_count = 0;
     conn->state = 'I';
@@ -290,7 +306,10 @@
                   (long long)received_count(db));
     }
     else if (strncmp(text, "DEMOTE ", 7) == 0) {
-        if (is_primary(db)) {
+        if (db->former) {
+            db->former = false;
+        }
+        else if (is_primary(db)) {
             db->backend->primary = -1;
         }
         send_text(conn, "ROW replica %lld %lld.%lld 0 0 0 1\r\n",
@@ -362,8 +381,7 @@
     int64_t count = applied_count(db);
 
     sscanf(position, "%lld.%lld", &term, &number);
-    return number > count
-           || (number > 0 && db->backend->log[number - 1].term > term);
+    return number > count || (number > 0 && term_at(db, number) > term);
 }
 
 /* Returns false when it closed the connection. */
@@ -557,6 +575,7 @@
         free_conn(MR_LIST_ENTRY(db->conns.next, conn_t, link));
     }
     db->running = false;
+    db->former = false;
 }
 
 void
@@ -567,6 +586,13 @@
     if (!promoted->running || backend->primary == index) {
         return;
     }
+    promoted->former = false;
+    if (backend->former_leads && backend->primary >= 0) {
+        backend_db_t *former = &backend->dbs[backend->primary];
+        former->former_term = backend->term;
+        former->former_count = received_count(former);
+        former->former = former->running;
+    }
     backend->primary = index;
     backend->term++;
     backend->promotion_count++;
--- a/tests/integration/world_internal.h
+++ b/tests/integration/world_internal.h
@@ -38,6 +38,9 @@
     mr_ms_t next_open_at; /* end of the last pending opening */
     mr_ms_t lag;          /* from commit on the primary to application here */
     bool suspended;
+    bool former;             /* a replaced primary that goes on */
+    int64_t former_term;     /* its own term, */
+    int64_t former_count;    /* and the entries of its log */
     int64_t received_max;    /* log entries that it can receive; -1: all */
     mr_ms_t log_empty_until; /* after a start with an empty log */
     struct evconnlistener *listener;
@@ -68,6 +71,7 @@
     int64_t log_count;
     int primary; /* index; -1: demoted. The database may be down. */
     int64_t term;
+    bool former_leads; /* see backend_set_former_leads() */
     int promotion_count;
     int sync_replicas; /* in the next desired states */
     int max_conns;     /* to each database, in the next desired states */
--- a/tests/integration/world_store.c
+++ b/tests/integration/world_store.c
@@ -500,7 +500,7 @@
                  "\"state\":\"%s\",\"cold_left_ms\":0,\"db_role\":\"%s\","
                  "\"seq_no\":%lld,\"born\":%lld}",
                  db->port, db->draining ? "draining" : "ready",
-                 backend->primary == i ? "primary" : "replica",
+                 backend->primary == i || db->former ? "primary" : "replica",
                  (long long)++backend->report_count,
                  (long long)db->started_at);
         backend_put_row(backend, "servers", db->id, text);
--- a/tests/unit/test_fleet_members.c
+++ b/tests/unit/test_fleet_members.c
@@ -45,6 +45,8 @@
 static mr_quota_t *quota;
 static mr_directory_t *directory;
 static mr_fleet_t *fleet;
+static mr_primary_lease_t *lease;
+static mr_lease_grantor_t *grantor;
 
 int64_t
 mr_store_era(const mr_store_t *s)
@@ -214,6 +216,8 @@
         .clusters = clusters,
         .counters = counters,
     });
+    lease = mr_primary_lease_create(counters, 0);
+    grantor = mr_lease_grantor_create("a", lease);
     fleet = mr_fleet_create(&(mr_fleet_options_t){
         .base = base,
         .counters = counters,
@@ -224,6 +228,8 @@
         .clusters = clusters,
         .quota = quota,
         .directory = directory,
+        .lease = lease,
+        .grantor = grantor,
     });
     read_secret(1);
     read_members("abc", 50);
@@ -234,6 +240,8 @@
 tear_down(void)
 {
     mr_fleet_destroy(fleet);
+    mr_lease_grantor_destroy(grantor);
+    mr_primary_lease_destroy(lease);
     mr_directory_destroy(directory);
     mr_quota_destroy(quota);
     mr_clusters_destroy(clusters);
--- a/tests/unit/test_fleet_source.c
+++ b/tests/unit/test_fleet_source.c
@@ -57,7 +57,10 @@
         .data_centre = data_centres[0],
         .clusters = mr_clusters_create("coordinator", data_centres[0]),
         .quota = mr_quota_create(NULL, counters),
+        .lease = mr_primary_lease_create(counters, 0),
     };
+    fleet->options.grantor =
+        mr_lease_grantor_create("coordinator", fleet->options.lease);
     fleet->options.directory = mr_directory_create(&(mr_directory_options_t){
         .clusters = fleet->options.clusters,
         .counters = counters,
@@ -88,6 +91,8 @@
     mr_directory_destroy(fleet->options.directory);
     mr_quota_destroy(fleet->options.quota);
     mr_clusters_destroy(fleet->options.clusters);
+    mr_lease_grantor_destroy(fleet->options.grantor);
+    mr_primary_lease_destroy(fleet->options.lease);
     mr_counters_destroy(counters);
     free(fleet);
 }
--- a/tests/unit/test_promoter.c
+++ b/tests/unit/test_promoter.c
@@ -46,6 +46,8 @@
 static mr_store_t store;
 static mr_promotion_client_t client;
 static mr_promoter_t *promoter;
+static mr_primary_lease_t *lease;
+static mr_lease_grantor_t *grantor;
 static mr_db_conn_t conns[CONNS_MAX];
 static size_t conn_count;
 static int64_t received; /* entries that the replica has */
@@ -240,6 +242,7 @@
 check_for(mr_ms_t ms)
 {
     for (mr_ms_t end = mr_clock_now(NULL) + ms; mr_clock_now(NULL) < end;) {
+        mr_lease_grantor_renew_own(grantor, mr_clock_now(NULL));
         mr_promoter_check(promoter, mr_clock_now(NULL), 1, 1);
         run_loop(POLL_MS);
     }
@@ -299,12 +302,20 @@
     mr_clusters_add_registration(clusters, "a", &a, (mr_revision_t){1, 90});
     mr_clusters_add_registration(clusters, "b", &b, (mr_revision_t){1, 91});
     mr_clusters_end_update(clusters, mr_clock_now(NULL));
+    /* The only instance supports itself. */
+    lease =
+        mr_primary_lease_create(counters, mr_clock_now(NULL) - MR_SUPPORT_MS);
+    grantor = mr_lease_grantor_create("front-1", lease);
+    mr_lease_grantor_set_coordinating(grantor, true, mr_clock_now(NULL));
+    mr_lease_grantor_renew_own(grantor, mr_clock_now(NULL));
+    mr_lease_grantor_renew_own(grantor, mr_clock_now(NULL));
     promoter = mr_promoter_create(&(mr_promoter_options_t){
         .base = base,
         .counters = counters,
         .clusters = clusters,
         .store = &store,
         .duty = &client,
+        .grantor = grantor,
         .instance = "front-1",
         .sync_copies = sync_copies,
         .promoted = on_promoted,
@@ -315,6 +326,8 @@
 tear_down(void)
 {
     mr_promoter_destroy(promoter);
+    mr_lease_grantor_destroy(grantor);
+    mr_primary_lease_destroy(lease);
     mr_clusters_destroy(clusters);
     mr_counters_destroy(counters);
     event_base_free(base);
