Refuse registrations with an unusable address, number or text

An entry of another writer with a port out of range or a host name counted as a database, as the primary if it said so; blanks or line breaks in its id, service or zone went into the OPEN message to the address that it gave, where they begin another message. Entries whose numbers are out of range, whose address is no IP address with a port, or whose texts could not be a field of a message now name no database.

The simulated store of the integration tests now has such entries at all times.

--- a/lib/session/directory.c
+++ b/lib/session/directory.c
@@ -386,8 +386,9 @@
     size_t own =
         find_row(directory->rows, directory->row_count, row->key, set->count);
 
-    if (doc == NULL) {
+    if (doc == NULL || !mr_db_entry_is_word(row->key)) {
         mr_counter_add(directory->malformed_counter, 1);
+        mr_db_entry_release(doc);
         return;
     }
     if (!is_outdated(directory, row, &entry, own)) {
--- a/lib/session/entry.h
+++ b/lib/session/entry.h
@@ -29,4 +29,8 @@
                                       mr_db_entry_t *entry);
 void mr_db_entry_release(mr_db_entry_doc_t *doc);
 
+/** mr_db_entry_is_word() - whether @text is not empty and has no blank or
+ * control character, so that it can be a field of a message. */
+bool mr_db_entry_is_word(const char *text);
+
 #endif
--- a/tests/integration/world_store.c
+++ b/tests/integration/world_store.c
@@ -13,7 +13,10 @@
 #include "harness.h"
 #include "world_internal.h"
 
-enum { REGISTRATION_INTERVAL_MS = 300 };
+enum {
+    REGISTRATION_INTERVAL_MS = 300,
+    ODD_DEPTH = 3000, /* more than JSON libraries accept */
+};
 
 /** A rows-feed call that waits for a change. */
 typedef struct feed {
@@ -479,6 +482,34 @@
     json_decref(body);
 }
 
+/* Rows of another writer, which name no database to use. */
+static void
+put_odd_rows(backend_t *backend)
+{
+    static const char *const odd_rows[][2] = {
+        {"stray", "{\"service\":7}"},
+        {"port", "{\"service\":\"rez\",\"address\":\"127.0.0.1:65536\","
+                 "\"zone\":\"konya\",\"slots\":2,\"state\":\"ready\","
+                 "\"db_role\":\"primary\",\"seq_no\":1,\"born\":9}"},
+        {"number", "{\"service\":\"rez\",\"address\":\"127.0.0.1:9\","
+                   "\"zone\":\"konya\",\"slots\":2,\"state\":\"ready\","
+                   "\"db_role\":\"replica\",\"seq_no\":1e400,\"born\":9}"},
+        {"service", "{\"service\":\"other\",\"address\":\"127.0.0.1:9\","
+                    "\"zone\":\"konya\",\"slots\":2,\"state\":\"ready\","
+                    "\"db_role\":\"replica\",\"seq_no\":1,\"born\":9}"},
+    };
+    GString *deep = g_string_new("{\"service\":");
+
+    for (size_t i = 0; i < G_N_ELEMENTS(odd_rows); i++) {
+        backend_put_row(backend, "servers", odd_rows[i][0], odd_rows[i][1]);
+    }
+    for (int i = 0; i < ODD_DEPTH; i++) {
+        g_string_append_c(deep, '[');
+    }
+    backend_put_row(backend, "servers", "deep", deep->str);
+    g_string_free(deep, TRUE);
+}
+
 static void
 on_registration_timer(evutil_socket_t fd, short what, void *ctx)
 {
@@ -506,9 +537,8 @@
         backend_put_row(backend, "servers", db->id, text);
         registered = true;
     }
-    /* A malformed row of another writer, which the daemons must ignore. */
     if (registered) {
-        backend_put_row(backend, "servers", "stray", "{\"service\":7}");
+        put_odd_rows(backend);
     }
     evtimer_add(backend->registration_timer, &tv);
 }
