Order promotions only for services that the desired state names

A registration may name any service. A replica of a service that no desired state names seemed to have no primary, so the coordinator sampled it, took fencing tokens from the store and ordered promotions for it, one a second. The new test of test_promoter fails before.

--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -173,9 +173,19 @@
     }
 }
 
+void
+mr_clusters_begin_services(mr_clusters_t *clusters)
+{
+    MR_LIST_FOREACH(it, &clusters->list)
+    {
+        MR_LIST_ENTRY(it, mr_cluster_t, link)->named = false;
+    }
+}
+
 void
 mr_cluster_set_connections(mr_cluster_t *cluster, int64_t connections)
 {
+    cluster->named = true;
     cluster->connections_max = connections;
     update_all_kept_conns_max(cluster);
 }
--- a/lib/session/cluster.h
+++ b/lib/session/cluster.h
@@ -79,9 +79,10 @@
     mr_sample_t samples[MR_SAMPLES]; /* ring buffer, oldest first */
     size_t sample_first;
     size_t sample_count;
-    char *promoted_id;       /* database that the last promotion named */
-    int64_t promoted_token;  /* fencing token of that promotion; higher if the
-                                previous primary registered after the token */
+    char *promoted_id;      /* database that the last promotion named */
+    int64_t promoted_token; /* fencing token of that promotion; higher if the
+                               previous primary registered after the token */
+    bool named; /* by the desired state; registrations may name any service */
     int64_t connections_max; /* to one database, from all instances */
     mr_ms_t promoted_at;     /* when this instance learned of it */
     char *replaced_id;       /* primary before the last promotion; NULL */
@@ -134,7 +135,11 @@
  * databases that have been missing from the sets for too long. */
 void mr_clusters_end_update(mr_clusters_t *clusters, mr_ms_t now);
 
-/** mr_cluster_set_connections() - limit of the connections to one database of
+/** mr_clusters_begin_services() - the services of a desired state follow, see
+ * mr_cluster_set_connections(). */
+void mr_clusters_begin_services(mr_clusters_t *clusters);
+/** mr_cluster_set_connections() - @cluster is named by the desired state;
+ * limit of the connections to one database of
  * @cluster, from all instances together. */
 void mr_cluster_set_connections(mr_cluster_t *cluster, int64_t connections);
 
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -861,7 +861,9 @@
     }
     MR_LIST_FOREACH(it, &promoter->options.clusters->list)
     {
-        check_cluster(promoter, MR_LIST_ENTRY(it, mr_cluster_t, link), now,
-                      reporting);
+        mr_cluster_t *cluster = MR_LIST_ENTRY(it, mr_cluster_t, link);
+        if (cluster->named) {
+            check_cluster(promoter, cluster, now, reporting);
+        }
     }
 }
--- a/lib/session/sampler.c
+++ b/lib/session/sampler.c
@@ -216,6 +216,8 @@
     MR_LIST_FOREACH(it, &sampler->clusters->list)
     {
         mr_cluster_t *cluster = MR_LIST_ENTRY(it, mr_cluster_t, link);
-        run_probe(get_probe(sampler, cluster->service), cluster, now);
+        if (cluster->named) {
+            run_probe(get_probe(sampler, cluster->service), cluster, now);
+        }
     }
 }
--- a/lib/session/sessiond.c
+++ b/lib/session/sessiond.c
@@ -65,6 +65,7 @@
 {
     mr_sessiond_t *daemon = ctx;
 
+    mr_clusters_begin_services(daemon->clusters);
     for (size_t i = 0; i < catalog->service_count; i++) {
         const mr_catalog_service_t *service = &catalog->services[i];
         mr_cluster_set_connections(
--- a/tests/unit/test_promoter.c
+++ b/tests/unit/test_promoter.c
@@ -302,6 +302,7 @@
     mr_clusters_add_registration(clusters, "a", &a, (mr_revision_t){1, 90});
     mr_clusters_add_registration(clusters, "b", &b, (mr_revision_t){1, 91});
     mr_clusters_end_update(clusters, mr_clock_now(NULL));
+    mr_cluster_set_connections(mr_clusters_get(clusters, "rez"), 10);
     /* The only instance supports itself. */
     lease =
         mr_primary_lease_create(counters, mr_clock_now(NULL) - MR_SUPPORT_MS);
@@ -396,6 +397,27 @@
 }
 END_TEST
 
+/* Another writer may register a replica of any service, which then seems to
+ * have no primary. */
+START_TEST(test_a_service_that_the_desired_state_does_not_name_is_left_alone)
+{
+    mr_db_entry_t stray = {.service = "stray",
+                           .address = "127.0.0.1:3",
+                           .data_centre = "konya",
+                           .started_at = 1,
+                           .slots = 2};
+
+    mr_clusters_begin_update(clusters, (mr_revision_t){1, 94});
+    mr_clusters_add_registration(clusters, "c", &stray,
+                                 (mr_revision_t){1, 93});
+    mr_clusters_end_update(clusters, mr_clock_now(NULL));
+    mr_clusters_begin_services(clusters);
+    check_for(1500);
+    ck_assert_uint_eq(client.count, 0);
+    ck_assert_ptr_null((void *)store.fn);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -404,6 +426,7 @@
         test_an_order_that_was_refused_waits_and_has_a_new_token,
         test_a_reserve_token_that_others_have_passed_is_not_ordered_with,
         test_no_order_is_sent_with_a_token_of_an_earlier_era,
+        test_a_service_that_the_desired_state_does_not_name_is_left_alone,
     };
 
     return RUN_TESTS(tests, .suite = "promoter", .setup = set_up,
