--- a/tests/unit/test_promoter.c
+++ b/tests/unit/test_promoter.c
@@ -48,9 +48,11 @@
 static mr_promoter_t *promoter;
 static mr_primary_lease_t *lease;
 static mr_lease_grantor_t *grantor;
+static bool used; /* the primary could be used at the last order */
 static mr_db_conn_t conns[CONNS_MAX];
 static size_t conn_count;
-static int64_t received; /* entries that the replica has */
+static int64_t received;        /* entries that the replica "b" has */
+static int64_t received_others; /* the other replicas */
 static bool demoted;
 
 int64_t
@@ -82,6 +84,7 @@
     ck_assert_str_eq(service, "rez");
     ck_assert_str_eq(target, "b");
     ck_assert_uint_lt(duty->count, ORDERS_MAX);
+    used = mr_primary_lease_covers(lease, "rez", mr_clock_now(NULL));
     duty->tokens[duty->count++] = token;
     duty->fn = fn;
     duty->ctx = ctx;
@@ -138,13 +141,16 @@
                  mr_db_conn_fn_t fn, void *ctx)
 {
     bool primary = strcmp(conn->db->id, "a") == 0;
+    int64_t entries = primary                          ? 20
+                      : strcmp(conn->db->id, "b") == 0 ? received
+                                                       : received_others;
 
     (void)id;
     (void)after;
     demoted = demoted || strncmp(statement, "DEMOTE", 6) == 0;
     snprintf(conn->reply, sizeof(conn->reply), "ROW %s %d %d.%lld %d 0 0 1",
              primary && !demoted ? "primary" : "replica", TERM, TERM,
-             primary ? 20LL : (long long)received, TERM);
+             (long long)entries, TERM);
     reply_later(conn, fn, ctx);
 }
 
@@ -295,6 +301,7 @@
     conn_count = 0;
     demoted = false;
     received = 20;
+    received_others = 10;
     base = event_base_new();
     counters = mr_counters_create();
     clusters = mr_clusters_create("front-1", "konya");
@@ -397,6 +404,74 @@
 }
 END_TEST
 
+/* The primary "a" fails and does not leave; "c" is a second replica. */
+static void
+fail_primary(void)
+{
+    mr_db_entry_t entry = {.service = "rez",
+                           .address = "127.0.0.1:1",
+                           .data_centre = "konya",
+                           .started_at = 1,
+                           .slots = 2,
+                           .primary = true};
+
+    mr_clusters_begin_update(clusters, (mr_revision_t){1, 97});
+    mr_clusters_add_registration(clusters, "a", &entry,
+                                 (mr_revision_t){1, 94});
+    entry.primary = false;
+    entry.address = "127.0.0.1:2";
+    mr_clusters_add_registration(clusters, "b", &entry,
+                                 (mr_revision_t){1, 95});
+    entry.address = "127.0.0.1:3";
+    mr_clusters_add_registration(clusters, "c", &entry,
+                                 (mr_revision_t){1, 96});
+    mr_clusters_end_update(clusters, mr_clock_now(NULL));
+}
+
+/* As check_for(), with a store that answers. @failing: the only instance
+ * reports that "a" fails. */
+static void
+check_answered_for(mr_ms_t ms, bool failing)
+{
+    static int64_t version = 100;
+    mr_msg_db_health_t health = {.service = "rez",
+                                 .id = "a",
+                                 .failing_ms = failing ? 400 : 0,
+                                 .answered_ms = failing ? -1 : 0};
+
+    for (mr_ms_t end = mr_clock_now(NULL) + ms; mr_clock_now(NULL) < end;) {
+        mr_promoter_report(promoter, "front-1", mr_clock_now(NULL), &health,
+                           1);
+        check_for(POLL_MS);
+        if (store.fn != NULL) {
+            answer_store(MR_OK, ++version);
+        }
+    }
+}
+
+/* Without fences the platform could carry the first order out after another
+ * one. */
+START_TEST(test_an_order_without_an_answer_is_repeated_for_the_same_database)
+{
+    fail_primary();
+    check_answered_for(MR_PRIMARY_LEASE_MS + 500, true);
+    ck_assert_uint_eq(client.count, 1);
+    ck_assert(!used);
+    received_others = received + 1; /* now "c" has the longer log */
+    answer_order(MR_ERR_UNAVAILABLE);
+    check_answered_for(200, true);
+    ck_assert(!mr_primary_lease_covers(lease, "rez", mr_clock_now(NULL)));
+    check_answered_for(800, false); /* also if the primary answers again */
+    ck_assert_uint_eq(client.count, 2);
+    ck_assert_int_gt(client.tokens[1], client.tokens[0]);
+    answer_order(MR_OK);
+    check_answered_for(4 * POLL_MS, false);
+    ck_assert(mr_primary_lease_covers(lease, "rez", mr_clock_now(NULL)));
+    ck_assert_str_eq(
+        mr_cluster_known_primary(mr_clusters_find(clusters, "rez"))->id, "b");
+}
+END_TEST
+
 /* Another writer may register a replica of any service, which then seems to
  * have no primary. */
 START_TEST(test_a_service_that_the_desired_state_does_not_name_is_left_alone)
@@ -426,6 +501,7 @@
         test_an_order_that_was_refused_waits_and_has_a_new_token,
         test_a_reserve_token_that_others_have_passed_is_not_ordered_with,
         test_no_order_is_sent_with_a_token_of_an_earlier_era,
+        test_an_order_without_an_answer_is_repeated_for_the_same_database,
         test_a_service_that_the_desired_state_does_not_name_is_left_alone,
     };
 
