Have withheld services confirmed at once in fleets of up to 33 instances

Instances without traffic for a failing primary confirmed only with their next report, up to 250 ms later, which each failover then waited for. The coordinator now announces a withheld service to each instance. With more instances the links that it would open take longer than the reports.

--- a/lib/session/fleet.h
+++ b/lib/session/fleet.h
@@ -58,6 +58,10 @@
  * tokens or the registrations seem outdated. */
 void mr_fleet_report_soon(mr_fleet_t *fleet);
 
+/** mr_fleet_announce_withheld() - have the withheld services confirmed ahead
+ * of the next reports, unless there are many instances. */
+void mr_fleet_announce_withheld(mr_fleet_t *fleet);
+
 /** mr_fleet_joined() - whether the other instances are known. */
 bool mr_fleet_joined(const mr_fleet_t *fleet);
 
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -32,6 +32,10 @@
     CANDIDATES_MAX = 16,
     HEALTH_MAX = 4096,
     WANTS_MAX = 1024,
+    /* Most instances that are told of withheld services ahead of their next
+     * reports. The coordinator opens a link to each of them, which takes
+     * longer than the reports with many. */
+    ANNOUNCE_MAX = 32,
     /* How long a report names a promotion, for a new coordinator that has not
      * read the new primary's registration. */
     NAME_PROMOTION_MS = 30000,
@@ -410,6 +414,41 @@
     }
 }
 
+void
+mr_fleet_announce_withheld(mr_fleet_t *fleet)
+{
+    report_lists_t lists = {0};
+
+    if (!fleet->coordinating || fleet->other_count > ANNOUNCE_MAX) {
+        return;
+    }
+    lists.withheld = mr_lease_grantor_list_withheld(fleet->options.grantor,
+                                                    &lists.withheld_count);
+    MR_LIST_FOREACH(it, &fleet->instances)
+    {
+        mr_fleet_instance_t *instance =
+            MR_LIST_ENTRY(it, mr_fleet_instance_t, link);
+        if (instance->failures < MR_FLEET_FAILURES_MAX
+            && !is_reporting_to(fleet, instance)) {
+            send_report(fleet, instance, &lists, NULL);
+        }
+    }
+    free(lists.withheld);
+}
+
+/* Applies the withheld services that the coordinator announces. */
+static void
+import_withheld(mr_fleet_t *fleet, const mr_msg_report_t *report, mr_ms_t now)
+{
+    for (size_t i = 0; i < report->withheld_count; i++) {
+        mr_primary_lease_withhold(fleet->options.lease, &report->withheld[i],
+                                  now);
+    }
+    if (report->withheld_count > 0) {
+        mr_fleet_report_soon(fleet);
+    }
+}
+
 /* Draws the tokens of one account that an instance requested. */
 static int64_t
 draw_tokens(mr_fleet_t *fleet, const mr_msg_draw_t *want, mr_ms_t now)
@@ -706,6 +745,9 @@
                            report->health_count);
         record_lease_report(fleet, from, report, now);
     }
+    else if (instance != NULL && instance == fleet->coordinator) {
+        import_withheld(fleet, report, now);
+    }
     if (report->refresh) {
         mr_feed_refresh(fleet->options.feed);
     }
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -387,6 +387,7 @@
     mr_lease_grantor_withhold(promoter->options.grantor, service,
                               primary != NULL ? primary->id : "",
                               mr_cluster_primary_claim(cluster), now);
+    promoter->options.withheld(promoter->options.ctx);
 }
 
 /* Orders the promotion once no instance can use the old primary any more. */
--- a/lib/session/promoter.h
+++ b/lib/session/promoter.h
@@ -29,6 +29,9 @@
     const char *instance;
     /* Number of replicas that hold a commit before it is acknowledged. */
     int64_t (*sync_copies)(void *ctx, const char *service);
+    /* Called when a service was withheld; the instances should confirm that
+     * soon. */
+    void (*withheld)(void *ctx);
     /* Called after the platform has carried out a promotion. */
     void (*promoted)(void *ctx);
     void *ctx;
--- a/lib/session/sessiond.c
+++ b/lib/session/sessiond.c
@@ -100,6 +100,14 @@
     mr_relay_on_tokens(daemon->relay, round);
 }
 
+static void
+on_service_withheld(void *ctx)
+{
+    mr_sessiond_t *daemon = ctx;
+
+    mr_fleet_announce_withheld(daemon->fleet);
+}
+
 static void
 on_primary_promoted(void *ctx)
 {
@@ -203,6 +211,7 @@
         .grantor = daemon->grantor,
         .instance = settings->name,
         .sync_copies = sync_copies,
+        .withheld = on_service_withheld,
         .promoted = on_primary_promoted,
         .ctx = daemon,
     });
--- a/tests/integration/test_session_former.c
+++ b/tests/integration/test_session_former.c
@@ -26,6 +26,8 @@
     MAX_AGE_MS = 1500, /* of the reads of the route "bounded" */
     RECOVERY_MAX_MS = 12000,
     OUTAGE_MS = 10000,
+    FAILOVERS = 5,
+    REGISTERED_MS = 3000,
     CLIENTS = 6, /* at the relay that is cut off */
     ANSWER_MAX_MS = 6000,
 };
@@ -370,6 +372,25 @@
 }
 END_TEST
 
+/* The leases delay no failover: no instance holds one beyond its next report.
+ */
+START_TEST(test_a_killed_primary_is_replaced_soon)
+{
+    mr_ms_t gaps[FAILOVERS];
+
+    for (int i = 0; i < FAILOVERS; i++) {
+        int primary = backend_primary(backend);
+        backend_db_kill(backend, primary);
+        gaps[i] = write_until_served(i % RELAYS, 2 * FAILOVER_MAX_MS);
+        printf("%lld ms\n", (long long)gaps[i]);
+        ck_assert_int_lt(gaps[i], FAILOVER_MAX_MS);
+        backend_db_start(backend, primary, false);
+        /* Until it has registered, and another promotion may start. */
+        harness_run_loop(base, REGISTERED_MS);
+    }
+}
+END_TEST
+
 /* Without a fault elsewhere, an outage of the store stops no write. */
 START_TEST(test_writes_go_on_while_the_store_is_out)
 {
@@ -403,6 +424,7 @@
         test_a_cut_off_relay_does_not_use_a_former_primary,
         test_a_commit_in_flight_as_the_lease_lapses_is_in_doubt,
         test_a_suspended_relay_does_not_use_a_former_primary,
+        test_a_killed_primary_is_replaced_soon,
         test_writes_go_on_while_the_store_is_out,
     };
 
--- a/tests/unit/test_promoter.c
+++ b/tests/unit/test_promoter.c
@@ -228,6 +228,12 @@
     return 0;
 }
 
+static void
+on_withheld(void *ctx)
+{
+    (void)ctx;
+}
+
 static void
 on_promoted(void *ctx)
 {
@@ -326,6 +332,7 @@
         .grantor = grantor,
         .instance = "front-1",
         .sync_copies = sync_copies,
+        .withheld = on_withheld,
         .promoted = on_promoted,
     });
 }
