Withhold a service only once there is a token for its promotion

While the store was out of the coordinator's reach, a primary that failed for most instances was withheld again every 300 ms by promotions that then found no token, and those that could reach it refused its writes.

--- a/lib/session/fence.c
+++ b/lib/session/fence.c
@@ -117,6 +117,12 @@
     }
 }
 
+bool
+mr_fence_has_reserve(const mr_fence_t *fence)
+{
+    return fence->reserve != 0 && mr_fence_is_current(fence, fence->reserve);
+}
+
 void
 mr_fence_drop_reserve(mr_fence_t *fence)
 {
--- a/lib/session/fence.h
+++ b/lib/session/fence.h
@@ -34,6 +34,10 @@
  * last request was some time ago. */
 void mr_fence_refill(mr_fence_t *fence, mr_ms_t now);
 
+/** mr_fence_has_reserve() - whether there is a token in reserve that can be
+ * used. */
+bool mr_fence_has_reserve(const mr_fence_t *fence);
+
 /** mr_fence_drop_reserve() - another instance may take and use higher tokens
  * from now on. */
 void mr_fence_drop_reserve(mr_fence_t *fence);
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -766,10 +766,12 @@
         evtimer_new(promoter->options.base, on_promotion_timer, promotion);
     mr_log(MR_LOG_WARNING, MR_EVENT_PROMOTION_STARTED, "service=%s reason=%s",
            service, reason);
-    mr_fence_request(state->fence, promotion->started_at);
-    if (!planned) {
+    /* Without a token the order may have to wait for the store, and some
+     * instances can perhaps use the primary until then. */
+    if (!planned && mr_fence_has_reserve(state->fence)) {
         withhold(promoter, service, promotion->started_at);
     }
+    mr_fence_request(state->fence, promotion->started_at);
     query_statuses(promotion);
 }
 
--- a/tests/unit/test_promoter.c
+++ b/tests/unit/test_promoter.c
@@ -479,6 +479,26 @@
 }
 END_TEST
 
+/* Other instances may still reach the primary. */
+START_TEST(test_the_primary_is_used_while_there_is_no_token)
+{
+    fail_primary();
+    mr_lease_grantor_renew_own(grantor, mr_clock_now(NULL));
+    for (int i = 0; i < 40; i++) {
+        mr_msg_db_health_t health = {
+            .service = "rez", .id = "a", .failing_ms = 400, .answered_ms = -1};
+        mr_promoter_report(promoter, "front-1", mr_clock_now(NULL), &health,
+                           1);
+        check_for(POLL_MS);
+        ck_assert(mr_primary_lease_covers(lease, "rez", mr_clock_now(NULL)));
+        if (store.fn != NULL && i % 10 == 9) {
+            answer_store(MR_ERR_UNAVAILABLE, 0);
+        }
+    }
+    ck_assert_uint_eq(client.count, 0);
+}
+END_TEST
+
 /* Another writer may register a replica of any service, which then seems to
  * have no primary. */
 START_TEST(test_a_service_that_the_desired_state_does_not_name_is_left_alone)
@@ -508,6 +528,7 @@
         test_an_order_that_was_refused_waits_and_has_a_new_token,
         test_a_reserve_token_that_others_have_passed_is_not_ordered_with,
         test_no_order_is_sent_with_a_token_of_an_earlier_era,
+        test_the_primary_is_used_while_there_is_no_token,
         test_an_order_without_an_answer_is_repeated_for_the_same_database,
         test_a_service_that_the_desired_state_does_not_name_is_left_alone,
     };
