Forget an unanswered order when another instance coordinates

The order would have been repeated when the instance coordinated again, long after another leader had decided on it: a change of primary that nobody needs. The new leader adopts the withheld service instead.

--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -94,6 +94,7 @@
     mr_primary_health_t *health;
     mr_list_t promotions;
     mr_list_t services;
+    bool stopped; /* this instance does not coordinate */
     mr_counter_t *orders_counter;
     mr_counter_t *promotions_counter;
 };
@@ -298,8 +299,11 @@
         promoter->options.promoted(promoter->options.ctx);
         return;
     }
-    /* The platform may still carry the call out. */
-    set_ordered_id(promoter, promotion->service, promotion->candidate);
+    /* The platform may still carry the call out. If this instance has ceased
+     * to coordinate, the next leader adopts the withheld service. */
+    if (!promoter->stopped) {
+        set_ordered_id(promoter, promotion->service, promotion->candidate);
+    }
     end_promotion(promotion, PROMOTION_RETRY_MS, mr_error_name(error));
 }
 
@@ -390,9 +394,10 @@
     promoter->options.withheld(promoter->options.ctx);
 }
 
-/* Orders the promotion once no instance can use the old primary any more. */
+/* Orders the promotion once no instance can use the old primary any more. Its
+ * timer calls this again until then. */
 static void
-order_without_leases(promotion_t *promotion)
+await_leases(promotion_t *promotion)
 {
     mr_ms_t now = mr_clock_now(NULL);
 
@@ -684,7 +689,7 @@
         demote_old_primary(promotion, old_primary);
         return;
     }
-    order_without_leases(promotion);
+    await_leases(promotion);
 }
 
 static void
@@ -711,7 +716,7 @@
         || mr_position_compare(query->status.received,
                                promotion->catch_up_position)
                >= 0) {
-        order_without_leases(promotion);
+        await_leases(promotion);
         return;
     }
     mr_db_conn_query(query->conn, mr_relay_statement_id, NULL,
@@ -739,7 +744,7 @@
         catch_up(promotion);
         break;
     case STAGE_LEASES:
-        order_without_leases(promotion);
+        await_leases(promotion);
         break;
     case STAGE_TOKEN:
         order(promotion);
@@ -846,9 +851,12 @@
 void
 mr_promoter_stop(mr_promoter_t *promoter)
 {
+    promoter->stopped = true;
     MR_LIST_FOREACH(it, &promoter->services)
     {
-        mr_fence_drop_reserve(MR_LIST_ENTRY(it, service_state_t, link)->fence);
+        service_state_t *state = MR_LIST_ENTRY(it, service_state_t, link);
+        mr_fence_drop_reserve(state->fence);
+        set_ordered_id(promoter, state->service, NULL);
     }
 }
 
@@ -856,6 +864,7 @@
 mr_promoter_check(mr_promoter_t *promoter, mr_ms_t now, size_t reporting,
                   size_t instances)
 {
+    promoter->stopped = false;
     /* Without a majority, this instance may be on the smaller side of a
      * network partition. */
     if (reporting * 2 <= instances
