Keep the known primary while it registers as such

An instance that had restarted after a promotion did not know the former primary, so it took it as the primary when it registered again, with a newer row than the new one's. A registration of another database as the primary now counts only once the known one no longer registers as such; a change of primary is known from the promotion itself. The new test of test_clusters fails before.

Open: an instance that reads both registrations at its start, within the second in which a former primary does not know yet, takes the newer one.

--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -99,6 +99,7 @@
         }
         free(cluster->service);
         free(cluster->promoted_id);
+        free(cluster->primary_id);
         free(cluster->replaced_id);
         free(cluster);
     }
@@ -358,6 +359,51 @@
     }
 }
 
+/* Number of the newest promotion or registration that makes @db the primary;
+ * 0: none. */
+static int64_t
+primary_claim(const mr_cluster_t *cluster, const mr_db_t *db)
+{
+    bool promoted = cluster->promoted_id != NULL
+                    && strcmp(cluster->promoted_id, db->id) == 0;
+
+    return promoted && cluster->promoted_token > db->primary_since
+               ? cluster->promoted_token
+               : db->primary_since;
+}
+
+static void
+note_primary(mr_cluster_t *cluster)
+{
+    const mr_db_t *primary = mr_cluster_known_primary(cluster);
+
+    free(cluster->primary_id);
+    cluster->primary_id = primary != NULL ? mr_strdup(primary->id) : NULL;
+}
+
+/* While the primary still registers as such, registrations of others as the
+ * primary do not count: they are former primaries that have not heard of the
+ * promotion. A change of primary is known from the promotion itself. */
+static void
+keep_registered_primary(mr_cluster_t *cluster)
+{
+    mr_db_t *before = cluster->primary_id != NULL
+                          ? find_db(cluster, cluster->primary_id)
+                          : NULL;
+
+    if (before != NULL && before->primary_since != 0) {
+        int64_t claim = primary_claim(cluster, before);
+        MR_LIST_FOREACH(it, &cluster->dbs)
+        {
+            mr_db_t *db = MR_LIST_ENTRY(it, mr_db_t, link);
+            if (db != before && db->primary_since > claim) {
+                db->primary_since = 0;
+            }
+        }
+    }
+    note_primary(cluster);
+}
+
 void
 mr_clusters_end_update(mr_clusters_t *clusters, mr_ms_t now)
 {
@@ -376,6 +422,7 @@
         if (registered > cluster->dbs_seen_max) {
             cluster->dbs_seen_max = registered;
         }
+        keep_registered_primary(cluster);
         if (mr_cluster_known_primary(cluster) != NULL) {
             cluster->no_primary_since = 0;
         }
@@ -385,19 +432,6 @@
     }
 }
 
-/* Number of the newest promotion or registration that makes @db the primary;
- * 0: none. */
-static int64_t
-primary_claim(const mr_cluster_t *cluster, const mr_db_t *db)
-{
-    bool promoted = cluster->promoted_id != NULL
-                    && strcmp(cluster->promoted_id, db->id) == 0;
-
-    return promoted && cluster->promoted_token > db->primary_since
-               ? cluster->promoted_token
-               : db->primary_since;
-}
-
 static bool
 refused_recently(const mr_db_t *db, mr_ms_t now)
 {
@@ -503,6 +537,7 @@
     cluster->promoted_id = mr_strdup(id);
     cluster->promoted_token = token;
     cluster->promoted_at = mr_clock_now(NULL);
+    note_primary(cluster);
     cluster->changed_at_count = ++cluster->clusters->change_count;
     mr_db_t *db = find_db(cluster, id);
     if (db != NULL) {
--- a/lib/session/cluster.h
+++ b/lib/session/cluster.h
@@ -85,6 +85,7 @@
     bool named; /* by the desired state; registrations may name any service */
     int64_t connections_max; /* to one database, from all instances */
     mr_ms_t promoted_at;     /* when this instance learned of it */
+    char *primary_id;        /* primary after the last update; NULL: none */
     char *replaced_id;       /* primary before the last promotion; NULL */
     int64_t replaced_started_at;
     int dbs_seen_max; /* most databases that were registered at one time */
--- a/tests/unit/test_clusters.c
+++ b/tests/unit/test_clusters.c
@@ -227,6 +227,28 @@
 }
 END_TEST
 
+/* An instance that has started after the promotion does not know the former
+ * primary. */
+START_TEST(test_a_primary_that_registers_beside_the_known_one_does_not_count)
+{
+    const row_t first[] = {{"b", true, 1, 510}, {0}};
+    const row_t both[] = {{"a", true, 1, 530}, {"b", true, 1, 510}, {0}};
+    const row_t joined[] = {{"a", false, 1, 540}, {"b", true, 1, 510}, {0}};
+    const row_t changed[] = {{"a", true, 1, 560}, {"b", false, 1, 561}, {0}};
+
+    apply_set(1, 511, first, NOW);
+    apply_set(1, 531, both, NOW + 1000);
+    ck_assert_str_eq(mr_cluster_known_primary(rez_cluster())->id, "b");
+    apply_set(1, 532, both, NOW + 2000);
+    ck_assert_str_eq(mr_cluster_known_primary(rez_cluster())->id, "b");
+    apply_set(1, 541, joined, NOW + 3000);
+    ck_assert_str_eq(mr_cluster_known_primary(rez_cluster())->id, "b");
+    /* Another instance has had "a" promoted. */
+    apply_set(1, 562, changed, NOW + 4000);
+    ck_assert_str_eq(mr_cluster_known_primary(rez_cluster())->id, "a");
+}
+END_TEST
+
 START_TEST(test_a_late_registration_does_not_undo_an_own_promotion)
 {
     const row_t before[] = {{"a", true, 1, 490}, {"b", false, 1, 491}, {0}};
@@ -429,6 +451,7 @@
         test_a_former_primary_does_not_return_with_an_older_copy,
         test_a_dead_primary_does_not_return_with_an_older_copy,
         test_a_former_primary_that_registers_again_is_not_the_primary,
+        test_a_primary_that_registers_beside_the_known_one_does_not_count,
         test_a_late_registration_does_not_undo_an_own_promotion,
         test_a_refusing_primary_is_skipped_for_a_while,
         test_a_restarted_database_is_a_new_one,
