Do not empty the buckets of a coordinator with its first majority

A leaving coordinator hands over at once, so its report reaches the next one before those that make the majority. The draw that first saw the majority emptied the bucket that had just been filled for one reporter, and the operation that waited was refused as beyond its rate. A log of the draws showed it: 2 tokens with 1 of 3 instances reporting, 0 with 2 of 3, 9 ms later. With a first majority the buckets now start as those of a new coordinator; with one that is regained they start empty as before.

The new test of test_quota fails before.

--- a/lib/session/budget.c
+++ b/lib/session/budget.c
@@ -32,7 +32,7 @@
     mr_list_t reporters;
     mr_list_t budgets;
     bool majority;          /* more than half of the instances report here */
-    mr_ms_t majority_since; /* while @majority */
+    mr_ms_t majority_since; /* of the last one; 0: there was none */
 };
 
 mr_budgets_t *
@@ -110,16 +110,19 @@
 
 /* While a majority reports to this instance, no other coordinator grants
  * the burst. When a majority is regained, the buckets start empty, as it is
- * unknown what another coordinator has granted in the meantime. */
+ * unknown what another coordinator has granted in the meantime. With the first
+ * one they start as those of a new coordinator. */
 static void
 update_majority(mr_budgets_t *budgets, bool majority, mr_ms_t now)
 {
     if (majority && !budgets->majority) {
+        mr_ms_t start =
+            budgets->majority_since == 0 ? now - INITIAL_FILL_MS : now;
         budgets->majority_since = now;
         MR_LIST_FOREACH(it, &budgets->budgets)
         {
             budget_t *budget = MR_LIST_ENTRY(it, budget_t, link);
-            mr_bucket_init(&budget->bucket, budget->bucket.amount, now,
+            mr_bucket_init(&budget->bucket, budget->bucket.amount, start,
                            INT64_MAX);
         }
     }
--- a/tests/unit/test_quota.c
+++ b/tests/unit/test_quota.c
@@ -175,6 +175,21 @@
 }
 END_TEST
 
+/* Guards against refusals at a hand-over, when the first report reaches the
+ * next coordinator before those that make the majority. */
+START_TEST(test_a_first_majority_does_not_empty_the_buckets)
+{
+    mr_budgets_t *budgets = mr_budgets_create();
+
+    int64_t given = draw_once(budgets, "coop", 4, 100000);
+    int64_t after = draw_once(budgets, "coop", 9, 100010);
+    ck_assert_int_gt(after, 0);
+    /* As much as a new coordinator grants. */
+    ck_assert_int_le(given + after, 10000);
+    mr_budgets_destroy(budgets);
+}
+END_TEST
+
 START_TEST(test_a_coordinator_that_regains_a_majority_starts_empty)
 {
     mr_budgets_t *budgets = mr_budgets_create();
@@ -214,6 +229,7 @@
         test_half_of_the_instances_draw_half_of_the_rate,
         test_a_new_coordinator_starts_without_the_burst,
         test_the_burst_is_available_after_an_idle_time,
+        test_a_first_majority_does_not_empty_the_buckets,
         test_a_coordinator_that_regains_a_majority_starts_empty,
         test_silent_instances_are_not_counted,
     };
