--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -10,9 +10,10 @@
 
 enum {
     REPORT_PERIOD_MS = 250,
-    /* While a primary fails here or the lease is not renewed, so that a
-     * promotion, or another coordinator, does not wait for the reports. With
-     * many instances the period is a millisecond for each. */
+    /* Period while a primary fails here or the lease is not renewed, so that
+     * neither a promotion nor a new coordinator waits for the reports. It is
+     * one millisecond for each instance, but not less than this and not more
+     * than the usual period. */
     URGENT_PERIOD_MIN_MS = 60,
     REPORT_TIMEOUT_MS = 350,
     REPORT_GAP_MAX_MS = 400, /* between reports of a running instance */
@@ -32,9 +33,9 @@
     CANDIDATES_MAX = 16,
     HEALTH_MAX = 4096,
     WANTS_MAX = 1024,
-    /* Most instances that are told of withheld services ahead of their next
-     * reports. The coordinator opens a link to each of them, which takes
-     * longer than the reports with many. */
+    /* Most other instances that are told of withheld services ahead of their
+     * next reports. The coordinator opens a link to each of them; with more
+     * instances that takes longer than to wait for the reports. */
     ANNOUNCE_MAX = 32,
     /* How long a report names a promotion, for a new coordinator that has not
      * read the new primary's registration. */
