--- a/review/sim/scenario.c
+++ b/review/sim/scenario.c
@@ -357,7 +357,14 @@
 
 /* ---- release: a primary that takes a while to answer DEMOTE ---- */
 
-enum { RELEASE_SESSIONS = 6, PLANNED_MS = APPLY_MS + 1000 };
+enum {
+    RELEASE_SESSIONS = 6,
+    PLANNED_MS = APPLY_MS + 1000,
+    /* Releases, until a daemon ends; versions of the desired state in each. */
+    DEMOTIONS_MAX = 4,
+    VERSIONS = 6,
+    VERSION_PERIOD_MS = 1500,
+};
 
 static int64_t config_sent_at;
 static int64_t config_acked_at;
@@ -404,6 +411,7 @@
         "set lag 20",       "set promote 1000", "set demote 600", NULL};
     static session_t sessions[RELEASE_SESSIONS];
     pthread_t threads[RELEASE_SESSIONS];
+    int version = 1;
 
     fleet_start(record, settings);
     for (int i = 0; i < RELEASE_SESSIONS; i++) {
@@ -415,15 +423,23 @@
         pthread_create(&threads[i], NULL, run_release_session, &sessions[i]);
     }
     wait_ms(4000);
-    if (trouble) {
-        control("set draining 1 0"); /* the primary i-0 is to be replaced */
-    }
     config_sent_at = now_ms();
-    for (int version = 2; version < 8; version++) {
-        control("config %d", version);
-        config_acked_at = now_ms();
-        record_line("store: acknowledged version %d", version);
-        wait_ms(1500);
+    for (int i = 0; i < DEMOTIONS_MAX && fleet_check() == 0; i++) {
+        int primary = 0;
+        sscanf(control("state"), "primary=%d", &primary);
+        if (trouble) {
+            control("set draining 1 %d", primary);
+        }
+        for (int j = 0; j < VERSIONS; j++) {
+            control("config %d", ++version);
+            config_acked_at = now_ms();
+            record_line("store: acknowledged version %d", version);
+            wait_ms(VERSION_PERIOD_MS);
+        }
+        if (trouble) {
+            control("set restart 1 %d", primary);
+        }
+        wait_ms(2000);
     }
     if (fleet_check() > 0) {
         BROKEN("a daemon ended by itself");
