--- a/review/sim/fleet.c
+++ b/review/sim/fleet.c
@@ -87,7 +87,8 @@
     return -1;
 }
 
-/* The command of deploy/system.toml with the settings of a small deployment. */
+/* The command of deploy/system.toml with the settings of a small deployment.
+ */
 static void
 exec_daemon(int index)
 {
@@ -306,7 +307,8 @@
 read_line(session_t *session, char *line, int64_t until)
 {
     for (;;) {
-        char *end = memmem(session->buffer, (size_t)session->length, "\r\n", 2);
+        char *end =
+            memmem(session->buffer, (size_t)session->length, "\r\n", 2);
         if (end != NULL) {
             int len = (int)(end - session->buffer);
             snprintf(line, TEXT, "%.*s", len < TEXT ? len : TEXT - 1,
@@ -320,9 +322,8 @@
         if (left <= 0 || poll(&ready, 1, (int)left) <= 0) {
             return false;
         }
-        ssize_t got =
-            read(session->fd, session->buffer + session->length,
-                 sizeof(session->buffer) - (size_t)session->length);
+        ssize_t got = read(session->fd, session->buffer + session->length,
+                           sizeof(session->buffer) - (size_t)session->length);
         if (got <= 0) {
             return false;
         }
