--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/sim ] && [ -x target/masticrelaysd ] || exit 2
-exec target/review/sim settings review/2/record.txt
+exec target/review/sim draining review/2/record.txt
--- a/review/sim/fleet.c
+++ b/review/sim/fleet.c
@@ -151,6 +151,37 @@
     exit(2);
 }
 
+static void
+start_daemon(int index)
+{
+    daemon_process_t *daemon = &daemons[index];
+
+    daemon->ended = false;
+    daemon->pid = fork();
+    if (daemon->pid == 0) {
+        exec_daemon(index);
+    }
+    record_line("daemon %d: started", index + 1);
+}
+
+static void
+await_ready(int64_t until)
+{
+    for (;; wait_ms(100)) {
+        int count = 0;
+        for (int i = 0; i < DAEMONS; i++) {
+            count += is_ready(daemons[i].ready);
+        }
+        if (count == DAEMONS) {
+            record_line("all daemons are ready");
+            return;
+        }
+        if (now_ms() > until || fleet_check() > 0) {
+            fail_start("daemons do not become ready");
+        }
+    }
+}
+
 void
 fleet_start(const char *record, const char *const *settings)
 {
@@ -167,7 +198,7 @@
                             .store = all[1],
                             .duty = all[2],
                             .store_inner = all[3],
-                            .dbs = {all[4], all[5], all[6]}};
+                            .dbs = {all[4], all[5], all[6], all[7]}};
     world_pid = fork();
     if (world_pid == 0) {
         prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -183,31 +214,34 @@
     }
     control("config 1");
     for (int i = 0; i < DAEMONS; i++) {
-        daemons[i] = (daemon_process_t){.access = all[7 + 3 * i],
-                                        .ready = all[8 + 3 * i],
-                                        .peer = all[9 + 3 * i]};
-        daemons[i].pid = fork();
-        if (daemons[i].pid == 0) {
-            exec_daemon(i);
-        }
-        record_line("daemon %d: started", i + 1);
-    }
-    for (int64_t end = now_ms() + START_TIMEOUT_MS;; wait_ms(100)) {
-        int count = 0;
-        for (int i = 0; i < DAEMONS; i++) {
-            count += is_ready(daemons[i].ready);
-        }
-        if (count == DAEMONS) {
-            break;
-        }
-        if (now_ms() > end || fleet_check() > 0) {
-            fail_start("daemons do not become ready");
-        }
+        const int *own = &all[4 + WORLD_DBS + 3 * i];
+        daemons[i] = (daemon_process_t){
+            .access = own[0], .ready = own[1], .peer = own[2]};
+        start_daemon(i);
     }
-    record_line("all daemons are ready");
+    await_ready(now_ms() + START_TIMEOUT_MS);
     wait_ms(3000); /* leases and positions are known */
 }
 
+void
+fleet_kill_all(void)
+{
+    record_line("all daemons: SIGKILL");
+    for (int i = 0; i < DAEMONS; i++) {
+        kill(daemons[i].pid, SIGKILL);
+        waitpid(daemons[i].pid, &daemons[i].status, 0);
+        daemons[i].ended = true;
+    }
+}
+
+void
+fleet_restart(void)
+{
+    for (int i = 0; i < DAEMONS; i++) {
+        start_daemon(i);
+    }
+}
+
 int
 fleet_check(void)
 {
--- a/review/sim/scenario.c
+++ b/review/sim/scenario.c
@@ -511,6 +511,63 @@
     }
 }
 
+/* ---- draining: the primary crashes while one replica receives nothing and
+ * the other one drains ---- */
+
+enum { DRAINING_WRITERS = 6, DRAINING_MS = 2500, PROMOTION_MS = 10000 };
+
+static void
+run_draining(const char *record)
+{
+    static const char *const settings[] = {"set sync 1", "set slots 3",
+                                           "set work 8", NULL};
+    session_t sessions[DRAINING_WRITERS];
+    pthread_t threads[DRAINING_WRITERS];
+    int primary = 0;
+    int promotions = 0;
+
+    fleet_start(record, settings);
+    for (int i = 0; i < DRAINING_WRITERS; i++) {
+        char name[2] = {(char)('a' + i), '\0'};
+        if (!session_open(&sessions[i], name, i % DAEMONS, "primary")) {
+            unusable++;
+            return;
+        }
+        pthread_create(&threads[i], NULL, run_writer, &sessions[i]);
+    }
+    wait_ms(3000);
+    sscanf(control("state"), "primary=%d", &primary);
+    control("set draining 1 %d", (primary + 2) % 3);
+    if (trouble) {
+        control("set deaf 1 %d", (primary + 1) % 3);
+    }
+    wait_ms(DRAINING_MS);
+    control("set crash 1 %d", primary);
+    for (int64_t end = now_ms() + PROMOTION_MS;
+         now_ms() < end && promotions == 0; wait_ms(20)) {
+        sscanf(control("state"), "primary=%*d promotions=%d", &promotions);
+    }
+    sync_over = true;
+    for (int i = 0; i < DRAINING_WRITERS; i++) {
+        pthread_join(threads[i], NULL);
+        session_close(&sessions[i]);
+    }
+    if (acked_count == 0) {
+        unusable++;
+    }
+    int lost = count_lost();
+    record_line("stand-ins: %s", control("state"));
+    record_line("%d of %d acknowledged writes are lost", lost, acked_count);
+    if (promotions == 0) {
+        record_line("no promotion took place");
+    }
+    else if (lost > 0) {
+        BROKEN("LOST: %d acknowledged commits are not in the log of the "
+               "database that was promoted",
+               lost);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -533,6 +590,9 @@
     else if (strcmp(argv[1], "sync") == 0) {
         run_sync(argv[2]);
     }
+    else if (strcmp(argv[1], "draining") == 0) {
+        run_draining(argv[2]);
+    }
     else if (strcmp(argv[1], "config") == 0) {
         run_config(argv[2]);
     }
--- a/review/sim/world.c
+++ b/review/sim/world.c
@@ -40,6 +40,10 @@
     int64_t lag;          /* from receiving to applying */
     int busy;             /* slots in use */
     int64_t born;
+    bool suspended;       /* receives nothing until RESUME or a promotion */
+    int64_t suspended_at; /* entries received by then */
+    int64_t down_since;   /* crashed; 0: it runs */
+    struct evconnlistener *listener;
 } db_t;
 
 typedef struct run {
@@ -73,6 +77,8 @@
     char id[NAME];
     char text[256];
     run_t *run;
+    int64_t copied_from; /* length of the log that a replica must have before
+                            the answer; 0: none */
 } conn_t;
 
 typedef struct row {
@@ -145,6 +151,9 @@
     while (count > 0 && entries[count - 1].at + RECEIVE_MS > now_ms()) {
         count--;
     }
+    if (db->suspended && db->suspended_at < count) {
+        count = db->suspended_at;
+    }
     return db->received_max >= 0 && db->received_max < count ? db->received_max
                                                              : count;
 }
@@ -355,23 +364,39 @@
                 conn->run->values, (long long)applied(conn->db));
 }
 
+/* Whether a replica has received the first @count entries of the log. */
+static bool
+is_copied(int64_t count)
+{
+    for (int i = 0; i < WORLD_DBS; i++) {
+        if (!leads(&dbs[i]) && dbs[i].down_since == 0
+            && received(&dbs[i]) >= count) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 on_worked(evutil_socket_t fd, short what, void *ctx)
 {
     conn_t *conn = ctx;
+    struct timeval tv = to_timeval(RECEIVE_MS + 1);
 
     (void)fd;
     (void)what;
     if (conn->run != NULL && !conn->run->ended) {
         int64_t before = entry_count;
         end_statement(conn);
-        if (sync_replicas > 0 && entry_count > before) {
-            /* Acknowledged once one replica has received it. */
-            struct timeval tv = to_timeval(RECEIVE_MS + 1);
-            evtimer_add(conn->timer, &tv);
-            return;
-        }
+        conn->copied_from = entry_count > before ? entry_count : 0;
     }
+    if (sync_replicas > 0 && conn->copied_from > 0
+        && !is_copied(conn->copied_from)) {
+        /* Acknowledged once one replica has received it. */
+        evtimer_add(conn->timer, &tv);
+        return;
+    }
+    conn->copied_from = 0;
     send_held(conn);
     process_input(conn);
 }
@@ -451,9 +476,18 @@
         answer_status(conn);
         work_for(conn, demote_time);
     }
-    else if (strncmp(text, "SUSPEND ", 8) == 0
-             || strcmp(text, "RESUME") == 0) {
-        record_line("db %s: %s", db->id, text);
+    else if (strncmp(text, "SUSPEND ", 8) == 0) {
+        if (!leads(db) && !db->suspended && atoll(text + 8) > term) {
+            db->suspended_at = received(db);
+            db->suspended = true;
+        }
+        record_line("db %s: %s, log=%lld", db->id, text,
+                    (long long)received(db));
+        answer_status(conn);
+    }
+    else if (strcmp(text, "RESUME") == 0) {
+        db->suspended = false;
+        record_line("db %s: RESUME", db->id);
         answer_status(conn);
     }
     else if (strcmp(text, "RESET") == 0) {
@@ -922,6 +956,15 @@
 {
     for (int i = 0; i < WORLD_DBS; i++) {
         char text[512];
+        if (dbs[i].down_since != 0) {
+            /* Its entry is removed after three report intervals. */
+            if (now_ms() - dbs[i].down_since >= 3 * REGISTRATION_MS
+                && find_row("servers", dbs[i].id) != NULL
+                && find_row("servers", dbs[i].id)->value != NULL) {
+                put_row("servers", dbs[i].id, NULL);
+            }
+            continue;
+        }
         snprintf(text, sizeof(text),
                  "{\"service\":\"rez\",\"address\":\"127.0.0.1:%d\","
                  "\"zone\":\"konya\",\"version\":\"v1\",\"slots\":%d,"
@@ -1006,6 +1049,7 @@
         snprintf(promoted_id, sizeof(promoted_id), "%s", dbs[order->db].id);
         for (int i = 0; i < WORLD_DBS; i++) {
             dbs[i].received_max = -1;
+            dbs[i].suspended = false;
         }
         put_registrations();
     }
@@ -1164,6 +1208,10 @@
 
 /* ---- control ---- */
 
+static void drop_conns(const db_t *db);
+static struct evconnlistener *listen_on(int port, evconnlistener_cb fn,
+                                        void *ctx);
+
 /* A database that drains ends. Its log is transferred to a new one at its
  * address, under an id of its own. */
 static void
@@ -1171,6 +1219,18 @@
 {
     static int replaced;
 
+    drop_conns(db);
+    put_row("servers", db->id, NULL);
+    record_line("db %s: ends", db->id);
+    snprintf(db->id, sizeof(db->id), "i-%d-%d", db->index, ++replaced);
+    db->draining = false;
+    db->born = 1700000000000 + now_ms();
+    put_registrations();
+}
+
+static void
+drop_conns(const db_t *db)
+{
     for (conn_t *conn = conns; conn != NULL;) {
         conn_t *next = conn->next;
         if (conn->db == db) {
@@ -1178,11 +1238,37 @@
         }
         conn = next;
     }
+}
+
+/* The database crashes: its connections end, new ones are refused and it
+ * reports nothing. */
+static void
+crash_db(db_t *db)
+{
+    db->down_since = now_ms();
+    evconnlistener_free(db->listener);
+    db->listener = NULL;
+    record_line("db %s: ends, log=%lld", db->id, (long long)received(db));
+    drop_conns(db);
+}
+
+/* A database that drains ends; the new one runs already. */
+static void
+end_db(db_t *db)
+{
+    crash_db(db);
     put_row("servers", db->id, NULL);
-    record_line("db %s: ends", db->id);
-    snprintf(db->id, sizeof(db->id), "i-%d-%d", db->index, ++replaced);
-    db->draining = false;
+}
+
+/* It comes back with its log. */
+static void
+start_db(db_t *db)
+{
+    db->down_since = 0;
+    db->suspended = false;
     db->born = 1700000000000 + now_ms();
+    db->listener = listen_on(ports.dbs[db->index], on_accept, db);
+    record_line("db %s: starts, log=%lld", db->id, (long long)received(db));
     put_registrations();
 }
 
@@ -1205,7 +1291,9 @@
         handshake = value;
     }
     else if (strcmp(name, "lag") == 0) {
-        dbs[0].lag = dbs[1].lag = dbs[2].lag = value;
+        for (int i = 0; i < WORLD_DBS; i++) {
+            dbs[i].lag = value;
+        }
     }
     else if (strcmp(name, "demote") == 0) {
         demote_time = value;
@@ -1213,6 +1301,15 @@
     else if (strcmp(name, "deaf") == 0) {
         dbs[db].received_max = value != 0 ? received(&dbs[db]) : -1;
     }
+    else if (strcmp(name, "crash") == 0) {
+        crash_db(&dbs[db]);
+    }
+    else if (strcmp(name, "end") == 0) {
+        end_db(&dbs[db]);
+    }
+    else if (strcmp(name, "start") == 0) {
+        start_db(&dbs[db]);
+    }
     else if (strcmp(name, "replace") == 0) {
         replace_db(&dbs[db]);
     }
@@ -1309,20 +1406,21 @@
     bufferevent_enable(stream, EV_READ | EV_WRITE);
 }
 
-static void
+static struct evconnlistener *
 listen_on(int port, evconnlistener_cb fn, void *ctx)
 {
     struct sockaddr_in addr = {.sin_family = AF_INET,
                                .sin_port = htons((uint16_t)port)};
 
     addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (evconnlistener_new_bind(base, fn, ctx,
-                                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 256,
-                                (struct sockaddr *)&addr, sizeof(addr))
-        == NULL) {
+    struct evconnlistener *listener = evconnlistener_new_bind(
+        base, fn, ctx, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 256,
+        (struct sockaddr *)&addr, sizeof(addr));
+    if (listener == NULL) {
         perror("listen");
         exit(2);
     }
+    return listener;
 }
 
 static void
@@ -1365,7 +1463,11 @@
                         .lag = 8,
                         .born = 1700000000000 + now_ms()};
         snprintf(dbs[i].id, sizeof(dbs[i].id), "i-%d", i);
-        listen_on(ports.dbs[i], on_accept, &dbs[i]);
+        if (i == WORLD_DBS - 1) {
+            dbs[i].down_since = now_ms();
+            continue;
+        }
+        dbs[i].listener = listen_on(ports.dbs[i], on_accept, &dbs[i]);
     }
     serve_http(ports.store_inner, store_paths, store_handlers);
     listen_on(ports.store, on_pipe, NULL);
--- a/review/sim/world.h
+++ b/review/sim/world.h
@@ -9,7 +9,8 @@
 
 #include <stdint.h>
 
-enum { WORLD_DBS = 3 };
+/* The last one runs only once the scenario starts it. */
+enum { WORLD_DBS = 4 };
 
 /** Addresses of the stand-ins; all on 127.0.0.1. */
 typedef struct world_ports {
