--- a/review/sim/scenario.c
+++ b/review/sim/scenario.c
@@ -112,6 +112,31 @@
                session.last_id, reply.code);
     }
     session_close(&session);
+    /* A name that becomes that of a read. */
+    if (!session_open(&session, "c", 2, "primary")) {
+        unusable++;
+        return;
+    }
+    expect_success(session_query(&session, "PREPARE s WRITE q1"));
+    if (!trouble) {
+        expect_success(session_query(&session, "DEALLOC s"));
+        expect_success(session_query(&session, "PREPARE s READ q2"));
+    }
+    expect_success(session_query(&session, "BEGIN"));
+    expect_success(session_query(&session, "READ item-1"));
+    if (trouble) {
+        expect_success(session_query(&session, "DEALLOC s"));
+        expect_success(session_query(&session, "PREPARE s READ q2"));
+    }
+    expect_success(session_query(&session, "EXECUTE s item-2"));
+    snprintf(write_id, sizeof(write_id), "%s", session.last_id);
+    expect_success(session_query(&session, "COMMIT"));
+    if (strcmp(control("inlog %s", write_id), "0") != 0) {
+        BROKEN("PINNED: the name s was prepared as READ q2, %s wrote, and its "
+               "write is committed",
+               write_id);
+    }
+    session_close(&session);
 }
 
 /* ---- stop: SIGTERM while transactions are open ---- */
