--- a/lib/session/client.c
+++ b/lib/session/client.c
@@ -18,8 +18,6 @@
     /* Unsent output of a session from which on no further message is handled.
      */
     OUTPUT_FULL_BYTES = 64 * 1024,
-    /* Values and prepared statements of one session. */
-    SETTINGS_MAX_BYTES = MR_LINE_MAX_BYTES,
     /* Time until operations refused for lack of memory may return. A quarter
      * of a second is the interval of measurements, before which the level
      * stays the same. Single reads, which hold least, come first, everything
@@ -76,7 +74,7 @@
                sizeof(user_timeout));
     session->relay = relay;
     session->serial = ++relay->last_serial;
-    mr_list_init(&session->settings);
+    session->state = mr_session_state_create();
     mr_list_append(&relay->sessions, &session->link);
     relay->session_count++;
     session->stream =
@@ -88,24 +86,12 @@
     bufferevent_enable(session->stream, EV_READ | EV_WRITE);
 }
 
-static void
-free_setting(mr_setting_t *setting)
-{
-    mr_list_remove(&setting->link);
-    free(setting->name);
-    free(setting->statement);
-    free(setting);
-}
-
 void
 mr_client_destroy(mr_client_t *session)
 {
     mr_run_cancel(session);
     mr_run_end_transaction(session);
-    MR_LIST_FOREACH(it, &session->settings)
-    {
-        free_setting(MR_LIST_ENTRY(it, mr_setting_t, link));
-    }
+    mr_session_state_destroy(session->state);
     mr_list_remove(&session->link);
     session->relay->session_count--;
     mr_catalog_unref(session->catalog);
@@ -140,7 +126,8 @@
 size_t
 mr_client_held_bytes(const mr_client_t *session)
 {
-    return mr_client_buffer_bytes(session) + session->settings_bytes;
+    return mr_client_buffer_bytes(session)
+           + mr_session_state_bytes(session->state);
 }
 
 bool
@@ -150,20 +137,6 @@
            && !session->closing;
 }
 
-mr_setting_t *
-mr_client_find_setting(mr_client_t *session, const char *name, bool prepared)
-{
-    MR_LIST_FOREACH(it, &session->settings)
-    {
-        mr_setting_t *setting = MR_LIST_ENTRY(it, mr_setting_t, link);
-        if (setting->prepared == prepared
-            && strcmp(setting->name, name) == 0) {
-            return setting;
-        }
-    }
-    return NULL;
-}
-
 static struct evbuffer *
 client_output(mr_client_t *session)
 {
@@ -317,7 +290,7 @@
                    "account=%s database=%s input=%zu output=%zu values=%zu",
                    session->account != NULL ? session->account : "-",
                    session->database != NULL ? session->database : "-", input,
-                   output, session->settings_bytes);
+                   output, mr_session_state_bytes(session->state));
     mr_counter_add(session->relay->shed, 1);
     if (input == 0 || output > 0) {
         mr_client_destroy(session);
@@ -439,49 +412,6 @@
     return true;
 }
 
-static size_t
-setting_bytes(const mr_setting_t *setting)
-{
-    return strlen(setting->name) + strlen(setting->statement);
-}
-
-/* Adds, replaces or removes a value or prepared statement. Returns false if
- * the session would hold too much. */
-static bool
-change_setting(mr_client_t *session, const char *text,
-               const mr_command_t *statement)
-{
-    bool prepared = statement->kind != MR_COMMAND_SET;
-    mr_setting_t *setting =
-        mr_client_find_setting(session, statement->name, prepared);
-    size_t bytes = session->settings_bytes;
-
-    if (setting != NULL) {
-        bytes -= setting_bytes(setting);
-    }
-    if (statement->kind != MR_COMMAND_DEALLOCATE) {
-        bytes += strlen(statement->name) + strlen(text);
-        if (bytes > SETTINGS_MAX_BYTES) {
-            return false;
-        }
-    }
-    session->version++;
-    session->settings_bytes = bytes;
-    if (setting != NULL) {
-        free_setting(setting);
-    }
-    if (statement->kind == MR_COMMAND_DEALLOCATE) {
-        return true;
-    }
-    setting = MR_NEW(mr_setting_t);
-    setting->name = mr_strdup(statement->name);
-    setting->statement = mr_strdup(text);
-    setting->prepared = prepared;
-    setting->read_only = statement->read_only;
-    mr_list_append(&session->settings, &setting->link);
-    return true;
-}
-
 static void
 handle_setting(mr_client_t *session, const mr_line_t *line,
                const mr_command_t *statement)
@@ -490,7 +420,8 @@
         && memory_level(session) == MR_MEMORY_CRITICAL) {
         refuse_for_memory(session, line->u.query.id, false);
     }
-    else if (!change_setting(session, line->u.query.statement, statement)) {
+    else if (!mr_session_state_change(session->state, line->u.query.statement,
+                                      statement, session->tx_conn != NULL)) {
         mr_client_refuse(session, line->u.query.id, MR_ERR_PAYLOAD_TOO_LARGE,
                          "the session's values", -1);
     }
@@ -566,8 +497,8 @@
                   || statement->kind == MR_COMMAND_COMMIT;
 
     if (statement->kind == MR_COMMAND_EXECUTE) {
-        mr_setting_t *prepared =
-            mr_client_find_setting(session, statement->name, true);
+        const mr_setting_t *prepared =
+            mr_session_state_find(session->state, statement->name);
         if (prepared == NULL) {
             mr_client_answer_error(session, MR_ERR_UNKNOWN_STATEMENT, NULL,
                                    -1);
@@ -684,11 +615,13 @@
 }
 
 /* Releases the desired state of an operation that has ended, as an idle
- * session would keep an old version in memory. */
+ * session would keep an old version in memory, and the changes for its
+ * transaction's connection. */
 static void
-release_catalog(mr_client_t *session)
+release_operation(mr_client_t *session)
 {
     if (session->run.stage == MR_RUN_NONE && session->tx != MR_TX_OPEN) {
+        mr_session_state_clear_changes(session->state);
         mr_catalog_unref(session->catalog);
         session->catalog = NULL;
         session->route = NULL;
@@ -749,7 +682,7 @@
     if (!alive) {
         return;
     }
-    release_catalog(session);
+    release_operation(session);
     resume_input(session);
     if (mr_client_is_idle(session) && session->relay->draining
         && session->database != NULL && !session->output_full) {
--- a/lib/session/client.h
+++ b/lib/session/client.h
@@ -11,6 +11,7 @@
 #include "session/conn_pool.h"
 #include "session/line.h"
 #include "session/relay.h"
+#include "session/session_state.h"
 
 typedef struct mr_client mr_client_t;
 
@@ -39,15 +40,6 @@
     mr_histogram_t failures; /* of statements that failed */
 };
 
-/** A session value or prepared statement. */
-typedef struct mr_setting {
-    mr_list_t link;
-    char *name;
-    char *statement; /* text of its SET or PREPARE */
-    bool prepared;
-    bool read_only; /* of a prepared statement */
-} mr_setting_t;
-
 typedef enum mr_run_stage {
     MR_RUN_NONE,
     MR_RUN_TOKEN_WAIT, /* for a token of the client account */
@@ -104,15 +96,13 @@
     mr_relay_t *relay;
     struct bufferevent *stream;
     uint64_t serial;
-    uint64_t version; /* of its values and prepared statements */
-    char *database;   /* NULL until the session is open */
+    char *database; /* NULL until the session is open */
     char *credential;
-    char *account; /* client account, as named to the databases */
-    mr_list_t settings;
-    size_t settings_bytes;
-    mr_position_t position; /* newest commit of this session */
-    mr_catalog_t *catalog;  /* desired state of the current operation; NULL
-                               between operations */
+    char *account;             /* client account, as named to the databases */
+    mr_session_state_t *state; /* values and prepared statements */
+    mr_position_t position;    /* newest commit of this session */
+    mr_catalog_t *catalog;     /* desired state of the current operation; NULL
+                                  between operations */
     const mr_catalog_route_t *route;
     mr_tx_state_t tx;
     bool tx_read_only;
@@ -153,8 +143,6 @@
                       mr_error_kind_t error, const char *detail,
                       mr_ms_t retry_after);
 void mr_client_answer(mr_client_t *session, struct evbuffer *body);
-mr_setting_t *mr_client_find_setting(mr_client_t *session, const char *name,
-                                     bool prepared);
 
 /** mr_client_on_tokens() - tokens were drawn for the demand of @round:
  * continue a statement that has waited since then. */
--- a/lib/session/line.h
+++ b/lib/session/line.h
@@ -135,6 +135,10 @@
  * term below @term into a replica. */
 void mr_demote_statement_text(char *out, size_t size, int64_t term);
 
+/** mr_deallocate_statement_text() - write the statement that removes the
+ * prepared statement @name. */
+void mr_deallocate_statement_text(char *out, size_t size, const char *name);
+
 /** mr_suspend_statement_text() - write the statement that stops a replica from
  * receiving log entries; @term must be above the newest one. The reply is the
  * same as to MR_RELAY_STATUS. */
--- a/lib/session/run.c
+++ b/lib/session/run.c
@@ -464,6 +464,14 @@
     fail(session, reply->error, reply->detail, -1);
 }
 
+/* Ends a transaction whose next statement was not sent. */
+static void
+lose_transaction(mr_client_t *session, const char *detail)
+{
+    drop_conn(session);
+    fail(session, MR_ERR_TRANSACTION_LOST, detail, 0);
+}
+
 /* The lease lapsed after the database was chosen; the write was not sent. */
 static void
 give_up_write(mr_client_t *session)
@@ -471,9 +479,7 @@
     mr_run_t *run = &session->run;
 
     if (run->mode == MR_RUN_TX_NEXT) {
-        drop_conn(session);
-        fail(session, MR_ERR_TRANSACTION_LOST,
-             "the database may no longer be the primary", 0);
+        lose_transaction(session, "the database may no longer be the primary");
         return;
     }
     run->conn_reusable = run->mode == MR_RUN_WRITE;
@@ -551,7 +557,8 @@
     mr_run_t *run = &session->run;
     bool at_replica = run->begin_at_replica;
 
-    if (run->mode == MR_RUN_WRITE || run->mode == MR_RUN_POSITION_READ) {
+    if (run->mode == MR_RUN_WRITE || run->mode == MR_RUN_POSITION_READ
+        || run->mode == MR_RUN_TX_NEXT) {
         send_statement(session);
         return;
     }
@@ -563,29 +570,52 @@
                      on_begin_reply, session);
 }
 
+/* The connection could not be prepared for the statement. An open transaction
+ * exists on this connection alone, so it ends. */
+static void
+handle_failed_setup(mr_client_t *session, mr_error_kind_t error, mr_ms_t pause)
+{
+    if (session->run.mode == MR_RUN_TX_NEXT) {
+        lose_transaction(session, "the session's values were not applied");
+        return;
+    }
+    retry(session, error, pause);
+}
+
+/* The connection holds the present values and prepared statements. */
+static void
+finish_setup(mr_client_t *session)
+{
+    mr_db_conn_state_t *state = mr_db_conn_state(session->run.conn);
+
+    state->session = session->serial;
+    state->version = mr_session_state_version(session->state);
+    mr_session_state_clear_changes(session->state);
+    begin_if_needed(session);
+}
+
 static void
 on_setup(void *ctx, mr_db_conn_t *conn, const mr_reply_t *reply)
 {
     mr_client_t *session = ctx;
 
+    (void)conn;
     if (reply->lost) {
         record_failure(session);
-        retry(session, MR_ERR_UNAVAILABLE, 0);
+        handle_failed_setup(session, MR_ERR_UNAVAILABLE, 0);
         return;
     }
     if (reply->error != MR_OK) {
         mr_log(MR_LOG_WARNING, MR_EVENT_SESSION_VALUE_REFUSED,
                "error=%s detail=%s", mr_error_name(reply->error),
                reply->detail);
-        retry(session, reply->error, mr_run_retry_pause(&session->run));
+        handle_failed_setup(session, reply->error,
+                            mr_run_retry_pause(&session->run));
         return;
     }
-    if (--session->run.setup_pending > 0) {
-        return;
+    if (--session->run.setup_pending == 0) {
+        finish_setup(session);
     }
-    *mr_db_conn_state(conn) =
-        (mr_db_conn_state_t){session->serial, session->version};
-    begin_if_needed(session);
 }
 
 static void
@@ -596,6 +626,36 @@
                      on_setup, session);
 }
 
+/* Brings the connection of an open transaction up to date. A reset could end
+ * the transaction, so only the changes are sent. */
+static void
+send_changes(mr_client_t *session)
+{
+    assert(mr_db_conn_state(session->run.conn)->version
+           == mr_session_state_logged_from(session->state));
+    set_stage(session, MR_RUN_SETUP,
+              mr_run_deadline(session) - mr_clock_now(NULL));
+    MR_LIST_FOREACH(it, mr_session_state_changes(session->state))
+    {
+        send_setup(session,
+                   MR_LIST_ENTRY(it, mr_state_change_t, link)->statement);
+    }
+}
+
+/* Replaces what the connection holds of this or another session. */
+static void
+send_settings(mr_client_t *session)
+{
+    set_stage(session, MR_RUN_SETUP, SETUP_TIMEOUT_MS);
+    if (mr_db_conn_state(session->run.conn)->session != 0) {
+        send_setup(session, mr_relay_statement_text(MR_RELAY_RESET));
+    }
+    MR_LIST_FOREACH(it, mr_session_state_settings(session->state))
+    {
+        send_setup(session, MR_LIST_ENTRY(it, mr_setting_t, link)->statement);
+    }
+}
+
 /* Applies the session's values and prepared statements to the connection. */
 static void
 apply_settings(mr_client_t *session)
@@ -604,24 +664,21 @@
     mr_db_conn_state_t *state = mr_db_conn_state(run->conn);
 
     if (state->session == session->serial
-        && state->version == session->version) {
+        && state->version == mr_session_state_version(session->state)) {
         begin_if_needed(session);
         return;
     }
     run->setup_pending = 0;
-    set_stage(session, MR_RUN_SETUP, SETUP_TIMEOUT_MS);
-    if (state->session != 0) {
-        send_setup(session, mr_relay_statement_text(MR_RELAY_RESET));
+    if (run->mode == MR_RUN_TX_NEXT) {
+        send_changes(session);
+    }
+    else {
+        send_settings(session);
     }
     /* Marks the connection's state as partial until all replies arrive. */
     *state = (mr_db_conn_state_t){session->serial, UINT64_MAX};
-    MR_LIST_FOREACH(it, &session->settings)
-    {
-        send_setup(session, MR_LIST_ENTRY(it, mr_setting_t, link)->statement);
-    }
     if (run->setup_pending == 0) {
-        state->version = session->version;
-        begin_if_needed(session);
+        finish_setup(session);
     }
 }
 
@@ -700,7 +757,7 @@
         run->mode = MR_RUN_TX_NEXT;
         run->conn = session->tx_conn;
         add_running(run, 1);
-        send_statement(session);
+        apply_settings(session);
         return;
     }
     cluster = mr_clusters_find(session->relay->options.clusters,
@@ -799,7 +856,7 @@
     case MR_RUN_SETUP:
     case MR_RUN_BEGINNING:
         record_failure(session);
-        retry(session, MR_ERR_UNAVAILABLE, 0);
+        handle_failed_setup(session, MR_ERR_UNAVAILABLE, 0);
         break;
     case MR_RUN_SENT:
         on_sent_timeout(session);
--- a/tests/integration/test_sessions.c
+++ b/tests/integration/test_sessions.c
@@ -195,6 +195,69 @@
 }
 END_TEST
 
+/* Guards against values and prepared names that a client changes inside a
+ * transaction being acknowledged and not applied to its connection. */
+START_TEST(test_changes_inside_a_transaction_are_applied)
+{
+    client_t *client = open_session(0, "own", "key-1");
+    char id[BACKEND_TEXT_BYTES];
+    char write[BACKEND_TEXT_BYTES];
+
+    run_ok(client, "SET lang es", NULL);
+    run_ok(client, "PREPARE s READ q1", NULL);
+    run_ok(client, "BEGIN", NULL);
+    run_ok(client, "EXECUTE s a", NULL);
+    run_ok(client, "SET lang tr", NULL);
+    run_ok(client, "SET zone konya", NULL);
+    run_ok(client, "DEALLOC s", NULL);
+    run_ok(client, "DEALLOC unknown", NULL);
+    run_ok(client, "PREPARE s WRITE q2", NULL);
+    run_ok(client, "PREPARE n READ q3", NULL);
+    run_ok(client, "READ a", id);
+    ck_assert_str_eq(backend_find_run(backend, id)->values,
+                     "lang tr;zone konya;");
+    run_ok(client, "EXECUTE s a b", write);
+    run_ok(client, "EXECUTE n a", NULL);
+    /* A name that is replaced without DEALLOC. */
+    run_ok(client, "PREPARE s READ q4", NULL);
+    run_ok(client, "EXECUTE s a", id);
+    run_ok(client, "SET lang de", NULL);
+    run_ok(client, "COMMIT", NULL);
+    ck_assert_int_eq(backend_count_in_log(backend, write), 1);
+    ck_assert_int_eq(backend_count_in_log(backend, id), 0);
+    /* They remain valid after the transaction, also when it rolls back. */
+    run_ok(client, "BEGIN", NULL);
+    run_ok(client, "READ a", NULL);
+    run_ok(client, "SET lang fr", NULL);
+    run_ok(client, "ROLLBACK", NULL);
+    run_ok(client, "READ a", id);
+    ck_assert_str_eq(backend_find_run(backend, id)->values,
+                     "zone konya;lang fr;");
+    client_close(client);
+}
+END_TEST
+
+/* Guards against the rest of a transaction running on a second connection
+ * when the changes cannot be applied to the first one. */
+START_TEST(test_a_transaction_ends_if_its_changes_cannot_be_applied)
+{
+    client_t *client = open_session(0, "own", "key-1");
+    char write[BACKEND_TEXT_BYTES];
+
+    run_ok(client, "BEGIN", NULL);
+    run_ok(client, "WRITE a b", write);
+    backend_db_set_unresponsive(backend, 0, true);
+    run_ok(client, "SET lang tr", NULL);
+    client_answer_t answer = client_run(client, "READ a", NULL);
+    ck_assert_msg(answer_is_error(&answer, "ABORTED"), "%s", answer.text);
+    backend_db_set_unresponsive(backend, 0, false);
+    answer = client_run(client, "COMMIT", NULL);
+    ck_assert_msg(answer_is_error(&answer, "ABORTED"), "%s", answer.text);
+    ck_assert_int_eq(backend_count_in_log(backend, write), 0);
+    client_close(client);
+}
+END_TEST
+
 START_TEST(test_transactions_keep_to_themselves)
 {
     client_t *one = open_session(0, "own", "key-1");
@@ -767,6 +830,8 @@
         test_primary_routes_read_every_commit,
         test_aged_reads_use_replicas_within_their_bound,
         test_values_and_names_follow_the_session,
+        test_changes_inside_a_transaction_are_applied,
+        test_a_transaction_ends_if_its_changes_cannot_be_applied,
         test_transactions_keep_to_themselves,
         test_withdrawn_keys_and_routes_stop,
         test_limits_hold_over_all_instances,
--- a/tests/integration/world_db.c
+++ b/tests/integration/world_db.c
@@ -288,6 +288,66 @@
     send_ready(conn);
 }
 
+/* Sets a value; @text is "name value". */
+static void
+set_value(conn_t *conn, const char *text)
+{
+    size_t name_len = strcspn(text, " ");
+    char kept[BACKEND_TEXT_BYTES] = "";
+
+    for (char *value = strtok(conn->values, ";"); value != NULL;
+         value = strtok(NULL, ";")) {
+        if (strncmp(value, text, name_len + 1) != 0) {
+            snprintf(kept + strlen(kept), sizeof(kept) - strlen(kept), "%s;",
+                     value);
+        }
+    }
+    snprintf(conn->values, sizeof(conn->values), "%s%s;", kept, text);
+}
+
+/* Returns the index of the prepared statement whose name @text begins with;
+ * -1: there is none. */
+static int
+prepared_index(const conn_t *conn, const char *text)
+{
+    size_t len = strcspn(text, " ");
+
+    for (int i = 0; i < conn->prepared_count; i++) {
+        if (strncmp(conn->prepared[i], text, len) == 0
+            && conn->prepared[i][len] == ' ') {
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* Adds a prepared statement; @text is "name READ|WRITE shape". Returns false
+ * if the name is in use or there is no place. */
+static bool
+prepare(conn_t *conn, const char *text)
+{
+    if (prepared_index(conn, text) >= 0
+        || conn->prepared_count == PREPARED_MAX) {
+        return false;
+    }
+    snprintf(conn->prepared[conn->prepared_count++], BACKEND_TEXT_BYTES, "%s",
+             text);
+    return true;
+}
+
+static bool
+deallocate(conn_t *conn, const char *name)
+{
+    int index = prepared_index(conn, name);
+
+    if (index < 0) {
+        return false;
+    }
+    memcpy(conn->prepared[index], conn->prepared[--conn->prepared_count],
+           BACKEND_TEXT_BYTES);
+    return true;
+}
+
 static void
 run_relay_statement(conn_t *conn, const char *text)
 {
@@ -320,6 +380,10 @@
         db->suspended = false;
     }
     else if (strcmp(text, "RESET") == 0) {
+        if (conn->state != 'I') {
+            backend_report_violation(db->backend, "RESET in state %c",
+                                     conn->state);
+        }
         conn->values[0] = '\0';
         conn->prepared_count = 0;
     }
@@ -328,13 +392,17 @@
         conn->pending_count = 0;
     }
     else if (strncmp(text, "SET ", 4) == 0) {
-        size_t len = strlen(conn->values);
-        snprintf(conn->values + len, sizeof(conn->values) - len, "%s;",
-                 text + 4);
+        set_value(conn, text + 4);
     }
     else if (strncmp(text, "PREPARE ", 8) == 0) {
-        snprintf(conn->prepared[conn->prepared_count++ % PREPARED_MAX],
-                 BACKEND_TEXT_BYTES, "%s", text + 8);
+        if (!prepare(conn, text + 8)) {
+            backend_report_violation(db->backend, "refused: %s", text);
+        }
+    }
+    else if (strncmp(text, "DEALLOC ", 8) == 0) {
+        if (!deallocate(conn, text + 8)) {
+            backend_report_violation(db->backend, "refused: %s", text);
+        }
     }
     else {
         backend_report_violation(db->backend,
@@ -349,15 +417,9 @@
 static const char *
 find_prepared(const conn_t *conn, const char *text)
 {
-    size_t len = strcspn(text, " ");
+    int index = prepared_index(conn, text);
 
-    for (int i = conn->prepared_count - 1; i >= 0; i--) {
-        const char *name = conn->prepared[i % PREPARED_MAX];
-        if (strncmp(name, text, len) == 0 && name[len] == ' ') {
-            return name + len + 1;
-        }
-    }
-    return NULL;
+    return index >= 0 ? conn->prepared[index] + strcspn(text, " ") + 1 : NULL;
 }
 
 static bool
