--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -20,7 +20,7 @@
     NO_PRIMARY_MS = 1000,
     STATUS_TIMEOUT_MS = 350,   /* for a new connection and one answer */
     CATCH_UP_TIMEOUT_MS = 600, /* for a replica, after the demotion */
-    POLL_MS = 20, /* while a token or a replica's log is awaited */
+    POLL_MS = 20, /* while a token or an answer of a database is awaited */
     /* Time for a promoted database to register as the primary. No further
      * promotion of its service starts before that. */
     REGISTRATION_WAIT_MS = 2500,
@@ -53,7 +53,9 @@
     struct promotion *promotion;
     char *id;
     mr_db_conn_t *conn;
-    bool answered;
+    bool ready;    /* the connection is open and no answer is outstanding */
+    bool answered; /* at least once; @status is of the last answer */
+    bool refused;  /* at least once, for lack of a free slot */
     mr_db_status_t status;
 } status_query_t;
 
@@ -63,15 +65,19 @@
     mr_promoter_t *promoter;
     char *service;
     promotion_stage_t stage;
-    bool planned; /* the old primary still works */
-    bool demoted; /* it has confirmed that it leads no more */
+    bool planned;      /* the old primary still works */
+    char *old_primary; /* of a planned promotion; else NULL */
+    bool demoted;      /* it has confirmed that it leads no more */
     /* Replicas stop receiving while their logs are compared. */
     bool suspend_replicas;
     int64_t term;  /* newest known term of the service */
     int64_t token; /* fencing token of the order; 0: none yet */
     mr_list_t status_queries;
     char *candidate;
-    mr_position_t catch_up_position;
+    /* Log position that the candidate of a planned promotion has to hold
+     * before the next step: what the old primary had when it was asked, then
+     * what it had when it was demoted. */
+    mr_position_t required_position;
     mr_ms_t stage_started_at;
     mr_ms_t started_at;
     struct event *timer;
@@ -141,6 +147,7 @@
     mr_list_remove(&promotion->link);
     event_free(promotion->timer);
     free(promotion->service);
+    free(promotion->old_primary);
     free(promotion->candidate);
     free(promotion);
 }
@@ -304,7 +311,14 @@
     if (!promoter->stopped) {
         set_ordered_id(promoter, promotion->service, promotion->candidate);
     }
-    end_promotion(promotion, PROMOTION_RETRY_MS, mr_error_name(error));
+    /* Until the old primary registers, it cannot be told whether the order
+     * that names it again was carried out. */
+    bool names_old_primary =
+        promotion->old_primary != NULL
+        && strcmp(promotion->candidate, promotion->old_primary) == 0;
+    end_promotion(promotion,
+                  names_old_primary ? ADOPTED_WAIT_MS : PROMOTION_RETRY_MS,
+                  mr_error_name(error));
 }
 
 /* Whether no instance can use the old primary at present. */
@@ -381,6 +395,38 @@
     call_platform(promotion);
 }
 
+static status_query_t *
+find_status_query(promotion_t *promotion, const char *id)
+{
+    MR_LIST_FOREACH(it, &promotion->status_queries)
+    {
+        status_query_t *query = MR_LIST_ENTRY(it, status_query_t, link);
+        if (strcmp(query->id, id) == 0) {
+            return query;
+        }
+    }
+    return NULL;
+}
+
+static int64_t
+sync_copies(const promotion_t *promotion)
+{
+    const mr_promoter_options_t *options = &promotion->promoter->options;
+
+    return options->sync_copies(options->ctx, promotion->service);
+}
+
+/* Returns whether the candidate must hold every acknowledged commit, if the
+ * service requires copies of a commit. A planned promotion is judged by the
+ * log that the old primary had when it was demoted, an unplanned one by
+ * has_enough_answers(). */
+static bool
+is_complete(const promotion_t *promotion)
+{
+    return !promotion->planned || promotion->demoted
+           || sync_copies(promotion) == 0;
+}
+
 static void
 withhold(mr_promoter_t *promoter, const char *service, mr_ms_t now)
 {
@@ -401,6 +447,10 @@
 {
     mr_ms_t now = mr_clock_now(NULL);
 
+    if (!is_complete(promotion)) {
+        abandon_promotion(promotion, "not_demoted");
+        return;
+    }
     if (may_order(promotion)) {
         order(promotion);
         return;
@@ -418,17 +468,13 @@
     mr_timer_start(promotion->timer, POLL_MS);
 }
 
+/* Returns the query to the primary that a planned promotion replaces. */
 static status_query_t *
-find_status_query(promotion_t *promotion, const char *id)
+old_primary_query(promotion_t *promotion)
 {
-    MR_LIST_FOREACH(it, &promotion->status_queries)
-    {
-        status_query_t *query = MR_LIST_ENTRY(it, status_query_t, link);
-        if (strcmp(query->id, id) == 0) {
-            return query;
-        }
-    }
-    return NULL;
+    return promotion->old_primary != NULL
+               ? find_status_query(promotion, promotion->old_primary)
+               : NULL;
 }
 
 /* Returns the replica with the longest log among those that answered, except
@@ -438,7 +484,6 @@
 {
     mr_cluster_t *cluster = mr_clusters_get(
         promotion->promoter->options.clusters, promotion->service);
-    mr_db_t *primary = mr_cluster_known_primary(cluster);
     const char *ordered =
         get_service_state(promotion->promoter, promotion->service)->ordered_id;
     mr_db_t *best = NULL;
@@ -448,8 +493,8 @@
     {
         mr_db_t *db = MR_LIST_ENTRY(it, mr_db_t, link);
         status_query_t *query = find_status_query(promotion, db->id);
-        if (db->removed || db->draining
-            || (promotion->planned && db == primary) || query == NULL) {
+        if (db->removed || db->draining || query == NULL
+            || query == old_primary_query(promotion)) {
             continue;
         }
         if (ordered != NULL && strcmp(db->id, ordered) == 0) {
@@ -468,6 +513,17 @@
     return best;
 }
 
+/* Whether @db, which has answered, holds the required position. */
+static bool
+holds_required(promotion_t *promotion, const mr_db_t *db)
+{
+    const status_query_t *query = find_status_query(promotion, db->id);
+
+    return mr_position_compare(query->status.received,
+                               promotion->required_position)
+           >= 0;
+}
+
 /* Returns whether at least one of the replicas that answered must hold every
  * acknowledged commit: the ones that did not answer are fewer than the copies
  * that the service requires of a commit. The number of replicas is the
@@ -476,14 +532,13 @@
 static bool
 has_enough_answers(promotion_t *promotion)
 {
-    const mr_promoter_options_t *options = &promotion->promoter->options;
-    const mr_cluster_t *cluster =
-        mr_clusters_get(options->clusters, promotion->service);
-    int64_t needed = options->sync_copies(options->ctx, promotion->service);
+    const mr_cluster_t *cluster = mr_clusters_get(
+        promotion->promoter->options.clusters, promotion->service);
+    int64_t needed = sync_copies(promotion);
     int64_t replicas = cluster->dbs_seen_max - 1;
     int64_t answered = 0;
 
-    if (needed == 0 || promotion->planned) {
+    if (needed == 0) {
         return true;
     }
     MR_LIST_FOREACH(it, &promotion->status_queries)
@@ -493,20 +548,6 @@
     return answered > replicas - needed;
 }
 
-/* Starts the next step once no status answer is outstanding. */
-static void
-check_statuses_complete(promotion_t *promotion)
-{
-    MR_LIST_FOREACH(it, &promotion->status_queries)
-    {
-        status_query_t *query = MR_LIST_ENTRY(it, status_query_t, link);
-        if (query->conn != NULL && !query->answered) {
-            return;
-        }
-    }
-    mr_timer_start(promotion->timer, 0);
-}
-
 static bool
 read_status(const mr_reply_t *reply, mr_db_status_t *status)
 {
@@ -518,36 +559,99 @@
     return mr_db_status_parse(row, status);
 }
 
+/* Continues the promotion without waiting for its next poll. */
+static void
+wake(promotion_t *promotion)
+{
+    mr_timer_start(promotion->timer, 0);
+}
+
+/* A demoted primary whose connection is lost may have started again, and is
+ * then a primary as before. */
+static void
+handle_lost_query(status_query_t *query)
+{
+    promotion_t *promotion = query->promotion;
+
+    query->conn = NULL;
+    query->ready = false;
+    if (query == old_primary_query(promotion)) {
+        promotion->demoted = false;
+    }
+    wake(promotion);
+}
+
 static void
 on_status(void *ctx, mr_db_conn_t *conn, const mr_reply_t *reply)
 {
     status_query_t *query = ctx;
     promotion_t *promotion = query->promotion;
 
+    (void)conn;
     if (reply->lost) {
-        query->conn = NULL;
-        check_statuses_complete(promotion);
+        handle_lost_query(query);
         return;
     }
-    if (reply->error == MR_OK) {
-        query->answered = read_status(reply, &query->status);
+    query->ready = true;
+    if (reply->error == MR_OK && read_status(reply, &query->status)) {
+        query->answered = true;
+        if (query == old_primary_query(promotion)
+            && promotion->stage == STAGE_STATUS) {
+            promotion->required_position = query->status.received;
+        }
     }
-    if (!query->answered) {
+    else if (!query->refused) {
+        query->refused = true;
         mr_log(MR_LOG_INFO, MR_EVENT_STATUS_REFUSED,
                "service=%s id=%s error=%s", promotion->service, query->id,
                mr_error_name(reply->error));
     }
-    (void)conn;
-    check_statuses_complete(promotion);
+    if (query->answered) {
+        wake(promotion);
+    }
+}
+
+static void
+ask_status(status_query_t *query)
+{
+    char suspend[64];
+    const char *text = mr_relay_statement_text(MR_RELAY_STATUS);
+
+    if (query->promotion->suspend_replicas) {
+        /* A suspended replica acknowledges no further commit to the old
+         * primary. */
+        mr_suspend_statement_text(suspend, sizeof(suspend),
+                                  query->promotion->term + 1);
+        text = suspend;
+    }
+    query->ready = false;
+    mr_db_conn_query(query->conn, mr_relay_statement_id, NULL, text, on_status,
+                     query);
+}
+
+/* Asks the databases that have not answered yet, and the replicas that do not
+ * hold the required position. */
+static void
+ask_statuses(promotion_t *promotion)
+{
+    MR_LIST_FOREACH(it, &promotion->status_queries)
+    {
+        status_query_t *query = MR_LIST_ENTRY(it, status_query_t, link);
+        bool behind = query != old_primary_query(promotion)
+                      && mr_position_compare(query->status.received,
+                                             promotion->required_position)
+                             < 0;
+        if (query->ready && (!query->answered || behind)) {
+            ask_status(query);
+        }
+    }
 }
 
 /* The connection ended while no answer was outstanding. */
 static void
 on_status_lost(void *ctx)
 {
-    status_query_t *query = ctx;
-
-    query->conn = NULL;
+    handle_lost_query(ctx);
 }
 
 static void
@@ -556,28 +660,14 @@
     status_query_t *query = ctx;
 
     if (reply->lost || reply->error != MR_OK) {
-        query->conn = NULL;
         if (!reply->lost) {
             mr_db_conn_close(conn);
         }
-        check_statuses_complete(query->promotion);
+        handle_lost_query(query);
         return;
     }
-    char text[64];
-
     mr_db_conn_on_lost(conn, on_status_lost, query);
-    if (query->promotion->suspend_replicas) {
-        /* A suspended replica acknowledges no further commit to the old
-         * primary. */
-        mr_suspend_statement_text(text, sizeof(text),
-                                  query->promotion->term + 1);
-        mr_db_conn_query(conn, mr_relay_statement_id, NULL, text, on_status,
-                         query);
-        return;
-    }
-    mr_db_conn_query(conn, mr_relay_statement_id, NULL,
-                     mr_relay_statement_text(MR_RELAY_STATUS), on_status,
-                     query);
+    ask_status(query);
 }
 
 /* Queries the status of each registered database; of the old primary only if
@@ -593,10 +683,7 @@
 
     promotion->term = sample != NULL ? sample->position.term : 0;
     promotion->suspend_replicas =
-        !promotion->planned
-        && promoter->options.sync_copies(promoter->options.ctx,
-                                         promotion->service)
-               > 0;
+        !promotion->planned && sync_copies(promotion) > 0;
     set_stage(promotion, STAGE_STATUS);
     MR_LIST_FOREACH(it, &cluster->dbs)
     {
@@ -611,11 +698,23 @@
         query->conn = mr_db_conn_open(promoter->options.base, db,
                                       mr_no_account, on_status_open, query);
     }
-    mr_timer_start(promotion->timer, STATUS_TIMEOUT_MS);
+    mr_timer_start(promotion->timer, POLL_MS);
+}
+
+/* Returns whether each database that can be reached has answered. */
+static bool
+have_all_answered(const promotion_t *promotion)
+{
+    MR_LIST_FOREACH(it, &promotion->status_queries)
+    {
+        const status_query_t *query = MR_LIST_ENTRY(it, status_query_t, link);
+        if (query->conn != NULL && !query->answered) {
+            return false;
+        }
+    }
+    return true;
 }
 
-/* The old primary was demoted, or did not answer. Its replicas may still
- * receive the last entries of its log. */
 static void
 on_demoted(void *ctx, mr_db_conn_t *conn, const mr_reply_t *reply)
 {
@@ -624,51 +723,101 @@
     mr_db_status_t status;
 
     (void)conn;
+    mr_log(MR_LOG_INFO, MR_EVENT_PRIMARY_DEMOTED, "service=%s id=%s error=%s",
+           promotion->service, query->id, mr_error_name(reply->error));
     if (reply->lost) {
-        query->conn = NULL;
+        handle_lost_query(query);
+        return;
     }
+    query->ready = true;
     if (reply->error == MR_OK && read_status(reply, &status)) {
-        promotion->catch_up_position = status.received;
+        promotion->required_position = status.received;
         promotion->demoted = true;
+        wake(promotion);
     }
-    mr_log(MR_LOG_INFO, MR_EVENT_PRIMARY_DEMOTED, "service=%s id=%s error=%s",
-           promotion->service, query->id, mr_error_name(reply->error));
-    set_stage(promotion, STAGE_CATCH_UP);
-    mr_timer_start(promotion->timer, 0);
 }
 
+/* Asks the old primary to become a replica, again if it had no free slot. */
 static void
-demote_old_primary(promotion_t *promotion, status_query_t *primary)
+ask_to_demote(status_query_t *primary)
 {
     char text[64];
     int64_t term = primary->status.held_term;
 
+    if (!primary->ready) {
+        return;
+    }
     if (primary->status.received.term > term) {
         term = primary->status.received.term;
     }
-    set_stage(promotion, STAGE_DEMOTE);
     mr_demote_statement_text(text, sizeof(text), term + 1);
+    primary->ready = false;
     mr_db_conn_query(primary->conn, mr_relay_statement_id, NULL, text,
                      on_demoted, primary);
-    mr_timer_start(promotion->timer, STATUS_TIMEOUT_MS);
 }
 
-/* Chooses the new primary once all statuses have arrived or their time is
- * over. */
 static void
-choose_candidate(promotion_t *promotion)
+set_candidate(promotion_t *promotion, const char *id)
+{
+    free(promotion->candidate);
+    promotion->candidate = mr_strdup(id);
+}
+
+/* Polls the replicas after the demotion until one of them holds the whole log
+ * of the old primary. If none does in time, the longest log is promoted, or,
+ * if the service requires copies of a commit, the old primary once more. */
+static void
+catch_up(promotion_t *promotion)
 {
-    mr_cluster_t *cluster = mr_clusters_get(
-        promotion->promoter->options.clusters, promotion->service);
-    mr_db_t *primary = mr_cluster_known_primary(cluster);
     mr_db_t *best = choose_replica(promotion);
+    status_query_t *old = old_primary_query(promotion);
+    mr_ms_t waited = mr_clock_now(NULL) - promotion->stage_started_at;
+    bool caught_up = best != NULL && holds_required(promotion, best);
 
-    if (best == NULL || !has_enough_answers(promotion)) {
-        abandon_promotion(promotion, "no_replica");
+    if (!caught_up && waited < CATCH_UP_TIMEOUT_MS) {
+        ask_statuses(promotion);
+        mr_timer_start(promotion->timer, POLL_MS);
         return;
     }
+    if (caught_up || sync_copies(promotion) == 0) {
+        if (best != NULL) {
+            set_candidate(promotion, best->id);
+        }
+    }
+    else if (old != NULL && old->conn != NULL) {
+        set_candidate(promotion, old->id);
+    }
+    else {
+        abandon_promotion(promotion, "not_caught_up");
+        return;
+    }
+    await_leases(promotion);
+}
+
+static void
+await_demotion(promotion_t *promotion)
+{
+    status_query_t *old = old_primary_query(promotion);
+    mr_ms_t waited = mr_clock_now(NULL) - promotion->stage_started_at;
+
+    if (!promotion->demoted && old->conn != NULL
+        && waited < STATUS_TIMEOUT_MS) {
+        ask_to_demote(old);
+        mr_timer_start(promotion->timer, POLL_MS);
+        return;
+    }
+    set_stage(promotion, STAGE_CATCH_UP);
+    catch_up(promotion);
+}
+
+/* Continues with the candidate that the statuses name. */
+static void
+take_candidate(promotion_t *promotion, const mr_db_t *best)
+{
     service_state_t *state =
         get_service_state(promotion->promoter, promotion->service);
+    status_query_t *old = old_primary_query(promotion);
+
     if (mr_fence_waiting(state->fence, mr_clock_now(NULL))) {
         mr_timer_start(promotion->timer, POLL_MS);
         return;
@@ -678,51 +827,67 @@
         abandon_promotion(promotion, "no_token");
         return;
     }
-    free(promotion->candidate);
-    promotion->candidate = mr_strdup(best->id);
-    status_query_t *old_primary =
-        promotion->planned && primary != NULL
-            ? find_status_query(promotion, primary->id)
-            : NULL;
-    if (old_primary != NULL && old_primary->answered
-        && old_primary->conn != NULL) {
-        demote_old_primary(promotion, old_primary);
+    set_candidate(promotion, best->id);
+    if (old != NULL && old->answered && old->conn != NULL) {
+        set_stage(promotion, STAGE_DEMOTE);
+        await_demotion(promotion);
         return;
     }
     await_leases(promotion);
 }
 
-static void
-on_catch_up_status(void *ctx, mr_db_conn_t *conn, const mr_reply_t *reply)
+/* Whether the old primary has answered, and a replica holds what it had then,
+ * so that it receives. */
+static bool
+can_demote(promotion_t *promotion, const mr_db_t *best)
 {
-    status_query_t *query = ctx;
+    const status_query_t *old = old_primary_query(promotion);
 
-    on_status(ctx, conn, reply);
-    if (reply->lost) {
-        query->answered = false;
+    return old != NULL && old->answered && best != NULL
+           && holds_required(promotion, best);
+}
+
+/* Whether the answers show that the promotion loses no acknowledged commit, or
+ * that it may. */
+static bool
+is_sufficient(promotion_t *promotion, const mr_db_t *best)
+{
+    if (!promotion->planned) {
+        return has_enough_answers(promotion);
+    }
+    return can_demote(promotion, best) || sync_copies(promotion) == 0;
+}
+
+/* Whether further answers would change nothing. */
+static bool
+is_status_complete(promotion_t *promotion, const mr_db_t *best)
+{
+    const status_query_t *old = old_primary_query(promotion);
+
+    if (old != NULL && old->conn != NULL) {
+        return can_demote(promotion, best);
     }
-    mr_timer_start(query->promotion->timer, POLL_MS);
+    return have_all_answered(promotion);
 }
 
-/* Polls the candidate until it holds the whole log of the old primary, or time
- * is up. */
+/* Chooses the new primary once all statuses have arrived or their time is
+ * over. */
 static void
-catch_up(promotion_t *promotion)
+await_statuses(promotion_t *promotion)
 {
-    status_query_t *query = find_status_query(promotion, promotion->candidate);
+    mr_db_t *best = choose_replica(promotion);
     mr_ms_t waited = mr_clock_now(NULL) - promotion->stage_started_at;
 
-    if (query == NULL || query->conn == NULL || waited >= CATCH_UP_TIMEOUT_MS
-        || mr_position_compare(query->status.received,
-                               promotion->catch_up_position)
-               >= 0) {
-        await_leases(promotion);
+    if (!is_status_complete(promotion, best) && waited < STATUS_TIMEOUT_MS) {
+        ask_statuses(promotion);
+        mr_timer_start(promotion->timer, POLL_MS);
         return;
     }
-    mr_db_conn_query(query->conn, mr_relay_statement_id, NULL,
-                     mr_relay_statement_text(MR_RELAY_STATUS),
-                     on_catch_up_status, query);
-    mr_timer_start(promotion->timer, STATUS_TIMEOUT_MS);
+    if (best == NULL || !is_sufficient(promotion, best)) {
+        abandon_promotion(promotion, "no_replica");
+        return;
+    }
+    take_candidate(promotion, best);
 }
 
 static void
@@ -734,11 +899,10 @@
     (void)what;
     switch (promotion->stage) {
     case STAGE_STATUS:
-        choose_candidate(promotion);
+        await_statuses(promotion);
         break;
     case STAGE_DEMOTE:
-        set_stage(promotion, STAGE_CATCH_UP);
-        catch_up(promotion);
+        await_demotion(promotion);
         break;
     case STAGE_CATCH_UP:
         catch_up(promotion);
@@ -764,6 +928,12 @@
     promotion->promoter = promoter;
     promotion->service = mr_strdup(service);
     promotion->planned = planned;
+    if (planned) {
+        promotion->old_primary =
+            mr_strdup(mr_cluster_known_primary(
+                          mr_clusters_get(promoter->options.clusters, service))
+                          ->id);
+    }
     promotion->started_at = mr_clock_now(NULL);
     mr_list_init(&promotion->status_queries);
     mr_list_append(&promoter->promotions, &promotion->link);
