--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -477,37 +477,87 @@
                : NULL;
 }
 
-/* Returns the replica with the longest log among those that answered, except
- * removed and draining ones; NULL: none. */
+static mr_cluster_t *
+promotion_cluster(const promotion_t *promotion)
+{
+    return mr_clusters_get(promotion->promoter->options.clusters,
+                           promotion->service);
+}
+
+/* Whether @db is a better candidate than @best. If the service requires copies
+ * of a commit, the longest log decides, as no other one is known to hold every
+ * acknowledged commit. Else a replica that stays goes before one that drains,
+ * which soon has to be replaced in turn. */
+static bool
+is_better_candidate(promotion_t *promotion, const mr_db_t *db,
+                    const mr_db_t *best)
+{
+    int order;
+
+    if (best == NULL) {
+        return true;
+    }
+    order = mr_position_compare(
+        find_status_query(promotion, db->id)->status.received,
+        find_status_query(promotion, best->id)->status.received);
+    if (db->draining != best->draining
+        && (order == 0 || sync_copies(promotion) == 0)) {
+        return best->draining;
+    }
+    return order > 0;
+}
+
+/* Whether @db may become the primary, apart from its log. A replica that
+ * drains only replaces a primary that has failed, and without required copies
+ * only if no other replica is registered. */
+static bool
+is_candidate(promotion_t *promotion, const mr_db_t *db)
+{
+    const mr_db_t *primary =
+        mr_cluster_known_primary(promotion_cluster(promotion));
+
+    if (db->removed || find_status_query(promotion, db->id) == NULL
+        || find_status_query(promotion, db->id)
+               == old_primary_query(promotion)) {
+        return false;
+    }
+    if (!db->draining) {
+        return true;
+    }
+    if (promotion->planned) {
+        return false;
+    }
+    MR_LIST_FOREACH(it, &promotion_cluster(promotion)->dbs)
+    {
+        const mr_db_t *other = MR_LIST_ENTRY(it, mr_db_t, link);
+        if (!other->removed && !other->draining && other != primary) {
+            return sync_copies(promotion) > 0;
+        }
+    }
+    return true;
+}
+
+/* Returns the best candidate among the replicas that answered, or the database
+ * that an unanswered order named; NULL: none. */
 static mr_db_t *
 choose_replica(promotion_t *promotion)
 {
-    mr_cluster_t *cluster = mr_clusters_get(
-        promotion->promoter->options.clusters, promotion->service);
     const char *ordered =
         get_service_state(promotion->promoter, promotion->service)->ordered_id;
     mr_db_t *best = NULL;
-    mr_position_t best_position = {0, 0};
 
-    MR_LIST_FOREACH(it, &cluster->dbs)
+    MR_LIST_FOREACH(it, &promotion_cluster(promotion)->dbs)
     {
         mr_db_t *db = MR_LIST_ENTRY(it, mr_db_t, link);
-        status_query_t *query = find_status_query(promotion, db->id);
-        if (db->removed || db->draining || query == NULL
-            || query == old_primary_query(promotion)) {
+        if (!is_candidate(promotion, db)) {
             continue;
         }
         if (ordered != NULL && strcmp(db->id, ordered) == 0) {
             return db;
         }
-        if (!query->answered) {
-            continue;
-        }
-        if (best == NULL
-            || mr_position_compare(query->status.received, best_position)
-                   > 0) {
+        if (find_status_query(promotion, db->id)->answered
+            && is_better_candidate(promotion, db, best)) {
             best = db;
-            best_position = query->status.received;
         }
     }
     return best;
--- a/tests/unit/test_promoter.c
+++ b/tests/unit/test_promoter.c
@@ -445,9 +445,10 @@
 }
 END_TEST
 
-/* The primary "a" fails and does not leave; "c" is a second replica. */
+/* The primary "a" fails and does not leave; "b" and "c" are replicas.
+ * @draining: ids of the databases that leave */
 static void
-fail_primary(void)
+fail_primary_beside(const char *draining)
 {
     mr_db_entry_t entry = {.service = "rez",
                            .address = "127.0.0.1:1",
@@ -461,14 +462,22 @@
                                  (mr_revision_t){1, 94});
     entry.primary = false;
     entry.address = "127.0.0.1:2";
+    entry.draining = strchr(draining, 'b') != NULL;
     mr_clusters_add_registration(clusters, "b", &entry,
                                  (mr_revision_t){1, 95});
     entry.address = "127.0.0.1:3";
+    entry.draining = strchr(draining, 'c') != NULL;
     mr_clusters_add_registration(clusters, "c", &entry,
                                  (mr_revision_t){1, 96});
     mr_clusters_end_update(clusters, mr_clock_now(NULL));
 }
 
+static void
+fail_primary(void)
+{
+    fail_primary_beside("");
+}
+
 /* As check_for(), with a store that answers. @failing: the only instance
  * reports that "a" fails. */
 static void
@@ -643,6 +652,47 @@
 }
 END_TEST
 
+/* Fails the primary while "b" and "c" hold the given logs, and expects
+ * @target to be promoted. */
+static void
+assert_failover(int64_t copies_needed, const char *draining, int64_t b,
+                int64_t c, const char *target)
+{
+    copies = copies_needed;
+    dbs[1].entries = b;
+    dbs[2].entries = c;
+    fail_primary_beside(draining);
+    check_answered_for(MR_PRIMARY_LEASE_MS + 500, true);
+    ck_assert_uint_eq(client.count, 1);
+    ck_assert_str_eq(client.targets[0], target);
+}
+
+/* Guards against the loss of commits that only a draining replica holds. */
+START_TEST(test_with_copies_the_longest_log_leads_although_it_drains)
+{
+    assert_failover(1, "c", 10, 20, "c");
+}
+END_TEST
+
+START_TEST(test_with_equal_logs_the_replica_that_stays_leads)
+{
+    assert_failover(1, "b", 20, 20, "c");
+}
+END_TEST
+
+START_TEST(test_without_copies_a_replica_that_stays_leads)
+{
+    assert_failover(0, "c", 10, 20, "b");
+}
+END_TEST
+
+/* Guards against a service without a primary until a replica was replaced. */
+START_TEST(test_without_copies_a_draining_replica_leads_if_none_stays)
+{
+    assert_failover(0, "bc", 10, 20, "c");
+}
+END_TEST
+
 /* Another writer may register a replica of any service, which then seems to
  * have no primary. */
 START_TEST(test_a_service_that_the_desired_state_does_not_name_is_left_alone)
@@ -680,6 +730,10 @@
         test_a_planned_promotion_with_copies_needs_a_demotion,
         test_an_old_primary_that_nobody_catches_up_with_leads_again,
         test_an_old_primary_that_ends_after_its_demotion_stops_the_order,
+        test_with_copies_the_longest_log_leads_although_it_drains,
+        test_with_equal_logs_the_replica_that_stays_leads,
+        test_without_copies_a_replica_that_stays_leads,
+        test_without_copies_a_draining_replica_leads_if_none_stays,
     };
 
     return RUN_TESTS(tests, .suite = "promoter", .timeout_s = 20,
