--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -282,17 +282,22 @@
  * the primary before a restoration and again after it outranks all promotions
  * before the restoration, and none after it. */
 static void
-set_primary(mr_db_t *db, const char *id, mr_revision_t revision)
+set_primary(mr_db_t *db, const char *id, mr_revision_t revision, bool added)
 {
+    mr_clusters_t *clusters = db->cluster->clusters;
+
     if (db->primary_since != 0) {
         int64_t era_start =
             mr_revision_number((mr_revision_t){revision.era, 1});
         if (db->primary_since >= era_start
-            || may_be_copy(db->cluster->clusters, revision)) {
+            || may_be_copy(clusters, revision)) {
             return;
         }
         revision.version = 1;
     }
+    else {
+        db->primary_since_known = !added && !may_be_copy(clusters, revision);
+    }
     db->primary_since = mr_revision_number(revision);
     mr_log(MR_LOG_INFO, MR_EVENT_PRIMARY_REGISTERED,
            "service=%s id=%s era=%lld version=%lld", db->cluster->service, id,
@@ -306,6 +311,7 @@
 {
     mr_cluster_t *cluster = mr_clusters_get(clusters, entry->service);
     mr_db_t *db = find_db(cluster, id);
+    bool added;
 
     if (db != NULL && !is_same_process(db, entry)) {
         mr_log(MR_LOG_INFO, MR_EVENT_DATABASE_RESTARTED, "service=%s id=%s",
@@ -313,8 +319,14 @@
         remove_db(db);
         db = NULL;
     }
-    if (db == NULL) {
+    added = db == NULL;
+    if (added) {
         db = add_db(cluster, id, entry);
+        /* A promotion of another database is known. Whether this one became
+         * the primary after that cannot be told from its registration, which
+         * is written again all the time. */
+        db->former_primary |= entry->primary && cluster->promoted_id != NULL
+                              && strcmp(cluster->promoted_id, id) != 0;
         if (may_be_copy(clusters, revision)) {
             /* Perhaps a former primary. */
             revision.era = clusters->era_before_restore;
@@ -335,7 +347,7 @@
     else if (!db->former_primary) {
         /* A former primary that has not heard of the promotion registers as
          * the primary again, later than the new one. */
-        set_primary(db, id, revision);
+        set_primary(db, id, revision, added);
     }
 }
 
@@ -404,6 +416,22 @@
     note_primary(cluster);
 }
 
+/* Records a change of primary that another coordinator has brought about and
+ * that shows in the registrations first. */
+static void
+record_registered_change(mr_cluster_t *cluster)
+{
+    const mr_db_t *primary = mr_cluster_known_primary(cluster);
+
+    if (primary != NULL && primary->primary_since_known
+        && primary->primary_since > cluster->promoted_token
+        && (cluster->promoted_id == NULL
+            || strcmp(cluster->promoted_id, primary->id) != 0)) {
+        mr_cluster_record_promotion(cluster, primary->id,
+                                    primary->primary_since);
+    }
+}
+
 void
 mr_clusters_end_update(mr_clusters_t *clusters, mr_ms_t now)
 {
@@ -423,6 +451,7 @@
             cluster->dbs_seen_max = registered;
         }
         keep_registered_primary(cluster);
+        record_registered_change(cluster);
         if (mr_cluster_known_primary(cluster) != NULL) {
             cluster->no_primary_since = 0;
         }
@@ -438,12 +467,36 @@
     return db->refused_at != 0 && now < db->refused_at + NOT_PRIMARY_RETRY_MS;
 }
 
+/* Whether all that is known of the primary are the registrations of two
+ * databases, of which one is a former primary. */
+static bool
+is_ambiguous(const mr_cluster_t *cluster)
+{
+    int registered = 0;
+
+    MR_LIST_FOREACH(it, &cluster->dbs)
+    {
+        const mr_db_t *db = MR_LIST_ENTRY(it, mr_db_t, link);
+        if (db->removed || db->primary_since == 0) {
+            continue;
+        }
+        if (db->primary_since_known) {
+            return false;
+        }
+        registered++;
+    }
+    return registered > 1 && cluster->promoted_id == NULL;
+}
+
 static mr_db_t *
 find_primary(mr_cluster_t *cluster, bool include_refusing, mr_ms_t now)
 {
     mr_db_t *best = NULL;
     int64_t best_claim = 0;
 
+    if (is_ambiguous(cluster)) {
+        return NULL;
+    }
     MR_LIST_FOREACH(it, &cluster->dbs)
     {
         mr_db_t *db = MR_LIST_ENTRY(it, mr_db_t, link);
@@ -507,7 +560,8 @@
         if (strcmp(db->id, promoted_id) == 0) {
             db->former_primary = false;
         }
-        else if (db->primary_since != 0 && db->primary_since < token) {
+        else if (db->primary_since != 0
+                 && (db->primary_since < token || !db->primary_since_known)) {
             db->former_primary = true;
             db->primary_since = 0;
         }
--- a/lib/session/cluster.h
+++ b/lib/session/cluster.h
@@ -33,8 +33,11 @@
     bool in_current_set;   /* in the newest set of registrations */
     mr_ms_t missing_since; /* 0: in the newest set */
     bool removed; /* no longer registered; freed with its last connection */
-    int64_t primary_since; /* number of the revision since which it is
-                              registered as the primary; 0: as a replica */
+    int64_t primary_since;    /* number of the revision since which it is
+                                 registered as the primary; 0: as a replica */
+    bool primary_since_known; /* this process saw it register as a replica
+                                 before; else it may have been registered as
+                                 the primary for long */
     bool former_primary;   /* replaced by a promotion, and has not registered
                               as a replica since */
     mr_ms_t refused_at;    /* last refusal because it is not the primary */
@@ -79,9 +82,13 @@
     mr_sample_t samples[MR_SAMPLES]; /* ring buffer, oldest first */
     size_t sample_first;
     size_t sample_count;
-    char *promoted_id;      /* database that the last promotion named */
-    int64_t promoted_token; /* fencing token of that promotion; higher if the
-                               previous primary registered after the token */
+    /* Newest change of primary that is known for certain: a promotion, or a
+     * registration that this process saw change. */
+    char *promoted_id;      /* primary since then; NULL: none is known */
+    int64_t promoted_token; /* number of the change: fencing token of the
+                               promotion, higher if the previous primary
+                               registered after the token; or the revision of
+                               the registration */
     bool named; /* by the desired state; registrations may name any service */
     int64_t connections_max; /* to one database, from all instances */
     mr_ms_t promoted_at;     /* when this instance learned of it */
@@ -150,11 +157,12 @@
 
 /** mr_cluster_primary() - the database that the newest registration or
  * promotion names as the primary, except databases that have lately refused
- * because they are replicas; NULL: none. */
+ * because they are replicas; NULL: none, or two that were registered as the
+ * primary when this process first read them, which cannot be told apart. */
 mr_db_t *mr_cluster_primary(mr_cluster_t *cluster, mr_ms_t now);
 
-/** mr_cluster_known_primary() - the database that the newest registration or
- * promotion names as the primary, even if it fails or refuses; NULL: none. */
+/** mr_cluster_known_primary() - as mr_cluster_primary(), even if the database
+ * fails or refuses. */
 mr_db_t *mr_cluster_known_primary(mr_cluster_t *cluster);
 
 /** mr_cluster_has_lease() - whether the primary of @cluster may be used. */
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -159,11 +159,10 @@
 {
     for (size_t i = 0; i < reply->primary_count; i++) {
         const mr_msg_primary_t *primary = &reply->primaries[i];
+        /* Kept also for a service whose databases this instance has not read
+         * yet. */
         mr_cluster_t *cluster =
-            mr_clusters_find(fleet->options.clusters, primary->service);
-        if (cluster == NULL) {
-            continue;
-        }
+            mr_clusters_get(fleet->options.clusters, primary->service);
         if (primary->promoted[0] != '\0') {
             mr_cluster_record_promotion(cluster, primary->promoted,
                                         primary->promoted_version);
@@ -721,9 +720,10 @@
         fleet, from, report->address, report->link_mbps);
     uint64_t known_changes = 0;
     if (instance != NULL) {
-        /* After a longer gap the instance may have restarted, and then needs
-         * all primaries. */
-        if (now - instance->last_report_at <= REPORT_GAP_MAX_MS) {
+        /* A process that has just started, as provisional support and a longer
+         * gap tell, needs all primaries. */
+        if (!report->provisional
+            && now - instance->last_report_at <= REPORT_GAP_MAX_MS) {
             known_changes = instance->sent_changes;
         }
         instance->last_report_at = now;
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -263,8 +263,9 @@
 /** State of a service's primary, as known to the coordinator. */
 typedef struct mr_msg_primary {
     const char *service;
-    const char *promoted;     /* database that was promoted last; "": none */
-    int64_t promoted_version; /* fencing token of that promotion */
+    const char *promoted;     /* primary since the newest change; "": none */
+    int64_t promoted_version; /* number of that change: the fencing token, or
+                                 the revision of the registration */
     int64_t term;             /* term of the primary's log position */
     int64_t position;         /* the log position within the term */
     int64_t age_ms;           /* of the log position; -1: unknown */
--- a/tests/integration/session_soak_check.c
+++ b/tests/integration/session_soak_check.c
@@ -92,6 +92,57 @@
     }
 }
 
+/* Prints the lines of a log that contain one of @texts, which ends with NULL,
+ * up to the first line that contains @last. */
+static void
+print_lines(const relay_process_t *relay, const char *const *texts,
+            const char *last)
+{
+    FILE *file = fopen(relay->log, "r");
+    char line[2048];
+    bool over = false;
+
+    while (file != NULL && !over && fgets(line, sizeof(line), file)) {
+        bool printed = over = last != NULL && strstr(line, last) != NULL;
+        for (int i = 0; texts[i] != NULL && !printed; i++) {
+            printed = strstr(line, texts[i]) != NULL;
+        }
+        if (printed) {
+            printf("  %s", line);
+        }
+    }
+    if (file != NULL) {
+        fclose(file);
+    }
+}
+
+/* Prints what the instance that ran statement @id knew of the primaries from
+ * its start on, and the promotions by all instances. */
+static void
+print_primary_history(const soak_t *soak, const char *id)
+{
+    static const char *const own_events[] = {
+        "event=started ",          "event=primary_registered ",
+        "event=primary_promoted ", "event=primary_withheld ",
+        "event=primary_granted ",  "event=primary_lease_",
+        "event=coordinator_",      NULL};
+    static const char *const order_events[] = {"event=promotion_ordered ",
+                                               "event=promotion_ended ", NULL};
+    char end[BACKEND_TEXT_BYTES + 64];
+
+    snprintf(end, sizeof(end), "event=request_ended id=%s ", id);
+    for (int i = 0; i < SOAK_RELAYS; i++) {
+        if (relay_log_contains(&soak->relays[i], end, "")) {
+            printf("%s ran %s; its log:\n", soak->relays[i].name, id);
+            print_lines(&soak->relays[i], own_events, end);
+        }
+    }
+    printf("promotions:\n");
+    for (int i = 0; i < SOAK_RELAYS; i++) {
+        print_lines(&soak->relays[i], order_events, NULL);
+    }
+}
+
 /* An acknowledged write is committed; a refused or rolled-back one is not. */
 static void
 check_writes(checker_t *checker, soak_op_t *op)
@@ -116,6 +167,9 @@
         }
         ck_assert_msg(committed, "LOST: %s was acknowledged but not committed",
                       statement->id);
+        if (run->former) {
+            print_primary_history(checker->soak, statement->id);
+        }
         ck_assert_msg(!run->former,
                       "ONE: %s was committed by a former primary and "
                       "acknowledged",
@@ -169,9 +223,13 @@
             if (commit->op->ended_at >= op->sent_at - (own ? 0 : age)) {
                 continue;
             }
-            ck_assert_msg(run->term > commit->term
-                              || (run->term == commit->term
-                                  && run->log_index >= commit->log_index),
+            bool covers = run->term > commit->term
+                          || (run->term == commit->term
+                              && run->log_index >= commit->log_index);
+            if (!covers) {
+                print_primary_history(checker->soak, statement->id);
+            }
+            ck_assert_msg(covers,
                           "STALE: %s on route %s ran at %lld.%lld, lacks "
                           "%lld.%lld, acknowledged %lld ms earlier",
                           statement->id, soak_databases[op->route],
--- a/tests/unit/test_clusters.c
+++ b/tests/unit/test_clusters.c
@@ -6,6 +6,7 @@
 
 #include <event2/event.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "../common/runner.h"
 #include "session/cluster.h"
@@ -438,6 +439,108 @@
 }
 END_TEST
 
+/** What a process that has just started learns, in this order. */
+typedef enum start_input {
+    INPUT_NONE,
+    INPUT_REGISTRATIONS,   /* both register as the primary */
+    INPUT_PROMOTION,       /* "b" was promoted */
+    INPUT_OLDER_PROMOTION, /* "a" had been promoted before */
+    INPUT_FORMER_KNOWS,    /* "a" registers as a replica */
+} start_input_t;
+
+enum { INPUTS_MAX = 4 };
+
+/** Inputs in the order of their arrival, and the primary after them. */
+typedef struct start_order {
+    start_input_t inputs[INPUTS_MAX];
+    const char *primary; /* NULL: none may be used */
+} start_order_t;
+
+/* The former primary "a" still registers as the primary. Its row is newer than
+ * the token that "b" was promoted with. */
+static const start_order_t start_orders[] = {
+    {{INPUT_REGISTRATIONS}, NULL},
+    {{INPUT_REGISTRATIONS, INPUT_REGISTRATIONS}, NULL},
+    {{INPUT_PROMOTION}, NULL},
+    {{INPUT_REGISTRATIONS, INPUT_PROMOTION}, "b"},
+    {{INPUT_PROMOTION, INPUT_REGISTRATIONS}, "b"},
+    {{INPUT_PROMOTION, INPUT_PROMOTION, INPUT_REGISTRATIONS}, "b"},
+    {{INPUT_REGISTRATIONS, INPUT_PROMOTION, INPUT_REGISTRATIONS}, "b"},
+    {{INPUT_PROMOTION, INPUT_REGISTRATIONS, INPUT_PROMOTION}, "b"},
+    {{INPUT_PROMOTION, INPUT_OLDER_PROMOTION, INPUT_REGISTRATIONS}, "b"},
+    {{INPUT_OLDER_PROMOTION, INPUT_REGISTRATIONS, INPUT_PROMOTION}, "b"},
+    {{INPUT_REGISTRATIONS, INPUT_OLDER_PROMOTION, INPUT_PROMOTION}, "b"},
+    {{INPUT_REGISTRATIONS, INPUT_FORMER_KNOWS}, "b"},
+    {{INPUT_FORMER_KNOWS, INPUT_REGISTRATIONS}, "b"},
+    {{INPUT_PROMOTION, INPUT_FORMER_KNOWS, INPUT_REGISTRATIONS}, "b"},
+};
+
+static void
+apply_start_input(start_input_t input, int64_t era, int64_t step)
+{
+    const row_t both[] = {
+        {"a", true, era, 82 + step}, {"b", true, era, 80 + step}, {0}};
+    const row_t former_knows[] = {
+        {"a", false, era, 82 + step}, {"b", true, era, 80 + step}, {0}};
+
+    switch (input) {
+    case INPUT_NONE:
+        return;
+    case INPUT_REGISTRATIONS:
+        apply_set(era, 83 + step, both, NOW + step);
+        return;
+    case INPUT_FORMER_KNOWS:
+        apply_set(era, 83 + step, former_knows, NOW + step);
+        return;
+    case INPUT_PROMOTION:
+        mr_cluster_record_promotion(mr_clusters_get(clusters, "rez"), "b",
+                                    mr_revision_number(at(era, 47)));
+        return;
+    case INPUT_OLDER_PROMOTION:
+        mr_cluster_record_promotion(mr_clusters_get(clusters, "rez"), "a",
+                                    mr_revision_number(at(era - 1, 300)));
+        return;
+    }
+}
+
+/* Guards against a process that takes a former primary for the primary at its
+ * start, in whatever order it learns of both. */
+START_TEST(test_a_starting_process_does_not_use_a_former_primary)
+{
+    const start_order_t *order = &start_orders[_i];
+
+    for (int i = 0; i < INPUTS_MAX; i++) {
+        apply_start_input(order->inputs[i], 1, i);
+    }
+    const mr_db_t *primary = mr_cluster_primary(rez_cluster(), NOW);
+    ck_assert_msg(order->primary == NULL
+                      ? primary == NULL
+                      : primary != NULL
+                            && strcmp(primary->id, order->primary) == 0,
+                  "order %d: %s", _i, primary != NULL ? primary->id : "none");
+    ck_assert_ptr_eq(primary, mr_cluster_known_primary(rez_cluster()));
+}
+END_TEST
+
+/* Guards against a change that another coordinator ordered being undone by the
+ * news of an earlier one. */
+START_TEST(test_a_registration_that_was_seen_to_change_outranks_a_promotion)
+{
+    const row_t before[] = {{"a", true, 1, 5}, {"b", false, 1, 6}, {0}};
+    const row_t after[] = {{"a", false, 1, 20}, {"b", true, 1, 21}, {0}};
+
+    apply_set(1, 7, before, NOW);
+    apply_set(1, 22, after, NOW + 100);
+    mr_cluster_record_promotion(rez_cluster(), "a",
+                                mr_revision_number(at(1, 3)));
+    ck_assert_str_eq(mr_cluster_known_primary(rez_cluster())->id, "b");
+    /* It is passed on to processes that start. */
+    ck_assert_str_eq(rez_cluster()->promoted_id, "b");
+    ck_assert_int_eq(rez_cluster()->promoted_token,
+                     mr_revision_number(at(1, 21)));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -461,8 +564,11 @@
         test_readers_exclude_unusable_databases,
         test_reads_avoid_a_database_without_free_slots,
         test_kept_connections_of_all_instances_stay_below_the_limit,
+        test_a_registration_that_was_seen_to_change_outranks_a_promotion,
     };
 
-    return RUN_TESTS(tests, .suite = "clusters", .setup = set_up,
-                     .teardown = tear_down);
+    return RUN_TESTS(
+        tests, .suite = "clusters", .setup = set_up, .teardown = tear_down,
+        .loop = {test_a_starting_process_does_not_use_a_former_primary, 0,
+                 sizeof(start_orders) / sizeof(start_orders[0])});
 }
--- a/tests/unit/test_lease_model.c
+++ b/tests/unit/test_lease_model.c
@@ -32,8 +32,10 @@
     ORDER_LATE_MAX_MS = 2400,
     ORDER_RETRY_MS = 300,
     ADOPTED_WAIT_MS = 4000,
-    /* Until the coordinators have read the registration of a new primary. */
+    /* Until the coordinators have read the registration of a new primary, and
+     * the former one registers as a replica. */
     REGISTERED_AFTER_MS = 1500,
+    NONE_KNOWN = -1, /* two databases register as the primary */
     SUSPENDED_MAX_MS = 4000,
 };
 
@@ -44,6 +46,9 @@
     MUTANT_NO_CHECK_AFTER, /* leases are not checked at the answer */
     MUTANT_ORDER_AT_ONCE,  /* promotions do not wait for leases */
     MUTANT_FREE_SUPPORT,   /* instances support several coordinators */
+    /* A process that has just started takes the former primary, whose
+     * registration is the newer one, whatever it is told. */
+    MUTANT_NEWER_REGISTRATION,
 } mutant_t;
 
 /** A report, and its reply once it has arrived at the coordinator. */
@@ -66,8 +71,9 @@
     char name[8];
     mr_primary_lease_t *lease;
     mr_lease_grantor_t *grantor;
-    int coordinator; /* that it chooses */
-    int known;       /* number of the last promotion that it knows */
+    int coordinator;      /* that it chooses */
+    int known;            /* number of the last promotion that it knows */
+    mr_ms_t misled_until; /* takes the former primary for the primary */
     mr_ms_t report_at;
     mr_ms_t suspended_until;
     exchange_t exchange;
@@ -103,7 +109,8 @@
     node_t nodes[NODES];
     write_t writes[WRITES_MAX];
     order_t orders[ORDERS_MAX];
-    int current; /* number of the promotion in force */
+    int current;  /* number of the promotion in force */
+    int previous; /* number of the one before */
     mr_ms_t current_since;
     int last_number;
     int acknowledged;
@@ -145,9 +152,11 @@
 }
 
 static void
-learn(node_t *node, int number)
+learn(const world_t *world, node_t *node, int number)
 {
-    node->known = number > node->known ? number : node->known;
+    if (world->now >= node->misled_until && number > node->known) {
+        node->known = number;
+    }
 }
 
 static bool
@@ -197,7 +206,7 @@
     exchange_t *exchange = &node->exchange;
     node_t *to = &world->nodes[exchange->to];
 
-    learn(to, exchange->known);
+    learn(world, to, exchange->known);
     own_texts(exchange);
     mr_lease_grantor_report(
         to->grantor,
@@ -225,7 +234,7 @@
     exchange_t *exchange = &node->exchange;
 
     own_texts(exchange);
-    learn(node, exchange->known);
+    learn(world, node, exchange->known);
     if (world->mutant == MUTANT_FREE_SUPPORT) {
         for (int i = 0; i < NODES; i++) {
             mr_primary_lease_end_support(node->lease, world->nodes[i].name,
@@ -334,12 +343,13 @@
         world->violations++; /* undoes a later promotion */
     }
     if (order->number != world->current) {
+        world->previous = world->current;
         world->current = order->number;
         world->current_since = world->now;
         world->promotions++;
     }
     if (order->answers && order->number == node->ordered) {
-        learn(node, order->number);
+        learn(world, node, order->number);
         mr_lease_grantor_release(node->grantor, "s");
         node->promoting = false;
         node->ordered = 0;
@@ -387,6 +397,25 @@
     }
 }
 
+/* What a process that has just started concludes from the registrations. */
+static void
+read_registrations(world_t *world, node_t *node)
+{
+    mr_ms_t settled_at = world->current_since + REGISTERED_AFTER_MS;
+
+    node->misled_until = 0;
+    if (world->now >= settled_at) {
+        node->known = world->current;
+    }
+    else if (world->mutant == MUTANT_NEWER_REGISTRATION) {
+        node->known = world->previous;
+        node->misled_until = settled_at;
+    }
+    else {
+        node->known = NONE_KNOWN;
+    }
+}
+
 static void
 restart(world_t *world, int index)
 {
@@ -396,6 +425,7 @@
     start_node(world, node, world->now);
     mr_lease_grantor_set_coordinating(node->grantor,
                                       node->coordinator == index, world->now);
+    read_registrations(world, node);
 }
 
 static void
@@ -419,7 +449,7 @@
     }
     if (node->coordinator == index
         && world->now - world->current_since >= REGISTERED_AFTER_MS) {
-        learn(node, world->current);
+        learn(world, node, world->current);
     }
     if (node->coordinator == index) {
         step_promoter(world, node, index);
@@ -433,7 +463,8 @@
             send_report(world, node);
         }
     }
-    if (draw(world, 20) == 0 && covers(world, node)) {
+    if (draw(world, 20) == 0 && node->known != NONE_KNOWN
+        && covers(world, node)) {
         send_write(world, index);
     }
     if (draw(world, 1500) == 0) {
@@ -461,8 +492,8 @@
         }
     }
     for (int i = 0; i < NODES; i++) {
-        world->nodes[i].known = world->current; /* it has registered */
         restart(world, i);
+        world->nodes[i].known = world->current; /* it has registered */
     }
 }
 
@@ -539,9 +570,9 @@
 
 START_TEST(test_rules_that_lack_a_part_are_found_out)
 {
-    static const mutant_t mutants[] = {MUTANT_NO_LEASE, MUTANT_NO_CHECK_AFTER,
-                                       MUTANT_ORDER_AT_ONCE,
-                                       MUTANT_FREE_SUPPORT};
+    static const mutant_t mutants[] = {
+        MUTANT_NO_LEASE, MUTANT_NO_CHECK_AFTER, MUTANT_ORDER_AT_ONCE,
+        MUTANT_FREE_SUPPORT, MUTANT_NEWER_REGISTRATION};
     int ignored = 0;
     uint32_t seed =
         find_violation(mutants[_i], RUNS_OF_MUTANT, &ignored, &ignored);
@@ -561,5 +592,5 @@
     mr_log_setup("model", MR_LOG_ERROR);
     return RUN_TESTS(
         tests, .suite = "lease model", .timeout_s = 120,
-        .loop = {test_rules_that_lack_a_part_are_found_out, 0, 4});
+        .loop = {test_rules_that_lack_a_part_are_found_out, 0, 5});
 }
