--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -92,6 +92,7 @@
      * carried out; NULL: none. The next order names it again, as another one
      * could be carried out before it. */
     char *ordered_id;
+    int64_t ordered_token; /* of that order */
     mr_fence_t *fence;
 } service_state_t;
 
@@ -272,13 +273,15 @@
 }
 
 static void
-set_ordered_id(mr_promoter_t *promoter, const char *service, const char *id)
+set_ordered_id(mr_promoter_t *promoter, const char *service, const char *id,
+               int64_t token)
 {
     service_state_t *state = get_service_state(promoter, service);
     char *copy = id != NULL ? mr_strdup(id) : NULL;
 
     free(state->ordered_id);
     state->ordered_id = copy;
+    state->ordered_token = token;
 }
 
 static void
@@ -293,7 +296,7 @@
         mr_counter_add(promoter->promotions_counter, 1);
         mr_cluster_record_own_promotion(cluster, promotion->candidate,
                                         promotion->token);
-        set_ordered_id(promoter, promotion->service, NULL);
+        set_ordered_id(promoter, promotion->service, NULL, 0);
         mr_lease_grantor_release(promoter->options.grantor,
                                  promotion->service);
         end_promotion(promotion, REGISTRATION_WAIT_MS, "promoted");
@@ -301,7 +304,7 @@
         return;
     }
     if (error == MR_ERR_CONFLICT) {
-        set_ordered_id(promoter, promotion->service, NULL);
+        set_ordered_id(promoter, promotion->service, NULL, 0);
         end_promotion(promotion, REFUSED_WAIT_MS, mr_error_name(error));
         promoter->options.promoted(promoter->options.ctx);
         return;
@@ -309,7 +312,8 @@
     /* The platform may still carry the call out. If this instance has ceased
      * to coordinate, the next leader adopts the withheld service. */
     if (!promoter->stopped) {
-        set_ordered_id(promoter, promotion->service, promotion->candidate);
+        set_ordered_id(promoter, promotion->service, promotion->candidate,
+                       promotion->token);
     }
     /* Until the old primary registers, it cannot be told whether the order
      * that names it again was carried out. */
@@ -1037,9 +1041,11 @@
         || await_adopted(promoter, cluster, now)) {
         return;
     }
-    if (state->ordered_id != NULL && primary != NULL
-        && strcmp(state->ordered_id, primary->id) == 0) {
-        set_ordered_id(promoter, cluster->service, NULL); /* it registered */
+    if (state->ordered_id != NULL
+        && ((primary != NULL && strcmp(state->ordered_id, primary->id) == 0)
+            || cluster->promoted_token > state->ordered_token)) {
+        /* It has registered, or another promotion followed. */
+        set_ordered_id(promoter, cluster->service, NULL, 0);
     }
     if (state->ordered_id != NULL) {
         start_promotion(promoter, cluster->service, false, "not_answered");
@@ -1076,7 +1082,7 @@
     {
         service_state_t *state = MR_LIST_ENTRY(it, service_state_t, link);
         mr_fence_drop_reserve(state->fence);
-        set_ordered_id(promoter, state->service, NULL);
+        set_ordered_id(promoter, state->service, NULL, 0);
     }
 }
 
--- a/tests/unit/test_promoter.c
+++ b/tests/unit/test_promoter.c
@@ -540,6 +540,23 @@
 }
 END_TEST
 
+/* Guards against an outdated decision: another instance led meanwhile, while
+ * this one still took itself for the coordinator. */
+START_TEST(test_an_order_before_a_later_promotion_is_not_repeated)
+{
+    fail_primary();
+    check_answered_for(MR_PRIMARY_LEASE_MS + 500, true);
+    ck_assert_uint_eq(client.count, 1);
+    ck_assert_str_eq(client.targets[0], "b");
+    answer_order(MR_ERR_UNAVAILABLE);
+    mr_cluster_record_promotion(mr_clusters_find(clusters, "rez"), "c",
+                                client.tokens[0] + 1);
+    check_answered_for(1500, false);
+    ck_assert_uint_eq(client.count, 1);
+    ck_assert(mr_primary_lease_covers(lease, "rez", mr_clock_now(NULL)));
+}
+END_TEST
+
 /* Other instances may still reach the primary. */
 START_TEST(test_the_primary_is_used_while_there_is_no_token)
 {
@@ -723,6 +740,7 @@
         test_a_reserve_token_that_others_have_passed_is_not_ordered_with,
         test_no_order_is_sent_with_a_token_of_an_earlier_era,
         test_an_order_from_before_a_stop_is_not_repeated,
+        test_an_order_before_a_later_promotion_is_not_repeated,
         test_the_primary_is_used_while_there_is_no_token,
         test_an_order_without_an_answer_is_repeated_for_the_same_database,
         test_a_service_that_the_desired_state_does_not_name_is_left_alone,
