--- a/lib/common/event.h
+++ b/lib/common/event.h
@@ -95,6 +95,7 @@
     X(PROMOTION_ENDED, "promotion_ended",                                     \
       "service id token outcome planned took_ms")                             \
     X(PRIMARY_DEMOTED, "primary_demoted", "service id error")                 \
+    X(REPLICA_RESUMED, "replica_resumed", "service id error")                 \
     X(STATUS_REFUSED, "status_refused", "service id error")                   \
     X(TOKEN_NOT_TAKEN, "token_not_taken", "service error")                    \
     /* Requests */                                                            \
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -10,6 +10,7 @@
 #include "session/db_conn.h"
 #include "session/fence.h"
 #include "session/primary_health.h"
+#include "session/resumer.h"
 
 enum {
     /* A primary that fails for most reporting instances, but not for all, is
@@ -93,6 +94,7 @@
      * could be carried out before it. */
     char *ordered_id;
     int64_t ordered_token; /* of that order */
+    bool resumed; /* since this instance leads, see mr_resumer_resume() */
     mr_fence_t *fence;
 } service_state_t;
 
@@ -100,6 +102,7 @@
     mr_promoter_options_t options;
     mr_primary_health_t *health;
     mr_list_t promotions;
+    mr_resumer_t *resumer;
     mr_list_t services;
     bool stopped; /* this instance does not coordinate */
     mr_counter_t *orders_counter;
@@ -116,6 +119,8 @@
     promoter->options = *options;
     promoter->health = mr_primary_health_create();
     mr_list_init(&promoter->promotions);
+    promoter->resumer =
+        mr_resumer_create(options->base, options->clusters, options->grantor);
     mr_list_init(&promoter->services);
     promoter->orders_counter = mr_counters_get(
         options->counters, "masticrelay_promotion_orders_total", "",
@@ -164,6 +169,7 @@
     {
         free_promotion(MR_LIST_ENTRY(it, promotion_t, link));
     }
+    mr_resumer_destroy(promoter->resumer);
     MR_LIST_FOREACH(it, &promoter->services)
     {
         service_state_t *state = MR_LIST_ENTRY(it, service_state_t, link);
@@ -240,19 +246,16 @@
     free_promotion(promotion);
 }
 
-/* Makes the suspended replicas receive log entries again. */
+/* Resumes the replicas that the promotion has suspended. */
 static void
 resume_replicas(promotion_t *promotion)
 {
-    MR_LIST_FOREACH(it, &promotion->status_queries)
-    {
-        status_query_t *query = MR_LIST_ENTRY(it, status_query_t, link);
-        if (promotion->suspend_replicas && query->answered
-            && query->conn != NULL) {
-            mr_db_conn_query(query->conn, mr_relay_statement_id, NULL,
-                             mr_relay_statement_text(MR_RELAY_RESUME), NULL,
-                             NULL);
-        }
+    mr_promoter_t *promoter = promotion->promoter;
+
+    if (promotion->suspend_replicas) {
+        mr_resumer_resume(
+            promoter->resumer,
+            mr_clusters_get(promoter->options.clusters, promotion->service));
     }
 }
 
@@ -304,6 +307,7 @@
         return;
     }
     if (error == MR_ERR_CONFLICT) {
+        resume_replicas(promotion);
         set_ordered_id(promoter, promotion->service, NULL, 0);
         end_promotion(promotion, REFUSED_WAIT_MS, mr_error_name(error));
         promoter->options.promoted(promoter->options.ctx);
@@ -990,6 +994,7 @@
     }
     promotion->started_at = mr_clock_now(NULL);
     mr_list_init(&promotion->status_queries);
+    mr_resumer_cancel(promoter->resumer, service);
     mr_list_append(&promoter->promotions, &promotion->link);
     promotion->timer =
         evtimer_new(promoter->options.base, on_promotion_timer, promotion);
@@ -1036,6 +1041,14 @@
     size_t needed = reporting > 1 ? 2 : 1;
 
     mr_fence_refill(state->fence, now);
+    if (!state->resumed
+        && promoter->options.sync_copies(promoter->options.ctx,
+                                         cluster->service)
+               > 0) {
+        /* The previous leader may have left replicas suspended. */
+        state->resumed = true;
+        mr_resumer_resume(promoter->resumer, cluster);
+    }
     if (now < state->blocked_until
         || find_promotion(promoter, cluster->service) != NULL
         || await_adopted(promoter, cluster, now)) {
@@ -1074,10 +1087,20 @@
     }
 }
 
+static void
+forget_resumed(mr_promoter_t *promoter)
+{
+    MR_LIST_FOREACH(it, &promoter->services)
+    {
+        MR_LIST_ENTRY(it, service_state_t, link)->resumed = false;
+    }
+}
+
 void
 mr_promoter_stop(mr_promoter_t *promoter)
 {
     promoter->stopped = true;
+    forget_resumed(promoter);
     MR_LIST_FOREACH(it, &promoter->services)
     {
         service_state_t *state = MR_LIST_ENTRY(it, service_state_t, link);
@@ -1095,6 +1118,7 @@
      * network partition. */
     if (reporting * 2 <= instances
         || !mr_lease_grantor_leads(promoter->options.grantor, now)) {
+        forget_resumed(promoter);
         return;
     }
     MR_LIST_FOREACH(it, &promoter->options.clusters->list)
