--- a/lib/session/client.c
+++ b/lib/session/client.c
@@ -208,14 +208,33 @@
     }
 }
 
+/* Whether a whole message waits in the input. */
+static bool
+has_request(const mr_client_t *session)
+{
+    return evbuffer_search_eol(bufferevent_get_input(session->stream), NULL,
+                               NULL, EVBUFFER_EOL_CRLF)
+               .pos
+           >= 0;
+}
+
 void
 mr_client_abort(mr_client_t *session)
 {
+    static const char reason[] = "this instance stops";
+
     if (session->tx != MR_TX_IDLE) {
         mr_run_end_transaction(session);
-        session->tx = MR_TX_IDLE;
-        mr_line_write_error(client_output(session), MR_ERR_TRANSACTION_LOST,
-                            "this instance stops", 0);
+        session->tx = MR_TX_FAILED;
+        if (has_request(session)) {
+            mr_client_answer_error(session, MR_ERR_TRANSACTION_LOST, reason,
+                                   0);
+        }
+        else {
+            /* An answer needs a request; clients accept an error without. */
+            mr_line_write_error(client_output(session),
+                                MR_ERR_TRANSACTION_LOST, reason, 0);
+        }
     }
     close_after_output(session);
 }
@@ -671,10 +690,16 @@
     while (alive && !session->closing && session->run.stage == MR_RUN_NONE
            && session->relay->catalog != NULL && !is_output_full(session)) {
         mr_line_t line;
+        if (session->relay->ending_transactions && session->tx != MR_TX_IDLE
+            && has_request(session)) {
+            mr_client_abort(session);
+            return;
+        }
         mr_line_result_t result = mr_line_read(in, &line, NULL);
         if (result == MR_LINE_PARTIAL) {
             break;
         }
+        session->idle_before = false;
         alive = result == MR_LINE_VALID ? handle_line(session, &line)
                                         : refuse_malformed(session, result);
         mr_line_release(&line);
--- a/lib/session/client.h
+++ b/lib/session/client.h
@@ -27,6 +27,7 @@
     size_t session_count;
     uint64_t last_serial;
     bool draining;
+    bool ending_transactions;  /* open ones end after the present statement */
     uint32_t refusals;         /* for lack of memory */
     struct event *large_input; /* activated when a session has much input */
     mr_counter_t *opened;
@@ -109,8 +110,10 @@
     bool tx_wrote;
     bool waited_for_token; /* the current message has waited for a token */
     bool closing;          /* ends once its output is written */
-    bool input_paused;     /* until the buffered input is handled */
-    bool output_full;      /* no input is handled until it is written */
+    bool idle_before;  /* nothing arrived since mr_relay_abort_transactions()
+                          was last called */
+    bool input_paused; /* until the buffered input is handled */
+    bool output_full;  /* no input is handled until it is written */
     mr_db_conn_t *tx_conn; /* NULL until the first statement has run */
     bool tx_lost; /* its connection was lost; the database rolls it back */
     mr_run_t run;
@@ -132,7 +135,8 @@
 /** mr_client_process_input() - handle the messages that have arrived, up to
  * the next statement that takes time. */
 void mr_client_process_input(mr_client_t *session);
-/** mr_client_abort() - end the session's open transaction and the session. */
+/** mr_client_abort() - end the session's open transaction and the session. A
+ * request that has arrived is answered. */
 void mr_client_abort(mr_client_t *session);
 /** mr_client_answer_error() - @retry_after: negative if not known. */
 void mr_client_answer_error(mr_client_t *session, mr_error_kind_t error,
--- a/lib/session/relay.c
+++ b/lib/session/relay.c
@@ -280,11 +280,20 @@
 void
 mr_relay_abort_transactions(mr_relay_t *relay)
 {
+    relay->ending_transactions = true;
     MR_LIST_FOREACH(it, &relay->sessions)
     {
         mr_client_t *session = MR_LIST_ENTRY(it, mr_client_t, link);
-        if (session->run.stage == MR_RUN_NONE) {
+        if (session->run.stage != MR_RUN_NONE) {
+            continue;
+        }
+        /* The next request of a client that was answered just now may be on
+         * its way; it is answered before the session ends. */
+        if (session->idle_before) {
             mr_client_abort(session);
         }
+        else {
+            session->idle_before = true;
+        }
     }
 }
--- a/lib/session/relay.h
+++ b/lib/session/relay.h
@@ -54,7 +54,8 @@
 void mr_relay_drain(mr_relay_t *relay);
 
 /** mr_relay_abort_transactions() - roll back the transactions, and end the
- * sessions, that have no statement running. */
+ * sessions, that have been idle since the last call. From the first call on, a
+ * transaction ends with the next request of its client. */
 void mr_relay_abort_transactions(mr_relay_t *relay);
 
 #endif
--- a/tests/integration/test_sessions.c
+++ b/tests/integration/test_sessions.c
@@ -675,6 +675,65 @@
 }
 END_TEST
 
+/* Guards against a planned stop that cuts the statements of a transaction,
+ * because one of them was running whenever its end was due. */
+START_TEST(test_a_planned_stop_ends_busy_transactions)
+{
+    enum { CLIENTS = 8, ANSWER_MS = 150, STAGGER_MS = 19 };
+    client_t *clients[CLIENTS];
+    client_answer_t answers[CLIENTS];
+    char ids[CLIENTS][BACKEND_TEXT_BYTES];
+    client_t *idle = open_session(0, "own", "key-1");
+    mr_ms_t stopped_at = mr_clock_now(NULL);
+    int open = CLIENTS;
+
+    run_ok(idle, "BEGIN", NULL);
+    run_ok(idle, "WRITE a b", NULL);
+    for (int i = 0; i < CLIENTS; i++) {
+        clients[i] = open_session(0, "own", "key-1");
+        run_ok(clients[i], "BEGIN", NULL);
+        run_ok(clients[i], "WRITE a b", ids[i]);
+        answers[i].complete = true;
+    }
+    backend_set_answer_delay(backend, ANSWER_MS);
+    for (int i = 0; i < CLIENTS; i++) {
+        client_send(clients[i], "READ a");
+        harness_run_loop(base, STAGGER_MS);
+    }
+    relay_signal(&relays[0], SIGTERM);
+    /* Half of the grace time of 6 s, and the statements that were running. */
+    while (open > 0
+           && mr_clock_now(NULL) - stopped_at < 3500 + 2 * ANSWER_MS) {
+        harness_run_loop(base, 1);
+        for (int i = 0; i < CLIENTS; i++) {
+            if (!answers[i].complete
+                || !client_poll(clients[i], &answers[i])) {
+                continue;
+            }
+            if (answers[i].complete) {
+                client_send(clients[i], "READ a");
+                continue;
+            }
+            open--;
+        }
+    }
+    ck_assert_int_eq(open, 0);
+    ck_assert(client_is_closed(idle));
+    client_close(idle);
+    for (int i = 0; i < CLIENTS; i++) {
+        ck_assert(!answers[i].closed);
+        ck_assert_msg(answer_is_error(&answers[i], "ABORTED"), "%s",
+                      answers[i].text);
+        ck_assert_int_eq(backend_count_in_log(backend, ids[i]), 0);
+        client_close(clients[i]);
+    }
+    ck_assert_int_eq(relay_wait_exit(&relays[0], base, 6000), 0);
+    backend_set_answer_delay(backend, 0);
+    relay_restart(&relays[0], backend);
+    ck_assert(relay_wait_ready(&relays[0], base, READY_MAX_MS));
+}
+END_TEST
+
 START_TEST(test_a_restart_without_the_store_serves_later)
 {
     relay_kill(&relays[1]);
@@ -848,6 +907,7 @@
         test_an_idle_transaction_releases_its_connection,
         test_a_late_promotion_does_not_undo_a_later_one,
         test_a_planned_stop_cuts_nothing,
+        test_a_planned_stop_ends_busy_transactions,
         test_a_restart_without_the_store_serves_later,
         test_a_coordinator_is_found_although_several_are_silent,
         test_reads_after_a_restart_do_not_overload_the_primary,
