--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -40,6 +40,9 @@
      * connection and BEGIN. After that, another read may query. */
     POSITION_QUERY_MS = 100,
     LATENCY_WEIGHT = 8, /* a new answer time counts 1/8 in the average */
+    /* How long a replica that has left counts as one that may hold a commit.
+     * Longer than a database is dark, or cut off, before it is back. */
+    LEFT_REPLICA_MS = 10000,
 };
 
 mr_clusters_t *
@@ -432,26 +435,54 @@
     }
 }
 
+static void
+count_replicas(mr_cluster_t *cluster, mr_ms_t now)
+{
+    const mr_db_t *primary = mr_cluster_known_primary(cluster);
+    int before = mr_cluster_replicas(cluster, now);
+    int count = 0;
+
+    MR_LIST_FOREACH(it, &cluster->dbs)
+    {
+        const mr_db_t *db = MR_LIST_ENTRY(it, mr_db_t, link);
+        count += !db->removed && db->in_current_set && db != primary;
+    }
+    if (count >= before) {
+        cluster->replicas_before = count;
+        cluster->fewer_since = 0;
+    }
+    else if (cluster->fewer_since == 0 || count < cluster->replicas) {
+        cluster->replicas_before = before;
+        cluster->fewer_since = now;
+    }
+    cluster->replicas = count;
+}
+
+int
+mr_cluster_replicas(const mr_cluster_t *cluster, mr_ms_t now)
+{
+    bool left_long = cluster->fewer_since != 0
+                     && now - cluster->fewer_since >= LEFT_REPLICA_MS;
+
+    return left_long ? cluster->replicas : cluster->replicas_before;
+}
+
 void
 mr_clusters_end_update(mr_clusters_t *clusters, mr_ms_t now)
 {
     MR_LIST_FOREACH(it, &clusters->list)
     {
         mr_cluster_t *cluster = MR_LIST_ENTRY(it, mr_cluster_t, link);
-        int registered = 0;
         MR_LIST_FOREACH(jt, &cluster->dbs)
         {
             mr_db_t *db = MR_LIST_ENTRY(jt, mr_db_t, link);
-            registered += db->in_current_set;
             if (!db->removed) {
                 check_missing(db, now);
             }
         }
-        if (registered > cluster->dbs_seen_max) {
-            cluster->dbs_seen_max = registered;
-        }
         keep_registered_primary(cluster);
         record_registered_change(cluster);
+        count_replicas(cluster, now);
         if (mr_cluster_known_primary(cluster) != NULL) {
             cluster->no_primary_since = 0;
         }
--- a/lib/session/cluster.h
+++ b/lib/session/cluster.h
@@ -95,10 +95,12 @@
     char *primary_id;        /* primary after the last update; NULL: none */
     char *replaced_id;       /* primary before the last promotion; NULL */
     int64_t replaced_started_at;
-    int dbs_seen_max; /* most databases that were registered at one time */
-    mr_ms_t no_primary_since;    /* 0: a primary is known */
-    uint64_t changed_at_count;   /* change_count of the clusters at the last
-                                    new sample or promotion */
+    int replicas;              /* registered beside the primary */
+    int replicas_before;       /* most of them, until fewer were registered */
+    mr_ms_t fewer_since;       /* 0: not fewer than before */
+    mr_ms_t no_primary_since;  /* 0: a primary is known */
+    uint64_t changed_at_count; /* change_count of the clusters at the last
+                                  new sample or promotion */
     mr_ms_t position_queried_at; /* when a read last went to the primary
                                     because no position was known */
 };
@@ -165,6 +167,11 @@
  * fails or refuses. */
 mr_db_t *mr_cluster_known_primary(mr_cluster_t *cluster);
 
+/** mr_cluster_replicas() - number of replicas that may hold a commit which no
+ * other one holds: the most that were registered beside the primary lately. In
+ * that time the others receive what one had that left. */
+int mr_cluster_replicas(const mr_cluster_t *cluster, mr_ms_t now);
+
 /** mr_cluster_has_lease() - whether the primary of @cluster may be used. */
 bool mr_cluster_has_lease(const mr_cluster_t *cluster, mr_ms_t now);
 
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -584,16 +584,14 @@
 
 /* Returns whether at least one of the replicas that answered must hold every
  * acknowledged commit: the ones that did not answer are fewer than the copies
- * that the service requires of a commit. The number of replicas is the
- * largest that was registered at one time, as a replica that is no longer
- * registered may hold a commit. */
+ * that the service requires of a commit. */
 static bool
 has_enough_answers(promotion_t *promotion)
 {
     const mr_cluster_t *cluster = mr_clusters_get(
         promotion->promoter->options.clusters, promotion->service);
     int64_t needed = sync_copies(promotion);
-    int64_t replicas = cluster->dbs_seen_max - 1;
+    int64_t replicas = mr_cluster_replicas(cluster, mr_clock_now(NULL));
     int64_t answered = 0;
 
     if (needed == 0) {
--- a/tests/unit/test_clusters.c
+++ b/tests/unit/test_clusters.c
@@ -524,6 +524,42 @@
 
 /* Guards against a change that another coordinator ordered being undone by the
  * news of an earlier one. */
+/* Guards against a failover that waits for ever for the answer of a replica
+ * that was replaced, and one that forgets a replica which has just left. */
+START_TEST(test_a_replica_that_left_counts_for_a_while)
+{
+    const row_t three[] = {
+        {"a", true, 1, 5}, {"b", false, 1, 6}, {"c", false, 1, 7}, {0}};
+    const row_t four[] = {{"a", true, 1, 5},
+                          {"b", false, 1, 6},
+                          {"c", false, 1, 7},
+                          {"d", false, 1, 8},
+                          {0}};
+    const row_t replaced[] = {
+        {"a", true, 1, 5}, {"b", false, 1, 6}, {"d", false, 1, 8}, {0}};
+    const row_t primary_gone[] = {{"b", false, 1, 6}, {"d", false, 1, 8}, {0}};
+    const row_t two_gone[] = {{"b", false, 1, 6}, {0}};
+
+    apply_set(1, 10, three, NOW);
+    ck_assert_int_eq(mr_cluster_replicas(rez_cluster(), NOW), 2);
+    apply_set(1, 11, four, NOW + 1000);
+    ck_assert_int_eq(mr_cluster_replicas(rez_cluster(), NOW + 1000), 3);
+    apply_set(1, 12, replaced, NOW + 2000);
+    ck_assert_int_eq(mr_cluster_replicas(rez_cluster(), NOW + 11900), 3);
+    ck_assert_int_eq(mr_cluster_replicas(rez_cluster(), NOW + 12100), 2);
+    /* The primary is not one of them, also when it is missing. */
+    apply_set(1, 13, primary_gone, NOW + 13000);
+    apply_set(1, 14, primary_gone, NOW + 16000);
+    ck_assert_int_eq(mr_cluster_replicas(rez_cluster(), NOW + 60000), 2);
+    /* The time begins anew with each one that leaves. */
+    apply_set(1, 15, four, NOW + 61000);
+    apply_set(1, 16, replaced, NOW + 62000);
+    apply_set(1, 17, two_gone, NOW + 70000);
+    ck_assert_int_eq(mr_cluster_replicas(rez_cluster(), NOW + 79000), 3);
+    ck_assert_int_eq(mr_cluster_replicas(rez_cluster(), NOW + 80100), 1);
+}
+END_TEST
+
 START_TEST(test_a_registration_that_was_seen_to_change_outranks_a_promotion)
 {
     const row_t before[] = {{"a", true, 1, 5}, {"b", false, 1, 6}, {0}};
@@ -565,6 +601,7 @@
         test_reads_avoid_a_database_without_free_slots,
         test_kept_connections_of_all_instances_stay_below_the_limit,
         test_a_registration_that_was_seen_to_change_outranks_a_promotion,
+        test_a_replica_that_left_counts_for_a_while,
     };
 
     return RUN_TESTS(
--- a/tests/unit/test_promoter.c
+++ b/tests/unit/test_promoter.c
@@ -12,7 +12,7 @@
 enum {
     CONNS_MAX = 64,
     ORDERS_MAX = 8,
-    DBS = 3,
+    DBS = 4,
     TERM = 3,
     POLL_MS = 50,
 };
@@ -45,8 +45,9 @@
     void *lost_ctx;
 };
 
-/** Stands in for the databases "a" to "c". */
+/** Stands in for the databases "a" to "d". */
 typedef struct db_state {
+    int64_t term;        /* of its newest entry */
     int64_t entries;     /* that it has received */
     bool busy;           /* has no free slot for a query */
     bool refuses_demote; /* for lack of a free slot */
@@ -180,8 +181,8 @@
         state->entries = demoted_entries;
     }
     snprintf(conn->reply, sizeof(conn->reply), "ROW %s %d %d.%lld %d 0 0 1",
-             primary && !demoted ? "primary" : "replica", TERM, TERM,
-             (long long)state->entries, TERM);
+             primary && !demoted ? "primary" : "replica", TERM,
+             (int)state->term, (long long)state->entries, TERM);
     reply_later(conn, fn, ctx);
 }
 
@@ -338,9 +339,10 @@
     demoted = false;
     demoted_entries = 20;
     copies = 0;
-    dbs[0] = (db_state_t){.entries = 20};
-    dbs[1] = (db_state_t){.entries = 20};
-    dbs[2] = (db_state_t){.entries = 10};
+    dbs[0] = (db_state_t){.term = TERM, .entries = 20};
+    dbs[1] = (db_state_t){.term = TERM, .entries = 20};
+    dbs[2] = (db_state_t){.term = TERM, .entries = 10};
+    dbs[3] = dbs[2];
     base = event_base_new();
     counters = mr_counters_create();
     clusters = mr_clusters_create("front-1", "konya");
@@ -710,6 +712,41 @@
 }
 END_TEST
 
+/* Guards against a failover that waits for the answer of a replica that has
+ * been replaced. */
+START_TEST(test_a_replaced_replica_does_not_stop_a_failover)
+{
+    mr_ms_t now = mr_clock_now(NULL);
+    mr_db_entry_t entry = {.service = "rez",
+                           .address = "127.0.0.1:4",
+                           .data_centre = "konya",
+                           .started_at = 1,
+                           .slots = 2};
+
+    copies = 1;
+    fail_primary();
+    mr_clusters_begin_update(clusters, (mr_revision_t){1, 99});
+    mr_clusters_add_registration(clusters, "d", &entry,
+                                 (mr_revision_t){1, 98});
+    for (char id[] = "a"; id[0] < 'd'; id[0]++) {
+        char address[16];
+        snprintf(address, sizeof(address), "127.0.0.1:%d", id[0] - 'a' + 1);
+        entry.address = address;
+        entry.primary = id[0] == 'a';
+        mr_clusters_add_registration(clusters, id, &entry,
+                                     (mr_revision_t){1, 94});
+    }
+    /* Eleven seconds ago. */
+    mr_clusters_end_update(clusters, now - 12000);
+    mr_clusters_begin_update(clusters, (mr_revision_t){1, 100});
+    mr_clusters_end_update(clusters, now - 11000);
+    fail_primary();
+    check_answered_for(MR_PRIMARY_LEASE_MS + 500, true);
+    ck_assert_uint_eq(client.count, 1);
+    ck_assert_str_eq(client.targets[0], "b");
+}
+END_TEST
+
 /* Another writer may register a replica of any service, which then seems to
  * have no primary. */
 START_TEST(test_a_service_that_the_desired_state_does_not_name_is_left_alone)
@@ -752,6 +789,7 @@
         test_with_equal_logs_the_replica_that_stays_leads,
         test_without_copies_a_replica_that_stays_leads,
         test_without_copies_a_draining_replica_leads_if_none_stays,
+        test_a_replaced_replica_does_not_stop_a_failover,
     };
 
     return RUN_TESTS(tests, .suite = "promoter", .timeout_s = 20,
