--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -33,6 +33,10 @@
     /* Until all leases of the old primary are confirmed as given up or have
      * lapsed. Those of this leader's predecessor lapse first. */
     LEASES_TIMEOUT_MS = 2 * MR_PRIMARY_LEASE_MS,
+    /* How long a failed primary is not replaced by a database whose log ends
+     * in an older term. Longer than a data centre is cut off, or a database is
+     * down, before it is back. */
+    NEWER_LOG_WAIT_MS = 10000,
     /* Time for the promotion that the previous leader may have ordered to
      * show. Longer than the platform takes, and a promoted database to
      * register. */
@@ -93,7 +97,10 @@
      * carried out; NULL: none. The next order names it again, as another one
      * could be carried out before it. */
     char *ordered_id;
-    int64_t ordered_token; /* of that order */
+    int64_t ordered_token;  /* of that order */
+    mr_ms_t outdated_since; /* since then only databases that lack the newest
+                               term have answered; 0: none has, or no
+                               promotion is due */
     bool resumed; /* since this instance leads, see mr_resumer_resume() */
     mr_fence_t *fence;
 } service_state_t;
@@ -300,6 +307,7 @@
         mr_cluster_record_own_promotion(cluster, promotion->candidate,
                                         promotion->token);
         set_ordered_id(promoter, promotion->service, NULL, 0);
+        get_service_state(promoter, promotion->service)->outdated_since = 0;
         mr_lease_grantor_release(promoter->options.grantor,
                                  promotion->service);
         end_promotion(promotion, REGISTRATION_WAIT_MS, "promoted");
@@ -926,6 +934,27 @@
     return have_all_answered(promotion);
 }
 
+/* Whether the log of @best, the best candidate, ends before the newest term
+ * that is known, so that its promotion would bring back what a former primary
+ * had, and a better one may still come back. */
+static bool
+awaits_newer_log(promotion_t *promotion, const mr_db_t *best)
+{
+    service_state_t *state =
+        get_service_state(promotion->promoter, promotion->service);
+    mr_ms_t now = mr_clock_now(NULL);
+
+    if (promotion->planned || state->ordered_id != NULL
+        || find_status_query(promotion, best->id)->status.received.term
+               >= promotion->term) {
+        return false;
+    }
+    if (state->outdated_since == 0) {
+        state->outdated_since = now;
+    }
+    return now - state->outdated_since < NEWER_LOG_WAIT_MS;
+}
+
 /* Chooses the new primary once all statuses have arrived or their time is
  * over. */
 static void
@@ -943,6 +972,10 @@
         abandon_promotion(promotion, "no_replica");
         return;
     }
+    if (awaits_newer_log(promotion, best)) {
+        abandon_promotion(promotion, "outdated_log");
+        return;
+    }
     take_candidate(promotion, best);
 }
 
@@ -1083,6 +1116,9 @@
     else if (primary->draining) {
         start_promotion(promoter, cluster->service, true, "primary_leaves");
     }
+    else {
+        state->outdated_since = 0;
+    }
 }
 
 static void
