--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -650,12 +650,21 @@
     return &cluster->samples[(cluster->sample_first + index) % MR_SAMPLES];
 }
 
+void
+mr_cluster_note_term(mr_cluster_t *cluster, int64_t term)
+{
+    if (term > cluster->newest_term) {
+        cluster->newest_term = term;
+    }
+}
+
 void
 mr_cluster_add_sample(mr_cluster_t *cluster, mr_position_t position,
                       mr_ms_t at)
 {
     const mr_sample_t *newest = mr_cluster_newest_sample(cluster);
 
+    mr_cluster_note_term(cluster, position.term);
     /* A lower position than the newest one was read from a previous primary.
      */
     if (position.term == 0
--- a/lib/session/cluster.h
+++ b/lib/session/cluster.h
@@ -95,12 +95,13 @@
     char *primary_id;        /* primary after the last update; NULL: none */
     char *replaced_id;       /* primary before the last promotion; NULL */
     int64_t replaced_started_at;
-    int replicas;              /* registered beside the primary */
-    int replicas_before;       /* most of them, until fewer were registered */
-    mr_ms_t fewer_since;       /* 0: not fewer than before */
-    mr_ms_t no_primary_since;  /* 0: a primary is known */
-    uint64_t changed_at_count; /* change_count of the clusters at the last
-                                  new sample or promotion */
+    int64_t newest_term; /* of the log, as known to any instance; 0: none */
+    int replicas;        /* registered beside the primary */
+    int replicas_before; /* most of them, until fewer were registered */
+    mr_ms_t fewer_since; /* 0: not fewer than before */
+    mr_ms_t no_primary_since;    /* 0: a primary is known */
+    uint64_t changed_at_count;   /* change_count of the clusters at the last
+                                    new sample or promotion */
     mr_ms_t position_queried_at; /* when a read last went to the primary
                                     because no position was known */
 };
@@ -198,6 +199,10 @@
 void mr_cluster_add_sample(mr_cluster_t *cluster, mr_position_t position,
                            mr_ms_t at);
 
+/** mr_cluster_note_term() - the log of a primary of @cluster has reached
+ * @term. Also called by mr_cluster_add_sample(). */
+void mr_cluster_note_term(mr_cluster_t *cluster, int64_t term);
+
 /** mr_cluster_newest_sample() - NULL if there is none. */
 const mr_sample_t *mr_cluster_newest_sample(const mr_cluster_t *cluster);
 
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -114,6 +114,7 @@
                 .service = cluster->service,
                 .promoted = cluster->promoted_id,
                 .promoted_version = cluster->promoted_token,
+                .term = cluster->newest_term,
                 .age_ms = -1,
             };
         }
@@ -671,6 +672,7 @@
             mr_cluster_record_promotion(
                 cluster, report->promotions[i].promoted,
                 report->promotions[i].promoted_version);
+            mr_cluster_note_term(cluster, report->promotions[i].term);
         }
     }
     mr_lease_grantor_report(fleet->options.grantor,
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -946,7 +946,7 @@
 
     if (promotion->planned || state->ordered_id != NULL
         || find_status_query(promotion, best->id)->status.received.term
-               >= promotion->term) {
+               >= promotion_cluster(promotion)->newest_term) {
         return false;
     }
     if (state->outdated_since == 0) {
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -301,7 +301,8 @@
                          another coordinator shortly before */
     mr_msg_withheld_t *withheld;
     size_t withheld_count;
-    mr_msg_primary_t *promotions; /* recent ones, without positions */
+    mr_msg_primary_t *promotions; /* recent ones; of the positions, the term
+                                     alone */
     size_t promotion_count;
 } mr_msg_report_t;
 
