--- a/lib/session/client.c
+++ b/lib/session/client.c
@@ -231,7 +231,7 @@
                                    0);
         }
         else {
-            /* An answer needs a request; clients accept an error without. */
+            /* Clients take every other message for an answer. */
             mr_line_write_error(client_output(session),
                                 MR_ERR_TRANSACTION_LOST, reason, 0);
         }
--- a/lib/session/client.h
+++ b/lib/session/client.h
@@ -27,7 +27,7 @@
     size_t session_count;
     uint64_t last_serial;
     bool draining;
-    bool ending_transactions;  /* open ones end after the present statement */
+    bool ending_transactions;  /* open ones end with their next request */
     uint32_t refusals;         /* for lack of memory */
     struct event *large_input; /* activated when a session has much input */
     mr_counter_t *opened;
--- a/lib/session/cluster.c
+++ b/lib/session/cluster.c
@@ -283,7 +283,8 @@
 
 /* Updates since when @db is registered as the primary. One that registered as
  * the primary before a restoration and again after it outranks all promotions
- * before the restoration, and none after it. */
+ * before the restoration, and none after it.
+ * @added: this process has just learned of @db */
 static void
 set_primary(mr_db_t *db, const char *id, mr_revision_t revision, bool added)
 {
--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -432,12 +432,12 @@
     return options->sync_copies(options->ctx, promotion->service);
 }
 
-/* Returns whether the candidate must hold every acknowledged commit, if the
- * service requires copies of a commit. A planned promotion is judged by the
- * log that the old primary had when it was demoted, an unplanned one by
- * has_enough_answers(). */
+/* Returns whether the candidate was compared with all commits that may have
+ * been acknowledged, if the service requires copies of a commit. For a planned
+ * promotion that is the log of the old primary at its demotion; for an
+ * unplanned one has_enough_answers() was asked before. */
 static bool
-is_complete(const promotion_t *promotion)
+is_candidate_proven(const promotion_t *promotion)
 {
     return !promotion->planned || promotion->demoted
            || sync_copies(promotion) == 0;
@@ -463,7 +463,7 @@
 {
     mr_ms_t now = mr_clock_now(NULL);
 
-    if (!is_complete(promotion)) {
+    if (!is_candidate_proven(promotion)) {
         abandon_promotion(promotion, "not_demoted");
         return;
     }
--- a/tests/integration/test_sessions.c
+++ b/tests/integration/test_sessions.c
@@ -701,7 +701,8 @@
         harness_run_loop(base, STAGGER_MS);
     }
     relay_signal(&relays[0], SIGTERM);
-    /* Half of the grace time of 6 s, and the statements that were running. */
+    /* Half of the grace time of 6 s, half a second for the timer and the
+     * set-up above, and the statements that were running. */
     while (open > 0
            && mr_clock_now(NULL) - stopped_at < 3500 + 2 * ANSWER_MS) {
         harness_run_loop(base, 1);
