--- a/review/sim-2/fleet.c
+++ b/review/sim-2/fleet.c
@@ -276,9 +276,9 @@
         machine_start(fleet, &fleet->machines[i]);
     }
     for (int i = 0; i < fleet->count; i++) {
-        ck_assert_msg(relay_wait_ready(&fleet->machines[i].process,
-                                       fleet->base, 15000),
-                      "%s is not ready", fleet->machines[i].process.name);
+        ck_assert_msg(
+            relay_wait_ready(&fleet->machines[i].process, fleet->base, 15000),
+            "%s is not ready", fleet->machines[i].process.name);
     }
     record("%d machines are ready", fleet->count);
 }
--- a/review/sim-2/late_revoke.c
+++ b/review/sim-2/late_revoke.c
@@ -63,8 +63,8 @@
 
     snprintf(key, sizeof(key), "ka%d", round);
     *reader = (reader_t){.machine = names[machine]};
-    reader->client = client_open(fleet->base, &fleet->machines[machine].process,
-                                 "bounded", key, code);
+    reader->client = client_open(
+        fleet->base, &fleet->machines[machine].process, "bounded", key, code);
     ck_assert_msg(reader->client != NULL, "%s: OPEN refused: %s",
                   names[machine], code);
 }
