Bound the age of the desired state at each instance

Cause: instances that hear of no change took that for the absence of changes. They read the store only when the coordinator's calls had failed, that is after the time limits of two calls in a row.

Change: each answer of the store is a confirmation of the desired state up to a revision. Reports and replies carry the newest one with its age. Messages of the release before, without the new fields, are still decoded.

--- a/Makefile
+++ b/Makefile
@@ -99,7 +99,8 @@
 # These tests surround session daemons, or parts of them, with a stand-in of
 # their own.
 $(addprefix $(BUILD)/integration/,test_sessions test_session_control test_session_memory \
-    test_session_soak test_session_store test_session_restore test_session_former): \
+    test_session_soak test_session_store test_session_restore test_session_former \
+    test_session_config): \
     $(WORLD_SRC:%.c=$(BUILD)/%.o)
 
 $(BENCH:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/bench/%.o \
--- a/lib/common/event.h
+++ b/lib/common/event.h
@@ -54,6 +54,8 @@
       "version before source")                                                \
     X(CONFIGURATION_MALFORMED, "configuration_malformed", "source problem")   \
     X(FEED_HISTORY_GONE, "feed_history_gone", "after")                        \
+    X(CONFIGURATION_UNCONFIRMED, "configuration_unconfirmed",                 \
+      "age_ms version known")                                                 \
     X(UPDATE_APPLIED, "update_applied", "source bytes took_ms")               \
     X(UPDATE_FAILED, "update_failed", "source reason received size")          \
     X(REGISTRATIONS_OUTDATED, "registrations_outdated", "count era")          \
--- a/lib/session/directory.c
+++ b/lib/session/directory.c
@@ -66,6 +66,7 @@
     mr_bytes_t config;
     mr_catalog_t *catalog; /* decoded from @config; NULL: none */
     old_config_t history[HISTORY_LENGTH]; /* newest first; version 0: none */
+    mr_confirmation_t confirmation;       /* of the desired state */
     mr_revision_t registrations_revision;
     int64_t registrations_digest;
     mr_msg_registration_t *rows;
@@ -194,12 +195,54 @@
         directory->options.on_catalog(directory->options.ctx, catalog);
         mr_catalog_unref(directory->catalog);
         directory->catalog = catalog;
+        mr_confirmation_set_held(&directory->confirmation,
+                                 directory->config_version);
         return true;
     }
     mr_catalog_unref(catalog);
     return true;
 }
 
+static void
+update_confirmation(mr_directory_t *directory, const mr_confirmation_t *heard)
+{
+    mr_confirmation_update(&directory->confirmation, heard);
+    mr_confirmation_set_held(&directory->confirmation,
+                             directory->config_version);
+}
+
+void
+mr_directory_confirm_config(mr_directory_t *directory, mr_revision_t revision,
+                            mr_ms_t at)
+{
+    update_confirmation(
+        directory,
+        &(mr_confirmation_t){.config_version = directory->config_version,
+                             .revision = revision,
+                             .at = at});
+}
+
+void
+mr_directory_import_confirmation(mr_directory_t *directory,
+                                 const mr_msg_directory_t *in, mr_ms_t sent_at)
+{
+    if (in->confirmed_version <= 0 || in->confirmed_age_ms < 0
+        || in->confirmed_age_ms >= sent_at) {
+        return;
+    }
+    update_confirmation(
+        directory, &(mr_confirmation_t){
+                       .config_version = in->confirmed_config,
+                       .revision = {in->confirmed_era, in->confirmed_version},
+                       .at = sent_at - in->confirmed_age_ms});
+}
+
+const mr_confirmation_t *
+mr_directory_confirmation(const mr_directory_t *directory)
+{
+    return &directory->confirmation;
+}
+
 /* Hash of the fields of a registration that are used. */
 static uint64_t
 hash_registration(const char *id, const mr_db_entry_t *entry)
@@ -589,6 +632,11 @@
         .registrations_version = directory->registrations_revision.version,
         .registrations_era = directory->registrations_revision.era,
         .registrations_digest = directory->registrations_digest,
+        .confirmed_config = directory->confirmation.config_version,
+        .confirmed_version = directory->confirmation.revision.version,
+        .confirmed_era = directory->confirmation.revision.era,
+        .confirmed_age_ms = mr_clock_now(directory->options.clock)
+                            - directory->confirmation.at,
     };
     if (known == NULL) {
         return;
--- a/lib/session/directory.h
+++ b/lib/session/directory.h
@@ -16,6 +16,7 @@
 #include "common/counters.h"
 #include "session/catalog.h"
 #include "session/cluster.h"
+#include "session/confirmation.h"
 #include "session/store.h"
 #include "wire/msg.h"
 
@@ -45,6 +46,22 @@
                                     mr_revision_t revision,
                                     const mr_store_row_t *rows, size_t count);
 
+/** mr_directory_confirm_config() - the store had no newer desired state than
+ * the directory's at @revision, at the time @at or later. */
+void mr_directory_confirm_config(mr_directory_t *directory,
+                                 mr_revision_t revision, mr_ms_t at);
+
+/** mr_directory_import_confirmation() - use the confirmation in @in, a message
+ * that was sent at @sent_at or later. */
+void mr_directory_import_confirmation(mr_directory_t *directory,
+                                      const mr_msg_directory_t *in,
+                                      mr_ms_t sent_at);
+
+/** mr_directory_confirmation() - the newest confirmation of the desired state.
+ */
+const mr_confirmation_t *
+mr_directory_confirmation(const mr_directory_t *directory);
+
 /** mr_directory_complete() - whether the desired state and the registrations
  * are known. */
 bool mr_directory_complete(const mr_directory_t *directory);
--- a/lib/session/feed.c
+++ b/lib/session/feed.c
@@ -8,15 +8,14 @@
 #include "common/timer.h"
 
 enum {
-    /* How long a feed call waits for a change. A feed that stalls is noticed
-     * after this and the call's timeout, which together are within the time
-     * for a new desired state to take effect. */
-    FEED_WAIT_MS = 5000,
+    /* How long a feed call waits for the first desired state or registration.
+     */
+    FIRST_WAIT_MS = 5000,
     /* Pauses after failed calls, doubled up to the maximum. */
     RETRY_FIRST_MS = 200,
     RETRY_MAX_MS = 1600,
-    /* Failed calls in a row from which on the store counts as failing, so that
-     * all instances read it. */
+    /* Failed readings of the registrations in a row from which on the store
+     * counts as failing, so that all instances read them. */
     FAILURES_MAX = 2,
     /* How often registrations are read. Databases accept work for 7 s after
      * they have registered as draining. */
@@ -43,14 +42,42 @@
     mr_ms_t config_retry_ms;
     bool config_waiting;        /* for an answer */
     bool registrations_waiting; /* for an answer, or a first registration */
-    int config_failures;        /* consecutive ones */
-    int registrations_failures;
+    bool config_history_gone;   /* the row itself is read next */
+    int registrations_failures; /* consecutive ones */
     mr_ms_t config_called_at;
+    mr_ms_t config_wait; /* of the call, for a change */
     mr_ms_t registrations_read_at;
-    mr_revision_t after; /* that the feed continues from; version 0: the row
-                            itself is read next */
 };
 
+static mr_config_reader_t
+config_reader(const mr_feed_t *feed)
+{
+    switch (feed->role) {
+    case MR_FEED_ISOLATED:
+    case MR_FEED_COORDINATOR:
+        return MR_CONFIG_FOLLOWER;
+    case MR_FEED_DEPUTY:
+        return MR_CONFIG_DEPUTY;
+    case MR_FEED_NONE:
+        return MR_CONFIG_LISTENER;
+    }
+    return MR_CONFIG_FOLLOWER;
+}
+
+/* Returns the revision after which changes of the desired state may be
+ * missing; version 0: the row itself has to be read. */
+static mr_revision_t
+known_until(const mr_feed_t *feed)
+{
+    const mr_confirmation_t *confirmation =
+        mr_directory_confirmation(feed->options.directory);
+    bool lacks = mr_directory_config_version(feed->options.directory)
+                 < confirmation->config_version;
+
+    return lacks || feed->config_history_gone ? (mr_revision_t){0}
+                                              : confirmation->revision;
+}
+
 /* Pause after the answer with @bytes of contents, which took @decoding. */
 static mr_ms_t
 config_pause(const mr_feed_t *feed, size_t bytes, mr_ms_t decoding)
@@ -63,25 +90,43 @@
     return pause < PAUSE_MAX_MS ? pause : PAUSE_MAX_MS;
 }
 
+/* Applies the newest desired state in @answer, if there is one, and records
+ * until when there is none newer. */
+static void
+apply_config(mr_feed_t *feed, const mr_store_answer_t *answer, mr_ms_t now)
+{
+    mr_directory_t *directory = feed->options.directory;
+    mr_ms_t confirmed_at = mr_confirmation_of_answer(
+        feed->config_called_at, feed->config_wait, answer->count > 0, now);
+    bool applied = false;
+
+    for (size_t i = answer->count; i > 0 && !applied; i--) {
+        const mr_store_row_t *row = &answer->rows[i - 1];
+        if (strcmp(row->key, config_key) == 0 && !row->deleted) {
+            applied = mr_directory_set_config(directory, row->value, row->len,
+                                              "store");
+        }
+    }
+    mr_directory_confirm_config(directory, answer->revision, confirmed_at);
+}
+
 static void
 on_config(void *ctx, const mr_store_answer_t *answer)
 {
     mr_feed_t *feed = ctx;
     mr_ms_t began = mr_clock_now(NULL);
+    bool read_row = known_until(feed).version == 0;
     size_t bytes = 0;
 
     feed->config_waiting = false;
     if (answer->error == MR_ERR_NOT_FOUND) {
         mr_log(MR_LOG_INFO, MR_EVENT_FEED_HISTORY_GONE, "after=%lld",
-               (long long)feed->after.version);
-        feed->after = (mr_revision_t){0};
+               (long long)known_until(feed).version);
+        feed->config_history_gone = true;
         mr_timer_start(feed->config_timer, 0);
         return;
     }
     if (answer->error != MR_OK) {
-        /* A store that is silent has cost the time of a whole call. */
-        feed->config_failures +=
-            began - feed->config_called_at >= FEED_WAIT_MS ? FAILURES_MAX : 1;
         feed->config_retry_ms = feed->config_retry_ms == 0
                                     ? RETRY_FIRST_MS
                                     : feed->config_retry_ms * 2;
@@ -91,48 +136,64 @@
         mr_timer_start(feed->config_timer, feed->config_retry_ms);
         return;
     }
-    feed->config_failures = 0;
     feed->config_retry_ms = 0;
-    bool applied = false;
-    for (size_t i = answer->count; i > 0; i--) {
-        const mr_store_row_t *row = &answer->rows[i - 1];
-        bytes += row->len;
-        if (!applied && strcmp(row->key, config_key) == 0 && !row->deleted) {
-            applied = mr_directory_set_config(feed->options.directory,
-                                              row->value, row->len, "store");
-        }
+    feed->config_history_gone = false;
+    for (size_t i = 0; i < answer->count; i++) {
+        bytes += answer->rows[i].len;
+    }
+    apply_config(feed, answer, began);
+    mr_ms_t pause = config_pause(feed, bytes, mr_clock_now(NULL) - began);
+    /* Only a call that waits for a change is followed at once by another one.
+     */
+    if (pause < RETRY_FIRST_MS && (read_row || feed->config_wait == 0)) {
+        pause = RETRY_FIRST_MS;
     }
-    feed->after = answer->revision;
-    /* A store without any row has no version to continue from. */
-    mr_timer_start(
-        feed->config_timer,
-        feed->after.version == 0
-            ? RETRY_FIRST_MS
-            : config_pause(feed, bytes, mr_clock_now(NULL) - began));
+    mr_timer_start(feed->config_timer, pause);
 }
 
 static void
 on_config_timer(evutil_socket_t fd, short what, void *ctx)
 {
     mr_feed_t *feed = ctx;
+    mr_directory_t *directory = feed->options.directory;
+    mr_config_reader_t reader = config_reader(feed);
+    mr_ms_t now = mr_clock_now(NULL);
 
     (void)fd;
     (void)what;
     if (feed->config_waiting) {
         return;
     }
-    if (feed->role == MR_FEED_NONE) {
-        feed->after = (mr_revision_t){0};
+    mr_ms_t due = mr_confirmation_due(mr_directory_confirmation(directory),
+                                      reader, feed->options.apply_max, now);
+    if (due > 0) {
+        mr_timer_start(feed->config_timer, due);
         return;
     }
+    if (reader != MR_CONFIG_FOLLOWER) {
+        const mr_confirmation_t *known = mr_directory_confirmation(directory);
+        mr_log(MR_LOG_INFO, MR_EVENT_CONFIGURATION_UNCONFIRMED,
+               "age_ms=%lld version=%lld known=%lld",
+               (long long)(now - known->held_at),
+               (long long)mr_directory_config_version(directory),
+               (long long)known->config_version);
+    }
     feed->config_waiting = true;
-    feed->config_called_at = mr_clock_now(NULL);
-    if (feed->after.version == 0) {
+    feed->config_called_at = now;
+    feed->config_wait = 0;
+    mr_revision_t after = known_until(feed);
+    if (after.version == 0) {
         mr_store_get(feed->options.store, config_table, config_key, on_config,
                      feed);
         return;
     }
-    mr_store_feed(feed->options.store, config_table, feed->after, FEED_WAIT_MS,
+    if (reader == MR_CONFIG_FOLLOWER) {
+        feed->config_wait =
+            mr_directory_config_version(directory) == 0
+                ? FIRST_WAIT_MS
+                : mr_confirmation_wait(feed->options.apply_max);
+    }
+    mr_store_feed(feed->options.store, config_table, after, feed->config_wait,
                   on_config, feed);
 }
 
@@ -169,7 +230,7 @@
     if (!mr_directory_has_registrations(feed->options.directory)) {
         feed->registrations_waiting = true;
         mr_store_feed(feed->options.store, registrations_table,
-                      answer->revision, FEED_WAIT_MS, on_first_registration,
+                      answer->revision, FIRST_WAIT_MS, on_first_registration,
                       feed);
         return;
     }
@@ -195,7 +256,7 @@
     (void)fd;
     (void)what;
     if (feed->registrations_waiting || feed->role == MR_FEED_NONE
-        || feed->role == MR_FEED_CONFIG) {
+        || feed->role == MR_FEED_DEPUTY) {
         return;
     }
     read_registrations(feed);
@@ -233,7 +294,7 @@
         return;
     }
     feed->role = role;
-    if (!feed->config_waiting && !evtimer_pending(feed->config_timer, NULL)) {
+    if (!feed->config_waiting && feed->config_retry_ms == 0) {
         mr_timer_start(feed->config_timer, 0);
     }
     if (!feed->registrations_waiting
@@ -245,8 +306,7 @@
 bool
 mr_feed_failing(const mr_feed_t *feed)
 {
-    return feed->config_failures >= FAILURES_MAX
-           || feed->registrations_failures >= FAILURES_MAX;
+    return feed->registrations_failures >= FAILURES_MAX;
 }
 
 void
--- a/lib/session/fleet.c
+++ b/lib/session/fleet.c
@@ -9,9 +9,10 @@
     REPORT_INTERVAL_MIN_MS = 5,
     /* An instance without a reply for this long reads the store itself. */
     ISOLATED_AFTER_MS = 700,
-    /* Number of instances that follow the desired state in the store, in case
-     * the coordinator's own feed fails. */
-    CONFIG_READERS = 3,
+    /* Number of instances, the coordinator among them, that read the desired
+     * state first when its confirmations are late, so that the others need not
+     * do so in a large deployment. */
+    CONFIG_READERS = 8,
     CHECK_PERIOD_MS = 100, /* of primaries, by the coordinator */
 };
 
@@ -90,7 +91,7 @@
         role = MR_FEED_ISOLATED;
     }
     else if (own_rank(fleet) < CONFIG_READERS) {
-        role = MR_FEED_CONFIG;
+        role = MR_FEED_DEPUTY;
     }
     mr_feed_set_role(fleet->options.feed, role);
 }
@@ -188,6 +189,9 @@
     fleet->instances_gauge =
         mr_counters_get(options->counters, "masticrelay_instances", "",
                         "instances that may admit operations");
+    fleet->unconfirmed_gauge = mr_counters_get(
+        options->counters, "masticrelay_desired_state_unconfirmed_ms", "",
+        "time since the desired state was last known to be the newest");
     mr_fleet_create_peer(fleet);
     mr_store_on_era(options->store, mr_fleet_on_era, fleet);
     mr_timer_start(fleet->members_timer, 0);
--- a/lib/session/fleet_internal.h
+++ b/lib/session/fleet_internal.h
@@ -101,6 +101,7 @@
     mr_counter_t *coordinator_gauge;
     mr_counter_t *reports_failed_counter;
     mr_counter_t *instances_gauge;
+    mr_counter_t *unconfirmed_gauge;
 };
 
 /* fleet.c */
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -275,6 +275,8 @@
     from->failures = reply->leaving ? MR_FLEET_FAILURES_MAX : 0;
     mr_fleet_on_era(fleet, reply->directory.registrations_era);
     mr_updates_import(fleet->updates, &reply->directory, from->name);
+    mr_directory_import_confirmation(fleet->options.directory,
+                                     &reply->directory, asked_at);
     fetch_announced(fleet, from, reply);
     if (from == fleet->coordinator) {
         fleet->answered_at = now;
@@ -509,6 +511,9 @@
     (void)fd;
     (void)what;
     mr_timer_start(fleet->report_timer, REPORT_PERIOD_MS);
+    mr_counter_set(
+        fleet->unconfirmed_gauge,
+        now - mr_directory_confirmation(fleet->options.directory)->held_at);
     mr_fleet_update_coordinator(fleet, now);
     retry_preferred(fleet, now);
     if (fleet->coordinator != NULL
@@ -738,6 +743,12 @@
     }
     mr_fleet_on_era(fleet, report->directory.registrations_era);
     mr_updates_import(fleet->updates, &report->directory, from);
+    if (report->support > 0 && report->support <= now) {
+        /* The report follows the reply that it names, so its age is bounded
+         * although it may have been held up. */
+        mr_directory_import_confirmation(fleet->options.directory,
+                                         &report->directory, report->support);
+    }
     if (instance != NULL
         && mr_directory_lacks(fleet->options.directory, &report->directory)) {
         mr_updates_fetch(fleet->updates, instance->address, instance->name);
--- a/lib/session/sessiond.c
+++ b/lib/session/sessiond.c
@@ -197,6 +197,7 @@
         .store = daemon->store,
         .directory = daemon->directory,
         .link_mbps = settings->link_mbps,
+        .apply_max = settings->apply_max,
     });
     daemon->lease =
         mr_primary_lease_create(daemon->counters, mr_clock_now(NULL));
--- a/lib/session/sessiond.h
+++ b/lib/session/sessiond.h
@@ -19,6 +19,7 @@
     char *store;          /* address of the platform's store */
     char *duty;           /* address for promotion orders to the platform */
     mr_ms_t grace;        /* from the stop signal to the kill */
+    mr_ms_t apply_max;    /* how long a replaced desired state may be used */
     int64_t memory_limit; /* bytes; 0: not known */
     int64_t link_mbps;    /* of the network link, Mbit/s; 0: not known */
     mr_log_level_t log_level;
--- a/lib/session/sessiond_settings.c
+++ b/lib/session/sessiond_settings.c
@@ -10,6 +10,9 @@
 enum {
     GRACE_DEFAULT_S = 6,
     GRACE_MAX_S = 600,
+    APPLY_DEFAULT_MS = 3000,
+    APPLY_MIN_MS = 1000,
+    APPLY_MAX_MS = 600000,
     LINK_MAX_MBPS = 1000000,
     MEMORY_MAX_MB = 1 << 20,
     BYTES_PER_MB = 1000 * 1000,
@@ -146,8 +149,9 @@
         {"duty", "the platform's promotion calls", SETTING_ADDRESS,
          &settings->duty},
     };
-    GOptionEntry entries[G_N_ELEMENTS(table) + 6] = {{0}};
+    GOptionEntry entries[G_N_ELEMENTS(table) + 7] = {{0}};
     int grace_s = GRACE_DEFAULT_S;
+    int apply_ms = APPLY_DEFAULT_MS;
     char *memory_mb = NULL;
     char *link_mbps = NULL;
     char *level = NULL;
@@ -170,6 +174,11 @@
         0,         G_OPTION_ARG_INT,
         &grace_s,  "seconds from the stop signal to the kill (6)",
         "S"};
+    entries[n++] = (GOptionEntry){
+        "apply-ms", 0,
+        0,          G_OPTION_ARG_INT,
+        &apply_ms,  "how long a replaced desired state may be used (3000)",
+        "MS"};
     entries[n++] = (GOptionEntry){
         "memory-mb", 0,
         0,           G_OPTION_ARG_STRING,
@@ -206,10 +215,14 @@
     if (good && (grace_s < 1 || grace_s > GRACE_MAX_S)) {
         good = report_error("grace-s", "must be from 1 to 600");
     }
+    if (good && (apply_ms < APPLY_MIN_MS || apply_ms > APPLY_MAX_MS)) {
+        good = report_error("apply-ms", "must be from 1000 to 600000");
+    }
     good = good && parse_memory_limit(memory_mb, &settings->memory_limit);
     good = good && parse_link_rate(link_mbps, &settings->link_mbps);
     good = good && parse_log_level(level, &settings->log_level);
     settings->grace = (mr_ms_t)grace_s * 1000;
+    settings->apply_max = apply_ms;
     g_free(memory_mb);
     g_free(link_mbps);
     g_free(level);
--- a/lib/wire/msg.c
+++ b/lib/wire/msg.c
@@ -27,6 +27,8 @@
 typedef struct layout {
     size_t size;
     size_t count;
+    size_t optional; /* last fields, which senders of an earlier release leave
+                        out; they are then zero */
     const field_t *fields;
 } layout_t;
 
@@ -50,9 +52,10 @@
         FIELD_LIST, offsetof(type, member), offsetof(type, counter),          \
             &(layout)                                                         \
     }
-#define LAYOUT(type, fields)                                                  \
+#define LAYOUT(type, fields) LAYOUT_WITH_OPTIONAL(type, fields, 0)
+#define LAYOUT_WITH_OPTIONAL(type, fields, optional)                          \
     {                                                                         \
-        sizeof(type), sizeof(fields) / sizeof((fields)[0]), fields            \
+        sizeof(type), sizeof(fields) / sizeof((fields)[0]), optional, fields  \
     }
 
 static const field_t hello_fields[] = {
@@ -264,6 +267,13 @@
         LIST_FIELD(type, prefix registrations, prefix registration_count,     \
                    registration_layout)
 
+#define CONFIRMATION_FIELDS(type, prefix)                                     \
+    FIELD(INTEGER, type, prefix confirmed_config),                            \
+        FIELD(INTEGER, type, prefix confirmed_version),                       \
+        FIELD(INTEGER, type, prefix confirmed_era),                           \
+        FIELD(INTEGER, type, prefix confirmed_age_ms)
+enum { CONFIRMATION_FIELD_COUNT = 4 };
+
 static const field_t primary_fields[] = {
     FIELD(STRING, mr_msg_primary_t, service),
     FIELD(STRING, mr_msg_primary_t, promoted),
@@ -300,8 +310,10 @@
     FIELD(BOOL, mr_msg_report_t, provisional),
     LIST_FIELD(mr_msg_report_t, withheld, withheld_count, withheld_layout),
     LIST_FIELD(mr_msg_report_t, promotions, promotion_count, primary_layout),
+    CONFIRMATION_FIELDS(mr_msg_report_t, directory.),
 };
-static const layout_t report_layout = LAYOUT(mr_msg_report_t, report_fields);
+static const layout_t report_layout = LAYOUT_WITH_OPTIONAL(
+    mr_msg_report_t, report_fields, CONFIRMATION_FIELD_COUNT);
 
 static const field_t report_reply_fields[] = {
     FIELD(INTEGER, mr_msg_report_reply_t, instances),
@@ -318,9 +330,10 @@
     LIST_FIELD(mr_msg_report_reply_t, withheld, withheld_count,
                withheld_layout),
     FIELD(BOOL, mr_msg_report_reply_t, leaving),
+    CONFIRMATION_FIELDS(mr_msg_report_reply_t, directory.),
 };
-static const layout_t report_reply_layout =
-    LAYOUT(mr_msg_report_reply_t, report_reply_fields);
+static const layout_t report_reply_layout = LAYOUT_WITH_OPTIONAL(
+    mr_msg_report_reply_t, report_reply_fields, CONFIRMATION_FIELD_COUNT);
 
 static const field_t update_fetch_fields[] = {
     FIELD(INTEGER, mr_msg_update_fetch_t, id),
@@ -590,10 +603,10 @@
 decode_fields(const msgpack_object *objs, size_t count, msgpack_zone *zone,
               const layout_t *layout, char *base)
 {
-    if (count < layout->count) {
+    if (count < layout->count - layout->optional) {
         return false;
     }
-    for (size_t i = 0; i < layout->count; i++) {
+    for (size_t i = 0; i < layout->count && i < count; i++) {
         if (!decode_field(&objs[i], zone, &layout->fields[i], base)) {
             return false;
         }
--- a/lib/wire/msg.h
+++ b/lib/wire/msg.h
@@ -242,6 +242,12 @@
     mr_msg_registration_t *registrations;
     size_t registration_count;
     int64_t registrations_era; /* of registrations_version */
+    /* Last confirmation that there was no newer desired state than
+     * confirmed_config; see session/confirmation.h. */
+    int64_t confirmed_config;
+    int64_t confirmed_version; /* of the store; 0: none */
+    int64_t confirmed_era;     /* of confirmed_version */
+    int64_t confirmed_age_ms;  /* when the message was sent */
 } mr_msg_directory_t;
 
 /** Tokens of a client account, requested in a report and granted in its reply.
--- a/tests/integration/test_session_store.c
+++ b/tests/integration/test_session_store.c
@@ -45,8 +45,10 @@
         &(mr_store_options_t){.base = base,
                               .counters = counters,
                               .address = backend_store_address(backend, 0)});
-    feed = mr_feed_create(&(mr_feed_options_t){
-        .base = base, .store = store, .directory = directory});
+    feed = mr_feed_create(&(mr_feed_options_t){.base = base,
+                                               .store = store,
+                                               .directory = directory,
+                                               .apply_max = APPLY_MAX_MS});
 }
 
 static void
--- a/tests/integration/world.c
+++ b/tests/integration/world.c
@@ -178,6 +178,12 @@
     backend->store_failing[index] = failing;
 }
 
+void
+backend_set_store_silent(backend_t *backend, int index, bool silent)
+{
+    backend->store_silent[index] = silent;
+}
+
 void
 backend_db_kill(backend_t *backend, int db)
 {
--- a/tests/integration/world.h
+++ b/tests/integration/world.h
@@ -78,6 +78,9 @@
 /** backend_set_store_failing() - whether the store answers every call to the
  * address @index with 503. */
 void backend_set_store_failing(backend_t *backend, int index, bool failing);
+/** backend_set_store_silent() - whether the store leaves the calls to the
+ * address @index unanswered, also those that wait for a change. */
+void backend_set_store_silent(backend_t *backend, int index, bool silent);
 /** backend_copy_store() - copy the store's rows for a later restoration. */
 void backend_copy_store(backend_t *backend);
 /** backend_restore_store() - restore the store from the copy: the changes made
@@ -150,6 +153,9 @@
 int backend_count_runs(const backend_t *backend, const char *id);
 /** backend_count_in_log() - count the log entries of statement @id. */
 int backend_count_in_log(const backend_t *backend, const char *id);
+/** backend_dbs_read_at() - when the registrations of the databases were last
+ * read through the address @index; 0: never. */
+mr_ms_t backend_dbs_read_at(const backend_t *backend, int index);
 /** backend_violation() - the first protocol violation by the daemons; NULL:
  * none. */
 const char *backend_violation(const backend_t *backend);
--- a/tests/integration/world_internal.h
+++ b/tests/integration/world_internal.h
@@ -89,6 +89,8 @@
     store_handler_t *handlers; /* of each path on each store address */
     char store_address[BACKEND_STORES][BACKEND_TEXT_BYTES];
     bool store_failing[BACKEND_STORES];
+    bool store_silent[BACKEND_STORES];
+    mr_ms_t dbs_read_at[BACKEND_STORES]; /* see backend_dbs_read_at() */
     struct evhttp *promotion_server;
     char promotion_address[BACKEND_TEXT_BYTES];
     backend_row_t *rows;
--- a/tests/integration/world_store.c
+++ b/tests/integration/world_store.c
@@ -26,6 +26,7 @@
     struct event *timer;
     char table[BACKEND_TEXT_BYTES];
     int64_t after;
+    int index; /* of the store address that was called */
 } feed_t;
 
 static char *
@@ -107,10 +108,13 @@
 {
     json_t *doc;
 
-    collect_rows(feed->backend, feed->table, NULL, feed->after, true, &doc);
     evhttp_connection_set_closecb(evhttp_request_get_connection(feed->req),
                                   NULL, NULL);
-    send_json(feed->req, 200, doc);
+    if (!feed->backend->store_silent[feed->index]) {
+        collect_rows(feed->backend, feed->table, NULL, feed->after, true,
+                     &doc);
+        send_json(feed->req, 200, doc);
+    }
     mr_list_remove(&feed->link);
     event_free(feed->timer);
     free(feed);
@@ -291,6 +295,12 @@
     return backend->version;
 }
 
+mr_ms_t
+backend_dbs_read_at(const backend_t *backend, int index)
+{
+    return backend->dbs_read_at[index];
+}
+
 static void
 parse_read_query(backend_t *backend, struct evhttp_request *req,
                  struct evkeyvalq *query)
@@ -301,23 +311,25 @@
 }
 
 static void
-on_get(struct evhttp_request *req, void *ctx)
+on_get(struct evhttp_request *req, backend_t *backend, int index)
 {
-    backend_t *backend = ctx;
     struct evkeyvalq query;
     json_t *doc;
 
     parse_read_query(backend, req, &query);
-    collect_rows(backend, evhttp_find_header(&query, "table"),
-                 evhttp_find_header(&query, "from"), 0, false, &doc);
+    const char *table = evhttp_find_header(&query, "table");
+    if (strcmp(table, "servers") == 0) {
+        backend->dbs_read_at[index] = mr_clock_now(NULL);
+    }
+    collect_rows(backend, table, evhttp_find_header(&query, "from"), 0, false,
+                 &doc);
     evhttp_clear_headers(&query);
     send_json(req, 200, doc);
 }
 
 static void
-on_feed(struct evhttp_request *req, void *ctx)
+on_feed(struct evhttp_request *req, backend_t *backend, int index)
 {
-    backend_t *backend = ctx;
     struct evkeyvalq query;
     json_t *doc;
 
@@ -338,6 +350,7 @@
         feed->backend = backend;
         feed->req = req;
         feed->after = after;
+        feed->index = index;
         snprintf(feed->table, sizeof(feed->table), "%s", table);
         feed->timer = evtimer_new(backend->base, on_feed_timeout, feed);
         evtimer_add(feed->timer, &tv);
@@ -358,9 +371,8 @@
 }
 
 static void
-on_transaction(struct evhttp_request *req, void *ctx)
+on_transaction(struct evhttp_request *req, backend_t *backend, int index)
 {
-    backend_t *backend = ctx;
     json_t *body = read_body(req);
     json_t *condition =
         json_array_get(json_object_get(body, "precondition"), 0);
@@ -370,6 +382,7 @@
     backend_row_t *row = find_row(backend, table, key);
     int64_t present = row != NULL && !row->deleted ? row->version : 0;
 
+    (void)index;
     if (json_integer_value(json_object_get(condition, "ver")) != present) {
         json_t *rows = json_array();
         if (present != 0) {
@@ -548,7 +561,7 @@
 struct store_handler {
     backend_t *backend;
     int index;
-    void (*handle)(struct evhttp_request *req, void *ctx);
+    void (*handle)(struct evhttp_request *req, backend_t *backend, int index);
 };
 
 static void
@@ -560,12 +573,15 @@
         evhttp_connection_free(evhttp_request_get_connection(req));
         return;
     }
+    if (handler->backend->store_silent[handler->index]) {
+        return;
+    }
     add_era(req, handler->backend);
     if (handler->backend->store_failing[handler->index]) {
         evhttp_send_reply(req, 503, NULL, NULL);
         return;
     }
-    handler->handle(req, handler->backend);
+    handler->handle(req, handler->backend, handler->index);
 }
 
 void
@@ -574,8 +590,8 @@
     static const char *const paths[] = {"/masticrelay/rows-get",
                                         "/masticrelay/rows-feed",
                                         "/masticrelay/rows-tx"};
-    void (*const handlers[])(struct evhttp_request *,
-                             void *) = {on_get, on_feed, on_transaction};
+    void (*const handlers[])(struct evhttp_request *, backend_t *,
+                             int) = {on_get, on_feed, on_transaction};
 
     backend->handlers =
         mr_calloc((size_t)BACKEND_STORES * 3, sizeof(*backend->handlers));
