Do not rely on kept connections to the store that may be dead

Cause: with the age of the desired state bounded, an instance asks the store at half the time, but did so on a connection that had been idle since its last call and was dead, too. That cost the call's time limit of 1 s, and the next call took the next kept connection.

--- a/lib/common/http.c
+++ b/lib/common/http.c
@@ -23,6 +23,7 @@
     mr_list_t link; /* in idle_conns */
     struct evhttp_connection *evcon;
     size_t received; /* bytes so far */
+    mr_ms_t idle_since;
 } conn_t;
 
 struct mr_http_pending {
@@ -47,6 +48,7 @@
     char *name;
     size_t connections_max; /* 0: no limit */
     mr_ms_t lost_after;
+    mr_ms_t idle_max;
     size_t running; /* calls with a connection */
     size_t queued;  /* calls without one */
     mr_list_t idle_conns;
@@ -72,6 +74,33 @@
     free(conn);
 }
 
+static void
+close_idle_conns(mr_http_t *http)
+{
+    mr_list_t *link;
+
+    while ((link = mr_list_pop(&http->idle_conns)) != NULL) {
+        free_conn(MR_LIST_ENTRY(link, conn_t, link));
+    }
+}
+
+/* Returns an idle connection that may be used again; NULL: there is none. */
+static conn_t *
+take_idle_conn(mr_http_t *http)
+{
+    mr_ms_t now = mr_clock_now(NULL);
+    mr_list_t *link;
+
+    while ((link = mr_list_pop(&http->idle_conns)) != NULL) {
+        conn_t *conn = MR_LIST_ENTRY(link, conn_t, link);
+        if (http->idle_max == 0 || now - conn->idle_since <= http->idle_max) {
+            return conn;
+        }
+        free_conn(conn);
+    }
+    return NULL;
+}
+
 static void
 on_input(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
          void *ctx)
@@ -85,12 +114,12 @@
 static conn_t *
 take_conn(mr_http_t *http)
 {
-    mr_list_t *link = mr_list_pop(&http->idle_conns);
+    conn_t *conn = take_idle_conn(http);
 
-    if (link != NULL) {
-        return MR_LIST_ENTRY(link, conn_t, link);
+    if (conn != NULL) {
+        return conn;
     }
-    conn_t *conn = MR_NEW(conn_t);
+    conn = MR_NEW(conn_t);
     mr_list_init(&conn->link);
     conn->evcon = evhttp_connection_base_new(http->base, NULL, http->ip,
                                              (uint16_t)http->port);
@@ -197,6 +226,9 @@
     }
     /* On a reused connection, a late answer would go to the next call. */
     free_conn(ended.conn);
+    if (ended.http->idle_max != 0) {
+        close_idle_conns(ended.http);
+    }
     end_without_answer(&ended, MR_ERR_OUTCOME_UNKNOWN);
 }
 
@@ -210,6 +242,7 @@
 
     /* The connection is not freed here, as libevent may still use it after
      * this callback. */
+    ended.conn->idle_since = mr_clock_now(NULL);
     mr_list_append(&ended.http->idle_conns, &ended.conn->link);
     if (status == 0) {
         /* Without a request, the connection was closed after the call was
@@ -299,6 +332,7 @@
     http->name = mr_strdup(options->name);
     http->connections_max = options->connections;
     http->lost_after = options->unreachable_after;
+    http->idle_max = options->idle_max;
     http->reachable = true;
     http->answered_at = mr_clock_now(NULL);
     mr_list_init(&http->idle_conns);
@@ -336,8 +370,6 @@
 void
 mr_http_destroy(mr_http_t *http)
 {
-    mr_list_t *link;
-
     if (http == NULL) {
         return;
     }
@@ -349,9 +381,7 @@
         mr_http_cancel(
             MR_LIST_ENTRY(http->queue.next, mr_http_pending_t, link));
     }
-    while ((link = mr_list_pop(&http->idle_conns)) != NULL) {
-        free_conn(MR_LIST_ENTRY(link, conn_t, link));
-    }
+    close_idle_conns(http);
     event_free(http->dispatcher);
     free(http->name);
     free(http);
--- a/lib/session/sessiond_settings.c
+++ b/lib/session/sessiond_settings.c
@@ -11,7 +11,8 @@
     GRACE_DEFAULT_S = 6,
     GRACE_MAX_S = 600,
     APPLY_DEFAULT_MS = 3000,
-    APPLY_MIN_MS = 1000,
+    /* Half of it, and a call that fails before a second one. */
+    APPLY_MIN_MS = 2500,
     APPLY_MAX_MS = 600000,
     LINK_MAX_MBPS = 1000000,
     MEMORY_MAX_MB = 1 << 20,
@@ -216,7 +217,7 @@
         good = report_error("grace-s", "must be from 1 to 600");
     }
     if (good && (apply_ms < APPLY_MIN_MS || apply_ms > APPLY_MAX_MS)) {
-        good = report_error("apply-ms", "must be from 1000 to 600000");
+        good = report_error("apply-ms", "must be from 2500 to 600000");
     }
     good = good && parse_memory_limit(memory_mb, &settings->memory_limit);
     good = good && parse_link_rate(link_mbps, &settings->link_mbps);
--- a/tests/integration/test_session_config.c
+++ b/tests/integration/test_session_config.c
@@ -29,6 +29,7 @@
     FAULT_NONE,
     FAULT_STORE_SILENT,
     FAULT_STORE_FAILING,
+    FAULT_STORE_CONNS, /* of all instances fall silent, new ones work */
     FAULT_FREEZE,
     FAULT_KILL,
 } fault_kind_t;
@@ -110,6 +111,9 @@
     case FAULT_STORE_FAILING:
         backend_set_store_failing(backend, index, true);
         break;
+    case FAULT_STORE_CONNS:
+        backend_silence_store_conns(backend);
+        break;
     case FAULT_FREEZE:
         relay_signal(&relays[index], SIGSTOP);
         break;
@@ -331,6 +335,30 @@
 }
 END_TEST
 
+/* Guards against a dropped route or a withdrawn key in use because open
+ * connections to the store do not tell that they are dead. */
+START_TEST(test_silent_connections_do_not_delay_a_withdrawal)
+{
+    static const play_t plays[] = {
+        {"the change as they fall silent", 0, {{FAULT_STORE_CONNS, 0, 0}}},
+        {"the change while calls wait for their time limit",
+         600,
+         {{FAULT_STORE_CONNS, 0, 0}}},
+        {"silent again",
+         20,
+         {{FAULT_STORE_CONNS, 0, 0}, {FAULT_STORE_CONNS, 0, 1700}}},
+        {"silent connections, and silence for the followers",
+         20,
+         {{FAULT_STORE_CONNS, 0, 0},
+          {FAULT_STORE_SILENT, 0, 0},
+          {FAULT_STORE_SILENT, 1, 0},
+          {FAULT_STORE_SILENT, 2, 0}}},
+    };
+
+    CHECK_PLAYS(plays);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -338,6 +366,7 @@
         test_one_instance_reads_the_store_on_a_calm_day,
         test_silence_of_all_followers_does_not_delay_a_withdrawal,
         test_ends_of_followers_do_not_delay_a_withdrawal,
+        test_silent_connections_do_not_delay_a_withdrawal,
     };
 
     return RUN_TESTS(tests, .suite = "session_config", .timeout_s = 150,
--- a/tests/integration/world.h
+++ b/tests/integration/world.h
@@ -81,6 +81,9 @@
 /** backend_set_store_silent() - whether the store leaves the calls to the
  * address @index unanswered, also those that wait for a change. */
 void backend_set_store_silent(backend_t *backend, int index, bool silent);
+/** backend_silence_store_conns() - let the open connections to the store fall
+ * silent for good; new ones work. */
+void backend_silence_store_conns(backend_t *backend);
 /** backend_copy_store() - copy the store's rows for a later restoration. */
 void backend_copy_store(backend_t *backend);
 /** backend_restore_store() - restore the store from the copy: the changes made
--- a/tests/integration/world_internal.h
+++ b/tests/integration/world_internal.h
@@ -90,6 +90,9 @@
     char store_address[BACKEND_STORES][BACKEND_TEXT_BYTES];
     bool store_failing[BACKEND_STORES];
     bool store_silent[BACKEND_STORES];
+    int store_conns;                     /* opened so far */
+    int store_conns_silent;              /* of them, the first ones */
+    GHashTable *store_conn_numbers;      /* from 1; by bufferevent */
     mr_ms_t dbs_read_at[BACKEND_STORES]; /* see backend_dbs_read_at() */
     struct evhttp *promotion_server;
     char promotion_address[BACKEND_TEXT_BYTES];
--- a/tests/integration/world_store.c
+++ b/tests/integration/world_store.c
@@ -103,6 +103,36 @@
     return count;
 }
 
+static struct bufferevent *
+on_store_conn(struct event_base *base, void *ctx)
+{
+    backend_t *backend = ctx;
+    struct bufferevent *stream = bufferevent_socket_new(base, -1, 0);
+
+    g_hash_table_insert(backend->store_conn_numbers, stream,
+                        GINT_TO_POINTER(++backend->store_conns));
+    return stream;
+}
+
+void
+backend_silence_store_conns(backend_t *backend)
+{
+    backend->store_conns_silent = backend->store_conns;
+}
+
+/* Whether a call to the store address @index gets no answer. */
+static bool
+is_silent(const backend_t *backend, struct evhttp_request *req, int index)
+{
+    const void *stream =
+        evhttp_connection_get_bufferevent(evhttp_request_get_connection(req));
+    int number = GPOINTER_TO_INT(
+        g_hash_table_lookup(backend->store_conn_numbers, stream));
+
+    return backend->store_silent[index]
+           || number <= backend->store_conns_silent;
+}
+
 static void
 end_feed(feed_t *feed)
 {
@@ -110,7 +140,7 @@
 
     evhttp_connection_set_closecb(evhttp_request_get_connection(feed->req),
                                   NULL, NULL);
-    if (!feed->backend->store_silent[feed->index]) {
+    if (!is_silent(feed->backend, feed->req, feed->index)) {
         collect_rows(feed->backend, feed->table, NULL, feed->after, true,
                      &doc);
         send_json(feed->req, 200, doc);
@@ -573,7 +603,7 @@
         evhttp_connection_free(evhttp_request_get_connection(req));
         return;
     }
-    if (handler->backend->store_silent[handler->index]) {
+    if (is_silent(handler->backend, req, handler->index)) {
         return;
     }
     add_era(req, handler->backend);
@@ -596,9 +626,11 @@
     backend->handlers =
         mr_calloc((size_t)BACKEND_STORES * 3, sizeof(*backend->handlers));
     mr_list_init(&backend->feeds);
+    backend->store_conn_numbers = g_hash_table_new(NULL, NULL);
     for (int i = 0; i < BACKEND_STORES; i++) {
         int port = harness_port();
         backend->store_servers[i] = evhttp_new(backend->base);
+        evhttp_set_bevcb(backend->store_servers[i], on_store_conn, backend);
         for (int j = 0; j < 3; j++) {
             store_handler_t *handler = &backend->handlers[i * 3 + j];
             *handler = (store_handler_t){backend, i, handlers[j]};
@@ -641,5 +673,6 @@
         evhttp_free(backend->store_servers[i]);
     }
     evhttp_free(backend->promotion_server);
+    g_hash_table_destroy(backend->store_conn_numbers);
     free(backend->handlers);
 }
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -16,6 +17,7 @@
     TEST_TIMEOUT_MS = 5000,
     PIECES = 8, /* of an answer, sent one by one */
     PIECE_MS = 60,
+    IDLE_MAX_MS = 100,
 };
 
 static struct event_base *base;
@@ -24,6 +26,7 @@
 static char address[32];
 static struct evhttp_request *held[8]; /* requests that get no answer */
 static int held_count;
+static int conn_count; /* that the server has accepted */
 static struct event *answer_timer;
 static int pieces_left;
 static int ended;
@@ -77,6 +80,14 @@
     evhttp_send_reply(req, 200, NULL, NULL);
 }
 
+static struct bufferevent *
+on_conn(struct event_base *conn_base, void *ctx)
+{
+    (void)ctx;
+    conn_count++;
+    return bufferevent_socket_new(conn_base, -1, 0);
+}
+
 static void
 set_up(void)
 {
@@ -91,7 +102,9 @@
                 &len);
     snprintf(address, sizeof(address), "127.0.0.1:%d", ntohs(addr.sin_port));
     evhttp_set_gencb(server, on_call, NULL);
+    evhttp_set_bevcb(server, on_conn, NULL);
     held_count = 0;
+    conn_count = 0;
     ended = 0;
     answer_timer = NULL;
 }
@@ -316,6 +329,62 @@
 }
 END_TEST
 
+static mr_http_t *
+create_client_with_idle_max(mr_ms_t idle_max)
+{
+    return mr_http_create(&(mr_http_options_t){.base = base,
+                                               .counters = counters,
+                                               .address = address,
+                                               .name = "test",
+                                               .idle_max = idle_max});
+}
+
+/* Guards against calls that wait for their time limit on a kept connection
+ * which is dead without telling. */
+START_TEST(test_a_connection_that_was_idle_for_long_is_not_used_again)
+{
+    const mr_ms_t limits[] = {0, IDLE_MAX_MS};
+    const int conns[] = {1, 2};
+
+    for (int i = 0; i < 2; i++) {
+        mr_http_t *http = create_client_with_idle_max(limits[i]);
+        conn_count = 0;
+        ended = 0;
+        call_with_timeout(http, "/", TEST_TIMEOUT_MS);
+        wait_for_calls(1);
+        call_with_timeout(http, "/", TEST_TIMEOUT_MS);
+        wait_for_calls(2);
+        ck_assert_int_eq(conn_count, 1);
+        run_for(2 * IDLE_MAX_MS);
+        call_with_timeout(http, "/", TEST_TIMEOUT_MS);
+        wait_for_calls(3);
+        ck_assert_int_eq(last_error, MR_OK);
+        ck_assert_int_eq(conn_count, conns[i]);
+        mr_http_destroy(http);
+    }
+}
+END_TEST
+
+START_TEST(test_a_call_without_an_answer_closes_the_idle_connections)
+{
+    mr_http_t *http = create_client_with_idle_max(TEST_TIMEOUT_MS);
+
+    call_with_timeout(http, "/", TEST_TIMEOUT_MS);
+    call_with_timeout(http, "/", TEST_TIMEOUT_MS);
+    wait_for_calls(2);
+    ck_assert_int_eq(conn_count, 2);
+    call(http, "/hold");
+    wait_for_calls(3);
+    ck_assert_int_eq(last_error, MR_ERR_OUTCOME_UNKNOWN);
+    ck_assert_int_eq(conn_count, 2);
+    call_with_timeout(http, "/", TEST_TIMEOUT_MS);
+    wait_for_calls(4);
+    ck_assert_int_eq(last_error, MR_OK);
+    ck_assert_int_eq(conn_count, 3);
+    mr_http_destroy(http);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -328,6 +397,8 @@
         test_a_large_answer_over_a_slow_link_is_not_given_up,
         test_an_answer_that_stalls_ends_the_call,
         test_an_answer_that_trickles_ends_at_the_latest_time,
+        test_a_connection_that_was_idle_for_long_is_not_used_again,
+        test_a_call_without_an_answer_closes_the_idle_connections,
     };
 
     return RUN_TESTS(tests, .suite = "http", .setup = set_up,
