--- a/tests/integration/test_session_config.c
+++ b/tests/integration/test_session_config.c
@@ -17,6 +17,7 @@
     READY_MAX_MS = 8000,
     RATE = 500,
     APPLY_MAX_MS = 3000, /* the daemons' default */
+    DRAIN_MS = 7000,     /* how long a draining database accepts statements */
     START_MS = 2500,     /* until the coordinator is chosen */
     /* Before each play. Longer than a call to the store of an instance that
      * followed the desired state before. */
@@ -40,7 +41,7 @@
     mr_ms_t at;
 } fault_t;
 
-/** A withdrawal of a key at @change_at, beside faults. The instance of the
+/** A change at @change_at, beside faults. The instance of the
  * last rank has none. */
 typedef struct play {
     const char *name;
@@ -173,6 +174,18 @@
     return true;
 }
 
+/* Begins the faults that are due and have not begun. */
+static void
+begin_faults(const play_t *play, bool *begun, mr_ms_t elapsed)
+{
+    for (int i = 0; i < FAULTS_MAX; i++) {
+        if (!begun[i] && elapsed >= play->faults[i].at) {
+            begun[i] = true;
+            begin_fault(&play->faults[i]);
+        }
+    }
+}
+
 /* Returns the time from the withdrawal to the last acceptance of the key by
  * the instance without a fault. */
 static mr_ms_t
@@ -201,12 +214,7 @@
     mr_ms_t start = mr_clock_now(NULL);
     for (;;) {
         mr_ms_t elapsed = mr_clock_now(NULL) - start;
-        for (int i = 0; i < FAULTS_MAX; i++) {
-            if (!begun[i] && elapsed >= play->faults[i].at) {
-                begun[i] = true;
-                begin_fault(&play->faults[i]);
-            }
-        }
+        begin_faults(play, begun, elapsed);
         if (withdrawn_at == 0 && elapsed >= play->change_at) {
             backend_put_config(backend, ++version, without, RATE);
             withdrawn_at = mr_clock_now(NULL);
@@ -359,6 +367,93 @@
 }
 END_TEST
 
+/* Returns the time from the registration of a replica as draining to the last
+ * statement that the instance without a fault had it run. */
+static mr_ms_t
+play_drain(const play_t *play)
+{
+    bool begun[FAULTS_MAX] = {false};
+    int steady = by_rank[RELAYS - 1];
+    int drained = (backend_primary(backend) + 1) % BACKEND_DBS;
+    client_t *reader =
+        client_open(base, &relays[steady], "bounded", "key-1", NULL);
+    mr_ms_t drained_at = 0;
+    mr_ms_t used_at = 0;
+    int uses_before = 0;
+
+    ck_assert_ptr_nonnull(reader);
+    harness_run_loop(base, CALM_MS);
+    wait_for_reading();
+    mr_ms_t start = mr_clock_now(NULL);
+    while (drained_at == 0
+           || mr_clock_now(NULL) < drained_at + DRAIN_MS + 1000) {
+        char id[BACKEND_TEXT_BYTES];
+        mr_ms_t elapsed = mr_clock_now(NULL) - start;
+        begin_faults(play, begun, elapsed);
+        if (drained_at == 0 && elapsed >= play->change_at) {
+            backend_db_drain(backend, drained);
+            drained_at = mr_clock_now(NULL);
+        }
+        mr_ms_t sent_at = mr_clock_now(NULL);
+        client_run(reader, "READ a", id);
+        const backend_run_t *run = backend_find_run(backend, id);
+        if (run != NULL && run->db == drained) {
+            used_at = sent_at;
+            uses_before += drained_at == 0;
+        }
+        harness_run_loop(base, PROBE_PERIOD_MS);
+    }
+    ck_assert_int_gt(uses_before, 0);
+    client_close(reader);
+    end_faults(play);
+    return used_at > drained_at ? used_at - drained_at : 0;
+}
+
+/* Guards against a draining database in use for too long, while the store does
+ * not answer the instances that read the registrations. */
+START_TEST(test_silence_does_not_keep_a_draining_database_in_use)
+{
+    static const play_t plays[] = {
+        {"silence for all others",
+         400,
+         {{FAULT_STORE_SILENT, 0, 380},
+          {FAULT_STORE_SILENT, 1, 380},
+          {FAULT_STORE_SILENT, 2, 380}}},
+        {"the coordinator frozen before it can tell",
+         400,
+         {{FAULT_STORE_SILENT, 0, 380},
+          {FAULT_STORE_SILENT, 1, 380},
+          {FAULT_STORE_SILENT, 2, 380},
+          {FAULT_FREEZE, 0, 3700}}},
+        {"the coordinator killed before it can tell",
+         400,
+         {{FAULT_STORE_SILENT, 0, 380},
+          {FAULT_STORE_SILENT, 1, 380},
+          {FAULT_STORE_SILENT, 2, 380},
+          {FAULT_KILL, 0, 3700}}},
+        {"silent connections, and silence for all others",
+         400,
+         {{FAULT_STORE_CONNS, 0, 380},
+          {FAULT_STORE_SILENT, 0, 380},
+          {FAULT_STORE_SILENT, 1, 380},
+          {FAULT_STORE_SILENT, 2, 380}}},
+    };
+
+    for (size_t i = 0; i < sizeof(plays) / sizeof(*plays); i++) {
+        if (i > 0) {
+            tear_down();
+            set_up(); /* with a replica that does not drain */
+        }
+        mr_ms_t used = play_drain(&plays[i]);
+        printf("%s: used for %lld ms\n", plays[i].name, (long long)used);
+        fflush(stdout);
+        ck_assert_msg(used <= DRAIN_MS,
+                      "%s: a draining database was used for %lld ms",
+                      plays[i].name, (long long)used);
+    }
+}
+END_TEST
+
 int
 main(void)
 {
@@ -367,6 +462,7 @@
         test_silence_of_all_followers_does_not_delay_a_withdrawal,
         test_ends_of_followers_do_not_delay_a_withdrawal,
         test_silent_connections_do_not_delay_a_withdrawal,
+        test_silence_does_not_keep_a_draining_database_in_use,
     };
 
     return RUN_TESTS(tests, .suite = "session_config", .timeout_s = 150,
