Keep resuming replicas beside a planned promotion

Cause: start_promotion() ended the attempts to resume the replicas that an abandoned promotion had suspended, also for a planned promotion. That one suspends none and so resumes none when it is abandoned in turn.

Change: the attempts end where a promotion is about to suspend the replicas.

test_a_planned_promotion_does_not_end_attempts_to_resume failed before ("Assertion 'dbs[1].resumed' failed"). test_promoter_model: 0 of 60 plays failed after.

--- a/lib/session/promoter.c
+++ b/lib/session/promoter.c
@@ -748,6 +748,10 @@
     promotion->term = sample != NULL ? sample->position.term : 0;
     promotion->suspend_replicas =
         !promotion->planned && sync_copies(promotion) > 0;
+    if (promotion->suspend_replicas) {
+        /* Whoever ends this promotion resumes them again. */
+        mr_resumer_cancel(promoter->resumer, promotion->service);
+    }
     set_stage(promotion, STAGE_STATUS);
     MR_LIST_FOREACH(it, &cluster->dbs)
     {
@@ -1025,7 +1029,6 @@
     }
     promotion->started_at = mr_clock_now(NULL);
     mr_list_init(&promotion->status_queries);
-    mr_resumer_cancel(promoter->resumer, service);
     mr_list_append(&promoter->promotions, &promotion->link);
     promotion->timer =
         evtimer_new(promoter->options.base, on_promotion_timer, promotion);
--- a/tests/unit/test_promoter.c
+++ b/tests/unit/test_promoter.c
@@ -51,6 +51,8 @@
     int64_t entries;     /* that it has received */
     bool busy;           /* has no free slot for a query */
     bool refuses_demote; /* for lack of a free slot */
+    bool refuses_resume; /* the same */
+    bool resumed;        /* by a RESUME query */
     int status_count;    /* STATUS queries so far */
     int suspend_count;   /* SUSPEND queries so far */
     mr_db_conn_t *conn;  /* the last one */
@@ -173,9 +175,11 @@
     (void)after;
     state->status_count += strcmp(statement, "STATUS") == 0;
     state->suspend_count += strncmp(statement, "SUSPEND", 7) == 0;
-    conn->error = state->busy || (demote && state->refuses_demote)
-                      ? MR_ERR_OVERLOADED
-                      : MR_OK;
+    bool resume = strcmp(statement, "RESUME") == 0;
+    bool refused = state->busy || (demote && state->refuses_demote)
+                   || (resume && state->refuses_resume);
+    conn->error = refused ? MR_ERR_OVERLOADED : MR_OK;
+    state->resumed |= resume && !refused;
     if (demote && conn->error == MR_OK) {
         demoted = true;
         state->entries = demoted_entries;
@@ -641,6 +645,25 @@
 }
 END_TEST
 
+/* Guards against a replica that stays suspended: the leader before this one
+ * may have suspended it, and is asked to resume it until it confirms. */
+START_TEST(test_a_planned_promotion_does_not_end_attempts_to_resume)
+{
+    leave_with_copies();
+    dbs[0].refuses_demote = true;
+    dbs[1].refuses_resume = true;
+    dbs[2].refuses_resume = true;
+    check_answered_for(1500, false);
+    ck_assert_uint_eq(client.count, 0);
+    dbs[1].refuses_resume = false;
+    dbs[2].refuses_resume = false;
+    check_answered_for(1500, false);
+    ck_assert_uint_eq(client.count, 0);
+    ck_assert(dbs[1].resumed);
+    ck_assert(dbs[2].resumed);
+}
+END_TEST
+
 /* Guards against the loss of commits that no replica has received when the old
  * primary is demoted. */
 START_TEST(test_an_old_primary_that_nobody_catches_up_with_leads_again)
@@ -818,6 +841,7 @@
         test_a_service_that_the_desired_state_does_not_name_is_left_alone,
         test_a_planned_promotion_waits_for_a_replica_that_receives,
         test_a_planned_promotion_with_copies_needs_a_demotion,
+        test_a_planned_promotion_does_not_end_attempts_to_resume,
         test_an_old_primary_that_nobody_catches_up_with_leads_again,
         test_an_old_primary_that_ends_after_its_demotion_stops_the_order,
         test_with_copies_the_longest_log_leads_although_it_drains,
