Resume a replica whose registration has lapsed meanwhile

Callers would see, with sync_replicas: writes that are not acknowledged any more, as a replica stays suspended.

Cause: the attempts to resume a replica ended when its registration was gone. Registrations lapse while the store is out and come back; the replica is as suspended then as before.

Change: the attempts go on while the registration is missing, for 60 s at most.

test_a_replica_whose_registration_lapses_is_resumed failed before ("Assertion 'dbs[1].resumed' failed"). Not covered: a replica that is not registered when a new leader begins, and comes back later (read, not shown).

--- a/lib/session/resumer.c
+++ b/lib/session/resumer.c
@@ -12,6 +12,9 @@
 enum {
     ATTEMPT_TIMEOUT_MS = 350, /* for a new connection and one answer */
     RETRY_MS = 300,
+    /* A replica without a registration for this long is taken as gone. Its
+     * registration may lapse while the store is out, and comes back then. */
+    MISSING_MAX_MS = 60000,
 };
 
 struct mr_resumer {
@@ -28,7 +31,8 @@
     char *service;
     char *id;
     mr_db_conn_t *conn;
-    struct event *timer; /* before the next attempt, or for an answer */
+    mr_ms_t missing_since; /* its registration; 0: it is registered */
+    struct event *timer;   /* before the next attempt, or for an answer */
 } resumption_t;
 
 mr_resumer_t *
@@ -134,6 +138,7 @@
     mr_resumer_t *resumer = resumption->resumer;
     mr_db_t *db =
         find_registered(resumer, resumption->service, resumption->id);
+    mr_ms_t now = mr_clock_now(NULL);
 
     (void)fd;
     (void)what;
@@ -141,11 +146,21 @@
         mr_db_conn_close(resumption->conn); /* no answer in time */
         resumption->conn = NULL;
     }
-    if (db == NULL
-        || !mr_lease_grantor_leads(resumer->grantor, mr_clock_now(NULL))) {
+    if (db != NULL) {
+        resumption->missing_since = 0;
+    }
+    else if (resumption->missing_since == 0) {
+        resumption->missing_since = now;
+    }
+    if (!mr_lease_grantor_leads(resumer->grantor, now)
+        || (db == NULL && now - resumption->missing_since > MISSING_MAX_MS)) {
         free_resumption(resumption);
         return;
     }
+    if (db == NULL) {
+        retry_resumption(resumption);
+        return;
+    }
     resumption->conn = mr_db_conn_open(resumer->base, db, mr_no_account,
                                        on_resumption_open, resumption);
     mr_timer_start(resumption->timer, ATTEMPT_TIMEOUT_MS);
--- a/lib/session/resumer.h
+++ b/lib/session/resumer.h
@@ -4,7 +4,7 @@
 /*
  * Makes replicas receive log entries again that a promotion has, or may have,
  * suspended. Each replica is asked until it confirms, so that a lost answer or
- * a missing slot does not leave it suspended.
+ * a missing slot does not leave it suspended, nor a registration that lapses.
  */
 
 #include <event2/event.h>
--- a/tests/unit/test_promoter.c
+++ b/tests/unit/test_promoter.c
@@ -664,6 +664,50 @@
 }
 END_TEST
 
+/* Replaces the registrations by those of "a", which fails, and of "b" if
+ * @with_replica. */
+static void
+register_with_copies(int64_t version, bool with_replica)
+{
+    mr_db_entry_t entry = {.service = "rez",
+                           .address = "127.0.0.1:1",
+                           .data_centre = "konya",
+                           .started_at = 1,
+                           .slots = 2,
+                           .primary = true};
+
+    copies = 1;
+    mr_clusters_begin_update(clusters, (mr_revision_t){1, version});
+    mr_clusters_add_registration(clusters, "a", &entry,
+                                 (mr_revision_t){1, version - 2});
+    entry.primary = false;
+    entry.address = "127.0.0.1:2";
+    if (with_replica) {
+        mr_clusters_add_registration(clusters, "b", &entry,
+                                     (mr_revision_t){1, version - 1});
+    }
+    mr_clusters_end_update(clusters, mr_clock_now(NULL));
+}
+
+/* Guards against a replica that stays suspended as its registration lapsed,
+ * which happens while the store is out, before it had confirmed RESUME. */
+START_TEST(test_a_replica_whose_registration_lapses_is_resumed)
+{
+    register_with_copies(100, true);
+    dbs[1].refuses_resume = true;
+    check_answered_for(1000, false);
+    register_with_copies(110, false);
+    check_answered_for(2500, false);
+    register_with_copies(115, false); /* it counts as gone now */
+    check_answered_for(1000, false);
+    dbs[1].refuses_resume = false;
+    register_with_copies(120, true);
+    check_answered_for(1000, false);
+    ck_assert_uint_eq(client.count, 0);
+    ck_assert(dbs[1].resumed);
+}
+END_TEST
+
 /* Guards against the loss of commits that no replica has received when the old
  * primary is demoted. */
 START_TEST(test_an_old_primary_that_nobody_catches_up_with_leads_again)
@@ -842,6 +886,7 @@
         test_a_planned_promotion_waits_for_a_replica_that_receives,
         test_a_planned_promotion_with_copies_needs_a_demotion,
         test_a_planned_promotion_does_not_end_attempts_to_resume,
+        test_a_replica_whose_registration_lapses_is_resumed,
         test_an_old_primary_that_nobody_catches_up_with_leads_again,
         test_an_old_primary_that_ends_after_its_demotion_stops_the_order,
         test_with_copies_the_longest_log_leads_although_it_drains,
