Read the other rows of a table beside a key with a NUL byte

Callers would see: no change of the databases, and no new desired state, from the moment on that another writer leaves one row with a NUL byte in its key among the registrations. All instances stop following the table.

Cause: the JSON library refuses NUL bytes in texts, and so the whole answer of the store. Values are base64 and were never affected.

test_a_key_with_a_nul_byte_hides_no_other_row failed before ("last_error == 22").

--- a/lib/common/json.c
+++ b/lib/common/json.c
@@ -143,6 +143,13 @@
     return parse(data, len, 0, problem);
 }
 
+json_t *
+mr_json_parse_with_nul(const void *data, size_t len,
+                       mr_json_problem_t *problem)
+{
+    return parse(data, len, JSON_ALLOW_NUL, problem);
+}
+
 json_t *
 mr_json_parse_value(mr_json_span_t span, mr_json_problem_t *problem)
 {
--- a/lib/common/json.h
+++ b/lib/common/json.h
@@ -57,6 +57,11 @@
 json_t *mr_json_parse(const void *data, size_t len,
                       mr_json_problem_t *problem);
 
+/** mr_json_parse_with_nul() - like mr_json_parse(), but texts may contain NUL
+ * bytes, which mr_json_parse() takes for malformed. */
+json_t *mr_json_parse_with_nul(const void *data, size_t len,
+                               mr_json_problem_t *problem);
+
 /** mr_json_problem_set() - format the reason of a failure. Return: false. */
 bool mr_json_problem_set(mr_json_problem_t *problem, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -24,6 +24,7 @@
 static mr_store_t *store;
 static int calls;
 static int failing_call; /* number of the call that gets 503; 0: none */
+static bool odd_row;     /* the first page ends with a row of another writer */
 static const char *eras[CALLS_MAX]; /* header of the answer to each call */
 static int eras_reported;
 static int64_t last_era;
@@ -63,6 +64,9 @@
     while (from != NULL && i < ROWS && strcmp(keys[i], from) < 0) {
         i++;
     }
+    bool after_odd_row =
+        strstr(evhttp_request_get_uri(req), "from=a%20b%00z%01") != NULL;
+    i += after_odd_row;
     evbuffer_add_printf(out, "{\"ver\":%d,\"rows\":[", 40 + calls);
     for (; i < ROWS && written < PAGE_ROWS; i++) {
         evbuffer_add_printf(out,
@@ -70,6 +74,11 @@
                             "\"ver\":7,\"value\":\"YQ==\"}",
                             written++ > 0 ? "," : "", keys[i]);
     }
+    if (odd_row && calls == 1) {
+        evbuffer_add_printf(out, ",{\"table\":\"t\",\"part\":\"\","
+                                 "\"key\":\"a b\\u0000z\",\"ver\":7,"
+                                 "\"value\":\"YQ==\"}");
+    }
     evbuffer_add_printf(out, "],\"has_more\":%s}",
                         i < ROWS ? "true" : "false");
     evhttp_clear_headers(&query);
@@ -193,6 +202,21 @@
 }
 END_TEST
 
+/* Guards against a row of another writer that stops the reading of all rows:
+ * its key has a NUL byte. */
+START_TEST(test_a_key_with_a_nul_byte_hides_no_other_row)
+{
+    odd_row = true;
+    read_all();
+    ck_assert_int_eq(last_error, MR_OK);
+    ck_assert_int_eq(calls, 3);
+    ck_assert_uint_eq(last_count, ROWS);
+    for (int i = 0; i < ROWS; i++) {
+        ck_assert_str_eq(last_keys[i], keys[i]);
+    }
+}
+END_TEST
+
 /* Some of the rows must not be reported as all of them. */
 START_TEST(test_a_page_that_fails_fails_the_read)
 {
@@ -294,6 +318,7 @@
 {
     const TTest *const tests[] = {
         test_all_pages_are_read,
+        test_a_key_with_a_nul_byte_hides_no_other_row,
         test_a_page_that_fails_fails_the_read,
         test_each_rise_of_the_era_is_reported_once,
         test_a_read_across_a_restoration_fails,
