Ignore confirmations of an older revision of the store

Change: a confirmation of an older revision is ignored, whatever its time. The call remembers whether it reads the row itself, which was taken from the state at the answer; the gauge of the age stays 0 until the first confirmation.

test_the_newest_confirmation_counts failed before ("known.config_version == 7, 8 == 8").

--- a/lib/common/http.h
+++ b/lib/common/http.h
@@ -27,9 +27,9 @@
     mr_ms_t unreachable_after; /* time without an answer after which the server
                                   is logged as lost */
     const char *traffic; /* kind of the byte counters; NULL: not counted */
-    /* A connection that has been idle for longer is not used again, and a call
-     * that times out on a kept one closes all idle ones: connections can be
-     * dead without telling. 0: neither. */
+    /* A connection that has been idle for longer is not used again, and a sent
+     * call that times out closes all idle ones: connections can be dead
+     * without telling. 0: neither. */
     mr_ms_t idle_max;
 } mr_http_options_t;
 
--- a/lib/session/confirmation.c
+++ b/lib/session/confirmation.c
@@ -59,10 +59,12 @@
 mr_confirmation_update(mr_confirmation_t *known,
                        const mr_confirmation_t *heard)
 {
-    if (heard->revision.era < known->revision.era) {
+    bool restored = heard->revision.era > known->revision.era;
+
+    if (mr_revision_compare(heard->revision, known->revision) < 0) {
         return;
     }
-    if (heard->revision.era > known->revision.era || heard->at > known->at) {
+    if (restored || heard->at > known->at) {
         known->config_version = heard->config_version;
         known->revision = heard->revision;
         known->at = heard->at;
--- a/lib/session/confirmation.h
+++ b/lib/session/confirmation.h
@@ -51,8 +51,9 @@
                             mr_ms_t now);
 
 /** mr_confirmation_update() - replace *@known by @heard if that is newer.
- * Confirmations of an era of the store before the known one are ignored. Call
- * mr_confirmation_set_held() after it. */
+ * Confirmations of an older revision of the store are ignored, whatever time
+ * they are of, as they come from a stale reading or from before a restoration.
+ * Call mr_confirmation_set_held() after it. */
 void mr_confirmation_update(mr_confirmation_t *known,
                             const mr_confirmation_t *heard);
 
--- a/lib/session/feed.c
+++ b/lib/session/feed.c
@@ -43,6 +43,7 @@
     bool config_waiting;        /* for an answer */
     bool registrations_waiting; /* for an answer, or a first registration */
     bool config_history_gone;   /* the row itself is read next */
+    bool config_row_called;     /* the call reads the row itself */
     int registrations_failures; /* consecutive ones */
     mr_ms_t config_called_at;
     mr_ms_t config_wait; /* of the call, for a change */
@@ -115,7 +116,6 @@
 {
     mr_feed_t *feed = ctx;
     mr_ms_t began = mr_clock_now(NULL);
-    bool read_row = known_until(feed).version == 0;
     size_t bytes = 0;
 
     feed->config_waiting = false;
@@ -145,7 +145,8 @@
     mr_ms_t pause = config_pause(feed, bytes, mr_clock_now(NULL) - began);
     /* Only a call that waits for a change is followed at once by another one.
      */
-    if (pause < RETRY_FIRST_MS && (read_row || feed->config_wait == 0)) {
+    if (pause < RETRY_FIRST_MS
+        && (feed->config_row_called || feed->config_wait == 0)) {
         pause = RETRY_FIRST_MS;
     }
     mr_timer_start(feed->config_timer, pause);
@@ -182,7 +183,8 @@
     feed->config_called_at = now;
     feed->config_wait = 0;
     mr_revision_t after = known_until(feed);
-    if (after.version == 0) {
+    feed->config_row_called = after.version == 0;
+    if (feed->config_row_called) {
         mr_store_get(feed->options.store, config_table, config_key, on_config,
                      feed);
         return;
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -501,6 +501,17 @@
     return urgent < REPORT_PERIOD_MS ? urgent : REPORT_PERIOD_MS;
 }
 
+static void
+update_unconfirmed_gauge(mr_fleet_t *fleet, mr_ms_t now)
+{
+    const mr_confirmation_t *known =
+        mr_directory_confirmation(fleet->options.directory);
+
+    if (known->held_at != 0) {
+        mr_counter_set(fleet->unconfirmed_gauge, now - known->held_at);
+    }
+}
+
 void
 mr_fleet_on_report_timer(evutil_socket_t fd, short what, void *ctx)
 {
@@ -511,9 +522,7 @@
     (void)fd;
     (void)what;
     mr_timer_start(fleet->report_timer, REPORT_PERIOD_MS);
-    mr_counter_set(
-        fleet->unconfirmed_gauge,
-        now - mr_directory_confirmation(fleet->options.directory)->held_at);
+    update_unconfirmed_gauge(fleet, now);
     mr_fleet_update_coordinator(fleet, now);
     retry_preferred(fleet, now);
     if (fleet->coordinator != NULL
--- a/lib/session/sessiond_settings.c
+++ b/lib/session/sessiond_settings.c
@@ -133,6 +133,18 @@
     return true;
 }
 
+static bool
+check_times(int grace_s, int apply_ms)
+{
+    if (grace_s < 1 || grace_s > GRACE_MAX_S) {
+        return report_error("grace-s", "must be from 1 to 600");
+    }
+    if (apply_ms < APPLY_MIN_MS || apply_ms > APPLY_MAX_MS) {
+        return report_error("apply-ms", "must be from 2500 to 600000");
+    }
+    return true;
+}
+
 bool
 mr_sessiond_settings_read(int *argc, char ***argv,
                           mr_sessiond_settings_t *settings)
@@ -213,12 +225,7 @@
     for (size_t i = 0; good && i < G_N_ELEMENTS(table); i++) {
         good = check_setting(&table[i]);
     }
-    if (good && (grace_s < 1 || grace_s > GRACE_MAX_S)) {
-        good = report_error("grace-s", "must be from 1 to 600");
-    }
-    if (good && (apply_ms < APPLY_MIN_MS || apply_ms > APPLY_MAX_MS)) {
-        good = report_error("apply-ms", "must be from 2500 to 600000");
-    }
+    good = good && check_times(grace_s, apply_ms);
     good = good && parse_memory_limit(memory_mb, &settings->memory_limit);
     good = good && parse_link_rate(link_mbps, &settings->link_mbps);
     good = good && parse_log_level(level, &settings->log_level);
--- a/tests/integration/test_session_daemon.c
+++ b/tests/integration/test_session_daemon.c
@@ -108,6 +108,7 @@
         "--store",
         "--duty=x:1",
         "--grace-s=0",
+        "--apply-ms=2499",
         "--memory-mb=-1",
         "--memory-mb=1.5",
         "--memory-mb=",
--- a/tests/unit/test_confirmation.c
+++ b/tests/unit/test_confirmation.c
@@ -500,6 +500,9 @@
     ck_assert_int_eq(known.at, 5000);
     mr_confirmation_update(&known, &(mr_confirmation_t){8, {1, 120}, 5100, 0});
     ck_assert_int_eq(known.config_version, 8);
+    /* A stale reading, which an answer is if it has an older revision. */
+    mr_confirmation_update(&known, &(mr_confirmation_t){7, {1, 110}, 5300, 0});
+    ck_assert_int_eq(known.config_version, 8);
     /* Of a store that has been restored since: its versions say nothing. */
     mr_confirmation_update(&known, &(mr_confirmation_t){9, {0, 500}, 6000, 0});
     ck_assert_int_eq(known.config_version, 8);
