Let a coordinator forget the instances that have left it

Cause: the restarted process takes the coordination back. So it grants the whole rate to those that have not left yet, beside the new one.

Change: an instance that leaves a coordinator tells it with a report that draws no tokens, and a coordinator forgets the part of an instance that sends one.

--- a/lib/session/budget.c
+++ b/lib/session/budget.c
@@ -90,6 +90,19 @@
     mr_list_append(&budgets->reporters, &reporter->link);
 }
 
+void
+mr_budgets_forget(mr_budgets_t *budgets, const char *instance)
+{
+    MR_LIST_FOREACH(it, &budgets->reporters)
+    {
+        reporter_t *reporter = MR_LIST_ENTRY(it, reporter_t, link);
+        if (strcmp(reporter->name, instance) == 0) {
+            free_reporter(reporter);
+            return;
+        }
+    }
+}
+
 size_t
 mr_budgets_reporting(mr_budgets_t *budgets, mr_ms_t now)
 {
--- a/lib/session/budget.h
+++ b/lib/session/budget.h
@@ -23,6 +23,9 @@
 void mr_budgets_report(mr_budgets_t *budgets, const char *instance,
                        mr_ms_t now);
 
+/** mr_budgets_forget() - @instance draws from another coordinator now. */
+void mr_budgets_forget(mr_budgets_t *budgets, const char *instance);
+
 /** mr_budgets_reporting() - number of instances that reported recently. */
 size_t mr_budgets_reporting(mr_budgets_t *budgets, mr_ms_t now);
 
--- a/lib/session/fleet.c
+++ b/lib/session/fleet.c
@@ -109,6 +109,10 @@
                coordinating ? fleet->options.name : coordinator->name,
                mr_fleet_instances(fleet));
     }
+    if (fleet->coordinator != NULL && fleet->coordinator != coordinator) {
+        /* It no longer grants this instance's part of the rates. */
+        mr_fleet_introduce(fleet, fleet->coordinator);
+    }
     if (fleet->coordinator != coordinator) {
         /* Send it no contents before its first reply, as it may have them. */
         fleet->coordinator_directory =
--- a/lib/session/fleet_report.c
+++ b/lib/session/fleet_report.c
@@ -768,8 +768,11 @@
                            report->health_count);
         record_lease_report(fleet, from, report, now);
     }
-    else if (instance != NULL && instance == fleet->coordinator) {
-        import_withheld(fleet, report, now);
+    else {
+        mr_budgets_forget(fleet->budgets, from);
+        if (instance != NULL && instance == fleet->coordinator) {
+            import_withheld(fleet, report, now);
+        }
     }
     if (report->refresh) {
         mr_feed_refresh(fleet->options.feed);
