--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds what the scripts of this review start, into build/review-3. Needs the
+# Builds what the script of this review starts, into build/review-3. Needs the
 # packages of deploy/system.toml only; run it after the build of the deploy
 # file.
 set -eu
--- a/review/sim-3/sim.c
+++ b/review/sim-3/sim.c
@@ -1,9 +1,9 @@
 /*
- * A small deployment on loopback addresses for the scripts of this review: the
+ * A small deployment on loopback addresses for the script of this review: the
  * platform's store and promotion call, the databases of two services, clients,
  * a proxy between the two data centres, and the session daemons as separate
  * processes. Everything is as the platform's pages describe it; what is not
- * needed by the scripts is left out.
+ * needed by the script is left out.
  *
  * sim PROGRAM REDIRECT_LIBRARY RECORD LOG_DIRECTORY SCENARIO TROUBLE
  *
@@ -50,7 +50,6 @@
     BURST = 100,
     WINDOW_MS = 5000,
     QUOTA_SLACK = 20,
-    RECOVERY_MS = 12000,
     QUOTA_EXCESS_PERCENT = 10,
 };
 
@@ -1313,84 +1312,6 @@
     return most > bound ? 1 : 0;
 }
 
-/* ---- Scenario: most daemons leave for good, then the others are killed ----
- */
-
-static void
-reap(daemon_t *daemon)
-{
-    if (daemon->pid > 0 && waitpid(daemon->pid, NULL, WNOHANG) > 0) {
-        note("daemon %s has ended", daemon->name);
-        daemon->pid = 0;
-    }
-}
-
-static int
-play_recover(bool trouble)
-{
-    const int stay[] = {0, PER_CENTRE}; /* one of each data centre */
-
-    /* 18 sessions at two operations a second, within the tenant's rate. */
-    pause_ms = 500;
-    refused_pause_ms = 500;
-    traffic = true;
-    for (int i = 0; i < SESSIONS; i++) {
-        connect_session(&sessions[i]);
-    }
-    run_for(8000);
-    note_served("before");
-    if (served[0] * 4 < refused[0] || served[1] * 4 < refused[1]) {
-        return 2;
-    }
-    for (int i = 0; i < DAEMONS && trouble; i++) {
-        if (i != stay[0] && i != stay[1]) {
-            note("daemon %s gets SIGTERM and does not come back",
-                 daemons[i].name);
-            kill(daemons[i].pid, SIGTERM);
-            run_for(1300);
-        }
-    }
-    run_for(7000); /* grace_s and a second */
-    for (int i = 0; i < DAEMONS; i++) {
-        reap(&daemons[i]);
-        if (trouble && i != stay[0] && i != stay[1] && daemons[i].pid > 0) {
-            return 2;
-        }
-    }
-    note_served("when they have left");
-    for (int i = 0; i < DAEMONS; i++) {
-        if (daemons[i].pid > 0) {
-            note("daemon %s is killed", daemons[i].name);
-            kill(daemons[i].pid, SIGKILL);
-            waitpid(daemons[i].pid, NULL, 0);
-            daemons[i].pid = -1;
-        }
-    }
-    run_for(1400);
-    for (int i = 0; i < DAEMONS; i++) {
-        if (daemons[i].pid < 0) {
-            start_daemon(&daemons[i]);
-        }
-    }
-    run_for(RECOVERY_MS);
-    note_served("recovery_s after the return");
-    long long before = served[0] + served[1];
-    long long refused_before = refused[0] + refused[1];
-    run_for(3000);
-    note_served("3 s later");
-    long long ok = served[0] + served[1] - before;
-    long long bad = refused[0] + refused[1] - refused_before;
-    int ready = 0;
-    for (int i = 0; i < DAEMONS; i++) {
-        ready += daemons[i].pid > 0;
-    }
-    note("of the requests sent later than %d ms after the return of %d "
-         "daemons, %lld were served and %lld not",
-         RECOVERY_MS, ready, ok, bad);
-    printf("RECOVER: %lld served, %lld not\n", ok, bad);
-    return ok * 3 < bad || ok == 0 ? 1 : 0;
-}
-
 int
 main(int argc, char **argv)
 {
@@ -1426,9 +1347,6 @@
     if (ready && strcmp(argv[5], "quota") == 0) {
         result = play_quota(trouble);
     }
-    if (ready && strcmp(argv[5], "recover") == 0) {
-        result = play_recover(trouble);
-    }
     stop_daemons();
     note("exit status %d", result);
     fclose(record);
